--- /dev/null
+++ b/Makefile
@@ -0,0 +1,112 @@
+# Siskingrade build. "make help" lists the targets.
+
+CC ?= gcc
+BUILD ?= build
+JOBS := $(shell nproc)
+VERSION := 0.1.0
+
+PACKAGES := gcc make pkg-config libh2o-evloop-dev libprotobuf-c-dev protobuf-c-compiler \
+	libcmocka-dev libcyaml-dev libyaml-dev libjansson-dev libxxhash-dev libsodium-dev libssl-dev
+CI_PACKAGES := clang-format clang-tidy cppcheck
+
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -DSGR_VERSION='"$(VERSION)"' -Ilibsiskingrade
+OPT ?= -O2 -g
+CFLAGS += -std=gnu11 $(OPT) -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wno-unused-parameter -Wno-missing-field-initializers -fno-omit-frame-pointer -pthread
+# The h2o and cmocka headers are system headers, so that their own warnings do not count.
+LDLIBS += -lh2o-evloop -lssl -lcrypto -lprotobuf-c -lcyaml -lyaml -ljansson -lxxhash -lsodium -lm
+LDFLAGS += -pthread
+
+LIB_SRC := $(wildcard libsiskingrade/*.c)
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/libsiskingrade.a
+
+CLI_SRC := $(wildcard cli/*.c)
+STANDIN_SRC := $(wildcard standins/standin-*.c)
+STANDIN_COMMON := $(filter-out $(STANDIN_SRC),$(wildcard standins/*.c))
+TEST_SRC := $(wildcard tests/test_*.c)
+TEST_COMMON := $(filter-out $(TEST_SRC),$(wildcard tests/*.c))
+BENCH_SRC := $(wildcard bench/bench_*.c)
+BENCH_COMMON := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
+
+PROGRAMS := $(CLI_SRC:cli/%.c=$(BUILD)/%) $(STANDIN_SRC:standins/%.c=$(BUILD)/%)
+TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
+
+C_FILES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard libsiskingrade/*.[ch] cli/*.[ch] standins/*.[ch] \
+	tests/*.[ch] bench/*.[ch] fuzz/*.[ch]))
+
+.PHONY: all help deps check check-asan bench demo fuzz format format-check lint proto clean
+.SECONDARY:
+
+all: $(LIB) $(PROGRAMS)
+
+help:
+	@echo "all check check-asan bench demo fuzz format format-check lint proto deps clean"
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(SAN) -MMD -MP -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(BUILD)/siskingrade%: $(BUILD)/cli/siskingrade%.o $(LIB)
+	$(CC) $(LDFLAGS) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/standin-%: $(BUILD)/standins/standin-%.o $(STANDIN_COMMON:%.c=$(BUILD)/%.o) $(LIB)
+	$(CC) $(LDFLAGS) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_COMMON:%.c=$(BUILD)/%.o) $(LIB)
+	@mkdir -p $(dir $@)
+	$(CC) $(LDFLAGS) $(SAN) -o $@ $^ -lcmocka $(LDLIBS)
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BENCH_COMMON:%.c=$(BUILD)/%.o) $(LIB)
+	@mkdir -p $(dir $@)
+	$(CC) $(LDFLAGS) $(SAN) -o $@ $^ $(LDLIBS)
+
+deps:
+	@tests/install-packages.sh $(PACKAGES)
+
+check: deps
+	@$(MAKE) -j$(JOBS) --no-print-directory all $(TESTS)
+	@tests/run.sh $(BUILD) $(TESTS)
+
+check-asan: deps
+	@$(MAKE) -j$(JOBS) --no-print-directory BUILD=build-asan OPT="-O1 -g" SAN="-fsanitize=address,undefined -fno-sanitize-recover=all" check-nodeps
+
+.PHONY: check-nodeps tests
+check-nodeps: all $(TESTS)
+	@tests/run.sh $(BUILD) $(TESTS)
+
+tests: all $(TESTS)
+
+bench: deps
+	@$(MAKE) -j$(JOBS) --no-print-directory all $(BENCHES)
+	@bench/run.sh $(BUILD) $(BENCHES)
+
+demo: deps
+	@$(MAKE) -j$(JOBS) --no-print-directory all
+	@examples/demo.sh $(BUILD)
+
+# Generated code is committed; this target is only for changes of the .proto files.
+proto:
+	protoc-c --proto_path=libsiskingrade --c_out=libsiskingrade $(wildcard libsiskingrade/*.proto)
+
+fuzz:
+	@fuzz/run.sh
+
+format:
+	clang-format -i $(C_FILES)
+
+format-check:
+	clang-format --dry-run -Werror $(C_FILES)
+
+lint:
+	@tests/lint.sh "$(CPPFLAGS)" $(filter %.c,$(C_FILES))
+
+clean:
+	rm -rf build build-asan build-fuzz
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/libsiskingrade/counter.c
@@ -0,0 +1,168 @@
+#include "counter.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "result.h"
+
+#define LABELS_MAX 160
+
+typedef struct metric_t
+{
+  char name[SGR_NAME_MAX + 1];
+  char labels[LABELS_MAX];
+  sgr_counter_t counter;
+  sgr_histogram_t *histogram;
+  struct metric_t *next;
+} metric_t;
+
+struct sgr_metrics_t
+{
+  pthread_mutex_t mutex; /* guards the list, not the values */
+  metric_t *first;
+};
+
+/* Upper bounds of the printed buckets in microseconds. */
+static const uint64_t printed_bounds_us[]
+    = { 250, 500, 1000, 2500, 5000, 10000, 25000, 50000, 100000, 250000, 1000000, 5000000 };
+
+#define PRINTED_BOUNDS (sizeof printed_bounds_us / sizeof printed_bounds_us[0])
+
+sgr_metrics_t *
+sgr_metrics_create (void)
+{
+  sgr_metrics_t *metrics = calloc (1, sizeof *metrics);
+
+  sgr_invariant (metrics != NULL);
+  pthread_mutex_init (&metrics->mutex, NULL);
+  return metrics;
+}
+
+void
+sgr_metrics_destroy (sgr_metrics_t *metrics)
+{
+  metric_t *next;
+
+  if (metrics == NULL)
+    return;
+  for (metric_t *metric = metrics->first; metric != NULL; metric = next)
+    {
+      next = metric->next;
+      free (metric->histogram);
+      free (metric);
+    }
+  pthread_mutex_destroy (&metrics->mutex);
+  free (metrics);
+}
+
+/* Metrics of one name stay together, as the Prometheus text format asks for. */
+static metric_t *
+find_or_add (sgr_metrics_t *metrics, const char *name, const char *labels)
+{
+  metric_t **place = &metrics->first;
+  metric_t *metric;
+
+  for (; *place != NULL; place = &(*place)->next)
+    {
+      int order = strcmp ((*place)->name, name);
+
+      if (order == 0)
+        order = strcmp ((*place)->labels, labels);
+      if (order == 0)
+        return *place;
+      if (order > 0)
+        break;
+    }
+  metric = calloc (1, sizeof *metric);
+  sgr_invariant (metric != NULL);
+  strncpy (metric->name, name, sizeof metric->name - 1);
+  strncpy (metric->labels, labels, sizeof metric->labels - 1);
+  metric->next = *place;
+  *place = metric;
+  return metric;
+}
+
+sgr_counter_t *
+sgr_metrics_counter (sgr_metrics_t *metrics, const char *name, const char *labels)
+{
+  metric_t *metric;
+
+  pthread_mutex_lock (&metrics->mutex);
+  metric = find_or_add (metrics, name, labels);
+  pthread_mutex_unlock (&metrics->mutex);
+  return &metric->counter;
+}
+
+sgr_histogram_t *
+sgr_metrics_histogram (sgr_metrics_t *metrics, const char *name, const char *labels)
+{
+  metric_t *metric;
+
+  pthread_mutex_lock (&metrics->mutex);
+  metric = find_or_add (metrics, name, labels);
+  if (metric->histogram == NULL)
+    metric->histogram = calloc (1, sizeof *metric->histogram);
+  sgr_invariant (metric->histogram != NULL);
+  pthread_mutex_unlock (&metrics->mutex);
+  return metric->histogram;
+}
+
+static uint64_t
+count_up_to (const sgr_histogram_t *histogram, uint64_t bound_us)
+{
+  sgr_histogram_t probe = { 0 };
+  uint64_t total = 0;
+
+  sgr_histogram_record (&probe, bound_us);
+  for (unsigned i = 0; i < SGR_HISTOGRAM_BUCKETS; i++)
+    {
+      total += histogram->buckets[i];
+      if (probe.buckets[i] != 0)
+        break;
+    }
+  return total;
+}
+
+static void
+print_histogram (const metric_t *metric, sgr_buffer_t *text)
+{
+  const sgr_histogram_t *histogram = metric->histogram;
+  const char *comma = metric->labels[0] != '\0' ? "," : "";
+
+  for (size_t i = 0; i < PRINTED_BOUNDS; i++)
+    sgr_buffer_printf (text, "%s_bucket{%s%sle=\"%g\"} %lu\n", metric->name, metric->labels, comma,
+                       (double)printed_bounds_us[i] / 1e6,
+                       count_up_to (histogram, printed_bounds_us[i]));
+  sgr_buffer_printf (text, "%s_bucket{%s%sle=\"+Inf\"} %lu\n", metric->name, metric->labels, comma,
+                     histogram->count);
+  sgr_buffer_printf (text, "%s_sum{%s} %g\n", metric->name, metric->labels,
+                     (double)histogram->sum_us / 1e6);
+  sgr_buffer_printf (text, "%s_count{%s} %lu\n", metric->name, metric->labels, histogram->count);
+}
+
+void
+sgr_metrics_print (const sgr_metrics_t *metrics, sgr_buffer_t *text)
+{
+  const char *previous = "";
+
+  pthread_mutex_lock ((pthread_mutex_t *)&metrics->mutex);
+  for (const metric_t *metric = metrics->first; metric != NULL; metric = metric->next)
+    {
+      size_t length = strlen (metric->name);
+      bool is_total = length > 6 && strcmp (metric->name + length - 6, "_total") == 0;
+      const char *type = metric->histogram != NULL ? "histogram" : is_total ? "counter" : "gauge";
+
+      if (strcmp (metric->name, previous) != 0)
+        sgr_buffer_printf (text, "# TYPE %s %s\n", metric->name, type);
+      previous = metric->name;
+      if (metric->histogram != NULL)
+        print_histogram (metric, text);
+      else if (metric->labels[0] != '\0')
+        sgr_buffer_printf (text, "%s{%s} %lu\n", metric->name, metric->labels,
+                           sgr_counter_get (&metric->counter));
+      else
+        sgr_buffer_printf (text, "%s %lu\n", metric->name, sgr_counter_get (&metric->counter));
+    }
+  pthread_mutex_unlock ((pthread_mutex_t *)&metrics->mutex);
+}
