--- /dev/null
+++ b/libsiskingrade/frame.c
@@ -0,0 +1,149 @@
+#include "frame.h"
+
+#include <string.h>
+
+sgr_result_t
+sgr_frame_append (sgr_buffer_t *out, const Sgr__Pb__PeerFrame *frame)
+{
+  size_t length = sgr__pb__peer_frame__get_packed_size (frame);
+  uint8_t *place;
+
+  if (length > SGR_FRAME_MAX_BYTES)
+    return SGR_ERR_LIMIT;
+  place = sgr_buffer_reserve (out, SGR_FRAME_HEADER_BYTES + length);
+  place[0] = (uint8_t)(length >> 24);
+  place[1] = (uint8_t)(length >> 16);
+  place[2] = (uint8_t)(length >> 8);
+  place[3] = (uint8_t)length;
+  sgr__pb__peer_frame__pack (frame, place + SGR_FRAME_HEADER_BYTES);
+  out->length += SGR_FRAME_HEADER_BYTES + length;
+  return SGR_OK;
+}
+
+static const Sgr__Pb__AttemptId *
+attempt_id_of (const Sgr__Pb__PeerFrame *frame)
+{
+  switch (frame->body_case)
+    {
+    case SGR__PB__PEER_FRAME__BODY_CALL:
+      return frame->call->id;
+    case SGR__PB__PEER_FRAME__BODY_CALL_BODY:
+      return frame->call_body->id;
+    case SGR__PB__PEER_FRAME__BODY_CANCEL:
+      return frame->cancel->id;
+    case SGR__PB__PEER_FRAME__BODY_QUERY:
+      return frame->query->id;
+    case SGR__PB__PEER_FRAME__BODY_CREDIT:
+      return frame->credit->id;
+    case SGR__PB__PEER_FRAME__BODY_ANSWER_HEAD:
+      return frame->answer_head->id;
+    case SGR__PB__PEER_FRAME__BODY_ANSWER_CHUNK:
+      return frame->answer_chunk->id;
+    case SGR__PB__PEER_FRAME__BODY_ANSWER_END:
+      return frame->answer_end->id;
+    case SGR__PB__PEER_FRAME__BODY_REFUSAL:
+      return frame->refusal->id;
+    case SGR__PB__PEER_FRAME__BODY_QUERY_REPLY:
+      return frame->query_reply->id;
+    default:
+      return NULL;
+    }
+}
+
+static bool
+is_complete (const Sgr__Pb__PeerFrame *frame)
+{
+  switch (frame->body_case)
+    {
+    case SGR__PB__PEER_FRAME__BODY__NOT_SET:
+      return false;
+    case SGR__PB__PEER_FRAME__BODY_HELLO:
+    case SGR__PB__PEER_FRAME__BODY_PING:
+    case SGR__PB__PEER_FRAME__BODY_PONG:
+      return true;
+    default:
+      return attempt_id_of (frame) != NULL;
+    }
+}
+
+sgr_result_t
+sgr_frame_decode (const uint8_t *bytes, size_t length, Sgr__Pb__PeerFrame **frame, size_t *consumed)
+{
+  size_t body;
+
+  *frame = NULL;
+  *consumed = 0;
+  if (length < SGR_FRAME_HEADER_BYTES)
+    return SGR_OK;
+  body = (size_t)bytes[0] << 24 | (size_t)bytes[1] << 16 | (size_t)bytes[2] << 8 | bytes[3];
+  if (body > SGR_FRAME_MAX_BYTES)
+    return SGR_ERR_LIMIT;
+  if (body == 0)
+    return SGR_ERR_INVALID;
+  if (length < SGR_FRAME_HEADER_BYTES + body)
+    return SGR_OK;
+  *frame = sgr__pb__peer_frame__unpack (NULL, body, bytes + SGR_FRAME_HEADER_BYTES);
+  if (*frame == NULL)
+    return SGR_ERR_INVALID;
+  if (!is_complete (*frame))
+    {
+      sgr_frame_free (*frame);
+      *frame = NULL;
+      return SGR_ERR_INVALID;
+    }
+  *consumed = SGR_FRAME_HEADER_BYTES + body;
+  return SGR_OK;
+}
+
+void
+sgr_frame_free (Sgr__Pb__PeerFrame *frame)
+{
+  if (frame != NULL)
+    sgr__pb__peer_frame__free_unpacked (frame, NULL);
+}
+
+bool
+sgr_frame_attempt_id (const Sgr__Pb__PeerFrame *frame, sgr_attempt_id_t *id)
+{
+  const Sgr__Pb__AttemptId *message = attempt_id_of (frame);
+
+  if (message == NULL)
+    return false;
+  id->node = message->node;
+  id->boot = message->boot;
+  id->sequence = message->sequence;
+  id->attempt = message->attempt;
+  return true;
+}
+
+void
+sgr_frame_id_set (Sgr__Pb__AttemptId *message, const sgr_attempt_id_t *id)
+{
+  sgr__pb__attempt_id__init (message);
+  message->node = id->node;
+  message->boot = id->boot;
+  message->sequence = id->sequence;
+  message->attempt = id->attempt;
+}
+
+void
+sgr_frame_load_set (Sgr__Pb__LoadReport *message, const sgr_load_report_t *load)
+{
+  sgr__pb__load_report__init (message);
+  message->in_flight = load->in_flight;
+  message->queued = load->queued;
+  message->slots = load->slots;
+  message->latency_us = load->latency_us;
+  message->state = load->state;
+}
+
+void
+sgr_frame_load_get (const Sgr__Pb__LoadReport *message, sgr_load_report_t *load)
+{
+  *load = (sgr_load_report_t){ .in_flight = message->in_flight,
+                               .queued = message->queued,
+                               .slots = message->slots,
+                               .latency_us = message->latency_us };
+  load->state
+      = message->state <= SGR_TARGET_LEFT ? (sgr_target_state_t)message->state : SGR_TARGET_NONE;
+}
--- /dev/null
+++ b/libsiskingrade/peer_conn.c
@@ -0,0 +1,418 @@
+#include "peer_conn.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* At most this much of large answers goes out in one write, so that an urgent frame waits for no
+   more than one write of this size. */
+#define BULK_WRITE_BYTES (64U * 1024)
+
+struct sgr_peer_conn_t
+{
+  const sgr_peer_conn_env_t *env;
+  const sgr_peer_conn_handlers_t *handlers;
+  void *ctx;
+  h2o_socket_t *sock;
+  bool is_connected;
+  bool is_ready;
+  bool is_dispatching;
+  bool is_closed;
+  sgr_node_id_t remote_node;
+  sgr_boot_id_t remote_boot;
+  sgr_buffer_t urgent;
+  sgr_buffer_t bulk;
+  sgr_buffer_t writing;
+  size_t waiting;
+  sgr_timer_t heartbeat;
+  uint64_t heartbeat_due_us;
+  uint64_t last_read_us;
+  bool ping_unanswered;
+};
+
+static void flush_queues (sgr_peer_conn_t *conn);
+
+const char *
+sgr_peer_close_name (sgr_peer_close_t reason)
+{
+  static const char *const names[SGR_PEER_CLOSE_COUNT]
+      = { "remote", "connect-failed", "silent", "bad-frame", "bad-hello" };
+
+  return reason < SGR_PEER_CLOSE_COUNT ? names[reason] : "unknown";
+}
+
+static void
+conn_free (sgr_peer_conn_t *conn)
+{
+  sgr_buffer_release (&conn->urgent);
+  sgr_buffer_release (&conn->bulk);
+  sgr_buffer_release (&conn->writing);
+  free (conn);
+}
+
+static void
+shut (sgr_peer_conn_t *conn)
+{
+  conn->is_closed = true;
+  sgr_timer_cancel (conn->env->timers, &conn->heartbeat);
+  if (conn->sock != NULL)
+    {
+      conn->sock->data = NULL;
+      h2o_socket_close (conn->sock);
+      conn->sock = NULL;
+    }
+}
+
+void
+sgr_peer_conn_close (sgr_peer_conn_t *conn)
+{
+  if (conn->is_closed)
+    return;
+  shut (conn);
+  if (!conn->is_dispatching)
+    conn_free (conn);
+}
+
+static void
+fail (sgr_peer_conn_t *conn, sgr_peer_close_t reason)
+{
+  if (conn->is_closed)
+    return;
+  sgr_counter_add (conn->env->closed[reason], 1);
+  shut (conn);
+  conn->handlers->closed (conn->ctx, conn, reason);
+  if (!conn->is_dispatching)
+    conn_free (conn);
+}
+
+static void
+on_written (h2o_socket_t *sock, const char *err)
+{
+  sgr_peer_conn_t *conn = sock->data;
+
+  if (conn == NULL)
+    return;
+  sgr_counter_add (conn->env->bytes_out, conn->writing.length);
+  conn->writing.length = 0;
+  if (err != NULL)
+    fail (conn, SGR_PEER_CLOSE_REMOTE);
+  else
+    flush_queues (conn);
+}
+
+/* Length of the whole frames at the front of the bulk queue that fit one write. */
+static size_t
+bulk_share (const sgr_peer_conn_t *conn)
+{
+  size_t share = 0;
+
+  while (share < conn->bulk.length)
+    {
+      const uint8_t *head = conn->bulk.bytes + share;
+      size_t body = (size_t)head[0] << 24 | (size_t)head[1] << 16 | (size_t)head[2] << 8 | head[3];
+
+      if (share > 0 && share + SGR_FRAME_HEADER_BYTES + body > BULK_WRITE_BYTES)
+        break;
+      share += SGR_FRAME_HEADER_BYTES + body;
+    }
+  return share;
+}
+
+static void
+flush_queues (sgr_peer_conn_t *conn)
+{
+  h2o_iovec_t vector;
+  sgr_buffer_t spare;
+  size_t share;
+
+  if (!conn->is_connected || conn->writing.length > 0 || conn->is_closed)
+    return;
+  spare = conn->writing;
+  conn->writing = conn->urgent;
+  conn->urgent = spare;
+  share = bulk_share (conn);
+  sgr_buffer_append (&conn->writing, conn->bulk.bytes, share);
+  sgr_buffer_consume (&conn->bulk, share);
+  if (conn->writing.length == 0)
+    return;
+  vector = h2o_iovec_init (conn->writing.bytes, conn->writing.length);
+  h2o_socket_write (conn->sock, &vector, 1, on_written);
+}
+
+sgr_result_t
+sgr_peer_conn_send (sgr_peer_conn_t *conn, const Sgr__Pb__PeerFrame *frame,
+                    sgr_peer_priority_t priority)
+{
+  sgr_buffer_t *queue = priority == SGR_PEER_BULK ? &conn->bulk : &conn->urgent;
+  sgr_result_t result;
+
+  if (conn->is_closed)
+    return SGR_ERR_UNAVAILABLE;
+  result = sgr_frame_append (queue, frame);
+  if (result != SGR_OK)
+    return result;
+  flush_queues (conn);
+  return SGR_OK;
+}
+
+static void
+send_hello (sgr_peer_conn_t *conn)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Hello hello = SGR__PB__HELLO__INIT;
+
+  hello.version = SGR_FRAME_VERSION;
+  hello.node = conn->env->node;
+  hello.boot = conn->env->boot;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_HELLO;
+  frame.hello = &hello;
+  sgr_peer_conn_send (conn, &frame, SGR_PEER_URGENT);
+}
+
+static void
+send_ping (sgr_peer_conn_t *conn)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Ping ping = SGR__PB__PING__INIT;
+
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_PING;
+  frame.ping = &ping;
+  conn->ping_unanswered = true;
+  sgr_peer_conn_send (conn, &frame, SGR_PEER_URGENT);
+}
+
+static void
+send_pong (sgr_peer_conn_t *conn, uint64_t token)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Pong pong = SGR__PB__PONG__INIT;
+
+  pong.token = token;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_PONG;
+  frame.pong = &pong;
+  sgr_peer_conn_send (conn, &frame, SGR_PEER_URGENT);
+}
+
+static void
+heartbeat_arm (sgr_peer_conn_t *conn, uint64_t now_us)
+{
+  uint64_t interval = conn->waiting > 0 || conn->ping_unanswered || !conn->is_ready
+                          ? conn->env->heartbeat_us
+                          : conn->env->idle_ping_us;
+
+  conn->heartbeat_due_us = now_us + interval;
+  sgr_timer_arm (conn->env->timers, &conn->heartbeat, conn->heartbeat_due_us);
+}
+
+static void
+on_heartbeat (void *ctx, uint64_t now_us)
+{
+  sgr_peer_conn_t *conn = ctx;
+
+  /* A timer that fires late means that this process was paused; bytes may wait in the socket. */
+  if (now_us > conn->heartbeat_due_us + conn->env->heartbeat_us)
+    conn->last_read_us = now_us;
+  if (now_us - conn->last_read_us >= conn->env->silence_us
+      && (conn->ping_unanswered || !conn->is_ready))
+    {
+      fail (conn, SGR_PEER_CLOSE_SILENT);
+      return;
+    }
+  if (conn->is_ready && now_us - conn->last_read_us >= conn->env->heartbeat_us)
+    {
+      if (!conn->ping_unanswered && conn->waiting == 0)
+        conn->last_read_us = now_us; /* the silence of an idle connection starts with the ping */
+      send_ping (conn);
+    }
+  if (!conn->is_closed)
+    heartbeat_arm (conn, now_us);
+}
+
+void
+sgr_peer_conn_waiting_set (sgr_peer_conn_t *conn, size_t count)
+{
+  bool was_idle = conn->waiting == 0;
+
+  conn->waiting = count;
+  if (conn->is_closed || !was_idle || count == 0)
+    return;
+  if (!conn->ping_unanswered)
+    conn->last_read_us = sgr_clock_monotonic_us ();
+  heartbeat_arm (conn, sgr_clock_monotonic_us ());
+}
+
+static sgr_result_t
+take_hello (sgr_peer_conn_t *conn, const Sgr__Pb__Hello *hello)
+{
+  if (conn->is_ready || hello->version != SGR_FRAME_VERSION || hello->node == 0)
+    return SGR_ERR_INVALID;
+  conn->is_ready = true;
+  conn->remote_node = hello->node;
+  conn->remote_boot = hello->boot;
+  conn->handlers->ready (conn->ctx, conn);
+  return SGR_OK;
+}
+
+/* Returns false if the connection was closed. */
+static bool
+dispatch (sgr_peer_conn_t *conn, const Sgr__Pb__PeerFrame *frame)
+{
+  sgr_result_t result = SGR_OK;
+
+  if (frame->body_case == SGR__PB__PEER_FRAME__BODY_HELLO)
+    {
+      if (take_hello (conn, frame->hello) != SGR_OK)
+        fail (conn, SGR_PEER_CLOSE_BAD_HELLO);
+      return !conn->is_closed;
+    }
+  if (!conn->is_ready)
+    {
+      fail (conn, SGR_PEER_CLOSE_BAD_HELLO);
+      return false;
+    }
+  if (frame->body_case == SGR__PB__PEER_FRAME__BODY_PING)
+    send_pong (conn, frame->ping->token);
+  else if (frame->body_case != SGR__PB__PEER_FRAME__BODY_PONG)
+    result = conn->handlers->frame (conn->ctx, conn, frame);
+  if (result != SGR_OK)
+    fail (conn, SGR_PEER_CLOSE_BAD_FRAME);
+  return !conn->is_closed;
+}
+
+static void
+read_frames (sgr_peer_conn_t *conn)
+{
+  Sgr__Pb__PeerFrame *frame;
+  size_t consumed;
+  bool is_open = true;
+
+  while (is_open)
+    {
+      h2o_buffer_t *input = conn->sock->input;
+
+      if (sgr_frame_decode ((const uint8_t *)input->bytes, input->size, &frame, &consumed)
+          != SGR_OK)
+        {
+          fail (conn, SGR_PEER_CLOSE_BAD_FRAME);
+          return;
+        }
+      if (frame == NULL)
+        return;
+      h2o_buffer_consume (&conn->sock->input, consumed);
+      is_open = dispatch (conn, frame);
+      sgr_frame_free (frame);
+    }
+}
+
+static void
+on_read (h2o_socket_t *sock, const char *err)
+{
+  sgr_peer_conn_t *conn = sock->data;
+
+  if (conn == NULL)
+    return;
+  if (err != NULL)
+    {
+      fail (conn, SGR_PEER_CLOSE_REMOTE);
+      return;
+    }
+  sgr_counter_add (conn->env->bytes_in, sock->bytes_read);
+  sock->bytes_read = 0;
+  conn->last_read_us = sgr_clock_monotonic_us ();
+  conn->ping_unanswered = false;
+  conn->is_dispatching = true;
+  read_frames (conn);
+  conn->is_dispatching = false;
+  if (conn->is_closed)
+    conn_free (conn);
+}
+
+static void
+start (sgr_peer_conn_t *conn)
+{
+  int on = 1;
+
+  conn->is_connected = true;
+  setsockopt (h2o_socket_get_fd (conn->sock), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  h2o_socket_read_start (conn->sock, on_read);
+  flush_queues (conn);
+}
+
+static sgr_peer_conn_t *
+create (const sgr_peer_conn_env_t *env, const sgr_peer_conn_handlers_t *handlers, void *ctx)
+{
+  sgr_peer_conn_t *conn = calloc (1, sizeof *conn);
+
+  sgr_invariant (conn != NULL);
+  conn->env = env;
+  conn->handlers = handlers;
+  conn->ctx = ctx;
+  conn->heartbeat = (sgr_timer_t){ .fire = on_heartbeat, .ctx = conn };
+  conn->last_read_us = sgr_clock_monotonic_us ();
+  send_hello (conn);
+  heartbeat_arm (conn, conn->last_read_us);
+  return conn;
+}
+
+sgr_peer_conn_t *
+sgr_peer_conn_accept (const sgr_peer_conn_env_t *env, h2o_socket_t *sock,
+                      const sgr_peer_conn_handlers_t *handlers, void *ctx)
+{
+  sgr_peer_conn_t *conn = create (env, handlers, ctx);
+
+  conn->sock = sock;
+  sock->data = conn;
+  start (conn);
+  return conn;
+}
+
+static void
+on_connect (h2o_socket_t *sock, const char *err)
+{
+  sgr_peer_conn_t *conn = sock->data;
+
+  if (conn == NULL)
+    return;
+  if (err != NULL)
+    fail (conn, SGR_PEER_CLOSE_CONNECT_FAILED);
+  else
+    start (conn);
+}
+
+sgr_peer_conn_t *
+sgr_peer_conn_connect (const sgr_peer_conn_env_t *env, const sgr_address_t *address,
+                       const sgr_peer_conn_handlers_t *handlers, void *ctx)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons (address->port),
+                            .sin_addr.s_addr = htonl (address->ip) };
+  h2o_socket_t *sock
+      = h2o_socket_connect (env->loop, (struct sockaddr *)&to, sizeof to, on_connect);
+  sgr_peer_conn_t *conn;
+
+  if (sock == NULL)
+    return NULL;
+  conn = create (env, handlers, ctx);
+  conn->sock = sock;
+  sock->data = conn;
+  return conn;
+}
+
+bool
+sgr_peer_conn_is_ready (const sgr_peer_conn_t *conn)
+{
+  return conn->is_ready;
+}
+
+sgr_node_id_t
+sgr_peer_conn_node (const sgr_peer_conn_t *conn)
+{
+  return conn->remote_node;
+}
+
+sgr_boot_id_t
+sgr_peer_conn_boot (const sgr_peer_conn_t *conn)
+{
+  return conn->remote_boot;
+}
--- /dev/null
+++ b/libsiskingrade/settings.c
@@ -0,0 +1,266 @@
+#include "settings.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "yaml_reader.h"
+
+#define KIB 1024ULL
+#define MIB (1024ULL * KIB)
+
+static void
+defaults_set (sgr_settings_t *settings)
+{
+  *settings = (sgr_settings_t){
+    .log_level = SGR_LOG_INFO,
+    .request_body_max_bytes = 1 * MIB,
+    .answer_buffer_bytes = 64 * KIB,
+    .calls_max = 10000,
+    .announce_ttl_ms = 3000,
+    .drain_timeout_ms = 60000,
+    .heartbeat_ms = 250,
+    .silence_ms = 1000,
+    .membership_bytes_per_s = 5000,
+  };
+}
+
+static void
+read_node (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  static const char *const keys[] = { "name", "region", "failure_domain", NULL };
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "node");
+
+  if (!sgr_yaml_mapping_check (yaml, node, "node", keys))
+    return;
+  sgr_yaml_name_read (yaml, node, "name", "node", true, settings->name);
+  sgr_yaml_name_read (yaml, node, "region", "node", true, settings->region);
+  sgr_yaml_name_read (yaml, node, "failure_domain", "node", true, settings->failure_domain);
+}
+
+static bool
+same_address (const sgr_address_t *a, const sgr_address_t *b)
+{
+  return a->ip == b->ip && a->port == b->port;
+}
+
+static void
+read_listen (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  static const char *const keys[] = { "callers", "peers", "control", NULL };
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "listen");
+
+  if (!sgr_yaml_mapping_check (yaml, node, "listen", keys))
+    return;
+  if (!sgr_yaml_address_read (yaml, node, "callers", "listen", true, &settings->callers)
+      || !sgr_yaml_address_read (yaml, node, "peers", "listen", true, &settings->peers)
+      || !sgr_yaml_address_read (yaml, node, "control", "listen", true, &settings->control))
+    return;
+  if (same_address (&settings->callers, &settings->peers))
+    sgr_yaml_error (yaml, sgr_yaml_get (yaml, node, "peers"), "listen.peers",
+                    "duplicate of listen.callers");
+  if (same_address (&settings->control, &settings->callers)
+      || same_address (&settings->control, &settings->peers))
+    sgr_yaml_error (yaml, sgr_yaml_get (yaml, node, "control"), "listen.control",
+                    "duplicate of another listen address");
+}
+
+static void
+read_contacts (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "contacts");
+  size_t count = sgr_yaml_count (yaml, node);
+
+  if (node == 0)
+    return;
+  if (!sgr_yaml_is_sequence (yaml, node) || count > SGR_SETTINGS_CONTACTS_MAX)
+    {
+      sgr_yaml_error (yaml, node, "contacts", "expected a list of at most %d IP:PORT",
+                      SGR_SETTINGS_CONTACTS_MAX);
+      return;
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      sgr_yaml_node_t item = sgr_yaml_item (yaml, node, i);
+      const char *text = sgr_yaml_scalar (yaml, item);
+
+      if (text == NULL || !sgr_address_parse (text, &settings->contacts[i]))
+        sgr_yaml_error (yaml, item, "contacts", "found \"%.80s\", expected IP:PORT",
+                        text != NULL ? text : "");
+      for (size_t j = 0; j < i; j++)
+        {
+          if (same_address (&settings->contacts[i], &settings->contacts[j]))
+            sgr_yaml_error (yaml, item, "contacts", "duplicate of an earlier contact");
+        }
+    }
+  settings->contact_count = count;
+}
+
+static void
+read_owner (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t item, size_t index)
+{
+  static const char *const keys[] = { "name", "public_key", NULL };
+  sgr_settings_owner_t *owner = &settings->owners[index];
+  sgr_yaml_node_t key_node = sgr_yaml_get (yaml, item, "public_key");
+  const char *hex = sgr_yaml_scalar (yaml, key_node);
+  size_t length = 0;
+
+  if (!sgr_yaml_mapping_check (yaml, item, "owners", keys))
+    return;
+  sgr_yaml_name_read (yaml, item, "name", "owners", true, owner->name);
+  if (hex == NULL || strlen (hex) != 2 * sizeof owner->public_key
+      || sodium_hex2bin (owner->public_key, sizeof owner->public_key, hex, strlen (hex), NULL,
+                         &length, NULL)
+             != 0
+      || length != sizeof owner->public_key)
+    sgr_yaml_error (yaml, key_node != 0 ? key_node : item, "owners.public_key",
+                    "expected %zu hexadecimal digits", 2 * sizeof owner->public_key);
+}
+
+static void
+read_owners (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "owners");
+
+  if (!sgr_yaml_is_sequence (yaml, node) || sgr_yaml_count (yaml, node) != SGR_SETTINGS_OWNERS)
+    {
+      sgr_yaml_error (yaml, node != 0 ? node : root, "owners", "expected a list of %d co-owners",
+                      SGR_SETTINGS_OWNERS);
+      return;
+    }
+  for (size_t i = 0; i < SGR_SETTINGS_OWNERS; i++)
+    read_owner (settings, yaml, sgr_yaml_item (yaml, node, i), i);
+  if (strcmp (settings->owners[0].name, settings->owners[1].name) == 0)
+    sgr_yaml_error (yaml, node, "owners.name", "duplicate name");
+  if (memcmp (settings->owners[0].public_key, settings->owners[1].public_key, SGR_PUBLIC_KEY_BYTES)
+      == 0)
+    sgr_yaml_error (yaml, node, "owners.public_key", "both co-owners have the same key");
+}
+
+static void
+read_path (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, char *path)
+{
+  sgr_yaml_node_t value = sgr_yaml_get (yaml, node, key);
+  const char *text = sgr_yaml_scalar (yaml, value);
+  FILE *file;
+
+  if (text == NULL || text[0] == '\0' || strlen (text) > SGR_SETTINGS_PATH_MAX)
+    {
+      sgr_yaml_error (yaml, value != 0 ? value : node, key, "expected the path of a PEM file");
+      return;
+    }
+  file = fopen (text, "r");
+  if (file == NULL)
+    {
+      sgr_yaml_error (yaml, value, key, "the file \"%s\" cannot be opened", text);
+      return;
+    }
+  fclose (file);
+  memcpy (path, text, strlen (text) + 1);
+}
+
+static void
+read_tls (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  static const char *const keys[] = { "certificate", "key", NULL };
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "tls");
+
+  if (node == 0 || !sgr_yaml_mapping_check (yaml, node, "tls", keys))
+    return;
+  read_path (yaml, node, "certificate", settings->tls_certificate);
+  read_path (yaml, node, "key", settings->tls_key);
+}
+
+static void
+read_log (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  static const char *const keys[] = { "level", NULL };
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "log");
+  const char *text;
+
+  if (node == 0 || !sgr_yaml_mapping_check (yaml, node, "log", keys))
+    return;
+  text = sgr_yaml_scalar (yaml, sgr_yaml_get (yaml, node, "level"));
+  if (text == NULL || !sgr_log_level_parse (text, &settings->log_level))
+    sgr_yaml_error (yaml, node, "log.level", "expected error, warn, info or debug");
+}
+
+static void
+read_limits (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  static const char *const keys[] = { "request_body_max_bytes",
+                                      "answer_buffer_bytes",
+                                      "calls_max",
+                                      "announce_ttl_ms",
+                                      "drain_timeout_ms",
+                                      "heartbeat_ms",
+                                      "silence_ms",
+                                      "membership_bytes_per_s",
+                                      NULL };
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "limits");
+
+  if (node == 0 || !sgr_yaml_mapping_check (yaml, node, "limits", keys))
+    return;
+  sgr_yaml_number_read (yaml, node, "request_body_max_bytes", "limits", 0, 64 * MIB,
+                        &settings->request_body_max_bytes);
+  sgr_yaml_number_read (yaml, node, "answer_buffer_bytes", "limits", 4 * KIB, 16 * MIB,
+                        &settings->answer_buffer_bytes);
+  sgr_yaml_number_read (yaml, node, "calls_max", "limits", 1, 1000000, &settings->calls_max);
+  sgr_yaml_number_read (yaml, node, "announce_ttl_ms", "limits", 100, 60000,
+                        &settings->announce_ttl_ms);
+  sgr_yaml_number_read (yaml, node, "drain_timeout_ms", "limits", 0, 3600000,
+                        &settings->drain_timeout_ms);
+  sgr_yaml_number_read (yaml, node, "heartbeat_ms", "limits", 10, 60000, &settings->heartbeat_ms);
+  sgr_yaml_number_read (yaml, node, "silence_ms", "limits", 20, 600000, &settings->silence_ms);
+  sgr_yaml_number_read (yaml, node, "membership_bytes_per_s", "limits", 500, 1000000,
+                        &settings->membership_bytes_per_s);
+  if (settings->silence_ms < 2 * settings->heartbeat_ms)
+    sgr_yaml_error (yaml, node, "limits.silence_ms", "expected at least twice heartbeat_ms (%lu)",
+                    2 * settings->heartbeat_ms);
+}
+
+static sgr_result_t
+read_document (sgr_settings_t *settings, sgr_yaml_t *yaml)
+{
+  static const char *const keys[]
+      = { "node", "listen", "contacts", "store", "owners", "tls", "log", "limits", NULL };
+  sgr_yaml_node_t root = sgr_yaml_root (yaml);
+
+  if (!sgr_yaml_mapping_check (yaml, root, "", keys))
+    return SGR_ERR_INVALID;
+  read_node (settings, yaml, root);
+  read_listen (settings, yaml, root);
+  read_contacts (settings, yaml, root);
+  sgr_yaml_address_read (yaml, root, "store", "", false, &settings->store);
+  read_owners (settings, yaml, root);
+  read_tls (settings, yaml, root);
+  read_log (settings, yaml, root);
+  read_limits (settings, yaml, root);
+  return sgr_yaml_failed (yaml) ? SGR_ERR_INVALID : SGR_OK;
+}
+
+static sgr_result_t
+read_and_destroy (sgr_settings_t *settings, sgr_yaml_t *yaml)
+{
+  sgr_result_t result;
+
+  defaults_set (settings);
+  if (yaml == NULL)
+    return SGR_ERR_INVALID;
+  result = read_document (settings, yaml);
+  sgr_yaml_destroy (yaml);
+  return result;
+}
+
+sgr_result_t
+sgr_settings_load (sgr_settings_t *settings, const char *path, sgr_buffer_t *errors)
+{
+  return read_and_destroy (settings, sgr_yaml_load (path, errors));
+}
+
+sgr_result_t
+sgr_settings_parse (sgr_settings_t *settings, const char *name, const char *text, size_t length,
+                    sgr_buffer_t *errors)
+{
+  return read_and_destroy (settings, sgr_yaml_parse (name, text, length, errors));
+}
--- /dev/null
+++ b/libsiskingrade/settings.h
@@ -0,0 +1,94 @@
+#ifndef SGR_SETTINGS_H
+#define SGR_SETTINGS_H
+
+#include "buffer.h"
+#include "log.h"
+#include "result.h"
+
+#define SGR_SETTINGS_CONTACTS_MAX 16
+#define SGR_SETTINGS_OWNERS 2
+#define SGR_PUBLIC_KEY_BYTES 32
+#define SGR_SETTINGS_PATH_MAX 255
+
+/**
+ * struct sgr_settings_owner_t - one of the two co-owners
+ * @name: name of the owner
+ * @public_key: Ed25519 public key
+ */
+typedef struct
+{
+  char name[SGR_NAME_MAX + 1];
+  uint8_t public_key[SGR_PUBLIC_KEY_BYTES];
+} sgr_settings_owner_t;
+
+/**
+ * struct sgr_settings_t - settings of a node, read once at start
+ * @name: name of the node, unique in the fleet
+ * @region: region
+ * @failure_domain: failure domain, unique in the fleet
+ * @callers: where callers connect
+ * @peers: where other nodes send calls
+ * @control: where control messages, announcements and the resource API arrive
+ * @store: the platform's key-value service, port 0 for none
+ * @contacts: control addresses of some other nodes
+ * @contact_count: used entries of @contacts
+ * @owners: the two co-owners
+ * @tls_certificate: PEM file for callers' TLS, empty for plain TCP
+ * @tls_key: PEM file of the private key
+ * @log_level: lines above this level are dropped
+ * @request_body_max_bytes: largest request body
+ * @answer_buffer_bytes: answers up to this size are held whole before they are passed on
+ * @calls_max: calls open at this node at a time
+ * @announce_ttl_ms: an announcement that is not renewed for this long is dropped
+ * @drain_timeout_ms: longest wait for calls in flight at a planned stop
+ * @heartbeat_ms: interval of pings on a connection between nodes
+ * @silence_ms: a connection between nodes without any byte for this long is given up
+ * @membership_bytes_per_s: budget of membership messages
+ */
+typedef struct
+{
+  char name[SGR_NAME_MAX + 1];
+  char region[SGR_NAME_MAX + 1];
+  char failure_domain[SGR_NAME_MAX + 1];
+  sgr_address_t callers;
+  sgr_address_t peers;
+  sgr_address_t control;
+  sgr_address_t store;
+  sgr_address_t contacts[SGR_SETTINGS_CONTACTS_MAX];
+  size_t contact_count;
+  sgr_settings_owner_t owners[SGR_SETTINGS_OWNERS];
+  char tls_certificate[SGR_SETTINGS_PATH_MAX + 1];
+  char tls_key[SGR_SETTINGS_PATH_MAX + 1];
+  sgr_log_level_t log_level;
+  uint64_t request_body_max_bytes;
+  uint64_t answer_buffer_bytes;
+  uint64_t calls_max;
+  uint64_t announce_ttl_ms;
+  uint64_t drain_timeout_ms;
+  uint64_t heartbeat_ms;
+  uint64_t silence_ms;
+  uint64_t membership_bytes_per_s;
+} sgr_settings_t;
+
+/**
+ * sgr_settings_load() - read and check a settings file in full
+ * @settings: receives the settings
+ * @path: YAML file
+ * @errors: receives one line "FILE:LINE: KEY: WHAT" for each error
+ *
+ * Return: SGR_ERR_INVALID if there is any error.
+ */
+sgr_result_t sgr_settings_load (sgr_settings_t *settings, const char *path, sgr_buffer_t *errors);
+
+/**
+ * sgr_settings_parse() - the same for text in memory
+ * @settings: receives the settings
+ * @name: file name for messages
+ * @text: YAML text
+ * @length: bytes of @text
+ * @errors: receives one line for each error
+ */
+sgr_result_t sgr_settings_parse (sgr_settings_t *settings, const char *name, const char *text,
+                                 size_t length, sgr_buffer_t *errors);
+
+#endif
