--- /dev/null
+++ b/libsiskingrade/balancer.c
@@ -0,0 +1,432 @@
+#include "balancer_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ENTRIES_FIRST 8
+
+static const char *const reason_names[SGR_BALANCER_REASON_COUNT] = {
+  [SGR_BALANCER_PICKED] = "picked",
+  [SGR_BALANCER_PICK_NONE] = "pick_none",
+  [SGR_BALANCER_PICK_HOT_AVOIDED] = "pick_hot_avoided",
+  [SGR_BALANCER_PICK_ALL_HOT] = "pick_all_hot",
+  [SGR_BALANCER_PICK_FAR] = "pick_far",
+  [SGR_BALANCER_PICK_SLOW_START] = "pick_slow_start",
+  [SGR_BALANCER_PICK_EJECTED_ONLY] = "pick_ejected_only",
+  [SGR_BALANCER_PICK_TRIAL] = "pick_trial",
+  [SGR_BALANCER_EJECTED] = "ejected",
+  [SGR_BALANCER_EJECT_CAPPED] = "eject_capped",
+  [SGR_BALANCER_READMITTED] = "readmitted",
+  [SGR_BALANCER_ATTEMPT_ERROR] = "attempt_error",
+  [SGR_BALANCER_FAST_ERROR] = "fast_error",
+  [SGR_BALANCER_REFUSED] = "refused",
+  [SGR_BALANCER_REPORT_USED] = "report_used",
+  [SGR_BALANCER_REPORT_OLD] = "report_old",
+  [SGR_BALANCER_REPORT_CONTRADICTED] = "report_contradicted",
+  [SGR_BALANCER_STALE_HANDLE] = "stale_handle",
+};
+
+static const char *const policy_names[SGR_BALANCER_POLICY_COUNT] = {
+  [SGR_BALANCER_LOAD_LATENCY] = "load-latency",
+  [SGR_BALANCER_RANDOM] = "random",
+  [SGR_BALANCER_ROUND_ROBIN] = "round-robin",
+  [SGR_BALANCER_LEAST_OUTSTANDING] = "least-outstanding",
+  [SGR_BALANCER_TWO_CHOICES] = "two-choices",
+};
+
+const char *
+sgr_balancer_reason_name (sgr_balancer_reason_t reason)
+{
+  return (unsigned)reason < SGR_BALANCER_REASON_COUNT ? reason_names[reason] : "unknown";
+}
+
+const char *
+sgr_balancer_policy_name (sgr_balancer_policy_t policy)
+{
+  return (unsigned)policy < SGR_BALANCER_POLICY_COUNT ? policy_names[policy] : "unknown";
+}
+
+static bool
+options_valid (const sgr_balancer_options_t *options)
+{
+  return (unsigned)options->policy < SGR_BALANCER_POLICY_COUNT && options->eject_percent <= 100;
+}
+
+sgr_balancer_t *
+sgr_balancer_create (const sgr_balancer_options_t *options)
+{
+  sgr_balancer_t *b;
+
+  if (!options_valid (options))
+    return NULL;
+  b = calloc (1, sizeof *b);
+  if (b == NULL)
+    return NULL;
+  b->options = *options;
+  sgr_rng_seed (&b->rng, options->seed);
+  return b;
+}
+
+void
+sgr_balancer_destroy (sgr_balancer_t *b)
+{
+  if (b == NULL)
+    return;
+  free (b->entries);
+  free (b->order);
+  free (b->candidates);
+  free (b);
+}
+
+sgr_result_t
+sgr_balancer_options_set (sgr_balancer_t *b, const sgr_balancer_options_t *options)
+{
+  uint64_t seed = b->options.seed;
+
+  if (!options_valid (options))
+    return SGR_ERR_INVALID;
+  b->options = *options;
+  b->options.seed = seed;
+  return SGR_OK;
+}
+
+static sgr_balancer_target_t
+handle_of (const sgr_balancer_t *b, uint32_t place)
+{
+  return (uint32_t)b->entries[place].generation << 16 | (place + 1);
+}
+
+static sgr_balancer_entry_t *
+entry_of (const sgr_balancer_t *b, sgr_balancer_target_t target)
+{
+  size_t place = (target & 0xffff) - 1;
+
+  if ((target & 0xffff) == 0 || place >= b->entries_size || !b->entries[place].is_used
+      || b->entries[place].generation != target >> 16)
+    return NULL;
+  return &b->entries[place];
+}
+
+/* The entry of a target, counting calls for one that was removed. */
+static sgr_balancer_entry_t *
+entry_expect (sgr_balancer_t *b, sgr_balancer_target_t target)
+{
+  sgr_balancer_entry_t *entry = entry_of (b, target);
+
+  if (entry == NULL)
+    sgr_balancer_event (b, SGR_BALANCER_STALE_HANDLE);
+  return entry;
+}
+
+static bool
+info_valid (const sgr_balancer_target_info_t *info)
+{
+  return info->slots > 0 && (unsigned)info->state <= SGR_TARGET_LEFT
+         && memchr (info->failure_domain, 0, sizeof info->failure_domain) != NULL;
+}
+
+static bool
+table_grow (sgr_balancer_t *b)
+{
+  size_t size = b->entries_size == 0 ? ENTRIES_FIRST : b->entries_size * 2;
+  void *entries = realloc (b->entries, size * sizeof *b->entries);
+  void *order;
+  void *candidates;
+
+  if (entries == NULL)
+    return false;
+  b->entries = entries;
+  order = realloc (b->order, size * sizeof *b->order);
+  if (order == NULL)
+    return false;
+  b->order = order;
+  candidates = realloc (b->candidates, size * sizeof *b->candidates);
+  if (candidates == NULL)
+    return false;
+  b->candidates = candidates;
+  memset (b->entries + b->entries_size, 0, (size - b->entries_size) * sizeof *b->entries);
+  b->entries_size = size;
+  return true;
+}
+
+/* Keeps the used places in ascending order, so that a round robin is stable. */
+static void
+order_insert (sgr_balancer_t *b, uint32_t place)
+{
+  size_t i = b->order_count++;
+
+  for (; i > 0 && b->order[i - 1] > place; i--)
+    b->order[i] = b->order[i - 1];
+  b->order[i] = place;
+}
+
+static void
+entry_restart (sgr_balancer_entry_t *entry, const sgr_balancer_target_info_t *info)
+{
+  sgr_balancer_estimate_init (&entry->estimate);
+  entry->health = (sgr_balancer_health_t){ 0 };
+  entry->reported_state = SGR_TARGET_NONE;
+  entry->ramp_from_us = info->join_us;
+}
+
+sgr_result_t
+sgr_balancer_target_add (sgr_balancer_t *b, uint64_t now_us, const sgr_balancer_target_info_t *info,
+                         sgr_balancer_target_t *target)
+{
+  sgr_balancer_entry_t *entry;
+  uint32_t place = 0;
+
+  if (!info_valid (info))
+    return SGR_ERR_INVALID;
+  *target = sgr_balancer_target_find (b, info->node);
+  if (*target != SGR_BALANCER_TARGET_NONE)
+    return SGR_ERR_CONFLICT;
+  if (b->order_count >= SGR_BALANCER_TARGETS_MAX)
+    return SGR_ERR_LIMIT;
+  if (b->order_count == b->entries_size && !table_grow (b))
+    return SGR_ERR_NO_MEMORY;
+  while (b->entries[place].is_used)
+    place++;
+  entry = &b->entries[place];
+  entry->info = *info;
+  entry->is_used = true;
+  entry->generation++;
+  entry->outstanding = 0;
+  entry->started_sum_us = 0;
+  entry_restart (entry, info);
+  order_insert (b, place);
+  *target = handle_of (b, place);
+  return SGR_OK;
+}
+
+sgr_result_t
+sgr_balancer_target_update (sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target,
+                            const sgr_balancer_target_info_t *info)
+{
+  sgr_balancer_entry_t *entry = entry_expect (b, target);
+
+  if (entry == NULL)
+    return SGR_ERR_NOT_FOUND;
+  if (!info_valid (info) || info->node != entry->info.node)
+    return SGR_ERR_INVALID;
+  if (info->join_us > entry->info.join_us)
+    entry_restart (entry, info);
+  if (info->state != entry->info.state)
+    entry->reported_state = SGR_TARGET_NONE;
+  entry->info = *info;
+  return SGR_OK;
+}
+
+sgr_result_t
+sgr_balancer_target_remove (sgr_balancer_t *b, sgr_balancer_target_t target)
+{
+  sgr_balancer_entry_t *entry = entry_expect (b, target);
+  uint32_t place = (target & 0xffff) - 1;
+  size_t i = 0;
+
+  if (entry == NULL)
+    return SGR_ERR_NOT_FOUND;
+  entry->is_used = false;
+  while (b->order[i] != place)
+    i++;
+  b->order_count--;
+  memmove (b->order + i, b->order + i + 1, (b->order_count - i) * sizeof *b->order);
+  return SGR_OK;
+}
+
+sgr_balancer_target_t
+sgr_balancer_target_find (const sgr_balancer_t *b, sgr_node_id_t node)
+{
+  for (size_t i = 0; i < b->order_count; i++)
+    if (b->entries[b->order[i]].info.node == node)
+      return handle_of (b, b->order[i]);
+  return SGR_BALANCER_TARGET_NONE;
+}
+
+const sgr_balancer_target_info_t *
+sgr_balancer_target_info (const sgr_balancer_t *b, sgr_balancer_target_t target)
+{
+  const sgr_balancer_entry_t *entry = entry_of (b, target);
+
+  return entry != NULL ? &entry->info : NULL;
+}
+
+size_t
+sgr_balancer_target_count (const sgr_balancer_t *b)
+{
+  return b->order_count;
+}
+
+/* State of a target for new work: a gate that reports draining is believed before membership. */
+static sgr_target_state_t
+state_of (const sgr_balancer_entry_t *entry)
+{
+  if (entry->reported_state == SGR_TARGET_DRAINING || entry->reported_state == SGR_TARGET_LEFT)
+    return entry->reported_state;
+  return entry->info.state;
+}
+
+static bool
+is_excluded (const sgr_balancer_t *b, uint32_t place, const sgr_balancer_target_t *exclude,
+             size_t exclude_count)
+{
+  sgr_balancer_target_t target = handle_of (b, place);
+
+  for (size_t i = 0; i < exclude_count; i++)
+    if (exclude[i] == target)
+      return true;
+  return false;
+}
+
+/* Collects the targets in a state, ejected or not; returns how many. */
+static size_t
+candidates_collect (sgr_balancer_t *b, sgr_target_state_t state, bool with_ejected,
+                    const sgr_balancer_target_t *exclude, size_t exclude_count)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < b->order_count; i++)
+    {
+      uint32_t place = b->order[i];
+      const sgr_balancer_entry_t *entry = &b->entries[place];
+
+      if (state_of (entry) == state && (with_ejected || !entry->health.is_ejected)
+          && !is_excluded (b, place, exclude, exclude_count))
+        b->candidates[count++] = place;
+    }
+  return count;
+}
+
+/* An ejected target whose trial is due, or SGR_BALANCER_TARGET_NONE. */
+static sgr_balancer_target_t
+trial_pick (sgr_balancer_t *b, uint64_t now_us, const sgr_balancer_target_t *exclude,
+            size_t exclude_count)
+{
+  for (size_t i = 0; i < b->order_count; i++)
+    {
+      uint32_t place = b->order[i];
+      sgr_balancer_entry_t *entry = &b->entries[place];
+
+      if (entry->health.is_ejected && state_of (entry) == SGR_TARGET_SERVING
+          && !is_excluded (b, place, exclude, exclude_count)
+          && sgr_balancer_outlier_trial (entry, now_us))
+        return handle_of (b, place);
+    }
+  return SGR_BALANCER_TARGET_NONE;
+}
+
+sgr_balancer_target_t
+sgr_balancer_pick (sgr_balancer_t *b, uint64_t now_us, const sgr_balancer_target_t *exclude,
+                   size_t exclude_count)
+{
+  bool is_baseline = b->options.policy != SGR_BALANCER_LOAD_LATENCY;
+  sgr_balancer_target_t trial = SGR_BALANCER_TARGET_NONE;
+  size_t count;
+
+  if (!is_baseline)
+    trial = trial_pick (b, now_us, exclude, exclude_count);
+  if (trial != SGR_BALANCER_TARGET_NONE)
+    {
+      sgr_balancer_event (b, SGR_BALANCER_PICKED);
+      sgr_balancer_event (b, SGR_BALANCER_PICK_TRIAL);
+      return trial;
+    }
+  count = candidates_collect (b, SGR_TARGET_SERVING, is_baseline, exclude, exclude_count);
+  if (count == 0 && !is_baseline)
+    {
+      count = candidates_collect (b, SGR_TARGET_SERVING, true, exclude, exclude_count);
+      if (count > 0)
+        sgr_balancer_event (b, SGR_BALANCER_PICK_EJECTED_ONLY);
+    }
+  if (count == 0)
+    count = candidates_collect (b, SGR_TARGET_WARMING, true, exclude, exclude_count);
+  if (count == 0)
+    {
+      sgr_balancer_event (b, SGR_BALANCER_PICK_NONE);
+      return SGR_BALANCER_TARGET_NONE;
+    }
+  sgr_balancer_event (b, SGR_BALANCER_PICKED);
+  if (is_baseline)
+    return handle_of (b, sgr_balancer_baseline_choose (b, count));
+  return handle_of (b, sgr_balancer_choose (b, now_us, count));
+}
+
+void
+sgr_balancer_attempt_start (sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target)
+{
+  sgr_balancer_entry_t *entry = entry_expect (b, target);
+
+  if (entry == NULL)
+    return;
+  entry->outstanding++;
+  entry->started_sum_us += now_us;
+  sgr_balancer_estimate_start (entry, now_us);
+}
+
+void
+sgr_balancer_attempt_finish (sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target,
+                             sgr_outcome_t outcome, uint64_t latency_us, bool is_error,
+                             const sgr_load_report_t *report)
+{
+  sgr_balancer_entry_t *entry = entry_expect (b, target);
+
+  if (entry == NULL)
+    return;
+  if (latency_us > now_us)
+    latency_us = now_us;
+  if (entry->outstanding > 0)
+    {
+      entry->outstanding--;
+      entry->started_sum_us
+          = entry->outstanding > 0 ? entry->started_sum_us - (now_us - latency_us) : 0;
+    }
+  if (is_error)
+    sgr_balancer_event (b, SGR_BALANCER_ATTEMPT_ERROR);
+  if (is_error && (double)latency_us < b->service_latency_us / 2)
+    sgr_balancer_event (b, SGR_BALANCER_FAST_ERROR);
+  if (is_error || outcome == SGR_OUTCOME_COMPLETE)
+    sgr_balancer_outlier_result (b, entry, now_us, latency_us, is_error);
+  if (report != NULL)
+    sgr_balancer_estimate_report (b, entry, now_us, report);
+  if (outcome == SGR_OUTCOME_NOT_RUN && !is_error)
+    {
+      sgr_balancer_event (b, SGR_BALANCER_REFUSED);
+      if (report == NULL)
+        sgr_balancer_estimate_refused (entry, now_us);
+    }
+  if (outcome != SGR_OUTCOME_NOT_RUN)
+    sgr_balancer_estimate_sample (b, entry, now_us, latency_us,
+                                  outcome == SGR_OUTCOME_COMPLETE && !is_error, report);
+}
+
+void
+sgr_balancer_report_update (sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target,
+                            const sgr_load_report_t *report)
+{
+  sgr_balancer_entry_t *entry = entry_expect (b, target);
+
+  if (entry != NULL)
+    sgr_balancer_estimate_report (b, entry, now_us, report);
+}
+
+bool
+sgr_balancer_is_ejected (const sgr_balancer_t *b, sgr_balancer_target_t target)
+{
+  const sgr_balancer_entry_t *entry = entry_of (b, target);
+
+  return entry != NULL && entry->health.is_ejected;
+}
+
+uint32_t
+sgr_balancer_outstanding (const sgr_balancer_t *b, sgr_balancer_target_t target)
+{
+  const sgr_balancer_entry_t *entry = entry_of (b, target);
+
+  return entry != NULL ? entry->outstanding : 0;
+}
+
+uint64_t
+sgr_balancer_count (const sgr_balancer_t *b, sgr_balancer_reason_t reason)
+{
+  return (unsigned)reason < SGR_BALANCER_REASON_COUNT ? b->counts[reason] : 0;
+}
