--- /dev/null
+++ b/libsiskingrade/membership_send.c
@@ -0,0 +1,123 @@
+#include "membership_internal.h"
+
+#include <math.h>
+
+/* Largest part of a probe datagram that is charged to detection; the rest are updates. */
+#define DETECTION_BYTES_MAX 128
+
+bool
+sgr_membership_add (sgr_membership_t *m, sgr_membership_writer_t *writer, uint64_t now_us,
+                    uint32_t handle, bool full, size_t limit)
+{
+  uint32_t by = 0;
+
+  if (m->table.entries[handle].status == SGR_MEMBER_SUSPECT)
+    by = sgr_membership_suspicion_by (m, handle);
+  return sgr_membership_writer_add_record (writer, &m->table, handle, full, now_us, by, limit);
+}
+
+static uint32_t
+sends_of (const sgr_membership_t *m, sgr_membership_urgency_t urgency)
+{
+  /* A receiver is missed with probability exp(-sends); 4 log10 N leaves well under one of 2,600. */
+  uint32_t factor = urgency == SGR_MEMBERSHIP_LEAVING ? 4 : 3;
+  uint32_t sends = factor * (uint32_t)ceil (log10 (m->table.ring_count + 1.0));
+
+  return sends > SGR_MEMBERSHIP_SENDS_MAX ? SGR_MEMBERSHIP_SENDS_MAX : sends;
+}
+
+void
+sgr_membership_heard (sgr_membership_t *m, uint32_t handle)
+{
+  sgr_membership_entry_t *entry = sgr_membership_entry (m, handle);
+  sgr_membership_urgency_t urgency;
+
+  if (entry->queue_list == 0)
+    return;
+  urgency = sgr_membership_queue_urgency (entry);
+  /* Urgent updates keep all their transmissions, since they must reach every node by gossip. */
+  if (urgency != SGR_MEMBERSHIP_LEAVING)
+    sgr_membership_queue_count_send (&m->queue, &m->table, handle, sends_of (m, urgency));
+}
+
+void
+sgr_membership_add_updates (sgr_membership_t *m, sgr_membership_writer_t *writer, uint64_t now_us)
+{
+  uint32_t handles[SGR_MEMBERSHIP_RECORDS_MAX];
+  size_t count = sgr_membership_queue_select (&m->queue, &m->table, handles,
+                                              SGR_MEMBERSHIP_RECORDS_MAX);
+  double tokens = m->budget.tokens[SGR_MEMBERSHIP_UPDATES];
+  size_t limit = SGR_MEMBERSHIP_DATAGRAM_MAX;
+
+  if (tokens <= 0)
+    return;
+  if ((double)writer->size + tokens < (double)limit)
+    limit = writer->size + (size_t)tokens;
+  for (size_t i = 0; i < count; i++)
+    {
+      sgr_membership_entry_t *entry = sgr_membership_entry (m, handles[i]);
+
+      if (!sgr_membership_add (m, writer, now_us, handles[i], entry->queue_full, limit))
+        break;
+      sgr_membership_queue_count_send (&m->queue, &m->table, handles[i],
+                                       sends_of (m, sgr_membership_queue_urgency (entry)));
+    }
+}
+
+bool
+sgr_membership_send (sgr_membership_t *m, sgr_membership_writer_t *writer, const sgr_address_t *to,
+                     sgr_membership_share_t share)
+{
+  const sgr_membership_entry_t *self = sgr_membership_entry (m, m->self);
+  uint8_t bytes[SGR_MEMBERSHIP_DATAGRAM_MAX];
+  size_t length;
+  size_t total;
+  size_t first;
+
+  writer->message.sender = m->id;
+  writer->message.boot = self->boot;
+  writer->message.config_revision = self->config_revision;
+  length = sgr_membership_writer_finish (writer, bytes);
+  total = length + SGR_MEMBERSHIP_DATAGRAM_OVERHEAD;
+  first = share == SGR_MEMBERSHIP_DETECTION && total > DETECTION_BYTES_MAX ? DETECTION_BYTES_MAX
+                                                                           : total;
+  if (!sgr_membership_budget_has (&m->budget, share, first))
+    {
+      m->counters.budget_refusals++;
+      return false;
+    }
+  sgr_membership_budget_charge (&m->budget, share, first);
+  if (total > first)
+    sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_UPDATES, total - first);
+  m->counters.messages_sent++;
+  m->counters.bytes_sent += total;
+  m->callbacks.send (m->ctx, to, bytes, length);
+  return true;
+}
+
+sgr_address_t
+sgr_membership_address (const sgr_membership_t *m, uint32_t handle)
+{
+  const sgr_membership_entry_t *entry = &m->table.entries[handle];
+
+  return (sgr_address_t){ entry->ip, entry->control_port };
+}
+
+uint32_t
+sgr_membership_peer_count (const sgr_membership_t *m)
+{
+  return m->table.ring_count - (m->left ? 0 : 1);
+}
+
+uint32_t
+sgr_membership_random_peer (sgr_membership_t *m)
+{
+  uint32_t position;
+
+  if (sgr_membership_peer_count (m) == 0)
+    return SGR_MEMBERSHIP_NONE;
+  position = (uint32_t)sgr_rng_below (&m->rng, m->table.ring_count);
+  if (m->table.ring[position] == m->self)
+    position = (position + 1) % m->table.ring_count;
+  return m->table.ring[position];
+}
