--- a/libsiskingrade/membership_table.c
+++ b/libsiskingrade/membership_table.c
@@ -254,7 +254,8 @@
       table->ring = realloc (table->ring, table->ring_capacity * sizeof *table->ring);
       sgr_invariant (table->ring != NULL);
     }
-  position = (uint32_t)sgr_rng_below (rng, ++table->ring_count);
+  table->ring[table->ring_count++] = handle;
+  position = (uint32_t)sgr_rng_below (rng, table->ring_count);
   table->ring[table->ring_count - 1] = table->ring[position];
   table->entries[table->ring[position]].ring_position = table->ring_count - 1;
   table->ring[position] = handle;
