Speed up the state transfer when many nodes start at once

Contacts answer a join with a few members only, groups count as complete when a peer had nothing new in them, and long queues of routine updates are cut short.

--- a/libsiskingrade/membership_internal.h
+++ b/libsiskingrade/membership_internal.h
@@ -12,6 +12,7 @@
 #define SGR_MEMBERSHIP_CONFIRMATIONS_MAX 3
 #define SGR_MEMBERSHIP_RELAYS_MAX 32
 #define SGR_MEMBERSHIP_CORRECTIONS_MAX 32
+#define SGR_MEMBERSHIP_INTRODUCTIONS 5
 /* Lifeguard's bound of the local health score; periods stretch up to 9 times. */
 #define SGR_MEMBERSHIP_HEALTH_MAX 8
 
@@ -66,15 +67,19 @@
 /**
  * struct sgr_membership_sync_t - state transfer
  * @todo: groups that the first full pull has not completed
+ * @behind: whether the last exchange brought news, so that the next one follows soon
  * @asked: groups of the last pull
  * @sequence: sequence of the last digest or pull
+ * @introductions: pulls that still include the own record
  * @attempts: pulls sent to contacts without an answer
  */
 typedef struct
 {
   uint64_t todo;
+  bool behind;
   uint64_t asked;
   uint32_t sequence;
+  uint32_t introductions;
   uint32_t attempts;
   uint64_t due_us;
 } sgr_membership_sync_t;
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -5,6 +5,9 @@
 /* Largest part of a probe datagram that is charged to detection; the rest are updates. */
 #define DETECTION_BYTES_MAX 128
 
+/* Routine updates in the queue from which on each is sent fewer times. */
+#define ROUTINE_MAX 32
+
 bool
 sgr_membership_add (sgr_membership_t *m, sgr_membership_writer_t *writer, uint64_t now_us,
                     uint32_t handle, bool full, size_t limit)
@@ -22,7 +25,11 @@
   /* A receiver is missed with probability exp(-sends); 4 log10 N leaves well under one of 2,600. */
   uint32_t factor = urgency == SGR_MEMBERSHIP_LEAVING ? 4 : 3;
   uint32_t sends = factor * (uint32_t)ceil (log10 (m->table.ring_count + 1.0));
+  uint32_t queued = m->queue.count[SGR_MEMBERSHIP_ROUTINE];
 
+  /* When many nodes start at once, the state transfer is the cheaper way to spread them. */
+  if (urgency == SGR_MEMBERSHIP_ROUTINE && queued > ROUTINE_MAX)
+    sends = sends * ROUTINE_MAX / queued + 1;
   return sends > SGR_MEMBERSHIP_SENDS_MAX ? SGR_MEMBERSHIP_SENDS_MAX : sends;
 }
 
--- a/libsiskingrade/membership_sync.c
+++ b/libsiskingrade/membership_sync.c
@@ -10,7 +10,10 @@
 #define ASKS_MAX 32
 #define PULL_TIMEOUT_US SGR_USEC_PER_SEC
 #define CATCH_UP_US SGR_USEC_PER_SEC
+/* Doublings of the wait between two requests to join. */
 #define JOIN_BACKOFF_MAX 4
+/* A contact answers a join with a few members, who then serve the rest of the state. */
+#define JOIN_ANSWER_BYTES 400
 
 typedef bool (*entry_visit_t) (void *ctx, uint32_t handle);
 
@@ -57,7 +60,7 @@
 
   sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PULL);
   /* The receiver may not know this node yet. */
-  if (m->sync.todo != 0)
+  if (m->sync.introductions > 0)
     sgr_membership_add (m, &writer, now_us, m->self, true, SGR_MEMBERSHIP_DATAGRAM_MAX);
   for (unsigned i = 0; i < SGR_MEMBERSHIP_GROUPS && count < PULL_GROUPS_MAX; i++)
     {
@@ -81,6 +84,8 @@
       writer.message.groups |= 1ULL << group;
       count++;
     }
+  if (m->sync.introductions > 0 && sgr_membership_peer_count (m) > 0)
+    m->sync.introductions--;
   m->sync.asked = writer.message.groups;
   m->sync.sequence = writer.message.sequence = ++m->sequence;
   return sgr_membership_send (m, &writer, to, SGR_MEMBERSHIP_SYNC);
@@ -97,6 +102,19 @@
   sgr_membership_send (m, &writer, to, SGR_MEMBERSHIP_SYNC);
 }
 
+/* Asks for all groups without naming any record, which tells a join from other pulls. */
+static void
+join_send (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *to)
+{
+  sgr_membership_writer_t writer;
+
+  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PULL);
+  writer.message.groups = GROUP_BITS_ALL;
+  writer.message.sequence = ++m->sequence;
+  sgr_membership_add (m, &writer, now_us, m->self, true, SGR_MEMBERSHIP_DATAGRAM_MAX);
+  sgr_membership_send (m, &writer, to, SGR_MEMBERSHIP_SYNC);
+}
+
 static void
 join_tick (sgr_membership_t *m, uint64_t now_us)
 {
@@ -108,11 +126,11 @@
       sync->due_us = now_us + PULL_TIMEOUT_US;
       return;
     }
-  pull_send (m, now_us, &m->contacts[sgr_rng_below (&m->rng, m->contact_count)], GROUP_BITS_ALL);
+  join_send (m, now_us, &m->contacts[sgr_rng_below (&m->rng, m->contact_count)]);
   /* Contacts that thousands of nodes address at once answer few; the waits spread the rest. */
+  wait_us = PULL_TIMEOUT_US << sync->attempts;
   if (sync->attempts < JOIN_BACKOFF_MAX)
     sync->attempts++;
-  wait_us = PULL_TIMEOUT_US * sync->attempts;
   sync->due_us = now_us + wait_us / 2 + sgr_rng_below (&m->rng, wait_us);
 }
 
@@ -151,9 +169,22 @@
       return;
     }
   digest_send (m, &address);
+  if (sync->behind)
+    period_us = CATCH_UP_US;
   sync->due_us = now_us + period_us / 2 + sgr_rng_below (&m->rng, period_us);
 }
 
+/* The views agree, or the last exchange brought nothing: the next one has time. */
+static void
+sync_settle (sgr_membership_t *m, uint64_t now_us)
+{
+  uint64_t period_us = m->options.sync_period_ms * SGR_USEC_PER_MSEC;
+
+  m->sync.sequence = 0;
+  m->sync.behind = false;
+  m->sync.due_us = now_us + period_us / 2 + sgr_rng_below (&m->rng, period_us);
+}
+
 static void
 digest_receive (sgr_membership_t *m, const sgr_address_t *from,
                 const sgr_membership_message_t *message)
@@ -165,8 +196,20 @@
   for (unsigned i = 0; i < SGR_MEMBERSHIP_GROUPS; i++)
     if (message->digests[i] != m->table.digests[i])
       writer.message.groups |= 1ULL << i;
-  if (writer.message.groups != 0)
-    sgr_membership_send (m, &writer, from, SGR_MEMBERSHIP_SYNC);
+  /* An answer without groups tells the sender that the views agree. */
+  sgr_membership_send (m, &writer, from, SGR_MEMBERSHIP_SYNC);
+}
+
+static void
+diff_receive (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *from,
+              const sgr_membership_message_t *message)
+{
+  if (message->sequence != m->sync.sequence || m->sync.todo != 0)
+    return;
+  if (message->groups != 0)
+    pull_send (m, now_us, from, message->groups);
+  else
+    sync_settle (m, now_us);
 }
 
 /* Adds a record unless the requester listed its fingerprint. */
@@ -213,6 +256,27 @@
       }
 }
 
+static void
+join_answer (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *from,
+             const sgr_membership_message_t *message)
+{
+  sgr_membership_writer_t writer;
+  uint32_t peer = m->self;
+
+  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PAGE);
+  writer.message.sequence = message->sequence;
+  for (uint32_t i = 0; i < m->table.ring_count; i++)
+    {
+      if (m->table.entries[peer].id != message->sender
+          && !sgr_membership_add (m, &writer, now_us, peer, true, JOIN_ANSWER_BYTES))
+        break;
+      peer = m->table.ring[(m->ring_cursor + i) % m->table.ring_count];
+      if (peer == m->self)
+        break;
+    }
+  sgr_membership_send (m, &writer, from, SGR_MEMBERSHIP_SYNC);
+}
+
 static void
 pull_receive (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *from,
               const sgr_membership_message_t *message)
@@ -221,6 +285,11 @@
   visit_t visit = { .m = m, .writer = &writer, .message = message, .now_us = now_us };
   unsigned start = (unsigned)sgr_rng_below (&m->rng, SGR_MEMBERSHIP_GROUPS);
 
+  if (message->groups == GROUP_BITS_ALL && message->fingerprint_count == 0)
+    {
+      join_answer (m, now_us, from, message);
+      return;
+    }
   if (!sgr_membership_budget_has (&m->budget, SGR_MEMBERSHIP_SYNC,
                                   SGR_MEMBERSHIP_DATAGRAM_MAX + SGR_MEMBERSHIP_DATAGRAM_OVERHEAD))
     {
@@ -281,11 +350,19 @@
   give_asked (m, now_us, from, message);
   if (sync->todo != 0)
     {
-      sync->todo &= ~(message->groups & sync->asked);
+      /* A group is complete when a peer had nothing new in it: when many nodes start at once, the
+         first peers know little themselves. */
+      if (news == 0)
+        sync->todo &= ~(message->groups & sync->asked);
+      sync->due_us = now_us;
+    }
+  else if (news > 0)
+    {
+      sync->behind = true;
       sync->due_us = now_us;
     }
-  else if (news > 0 && sync->due_us > now_us + CATCH_UP_US)
-    sync->due_us = now_us + CATCH_UP_US / 2 + sgr_rng_below (&m->rng, CATCH_UP_US);
+  else
+    sync_settle (m, now_us);
 }
 
 static void
@@ -316,8 +393,7 @@
       digest_receive (m, from, message);
       break;
     case SGR_MEMBERSHIP_DIFF:
-      if (message->sequence == m->sync.sequence && m->sync.todo == 0 && message->groups != 0)
-        pull_send (m, now_us, from, message->groups);
+      diff_receive (m, now_us, from, message);
       break;
     case SGR_MEMBERSHIP_PULL:
       pull_receive (m, now_us, from, message);
