--- /dev/null
+++ b/libsiskingrade/announce.c
@@ -0,0 +1,164 @@
+#include "announce.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "http_fields.h"
+
+#define SLOTS_MAX 4096
+#define CONNECTIONS_MAX 65535
+#define CONNECTIONS_DEFAULT 240
+
+static bool
+read_service (json_t *object, sgr_snapshot_local_t *local, sgr_buffer_t *error)
+{
+  const char *text = json_string_value (json_object_get (object, "service"));
+  size_t length = text != NULL ? strlen (text) : 0;
+
+  if (length == 0 || length > SGR_NAME_MAX || !sgr_http_is_token (text, length))
+    {
+      sgr_buffer_printf (error, "service: expected a name of 1 to %d bytes", SGR_NAME_MAX);
+      return false;
+    }
+  memcpy (local->service, text, length + 1);
+  return true;
+}
+
+static bool
+read_number (json_t *object, const char *key, json_int_t max, bool required, uint32_t *number,
+             sgr_buffer_t *error)
+{
+  json_t *value = json_object_get (object, key);
+
+  if (value == NULL && !required)
+    return true;
+  if (!json_is_integer (value) || json_integer_value (value) < 1
+      || json_integer_value (value) > max)
+    {
+      sgr_buffer_printf (error, "%s: expected a whole number from 1 to %lld", key, (long long)max);
+      return false;
+    }
+  *number = (uint32_t)json_integer_value (value);
+  return true;
+}
+
+static bool
+read_state (json_t *object, sgr_snapshot_local_t *local, sgr_buffer_t *error)
+{
+  json_t *value = json_object_get (object, "state");
+  const char *text = json_string_value (value);
+
+  local->state = SGR_TARGET_SERVING;
+  if (value == NULL)
+    return true;
+  if (text != NULL)
+    {
+      for (int state = SGR_TARGET_WARMING; state <= SGR_TARGET_DRAINING; state++)
+        {
+          if (strcmp (text, sgr_target_state_name ((sgr_target_state_t)state)) == 0)
+            {
+              local->state = (sgr_target_state_t)state;
+              return true;
+            }
+        }
+    }
+  sgr_buffer_printf (error, "state: expected warming, serving or draining");
+  return false;
+}
+
+static bool
+check_keys (json_t *object, sgr_buffer_t *error)
+{
+  static const char *const known[] = { "service", "address", "slots", "connections", "state" };
+  const char *key;
+  json_t *value;
+
+  json_object_foreach (object, key, value)
+    {
+      bool is_known = false;
+
+      for (size_t i = 0; i < sizeof known / sizeof known[0]; i++)
+        is_known = is_known || strcmp (known[i], key) == 0;
+      if (!is_known)
+        {
+          sgr_buffer_printf (error, "%s: unknown key", key);
+          return false;
+        }
+    }
+  return true;
+}
+
+static bool
+read_local (json_t *object, sgr_snapshot_local_t *local, sgr_buffer_t *error)
+{
+  const char *address = json_string_value (json_object_get (object, "address"));
+
+  local->connections = CONNECTIONS_DEFAULT;
+  if (!check_keys (object, error) || !read_service (object, local, error)
+      || !read_state (object, local, error))
+    return false;
+  if (address == NULL || !sgr_address_parse (address, &local->address))
+    {
+      sgr_buffer_printf (error, "address: expected \"IP:PORT\"");
+      return false;
+    }
+  return read_number (object, "slots", SLOTS_MAX, true, &local->slots, error)
+         && read_number (object, "connections", CONNECTIONS_MAX, false, &local->connections,
+                         error);
+}
+
+static bool
+is_same (const sgr_snapshot_local_t *a, const sgr_snapshot_local_t *b)
+{
+  return strcmp (a->service, b->service) == 0 && a->address.ip == b->address.ip
+         && a->address.port == b->address.port && a->state == b->state && a->slots == b->slots
+         && a->connections == b->connections;
+}
+
+sgr_result_t
+sgr_announce_put (sgr_announce_t *announce, uint64_t now_us, uint64_t ttl_us, const char *body,
+                  size_t length, sgr_buffer_t *error, bool *is_changed)
+{
+  sgr_snapshot_local_t local = { 0 };
+  json_error_t problem;
+  json_t *object = json_loadb (body != NULL ? body : "", length, JSON_REJECT_DUPLICATES, &problem);
+  sgr_result_t result = SGR_ERR_INVALID;
+
+  *is_changed = false;
+  if (!json_is_object (object))
+    sgr_buffer_printf (error, "body: expected a JSON object");
+  else if (read_local (object, &local, error))
+    result = SGR_OK;
+  json_decref (object);
+  if (result != SGR_OK)
+    return result;
+  if (announce->local.service[0] != '\0'
+      && (strcmp (announce->local.service, local.service) != 0
+          || announce->local.address.ip != local.address.ip
+          || announce->local.address.port != local.address.port))
+    {
+      sgr_buffer_printf (error, "target: another target is registered at this node");
+      return SGR_ERR_CONFLICT;
+    }
+  *is_changed = !is_same (&announce->local, &local);
+  announce->local = local;
+  announce->expires_us = now_us + ttl_us;
+  return SGR_OK;
+}
+
+bool
+sgr_announce_leave (sgr_announce_t *announce)
+{
+  bool was_registered = announce->local.service[0] != '\0';
+
+  announce->local = (sgr_snapshot_local_t){ 0 };
+  return was_registered;
+}
+
+bool
+sgr_announce_expire (sgr_announce_t *announce, uint64_t now_us)
+{
+  if (announce->local.service[0] == '\0' || now_us < announce->expires_us)
+    return false;
+  return sgr_announce_leave (announce);
+}
--- /dev/null
+++ b/libsiskingrade/control_http.c
@@ -0,0 +1,173 @@
+#include "control_http.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "listener.h"
+#include "log.h"
+
+struct sgr_control_http_t
+{
+  sgr_control_t *control;
+  h2o_globalconf_t config;
+  h2o_hostconf_t *host;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  h2o_socket_t *listener;
+};
+
+typedef struct
+{
+  h2o_handler_t super;
+  sgr_control_t *control;
+} handler_t;
+
+static void
+text_send (h2o_req_t *req, int status, const char *type, const void *body, size_t length)
+{
+  req->res.status = status;
+  req->res.reason = "";
+  h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, type,
+                  strlen (type));
+  h2o_send_inline (req, body, length);
+}
+
+static void
+error_send (h2o_req_t *req, int status, const char *reason)
+{
+  sgr_buffer_t body = { 0 };
+
+  sgr_buffer_printf (&body, "{\"error\":\"%s\"}\n", reason);
+  text_send (req, status, "application/json", body.bytes, body.length);
+  sgr_buffer_release (&body);
+}
+
+static int
+on_metrics (h2o_handler_t *super, h2o_req_t *req)
+{
+  sgr_buffer_t text = { 0 };
+
+  sgr_control_metrics_print (((handler_t *)super)->control, &text);
+  text_send (req, 200, "text/plain; version=0.0.4", text.bytes, text.length);
+  sgr_buffer_release (&text);
+  return 0;
+}
+
+static void
+target_put (sgr_control_t *control, h2o_req_t *req)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  uint64_t ttl_ms = control->settings->announce_ttl_ms;
+  sgr_buffer_t error = { 0 };
+  sgr_buffer_t body = { 0 };
+  bool is_changed;
+  sgr_result_t result
+      = sgr_announce_put (&control->announce, now_us, ttl_ms * SGR_USEC_PER_MSEC,
+                          req->entity.base, req->entity.len, &error, &is_changed);
+
+  if (result != SGR_OK)
+    {
+      sgr_buffer_append (&error, "", 1);
+      error_send (req, result == SGR_ERR_CONFLICT ? 409 : 400, (const char *)error.bytes);
+      sgr_buffer_release (&error);
+      return;
+    }
+  if (is_changed)
+    sgr_control_local_changed (control);
+  sgr_timer_arm (control->timers, &control->announce_timer, control->announce.expires_us);
+  sgr_buffer_printf (&body, "{\"node\":\"%s\",\"ttl_ms\":%lu}\n", control->settings->name, ttl_ms);
+  text_send (req, 200, "application/json", body.bytes, body.length);
+  sgr_buffer_release (&body);
+}
+
+static int
+on_target (h2o_handler_t *super, h2o_req_t *req)
+{
+  sgr_control_t *control = ((handler_t *)super)->control;
+
+  if (control->is_stopping)
+    error_send (req, 503, "the node is stopping");
+  else if (h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("PUT")))
+    target_put (control, req);
+  else if (h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("DELETE")))
+    {
+      if (sgr_announce_leave (&control->announce))
+        sgr_control_local_changed (control);
+      text_send (req, 200, "application/json", "{}\n", 3);
+    }
+  else
+    error_send (req, 405, "expected PUT or DELETE");
+  return 0;
+}
+
+static void
+path_add (sgr_control_http_t *http, const char *path,
+          int (*on_req) (h2o_handler_t *super, h2o_req_t *req))
+{
+  h2o_pathconf_t *conf = h2o_config_register_path (http->host, path, 0);
+  handler_t *handler = (handler_t *)h2o_create_handler (conf, sizeof *handler);
+
+  handler->super.on_req = on_req;
+  handler->control = http->control;
+}
+
+sgr_control_http_t *
+sgr_control_http_create (sgr_control_t *control, sgr_buffer_t *errors)
+{
+  sgr_control_http_t *http = calloc (1, sizeof *http);
+
+  sgr_invariant (http != NULL);
+  http->control = control;
+  h2o_config_init (&http->config);
+  http->config.max_request_entity_size = 2 * 1024 * 1024;
+  http->config.server_name = h2o_iovec_init (H2O_STRLIT ("siskingrade"));
+  http->host = h2o_config_register_host (&http->config, h2o_iovec_init (H2O_STRLIT ("default")),
+                                         65535);
+  path_add (http, "/metrics", on_metrics);
+  path_add (http, "/v1/target", on_target);
+  return http;
+}
+
+h2o_hostconf_t *
+sgr_control_http_host (sgr_control_http_t *http)
+{
+  return http->host;
+}
+
+static void
+on_accept (h2o_socket_t *listener, const char *err)
+{
+  sgr_control_http_t *http = listener->data;
+  h2o_socket_t *sock;
+
+  if (err == NULL && (sock = h2o_evloop_socket_accept (listener)) != NULL)
+    h2o_accept (&http->accept, sock);
+}
+
+sgr_result_t
+sgr_control_http_open (sgr_control_http_t *http, sgr_buffer_t *errors)
+{
+  const sgr_address_t *at = &http->control->settings->control;
+  char address[32];
+
+  h2o_context_init (&http->context, http->control->loop, &http->config);
+  http->accept.ctx = &http->context;
+  http->accept.hosts = http->config.hosts;
+  if (sgr_listener_open (http->control->loop, at, on_accept, http, &http->listener) == SGR_OK)
+    return SGR_OK;
+  sgr_address_format (at, address, sizeof address);
+  sgr_buffer_printf (errors, "listen.control: cannot listen on %s: %s\n", address,
+                     strerror (errno));
+  return SGR_ERR_IO;
+}
+
+void
+sgr_control_http_destroy (sgr_control_http_t *http)
+{
+  if (http == NULL)
+    return;
+  if (http->listener != NULL)
+    h2o_socket_close (http->listener);
+  http->listener = NULL;
+}
--- /dev/null
+++ b/libsiskingrade/control_internal.h
@@ -0,0 +1,53 @@
+#ifndef SGR_CONTROL_INTERNAL_H
+#define SGR_CONTROL_INTERNAL_H
+
+#include <h2o.h>
+
+#include "announce.h"
+#include "counter.h"
+#include "data_task.h"
+#include "mailbox.h"
+#include "membership_io.h"
+#include "settings.h"
+#include "timer_heap.h"
+
+/* Shared by the control_*.c files only. */
+
+typedef struct sgr_control_http_t sgr_control_http_t;
+
+/**
+ * struct sgr_control_t - state of the control task
+ * @stop_phase: how far a graceful shutdown is
+ */
+typedef struct
+{
+  const sgr_settings_t *settings;
+  sgr_boot_id_t boot;
+  h2o_loop_t *loop;
+  sgr_timer_heap_t *timers;
+  sgr_metrics_t *metrics;
+  sgr_mailbox_t *mailbox;
+  sgr_data_task_t *data;
+  sgr_membership_io_t *membership;
+  sgr_control_http_t *http;
+  h2o_socket_t *signals;
+  sgr_announce_t announce;
+  sgr_timer_t announce_timer;
+  sgr_timer_t snapshot_timer;
+  sgr_timer_t stop_timer;
+  bool is_stopping;
+  bool is_drained;
+  bool is_stopped;
+  uint64_t leave_us;
+} sgr_control_t;
+
+/** sgr_control_local_changed() - the local target changed: tell membership and the data task */
+void sgr_control_local_changed (sgr_control_t *control);
+
+/** sgr_control_snapshot_due() - members or policies changed: send a snapshot soon */
+void sgr_control_snapshot_due (sgr_control_t *control);
+
+/** sgr_control_metrics_print() - metrics of both tasks and of membership */
+void sgr_control_metrics_print (sgr_control_t *control, sgr_buffer_t *text);
+
+#endif
--- /dev/null
+++ b/libsiskingrade/control_task.c
@@ -0,0 +1,355 @@
+#include "control_task.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <sysexits.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "control_http.h"
+#include "control_internal.h"
+#include "log.h"
+#include "task_loop.h"
+
+/* Changes that arrive together are sent as one snapshot. */
+#define SNAPSHOT_DELAY_US (20 * SGR_USEC_PER_MSEC)
+/* Time in which the leave announcement spreads despite loss. */
+#define LEAVE_SPREAD_US (2 * SGR_USEC_PER_SEC)
+
+typedef enum
+{
+  MESSAGE_DRAINED,
+  MESSAGE_KEY_BIND,
+} message_kind_t;
+
+static sgr_membership_t *
+membership_of (const sgr_control_t *control)
+{
+  return sgr_membership_io_membership (control->membership);
+}
+
+static int
+member_order (const void *a, const void *b)
+{
+  sgr_node_id_t x = ((const sgr_member_t *)a)->id;
+  sgr_node_id_t y = ((const sgr_member_t *)b)->id;
+
+  return x < y ? -1 : x > y;
+}
+
+static void
+policy_add (sgr_snapshot_t *snapshot, const char *service)
+{
+  for (size_t i = 0; i < snapshot->policy_count; i++)
+    {
+      if (strcmp (snapshot->policies[i].service, service) == 0)
+        return;
+    }
+  sgr_policy_init (&snapshot->policies[snapshot->policy_count++], service);
+}
+
+static sgr_snapshot_t *
+snapshot_build (const sgr_control_t *control)
+{
+  size_t room = sgr_membership_size (membership_of (control)) + 1;
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (room, room);
+  sgr_member_t member;
+  size_t cursor = 0;
+
+  snapshot->local = control->announce.local;
+  while (sgr_membership_member_next (membership_of (control), &cursor, &member))
+    {
+      if (member.status > SGR_MEMBER_SUSPECT || member.service[0] == '\0'
+          || snapshot->member_count == room)
+        continue;
+      snapshot->members[snapshot->member_count++] = member;
+      policy_add (snapshot, member.service);
+    }
+  qsort (snapshot->members, snapshot->member_count, sizeof *snapshot->members, member_order);
+  return snapshot;
+}
+
+static void
+on_snapshot_timer (void *ctx, uint64_t now_us)
+{
+  sgr_control_t *control = ctx;
+
+  sgr_data_task_snapshot_send (control->data, snapshot_build (control));
+}
+
+void
+sgr_control_snapshot_due (sgr_control_t *control)
+{
+  if (control->data != NULL && control->snapshot_timer.position == 0)
+    sgr_timer_arm (control->timers, &control->snapshot_timer,
+                   sgr_clock_monotonic_us () + SNAPSHOT_DELAY_US);
+}
+
+void
+sgr_control_local_changed (sgr_control_t *control)
+{
+  const sgr_snapshot_local_t *local = &control->announce.local;
+  sgr_membership_update_t update = { .target_state = local->service[0] != '\0' ? local->state
+                                                                              : SGR_TARGET_LEFT,
+                                     .service = local->service,
+                                     .slots = local->slots };
+  uint64_t now_us = sgr_clock_monotonic_us ();
+
+  sgr_log_info ("target-changed", "service=%s state=%s slots=%u",
+                local->service[0] != '\0' ? local->service : "-",
+                sgr_target_state_name (update.target_state), local->slots);
+  sgr_membership_self_update (membership_of (control), now_us, &update);
+  /* The gate learns of its own target at once. */
+  sgr_timer_arm (control->timers, &control->snapshot_timer, now_us);
+}
+
+static void
+on_member_changed (void *ctx, const sgr_member_t *member)
+{
+  static const char *const names[] = { "alive", "suspect", "dead", "left" };
+
+  sgr_log_debug ("member-changed", "member=%s status=%s service=%s target=%s", member->name,
+                 names[member->status], member->service,
+                 sgr_target_state_name (member->target_state));
+  sgr_control_snapshot_due (ctx);
+}
+
+static void
+on_announce_timer (void *ctx, uint64_t now_us)
+{
+  sgr_control_t *control = ctx;
+
+  if (sgr_announce_expire (&control->announce, now_us))
+    sgr_control_local_changed (control);
+  else if (control->announce.local.service[0] != '\0')
+    sgr_timer_arm (control->timers, &control->announce_timer, control->announce.expires_us);
+}
+
+static void
+on_stop_timer (void *ctx, uint64_t now_us)
+{
+  sgr_control_t *control = ctx;
+
+  control->is_stopped = true;
+}
+
+static void
+stop_if_drained (sgr_control_t *control)
+{
+  uint64_t due_us = control->leave_us + LEAVE_SPREAD_US;
+
+  if (control->is_drained)
+    sgr_timer_arm (control->timers, &control->stop_timer, due_us);
+}
+
+static void
+stop_begin (sgr_control_t *control)
+{
+  if (control->is_stopping)
+    return;
+  control->is_stopping = true;
+  control->leave_us = sgr_clock_monotonic_us ();
+  sgr_log_info ("stopping", "reason=signal");
+  sgr_membership_leave (membership_of (control), control->leave_us);
+  sgr_data_task_drain (control->data);
+}
+
+static void
+on_signal (h2o_socket_t *sock, const char *err)
+{
+  struct signalfd_siginfo info;
+
+  while (read (h2o_socket_get_fd (sock), &info, sizeof info) == (ssize_t)sizeof info)
+    stop_begin (sock->data);
+}
+
+static void
+key_bind (sgr_control_t *control, sgr_data_key_bind_t *bind)
+{
+  sgr_data_key_bound_t *bound = calloc (1, sizeof *bound);
+
+  sgr_invariant (bound != NULL);
+  bound->id = bind->id;
+  bound->result = SGR_ERR_UNAVAILABLE;
+  free (bind);
+  sgr_data_task_key_bound_send (control->data, bound);
+}
+
+static void
+on_message (void *ctx, int kind, void *message)
+{
+  sgr_control_t *control = ctx;
+
+  if (kind == MESSAGE_KEY_BIND)
+    {
+      key_bind (control, message);
+      return;
+    }
+  sgr_log_info ("drained", "calls=0");
+  control->is_drained = true;
+  stop_if_drained (control);
+}
+
+static void
+on_drained (void *ctx)
+{
+  sgr_mailbox_send (((sgr_control_t *)ctx)->mailbox, MESSAGE_DRAINED, NULL);
+}
+
+static void
+on_key_bind (void *ctx, sgr_data_key_bind_t *bind)
+{
+  sgr_mailbox_send (((sgr_control_t *)ctx)->mailbox, MESSAGE_KEY_BIND, bind);
+}
+
+static const sgr_data_task_events_t data_events = {
+  .drained = on_drained,
+  .key_bind = on_key_bind,
+};
+
+static sgr_result_t
+signals_open (sgr_control_t *control)
+{
+  sigset_t set;
+  int fd;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  /* Blocked before the data task starts, so that its thread inherits the mask. */
+  if (pthread_sigmask (SIG_BLOCK, &set, NULL) != 0)
+    return SGR_ERR_IO;
+  fd = signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+  if (fd < 0)
+    return SGR_ERR_IO;
+  control->signals = h2o_evloop_socket_create (control->loop, fd, H2O_SOCKET_FLAG_DONT_READ);
+  control->signals->data = control;
+  h2o_socket_read_start (control->signals, on_signal);
+  return SGR_OK;
+}
+
+static sgr_result_t
+membership_open (sgr_control_t *control, sgr_buffer_t *errors)
+{
+  const sgr_settings_t *settings = control->settings;
+  sgr_membership_options_t options;
+  sgr_result_t result;
+
+  sgr_membership_options_init (&options);
+  memcpy (options.self.name, settings->name, sizeof options.self.name);
+  memcpy (options.self.region, settings->region, sizeof options.self.region);
+  memcpy (options.self.failure_domain, settings->failure_domain,
+          sizeof options.self.failure_domain);
+  options.self.boot = control->boot;
+  options.self.boot_time_s = (uint64_t)time (NULL);
+  options.self.data_address = settings->peers;
+  options.self.control_address = settings->control;
+  options.seed = control->boot;
+  options.budget_bytes_per_s = (uint32_t)settings->membership_bytes_per_s;
+  result = sgr_membership_io_create (control->loop, &options, on_member_changed, control,
+                                     &control->membership);
+  if (result != SGR_OK)
+    {
+      sgr_buffer_printf (errors, "listen.control: membership cannot start: %s, %s\n",
+                         sgr_result_name (result), strerror (errno));
+      return result;
+    }
+  for (size_t i = 0; i < settings->contact_count; i++)
+    sgr_membership_contact_add (membership_of (control), &settings->contacts[i]);
+  return SGR_OK;
+}
+
+static void
+counter_print (sgr_buffer_t *text, const char *name, uint64_t value)
+{
+  sgr_buffer_printf (text, "# TYPE siskingrade_membership_%s counter\n", name);
+  sgr_buffer_printf (text, "siskingrade_membership_%s %lu\n", name, value);
+}
+
+void
+sgr_control_metrics_print (sgr_control_t *control, sgr_buffer_t *text)
+{
+  const sgr_membership_counters_t *counters
+      = sgr_membership_counters (membership_of (control));
+
+  sgr_metrics_print (sgr_data_task_metrics (control->data), text);
+  sgr_metrics_print (control->metrics, text);
+  sgr_buffer_printf (text, "# TYPE siskingrade_members gauge\nsiskingrade_members %zu\n",
+                     sgr_membership_size (membership_of (control)));
+  counter_print (text, "messages_sent_total", counters->messages_sent);
+  counter_print (text, "messages_received_total", counters->messages_received);
+  counter_print (text, "bytes_sent_total", counters->bytes_sent);
+  counter_print (text, "bytes_received_total", counters->bytes_received);
+  counter_print (text, "malformed_total", counters->malformed);
+  counter_print (text, "suspicions_total", counters->suspicions);
+  counter_print (text, "refutations_total", counters->refutations);
+  counter_print (text, "deaths_total", counters->deaths);
+}
+
+static sgr_result_t
+open_all (sgr_control_t *control, sgr_buffer_t *errors)
+{
+  sgr_result_t result = signals_open (control);
+
+  if (result != SGR_OK)
+    {
+      sgr_buffer_printf (errors, "signals: %s\n", strerror (errno));
+      return result;
+    }
+  result = membership_open (control, errors);
+  if (result != SGR_OK)
+    return result;
+  control->http = sgr_control_http_create (control, errors);
+  result = sgr_control_http_open (control->http, errors);
+  if (result != SGR_OK)
+    return result;
+  control->data = sgr_data_task_start (control->settings, control->boot, &data_events, control,
+                                       errors);
+  return control->data != NULL ? SGR_OK : SGR_ERR_IO;
+}
+
+int
+sgr_control_task_run (const sgr_settings_t *settings)
+{
+  sgr_control_t control = { .settings = settings };
+  sgr_buffer_t errors = { 0 };
+  int status = 0;
+
+  /* A peer or caller that closes early is seen as a write error, not as a signal. */
+  signal (SIGPIPE, SIG_IGN);
+  randombytes_buf (&control.boot, sizeof control.boot);
+  control.loop = h2o_evloop_create ();
+  control.timers = sgr_timer_heap_create ();
+  control.metrics = sgr_metrics_create ();
+  control.mailbox = sgr_mailbox_create (control.loop, on_message, &control);
+  control.announce_timer = (sgr_timer_t){ .fire = on_announce_timer, .ctx = &control };
+  control.snapshot_timer = (sgr_timer_t){ .fire = on_snapshot_timer, .ctx = &control };
+  control.stop_timer = (sgr_timer_t){ .fire = on_stop_timer, .ctx = &control };
+  if (open_all (&control, &errors) != SGR_OK)
+    {
+      sgr_buffer_append (&errors, "", 1);
+      fprintf (stderr, "siskingraded: %s", (const char *)errors.bytes);
+      status = EX_OSERR;
+      goto out;
+    }
+  sgr_log_info ("started", "region=%s failure_domain=%s", settings->region,
+                settings->failure_domain);
+  sgr_control_snapshot_due (&control);
+  sgr_task_loop_run (control.loop, control.timers, &control.is_stopped);
+  sgr_data_task_stop (control.data);
+  sgr_data_task_join (control.data);
+  sgr_log_info ("stopped", "status=0");
+
+out:
+  sgr_control_http_destroy (control.http);
+  sgr_membership_io_destroy (control.membership);
+  sgr_metrics_destroy (control.metrics);
+  sgr_timer_heap_destroy (control.timers);
+  sgr_buffer_release (&errors);
+  return status;
+}
--- /dev/null
+++ b/libsiskingrade/data_gate.c
@@ -0,0 +1,537 @@
+#include "data_gate.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "gate_request.h"
+#include "gate_run.h"
+
+/* Keyed requests run past their deadline for this long, so that a repeat can get the answer. */
+#define KEYED_GRACE_US (30ULL * SGR_USEC_PER_SEC)
+#define DEFAULT_CONNECTIONS 240
+
+struct sgr_data_gate_t
+{
+  sgr_data_task_t *task;
+  sgr_gate_t *core;
+  sgr_policy_t policy;
+  sgr_target_client_t *client;
+  sgr_address_t target;
+  uint32_t connections;
+  sgr_id_map_t *waiters; /* by hash of the attempt id */
+  size_t runs;
+  sgr_timer_t tick;
+  sgr_counter_t *starts;
+  sgr_counter_t *queued;
+  sgr_counter_t *duplicates;
+  sgr_counter_t *refused[SGR_GATE_REASON_COUNT];
+};
+
+sgr_data_task_t *
+sgr_data_gate_task (const sgr_data_gate_t *gate)
+{
+  return gate->task;
+}
+
+sgr_gate_t *
+sgr_data_gate_core (const sgr_data_gate_t *gate)
+{
+  return gate->core;
+}
+
+sgr_target_client_t *
+sgr_data_gate_client (const sgr_data_gate_t *gate)
+{
+  return gate->client;
+}
+
+bool
+sgr_data_gate_is_not_run_status (const sgr_data_gate_t *gate, int status)
+{
+  for (uint32_t i = 0; i < gate->policy.not_run_status_count; i++)
+    {
+      if (gate->policy.not_run_status[i] == status)
+        return true;
+    }
+  return false;
+}
+
+static uint64_t
+hash_of (const sgr_attempt_id_t *id)
+{
+  uint64_t words[4] = { id->node, id->boot, id->sequence, id->attempt };
+
+  return XXH64 (words, sizeof words, 0);
+}
+
+static sgr_gate_waiter_t *
+waiter_find (const sgr_data_gate_t *gate, const sgr_attempt_id_t *id)
+{
+  sgr_gate_waiter_t *waiter = sgr_id_map_get (gate->waiters, hash_of (id));
+
+  return waiter != NULL && sgr_attempt_id_equal (&waiter->id, id) ? waiter : NULL;
+}
+
+static sgr_gate_waiter_t *
+waiter_create (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const sgr_attempt_id_t *id,
+               uint64_t credit, sgr_gate_run_t *run)
+{
+  sgr_gate_waiter_t *waiter = calloc (1, sizeof *waiter);
+
+  sgr_invariant (waiter != NULL);
+  waiter->id = *id;
+  waiter->channel = channel;
+  waiter->credit = credit;
+  waiter->run = run;
+  sgr_id_map_put (gate->waiters, hash_of (id), waiter);
+  return waiter;
+}
+
+void
+sgr_data_gate_waiter_free (sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter)
+{
+  if (waiter_find (gate, &waiter->id) == waiter)
+    sgr_id_map_remove (gate->waiters, hash_of (&waiter->id));
+  free (waiter);
+}
+
+void
+sgr_data_gate_run_free (sgr_data_gate_t *gate, sgr_gate_run_t *run)
+{
+  sgr_timer_cancel (gate->task->timers, &run->deadline);
+  sgr_buffer_release (&run->message);
+  sgr_buffer_release (&run->backlog);
+  sgr_buffer_release (&run->record);
+  free (run);
+  gate->runs--;
+}
+
+static void
+tick_arm (sgr_data_gate_t *gate, uint64_t now_us)
+{
+  uint64_t next_us = sgr_gate_tick (gate->core, now_us);
+
+  if (next_us == SGR_TIMER_NEVER)
+    sgr_timer_cancel (gate->task->timers, &gate->tick);
+  else
+    sgr_timer_arm (gate->task->timers, &gate->tick, next_us > now_us ? next_us : now_us + 1000);
+}
+
+static void
+on_tick (void *ctx, uint64_t now_us)
+{
+  tick_arm (ctx, now_us);
+}
+
+static void
+on_deadline (void *ctx, uint64_t now_us)
+{
+  sgr_gate_run_abort (ctx, SGR_CALL_REASON_DEADLINE);
+}
+
+static void
+deadline_arm (sgr_gate_run_t *run)
+{
+  uint64_t due_us = run->deadline_us;
+
+  /* An aborted non-idempotent request may still run at the target, so its end is worth more than
+     the connection. */
+  if (run->keyed)
+    due_us += KEYED_GRACE_US;
+  sgr_timer_arm (run->gate->task->timers, &run->deadline, due_us);
+}
+
+static void
+run_start (sgr_gate_run_t *run)
+{
+  sgr_counter_add (run->gate->starts, 1);
+  deadline_arm (run);
+  sgr_gate_run_start (run);
+}
+
+static void
+on_gate_start (void *ctx, sgr_gate_handle_t handle, uint64_t now_us)
+{
+  sgr_data_gate_t *gate = ctx;
+
+  run_start (sgr_gate_handle_user (gate->core, handle));
+}
+
+static void
+on_gate_refuse (void *ctx, sgr_gate_handle_t handle, sgr_gate_reason_t reason, uint64_t now_us)
+{
+  sgr_data_gate_t *gate = ctx;
+  sgr_gate_run_t *run = sgr_gate_handle_user (gate->core, handle);
+  sgr_gate_refusal_t refusal = { .outcome = SGR_OUTCOME_NOT_RUN,
+                                 .reason = SGR_CALL_REASON_REFUSED,
+                                 .gate_reason = reason };
+
+  sgr_counter_add (gate->refused[reason], 1);
+  run->handle = 0;
+  while (run->streaming != NULL || run->joined != NULL)
+    {
+      sgr_gate_waiter_t *waiter = run->streaming != NULL ? run->streaming : run->joined;
+
+      sgr_gate_refusal_send (gate, waiter->channel, &waiter->id, &refusal);
+      sgr_gate_run_detach (run, waiter);
+    }
+  sgr_data_gate_run_free (gate, run);
+}
+
+static const sgr_gate_callbacks_t gate_callbacks = {
+  .start = on_gate_start,
+  .refuse = on_gate_refuse,
+};
+
+static void
+counters_create (sgr_data_gate_t *gate)
+{
+  sgr_metrics_t *metrics = gate->task->metrics;
+
+  gate->starts = sgr_metrics_counter (metrics, "siskingrade_gate_starts_total", "");
+  gate->queued = sgr_metrics_counter (metrics, "siskingrade_gate_queued_total", "");
+  gate->duplicates = sgr_metrics_counter (metrics, "siskingrade_gate_duplicates_total", "");
+  for (int i = 0; i < SGR_GATE_REASON_COUNT; i++)
+    {
+      char labels[96];
+
+      snprintf (labels, sizeof labels, "reason=\"%s\"",
+                sgr_gate_reason_name ((sgr_gate_reason_t)i));
+      gate->refused[i]
+          = sgr_metrics_counter (metrics, "siskingrade_gate_refused_total", labels);
+    }
+}
+
+sgr_data_gate_t *
+sgr_data_gate_create (sgr_data_task_t *task)
+{
+  sgr_data_gate_t *gate = calloc (1, sizeof *gate);
+  sgr_gate_options_t options;
+
+  sgr_invariant (gate != NULL);
+  gate->task = task;
+  sgr_policy_init (&gate->policy, "");
+  sgr_gate_options_init (&options, task->boot);
+  gate->core = sgr_gate_create (&options, &gate->policy, &gate_callbacks, gate);
+  sgr_invariant (gate->core != NULL);
+  gate->waiters = sgr_id_map_create ();
+  gate->tick = (sgr_timer_t){ .fire = on_tick, .ctx = gate };
+  counters_create (gate);
+  return gate;
+}
+
+void
+sgr_data_gate_destroy (sgr_data_gate_t *gate)
+{
+  if (gate == NULL)
+    return;
+  sgr_timer_cancel (gate->task->timers, &gate->tick);
+  sgr_gate_destroy (gate->core);
+  sgr_id_map_destroy (gate->waiters);
+  free (gate);
+}
+
+/* A target at another address gets a new client; requests at the old address end there. */
+static void
+client_update (sgr_data_gate_t *gate, const sgr_snapshot_local_t *local)
+{
+  uint32_t connections = local->connections > 0 ? local->connections : DEFAULT_CONNECTIONS;
+
+  if (local->service[0] == '\0')
+    return;
+  if (gate->client != NULL && gate->target.ip == local->address.ip
+      && gate->target.port == local->address.port && gate->connections == connections)
+    return;
+  gate->target = local->address;
+  gate->connections = connections;
+  /* Open requests still use the old client, so it is left to the end of the process. */
+  gate->client = sgr_target_client_create (gate->task->loop, &local->address, connections);
+}
+
+void
+sgr_data_gate_update (sgr_data_gate_t *gate, uint64_t now_us)
+{
+  const sgr_snapshot_t *snapshot = gate->task->snapshot;
+  const sgr_snapshot_local_t *local = &snapshot->local;
+
+  client_update (gate, local);
+  for (size_t i = 0; i < snapshot->policy_count; i++)
+    {
+      if (strcmp (snapshot->policies[i].service, local->service) == 0)
+        {
+          gate->policy = snapshot->policies[i];
+          sgr_gate_policy_update (gate->core, now_us, &gate->policy);
+        }
+    }
+  sgr_gate_target_update (gate->core, now_us, local->state, local->slots);
+  tick_arm (gate, now_us);
+}
+
+static void
+attempt_fill (sgr_attempt_t *attempt, const Sgr__Pb__Call *call, const sgr_attempt_id_t *id,
+              uint64_t now_us)
+{
+  *attempt = (sgr_attempt_t){ .id = *id,
+                              .gate_boot = call->gate_boot,
+                              .deadline_us = now_us + call->remaining_us,
+                              .tenant = call->tenant,
+                              .class_name = call->class_name,
+                              .idempotent = call->idempotent };
+  if (call->key == NULL)
+    return;
+  attempt->has_key = true;
+  attempt->key = (sgr_hash128_t){ call->key->high, call->key->low };
+  attempt->key_generation = call->key->generation;
+  attempt->fingerprint
+      = (sgr_hash128_t){ call->key->fingerprint_high, call->key->fingerprint_low };
+}
+
+/* A refused attempt says nothing about an earlier attempt with its key. */
+static sgr_outcome_t
+refused_outcome (sgr_data_gate_t *gate, uint64_t now_us, const sgr_attempt_t *attempt,
+                 sgr_outcome_t outcome)
+{
+  sgr_gate_status_t status;
+
+  if (!attempt->has_key || outcome != SGR_OUTCOME_NOT_RUN)
+    return outcome;
+  sgr_gate_key_query (gate->core, now_us, attempt->key, attempt->key_generation,
+                      attempt->gate_boot, &status);
+  if (status.phase == SGR_GATE_PHASE_SETTLED && status.outcome == SGR_OUTCOME_NOT_RUN)
+    return SGR_OUTCOME_NOT_RUN;
+  return SGR_OUTCOME_UNKNOWN;
+}
+
+/* Adds an attempt that gets the recorded answer when the run ends. */
+static void
+waiter_join (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const sgr_attempt_id_t *id,
+             sgr_gate_run_t *run)
+{
+  sgr_gate_waiter_t *joined;
+
+  if (run == NULL)
+    return;
+  joined = waiter_create (gate, channel, id, 0, run);
+  joined->next = run->joined;
+  run->joined = joined;
+}
+
+static void
+duplicate_answer (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const Sgr__Pb__Call *call,
+                  const sgr_attempt_t *attempt, const sgr_gate_status_t *status)
+{
+  sgr_gate_waiter_t waiter = { .id = attempt->id, .channel = channel };
+  sgr_gate_refusal_t refusal = { .outcome = status->outcome,
+                                 .reason = SGR_CALL_REASON_REFUSED,
+                                 .gate_reason = status->reason };
+  sgr_gate_run_t *run;
+
+  sgr_counter_add (gate->duplicates, 1);
+  if (status->phase != SGR_GATE_PHASE_SETTLED)
+    {
+      run = sgr_gate_handle_user (gate->core, status->handle);
+      /* A second copy of the same attempt is answered once, with the first. */
+      if (run == NULL || waiter_find (gate, &attempt->id) != NULL)
+        return;
+      waiter_join (gate, channel, &attempt->id, run);
+      return;
+    }
+  if (status->answer != NULL
+      && sgr_gate_record_send (gate, &waiter, status->answer, status->answer_length))
+    return;
+  if (status->outcome == SGR_OUTCOME_COMPLETE)
+    refusal = (sgr_gate_refusal_t){ .outcome = SGR_OUTCOME_UNKNOWN,
+                                    .reason = SGR_CALL_REASON_ANSWER_LOST };
+  sgr_gate_refusal_send (gate, channel, &attempt->id, &refusal);
+}
+
+static sgr_gate_run_t *
+run_create (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const Sgr__Pb__Call *call,
+            const sgr_attempt_t *attempt, const void *body, size_t body_length)
+{
+  sgr_gate_run_t *run = calloc (1, sizeof *run);
+
+  sgr_invariant (run != NULL);
+  run->gate = gate;
+  run->idempotent = attempt->idempotent;
+  run->keyed = attempt->has_key;
+  run->is_head_method = strcmp (call->method, "HEAD") == 0;
+  run->deadline_us = attempt->deadline_us;
+  run->deadline = (sgr_timer_t){ .fire = on_deadline, .ctx = run };
+  sgr_gate_request_write (call, &attempt->id, body, body_length, &run->message);
+  gate->runs++;
+  return run;
+}
+
+static void
+refuse_now (sgr_data_gate_t *gate, sgr_data_channel_t *channel, uint64_t now_us,
+            const sgr_attempt_t *attempt, const sgr_gate_decision_t *decision)
+{
+  sgr_gate_refusal_t refusal = { .reason = SGR_CALL_REASON_REFUSED,
+                                 .gate_reason = decision->reason,
+                                 .retry_after_ms = decision->retry_after_ms };
+
+  if (decision->kind == SGR_GATE_CONFLICT)
+    refusal.reason = SGR_CALL_REASON_KEY_CONFLICT;
+  else
+    sgr_counter_add (gate->refused[decision->reason], 1);
+  refusal.outcome = decision->kind == SGR_GATE_CONFLICT
+                        ? decision->outcome
+                        : refused_outcome (gate, now_us, attempt, decision->outcome);
+  sgr_gate_refusal_send (gate, channel, &attempt->id, &refusal);
+}
+
+static void
+admitted (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const Sgr__Pb__Call *call,
+          sgr_gate_run_t *run, const sgr_gate_decision_t *decision, const sgr_attempt_id_t *id)
+{
+  run->handle = decision->handle;
+  run->streaming = waiter_create (gate, channel, id, call->credit, run);
+  if (decision->kind == SGR_GATE_START)
+    run_start (run);
+  else
+    sgr_counter_add (gate->queued, 1);
+}
+
+void
+sgr_data_gate_call (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const Sgr__Pb__Call *call,
+                    const void *body, size_t body_length)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  sgr_attempt_id_t id = { call->id->node, call->id->boot, call->id->sequence, call->id->attempt };
+  sgr_gate_decision_t decision = { .kind = SGR_GATE_REFUSED,
+                                   .reason = SGR_GATE_REASON_NOT_READY,
+                                   .outcome = SGR_OUTCOME_NOT_RUN };
+  sgr_attempt_t attempt;
+  sgr_gate_run_t *run;
+
+  attempt_fill (&attempt, call, &id, now_us);
+  run = run_create (gate, channel, call, &attempt, body, body_length);
+  attempt.user = run;
+  if (strcmp (call->service, gate->policy.service) == 0 && gate->client != NULL)
+    sgr_gate_attempt_admit (gate->core, now_us, &attempt, &decision);
+  if (decision.kind == SGR_GATE_START || decision.kind == SGR_GATE_QUEUED)
+    {
+      admitted (gate, channel, call, run, &decision, &id);
+      tick_arm (gate, now_us);
+      return;
+    }
+  sgr_data_gate_run_free (gate, run);
+  if (decision.kind == SGR_GATE_DUPLICATE)
+    duplicate_answer (gate, channel, call, &attempt, &decision.status);
+  else
+    refuse_now (gate, channel, now_us, &attempt, &decision);
+  tick_arm (gate, now_us);
+}
+
+void
+sgr_data_gate_cancel (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                      const sgr_attempt_id_t *id, sgr_boot_id_t gate_boot)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  sgr_gate_waiter_t *waiter = waiter_find (gate, id);
+  sgr_gate_run_t *run = waiter != NULL ? waiter->run : NULL;
+  sgr_gate_status_t status;
+
+  if (run != NULL)
+    sgr_gate_run_detach (run, waiter);
+  sgr_gate_attempt_cancel (gate->core, now_us, id, gate_boot, &status);
+  /* A queued run is freed by the callback refuse within the cancel. */
+  if (run != NULL && status.phase == SGR_GATE_PHASE_RUNNING && run->idempotent && !run->keyed
+      && run->streaming == NULL && run->joined == NULL)
+    {
+      sgr_gate_run_abort (run, SGR_CALL_REASON_CANCELLED);
+      sgr_gate_attempt_query (gate->core, now_us, id, gate_boot, &status);
+    }
+  else if (run != NULL && status.phase == SGR_GATE_PHASE_SETTLED && status.started)
+    sgr_gate_run_settle (run);
+  sgr_gate_query_reply_send (channel, id, &status);
+}
+
+void
+sgr_data_gate_query (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                     const sgr_attempt_id_t *id, sgr_boot_id_t gate_boot)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  sgr_gate_waiter_t *waiter = waiter_find (gate, id);
+  sgr_gate_status_t status;
+
+  sgr_gate_attempt_query (gate->core, now_us, id, gate_boot, &status);
+  /* An answer that has not begun moves to the connection of the query. */
+  if (waiter != NULL && !waiter->run->has_head)
+    waiter->channel = channel;
+  else if (waiter == NULL && status.phase != SGR_GATE_PHASE_SETTLED)
+    waiter_join (gate, channel, id, sgr_gate_handle_user (gate->core, status.handle));
+  else if (waiter == NULL && status.answer != NULL)
+    {
+      sgr_gate_waiter_t once = { .id = *id, .channel = channel };
+
+      if (sgr_gate_record_send (gate, &once, status.answer, status.answer_length))
+        return;
+    }
+  sgr_gate_query_reply_send (channel, id, &status);
+}
+
+void
+sgr_data_gate_credit (sgr_data_gate_t *gate, const sgr_attempt_id_t *id, uint32_t bytes)
+{
+  sgr_gate_waiter_t *waiter = waiter_find (gate, id);
+
+  if (waiter != NULL && waiter->run->streaming == waiter)
+    sgr_gate_run_credit (waiter->run, bytes);
+}
+
+/* Returns a waiter of the channel whose run goes on, NULL if there is none. */
+static sgr_gate_waiter_t *
+waiter_of_channel (const sgr_data_gate_t *gate, const sgr_data_channel_t *channel)
+{
+  sgr_gate_waiter_t *waiter;
+  size_t cursor = 0;
+
+  while ((waiter = sgr_id_map_next (gate->waiters, &cursor)) != NULL)
+    {
+      if (waiter->channel == channel)
+        return waiter;
+    }
+  return NULL;
+}
+
+void
+sgr_data_gate_channel_closed (sgr_data_gate_t *gate, const sgr_data_channel_t *channel)
+{
+  sgr_gate_waiter_t *waiter;
+
+  while ((waiter = waiter_of_channel (gate, channel)) != NULL)
+    {
+      sgr_gate_run_t *run = waiter->run;
+
+      sgr_gate_run_detach (run, waiter);
+      if (run->handle == 0)
+        sgr_gate_run_settle (run);
+      else if (run->request != NULL && run->idempotent && !run->keyed && run->joined == NULL)
+        sgr_gate_run_abort (run, SGR_CALL_REASON_CANCELLED);
+    }
+}
+
+void
+sgr_data_gate_drain (sgr_data_gate_t *gate, uint64_t now_us)
+{
+  sgr_gate_drain_begin (gate->core, now_us);
+}
+
+bool
+sgr_data_gate_is_idle (const sgr_data_gate_t *gate)
+{
+  return gate->runs == 0;
+}
+
+void
+sgr_data_gate_load (const sgr_data_gate_t *gate, Sgr__Pb__LoadReport *load)
+{
+  sgr_load_report_t report;
+
+  sgr_gate_load_report (gate->core, &report);
+  sgr_frame_load_set (load, &report);
+  load->key_generation = sgr_gate_key_generation (gate->core, sgr_clock_monotonic_us ());
+}
--- /dev/null
+++ b/libsiskingrade/data_http.c
@@ -0,0 +1,418 @@
+#include "data_http.h"
+
+#include <errno.h>
+#include <openssl/err.h>
+#include <openssl/ssl.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "data_call.h"
+#include "data_keys.h"
+#include "http_fields.h"
+#include "http_tls.h"
+#include "listener.h"
+
+#define DEADLINE_MAX_MS 600000
+#define KEYS_PATH "/.siskingrade/keys"
+
+struct sgr_data_http_t
+{
+  sgr_data_task_t *task;
+  h2o_globalconf_t config;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  SSL_CTX *tls;
+  h2o_socket_t *listener;
+  size_t requests;
+};
+
+typedef struct
+{
+  h2o_handler_t super;
+  sgr_data_http_t *http;
+} handler_t;
+
+/* A call whose own key is being bound. */
+typedef struct
+{
+  sgr_data_http_t *http;
+  h2o_req_t *req;
+  sgr_data_service_t *service;
+  sgr_data_call_request_t request;
+} pending_t;
+
+static void
+refuse (h2o_req_t *req, int status, const char *reason)
+{
+  sgr_data_error_t error = { .status = status,
+                             .outcome = SGR_OUTCOME_NOT_RUN,
+                             .reason = reason,
+                             .is_repeat_safe = status == 503 };
+
+  sgr_data_error_send (req, &error);
+}
+
+static h2o_iovec_t
+header_find (const h2o_req_t *req, const char *name)
+{
+  ssize_t index = h2o_find_header_by_str (&req->headers, name, strlen (name), -1);
+
+  return index < 0 ? (h2o_iovec_t){ 0 } : req->headers.entries[index].value;
+}
+
+static bool
+name_copy (h2o_iovec_t value, char *name)
+{
+  if (value.len == 0 || value.len > SGR_NAME_MAX || !sgr_http_is_token (value.base, value.len))
+    return false;
+  memcpy (name, value.base, value.len);
+  name[value.len] = '\0';
+  return true;
+}
+
+/* Reads the service from its header, or else from the first label of the host. */
+static bool
+service_read (const h2o_req_t *req, char *name)
+{
+  h2o_iovec_t value = header_find (req, "siskingrade-service");
+
+  if (value.base == NULL)
+    {
+      value = req->authority;
+      for (size_t i = 0; i < value.len; i++)
+        {
+          if (value.base[i] == '.' || value.base[i] == ':')
+            value.len = i;
+        }
+    }
+  return name_copy (value, name);
+}
+
+static bool
+idempotency_read (const h2o_req_t *req, const sgr_policy_t *policy, bool *is_idempotent)
+{
+  h2o_iovec_t value = header_find (req, "siskingrade-idempotent");
+
+  if (value.base != NULL)
+    {
+      *is_idempotent = h2o_memis (value.base, value.len, H2O_STRLIT ("yes"));
+      return *is_idempotent || h2o_memis (value.base, value.len, H2O_STRLIT ("no"));
+    }
+  if (policy->idempotency == SGR_IDEMPOTENCY_BY_METHOD)
+    *is_idempotent = sgr_http_method_is_idempotent (req->method.base, req->method.len);
+  else
+    *is_idempotent = policy->idempotency == SGR_IDEMPOTENCY_ALWAYS;
+  return true;
+}
+
+static bool
+deadline_read (const h2o_req_t *req, const sgr_policy_t *policy, uint64_t *deadline_us)
+{
+  h2o_iovec_t value = header_find (req, "siskingrade-deadline-ms");
+  uint64_t deadline_ms = policy->deadline_ms;
+
+  if (value.base != NULL
+      && (!sgr_http_number_parse (value.base, value.len, DEADLINE_MAX_MS, &deadline_ms)
+          || deadline_ms == 0))
+    return false;
+  *deadline_us = sgr_clock_monotonic_us () + deadline_ms * SGR_USEC_PER_MSEC;
+  return true;
+}
+
+static bool
+key_read (const h2o_req_t *req, sgr_data_call_request_t *request)
+{
+  h2o_iovec_t value = header_find (req, "idempotency-key");
+
+  if (value.base == NULL)
+    return true;
+  request->has_key = true;
+  request->fingerprint = sgr_request_fingerprint (
+      h2o_strdup ((h2o_mem_pool_t *)&req->pool, req->method.base, req->method.len).base,
+      h2o_strdup ((h2o_mem_pool_t *)&req->pool, req->path.base, req->path.len).base,
+      request->tenant, req->entity.base, req->entity.len);
+  switch (sgr_key_kind_of (value.base, value.len))
+    {
+    case SGR_KEY_ISSUED:
+      request->is_key_issued = true;
+      if (sgr_issued_key_parse (value.base, value.len, &request->issued_key) != SGR_OK)
+        return false;
+      request->key = sgr_issued_key_hash (&request->issued_key);
+      return true;
+    case SGR_KEY_OWN:
+      request->key
+          = sgr_own_key_hash (request->service, request->tenant, value.base, value.len);
+      return true;
+    case SGR_KEY_INVALID:
+      break;
+    }
+  return false;
+}
+
+static bool
+head_is_valid (const h2o_req_t *req)
+{
+  size_t size = req->method.len + req->path.len;
+
+  if (!sgr_http_is_token (req->method.base, req->method.len)
+      || !sgr_http_is_path (req->path.base, req->path.len))
+    return false;
+  for (size_t i = 0; i < req->headers.size; i++)
+    {
+      const h2o_header_t *header = &req->headers.entries[i];
+
+      if (!sgr_http_is_token (header->name->base, header->name->len)
+          || !sgr_http_is_value (header->value.base, header->value.len)
+          || memchr (header->value.base, '\0', header->value.len) != NULL)
+        return false;
+      size += header->name->len + header->value.len + 8;
+    }
+  return size <= SGR_HTTP_HEAD_MAX_BYTES;
+}
+
+/* Reads the header fields of a call. Returns the reason of an error, NULL if there is none. */
+static const char *
+request_read (const h2o_req_t *req, const sgr_policy_t *policy, sgr_data_call_request_t *request)
+{
+  h2o_iovec_t tenant = header_find (req, "siskingrade-tenant");
+  h2o_iovec_t class_name = header_find (req, "siskingrade-class");
+  h2o_iovec_t depth = header_find (req, "siskingrade-depth");
+  h2o_iovec_t retries = header_find (req, "siskingrade-retry-budget");
+
+  strcpy (request->tenant, "default");
+  strcpy (request->class_name, "default");
+  if (tenant.base != NULL && !name_copy (tenant, request->tenant))
+    return "bad-tenant";
+  if (class_name.base != NULL && !name_copy (class_name, request->class_name))
+    return "bad-class";
+  if (!idempotency_read (req, policy, &request->is_idempotent))
+    return "bad-idempotent";
+  if (!deadline_read (req, policy, &request->deadline_us))
+    return "bad-deadline";
+  if (sgr_retry_chain_parse (depth.base, depth.len, retries.base, retries.len, &request->chain)
+      != SGR_OK)
+    return "bad-chain";
+  if (!key_read (req, request))
+    return "bad-idempotency-key";
+  return NULL;
+}
+
+static void
+on_key_bound (void *ctx, sgr_result_t result, const sgr_issued_key_t *key)
+{
+  pending_t *pending = ctx;
+
+  if (result == SGR_OK)
+    {
+      pending->request.issued_key = *key;
+      sgr_data_call_start (pending->http->task, pending->req, pending->service,
+                           &pending->request);
+      return;
+    }
+  refuse (pending->req, 503,
+          result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
+}
+
+static void
+call_begin (sgr_data_http_t *http, h2o_req_t *req)
+{
+  sgr_data_call_request_t request = { 0 };
+  sgr_data_service_t *service;
+  pending_t *pending;
+  const char *reason;
+
+  if (!service_read (req, request.service))
+    {
+      refuse (req, 400, "bad-service");
+      return;
+    }
+  service = sgr_data_service_find (http->task->services, request.service);
+  if (service == NULL)
+    {
+      refuse (req, 404, "unknown-service");
+      return;
+    }
+  reason = request_read (req, &service->policy, &request);
+  if (reason != NULL)
+    {
+      refuse (req, 400, reason);
+      return;
+    }
+  if (!request.has_key || request.is_key_issued)
+    {
+      sgr_data_call_start (http->task, req, service, &request);
+      return;
+    }
+  pending = h2o_mem_alloc_pool (&req->pool, sizeof *pending);
+  *pending = (pending_t){ .http = http, .req = req, .service = service, .request = request };
+  sgr_data_keys_bind (http->task->keys, req, service, request.key, on_key_bound, pending);
+}
+
+static void
+on_key_issued (void *ctx, sgr_result_t result, const sgr_issued_key_t *key)
+{
+  h2o_req_t *req = ctx;
+  char text[SGR_ISSUED_KEY_TEXT_SIZE];
+  h2o_iovec_t body;
+
+  if (result != SGR_OK)
+    {
+      refuse (req, 503, "no-target");
+      return;
+    }
+  sgr_issued_key_format (key, text);
+  body = h2o_concat (&req->pool, h2o_iovec_init (H2O_STRLIT ("{\"key\":\"")),
+                     h2o_iovec_init (text, strlen (text)), h2o_iovec_init (H2O_STRLIT ("\"}\n")));
+  req->res.status = 201;
+  req->res.reason = "Created";
+  h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
+                  H2O_STRLIT ("application/json"));
+  h2o_send_inline (req, body.base, body.len);
+}
+
+static void
+key_issue (sgr_data_http_t *http, h2o_req_t *req)
+{
+  sgr_data_service_t *service = NULL;
+  char name[SGR_NAME_MAX + 1];
+  h2o_iovec_t query = { 0 };
+
+  if (!h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("POST")))
+    {
+      refuse (req, 405, "expected-post");
+      return;
+    }
+  if (req->query_at != SIZE_MAX)
+    query = h2o_iovec_init (req->path.base + req->query_at + 1,
+                            req->path.len - req->query_at - 1);
+  if (query.len > 8 && memcmp (query.base, "service=", 8) == 0
+      && name_copy (h2o_iovec_init (query.base + 8, query.len - 8), name))
+    service = sgr_data_service_find (http->task->services, name);
+  if (service == NULL)
+    refuse (req, 404, "unknown-service");
+  else
+    sgr_data_keys_issue (http->task->keys, req, service, on_key_issued, req);
+}
+
+static void
+on_request_disposed (void *object)
+{
+  sgr_data_http_t *http = *(sgr_data_http_t **)object;
+
+  http->requests--;
+}
+
+static int
+on_request (h2o_handler_t *super, h2o_req_t *req)
+{
+  sgr_data_http_t *http = ((handler_t *)super)->http;
+  sgr_data_http_t **guard = h2o_mem_alloc_shared (&req->pool, sizeof *guard, on_request_disposed);
+
+  *guard = http;
+  http->requests++;
+  /* An answer to HTTP/1.0 may end with the connection, so that a cut one would look whole. */
+  if (req->version < 0x101)
+    refuse (req, 505, "http-version");
+  else if (!head_is_valid (req))
+    refuse (req, 400, "bad-head");
+  else if (http->task->is_draining)
+    {
+      req->http1_is_persistent = 0;
+      refuse (req, 503, "node-stopping");
+    }
+  else if (http->task->calls >= http->task->settings->calls_max)
+    refuse (req, 503, "too-many-calls");
+  else if (h2o_memis (req->path_normalized.base, req->path_normalized.len,
+                      H2O_STRLIT (KEYS_PATH)))
+    key_issue (http, req);
+  else
+    call_begin (http, req);
+  return 0;
+}
+
+static void
+on_accept (h2o_socket_t *listener, const char *err)
+{
+  sgr_data_http_t *http = listener->data;
+  h2o_socket_t *sock;
+
+  if (err != NULL || (sock = h2o_evloop_socket_accept (listener)) == NULL)
+    return;
+  h2o_accept (&http->accept, sock);
+}
+
+static void
+config_init (sgr_data_http_t *http)
+{
+  h2o_hostconf_t *host;
+  h2o_pathconf_t *path;
+  handler_t *handler;
+
+  h2o_config_init (&http->config);
+  http->config.max_request_entity_size = http->task->settings->request_body_max_bytes;
+  http->config.server_name = h2o_iovec_init (H2O_STRLIT ("siskingrade"));
+  host = h2o_config_register_host (&http->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  path = h2o_config_register_path (host, "/", 0);
+  handler = (handler_t *)h2o_create_handler (path, sizeof *handler);
+  handler->super.on_req = on_request;
+  handler->http = http;
+  h2o_context_init (&http->context, http->task->loop, &http->config);
+  http->accept.ctx = &http->context;
+  http->accept.hosts = http->config.hosts;
+}
+
+sgr_data_http_t *
+sgr_data_http_create (sgr_data_task_t *task, sgr_buffer_t *errors)
+{
+  sgr_data_http_t *http = calloc (1, sizeof *http);
+  char address[32];
+
+  sgr_invariant (http != NULL);
+  http->task = task;
+  if (task->settings->tls_certificate[0] != '\0')
+    {
+      http->tls = sgr_http_tls_create (task->settings->tls_certificate, task->settings->tls_key,
+                                       errors);
+      if (http->tls == NULL)
+        goto fail;
+    }
+  config_init (http);
+  http->accept.ssl_ctx = http->tls;
+  if (sgr_listener_open (task->loop, &task->settings->callers, on_accept, http, &http->listener)
+      == SGR_OK)
+    return http;
+  sgr_address_format (&task->settings->callers, address, sizeof address);
+  sgr_buffer_printf (errors, "listen.callers: cannot listen on %s: %s\n", address,
+                     strerror (errno));
+  SSL_CTX_free (http->tls);
+
+fail:
+  free (http);
+  return NULL;
+}
+
+void
+sgr_data_http_drain (sgr_data_http_t *http)
+{
+  if (http->listener != NULL)
+    h2o_socket_close (http->listener);
+  http->listener = NULL;
+  h2o_context_request_shutdown (&http->context);
+}
+
+size_t
+sgr_data_http_requests (const sgr_data_http_t *http)
+{
+  return http->requests;
+}
+
+void
+sgr_data_http_destroy (sgr_data_http_t *http)
+{
+  if (http == NULL)
+    return;
+  /* Connections that are still open end with the process; h2o has no call to close them all. */
+  if (http->listener != NULL)
+    h2o_socket_close (http->listener);
+  http->listener = NULL;
+}
--- /dev/null
+++ b/libsiskingrade/data_http.h
@@ -0,0 +1,20 @@
+#ifndef SGR_DATA_HTTP_H
+#define SGR_DATA_HTTP_H
+
+#include "data_internal.h"
+
+/**
+ * sgr_data_http_create() - listen for callers, with TLS if the settings name a certificate
+ * @task: the task
+ * @errors: receives a line if the address or the certificate cannot be used
+ */
+sgr_data_http_t *sgr_data_http_create (sgr_data_task_t *task, sgr_buffer_t *errors);
+void sgr_data_http_destroy (sgr_data_http_t *http);
+
+/** sgr_data_http_drain() - accept no new connection, ask callers to close theirs */
+void sgr_data_http_drain (sgr_data_http_t *http);
+
+/** sgr_data_http_requests() - requests whose answer has not left the process */
+size_t sgr_data_http_requests (const sgr_data_http_t *http);
+
+#endif
--- /dev/null
+++ b/libsiskingrade/data_internal.h
@@ -0,0 +1,82 @@
+#ifndef SGR_DATA_INTERNAL_H
+#define SGR_DATA_INTERNAL_H
+
+#include <h2o.h>
+
+#include "balancer.h"
+#include "call_plan.h"
+#include "counter.h"
+#include "data_task.h"
+#include "frame.h"
+#include "gate.h"
+#include "id_map.h"
+#include "mailbox.h"
+#include "peer_conn.h"
+#include "settings.h"
+#include "snapshot.h"
+#include "timer_heap.h"
+
+/* Shared by the data_*.c files only. */
+
+typedef struct sgr_data_gate_t sgr_data_gate_t;
+typedef struct sgr_data_links_t sgr_data_links_t;
+typedef struct sgr_data_link_t sgr_data_link_t;
+typedef struct sgr_data_services_t sgr_data_services_t;
+typedef struct sgr_data_service_t sgr_data_service_t;
+typedef struct sgr_data_peers_t sgr_data_peers_t;
+typedef struct sgr_data_http_t sgr_data_http_t;
+typedef struct sgr_data_keys_t sgr_data_keys_t;
+
+/**
+ * struct sgr_data_task_t - state of the data task; only its thread uses it, but for the mailbox
+ * @calls: open calls of callers
+ * @attempts: entry side attempts by sgr_data_attempt_key()
+ */
+struct sgr_data_task_t
+{
+  const sgr_settings_t *settings;
+  sgr_node_id_t node;
+  sgr_boot_id_t boot;
+  sgr_data_task_events_t events;
+  void *events_ctx;
+  pthread_t thread;
+  h2o_loop_t *loop;
+  sgr_timer_heap_t *timers;
+  sgr_metrics_t *metrics;
+  sgr_mailbox_t *mailbox;
+  sgr_rng_t rng;
+  sgr_snapshot_t *snapshot;
+  sgr_data_gate_t *gate;
+  sgr_data_links_t *links;
+  sgr_data_services_t *services;
+  sgr_data_peers_t *peers;
+  sgr_data_http_t *http;
+  sgr_data_keys_t *keys;
+  sgr_id_map_t *attempts;
+  sgr_peer_conn_env_t conn_env;
+  uint64_t next_sequence;
+  size_t calls;
+  bool is_draining;
+  bool is_stopped;
+  bool had_snapshot;
+  sgr_timer_t drain_timer;
+  uint64_t drain_deadline_us;
+};
+
+static inline uint64_t
+sgr_data_attempt_key (const sgr_attempt_id_t *id)
+{
+  return id->sequence * SGR_CALL_ATTEMPTS_MAX + id->attempt;
+}
+
+static inline bool
+sgr_attempt_id_equal (const sgr_attempt_id_t *a, const sgr_attempt_id_t *b)
+{
+  return a->node == b->node && a->boot == b->boot && a->sequence == b->sequence
+         && a->attempt == b->attempt;
+}
+
+/** sgr_data_member_find() - member of the current snapshot by node id, NULL if absent */
+const sgr_member_t *sgr_data_member_find (const sgr_data_task_t *task, sgr_node_id_t node);
+
+#endif
--- /dev/null
+++ b/libsiskingrade/data_link.c
@@ -0,0 +1,366 @@
+#include "data_link.h"
+
+#include <stdlib.h>
+
+#include "data_call.h"
+#include "data_peer.h"
+
+/* A connection that carried no attempt for this long is closed. */
+#define IDLE_CLOSE_US (60ULL * SGR_USEC_PER_SEC)
+
+struct sgr_data_link_t
+{
+  sgr_data_links_t *links;
+  sgr_node_id_t node;
+  sgr_peer_conn_t *conn;
+  bool is_local;
+  sgr_boot_id_t boot; /* of the last connection */
+  uint64_t generation;
+  bool has_generation;
+  sgr_data_attempt_t *attempts;
+  size_t waiting;
+  sgr_timer_t idle;
+};
+
+/* Frames within this process are packed and delivered from a timer, so that neither side is called
+   while it calls the other. */
+typedef struct
+{
+  sgr_buffer_t frames;
+  sgr_timer_t timer;
+} local_queue_t;
+
+struct sgr_data_links_t
+{
+  sgr_data_task_t *task;
+  sgr_id_map_t *by_node;
+  sgr_data_link_t *local;
+  sgr_data_channel_t local_channel;
+  sgr_data_calls_t *local_calls;
+  local_queue_t to_gate;
+  local_queue_t to_entry;
+  sgr_counter_t *late_frames;
+};
+
+static sgr_result_t
+entry_frame (sgr_data_link_t *link, const Sgr__Pb__PeerFrame *frame)
+{
+  sgr_data_task_t *task = link->links->task;
+  sgr_data_attempt_t *attempt;
+  sgr_attempt_id_t id;
+
+  if (!sgr_frame_attempt_id (frame, &id))
+    return SGR_ERR_INVALID;
+  attempt = sgr_id_map_get (task->attempts, sgr_data_attempt_key (&id));
+  if (attempt == NULL || attempt->link != link || !sgr_attempt_id_equal (&attempt->id, &id))
+    {
+      sgr_counter_add (link->links->late_frames, 1);
+      return SGR_OK;
+    }
+  return sgr_data_attempt_frame (attempt, frame);
+}
+
+static void
+queue_run (local_queue_t *queue, sgr_result_t (*deliver) (void *, const Sgr__Pb__PeerFrame *),
+           void *ctx)
+{
+  sgr_buffer_t frames = queue->frames;
+  size_t offset = 0;
+
+  queue->frames = (sgr_buffer_t){ 0 };
+  while (offset < frames.length)
+    {
+      Sgr__Pb__PeerFrame *frame;
+      size_t consumed;
+      sgr_result_t result
+          = sgr_frame_decode (frames.bytes + offset, frames.length - offset, &frame, &consumed);
+
+      sgr_invariant (result == SGR_OK && frame != NULL);
+      offset += consumed;
+      deliver (ctx, frame);
+      sgr_frame_free (frame);
+    }
+  sgr_buffer_release (&frames);
+}
+
+static sgr_result_t
+gate_deliver (void *ctx, const Sgr__Pb__PeerFrame *frame)
+{
+  sgr_data_links_t *links = ctx;
+  sgr_result_t result = sgr_data_calls_frame (links->local_calls, &links->local_channel, frame);
+
+  sgr_invariant (result == SGR_OK);
+  return result;
+}
+
+static sgr_result_t
+entry_deliver (void *ctx, const Sgr__Pb__PeerFrame *frame)
+{
+  return entry_frame (ctx, frame);
+}
+
+static void
+on_to_gate (void *ctx, uint64_t now_us)
+{
+  sgr_data_links_t *links = ctx;
+
+  queue_run (&links->to_gate, gate_deliver, links);
+}
+
+static void
+on_to_entry (void *ctx, uint64_t now_us)
+{
+  sgr_data_links_t *links = ctx;
+
+  queue_run (&links->to_entry, entry_deliver, links->local);
+}
+
+static sgr_result_t
+queue_add (sgr_data_links_t *links, local_queue_t *queue, const Sgr__Pb__PeerFrame *frame)
+{
+  sgr_result_t result = sgr_frame_append (&queue->frames, frame);
+
+  if (queue->timer.position == 0)
+    sgr_timer_arm (links->task->timers, &queue->timer, sgr_clock_monotonic_us ());
+  return result;
+}
+
+static void
+local_channel_send (void *ctx, const Sgr__Pb__PeerFrame *frame, sgr_peer_priority_t priority)
+{
+  sgr_data_links_t *links = ctx;
+
+  queue_add (links, &links->to_entry, frame);
+}
+
+static void
+on_idle (void *ctx, uint64_t now_us)
+{
+  sgr_data_link_t *link = ctx;
+
+  if (link->waiting > 0 || link->conn == NULL)
+    return;
+  sgr_peer_conn_close (link->conn);
+  link->conn = NULL;
+}
+
+static sgr_data_link_t *
+link_add (sgr_data_links_t *links, sgr_node_id_t node)
+{
+  sgr_data_link_t *link = calloc (1, sizeof *link);
+
+  sgr_invariant (link != NULL);
+  link->links = links;
+  link->node = node;
+  link->is_local = node == links->task->node;
+  link->idle = (sgr_timer_t){ .fire = on_idle, .ctx = link };
+  sgr_id_map_put (links->by_node, node, link);
+  return link;
+}
+
+sgr_data_links_t *
+sgr_data_links_create (sgr_data_task_t *task)
+{
+  sgr_data_links_t *links = calloc (1, sizeof *links);
+
+  sgr_invariant (links != NULL);
+  links->task = task;
+  links->by_node = sgr_id_map_create ();
+  links->local = link_add (links, task->node);
+  links->local_channel = (sgr_data_channel_t){
+    .node = task->node, .boot = task->boot, .send = local_channel_send, .ctx = links
+  };
+  links->local_calls
+      = sgr_data_calls_create (task->gate, task->settings->request_body_max_bytes);
+  links->to_gate.timer = (sgr_timer_t){ .fire = on_to_gate, .ctx = links };
+  links->to_entry.timer = (sgr_timer_t){ .fire = on_to_entry, .ctx = links };
+  links->late_frames
+      = sgr_metrics_counter (task->metrics, "siskingrade_late_frames_total", "");
+  return links;
+}
+
+void
+sgr_data_links_destroy (sgr_data_links_t *links)
+{
+  sgr_data_link_t *link;
+  size_t cursor = 0;
+
+  if (links == NULL)
+    return;
+  while ((link = sgr_id_map_next (links->by_node, &cursor)) != NULL)
+    {
+      sgr_timer_cancel (links->task->timers, &link->idle);
+      if (link->conn != NULL)
+        sgr_peer_conn_close (link->conn);
+      free (link);
+    }
+  sgr_timer_cancel (links->task->timers, &links->to_gate.timer);
+  sgr_timer_cancel (links->task->timers, &links->to_entry.timer);
+  sgr_buffer_release (&links->to_gate.frames);
+  sgr_buffer_release (&links->to_entry.frames);
+  sgr_data_calls_destroy (links->local_calls);
+  sgr_id_map_destroy (links->by_node);
+  free (links);
+}
+
+sgr_data_link_t *
+sgr_data_link_get (sgr_data_links_t *links, sgr_node_id_t node)
+{
+  sgr_data_link_t *link = sgr_id_map_get (links->by_node, node);
+
+  if (node != links->task->node && sgr_data_member_find (links->task, node) == NULL)
+    return NULL;
+  return link != NULL ? link : link_add (links, node);
+}
+
+static void
+on_ready (void *ctx, sgr_peer_conn_t *conn)
+{
+  sgr_data_link_t *link = ctx;
+
+  link->boot = sgr_peer_conn_boot (conn);
+  link->generation = sgr_peer_conn_generation (conn);
+  link->has_generation = true;
+}
+
+static sgr_result_t
+on_frame (void *ctx, sgr_peer_conn_t *conn, const Sgr__Pb__PeerFrame *frame)
+{
+  return entry_frame (ctx, frame);
+}
+
+static void
+on_closed (void *ctx, sgr_peer_conn_t *conn, sgr_peer_close_t reason)
+{
+  sgr_data_link_t *link = ctx;
+  sgr_data_attempt_t *attempt;
+
+  link->conn = NULL;
+  for (attempt = link->attempts; attempt != NULL; attempt = attempt->link_next)
+    attempt->is_loss_due = true;
+  /* One loss may end a call and with it other attempts of the list, so each turn starts anew. */
+  for (attempt = link->attempts; attempt != NULL;)
+    {
+      if (!attempt->is_loss_due)
+        {
+          attempt = attempt->link_next;
+          continue;
+        }
+      attempt->is_loss_due = false;
+      sgr_data_attempt_lost (attempt);
+      attempt = link->attempts;
+    }
+}
+
+static const sgr_peer_conn_handlers_t handlers = {
+  .ready = on_ready,
+  .frame = on_frame,
+  .closed = on_closed,
+};
+
+sgr_result_t
+sgr_data_link_open (sgr_data_link_t *link)
+{
+  const sgr_member_t *member;
+
+  if (link->is_local || link->conn != NULL)
+    return SGR_OK;
+  member = sgr_data_member_find (link->links->task, link->node);
+  if (member == NULL)
+    return SGR_ERR_UNAVAILABLE;
+  link->conn = sgr_peer_conn_connect (&link->links->task->conn_env, &member->data_address,
+                                      &handlers, link);
+  if (link->conn == NULL)
+    return SGR_ERR_UNAVAILABLE;
+  sgr_peer_conn_waiting_set (link->conn, link->waiting);
+  sgr_timer_arm (link->links->task->timers, &link->idle,
+                 sgr_clock_monotonic_us () + IDLE_CLOSE_US);
+  return SGR_OK;
+}
+
+sgr_result_t
+sgr_data_link_send (sgr_data_link_t *link, const Sgr__Pb__PeerFrame *frame,
+                    sgr_peer_priority_t priority)
+{
+  sgr_result_t result;
+
+  if (link->is_local)
+    return queue_add (link->links, &link->links->to_gate, frame);
+  result = sgr_data_link_open (link);
+  if (result != SGR_OK)
+    return result;
+  return sgr_peer_conn_send (link->conn, frame, priority);
+}
+
+bool
+sgr_data_link_gate (const sgr_data_link_t *link, sgr_boot_id_t *boot, uint64_t *generation)
+{
+  const sgr_data_task_t *task = link->links->task;
+  const sgr_member_t *member = sgr_data_member_find (task, link->node);
+
+  if (link->is_local)
+    {
+      Sgr__Pb__LoadReport load;
+
+      sgr_data_gate_load (task->gate, &load);
+      *boot = task->boot;
+      *generation = load.key_generation;
+      return true;
+    }
+  if (link->conn != NULL && sgr_peer_conn_is_ready (link->conn))
+    *boot = link->boot;
+  else
+    *boot = member != NULL ? member->boot : link->boot;
+  *generation = link->generation;
+  return link->has_generation && *boot == link->boot;
+}
+
+sgr_node_id_t
+sgr_data_link_node (const sgr_data_link_t *link)
+{
+  return link->node;
+}
+
+static void
+waiting_update (sgr_data_link_t *link)
+{
+  if (link->conn != NULL)
+    sgr_peer_conn_waiting_set (link->conn, link->waiting);
+  if (link->waiting == 0)
+    sgr_timer_arm (link->links->task->timers, &link->idle,
+                   sgr_clock_monotonic_us () + IDLE_CLOSE_US);
+}
+
+void
+sgr_data_link_attach (sgr_data_link_t *link, sgr_data_attempt_t *attempt)
+{
+  attempt->link = link;
+  attempt->link_previous = NULL;
+  attempt->link_next = link->attempts;
+  if (link->attempts != NULL)
+    link->attempts->link_previous = attempt;
+  link->attempts = attempt;
+  link->waiting++;
+  waiting_update (link);
+}
+
+void
+sgr_data_link_detach (sgr_data_link_t *link, sgr_data_attempt_t *attempt)
+{
+  if (attempt->link_previous != NULL)
+    attempt->link_previous->link_next = attempt->link_next;
+  else
+    link->attempts = attempt->link_next;
+  if (attempt->link_next != NULL)
+    attempt->link_next->link_previous = attempt->link_previous;
+  attempt->link = NULL;
+  link->waiting--;
+  waiting_update (link);
+}
+
+void
+sgr_data_link_load_set (sgr_data_link_t *link, const Sgr__Pb__LoadReport *load)
+{
+  link->generation = load->key_generation;
+  link->has_generation = true;
+}
--- /dev/null
+++ b/libsiskingrade/data_peer.c
@@ -0,0 +1,132 @@
+#include "data_peer.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "listener.h"
+#include "log.h"
+
+typedef struct peer_t
+{
+  sgr_data_peers_t *peers;
+  sgr_peer_conn_t *conn;
+  sgr_data_channel_t channel;
+  sgr_data_calls_t *calls;
+  struct peer_t *next;
+} peer_t;
+
+struct sgr_data_peers_t
+{
+  sgr_data_task_t *task;
+  h2o_socket_t *listener;
+  peer_t *first;
+};
+
+static void
+channel_send (void *ctx, const Sgr__Pb__PeerFrame *frame, sgr_peer_priority_t priority)
+{
+  peer_t *peer = ctx;
+
+  /* Frames of the gate are built below the limit; a closed connection is reported by closed. */
+  sgr_peer_conn_send (peer->conn, frame, priority);
+}
+
+static void
+on_ready (void *ctx, sgr_peer_conn_t *conn)
+{
+  peer_t *peer = ctx;
+
+  peer->channel.node = sgr_peer_conn_node (conn);
+  peer->channel.boot = sgr_peer_conn_boot (conn);
+}
+
+static sgr_result_t
+on_frame (void *ctx, sgr_peer_conn_t *conn, const Sgr__Pb__PeerFrame *frame)
+{
+  peer_t *peer = ctx;
+
+  return sgr_data_calls_frame (peer->calls, &peer->channel, frame);
+}
+
+static void
+peer_free (peer_t *peer)
+{
+  peer_t **place = &peer->peers->first;
+
+  while (*place != peer)
+    place = &(*place)->next;
+  *place = peer->next;
+  sgr_data_calls_destroy (peer->calls);
+  free (peer);
+}
+
+static void
+on_closed (void *ctx, sgr_peer_conn_t *conn, sgr_peer_close_t reason)
+{
+  peer_t *peer = ctx;
+
+  sgr_data_gate_channel_closed (peer->peers->task->gate, &peer->channel);
+  peer_free (peer);
+}
+
+static const sgr_peer_conn_handlers_t handlers = {
+  .ready = on_ready,
+  .frame = on_frame,
+  .closed = on_closed,
+};
+
+static void
+on_accept (h2o_socket_t *listener, const char *err)
+{
+  sgr_data_peers_t *peers = listener->data;
+  h2o_socket_t *sock;
+  peer_t *peer;
+
+  if (err != NULL || (sock = h2o_evloop_socket_accept (listener)) == NULL)
+    return;
+  peer = calloc (1, sizeof *peer);
+  sgr_invariant (peer != NULL);
+  peer->peers = peers;
+  peer->channel.send = channel_send;
+  peer->channel.ctx = peer;
+  peer->calls = sgr_data_calls_create (peers->task->gate,
+                                       peers->task->settings->request_body_max_bytes);
+  peer->next = peers->first;
+  peers->first = peer;
+  peer->conn = sgr_peer_conn_accept (&peers->task->conn_env, sock, &handlers, peer);
+}
+
+sgr_data_peers_t *
+sgr_data_peers_create (sgr_data_task_t *task, sgr_buffer_t *errors)
+{
+  sgr_data_peers_t *peers = calloc (1, sizeof *peers);
+  char address[32];
+
+  sgr_invariant (peers != NULL);
+  peers->task = task;
+  if (sgr_listener_open (task->loop, &task->settings->peers, on_accept, peers, &peers->listener)
+      == SGR_OK)
+    return peers;
+  sgr_address_format (&task->settings->peers, address, sizeof address);
+  sgr_buffer_printf (errors, "listen.peers: cannot listen on %s: %s\n", address,
+                     strerror (errno));
+  free (peers);
+  return NULL;
+}
+
+void
+sgr_data_peers_destroy (sgr_data_peers_t *peers)
+{
+  if (peers == NULL)
+    return;
+  h2o_socket_close (peers->listener);
+  while (peers->first != NULL)
+    {
+      peer_t *peer = peers->first;
+
+      sgr_peer_conn_close (peer->conn);
+      peer_free (peer);
+    }
+  free (peers);
+}
--- /dev/null
+++ b/libsiskingrade/data_service.c
@@ -0,0 +1,221 @@
+#include "data_service.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Starting values for links that were not measured yet; the balancer learns the latency itself. */
+#define LINK_SAME_DOMAIN_US 200
+#define LINK_SAME_REGION_US 8000
+#define LINK_FAR_US 60000
+
+struct sgr_data_services_t
+{
+  sgr_data_task_t *task;
+  sgr_data_service_t **list;
+  size_t count;
+};
+
+sgr_data_services_t *
+sgr_data_services_create (sgr_data_task_t *task)
+{
+  sgr_data_services_t *services = calloc (1, sizeof *services);
+
+  sgr_invariant (services != NULL);
+  services->task = task;
+  return services;
+}
+
+static void
+service_destroy (sgr_data_service_t *service)
+{
+  sgr_balancer_destroy (service->balancer);
+  free (service);
+}
+
+void
+sgr_data_services_destroy (sgr_data_services_t *services)
+{
+  if (services == NULL)
+    return;
+  for (size_t i = 0; i < services->count; i++)
+    service_destroy (services->list[i]);
+  free (services->list);
+  free (services);
+}
+
+/* The list is sorted by name. Returns where a name is or would be. */
+static size_t
+position_of (const sgr_data_services_t *services, const char *name, bool *is_found)
+{
+  size_t low = 0;
+  size_t high = services->count;
+
+  *is_found = false;
+  while (low < high)
+    {
+      size_t middle = (low + high) / 2;
+      int order = strcmp (services->list[middle]->policy.service, name);
+
+      if (order == 0)
+        {
+          *is_found = true;
+          return middle;
+        }
+      if (order < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+static sgr_data_service_t *
+find (sgr_data_services_t *services, const char *name)
+{
+  bool is_found;
+  size_t position = position_of (services, name, &is_found);
+
+  return is_found ? services->list[position] : NULL;
+}
+
+sgr_data_service_t *
+sgr_data_service_find (sgr_data_services_t *services, const char *name)
+{
+  sgr_data_service_t *service = find (services, name);
+
+  return service != NULL && service->is_present ? service : NULL;
+}
+
+static sgr_balancer_options_t
+balancer_options (const sgr_policy_t *policy, uint64_t seed)
+{
+  return (sgr_balancer_options_t){ .policy = SGR_BALANCER_LOAD_LATENCY,
+                                   .seed = seed,
+                                   .slow_start_us = policy->slow_start_ms * SGR_USEC_PER_MSEC,
+                                   .eject_percent = policy->eject_percent };
+}
+
+static sgr_data_service_t *
+add (sgr_data_services_t *services, const sgr_policy_t *policy)
+{
+  sgr_balancer_options_t options
+      = balancer_options (policy, sgr_rng_next (&services->task->rng));
+  sgr_data_service_t *service = calloc (1, sizeof *service);
+  bool is_found;
+  size_t position = position_of (services, policy->service, &is_found);
+
+  sgr_invariant (service != NULL && !is_found);
+  service->balancer = sgr_balancer_create (&options);
+  sgr_invariant (service->balancer != NULL);
+  sgr_retry_budget_init (&service->retries, policy->retry_percent);
+  services->list
+      = realloc (services->list, (services->count + 1) * sizeof (sgr_data_service_t *));
+  sgr_invariant (services->list != NULL);
+  memmove (services->list + position + 1, services->list + position,
+           (services->count - position) * sizeof (sgr_data_service_t *));
+  services->list[position] = service;
+  services->count++;
+  return service;
+}
+
+static void
+policy_apply (sgr_data_services_t *services, const sgr_policy_t *policy)
+{
+  sgr_data_service_t *service = find (services, policy->service);
+  sgr_balancer_options_t options;
+
+  if (service == NULL)
+    service = add (services, policy);
+  service->policy = *policy;
+  service->is_present = true;
+  options = balancer_options (policy, 0);
+  sgr_balancer_options_set (service->balancer, &options);
+  sgr_retry_budget_percent_set (&service->retries, policy->retry_percent);
+}
+
+static uint32_t
+link_rtt_us (const sgr_settings_t *settings, const sgr_member_t *member)
+{
+  if (strcmp (settings->failure_domain, member->failure_domain) == 0)
+    return LINK_SAME_DOMAIN_US;
+  if (strcmp (settings->region, member->region) == 0)
+    return LINK_SAME_REGION_US;
+  return LINK_FAR_US;
+}
+
+static void
+member_apply (sgr_data_services_t *services, const sgr_member_t *member, uint64_t now_us)
+{
+  sgr_data_service_t *service = sgr_data_service_find (services, member->service);
+  sgr_balancer_target_info_t info = { .node = member->id,
+                                      .slots = member->slots > 0 ? member->slots : 1,
+                                      .state = member->target_state };
+  const sgr_balancer_target_info_t *known;
+  sgr_balancer_target_t target;
+
+  if (service == NULL)
+    return;
+  memcpy (info.failure_domain, member->failure_domain, sizeof info.failure_domain);
+  info.link_rtt_us = link_rtt_us (services->task->settings, member);
+  target = sgr_balancer_target_find (service->balancer, member->id);
+  known = sgr_balancer_target_info (service->balancer, target);
+  if (known != NULL)
+    {
+      bool has_begun = known->state != SGR_TARGET_SERVING && info.state == SGR_TARGET_SERVING;
+
+      info.join_us = has_begun ? now_us : known->join_us;
+      sgr_balancer_target_update (service->balancer, now_us, target, &info);
+      return;
+    }
+  /* Targets that a fresh node learns with its first snapshot have run before: no slow start. */
+  info.join_us = services->task->had_snapshot ? now_us : 0;
+  sgr_balancer_target_add (service->balancer, now_us, &info, &target);
+}
+
+/* Removes targets of the previous snapshot that left the service. */
+static void
+members_sweep (sgr_data_services_t *services, const sgr_snapshot_t *old)
+{
+  for (size_t i = 0; old != NULL && i < old->member_count; i++)
+    {
+      const sgr_member_t *member = &old->members[i];
+      const sgr_member_t *now = sgr_data_member_find (services->task, member->id);
+      sgr_data_service_t *service = find (services, member->service);
+
+      if (service == NULL || (now != NULL && strcmp (now->service, member->service) == 0))
+        continue;
+      sgr_balancer_target_remove (service->balancer,
+                                  sgr_balancer_target_find (service->balancer, member->id));
+    }
+}
+
+void
+sgr_data_services_update (sgr_data_services_t *services, const sgr_snapshot_t *old,
+                          uint64_t now_us)
+{
+  const sgr_snapshot_t *snapshot = services->task->snapshot;
+
+  for (size_t i = 0; i < services->count; i++)
+    services->list[i]->is_present = false;
+  for (size_t i = 0; i < snapshot->policy_count; i++)
+    policy_apply (services, &snapshot->policies[i]);
+  members_sweep (services, old);
+  for (size_t i = 0; i < snapshot->member_count; i++)
+    member_apply (services, &snapshot->members[i], now_us);
+}
+
+sgr_balancer_target_t
+sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us,
+                       const sgr_node_id_t *excluded, size_t count, sgr_node_id_t *node)
+{
+  sgr_balancer_target_t exclude[SGR_CALL_ATTEMPTS_MAX];
+  sgr_balancer_target_t target;
+
+  sgr_invariant (count <= SGR_CALL_ATTEMPTS_MAX);
+  for (size_t i = 0; i < count; i++)
+    exclude[i] = sgr_balancer_target_find (service->balancer, excluded[i]);
+  target = sgr_balancer_pick (service->balancer, now_us, exclude, count);
+  if (target != SGR_BALANCER_TARGET_NONE)
+    *node = sgr_balancer_target_info (service->balancer, target)->node;
+  return target;
+}
--- /dev/null
+++ b/libsiskingrade/data_service.h
@@ -0,0 +1,47 @@
+#ifndef SGR_DATA_SERVICE_H
+#define SGR_DATA_SERVICE_H
+
+#include "data_internal.h"
+
+/**
+ * struct sgr_data_service_t - one service as this entry node uses it
+ * @policy: policy in force
+ * @balancer: targets of the service
+ * @retries: retry budget
+ * @latency: latency of complete calls, for the delay of hedges
+ */
+struct sgr_data_service_t
+{
+  sgr_policy_t policy;
+  sgr_balancer_t *balancer;
+  sgr_retry_budget_t retries;
+  sgr_histogram_t latency;
+  bool is_present;
+};
+
+sgr_data_services_t *sgr_data_services_create (sgr_data_task_t *task);
+void sgr_data_services_destroy (sgr_data_services_t *services);
+
+/** sgr_data_services_update() - take over the policies and targets of the task's snapshot; @old is
+ * the snapshot before, NULL at first */
+void sgr_data_services_update (sgr_data_services_t *services, const sgr_snapshot_t *old,
+                               uint64_t now_us);
+
+/** sgr_data_service_find() - service by name, NULL if the configuration has none */
+sgr_data_service_t *sgr_data_service_find (sgr_data_services_t *services, const char *name);
+
+/**
+ * sgr_data_service_pick() - choose a target
+ * @service: the service
+ * @now_us: the time
+ * @excluded: nodes to leave out
+ * @count: entries of @excluded
+ * @node: receives the node
+ *
+ * Return: handle for the balancer, SGR_BALANCER_TARGET_NONE if there is no target.
+ */
+sgr_balancer_target_t sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us,
+                                             const sgr_node_id_t *excluded, size_t count,
+                                             sgr_node_id_t *node);
+
+#endif
--- /dev/null
+++ b/libsiskingrade/data_task.c
@@ -0,0 +1,248 @@
+#include "data_task.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "data_gate.h"
+#include "data_http.h"
+#include "data_internal.h"
+#include "data_keys.h"
+#include "data_link.h"
+#include "data_peer.h"
+#include "data_service.h"
+#include "task_loop.h"
+
+#define IDLE_PING_US (15 * SGR_USEC_PER_SEC)
+#define DRAIN_POLL_US (5 * SGR_USEC_PER_MSEC)
+
+typedef enum
+{
+  MESSAGE_SNAPSHOT,
+  MESSAGE_KEY_BOUND,
+  MESSAGE_DRAIN,
+  MESSAGE_STOP,
+} message_kind_t;
+
+const sgr_member_t *
+sgr_data_member_find (const sgr_data_task_t *task, sgr_node_id_t node)
+{
+  size_t low = 0;
+  size_t high = task->snapshot != NULL ? task->snapshot->member_count : 0;
+
+  while (low < high)
+    {
+      size_t middle = (low + high) / 2;
+      const sgr_member_t *member = &task->snapshot->members[middle];
+
+      if (member->id == node)
+        return member;
+      if (member->id < node)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return NULL;
+}
+
+static void
+snapshot_take (sgr_data_task_t *task, sgr_snapshot_t *snapshot)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  sgr_snapshot_t *old = task->snapshot;
+
+  task->snapshot = snapshot;
+  sgr_data_services_update (task->services, old, now_us);
+  sgr_data_gate_update (task->gate, now_us);
+  task->had_snapshot = true;
+  sgr_snapshot_unref (old);
+}
+
+static bool
+is_idle (const sgr_data_task_t *task)
+{
+  return task->calls == 0 && sgr_data_http_requests (task->http) == 0
+         && sgr_data_gate_is_idle (task->gate);
+}
+
+static void
+on_drain_timer (void *ctx, uint64_t now_us)
+{
+  sgr_data_task_t *task = ctx;
+
+  if (is_idle (task) || now_us >= task->drain_deadline_us)
+    task->events.drained (task->events_ctx);
+  else
+    sgr_timer_arm (task->timers, &task->drain_timer, now_us + DRAIN_POLL_US);
+}
+
+static void
+drain_begin (sgr_data_task_t *task)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+
+  if (task->is_draining)
+    return;
+  task->is_draining = true;
+  task->drain_deadline_us = now_us + task->settings->drain_timeout_ms * SGR_USEC_PER_MSEC;
+  sgr_data_http_drain (task->http);
+  sgr_data_gate_drain (task->gate, now_us);
+  sgr_timer_arm (task->timers, &task->drain_timer, now_us + DRAIN_POLL_US);
+}
+
+static void
+on_message (void *ctx, int kind, void *message)
+{
+  sgr_data_task_t *task = ctx;
+
+  switch ((message_kind_t)kind)
+    {
+    case MESSAGE_SNAPSHOT:
+      snapshot_take (task, message);
+      break;
+    case MESSAGE_KEY_BOUND:
+      sgr_data_keys_bound (task->keys, message);
+      free (message);
+      break;
+    case MESSAGE_DRAIN:
+      drain_begin (task);
+      break;
+    case MESSAGE_STOP:
+      task->is_stopped = true;
+      break;
+    }
+}
+
+static void *
+run (void *argument)
+{
+  sgr_data_task_t *task = argument;
+
+  sgr_task_loop_run (task->loop, task->timers, &task->is_stopped);
+  return NULL;
+}
+
+static void
+load_fill (void *ctx, Sgr__Pb__LoadReport *load)
+{
+  sgr_data_task_t *task = ctx;
+
+  sgr_data_gate_load (task->gate, load);
+}
+
+static void
+conn_env_init (sgr_data_task_t *task)
+{
+  sgr_peer_conn_env_t *env = &task->conn_env;
+
+  env->loop = task->loop;
+  env->timers = task->timers;
+  env->node = task->node;
+  env->boot = task->boot;
+  env->heartbeat_us = task->settings->heartbeat_ms * SGR_USEC_PER_MSEC;
+  env->idle_ping_us = IDLE_PING_US;
+  env->silence_us = task->settings->silence_ms * SGR_USEC_PER_MSEC;
+  env->load_fill = load_fill;
+  env->load_ctx = task;
+  env->bytes_in = sgr_metrics_counter (task->metrics, "siskingrade_peer_bytes_total",
+                                       "direction=\"in\"");
+  env->bytes_out = sgr_metrics_counter (task->metrics, "siskingrade_peer_bytes_total",
+                                        "direction=\"out\"");
+  for (int i = 0; i < SGR_PEER_CLOSE_COUNT; i++)
+    {
+      char labels[64];
+
+      snprintf (labels, sizeof labels, "reason=\"%s\"",
+                sgr_peer_close_name ((sgr_peer_close_t)i));
+      env->closed[i]
+          = sgr_metrics_counter (task->metrics, "siskingrade_peer_closed_total", labels);
+    }
+}
+
+static void
+task_free (sgr_data_task_t *task)
+{
+  sgr_data_http_destroy (task->http);
+  sgr_data_links_destroy (task->links);
+  sgr_data_peers_destroy (task->peers);
+  sgr_data_keys_destroy (task->keys);
+  sgr_data_services_destroy (task->services);
+  sgr_data_gate_destroy (task->gate);
+  sgr_id_map_destroy (task->attempts);
+  sgr_snapshot_unref (task->snapshot);
+  sgr_timer_heap_destroy (task->timers);
+  sgr_metrics_destroy (task->metrics);
+  free (task);
+}
+
+sgr_data_task_t *
+sgr_data_task_start (const sgr_settings_t *settings, sgr_boot_id_t boot,
+                     const sgr_data_task_events_t *events, void *ctx, sgr_buffer_t *errors)
+{
+  sgr_data_task_t *task = calloc (1, sizeof *task);
+
+  sgr_invariant (task != NULL);
+  task->settings = settings;
+  task->node = sgr_node_id_of (settings->name);
+  task->boot = boot;
+  task->events = *events;
+  task->events_ctx = ctx;
+  task->next_sequence = 1;
+  task->loop = h2o_evloop_create ();
+  task->timers = sgr_timer_heap_create ();
+  task->metrics = sgr_metrics_create ();
+  task->drain_timer = (sgr_timer_t){ .fire = on_drain_timer, .ctx = task };
+  sgr_rng_seed (&task->rng, boot);
+  task->attempts = sgr_id_map_create ();
+  task->mailbox = sgr_mailbox_create (task->loop, on_message, task);
+  conn_env_init (task);
+  task->gate = sgr_data_gate_create (task);
+  task->services = sgr_data_services_create (task);
+  task->keys = sgr_data_keys_create (task);
+  task->links = sgr_data_links_create (task);
+  task->peers = sgr_data_peers_create (task, errors);
+  if (task->peers != NULL)
+    task->http = sgr_data_http_create (task, errors);
+  if (task->http == NULL || pthread_create (&task->thread, NULL, run, task) != 0)
+    {
+      task_free (task);
+      return NULL;
+    }
+  return task;
+}
+
+void
+sgr_data_task_snapshot_send (sgr_data_task_t *task, sgr_snapshot_t *snapshot)
+{
+  sgr_mailbox_send (task->mailbox, MESSAGE_SNAPSHOT, snapshot);
+}
+
+void
+sgr_data_task_key_bound_send (sgr_data_task_t *task, sgr_data_key_bound_t *bound)
+{
+  sgr_mailbox_send (task->mailbox, MESSAGE_KEY_BOUND, bound);
+}
+
+void
+sgr_data_task_drain (sgr_data_task_t *task)
+{
+  sgr_mailbox_send (task->mailbox, MESSAGE_DRAIN, NULL);
+}
+
+void
+sgr_data_task_stop (sgr_data_task_t *task)
+{
+  sgr_mailbox_send (task->mailbox, MESSAGE_STOP, NULL);
+}
+
+void
+sgr_data_task_join (sgr_data_task_t *task)
+{
+  pthread_join (task->thread, NULL);
+  task_free (task);
+}
+
+const sgr_metrics_t *
+sgr_data_task_metrics (const sgr_data_task_t *task)
+{
+  return task->metrics;
+}
--- /dev/null
+++ b/libsiskingrade/gate_run.c
@@ -0,0 +1,262 @@
+#include "gate_run.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Longest answer that is recorded for a key; longer ones are passed on but not kept. */
+#define RECORD_MAX_BYTES (64U * 1024)
+
+static void
+refuse_all (sgr_gate_run_t *run, const sgr_gate_refusal_t *refusal)
+{
+  sgr_gate_waiter_t *waiters[2] = { run->streaming, run->joined };
+
+  run->streaming = NULL;
+  run->joined = NULL;
+  for (int i = 0; i < 2; i++)
+    {
+      while (waiters[i] != NULL)
+        {
+          sgr_gate_waiter_t *waiter = waiters[i];
+
+          waiters[i] = waiter->next;
+          sgr_gate_refusal_send (run->gate, waiter->channel, &waiter->id, refusal);
+          sgr_data_gate_waiter_free (run->gate, waiter);
+        }
+    }
+}
+
+static sgr_outcome_t
+finish_at_gate (sgr_gate_run_t *run, sgr_outcome_t outcome)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  sgr_gate_finish_t finish = { .outcome = outcome, .declared_not_run = run->is_declared_not_run };
+  sgr_gate_handle_t handle = run->handle;
+
+  sgr_timer_cancel (sgr_data_gate_task (run->gate)->timers, &run->deadline);
+  if (run->started_us != 0)
+    finish.latency_us = now_us - run->started_us;
+  if (outcome == SGR_OUTCOME_COMPLETE && run->is_recording)
+    {
+      finish.answer = run->record.bytes;
+      finish.answer_length = run->record.length;
+    }
+  run->handle = 0;
+  return sgr_gate_attempt_finish (sgr_data_gate_core (run->gate), handle, now_us, &finish);
+}
+
+/* The run ends without a whole answer. */
+static void
+end_without_answer (sgr_gate_run_t *run, sgr_outcome_t outcome, sgr_call_reason_t reason)
+{
+  sgr_gate_refusal_t refusal = { .reason = reason };
+
+  refusal.outcome = finish_at_gate (run, outcome);
+  run->request = NULL;
+  refuse_all (run, &refusal);
+  sgr_data_gate_run_free (run->gate, run);
+}
+
+static bool
+on_starting (void *ctx)
+{
+  sgr_gate_run_t *run = ctx;
+
+  if (!sgr_gate_attempt_started (sgr_data_gate_core (run->gate), run->handle))
+    return false;
+  run->started_us = sgr_clock_monotonic_us ();
+  return true;
+}
+
+static void
+on_head (void *ctx, int status, const sgr_http_field_t *fields, size_t count, int64_t body_length)
+{
+  sgr_gate_run_t *run = ctx;
+  sgr_buffer_t head = { 0 };
+
+  if (sgr_data_gate_is_not_run_status (run->gate, status))
+    {
+      run->is_declared_not_run = true;
+      return;
+    }
+  sgr_gate_head_encode (&head, status, fields, count, body_length);
+  run->has_head = true;
+  if (run->streaming != NULL
+      && !sgr_gate_head_send (run->streaming, head.bytes, head.length))
+    {
+      sgr_gate_refusal_t refusal
+          = { .outcome = SGR_OUTCOME_UNKNOWN, .reason = SGR_CALL_REASON_ANSWER_LOST };
+      sgr_gate_waiter_t *waiter = run->streaming;
+
+      run->streaming = NULL;
+      sgr_gate_refusal_send (run->gate, waiter->channel, &waiter->id, &refusal);
+      sgr_data_gate_waiter_free (run->gate, waiter);
+    }
+  /* The entry of a non-idempotent request may ask again after its connection broke. */
+  run->is_recording = run->keyed || !run->idempotent;
+  if (run->is_recording)
+    sgr_buffer_append (&run->record, head.bytes, head.length);
+  sgr_buffer_release (&head);
+}
+
+/* Sends as much of the backlog as the entry takes. */
+static void
+backlog_flush (sgr_gate_run_t *run)
+{
+  sgr_gate_waiter_t *waiter = run->streaming;
+  size_t length = run->backlog.length;
+
+  if (waiter == NULL || length == 0)
+    return;
+  if (length > waiter->credit)
+    length = (size_t)waiter->credit;
+  waiter->credit -= length;
+  sgr_gate_chunk_send (waiter, run->backlog.bytes, length);
+  sgr_buffer_consume (&run->backlog, length);
+}
+
+static void
+on_body (void *ctx, const void *bytes, size_t length)
+{
+  sgr_gate_run_t *run = ctx;
+
+  if (run->is_declared_not_run)
+    return;
+  run->received += length;
+  if (run->is_recording)
+    {
+      sgr_buffer_append (&run->record, bytes, length);
+      run->is_recording = run->record.length <= RECORD_MAX_BYTES;
+      if (!run->is_recording)
+        sgr_buffer_release (&run->record);
+    }
+  if (run->streaming == NULL)
+    return;
+  sgr_buffer_append (&run->backlog, bytes, length);
+  backlog_flush (run);
+  if (run->backlog.length > 0)
+    sgr_target_request_pause (run->request);
+}
+
+static void
+answer_joined (sgr_gate_run_t *run)
+{
+  sgr_gate_refusal_t refusal
+      = { .outcome = SGR_OUTCOME_UNKNOWN, .reason = SGR_CALL_REASON_ANSWER_LOST };
+
+  while (run->joined != NULL)
+    {
+      sgr_gate_waiter_t *waiter = run->joined;
+
+      run->joined = waiter->next;
+      if (!run->is_recording
+          || !sgr_gate_record_send (run->gate, waiter, run->record.bytes, run->record.length))
+        sgr_gate_refusal_send (run->gate, waiter->channel, &waiter->id, &refusal);
+      sgr_data_gate_waiter_free (run->gate, waiter);
+    }
+}
+
+bool
+sgr_gate_run_settle (sgr_gate_run_t *run)
+{
+  if (run->request != NULL || run->handle != 0)
+    return false;
+  if (run->streaming != NULL)
+    {
+      if (run->backlog.length > 0)
+        return false;
+      sgr_gate_end_send (run->gate, run->streaming);
+      sgr_data_gate_waiter_free (run->gate, run->streaming);
+      run->streaming = NULL;
+    }
+  sgr_data_gate_run_free (run->gate, run);
+  return true;
+}
+
+static void
+on_done (void *ctx)
+{
+  sgr_gate_run_t *run = ctx;
+
+  if (run->is_declared_not_run)
+    {
+      end_without_answer (run, SGR_OUTCOME_NOT_RUN, SGR_CALL_REASON_TARGET_NOT_RUN);
+      return;
+    }
+  run->request = NULL;
+  run->is_whole = true;
+  finish_at_gate (run, SGR_OUTCOME_COMPLETE);
+  answer_joined (run);
+  backlog_flush (run);
+  sgr_gate_run_settle (run);
+}
+
+static void
+on_failed (void *ctx, bool is_started, const char *reason)
+{
+  sgr_gate_run_t *run = ctx;
+
+  end_without_answer (run, is_started ? SGR_OUTCOME_UNKNOWN : SGR_OUTCOME_NOT_RUN,
+                      is_started ? SGR_CALL_REASON_CONNECTION_LOST : SGR_CALL_REASON_NO_TARGET);
+}
+
+static const sgr_target_handlers_t handlers = {
+  .starting = on_starting,
+  .head = on_head,
+  .body = on_body,
+  .done = on_done,
+  .failed = on_failed,
+};
+
+void
+sgr_gate_run_start (sgr_gate_run_t *run)
+{
+  run->request
+      = sgr_target_request_start (sgr_data_gate_client (run->gate), run->message.bytes,
+                                  run->message.length, run->is_head_method, &handlers, run);
+  sgr_buffer_release (&run->message);
+}
+
+void
+sgr_gate_run_abort (sgr_gate_run_t *run, sgr_call_reason_t reason)
+{
+  sgr_outcome_t outcome = run->started_us != 0 ? SGR_OUTCOME_UNKNOWN : SGR_OUTCOME_NOT_RUN;
+
+  if (run->request != NULL)
+    sgr_target_request_cancel (run->request);
+  end_without_answer (run, outcome, reason);
+}
+
+void
+sgr_gate_run_credit (sgr_gate_run_t *run, uint32_t bytes)
+{
+  run->streaming->credit += bytes;
+  backlog_flush (run);
+  if (run->backlog.length > 0)
+    return;
+  if (run->request != NULL)
+    sgr_target_request_resume (run->request);
+  else
+    sgr_gate_run_settle (run);
+}
+
+void
+sgr_gate_run_detach (sgr_gate_run_t *run, sgr_gate_waiter_t *waiter)
+{
+  sgr_gate_waiter_t **place = &run->joined;
+
+  if (run->streaming == waiter)
+    {
+      run->streaming = NULL;
+      run->backlog.length = 0;
+      if (run->request != NULL)
+        sgr_target_request_resume (run->request);
+    }
+  else
+    {
+      while (*place != waiter)
+        place = &(*place)->next;
+      *place = waiter->next;
+    }
+  sgr_data_gate_waiter_free (run->gate, waiter);
+}
--- /dev/null
+++ b/libsiskingrade/gate_run.h
@@ -0,0 +1,129 @@
+#ifndef SGR_GATE_RUN_H
+#define SGR_GATE_RUN_H
+
+#include "data_gate.h"
+#include "target_client.h"
+
+/* One admitted attempt at the gate, shared by data_gate.c and gate_run.c. */
+
+/**
+ * struct sgr_gate_waiter_t - an attempt that wants the answer of a run
+ * @id: the attempt
+ * @channel: where its frames go
+ * @credit: bytes of the answer that the entry takes now
+ * @sent: bytes of the answer that were sent
+ * @is_bulk: a chunk took the bulk queue, so the rest does
+ * @run: the run that it waits for
+ * @next: next waiter of the run
+ */
+typedef struct sgr_gate_waiter_t
+{
+  sgr_attempt_id_t id;
+  sgr_data_channel_t *channel;
+  uint64_t credit;
+  uint64_t sent;
+  bool is_bulk;
+  struct sgr_gate_run_t *run;
+  struct sgr_gate_waiter_t *next;
+} sgr_gate_waiter_t;
+
+/**
+ * struct sgr_gate_run_t - one request at the local target
+ * @handle: attempt at the gate, 0 once it has finished
+ * @idempotent: the request may run again, so it may be aborted
+ * @keyed: it carries a key, its answer is recorded
+ * @message: the HTTP request
+ * @request: the request at the target, NULL while it waits or after its end
+ * @streaming: the first attempt, gets the answer as it arrives; NULL if its channel is gone
+ * @joined: later attempts with the same key, get the recorded answer at the end
+ * @backlog: bytes of the answer without credit yet
+ * @record: recorded head and body, in the form of sgr_gate_answer_send()
+ * @is_recording: the record is whole so far
+ * @is_whole: the whole answer arrived
+ */
+typedef struct sgr_gate_run_t
+{
+  sgr_data_gate_t *gate;
+  sgr_gate_handle_t handle;
+  bool idempotent;
+  bool keyed;
+  bool is_head_method;
+  sgr_buffer_t message;
+  sgr_target_request_t *request;
+  uint64_t started_us;
+  uint64_t deadline_us;
+  sgr_timer_t deadline;
+  sgr_gate_waiter_t *streaming;
+  sgr_gate_waiter_t *joined;
+  bool is_declared_not_run;
+  bool has_head;
+  uint64_t received;
+  sgr_buffer_t backlog;
+  sgr_buffer_t record;
+  bool is_recording;
+  bool is_whole;
+} sgr_gate_run_t;
+
+/** sgr_gate_run_start() - send the request to the target */
+void sgr_gate_run_start (sgr_gate_run_t *run);
+
+/** sgr_gate_run_abort() - end a running request because of its deadline or a cancel */
+void sgr_gate_run_abort (sgr_gate_run_t *run, sgr_call_reason_t reason);
+
+/** sgr_gate_run_credit() - the entry of the streaming waiter takes more bytes */
+void sgr_gate_run_credit (sgr_gate_run_t *run, uint32_t bytes);
+
+/** sgr_gate_run_detach() - a waiter's channel is gone or its attempt was cancelled */
+void sgr_gate_run_detach (sgr_gate_run_t *run, sgr_gate_waiter_t *waiter);
+
+/** sgr_gate_run_settle() - free a run that has neither a request nor unsent bytes */
+bool sgr_gate_run_settle (sgr_gate_run_t *run);
+
+/* Provided by data_gate.c. */
+
+sgr_data_task_t *sgr_data_gate_task (const sgr_data_gate_t *gate);
+sgr_gate_t *sgr_data_gate_core (const sgr_data_gate_t *gate);
+sgr_target_client_t *sgr_data_gate_client (const sgr_data_gate_t *gate);
+bool sgr_data_gate_is_not_run_status (const sgr_data_gate_t *gate, int status);
+void sgr_data_gate_waiter_free (sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter);
+void sgr_data_gate_run_free (sgr_data_gate_t *gate, sgr_gate_run_t *run);
+
+/* Frames, gate_answer.c. */
+
+/**
+ * struct sgr_gate_refusal_t - why an attempt gets no answer
+ */
+typedef struct
+{
+  sgr_outcome_t outcome;
+  sgr_call_reason_t reason;
+  sgr_gate_reason_t gate_reason;
+  uint32_t retry_after_ms;
+} sgr_gate_refusal_t;
+
+void sgr_gate_refusal_send (const sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                            const sgr_attempt_id_t *id, const sgr_gate_refusal_t *refusal);
+void sgr_gate_query_reply_send (sgr_data_channel_t *channel, const sgr_attempt_id_t *id,
+                                const sgr_gate_status_t *status);
+
+/**
+ * sgr_gate_head_encode() - append an answer head with its length in front
+ * @record: receives 4 bytes of length and the message
+ * @status: HTTP status
+ * @fields: header fields; hop-by-hop ones are left out
+ * @count: entries of @fields
+ * @body_length: bytes of the body, -1 if not known yet
+ */
+void sgr_gate_head_encode (sgr_buffer_t *record, int status, const sgr_http_field_t *fields,
+                           size_t count, int64_t body_length);
+
+/** sgr_gate_head_send() - send an encoded head; false if it is too large for a frame */
+bool sgr_gate_head_send (sgr_gate_waiter_t *waiter, const uint8_t *record, size_t length);
+void sgr_gate_chunk_send (sgr_gate_waiter_t *waiter, const uint8_t *bytes, size_t length);
+void sgr_gate_end_send (const sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter);
+
+/** sgr_gate_record_send() - send a recorded answer whole: head, body, end */
+bool sgr_gate_record_send (const sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter,
+                           const uint8_t *record, size_t length);
+
+#endif
--- a/libsiskingrade/peer.pb-c.c
+++ b/libsiskingrade/peer.pb-c.c
@@ -945,7 +945,7 @@
   (ProtobufCMessageInit) sgr__pb__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__load_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sgr__pb__load_report__field_descriptors[6] =
 {
   {
     "in_flight",
@@ -1007,9 +1007,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key_generation",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__LoadReport, key_generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__pb__load_report__field_indices_by_name[] = {
   0,   /* field[0] = in_flight */
+  5,   /* field[5] = key_generation */
   3,   /* field[3] = latency_us */
   1,   /* field[1] = queued */
   2,   /* field[2] = slots */
@@ -1018,7 +1031,7 @@
 static const ProtobufCIntRange sgr__pb__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sgr__pb__load_report__descriptor =
 {
@@ -1028,14 +1041,14 @@
   "Sgr__Pb__LoadReport",
   "sgr.pb",
   sizeof(Sgr__Pb__LoadReport),
-  5,
+  6,
   sgr__pb__load_report__field_descriptors,
   sgr__pb__load_report__field_indices_by_name,
   1,  sgr__pb__load_report__number_ranges,
   (ProtobufCMessageInit) sgr__pb__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sgr__pb__hello__field_descriptors[4] =
 {
   {
     "version",
@@ -1073,16 +1086,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__Hello, load),
+    &sgr__pb__load_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__pb__hello__field_indices_by_name[] = {
   2,   /* field[2] = boot */
+  3,   /* field[3] = load */
   1,   /* field[1] = node */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange sgr__pb__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sgr__pb__hello__descriptor =
 {
@@ -1092,14 +1118,14 @@
   "Sgr__Pb__Hello",
   "sgr.pb",
   sizeof(Sgr__Pb__Hello),
-  3,
+  4,
   sgr__pb__hello__field_descriptors,
   sgr__pb__hello__field_indices_by_name,
   1,  sgr__pb__hello__number_ranges,
   (ProtobufCMessageInit) sgr__pb__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__idempotency_key__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sgr__pb__idempotency_key__field_descriptors[5] =
 {
   {
     "high",
@@ -1126,22 +1152,34 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fingerprint",
+    "fingerprint_high",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Sgr__Pb__IdempotencyKey, fingerprint),
+    offsetof(Sgr__Pb__IdempotencyKey, fingerprint_high),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "generation",
+    "fingerprint_low",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__IdempotencyKey, fingerprint_low),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
     offsetof(Sgr__Pb__IdempotencyKey, generation),
     NULL,
@@ -1151,15 +1189,16 @@
   },
 };
 static const unsigned sgr__pb__idempotency_key__field_indices_by_name[] = {
-  2,   /* field[2] = fingerprint */
-  3,   /* field[3] = generation */
+  2,   /* field[2] = fingerprint_high */
+  3,   /* field[3] = fingerprint_low */
+  4,   /* field[4] = generation */
   0,   /* field[0] = high */
   1,   /* field[1] = low */
 };
 static const ProtobufCIntRange sgr__pb__idempotency_key__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sgr__pb__idempotency_key__descriptor =
 {
@@ -1169,7 +1208,7 @@
   "Sgr__Pb__IdempotencyKey",
   "sgr.pb",
   sizeof(Sgr__Pb__IdempotencyKey),
-  4,
+  5,
   sgr__pb__idempotency_key__field_descriptors,
   sgr__pb__idempotency_key__field_indices_by_name,
   1,  sgr__pb__idempotency_key__number_ranges,
@@ -1434,7 +1473,7 @@
   (ProtobufCMessageInit) sgr__pb__call_body__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor sgr__pb__cancel__field_descriptors[2] =
 {
   {
     "id",
@@ -1448,14 +1487,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gate_boot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__Cancel, gate_boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__pb__cancel__field_indices_by_name[] = {
+  1,   /* field[1] = gate_boot */
   0,   /* field[0] = id */
 };
 static const ProtobufCIntRange sgr__pb__cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor sgr__pb__cancel__descriptor =
 {
@@ -1465,14 +1517,14 @@
   "Sgr__Pb__Cancel",
   "sgr.pb",
   sizeof(Sgr__Pb__Cancel),
-  1,
+  2,
   sgr__pb__cancel__field_descriptors,
   sgr__pb__cancel__field_indices_by_name,
   1,  sgr__pb__cancel__number_ranges,
   (ProtobufCMessageInit) sgr__pb__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__query__field_descriptors[1] =
+static const ProtobufCFieldDescriptor sgr__pb__query__field_descriptors[2] =
 {
   {
     "id",
@@ -1486,14 +1538,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gate_boot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__Query, gate_boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__pb__query__field_indices_by_name[] = {
+  1,   /* field[1] = gate_boot */
   0,   /* field[0] = id */
 };
 static const ProtobufCIntRange sgr__pb__query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor sgr__pb__query__descriptor =
 {
@@ -1503,7 +1568,7 @@
   "Sgr__Pb__Query",
   "sgr.pb",
   sizeof(Sgr__Pb__Query),
-  1,
+  2,
   sgr__pb__query__field_descriptors,
   sgr__pb__query__field_indices_by_name,
   1,  sgr__pb__query__number_ranges,
@@ -1766,7 +1831,7 @@
   (ProtobufCMessageInit) sgr__pb__answer_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__refusal__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sgr__pb__refusal__field_descriptors[6] =
 {
   {
     "id",
@@ -1793,23 +1858,35 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
+    "call_reason",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sgr__Pb__Refusal, reason),
+    offsetof(Sgr__Pb__Refusal, call_reason),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_ms",
+    "gate_reason",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__Refusal, gate_reason),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
     offsetof(Sgr__Pb__Refusal, retry_after_ms),
     NULL,
     NULL,
@@ -1818,7 +1895,7 @@
   },
   {
     "load",
-    5,
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
@@ -1830,16 +1907,17 @@
   },
 };
 static const unsigned sgr__pb__refusal__field_indices_by_name[] = {
+  2,   /* field[2] = call_reason */
+  3,   /* field[3] = gate_reason */
   0,   /* field[0] = id */
-  4,   /* field[4] = load */
+  5,   /* field[5] = load */
   1,   /* field[1] = outcome */
-  2,   /* field[2] = reason */
-  3,   /* field[3] = retry_after_ms */
+  4,   /* field[4] = retry_after_ms */
 };
 static const ProtobufCIntRange sgr__pb__refusal__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sgr__pb__refusal__descriptor =
 {
@@ -1849,14 +1927,14 @@
   "Sgr__Pb__Refusal",
   "sgr.pb",
   sizeof(Sgr__Pb__Refusal),
-  5,
+  6,
   sgr__pb__refusal__field_descriptors,
   sgr__pb__refusal__field_indices_by_name,
   1,  sgr__pb__refusal__number_ranges,
   (ProtobufCMessageInit) sgr__pb__refusal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__query_reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sgr__pb__query_reply__field_descriptors[4] =
 {
   {
     "id",
@@ -1871,12 +1949,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
+    "phase",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sgr__Pb__QueryReply, state),
+    offsetof(Sgr__Pb__QueryReply, phase),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QueryReply, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gate_reason",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QueryReply, gate_reason),
     NULL,
     NULL,
     0,             /* flags */
@@ -1884,13 +1986,15 @@
   },
 };
 static const unsigned sgr__pb__query_reply__field_indices_by_name[] = {
+  3,   /* field[3] = gate_reason */
   0,   /* field[0] = id */
-  1,   /* field[1] = state */
+  2,   /* field[2] = outcome */
+  1,   /* field[1] = phase */
 };
 static const ProtobufCIntRange sgr__pb__query_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sgr__pb__query_reply__descriptor =
 {
@@ -1900,7 +2004,7 @@
   "Sgr__Pb__QueryReply",
   "sgr.pb",
   sizeof(Sgr__Pb__QueryReply),
-  2,
+  4,
   sgr__pb__query_reply__field_descriptors,
   sgr__pb__query_reply__field_indices_by_name,
   1,  sgr__pb__query_reply__number_ranges,
--- a/libsiskingrade/peer.pb-c.h
+++ b/libsiskingrade/peer.pb-c.h
@@ -72,10 +72,11 @@
   uint32_t slots;
   uint32_t latency_us;
   uint32_t state;
+  uint64_t key_generation;
 };
 #define SGR__PB__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__load_report__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -87,10 +88,11 @@
   uint32_t version;
   uint64_t node;
   uint64_t boot;
+  Sgr__Pb__LoadReport *load;
 };
 #define SGR__PB__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__hello__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, NULL }
 
 
 struct  Sgr__Pb__IdempotencyKey
@@ -98,12 +100,13 @@
   ProtobufCMessage base;
   uint64_t high;
   uint64_t low;
-  uint64_t fingerprint;
-  uint32_t generation;
+  uint64_t fingerprint_high;
+  uint64_t fingerprint_low;
+  uint64_t generation;
 };
 #define SGR__PB__IDEMPOTENCY_KEY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__idempotency_key__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -148,20 +151,22 @@
 {
   ProtobufCMessage base;
   Sgr__Pb__AttemptId *id;
+  uint64_t gate_boot;
 };
 #define SGR__PB__CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__cancel__descriptor) \
-    , NULL }
+    , NULL, 0 }
 
 
 struct  Sgr__Pb__Query
 {
   ProtobufCMessage base;
   Sgr__Pb__AttemptId *id;
+  uint64_t gate_boot;
 };
 #define SGR__PB__QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__query__descriptor) \
-    , NULL }
+    , NULL, 0 }
 
 
 /*
@@ -227,24 +232,27 @@
   ProtobufCMessage base;
   Sgr__Pb__AttemptId *id;
   uint32_t outcome;
-  char *reason;
+  uint32_t call_reason;
+  uint32_t gate_reason;
   uint32_t retry_after_ms;
   Sgr__Pb__LoadReport *load;
 };
 #define SGR__PB__REFUSAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__refusal__descriptor) \
-    , NULL, 0, (char *)protobuf_c_empty_string, 0, NULL }
+    , NULL, 0, 0, 0, 0, NULL }
 
 
 struct  Sgr__Pb__QueryReply
 {
   ProtobufCMessage base;
   Sgr__Pb__AttemptId *id;
-  uint32_t state;
+  uint32_t phase;
+  uint32_t outcome;
+  uint32_t gate_reason;
 };
 #define SGR__PB__QUERY_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__query_reply__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, 0, 0 }
 
 
 struct  Sgr__Pb__Ping
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -21,6 +21,7 @@
   bool is_closed;
   sgr_node_id_t remote_node;
   sgr_boot_id_t remote_boot;
+  uint64_t remote_generation;
   sgr_buffer_t urgent;
   sgr_buffer_t bulk;
   sgr_buffer_t writing;
@@ -161,10 +162,13 @@
 {
   Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
   Sgr__Pb__Hello hello = SGR__PB__HELLO__INIT;
+  Sgr__Pb__LoadReport load = SGR__PB__LOAD_REPORT__INIT;
 
   hello.version = SGR_FRAME_VERSION;
   hello.node = conn->env->node;
   hello.boot = conn->env->boot;
+  conn->env->load_fill (conn->env->load_ctx, &load);
+  hello.load = &load;
   frame.body_case = SGR__PB__PEER_FRAME__BODY_HELLO;
   frame.hello = &hello;
   sgr_peer_conn_send (conn, &frame, SGR_PEER_URGENT);
@@ -245,11 +249,13 @@
 static sgr_result_t
 take_hello (sgr_peer_conn_t *conn, const Sgr__Pb__Hello *hello)
 {
-  if (conn->is_ready || hello->version != SGR_FRAME_VERSION || hello->node == 0)
+  if (conn->is_ready || hello->version != SGR_FRAME_VERSION || hello->node == 0
+      || hello->load == NULL)
     return SGR_ERR_INVALID;
   conn->is_ready = true;
   conn->remote_node = hello->node;
   conn->remote_boot = hello->boot;
+  conn->remote_generation = hello->load->key_generation;
   conn->handlers->ready (conn->ctx, conn);
   return SGR_OK;
 }
@@ -416,3 +422,9 @@
 {
   return conn->remote_boot;
 }
+
+uint64_t
+sgr_peer_conn_generation (const sgr_peer_conn_t *conn)
+{
+  return conn->remote_generation;
+}
--- a/libsiskingrade/peer_conn.h
+++ b/libsiskingrade/peer_conn.h
@@ -47,6 +47,8 @@
  * @heartbeat_us: interval of pings while an attempt waits
  * @idle_ping_us: interval of pings while no attempt waits
  * @silence_us: time without any byte, with a ping unanswered, after which it counts as silent
+ * @load_fill: fills the load report that goes out with Hello
+ * @load_ctx: passed to @load_fill
  * @closed: closed connections by sgr_peer_close_t
  * @bytes_in: received bytes
  * @bytes_out: sent bytes
@@ -60,6 +62,8 @@
   uint64_t heartbeat_us;
   uint64_t idle_ping_us;
   uint64_t silence_us;
+  void (*load_fill) (void *ctx, Sgr__Pb__LoadReport *load);
+  void *load_ctx;
   sgr_counter_t *closed[SGR_PEER_CLOSE_COUNT];
   sgr_counter_t *bytes_in;
   sgr_counter_t *bytes_out;
@@ -126,6 +130,9 @@
 bool sgr_peer_conn_is_ready (const sgr_peer_conn_t *conn);
 sgr_node_id_t sgr_peer_conn_node (const sgr_peer_conn_t *conn);
 sgr_boot_id_t sgr_peer_conn_boot (const sgr_peer_conn_t *conn);
+
+/** sgr_peer_conn_generation() - key generation of the other node's gate when it said Hello */
+uint64_t sgr_peer_conn_generation (const sgr_peer_conn_t *conn);
 const char *sgr_peer_close_name (sgr_peer_close_t reason);
 
 #endif
--- /dev/null
+++ b/libsiskingrade/snapshot.h
@@ -0,0 +1,57 @@
+#ifndef SGR_SNAPSHOT_H
+#define SGR_SNAPSHOT_H
+
+#include "member.h"
+#include "policy.h"
+#include "result.h"
+
+/**
+ * struct sgr_snapshot_local_t - the target that announced itself to this node
+ * @service: its service, empty if no target is announced
+ * @address: where it takes requests
+ * @state: its state
+ * @slots: requests that it may run at a time
+ * @connections: connections that it may have
+ */
+typedef struct
+{
+  char service[SGR_NAME_MAX + 1];
+  sgr_address_t address;
+  sgr_target_state_t state;
+  uint32_t slots;
+  uint32_t connections;
+} sgr_snapshot_local_t;
+
+/**
+ * struct sgr_snapshot_t - what the data task knows of the rest; never changed after it was sent
+ * @references: users of the snapshot
+ * @config_revision: revision of the configuration
+ * @local: the local target
+ * @members: nodes with a target, this node included
+ * @member_count: entries of @members
+ * @policies: services of the configuration
+ * @policy_count: entries of @policies
+ */
+typedef struct
+{
+  _Atomic uint32_t references;
+  uint64_t config_revision;
+  sgr_snapshot_local_t local;
+  sgr_member_t *members;
+  size_t member_count;
+  sgr_policy_t *policies;
+  size_t policy_count;
+} sgr_snapshot_t;
+
+/**
+ * sgr_snapshot_create() - an empty snapshot with one reference
+ * @members: room for members
+ * @policies: room for policies
+ */
+sgr_snapshot_t *sgr_snapshot_create (size_t members, size_t policies);
+sgr_snapshot_t *sgr_snapshot_ref (sgr_snapshot_t *snapshot);
+
+/** sgr_snapshot_unref() - drop a reference, free the snapshot with the last one; NULL is allowed */
+void sgr_snapshot_unref (sgr_snapshot_t *snapshot);
+
+#endif
--- /dev/null
+++ b/libsiskingrade/task_loop.c
@@ -0,0 +1,22 @@
+#include "task_loop.h"
+
+#define WAIT_MAX_MS 60000
+
+void
+sgr_task_loop_run (h2o_loop_t *loop, sgr_timer_heap_t *timers, const bool *is_stopped)
+{
+  while (!*is_stopped)
+    {
+      uint64_t now_us = sgr_clock_monotonic_us ();
+      uint64_t next_us = sgr_timer_heap_run (timers, now_us);
+      int32_t wait_ms = WAIT_MAX_MS;
+
+      if (*is_stopped)
+        return;
+      if (next_us <= now_us)
+        wait_ms = 0;
+      else if (next_us - now_us < WAIT_MAX_MS * SGR_USEC_PER_MSEC)
+        wait_ms = (int32_t)((next_us - now_us + SGR_USEC_PER_MSEC - 1) / SGR_USEC_PER_MSEC);
+      h2o_evloop_run (loop, wait_ms);
+    }
+}
