--- a/libsiskingrade/call_plan.h
+++ b/libsiskingrade/call_plan.h
@@ -70,6 +70,7 @@
 
 /**
  * struct sgr_call_event_t - input of the plan; members as the kind says
+ * @error_status: OUTCOME complete with a 5xx status; not a success for the retry budget
  */
 typedef struct
 {
@@ -82,6 +83,7 @@
   uint32_t retry_after_ms;
   sgr_retry_deeper_t deeper;
   sgr_gate_phase_t phase;
+  bool error_status;
 } sgr_call_event_t;
 
 /**
@@ -89,8 +91,8 @@
  * @SGR_CALL_ACTION_START: pick a target outside excluded targets (for a keyed call: its gate and
  * boot only) and send the attempt; report PICKED and SENT, or NO_TARGET
  * @SGR_CALL_ACTION_QUERY: ask the gate about an attempt, on a new connection
- * @SGR_CALL_ACTION_CANCEL: cancel an attempt at its gate; ignore its answer frames
- * @SGR_CALL_ACTION_FINISH: tell the caller; the last action of a call
+ * @SGR_CALL_ACTION_CANCEL: cancel an attempt at its gate; if it was not sent yet, never send it
+ * @SGR_CALL_ACTION_FINISH: tell the caller; the last action of a call, later frames are ignored
  */
 typedef enum
 {
@@ -189,6 +191,7 @@
   uint32_t committed;
   bool deadline_passed;
   bool finished;
+  uint64_t settle_end_us;
   uint64_t hedge_us;
   uint64_t start_us;
   uint64_t timer_us;
