--- /dev/null
+++ b/standins/standin-target.c
@@ -0,0 +1,299 @@
+#include <argp.h>
+#include <h2o.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "buffer.h"
+#include "http_fields.h"
+#include "http_request.h"
+#include "id_map.h"
+#include "listener.h"
+#include "rng.h"
+#include "standin_work.h"
+#include "task_loop.h"
+
+/* A target for tests, benchmarks and the demo. Its answers depend on the request only, so that a
+   reader can check them; faults are asked for with the request field X-Fault. */
+
+#define ANNOUNCE_US (500 * SGR_USEC_PER_MSEC)
+
+typedef struct
+{
+  sgr_address_t listen;
+  sgr_address_t announce;
+  const char *service;
+  uint32_t slots;
+  uint32_t connections;
+  uint64_t service_us;
+  uint64_t cold_ms;
+  uint64_t seed;
+} options_t;
+
+typedef struct
+{
+  options_t options;
+  h2o_loop_t *loop;
+  sgr_timer_heap_t *timers;
+  h2o_timeout_t io_timeout;
+  h2o_http1client_ctx_t client;
+  h2o_globalconf_t config;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  sgr_standin_work_t *work;
+  sgr_timer_t announce_timer;
+  const char *state;
+  bool is_leaving;
+  bool is_stopped;
+} target_t;
+
+typedef struct
+{
+  h2o_handler_t super;
+  target_t *target;
+} handler_t;
+
+static const struct argp_option option_list[] = {
+  { "listen", 'l', "IP:PORT", 0, "Where to take requests", 0 },
+  { "announce", 'a', "IP:PORT", 0, "Control address of the node on this host", 0 },
+  { "service", 's', "NAME", 0, "Service of the target", 0 },
+  { "slots", 'n', "COUNT", 0, "Requests that run at a time (16)", 0 },
+  { "connections", 'c', "COUNT", 0, "Connections to announce (240)", 0 },
+  { "service-us", 'u', "MICROSECONDS", 0, "Mean service time (2000)", 0 },
+  { "cold-ms", 'w', "MILLISECONDS", 0, "Time after the start with five times the service time", 0 },
+  { "seed", 'r', "NUMBER", 0, "Seed of the service times (1)", 0 },
+  { 0 },
+};
+
+static uint64_t
+number_of (const char *argument, struct argp_state *state)
+{
+  uint64_t number = 0;
+
+  if (!sgr_http_number_parse (argument, strlen (argument), 1000000000, &number))
+    argp_error (state, "not a number: %s", argument);
+  return number;
+}
+
+static error_t
+option_parse (int key, char *argument, struct argp_state *state)
+{
+  options_t *options = state->input;
+
+  switch (key)
+    {
+    case 'l':
+    case 'a':
+      if (!sgr_address_parse (argument, key == 'l' ? &options->listen : &options->announce))
+        argp_error (state, "not IP:PORT: %s", argument);
+      return 0;
+    case 's':
+      options->service = argument;
+      return 0;
+    case 'n':
+      options->slots = (uint32_t)number_of (argument, state);
+      return 0;
+    case 'c':
+      options->connections = (uint32_t)number_of (argument, state);
+      return 0;
+    case 'u':
+      options->service_us = number_of (argument, state);
+      return 0;
+    case 'w':
+      options->cold_ms = number_of (argument, state);
+      return 0;
+    case 'r':
+      options->seed = number_of (argument, state);
+      return 0;
+    case ARGP_KEY_END:
+      if (options->listen.port == 0 || options->service == NULL)
+        argp_error (state, "--listen and --service are required");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+on_announced (void *user, const sgr_http_request_answer_t *answer)
+{
+  target_t *target = user;
+
+  if (answer->result != SGR_OK || answer->status != 200)
+    fprintf (stderr, "standin-target: announcement failed: status %d\n", answer->status);
+  if (target->is_leaving)
+    target->is_stopped = true;
+  else
+    sgr_timer_arm (target->timers, &target->announce_timer,
+                   sgr_clock_monotonic_us () + ANNOUNCE_US);
+}
+
+static void
+on_announce_timer (void *ctx, uint64_t now_us)
+{
+  target_t *target = ctx;
+  char address[32];
+  char body[256];
+
+  sgr_address_format (&target->options.listen, address, sizeof address);
+  snprintf (body, sizeof body,
+            "{\"service\":\"%s\",\"address\":\"%s\",\"slots\":%u,\"connections\":%u,"
+            "\"state\":\"%s\"}",
+            target->options.service, address, target->options.slots, target->options.connections,
+            target->state);
+  sgr_http_request_start (&target->client, &target->options.announce, "PUT", "/v1/target", body,
+                          on_announced, target);
+}
+
+/* POST /admin/NAME changes how the target behaves. */
+static int
+on_admin (h2o_handler_t *super, h2o_req_t *req)
+{
+  target_t *target = ((handler_t *)super)->target;
+  h2o_iovec_t name = h2o_iovec_init (req->path.base + 7, req->path.len - 7);
+
+  if (h2o_memis (name.base, name.len, H2O_STRLIT ("drain")))
+    target->state = "draining";
+  else if (h2o_memis (name.base, name.len, H2O_STRLIT ("serve")))
+    target->state = "serving";
+  else if (!sgr_standin_work_set (target->work, name.base, name.len))
+    {
+      h2o_send_error_404 (req, "Not Found", "no such setting\n", 0);
+      return 0;
+    }
+  if (target->options.announce.port != 0)
+    sgr_timer_arm (target->timers, &target->announce_timer, sgr_clock_monotonic_us ());
+  req->res.status = 200;
+  h2o_send_inline (req, H2O_STRLIT ("ok\n"));
+  return 0;
+}
+
+static int
+on_executions (h2o_handler_t *super, h2o_req_t *req)
+{
+  sgr_buffer_t text = { 0 };
+
+  sgr_standin_work_executions (((handler_t *)super)->target->work, &text);
+  req->res.status = 200;
+  h2o_send_inline (req, (const char *)text.bytes, text.length);
+  sgr_buffer_release (&text);
+  return 0;
+}
+
+static int
+on_work (h2o_handler_t *super, h2o_req_t *req)
+{
+  sgr_standin_work_begin (((handler_t *)super)->target->work, req);
+  return 0;
+}
+
+static void
+path_add (target_t *target, h2o_hostconf_t *host, const char *path,
+          int (*on_req) (h2o_handler_t *super, h2o_req_t *req))
+{
+  h2o_pathconf_t *conf = h2o_config_register_path (host, path, 0);
+  handler_t *handler = (handler_t *)h2o_create_handler (conf, sizeof *handler);
+
+  handler->super.on_req = on_req;
+  handler->target = target;
+}
+
+static void
+on_accept (h2o_socket_t *listener, const char *err)
+{
+  target_t *target = listener->data;
+  h2o_socket_t *sock;
+
+  if (err == NULL && (sock = h2o_evloop_socket_accept (listener)) != NULL)
+    h2o_accept (&target->accept, sock);
+}
+
+static void
+on_signal (h2o_socket_t *sock, const char *err)
+{
+  target_t *target = sock->data;
+
+  target->is_leaving = true;
+  sgr_timer_cancel (target->timers, &target->announce_timer);
+  if (target->options.announce.port == 0)
+    target->is_stopped = true;
+  else
+    sgr_http_request_start (&target->client, &target->options.announce, "DELETE", "/v1/target",
+                            NULL, on_announced, target);
+}
+
+static void
+signals_open (target_t *target)
+{
+  h2o_socket_t *sock;
+  sigset_t set;
+
+  signal (SIGPIPE, SIG_IGN);
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigprocmask (SIG_BLOCK, &set, NULL);
+  sock = h2o_evloop_socket_create (target->loop, signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC),
+                                   H2O_SOCKET_FLAG_DONT_READ);
+  sock->data = target;
+  h2o_socket_read_start (sock, on_signal);
+}
+
+static int
+serve (target_t *target)
+{
+  h2o_hostconf_t *host;
+  h2o_socket_t *listener;
+
+  h2o_config_init (&target->config);
+  target->config.http1.req_timeout = 60000;
+  host = h2o_config_register_host (&target->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  path_add (target, host, "/admin/", on_admin);
+  path_add (target, host, "/executions", on_executions);
+  path_add (target, host, "/", on_work);
+  h2o_context_init (&target->context, target->loop, &target->config);
+  target->accept.ctx = &target->context;
+  target->accept.hosts = target->config.hosts;
+  if (sgr_listener_open (target->loop, &target->options.listen, on_accept, target, &listener)
+      != SGR_OK)
+    {
+      perror ("standin-target: listen");
+      return 1;
+    }
+  signals_open (target);
+  if (target->options.announce.port != 0)
+    sgr_timer_arm (target->timers, &target->announce_timer, 0);
+  sgr_task_loop_run (target->loop, target->timers, &target->is_stopped);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp
+      = { option_list, option_parse, NULL, "A target for tests, benchmarks and the demo.",
+          NULL,        NULL,         NULL };
+  static target_t target = { .options = { .slots = 16,
+                                          .connections = 240,
+                                          .service_us = 2000,
+                                          .seed = 1 },
+                             .state = "serving" };
+  sgr_standin_work_options_t work;
+
+  argp_parse (&argp, argc, argv, 0, NULL, &target.options);
+  target.loop = h2o_evloop_create ();
+  target.timers = sgr_timer_heap_create ();
+  h2o_timeout_init (target.loop, &target.io_timeout, 2000);
+  target.client = (h2o_http1client_ctx_t){ .loop = target.loop, .io_timeout = &target.io_timeout };
+  target.announce_timer = (sgr_timer_t){ .fire = on_announce_timer, .ctx = &target };
+  work = (sgr_standin_work_options_t){ .slots = target.options.slots,
+                                       .service_us = target.options.service_us,
+                                       .cold_until_us
+                                       = sgr_clock_monotonic_us ()
+                                         + target.options.cold_ms * SGR_USEC_PER_MSEC,
+                                       .seed = target.options.seed };
+  target.work = sgr_standin_work_create (target.timers, &work);
+  return serve (&target);
+}
