--- /dev/null
+++ b/libsiskingrade/gate_internal.h
@@ -0,0 +1,83 @@
+#ifndef SGR_GATE_INTERNAL_H
+#define SGR_GATE_INTERNAL_H
+
+/* Shared by gate.c and gate_status.c only. */
+
+#include "gate.h"
+#include "gate_latency.h"
+#include "gate_ledger.h"
+#include "gate_queue.h"
+
+/**
+ * enum sgr_gate_work_phase_t - state of one record of admitted work
+ * @SGR_GATE_WORK_DROPPED: settled as not-run, its callback refuse is about to be called
+ */
+typedef enum
+{
+  SGR_GATE_WORK_FREE = 0,
+  SGR_GATE_WORK_QUEUED,
+  SGR_GATE_WORK_RUNNING,
+  SGR_GATE_WORK_DROPPED,
+} sgr_gate_work_phase_t;
+
+/**
+ * struct sgr_gate_work_t - an admitted attempt
+ * @item: place in the queue; holds tenant and class while running too
+ * @phase: where it is
+ * @serial: distinguishes the uses of this record in handles
+ * @started: its first byte may have reached the target
+ * @cancelled: must not be started
+ * @drop_reason: reason for the callback refuse
+ * @attempt: its record in the ledger
+ * @slot_us: when it got its slot
+ * @user: pointer of the caller
+ */
+typedef struct
+{
+  sgr_gate_queue_item_t item;
+  sgr_gate_work_phase_t phase;
+  uint32_t serial;
+  bool started;
+  bool cancelled;
+  sgr_gate_reason_t drop_reason;
+  sgr_ledger_attempt_t *attempt;
+  uint64_t slot_us;
+  void *user;
+} sgr_gate_work_t;
+
+struct sgr_gate_t
+{
+  sgr_gate_options_t options;
+  sgr_gate_callbacks_t callbacks;
+  void *ctx;
+  uint32_t queue_max;
+  sgr_target_state_t state;
+  bool draining;
+  bool dispatching; /* a callback is running; the outermost dispatch goes on afterwards */
+  uint32_t serial;
+  sgr_gate_latency_t latency;
+  sgr_gate_limits_t *limits;
+  sgr_gate_queue_t *queue;
+  sgr_ledger_t *ledger;
+  uint32_t work_count;
+  uint32_t work_free_count;
+  uint32_t *work_free;
+  sgr_gate_work_t *works;
+  uint64_t refused[SGR_GATE_REASON_COUNT];
+};
+
+/** sgr_gate_work_find() - record of a handle, NULL if the handle has ended */
+sgr_gate_work_t *sgr_gate_work_find (const sgr_gate_t *gate, sgr_gate_handle_t handle);
+
+/** sgr_gate_work_drop() - settle queued work as not-run and call refuse */
+void sgr_gate_work_drop (sgr_gate_t *gate, uint64_t now_us, sgr_gate_work_t *work,
+                         sgr_gate_reason_t reason);
+
+/** sgr_gate_status_fill() - what the ledger knows of an attempt */
+void sgr_gate_status_fill (const sgr_gate_t *gate, const sgr_ledger_attempt_t *attempt,
+                           sgr_gate_status_t *status);
+
+/** sgr_gate_estimate_us() - expected latency of work that starts now */
+uint64_t sgr_gate_estimate_us (const sgr_gate_t *gate, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/libsiskingrade/gate_latency.c
@@ -0,0 +1,41 @@
+#include "gate_latency.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SAMPLE_AGE_MAX_US (2 * SGR_USEC_PER_SEC)
+/* Sorting on every sample would cost more than the rest of a call in the gate. */
+#define SAMPLES_PER_SORT 8
+
+static int
+compare (const void *a, const void *b)
+{
+  uint32_t left = *(const uint32_t *)a;
+  uint32_t right = *(const uint32_t *)b;
+
+  return (left > right) - (left < right);
+}
+
+void
+sgr_gate_latency_record (sgr_gate_latency_t *latency, uint64_t now_us, uint64_t latency_us)
+{
+  uint32_t sorted[SGR_GATE_LATENCY_SAMPLES];
+  size_t used;
+
+  latency->samples[latency->count++ % SGR_GATE_LATENCY_SAMPLES]
+      = latency_us < UINT32_MAX ? (uint32_t)latency_us : UINT32_MAX;
+  latency->recorded_us = now_us;
+  if (latency->count >= SAMPLES_PER_SORT && latency->count % SAMPLES_PER_SORT != 0)
+    return;
+  used = latency->count < SGR_GATE_LATENCY_SAMPLES ? (size_t)latency->count
+                                                   : SGR_GATE_LATENCY_SAMPLES;
+  memcpy (sorted, latency->samples, used * sizeof sorted[0]);
+  qsort (sorted, used, sizeof sorted[0], compare);
+  latency->median_us = sorted[used / 2];
+}
+
+uint64_t
+sgr_gate_latency_estimate (const sgr_gate_latency_t *latency, uint64_t now_us)
+{
+  return latency->recorded_us + SAMPLE_AGE_MAX_US < now_us ? 0 : latency->median_us;
+}
--- /dev/null
+++ b/libsiskingrade/gate_ledger.c
@@ -0,0 +1,439 @@
+#include "gate_ledger.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "gate_index.h"
+#include "timer_heap.h"
+
+/* An entry that has been silent this long is forgotten together with its highest forgotten
+   sequence. It must exceed the time that a frame can stay in the network or in a paused process:
+   a frame that arrives later would be taken for a new attempt. */
+#define PEER_IDLE_US (600 * SGR_USEC_PER_SEC)
+/* Records forgotten by one tick, so that a tick after a busy time does not delay calls. */
+#define FORGET_PER_TICK 256
+#define FORGET_AGAIN_US 1000
+/* Share of the answer bytes that attempts without key may use. */
+#define PLAIN_ANSWERS_DIVISOR 4
+
+/**
+ * struct peer_t - one process life of an entry node
+ * @node: the node
+ * @boot: its process life
+ * @sequences_forgotten: an unseen attempt below this sequence may have been forgotten
+ * @attempts: remembered attempts
+ * @seen_us: time of the last new attempt
+ */
+typedef struct
+{
+  sgr_node_id_t node;
+  sgr_boot_id_t boot;
+  uint64_t sequences_forgotten;
+  uint32_t attempts;
+  uint64_t seen_us;
+} peer_t;
+
+struct sgr_ledger_t
+{
+  sgr_gate_options_t options;
+  sgr_gate_index_t attempt_index;
+  sgr_gate_index_t key_index;
+  sgr_gate_index_t peer_index;
+  sgr_ledger_attempt_t *attempts;
+  sgr_ledger_key_t *keys;
+  peer_t *peers;
+  uint64_t generations_forgotten; /* an unseen key below this generation may have been forgotten */
+  uint64_t key_serial;
+  size_t key_answer_bytes;
+  size_t key_answers_expected;
+  size_t plain_answer_bytes;
+};
+
+sgr_ledger_t *
+sgr_ledger_create (const sgr_gate_options_t *options)
+{
+  sgr_ledger_t *ledger = calloc (1, sizeof *ledger);
+
+  sgr_invariant (ledger != NULL);
+  ledger->options = *options;
+  sgr_gate_index_init (&ledger->attempt_index, options->attempts_max);
+  sgr_gate_index_init (&ledger->key_index, options->keys_max);
+  sgr_gate_index_init (&ledger->peer_index, options->peers_max);
+  ledger->attempts = calloc (options->attempts_max, sizeof *ledger->attempts);
+  ledger->keys = calloc (options->keys_max, sizeof *ledger->keys);
+  ledger->peers = calloc (options->peers_max, sizeof *ledger->peers);
+  sgr_invariant (ledger->attempts != NULL && ledger->keys != NULL && ledger->peers != NULL);
+  return ledger;
+}
+
+void
+sgr_ledger_destroy (sgr_ledger_t *ledger)
+{
+  if (ledger == NULL)
+    return;
+  for (uint32_t i = 0; i < ledger->options.attempts_max; i++)
+    free (ledger->attempts[i].answer.bytes);
+  for (uint32_t i = 0; i < ledger->options.keys_max; i++)
+    free (ledger->keys[i].answer.bytes);
+  sgr_gate_index_release (&ledger->attempt_index);
+  sgr_gate_index_release (&ledger->key_index);
+  sgr_gate_index_release (&ledger->peer_index);
+  free (ledger->attempts);
+  free (ledger->keys);
+  free (ledger->peers);
+  free (ledger);
+}
+
+static uint64_t
+attempt_hash (const sgr_attempt_id_t *id)
+{
+  uint64_t words[4] = { id->node, id->boot, id->sequence, id->attempt };
+
+  return XXH3_64bits (words, sizeof words);
+}
+
+static uint64_t
+peer_hash (sgr_node_id_t node, sgr_boot_id_t boot)
+{
+  uint64_t words[2] = { node, boot };
+
+  return XXH3_64bits (words, sizeof words);
+}
+
+static bool
+id_equal (const sgr_attempt_id_t *a, const sgr_attempt_id_t *b)
+{
+  return a->sequence == b->sequence && a->attempt == b->attempt && a->node == b->node
+         && a->boot == b->boot;
+}
+
+sgr_ledger_attempt_t *
+sgr_ledger_attempt_find (const sgr_ledger_t *ledger, const sgr_attempt_id_t *id)
+{
+  const sgr_gate_index_t *index = &ledger->attempt_index;
+  uint32_t i = sgr_gate_index_first (index, attempt_hash (id));
+
+  while (i != SGR_GATE_INDEX_NONE && !id_equal (&ledger->attempts[i].id, id))
+    i = index->chain[i];
+  return i == SGR_GATE_INDEX_NONE ? NULL : &ledger->attempts[i];
+}
+
+sgr_ledger_key_t *
+sgr_ledger_key_find (const sgr_ledger_t *ledger, sgr_hash128_t hash)
+{
+  const sgr_gate_index_t *index = &ledger->key_index;
+  uint32_t i = sgr_gate_index_first (index, hash.low);
+
+  while (i != SGR_GATE_INDEX_NONE && !sgr_hash128_equal (ledger->keys[i].hash, hash))
+    i = index->chain[i];
+  return i == SGR_GATE_INDEX_NONE ? NULL : &ledger->keys[i];
+}
+
+static void
+answer_release (sgr_ledger_answer_t *answer, size_t *bytes)
+{
+  *bytes -= answer->length;
+  free (answer->bytes);
+  *answer = (sgr_ledger_answer_t){ 0 };
+}
+
+static void
+answer_record (sgr_ledger_answer_t *answer, size_t *bytes, const void *from, size_t length)
+{
+  /* One byte more, so that an empty answer is recorded too. */
+  answer->bytes = malloc (length + 1);
+  sgr_invariant (answer->bytes != NULL);
+  if (length > 0)
+    memcpy (answer->bytes, from, length);
+  answer->length = length;
+  *bytes += length;
+}
+
+static void
+attempt_forget (sgr_ledger_t *ledger, sgr_ledger_attempt_t *attempt)
+{
+  uint32_t number = (uint32_t)(attempt - ledger->attempts);
+  peer_t *peer = &ledger->peers[attempt->peer];
+
+  if (attempt->id.sequence >= peer->sequences_forgotten)
+    peer->sequences_forgotten = attempt->id.sequence + 1;
+  peer->attempts--;
+  answer_release (&attempt->answer, &ledger->plain_answer_bytes);
+  sgr_gate_index_order_remove (&ledger->attempt_index, number);
+  sgr_gate_index_remove (&ledger->attempt_index, attempt_hash (&attempt->id), number);
+}
+
+static void
+key_forget (sgr_ledger_t *ledger, sgr_ledger_key_t *key)
+{
+  answer_release (&key->answer, &ledger->key_answer_bytes);
+  key->serial = 0;
+  sgr_gate_index_remove (&ledger->key_index, key->hash.low, (uint32_t)(key - ledger->keys));
+}
+
+static void
+peer_forget_idle (sgr_ledger_t *ledger, uint64_t now_us)
+{
+  uint32_t oldest = ledger->peer_index.oldest;
+  const peer_t *peer;
+
+  if (oldest == SGR_GATE_INDEX_NONE)
+    return;
+  peer = &ledger->peers[oldest];
+  if (peer->attempts > 0 || peer->seen_us + PEER_IDLE_US > now_us)
+    return;
+  sgr_gate_index_order_remove (&ledger->peer_index, oldest);
+  sgr_gate_index_remove (&ledger->peer_index, peer_hash (peer->node, peer->boot), oldest);
+}
+
+static uint32_t
+peer_find_or_add (sgr_ledger_t *ledger, uint64_t now_us, sgr_node_id_t node, sgr_boot_id_t boot)
+{
+  sgr_gate_index_t *index = &ledger->peer_index;
+  uint64_t hash = peer_hash (node, boot);
+  uint32_t i = sgr_gate_index_first (index, hash);
+
+  while (i != SGR_GATE_INDEX_NONE
+         && (ledger->peers[i].node != node || ledger->peers[i].boot != boot))
+    i = index->chain[i];
+  if (i == SGR_GATE_INDEX_NONE)
+    {
+      if (index->free == SGR_GATE_INDEX_NONE)
+        peer_forget_idle (ledger, now_us);
+      i = sgr_gate_index_add (index, hash);
+      if (i == SGR_GATE_INDEX_NONE)
+        return i;
+      ledger->peers[i] = (peer_t){ .node = node, .boot = boot };
+    }
+  else
+    sgr_gate_index_order_remove (index, i);
+  sgr_gate_index_order_append (index, i);
+  ledger->peers[i].seen_us = now_us;
+  return i;
+}
+
+sgr_result_t
+sgr_ledger_attempt_add (sgr_ledger_t *ledger, uint64_t now_us, const sgr_attempt_id_t *id,
+                        sgr_ledger_attempt_t **attempt)
+{
+  sgr_gate_index_t *index = &ledger->attempt_index;
+  uint32_t peer = peer_find_or_add (ledger, now_us, id->node, id->boot);
+  uint32_t number;
+
+  if (peer == SGR_GATE_INDEX_NONE)
+    return SGR_ERR_LIMIT;
+  if (id->sequence < ledger->peers[peer].sequences_forgotten)
+    return SGR_ERR_NOT_FOUND;
+  if (index->free == SGR_GATE_INDEX_NONE)
+    {
+      if (index->oldest == SGR_GATE_INDEX_NONE)
+        return SGR_ERR_LIMIT;
+      attempt_forget (ledger, &ledger->attempts[index->oldest]);
+      /* That one may have been of the same entry and newer. */
+      if (id->sequence < ledger->peers[peer].sequences_forgotten)
+        return SGR_ERR_NOT_FOUND;
+    }
+  number = sgr_gate_index_add (index, attempt_hash (id));
+  ledger->peers[peer].attempts++;
+  *attempt = &ledger->attempts[number];
+  **attempt = (sgr_ledger_attempt_t){ .id = *id, .phase = SGR_LEDGER_WORKING, .peer = peer };
+  return SGR_OK;
+}
+
+sgr_result_t
+sgr_ledger_key_check (const sgr_ledger_t *ledger, uint64_t now_us, uint64_t generation)
+{
+  if (generation > sgr_ledger_generation (ledger, now_us))
+    return SGR_ERR_INVALID;
+  return generation < ledger->generations_forgotten ? SGR_ERR_NOT_FOUND : SGR_OK;
+}
+
+static void
+key_forget_expired (sgr_ledger_t *ledger, uint64_t now_us)
+{
+  sgr_gate_index_t *index = &ledger->key_index;
+  uint32_t number = index->oldest;
+  sgr_ledger_key_t *key;
+
+  if (number == SGR_GATE_INDEX_NONE)
+    return;
+  key = &ledger->keys[number];
+  if (key->settled_us + ledger->options.key_retention_us > now_us)
+    return;
+  if (key->generation >= ledger->generations_forgotten)
+    ledger->generations_forgotten = key->generation + 1;
+  sgr_gate_index_order_remove (index, number);
+  key_forget (ledger, key);
+}
+
+sgr_result_t
+sgr_ledger_key_add (sgr_ledger_t *ledger, uint64_t now_us, sgr_ledger_attempt_t *attempt,
+                    sgr_hash128_t hash, uint64_t generation, sgr_hash128_t fingerprint)
+{
+  const sgr_gate_options_t *options = &ledger->options;
+  sgr_result_t result;
+  uint32_t number;
+
+  key_forget_expired (ledger, now_us);
+  result = sgr_ledger_key_check (ledger, now_us, generation);
+  if (result != SGR_OK)
+    return result;
+  /* Room for the answer is set aside now: a request that ran must find room for it. */
+  if (ledger->key_answer_bytes + ledger->key_answers_expected + options->answer_length_max
+      > options->answer_bytes_max)
+    return SGR_ERR_LIMIT;
+  number = sgr_gate_index_add (&ledger->key_index, hash.low);
+  if (number == SGR_GATE_INDEX_NONE)
+    return SGR_ERR_LIMIT;
+  ledger->key_answers_expected += options->answer_length_max;
+  ledger->keys[number] = (sgr_ledger_key_t){ .hash = hash,
+                                             .fingerprint = fingerprint,
+                                             .generation = generation,
+                                             .serial = ++ledger->key_serial,
+                                             .phase = SGR_LEDGER_WORKING,
+                                             .idempotent = attempt->idempotent,
+                                             .work = attempt->work };
+  attempt->key = &ledger->keys[number];
+  attempt->key_serial = ledger->key_serial;
+  return SGR_OK;
+}
+
+static void
+attempt_settle (sgr_ledger_t *ledger, uint64_t now_us, sgr_ledger_attempt_t *attempt,
+                sgr_outcome_t outcome, sgr_gate_reason_t reason)
+{
+  attempt->phase = SGR_LEDGER_SETTLED;
+  attempt->outcome = outcome;
+  attempt->reason = reason;
+  attempt->settled_us = now_us;
+  attempt->work = 0;
+  sgr_gate_index_order_append (&ledger->attempt_index, (uint32_t)(attempt - ledger->attempts));
+}
+
+sgr_result_t
+sgr_ledger_key_join (sgr_ledger_t *ledger, uint64_t now_us, sgr_ledger_attempt_t *attempt,
+                     sgr_ledger_key_t *key)
+{
+  if (key->phase != SGR_LEDGER_SETTLED && key->joined_count >= SGR_LEDGER_JOINED_MAX)
+    return SGR_ERR_LIMIT;
+  attempt->key = key;
+  attempt->key_serial = key->serial;
+  if (key->phase == SGR_LEDGER_SETTLED)
+    {
+      attempt_settle (ledger, now_us, attempt, key->outcome, SGR_GATE_REASON_NONE);
+      return SGR_OK;
+    }
+  attempt->phase = SGR_LEDGER_JOINED;
+  attempt->joined_next = key->joined;
+  key->joined = attempt;
+  key->joined_count++;
+  return SGR_OK;
+}
+
+static void
+key_leave (sgr_ledger_key_t *key, const sgr_ledger_attempt_t *attempt)
+{
+  sgr_ledger_attempt_t **link = &key->joined;
+
+  while (*link != attempt)
+    {
+      sgr_invariant (*link != NULL);
+      link = &(*link)->joined_next;
+    }
+  *link = attempt->joined_next;
+  key->joined_count--;
+}
+
+static void
+key_settle (sgr_ledger_t *ledger, uint64_t now_us, sgr_ledger_key_t *key, sgr_outcome_t outcome,
+            sgr_gate_reason_t reason, const void *answer, size_t length)
+{
+  for (sgr_ledger_attempt_t *joined = key->joined; joined != NULL; joined = joined->joined_next)
+    attempt_settle (ledger, now_us, joined, outcome, reason);
+  key->joined = NULL;
+  key->joined_count = 0;
+  ledger->key_answers_expected -= ledger->options.answer_length_max;
+  if (outcome == SGR_OUTCOME_NOT_RUN)
+    {
+      key_forget (ledger, key);
+      return;
+    }
+  key->phase = SGR_LEDGER_SETTLED;
+  key->outcome = outcome;
+  key->settled_us = now_us;
+  key->work = 0;
+  if (answer != NULL && length <= ledger->options.answer_length_max)
+    answer_record (&key->answer, &ledger->key_answer_bytes, answer, length);
+  sgr_gate_index_order_append (&ledger->key_index, (uint32_t)(key - ledger->keys));
+}
+
+void
+sgr_ledger_settle (sgr_ledger_t *ledger, uint64_t now_us, sgr_ledger_attempt_t *attempt,
+                   sgr_outcome_t outcome, sgr_gate_reason_t reason, const void *answer,
+                   size_t length)
+{
+  const sgr_gate_options_t *options = &ledger->options;
+
+  sgr_invariant (attempt->phase != SGR_LEDGER_SETTLED);
+  if (attempt->phase == SGR_LEDGER_JOINED)
+    key_leave (attempt->key, attempt);
+  else if (attempt->key != NULL)
+    key_settle (ledger, now_us, attempt->key, outcome, reason, answer, length);
+  else if (answer != NULL && length <= options->answer_length_max
+           && ledger->plain_answer_bytes + length
+                  <= options->answer_bytes_max / PLAIN_ANSWERS_DIVISOR)
+    answer_record (&attempt->answer, &ledger->plain_answer_bytes, answer, length);
+  attempt_settle (ledger, now_us, attempt, outcome, reason);
+}
+
+const sgr_ledger_answer_t *
+sgr_ledger_answer (const sgr_ledger_attempt_t *attempt)
+{
+  if (attempt->key != NULL && attempt->key->serial == attempt->key_serial)
+    return &attempt->key->answer;
+  return &attempt->answer;
+}
+
+static uint64_t
+earlier (uint64_t a_us, uint64_t b_us)
+{
+  return a_us < b_us ? a_us : b_us;
+}
+
+uint64_t
+sgr_ledger_tick (sgr_ledger_t *ledger, uint64_t now_us)
+{
+  const sgr_gate_options_t *options = &ledger->options;
+  uint64_t next_us = SGR_TIMER_NEVER;
+
+  for (int n = 0; n < FORGET_PER_TICK; n++)
+    {
+      uint32_t oldest = ledger->attempt_index.oldest;
+
+      if (oldest == SGR_GATE_INDEX_NONE
+          || ledger->attempts[oldest].settled_us + options->attempt_retention_us > now_us)
+        break;
+      attempt_forget (ledger, &ledger->attempts[oldest]);
+    }
+  for (int n = 0; n < FORGET_PER_TICK; n++)
+    {
+      key_forget_expired (ledger, now_us);
+      peer_forget_idle (ledger, now_us);
+    }
+  if (ledger->attempt_index.oldest != SGR_GATE_INDEX_NONE)
+    next_us
+        = ledger->attempts[ledger->attempt_index.oldest].settled_us + options->attempt_retention_us;
+  if (ledger->key_index.oldest != SGR_GATE_INDEX_NONE)
+    next_us = earlier (next_us, ledger->keys[ledger->key_index.oldest].settled_us
+                                    + options->key_retention_us);
+  if (next_us != SGR_TIMER_NEVER && next_us <= now_us)
+    next_us = now_us + FORGET_AGAIN_US;
+  return next_us;
+}
+
+uint64_t
+sgr_ledger_generation (const sgr_ledger_t *ledger, uint64_t now_us)
+{
+  return 1 + now_us / ledger->options.key_generation_us;
+}
--- /dev/null
+++ b/libsiskingrade/gate_status.c
@@ -0,0 +1,230 @@
+#include "gate_internal.h"
+
+void
+sgr_gate_status_fill (const sgr_gate_t *gate, const sgr_ledger_attempt_t *attempt,
+                      sgr_gate_status_t *status)
+{
+  const sgr_gate_work_t *work;
+
+  *status = (sgr_gate_status_t){ .idempotent = attempt->idempotent };
+  if (attempt->phase == SGR_LEDGER_SETTLED)
+    {
+      const sgr_ledger_answer_t *answer = sgr_ledger_answer (attempt);
+
+      status->phase = SGR_GATE_PHASE_SETTLED;
+      status->outcome = attempt->outcome;
+      status->reason = attempt->reason;
+      if (attempt->outcome == SGR_OUTCOME_COMPLETE)
+        {
+          status->started = true;
+          status->answer = answer->bytes;
+          status->answer_length = answer->length;
+        }
+      return;
+    }
+  status->handle = attempt->phase == SGR_LEDGER_JOINED ? attempt->key->work : attempt->work;
+  work = sgr_gate_work_find (gate, status->handle);
+  sgr_invariant (work != NULL);
+  status->phase
+      = work->phase == SGR_GATE_WORK_RUNNING ? SGR_GATE_PHASE_RUNNING : SGR_GATE_PHASE_QUEUED;
+  status->started = work->started;
+}
+
+static void
+status_settled (sgr_gate_status_t *status, sgr_outcome_t outcome, sgr_gate_reason_t reason)
+{
+  *status = (sgr_gate_status_t){ .phase = SGR_GATE_PHASE_SETTLED,
+                                 .outcome = outcome,
+                                 .reason = reason };
+}
+
+/* Returns the record of a remembered attempt, or NULL after filling the status of another one. */
+static sgr_ledger_attempt_t *
+find_or_bury (sgr_gate_t *gate, uint64_t now_us, const sgr_attempt_id_t *id,
+              sgr_boot_id_t gate_boot, sgr_gate_status_t *status)
+{
+  sgr_ledger_attempt_t *attempt;
+
+  if (gate_boot != gate->options.boot)
+    {
+      status_settled (status, SGR_OUTCOME_UNKNOWN, SGR_GATE_REASON_WRONG_BOOT);
+      return NULL;
+    }
+  attempt = sgr_ledger_attempt_find (gate->ledger, id);
+  if (attempt != NULL)
+    return attempt;
+  switch (sgr_ledger_attempt_add (gate->ledger, now_us, id, &attempt))
+    {
+    case SGR_OK:
+      sgr_ledger_settle (gate->ledger, now_us, attempt, SGR_OUTCOME_NOT_RUN,
+                         SGR_GATE_REASON_TOMBSTONE, NULL, 0);
+      status_settled (status, SGR_OUTCOME_NOT_RUN, SGR_GATE_REASON_TOMBSTONE);
+      break;
+    case SGR_ERR_NOT_FOUND:
+      status_settled (status, SGR_OUTCOME_UNKNOWN, SGR_GATE_REASON_FORGOTTEN);
+      break;
+    default:
+      status_settled (status, SGR_OUTCOME_UNKNOWN, SGR_GATE_REASON_LEDGER_FULL);
+      break;
+    }
+  return NULL;
+}
+
+void
+sgr_gate_attempt_query (sgr_gate_t *gate, uint64_t now_us, const sgr_attempt_id_t *id,
+                        sgr_boot_id_t gate_boot, sgr_gate_status_t *status)
+{
+  const sgr_ledger_attempt_t *attempt = find_or_bury (gate, now_us, id, gate_boot, status);
+
+  if (attempt != NULL)
+    sgr_gate_status_fill (gate, attempt, status);
+}
+
+void
+sgr_gate_attempt_cancel (sgr_gate_t *gate, uint64_t now_us, const sgr_attempt_id_t *id,
+                         sgr_boot_id_t gate_boot, sgr_gate_status_t *status)
+{
+  sgr_ledger_attempt_t *attempt = find_or_bury (gate, now_us, id, gate_boot, status);
+  sgr_gate_work_t *work;
+
+  if (attempt == NULL)
+    return;
+  if (attempt->phase == SGR_LEDGER_JOINED)
+    /* The first attempt with the key goes on, so the request of the key may run. */
+    sgr_ledger_settle (gate->ledger, now_us, attempt, SGR_OUTCOME_UNKNOWN,
+                       SGR_GATE_REASON_CANCELLED, NULL, 0);
+  else if (attempt->phase == SGR_LEDGER_WORKING
+           && (attempt->key == NULL || attempt->key->joined_count == 0))
+    {
+      work = sgr_gate_work_find (gate, attempt->work);
+      sgr_invariant (work != NULL);
+      if (work->phase == SGR_GATE_WORK_QUEUED)
+        {
+          sgr_gate_work_drop (gate, now_us, work, SGR_GATE_REASON_CANCELLED);
+          status_settled (status, SGR_OUTCOME_NOT_RUN, SGR_GATE_REASON_CANCELLED);
+          return;
+        }
+      work->cancelled = true;
+    }
+  sgr_gate_status_fill (gate, attempt, status);
+}
+
+void
+sgr_gate_key_query (sgr_gate_t *gate, uint64_t now_us, sgr_hash128_t hash, uint64_t key_generation,
+                    sgr_boot_id_t gate_boot, sgr_gate_status_t *status)
+{
+  const sgr_ledger_key_t *key;
+  const sgr_gate_work_t *work;
+
+  if (gate_boot != gate->options.boot)
+    {
+      status_settled (status, SGR_OUTCOME_UNKNOWN, SGR_GATE_REASON_WRONG_BOOT);
+      return;
+    }
+  key = sgr_ledger_key_find (gate->ledger, hash);
+  if (key == NULL)
+    {
+      if (sgr_ledger_key_check (gate->ledger, now_us, key_generation) == SGR_ERR_NOT_FOUND)
+        status_settled (status, SGR_OUTCOME_UNKNOWN, SGR_GATE_REASON_FORGOTTEN);
+      else
+        status_settled (status, SGR_OUTCOME_NOT_RUN, SGR_GATE_REASON_NONE);
+      return;
+    }
+  status_settled (status, key->outcome, SGR_GATE_REASON_NONE);
+  status->idempotent = key->idempotent;
+  if (key->phase == SGR_LEDGER_SETTLED)
+    {
+      status->started = true;
+      status->answer = key->answer.bytes;
+      status->answer_length = key->answer.length;
+      return;
+    }
+  work = sgr_gate_work_find (gate, key->work);
+  sgr_invariant (work != NULL);
+  status->handle = key->work;
+  status->started = work->started;
+  status->phase
+      = work->phase == SGR_GATE_WORK_RUNNING ? SGR_GATE_PHASE_RUNNING : SGR_GATE_PHASE_QUEUED;
+}
+
+uint64_t
+sgr_gate_key_generation (const sgr_gate_t *gate, uint64_t now_us)
+{
+  return sgr_ledger_generation (gate->ledger, now_us);
+}
+
+void
+sgr_gate_entry_lost (sgr_gate_t *gate, uint64_t now_us, sgr_node_id_t node, sgr_boot_id_t boot)
+{
+  for (uint32_t i = 0; i < gate->work_count; i++)
+    {
+      sgr_gate_work_t *work = &gate->works[i];
+      const sgr_ledger_attempt_t *attempt = work->attempt;
+
+      if (work->phase != SGR_GATE_WORK_QUEUED || attempt->id.node != node
+          || attempt->id.boot != boot)
+        continue;
+      if (attempt->key != NULL && attempt->key->joined_count > 0)
+        continue;
+      sgr_gate_work_drop (gate, now_us, work, SGR_GATE_REASON_ENTRY_LOST);
+    }
+}
+
+void
+sgr_gate_load_report (const sgr_gate_t *gate, sgr_load_report_t *report)
+{
+  *report = (sgr_load_report_t){
+    .in_flight = sgr_gate_limits_used (gate->limits),
+    .queued = sgr_gate_queue_count (gate->queue),
+    .slots = sgr_gate_limits_slots (gate->limits),
+    .latency_us = gate->latency.median_us,
+    .age_us = 0,
+    .state = gate->draining ? SGR_TARGET_DRAINING : gate->state,
+  };
+}
+
+void *
+sgr_gate_handle_user (const sgr_gate_t *gate, sgr_gate_handle_t handle)
+{
+  const sgr_gate_work_t *work = sgr_gate_work_find (gate, handle);
+
+  return work != NULL ? work->user : NULL;
+}
+
+void
+sgr_gate_handle_user_set (sgr_gate_t *gate, sgr_gate_handle_t handle, void *user)
+{
+  sgr_gate_work_t *work = sgr_gate_work_find (gate, handle);
+
+  if (work != NULL)
+    work->user = user;
+}
+
+uint64_t
+sgr_gate_refused_count (const sgr_gate_t *gate, sgr_gate_reason_t reason)
+{
+  return gate->refused[reason];
+}
+
+const char *
+sgr_gate_reason_name (sgr_gate_reason_t reason)
+{
+  static const char *const names[SGR_GATE_REASON_COUNT] = {
+    [SGR_GATE_REASON_NONE] = "none",
+    [SGR_GATE_REASON_DRAINING] = "draining",
+    [SGR_GATE_REASON_WRONG_BOOT] = "wrong-boot",
+    [SGR_GATE_REASON_NOT_READY] = "not-ready",
+    [SGR_GATE_REASON_QUEUE_FULL] = "queue-full",
+    [SGR_GATE_REASON_DEADLINE] = "deadline",
+    [SGR_GATE_REASON_TENANT_LIMIT] = "tenant-limit",
+    [SGR_GATE_REASON_CLASS_LIMIT] = "class-limit",
+    [SGR_GATE_REASON_TOMBSTONE] = "tombstone",
+    [SGR_GATE_REASON_LEDGER_FULL] = "ledger-full",
+    [SGR_GATE_REASON_FORGOTTEN] = "forgotten",
+    [SGR_GATE_REASON_KEY_INVALID] = "key-invalid",
+    [SGR_GATE_REASON_CANCELLED] = "cancelled",
+    [SGR_GATE_REASON_ENTRY_LOST] = "entry-lost",
+  };
+
+  return (unsigned)reason < SGR_GATE_REASON_COUNT ? names[reason] : "unknown";
+}
--- a/libsiskingrade/idempotency_key.c
+++ b/libsiskingrade/idempotency_key.c
@@ -74,7 +74,7 @@
 sgr_result_t
 sgr_issued_key_parse (const char *text, size_t length, sgr_issued_key_t *key)
 {
-  sgr_issued_key_t parsed;
+  sgr_issued_key_t parsed = { 0 };
   uint64_t *const words[] = { &parsed.node, &parsed.boot, &parsed.generation, &parsed.random.high };
   const char *at = text + PREFIX_LENGTH;
 
--- /dev/null
+++ b/tests/test_gate.c
@@ -0,0 +1,510 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "gate.h"
+#include "timer_heap.h"
+
+#define BOOT 77
+#define ENTRY 5
+#define MS SGR_USEC_PER_MSEC
+#define SEC SGR_USEC_PER_SEC
+
+typedef struct
+{
+  sgr_gate_t *gate;
+  sgr_policy_t policy;
+  sgr_gate_options_t options;
+  sgr_gate_handle_t started[64];
+  int started_count;
+  sgr_gate_handle_t refused[64];
+  sgr_gate_reason_t refused_reason;
+  int refused_count;
+} fixture_t;
+
+static void
+on_start (void *ctx, sgr_gate_handle_t handle, uint64_t now_us)
+{
+  fixture_t *f = ctx;
+
+  f->started[f->started_count++ % 64] = handle;
+}
+
+static void
+on_refuse (void *ctx, sgr_gate_handle_t handle, sgr_gate_reason_t reason, uint64_t now_us)
+{
+  fixture_t *f = ctx;
+
+  f->refused[f->refused_count++ % 64] = handle;
+  f->refused_reason = reason;
+}
+
+static void
+fixture_open (fixture_t *f, uint32_t slots, uint32_t queue_max)
+{
+  static const sgr_gate_callbacks_t callbacks = { .start = on_start, .refuse = on_refuse };
+
+  *f = (fixture_t){ 0 };
+  sgr_policy_init (&f->policy, "booking");
+  f->policy.queue_max = queue_max;
+  sgr_gate_options_init (&f->options, BOOT);
+  f->options.attempts_max = 2048;
+  f->options.keys_max = 64;
+  f->options.peers_max = 16;
+  f->gate = sgr_gate_create (&f->options, &f->policy, &callbacks, f);
+  assert_non_null (f->gate);
+  sgr_gate_target_update (f->gate, 0, SGR_TARGET_SERVING, slots);
+}
+
+static void
+fixture_reopen (fixture_t *f, uint32_t slots)
+{
+  static const sgr_gate_callbacks_t callbacks = { .start = on_start, .refuse = on_refuse };
+
+  sgr_gate_destroy (f->gate);
+  f->gate = sgr_gate_create (&f->options, &f->policy, &callbacks, f);
+  assert_non_null (f->gate);
+  sgr_gate_target_update (f->gate, 0, SGR_TARGET_SERVING, slots);
+}
+
+static sgr_attempt_t
+attempt_of (uint64_t sequence)
+{
+  return (sgr_attempt_t){ .id = { .node = ENTRY, .boot = 1, .sequence = sequence },
+                          .gate_boot = BOOT,
+                          .deadline_us = 1000 * SEC,
+                          .tenant = "t",
+                          .class_name = "" };
+}
+
+static sgr_attempt_t
+keyed_of (uint64_t sequence, uint64_t key, uint64_t generation)
+{
+  sgr_attempt_t attempt = attempt_of (sequence);
+
+  attempt.has_key = true;
+  attempt.key = (sgr_hash128_t){ .high = 1, .low = key };
+  attempt.key_generation = generation;
+  attempt.fingerprint = (sgr_hash128_t){ .high = 9, .low = key };
+  return attempt;
+}
+
+static sgr_gate_decision_t
+admit (fixture_t *f, uint64_t now_us, sgr_attempt_t attempt)
+{
+  sgr_gate_decision_t decision;
+
+  sgr_gate_attempt_admit (f->gate, now_us, &attempt, &decision);
+  return decision;
+}
+
+static sgr_outcome_t
+finish (fixture_t *f, sgr_gate_handle_t handle, uint64_t now_us, sgr_outcome_t outcome,
+        const char *answer)
+{
+  sgr_gate_finish_t end = { .outcome = outcome,
+                            .latency_us = 10 * MS,
+                            .answer = answer,
+                            .answer_length = answer != NULL ? strlen (answer) : 0 };
+
+  return sgr_gate_attempt_finish (f->gate, handle, now_us, &end);
+}
+
+static sgr_gate_status_t
+query (fixture_t *f, uint64_t now_us, uint64_t sequence)
+{
+  sgr_attempt_t attempt = attempt_of (sequence);
+  sgr_gate_status_t status;
+
+  sgr_gate_attempt_query (f->gate, now_us, &attempt.id, BOOT, &status);
+  return status;
+}
+
+/* Guards against refusals with a wrong reason or outcome; each case first fills what it names. */
+static void
+test_refusal_table (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    sgr_target_state_t target;
+    uint32_t slots;
+    uint32_t queue;
+    uint32_t fill;
+    sgr_boot_id_t boot;
+    uint64_t deadline_us;
+    sgr_gate_decision_kind_t kind;
+    sgr_gate_reason_t reason;
+    sgr_outcome_t outcome;
+    bool drain;
+  } cases[] = {
+    { "free slot", SGR_TARGET_SERVING, 1, 1, 0, BOOT, SEC, SGR_GATE_START, 0, SGR_OUTCOME_NOT_RUN,
+      false },
+    { "cold target", SGR_TARGET_WARMING, 1, 1, 0, BOOT, SEC, SGR_GATE_START, 0, SGR_OUTCOME_NOT_RUN,
+      false },
+    { "slots taken", SGR_TARGET_SERVING, 1, 1, 1, BOOT, SEC, SGR_GATE_QUEUED, 0,
+      SGR_OUTCOME_NOT_RUN, false },
+    { "queue full", SGR_TARGET_SERVING, 1, 1, 2, BOOT, SEC, SGR_GATE_REFUSED,
+      SGR_GATE_REASON_QUEUE_FULL, SGR_OUTCOME_NOT_RUN, false },
+    { "no queue", SGR_TARGET_SERVING, 1, 0, 1, BOOT, SEC, SGR_GATE_REFUSED,
+      SGR_GATE_REASON_QUEUE_FULL, SGR_OUTCOME_NOT_RUN, false },
+    { "node drains", SGR_TARGET_SERVING, 1, 1, 0, BOOT, SEC, SGR_GATE_REFUSED,
+      SGR_GATE_REASON_DRAINING, SGR_OUTCOME_NOT_RUN, true },
+    { "target drains", SGR_TARGET_DRAINING, 1, 1, 0, BOOT, SEC, SGR_GATE_REFUSED,
+      SGR_GATE_REASON_DRAINING, SGR_OUTCOME_NOT_RUN, false },
+    { "target left", SGR_TARGET_LEFT, 1, 1, 0, BOOT, SEC, SGR_GATE_REFUSED,
+      SGR_GATE_REASON_DRAINING, SGR_OUTCOME_NOT_RUN, false },
+    { "no target", SGR_TARGET_NONE, 1, 1, 0, BOOT, SEC, SGR_GATE_REFUSED, SGR_GATE_REASON_NOT_READY,
+      SGR_OUTCOME_NOT_RUN, false },
+    { "no slots", SGR_TARGET_SERVING, 0, 1, 0, BOOT, SEC, SGR_GATE_REFUSED,
+      SGR_GATE_REASON_NOT_READY, SGR_OUTCOME_NOT_RUN, false },
+    { "other boot", SGR_TARGET_SERVING, 1, 1, 0, BOOT + 1, SEC, SGR_GATE_REFUSED,
+      SGR_GATE_REASON_WRONG_BOOT, SGR_OUTCOME_UNKNOWN, false },
+    { "late", SGR_TARGET_SERVING, 1, 1, 0, BOOT, 1000, SGR_GATE_REFUSED, SGR_GATE_REASON_DEADLINE,
+      SGR_OUTCOME_NOT_RUN, false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_attempt_t attempt = attempt_of (100);
+      sgr_gate_decision_t decision;
+      fixture_t f;
+
+      fixture_open (&f, cases[i].slots, cases[i].queue);
+      for (uint32_t n = 0; n < cases[i].fill; n++)
+        admit (&f, 1000, attempt_of (n));
+      if (cases[i].drain)
+        sgr_gate_drain_begin (f.gate, 1000);
+      sgr_gate_target_update (f.gate, 1000, cases[i].target, cases[i].slots);
+      attempt.gate_boot = cases[i].boot;
+      attempt.deadline_us = cases[i].deadline_us;
+      decision = admit (&f, 1000, attempt);
+      if (decision.kind != cases[i].kind || decision.reason != cases[i].reason
+          || decision.outcome != cases[i].outcome)
+        fail_msg ("case \"%s\": kind %d, reason %s, outcome %s", cases[i].name, decision.kind,
+                  sgr_gate_reason_name (decision.reason), sgr_outcome_name (decision.outcome));
+      sgr_gate_destroy (f.gate);
+    }
+}
+
+/* Guards against a copy of a refused, queried or cancelled attempt that runs after all. */
+static void
+test_not_run_stays_true (void **state)
+{
+  sgr_attempt_t attempt = attempt_of (4);
+  sgr_gate_status_t status;
+  fixture_t f;
+
+  fixture_open (&f, 1, 0);
+  admit (&f, 1, attempt_of (1));
+  assert_int_equal (admit (&f, 1, attempt_of (2)).reason, SGR_GATE_REASON_QUEUE_FULL);
+  assert_int_equal (query (&f, 1, 3).outcome, SGR_OUTCOME_NOT_RUN);
+  sgr_gate_attempt_cancel (f.gate, 1, &attempt.id, BOOT, &status);
+  assert_int_equal (status.outcome, SGR_OUTCOME_NOT_RUN);
+  finish (&f, query (&f, 1, 1).handle, 2, SGR_OUTCOME_COMPLETE, NULL);
+  for (uint64_t sequence = 2; sequence <= 4; sequence++)
+    {
+      sgr_gate_decision_t decision = admit (&f, 3, attempt_of (sequence));
+
+      assert_int_equal (decision.kind, SGR_GATE_REFUSED);
+      assert_int_equal (decision.reason, SGR_GATE_REASON_TOMBSTONE);
+      assert_int_equal (decision.outcome, SGR_OUTCOME_NOT_RUN);
+    }
+  assert_int_equal (admit (&f, 3, attempt_of (5)).kind, SGR_GATE_START);
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against not-run for a request whose first byte was sent, and against a cancelled attempt
+   that is sent. */
+static void
+test_finish_outcome_table (void **state)
+{
+  static const struct
+  {
+    bool started;
+    bool declared;
+    sgr_outcome_t said;
+    sgr_outcome_t outcome;
+  } cases[] = {
+    { false, false, SGR_OUTCOME_NOT_RUN, SGR_OUTCOME_NOT_RUN },
+    { true, false, SGR_OUTCOME_NOT_RUN, SGR_OUTCOME_UNKNOWN },
+    { true, true, SGR_OUTCOME_NOT_RUN, SGR_OUTCOME_NOT_RUN },
+    { true, false, SGR_OUTCOME_UNKNOWN, SGR_OUTCOME_UNKNOWN },
+    { true, false, SGR_OUTCOME_COMPLETE, SGR_OUTCOME_COMPLETE },
+  };
+  sgr_attempt_t attempt = attempt_of (50);
+  sgr_gate_status_t status;
+  sgr_gate_handle_t handle;
+  fixture_t f;
+
+  fixture_open (&f, 1, 0);
+  for (uint64_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_gate_finish_t end = { .outcome = cases[i].said, .declared_not_run = cases[i].declared };
+
+      handle = admit (&f, 1, attempt_of (i)).handle;
+      if (cases[i].started)
+        assert_true (sgr_gate_attempt_started (f.gate, handle));
+      assert_int_equal (sgr_gate_attempt_finish (f.gate, handle, 2, &end), cases[i].outcome);
+      assert_int_equal (query (&f, 2, i).outcome, cases[i].outcome);
+      assert_int_equal (sgr_gate_attempt_finish (f.gate, handle, 3, &end), SGR_OUTCOME_UNKNOWN);
+      assert_int_equal (query (&f, 3, i).outcome, cases[i].outcome);
+    }
+  handle = admit (&f, 4, attempt).handle;
+  sgr_gate_attempt_cancel (f.gate, 4, &attempt.id, BOOT, &status);
+  assert_int_equal (status.phase, SGR_GATE_PHASE_RUNNING);
+  assert_false (sgr_gate_attempt_started (f.gate, handle));
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against a second run of a key, a wrong answer for it, and not-run while it runs. */
+static void
+test_key_life (void **state)
+{
+  sgr_attempt_t other = keyed_of (3, 7, 0);
+  sgr_gate_decision_t decision;
+  sgr_gate_handle_t handle;
+  sgr_gate_status_t status;
+  fixture_t f;
+
+  fixture_open (&f, 4, 4);
+  handle = admit (&f, 1, keyed_of (1, 7, 0)).handle;
+  decision = admit (&f, 2, keyed_of (2, 7, 0));
+  assert_int_equal (decision.kind, SGR_GATE_DUPLICATE);
+  assert_int_equal (decision.status.phase, SGR_GATE_PHASE_RUNNING);
+  assert_true (decision.status.handle == handle);
+  other.fingerprint.low++;
+  assert_int_equal (admit (&f, 2, other).kind, SGR_GATE_CONFLICT);
+  sgr_gate_attempt_started (f.gate, handle);
+  assert_int_equal (finish (&f, handle, 3, SGR_OUTCOME_COMPLETE, "receipt"), SGR_OUTCOME_COMPLETE);
+  status = query (&f, 4, 2);
+  assert_int_equal (status.outcome, SGR_OUTCOME_COMPLETE);
+  assert_memory_equal (status.answer, "receipt", 7);
+  decision = admit (&f, 5, keyed_of (4, 7, 0));
+  assert_int_equal (decision.kind, SGR_GATE_DUPLICATE);
+  assert_int_equal (decision.status.answer_length, 7);
+  sgr_gate_key_query (f.gate, 5, other.key, 0, BOOT, &status);
+  assert_int_equal (status.outcome, SGR_OUTCOME_COMPLETE);
+  sgr_gate_key_query (f.gate, 5, other.key, 0, BOOT + 1, &status);
+  assert_int_equal (status.outcome, SGR_OUTCOME_UNKNOWN);
+  /* A key whose request never started is unused again, one with an unknown outcome is not. */
+  handle = admit (&f, 6, keyed_of (10, 8, 0)).handle;
+  admit (&f, 6, keyed_of (11, 8, 0));
+  finish (&f, handle, 7, SGR_OUTCOME_NOT_RUN, NULL);
+  assert_int_equal (query (&f, 7, 11).outcome, SGR_OUTCOME_NOT_RUN);
+  handle = admit (&f, 8, keyed_of (12, 8, 0)).handle;
+  assert_true (sgr_gate_attempt_started (f.gate, handle));
+  finish (&f, handle, 9, SGR_OUTCOME_UNKNOWN, NULL);
+  decision = admit (&f, 10, keyed_of (13, 8, 0));
+  assert_int_equal (decision.kind, SGR_GATE_DUPLICATE);
+  assert_int_equal (decision.status.outcome, SGR_OUTCOME_UNKNOWN);
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against dropping or cancelling work that another attempt with its key waits for. */
+static void
+test_joined_work_goes_on (void **state)
+{
+  sgr_attempt_t first = keyed_of (2, 7, 0);
+  sgr_attempt_t second = keyed_of (3, 7, 0);
+  sgr_gate_status_t status;
+  fixture_t f;
+
+  second.id.node = ENTRY + 1;
+  fixture_open (&f, 1, 4);
+  admit (&f, 1, attempt_of (1));
+  assert_int_equal (admit (&f, 1, first).kind, SGR_GATE_QUEUED);
+  assert_int_equal (admit (&f, 1, second).kind, SGR_GATE_DUPLICATE);
+  sgr_gate_entry_lost (f.gate, 2, ENTRY, 1);
+  sgr_gate_attempt_cancel (f.gate, 2, &first.id, BOOT, &status);
+  assert_int_equal (status.phase, SGR_GATE_PHASE_QUEUED);
+  assert_int_equal (f.refused_count, 0);
+  sgr_gate_attempt_cancel (f.gate, 3, &second.id, BOOT, &status);
+  assert_int_equal (status.outcome, SGR_OUTCOME_UNKNOWN);
+  sgr_gate_entry_lost (f.gate, 4, ENTRY, 1);
+  assert_int_equal (f.refused_count, 1);
+  assert_int_equal (f.refused_reason, SGR_GATE_REASON_ENTRY_LOST);
+  assert_int_equal (query (&f, 5, 2).outcome, SGR_OUTCOME_NOT_RUN);
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against a forgotten key that runs again, and against forgetting one for lack of room. */
+static void
+test_key_memory_is_bounded (void **state)
+{
+  uint64_t late_us;
+  fixture_t f;
+
+  fixture_open (&f, 4, 4);
+  for (uint64_t key = 0; key < f.options.keys_max; key++)
+    {
+      sgr_gate_handle_t handle = admit (&f, 1, keyed_of (key, key, 1)).handle;
+
+      finish (&f, handle, 1, SGR_OUTCOME_COMPLETE, "ok");
+    }
+  assert_int_equal (admit (&f, 2, keyed_of (1000, 1000, 1)).reason, SGR_GATE_REASON_LEDGER_FULL);
+  assert_int_equal (admit (&f, 2, keyed_of (1001, 0, 1)).kind, SGR_GATE_DUPLICATE);
+  assert_int_equal (admit (&f, 2, attempt_of (1002)).kind, SGR_GATE_START);
+  assert_int_equal (admit (&f, 2, keyed_of (1003, 1003, 9)).reason, SGR_GATE_REASON_KEY_INVALID);
+  late_us = 2 + f.options.key_retention_us;
+  sgr_gate_tick (f.gate, late_us);
+  for (uint64_t key = 0; key < 3; key++)
+    {
+      sgr_gate_decision_t decision = admit (&f, late_us, keyed_of (2000 + key, key * 1000, 1));
+
+      assert_int_equal (decision.reason, SGR_GATE_REASON_FORGOTTEN);
+      assert_int_equal (decision.outcome, SGR_OUTCOME_UNKNOWN);
+    }
+  assert_int_equal (
+      admit (&f, late_us, keyed_of (3000, 5, sgr_gate_key_generation (f.gate, late_us))).kind,
+      SGR_GATE_START);
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against not-run for an attempt whose record was dropped to make room. */
+static void
+test_attempt_memory_is_bounded (void **state)
+{
+  fixture_t f;
+
+  fixture_open (&f, 1, 0);
+  for (uint64_t sequence = 0; sequence < 2 * f.options.attempts_max; sequence++)
+    {
+      sgr_gate_handle_t handle = admit (&f, 1, attempt_of (sequence)).handle;
+
+      assert_true (handle != 0);
+      finish (&f, handle, 1, SGR_OUTCOME_COMPLETE, NULL);
+    }
+  assert_int_equal (query (&f, 2, 0).outcome, SGR_OUTCOME_UNKNOWN);
+  assert_int_equal (admit (&f, 2, attempt_of (1)).outcome, SGR_OUTCOME_UNKNOWN);
+  assert_int_equal (query (&f, 2, 2 * f.options.attempts_max - 1).outcome, SGR_OUTCOME_COMPLETE);
+  assert_int_equal (admit (&f, 2, attempt_of (2 * f.options.attempts_max)).kind, SGR_GATE_START);
+  for (uint64_t node = 0; node < 2ULL * f.options.peers_max; node++)
+    {
+      sgr_attempt_t attempt = attempt_of (1);
+      sgr_gate_decision_t decision;
+
+      attempt.id.node = 100 + node;
+      decision = admit (&f, 3, attempt);
+      if (node + 1 >= f.options.peers_max)
+        assert_int_equal (decision.outcome, SGR_OUTCOME_UNKNOWN);
+    }
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against work in the queue that is started too late to be of use, or kept for ever. */
+static void
+test_queue_drops_what_cannot_finish (void **state)
+{
+  sgr_attempt_t hurried = attempt_of (2);
+  sgr_gate_handle_t handle;
+  uint64_t next_us;
+  fixture_t f;
+
+  fixture_open (&f, 1, 4);
+  handle = admit (&f, 1, attempt_of (0)).handle;
+  finish (&f, handle, 10 * MS, SGR_OUTCOME_COMPLETE, NULL);
+  handle = admit (&f, 11 * MS, attempt_of (1)).handle;
+  hurried.deadline_us = 50 * MS;
+  assert_int_equal (admit (&f, 12 * MS, hurried).kind, SGR_GATE_QUEUED);
+  hurried.id.sequence = 3;
+  hurried.deadline_us = 20 * MS;
+  assert_int_equal (admit (&f, 12 * MS, hurried).reason, SGR_GATE_REASON_DEADLINE);
+  next_us = sgr_gate_tick (f.gate, 13 * MS);
+  assert_true (next_us == 40 * MS);
+  sgr_gate_tick (f.gate, next_us);
+  assert_int_equal (f.refused_count, 1);
+  assert_int_equal (f.refused_reason, SGR_GATE_REASON_DEADLINE);
+  finish (&f, handle, 41 * MS, SGR_OUTCOME_COMPLETE, NULL);
+  assert_int_equal (f.started_count, 0);
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against more requests at the target than it has slots, whatever the order of events. */
+static void
+test_slots_and_drain (void **state)
+{
+  sgr_gate_handle_t handles[4];
+  sgr_load_report_t report;
+  fixture_t f;
+
+  fixture_open (&f, 4, 8);
+  for (uint64_t i = 0; i < 4; i++)
+    handles[i] = admit (&f, 1, attempt_of (i)).handle;
+  for (uint64_t i = 4; i < 8; i++)
+    assert_int_equal (admit (&f, 1, attempt_of (i)).kind, SGR_GATE_QUEUED);
+  sgr_gate_target_update (f.gate, 2, SGR_TARGET_SERVING, 2);
+  finish (&f, handles[0], 3, SGR_OUTCOME_COMPLETE, NULL);
+  finish (&f, handles[1], 3, SGR_OUTCOME_COMPLETE, NULL);
+  assert_int_equal (f.started_count, 0);
+  finish (&f, handles[2], 3, SGR_OUTCOME_COMPLETE, NULL);
+  assert_int_equal (f.started_count, 1);
+  sgr_gate_drain_begin (f.gate, 4);
+  assert_int_equal (f.refused_count, 3);
+  assert_int_equal (f.refused_reason, SGR_GATE_REASON_DRAINING);
+  assert_int_equal (finish (&f, f.started[0], 5, SGR_OUTCOME_COMPLETE, NULL), SGR_OUTCOME_COMPLETE);
+  sgr_gate_load_report (f.gate, &report);
+  assert_int_equal (report.in_flight, 1);
+  assert_int_equal (report.queued, 0);
+  assert_int_equal (report.state, SGR_TARGET_DRAINING);
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against a tenant that takes the whole queue or more slots than its limit. */
+static void
+test_tenants_are_fair (void **state)
+{
+  static const sgr_limits_model_t models[] = { SGR_LIMITS_TWO_LEVEL, SGR_LIMITS_FLAT };
+  static const uint32_t noisy_slots[] = { 3, 1 };
+
+  for (int m = 0; m < 2; m++)
+    {
+      uint32_t started = 0;
+      sgr_attempt_t quiet = attempt_of (500);
+      fixture_t f;
+
+      fixture_open (&f, 4, 8);
+      f.policy.tenant_limit_count = 2;
+      f.policy.tenant_limits[0] = (sgr_policy_limit_t){ .name = "noisy", .in_flight = 3 };
+      f.policy.tenant_limits[1] = (sgr_policy_limit_t){ .name = "quiet", .in_flight = 3 };
+      f.options.limits_model = models[m];
+      fixture_reopen (&f, 4);
+      for (uint64_t i = 0; i < 100; i++)
+        {
+          sgr_attempt_t noisy = attempt_of (i);
+
+          noisy.tenant = "noisy";
+          started += admit (&f, 1, noisy).kind == SGR_GATE_START;
+        }
+      assert_int_equal (started, noisy_slots[m]);
+      assert_true (sgr_gate_refused_count (f.gate, SGR_GATE_REASON_TENANT_LIMIT) > 0);
+      quiet.tenant = "quiet";
+      assert_int_equal (admit (&f, 1, quiet).kind, SGR_GATE_START);
+      quiet.id.sequence++;
+      assert_int_equal (admit (&f, 1, quiet).kind, SGR_GATE_QUEUED);
+      sgr_gate_destroy (f.gate);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_refusal_table),
+    cmocka_unit_test (test_not_run_stays_true),
+    cmocka_unit_test (test_finish_outcome_table),
+    cmocka_unit_test (test_key_life),
+    cmocka_unit_test (test_joined_work_goes_on),
+    cmocka_unit_test (test_key_memory_is_bounded),
+    cmocka_unit_test (test_attempt_memory_is_bounded),
+    cmocka_unit_test (test_queue_drops_what_cannot_finish),
+    cmocka_unit_test (test_slots_and_drain),
+    cmocka_unit_test (test_tenants_are_fair),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
