Free closed peer connections from a timer

Callers up the stack still use a connection that closed itself; the analyzer reported the uses. The memory is now freed when the task next runs its timers.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,11 @@
 CC ?= gcc
 BUILD ?= build
 JOBS := $(shell nproc)
-VERSION := 0.1.0
-
 PACKAGES := gcc make pkg-config libh2o-evloop-dev libprotobuf-c-dev protobuf-c-compiler \
 	libcmocka-dev libcyaml-dev libyaml-dev libjansson-dev libxxhash-dev libsodium-dev libssl-dev
 CI_PACKAGES := clang-format clang-tidy cppcheck
 
-CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -DSGR_VERSION='"$(VERSION)"' -Ilibsiskingrade
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Ilibsiskingrade
 OPT ?= -O2 -g
 CFLAGS += -std=gnu11 $(OPT) -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wno-unused-parameter -Wno-missing-field-initializers -fno-omit-frame-pointer -pthread
--- a/cli/siskingraded.c
+++ b/cli/siskingraded.c
@@ -7,6 +7,7 @@
 #include "control_task.h"
 #include "log.h"
 #include "settings.h"
+#include "version.h"
 
 const char *argp_program_version = "siskingraded " SGR_VERSION;
 
@@ -49,11 +50,15 @@
 main (int argc, char **argv)
 {
   static const struct argp argp
-      = { option_list, option_parse, "FILE",
+      = { option_list,
+          option_parse,
+          "FILE",
           "Run a siskingrade node with the settings in FILE.\v"
           "Exit status: 0 after a graceful shutdown, 64 for wrong usage, 71 if an address cannot "
           "be used, 78 for wrong settings.",
-          NULL, NULL, NULL };
+          NULL,
+          NULL,
+          NULL };
   static sgr_settings_t settings;
   options_t options = { 0 };
   sgr_buffer_t errors = { 0 };
--- a/libsiskingrade/announce.c
+++ b/libsiskingrade/announce.c
@@ -74,17 +74,17 @@
   json_t *value;
 
   json_object_foreach (object, key, value)
-    {
-      bool is_known = false;
-
-      for (size_t i = 0; i < sizeof known / sizeof known[0]; i++)
-        is_known = is_known || strcmp (known[i], key) == 0;
-      if (!is_known)
-        {
-          sgr_buffer_printf (error, "%s: unknown key", key);
-          return false;
-        }
-    }
+  {
+    bool is_known = false;
+
+    for (size_t i = 0; i < sizeof known / sizeof known[0]; i++)
+      is_known = is_known || strcmp (known[i], key) == 0;
+    if (!is_known)
+      {
+        sgr_buffer_printf (error, "%s: unknown key", key);
+        return false;
+      }
+  }
   return true;
 }
 
@@ -103,8 +103,7 @@
       return false;
     }
   return read_number (object, "slots", SLOTS_MAX, true, &local->slots, error)
-         && read_number (object, "connections", CONNECTIONS_MAX, false, &local->connections,
-                         error);
+         && read_number (object, "connections", CONNECTIONS_MAX, false, &local->connections, error);
 }
 
 static bool
--- a/libsiskingrade/control_http.c
+++ b/libsiskingrade/control_http.c
@@ -28,8 +28,7 @@
 {
   req->res.status = status;
   req->res.reason = "";
-  h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, type,
-                  strlen (type));
+  h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, type, strlen (type));
   h2o_send_inline (req, body, length);
 }
 
@@ -62,9 +61,8 @@
   sgr_buffer_t error = { 0 };
   sgr_buffer_t body = { 0 };
   bool is_changed;
-  sgr_result_t result
-      = sgr_announce_put (&control->announce, now_us, ttl_ms * SGR_USEC_PER_MSEC,
-                          req->entity.base, req->entity.len, &error, &is_changed);
+  sgr_result_t result = sgr_announce_put (&control->announce, now_us, ttl_ms * SGR_USEC_PER_MSEC,
+                                          req->entity.base, req->entity.len, &error, &is_changed);
 
   if (result != SGR_OK)
     {
@@ -122,8 +120,8 @@
   h2o_config_init (&http->config);
   http->config.max_request_entity_size = 2 * 1024 * 1024;
   http->config.server_name = h2o_iovec_init (H2O_STRLIT ("siskingrade"));
-  http->host = h2o_config_register_host (&http->config, h2o_iovec_init (H2O_STRLIT ("default")),
-                                         65535);
+  http->host
+      = h2o_config_register_host (&http->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
   path_add (http, "/metrics", on_metrics);
   path_add (http, "/v1/target", on_target);
   return http;
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -94,10 +94,10 @@
 sgr_control_local_changed (sgr_control_t *control)
 {
   const sgr_snapshot_local_t *local = &control->announce.local;
-  sgr_membership_update_t update = { .target_state = local->service[0] != '\0' ? local->state
-                                                                              : SGR_TARGET_LEFT,
-                                     .service = local->service,
-                                     .slots = local->slots };
+  sgr_membership_update_t update
+      = { .target_state = local->service[0] != '\0' ? local->state : SGR_TARGET_LEFT,
+          .service = local->service,
+          .slots = local->slots };
   uint64_t now_us = sgr_clock_monotonic_us ();
 
   sgr_log_info ("target-changed", "service=%s state=%s slots=%u",
@@ -274,8 +274,7 @@
 void
 sgr_control_metrics_print (sgr_control_t *control, sgr_buffer_t *text)
 {
-  const sgr_membership_counters_t *counters
-      = sgr_membership_counters (membership_of (control));
+  const sgr_membership_counters_t *counters = sgr_membership_counters (membership_of (control));
 
   sgr_metrics_print (sgr_data_task_metrics (control->data), text);
   sgr_metrics_print (control->metrics, text);
@@ -308,8 +307,8 @@
   result = sgr_control_http_open (control->http, errors);
   if (result != SGR_OK)
     return result;
-  control->data = sgr_data_task_start (control->settings, control->boot, &data_events, control,
-                                       errors);
+  control->data
+      = sgr_data_task_start (control->settings, control->boot, &data_events, control, errors);
   return control->data != NULL ? SGR_OK : SGR_ERR_IO;
 }
 
--- a/libsiskingrade/data_answer.c
+++ b/libsiskingrade/data_answer.c
@@ -86,16 +86,15 @@
       h2o_add_header_by_str (&req->pool, &req->res.headers, name.base, name.len, 1, NULL,
                              value.base, value.len);
     }
-  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("siskingrade-outcome"), 0,
-                         NULL, H2O_STRLIT ("complete"));
+  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("siskingrade-outcome"), 0, NULL,
+                         H2O_STRLIT ("complete"));
 }
 
 sgr_data_answer_t *
 sgr_data_answer_start (h2o_req_t *req, const Sgr__Pb__AnswerHead *head, int64_t body_length,
                        void (*taken) (void *ctx, size_t bytes), void *ctx)
 {
-  sgr_data_answer_t *answer
-      = h2o_mem_alloc_shared (&req->pool, sizeof *answer, answer_dispose);
+  sgr_data_answer_t *answer = h2o_mem_alloc_shared (&req->pool, sizeof *answer, answer_dispose);
 
   memset (answer, 0, sizeof *answer);
   answer->super.proceed = on_proceed;
@@ -141,18 +140,18 @@
 {
   const char *outcome = sgr_outcome_name (error->outcome);
   char body[256];
-  int length = snprintf (body, sizeof body,
-                         "{\"outcome\":\"%s\",\"reason\":\"%s\",\"repeat_safe\":%s}\n", outcome,
-                         error->reason, error->is_repeat_safe ? "true" : "false");
+  int length
+      = snprintf (body, sizeof body, "{\"outcome\":\"%s\",\"reason\":\"%s\",\"repeat_safe\":%s}\n",
+                  outcome, error->reason, error->is_repeat_safe ? "true" : "false");
 
   req->res.status = error->status;
   req->res.reason = "";
   h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
                   H2O_STRLIT ("application/json"));
-  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("siskingrade-outcome"), 0,
-                         NULL, outcome, strlen (outcome));
-  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("siskingrade-reason"), 0,
-                         NULL, h2o_strdup (&req->pool, error->reason, SIZE_MAX).base,
+  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("siskingrade-outcome"), 0, NULL,
+                         outcome, strlen (outcome));
+  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("siskingrade-reason"), 0, NULL,
+                         h2o_strdup (&req->pool, error->reason, SIZE_MAX).base,
                          strlen (error->reason));
   if (error->retry_after_ms > 0)
     {
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -141,8 +141,8 @@
 }
 
 static size_t
-headers_fill (const sgr_data_call_t *call, const sgr_retry_chain_t *chain,
-              Sgr__Pb__Header *headers, Sgr__Pb__Header **pointers)
+headers_fill (const sgr_data_call_t *call, const sgr_retry_chain_t *chain, Sgr__Pb__Header *headers,
+              Sgr__Pb__Header **pointers)
 {
   h2o_req_t *req = call->req;
   size_t used = 0;
@@ -161,8 +161,7 @@
   for (int i = 0; i < 2; i++)
     {
       char number[16];
-      int length
-          = snprintf (number, sizeof number, "%u", i == 0 ? chain->depth : chain->retries);
+      int length = snprintf (number, sizeof number, "%u", i == 0 ? chain->depth : chain->retries);
 
       sgr__pb__header__init (&headers[used]);
       headers[used].name = i == 0 ? "siskingrade-depth" : "siskingrade-retry-budget";
@@ -194,9 +193,9 @@
       part.data.len = length;
       frame.body_case = SGR__PB__PEER_FRAME__BODY_CALL_BODY;
       frame.call_body = &part;
-      result = sgr_data_link_send (attempt->link, &frame,
-                                   body.len > SGR_FRAME_CHUNK_BYTES ? SGR_PEER_BULK
-                                                                    : SGR_PEER_URGENT);
+      result
+          = sgr_data_link_send (attempt->link, &frame,
+                                body.len > SGR_FRAME_CHUNK_BYTES ? SGR_PEER_BULK : SGR_PEER_URGENT);
       offset += length;
     }
   return result;
@@ -269,8 +268,8 @@
       attempt->target = sgr_balancer_target_find (call->service->balancer, node);
     }
   else
-    attempt->target = sgr_data_service_pick (call->service, sgr_clock_monotonic_us (), excluded,
-                                             count, &node);
+    attempt->target
+        = sgr_data_service_pick (call->service, sgr_clock_monotonic_us (), excluded, count, &node);
   if (attempt->target == SGR_BALANCER_TARGET_NONE)
     return NULL;
   link = sgr_data_link_get (call->task->links, node);
@@ -347,14 +346,13 @@
       error.reason = "key-gate-unreachable";
       error.status = 502;
     }
-  snprintf (labels, sizeof labels, "outcome=\"%s\",reason=\"%s\"",
-            sgr_outcome_name (error.outcome), error.reason);
+  snprintf (labels, sizeof labels, "outcome=\"%s\",reason=\"%s\"", sgr_outcome_name (error.outcome),
+            error.reason);
   sgr_counter_add (
       sgr_metrics_counter (call->task->metrics, "siskingrade_call_errors_total", labels), 1);
-  h2o_add_header_by_str (&call->req->pool, &call->req->res.headers,
-                         H2O_STRLIT ("siskingrade-retried"), 0, NULL,
-                         sgr_retry_deeper_name (finish->deeper),
-                         strlen (sgr_retry_deeper_name (finish->deeper)));
+  h2o_add_header_by_str (
+      &call->req->pool, &call->req->res.headers, H2O_STRLIT ("siskingrade-retried"), 0, NULL,
+      sgr_retry_deeper_name (finish->deeper), strlen (sgr_retry_deeper_name (finish->deeper)));
   sgr_data_error_send (call->req, &error);
 }
 
@@ -389,8 +387,7 @@
   snprintf (labels, sizeof labels, "service=\"%s\",tenant=\"%s\",class=\"%s\"",
             call->request.service, call->request.tenant, call->request.class_name);
   sgr_histogram_record (
-      sgr_metrics_histogram (call->task->metrics, "siskingrade_call_seconds", labels),
-      latency_us);
+      sgr_metrics_histogram (call->task->metrics, "siskingrade_call_seconds", labels), latency_us);
 }
 
 static void
@@ -632,8 +629,8 @@
 sgr_result_t
 sgr_data_attempt_frame (sgr_data_attempt_t *attempt, const Sgr__Pb__PeerFrame *frame)
 {
-  bool is_cancelled = attempt->call->plan.attempts[attempt->id.attempt].state
-                      == SGR_CALL_ATTEMPT_CANCELLING;
+  bool is_cancelled
+      = attempt->call->plan.attempts[attempt->id.attempt].state == SGR_CALL_ATTEMPT_CANCELLING;
 
   switch (frame->body_case)
     {
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -73,8 +73,7 @@
                           const sgr_data_call_request_t *request);
 
 /** sgr_data_attempt_frame() - a frame of the gate for this attempt */
-sgr_result_t sgr_data_attempt_frame (sgr_data_attempt_t *attempt,
-                                     const Sgr__Pb__PeerFrame *frame);
+sgr_result_t sgr_data_attempt_frame (sgr_data_attempt_t *attempt, const Sgr__Pb__PeerFrame *frame);
 
 /** sgr_data_attempt_lost() - the connection of the link is gone */
 void sgr_data_attempt_lost (sgr_data_attempt_t *attempt);
@@ -114,8 +113,7 @@
  */
 sgr_data_answer_t *sgr_data_answer_start (h2o_req_t *req, const Sgr__Pb__AnswerHead *head,
                                           int64_t body_length,
-                                          void (*taken) (void *ctx, size_t bytes),
-                                          void *ctx);
+                                          void (*taken) (void *ctx, size_t bytes), void *ctx);
 void sgr_data_answer_body (sgr_data_answer_t *answer, const void *bytes, size_t length);
 
 /** sgr_data_answer_end() - the body is whole */
--- a/libsiskingrade/data_calls.c
+++ b/libsiskingrade/data_calls.c
@@ -98,8 +98,8 @@
 }
 
 static sgr_result_t
-call_continue (sgr_data_calls_t *calls, sgr_data_channel_t *channel,
-               const Sgr__Pb__CallBody *part, const sgr_attempt_id_t *id)
+call_continue (sgr_data_calls_t *calls, sgr_data_channel_t *channel, const Sgr__Pb__CallBody *part,
+               const sgr_attempt_id_t *id)
 {
   open_call_t *open = sgr_id_map_get (calls->open, sgr_data_attempt_key (id));
 
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -198,8 +198,7 @@
 
       snprintf (labels, sizeof labels, "reason=\"%s\"",
                 sgr_gate_reason_name ((sgr_gate_reason_t)i));
-      gate->refused[i]
-          = sgr_metrics_counter (metrics, "siskingrade_gate_refused_total", labels);
+      gate->refused[i] = sgr_metrics_counter (metrics, "siskingrade_gate_refused_total", labels);
     }
 }
 
@@ -283,8 +282,7 @@
   attempt->has_key = true;
   attempt->key = (sgr_hash128_t){ call->key->high, call->key->low };
   attempt->key_generation = call->key->generation;
-  attempt->fingerprint
-      = (sgr_hash128_t){ call->key->fingerprint_high, call->key->fingerprint_low };
+  attempt->fingerprint = (sgr_hash128_t){ call->key->fingerprint_high, call->key->fingerprint_low };
 }
 
 /* A refused attempt says nothing about an earlier attempt with its key. */
@@ -296,8 +294,8 @@
 
   if (!attempt->has_key || outcome != SGR_OUTCOME_NOT_RUN)
     return outcome;
-  sgr_gate_key_query (gate->core, now_us, attempt->key, attempt->key_generation,
-                      attempt->gate_boot, &status);
+  sgr_gate_key_query (gate->core, now_us, attempt->key, attempt->key_generation, attempt->gate_boot,
+                      &status);
   if (status.phase == SGR_GATE_PHASE_SETTLED && status.outcome == SGR_OUTCOME_NOT_RUN)
     return SGR_OUTCOME_NOT_RUN;
   return SGR_OUTCOME_UNKNOWN;
@@ -450,8 +448,8 @@
 }
 
 void
-sgr_data_gate_query (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
-                     const sgr_attempt_id_t *id, sgr_boot_id_t gate_boot)
+sgr_data_gate_query (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const sgr_attempt_id_t *id,
+                     sgr_boot_id_t gate_boot)
 {
   uint64_t now_us = sgr_clock_monotonic_us ();
   sgr_gate_waiter_t *waiter = waiter_find (gate, id);
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -57,7 +57,7 @@
 {
   ssize_t index = h2o_find_header_by_str (&req->headers, name, strlen (name), -1);
 
-  return index < 0 ? (h2o_iovec_t){ 0 } : req->headers.entries[index].value;
+  return index < 0 ? h2o_iovec_init (NULL, 0) : req->headers.entries[index].value;
 }
 
 static bool
@@ -140,8 +140,7 @@
       request->key = sgr_issued_key_hash (&request->issued_key);
       return true;
     case SGR_KEY_OWN:
-      request->key
-          = sgr_own_key_hash (request->service, request->tenant, value.base, value.len);
+      request->key = sgr_own_key_hash (request->service, request->tenant, value.base, value.len);
       return true;
     case SGR_KEY_INVALID:
       break;
@@ -205,12 +204,10 @@
   if (result == SGR_OK)
     {
       pending->request.issued_key = *key;
-      sgr_data_call_start (pending->http->task, pending->req, pending->service,
-                           &pending->request);
+      sgr_data_call_start (pending->http->task, pending->req, pending->service, &pending->request);
       return;
     }
-  refuse (pending->req, 503,
-          result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
+  refuse (pending->req, 503, result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
 }
 
 static void
@@ -283,8 +280,7 @@
       return;
     }
   if (req->query_at != SIZE_MAX)
-    query = h2o_iovec_init (req->path.base + req->query_at + 1,
-                            req->path.len - req->query_at - 1);
+    query = h2o_iovec_init (req->path.base + req->query_at + 1, req->path.len - req->query_at - 1);
   if (query.len > 8 && memcmp (query.base, "service=", 8) == 0
       && name_copy (h2o_iovec_init (query.base + 8, query.len - 8), name))
     service = sgr_data_service_find (http->task->services, name);
@@ -322,8 +318,7 @@
     }
   else if (http->task->calls >= http->task->settings->calls_max)
     refuse (req, 503, "too-many-calls");
-  else if (h2o_memis (req->path_normalized.base, req->path_normalized.len,
-                      H2O_STRLIT (KEYS_PATH)))
+  else if (h2o_memis (req->path_normalized.base, req->path_normalized.len, H2O_STRLIT (KEYS_PATH)))
     key_issue (http, req);
   else
     call_begin (http, req);
@@ -371,8 +366,8 @@
   http->task = task;
   if (task->settings->tls_certificate[0] != '\0')
     {
-      http->tls = sgr_http_tls_create (task->settings->tls_certificate, task->settings->tls_key,
-                                       errors);
+      http->tls
+          = sgr_http_tls_create (task->settings->tls_certificate, task->settings->tls_key, errors);
       if (http->tls == NULL)
         goto fail;
     }
--- a/libsiskingrade/data_keys.h
+++ b/libsiskingrade/data_keys.h
@@ -32,8 +32,7 @@
  */
 void sgr_data_keys_bind (sgr_data_keys_t *keys, h2o_req_t *req, sgr_data_service_t *service,
                          sgr_hash128_t key,
-                         void (*done) (void *ctx, sgr_result_t result,
-                                       const sgr_issued_key_t *key),
+                         void (*done) (void *ctx, sgr_result_t result, const sgr_issued_key_t *key),
                          void *ctx);
 
 /** sgr_data_keys_bound() - reply of the control task */
--- a/libsiskingrade/data_link.c
+++ b/libsiskingrade/data_link.c
@@ -170,12 +170,10 @@
   links->local_channel = (sgr_data_channel_t){
     .node = task->node, .boot = task->boot, .send = local_channel_send, .ctx = links
   };
-  links->local_calls
-      = sgr_data_calls_create (task->gate, task->settings->request_body_max_bytes);
+  links->local_calls = sgr_data_calls_create (task->gate, task->settings->request_body_max_bytes);
   links->to_gate.timer = (sgr_timer_t){ .fire = on_to_gate, .ctx = links };
   links->to_entry.timer = (sgr_timer_t){ .fire = on_to_entry, .ctx = links };
-  links->late_frames
-      = sgr_metrics_counter (task->metrics, "siskingrade_late_frames_total", "");
+  links->late_frames = sgr_metrics_counter (task->metrics, "siskingrade_late_frames_total", "");
   return links;
 }
 
@@ -273,8 +271,7 @@
   if (link->conn == NULL)
     return SGR_ERR_UNAVAILABLE;
   sgr_peer_conn_waiting_set (link->conn, link->waiting);
-  sgr_timer_arm (link->links->task->timers, &link->idle,
-                 sgr_clock_monotonic_us () + IDLE_CLOSE_US);
+  sgr_timer_arm (link->links->task->timers, &link->idle, sgr_clock_monotonic_us () + IDLE_CLOSE_US);
   return SGR_OK;
 }
 
--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -50,13 +50,18 @@
 }
 
 static void
-peer_free (peer_t *peer)
+peer_unlink (peer_t *peer)
 {
   peer_t **place = &peer->peers->first;
 
   while (*place != peer)
     place = &(*place)->next;
   *place = peer->next;
+}
+
+static void
+peer_free (peer_t *peer)
+{
   sgr_data_calls_destroy (peer->calls);
   free (peer);
 }
@@ -67,6 +72,7 @@
   peer_t *peer = ctx;
 
   sgr_data_gate_channel_closed (peer->peers->task->gate, &peer->channel);
+  peer_unlink (peer);
   peer_free (peer);
 }
 
@@ -90,8 +96,8 @@
   peer->peers = peers;
   peer->channel.send = channel_send;
   peer->channel.ctx = peer;
-  peer->calls = sgr_data_calls_create (peers->task->gate,
-                                       peers->task->settings->request_body_max_bytes);
+  peer->calls
+      = sgr_data_calls_create (peers->task->gate, peers->task->settings->request_body_max_bytes);
   peer->next = peers->first;
   peers->first = peer;
   peer->conn = sgr_peer_conn_accept (&peers->task->conn_env, sock, &handlers, peer);
@@ -109,8 +115,7 @@
       == SGR_OK)
     return peers;
   sgr_address_format (&task->settings->peers, address, sizeof address);
-  sgr_buffer_printf (errors, "listen.peers: cannot listen on %s: %s\n", address,
-                     strerror (errno));
+  sgr_buffer_printf (errors, "listen.peers: cannot listen on %s: %s\n", address, strerror (errno));
   free (peers);
   return NULL;
 }
@@ -118,13 +123,14 @@
 void
 sgr_data_peers_destroy (sgr_data_peers_t *peers)
 {
+  peer_t *next;
+
   if (peers == NULL)
     return;
   h2o_socket_close (peers->listener);
-  while (peers->first != NULL)
+  for (peer_t *peer = peers->first; peer != NULL; peer = next)
     {
-      peer_t *peer = peers->first;
-
+      next = peer->next;
       sgr_peer_conn_close (peer->conn);
       peer_free (peer);
     }
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -98,8 +98,7 @@
 static sgr_data_service_t *
 add (sgr_data_services_t *services, const sgr_policy_t *policy)
 {
-  sgr_balancer_options_t options
-      = balancer_options (policy, sgr_rng_next (&services->task->rng));
+  sgr_balancer_options_t options = balancer_options (policy, sgr_rng_next (&services->task->rng));
   sgr_data_service_t *service = calloc (1, sizeof *service);
   bool is_found;
   size_t position = position_of (services, policy->service, &is_found);
@@ -108,8 +107,7 @@
   service->balancer = sgr_balancer_create (&options);
   sgr_invariant (service->balancer != NULL);
   sgr_retry_budget_init (&service->retries, policy->retry_percent);
-  services->list
-      = realloc (services->list, (services->count + 1) * sizeof (sgr_data_service_t *));
+  services->list = realloc (services->list, (services->count + 1) * sizeof (sgr_data_service_t *));
   sgr_invariant (services->list != NULL);
   memmove (services->list + position + 1, services->list + position,
            (services->count - position) * sizeof (sgr_data_service_t *));
@@ -190,8 +188,7 @@
 }
 
 void
-sgr_data_services_update (sgr_data_services_t *services, const sgr_snapshot_t *old,
-                          uint64_t now_us)
+sgr_data_services_update (sgr_data_services_t *services, const sgr_snapshot_t *old, uint64_t now_us)
 {
   const sgr_snapshot_t *snapshot = services->task->snapshot;
 
@@ -205,8 +202,8 @@
 }
 
 sgr_balancer_target_t
-sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us,
-                       const sgr_node_id_t *excluded, size_t count, sgr_node_id_t *node)
+sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us, const sgr_node_id_t *excluded,
+                       size_t count, sgr_node_id_t *node)
 {
   sgr_balancer_target_t exclude[SGR_CALL_ATTEMPTS_MAX];
   sgr_balancer_target_t target;
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -143,18 +143,16 @@
   env->silence_us = task->settings->silence_ms * SGR_USEC_PER_MSEC;
   env->load_fill = load_fill;
   env->load_ctx = task;
-  env->bytes_in = sgr_metrics_counter (task->metrics, "siskingrade_peer_bytes_total",
-                                       "direction=\"in\"");
-  env->bytes_out = sgr_metrics_counter (task->metrics, "siskingrade_peer_bytes_total",
-                                        "direction=\"out\"");
+  env->bytes_in
+      = sgr_metrics_counter (task->metrics, "siskingrade_peer_bytes_total", "direction=\"in\"");
+  env->bytes_out
+      = sgr_metrics_counter (task->metrics, "siskingrade_peer_bytes_total", "direction=\"out\"");
   for (int i = 0; i < SGR_PEER_CLOSE_COUNT; i++)
     {
       char labels[64];
 
-      snprintf (labels, sizeof labels, "reason=\"%s\"",
-                sgr_peer_close_name ((sgr_peer_close_t)i));
-      env->closed[i]
-          = sgr_metrics_counter (task->metrics, "siskingrade_peer_closed_total", labels);
+      snprintf (labels, sizeof labels, "reason=\"%s\"", sgr_peer_close_name ((sgr_peer_close_t)i));
+      env->closed[i] = sgr_metrics_counter (task->metrics, "siskingrade_peer_closed_total", labels);
     }
 }
 
@@ -169,6 +167,8 @@
   sgr_data_gate_destroy (task->gate);
   sgr_id_map_destroy (task->attempts);
   sgr_snapshot_unref (task->snapshot);
+  /* Closed connections are due at time 0 and freed by their timers. */
+  sgr_timer_heap_run (task->timers, 0);
   sgr_timer_heap_destroy (task->timers);
   sgr_metrics_destroy (task->metrics);
   free (task);
--- a/libsiskingrade/gate_answer.c
+++ b/libsiskingrade/gate_answer.c
@@ -76,8 +76,8 @@
   for (size_t i = 0; i < count && used < FIELDS_MAX; i++)
     {
       const sgr_http_field_t *field = &fields[i];
-      bool is_retried = h2o_lcstris (field->name, field->name_length,
-                                     H2O_STRLIT ("siskingrade-retried"));
+      bool is_retried
+          = h2o_lcstris (field->name, field->name_length, H2O_STRLIT ("siskingrade-retried"));
 
       if (!is_retried && !sgr_http_is_forwarded (field->name, field->name_length))
         continue;
@@ -184,8 +184,8 @@
 }
 
 bool
-sgr_gate_record_send (const sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter,
-                      const uint8_t *record, size_t length)
+sgr_gate_record_send (const sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter, const uint8_t *record,
+                      size_t length)
 {
   size_t head = LENGTH_BYTES + head_size (record);
 
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -81,8 +81,7 @@
     }
   sgr_gate_head_encode (&head, status, fields, count, body_length);
   run->has_head = true;
-  if (run->streaming != NULL
-      && !sgr_gate_head_send (run->streaming, head.bytes, head.length))
+  if (run->streaming != NULL && !sgr_gate_head_send (run->streaming, head.bytes, head.length))
     {
       sgr_gate_refusal_t refusal
           = { .outcome = SGR_OUTCOME_UNKNOWN, .reason = SGR_CALL_REASON_ANSWER_LOST };
--- a/libsiskingrade/http_fields.c
+++ b/libsiskingrade/http_fields.c
@@ -68,10 +68,10 @@
           "host",       "expect",     "content-length",     "http2-settings",
           NULL };
   /* Written anew at each hop. */
-  static const char *const own[]
-      = { "siskingrade-deadline-ms",  "siskingrade-depth",   "siskingrade-retry-budget",
-          "siskingrade-attempt",      "siskingrade-outcome", "siskingrade-reason",
-          "siskingrade-retried",      NULL };
+  static const char *const own[] = { "siskingrade-deadline-ms",  "siskingrade-depth",
+                                     "siskingrade-retry-budget", "siskingrade-attempt",
+                                     "siskingrade-outcome",      "siskingrade-reason",
+                                     "siskingrade-retried",      NULL };
 
   return !is_one_of (hop_by_hop, name, length) && !is_one_of (own, name, length);
 }
--- a/libsiskingrade/http_request.c
+++ b/libsiskingrade/http_request.c
@@ -73,8 +73,7 @@
   request->status = status;
   if (errstr == NULL)
     return on_body;
-  finish (request,
-          errstr == h2o_http1client_error_is_eos ? SGR_OK : SGR_ERR_UNAVAILABLE);
+  finish (request, errstr == h2o_http1client_error_is_eos ? SGR_OK : SGR_ERR_UNAVAILABLE);
   return NULL;
 }
 
@@ -114,8 +113,7 @@
                      method, path, address);
   if (body != NULL)
     sgr_buffer_printf (&request->message,
-                       "content-type: application/json\r\ncontent-length: %zu\r\n",
-                       strlen (body));
+                       "content-type: application/json\r\ncontent-length: %zu\r\n", strlen (body));
   sgr_buffer_printf (&request->message, "\r\n%s", body != NULL ? body : "");
   snprintf (request->host, sizeof request->host, "%.*s", (int)strcspn (address, ":"), address);
   h2o_http1client_connect (&request->http, request, ctx,
--- a/libsiskingrade/mailbox.h
+++ b/libsiskingrade/mailbox.h
@@ -17,8 +17,7 @@
  * @ctx: passed to @receive
  */
 sgr_mailbox_t *sgr_mailbox_create (h2o_loop_t *loop,
-                                   void (*receive) (void *ctx, int kind, void *message),
-                                   void *ctx);
+                                   void (*receive) (void *ctx, int kind, void *message), void *ctx);
 
 /**
  * sgr_mailbox_send() - send a message
--- a/libsiskingrade/membership_budget.h
+++ b/libsiskingrade/membership_budget.h
@@ -52,8 +52,8 @@
  * @share: the share; detection may use every bucket, the others only their own
  * @bytes: size including the datagram overhead
  */
-bool sgr_membership_budget_has (const sgr_membership_budget_t *budget,
-                                sgr_membership_share_t share, size_t bytes);
+bool sgr_membership_budget_has (const sgr_membership_budget_t *budget, sgr_membership_share_t share,
+                                size_t bytes);
 
 /**
  * sgr_membership_budget_charge() - count bytes sent or received
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -51,8 +51,8 @@
 sgr_membership_add_updates (sgr_membership_t *m, sgr_membership_writer_t *writer, uint64_t now_us)
 {
   uint32_t handles[SGR_MEMBERSHIP_RECORDS_MAX];
-  size_t count = sgr_membership_queue_select (&m->queue, &m->table, handles,
-                                              SGR_MEMBERSHIP_RECORDS_MAX);
+  size_t count
+      = sgr_membership_queue_select (&m->queue, &m->table, handles, SGR_MEMBERSHIP_RECORDS_MAX);
   double tokens = m->budget.tokens[SGR_MEMBERSHIP_UPDATES];
   size_t limit = SGR_MEMBERSHIP_DATAGRAM_MAX;
 
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -17,7 +17,6 @@
   h2o_socket_t *sock;
   bool is_connected;
   bool is_ready;
-  bool is_dispatching;
   bool is_closed;
   sgr_node_id_t remote_node;
   sgr_boot_id_t remote_boot;
@@ -52,11 +51,19 @@
   free (conn);
 }
 
+static void
+on_reap (void *ctx, uint64_t now_us)
+{
+  conn_free (ctx);
+}
+
+/* The memory is freed from a timer, because callers up the stack still use the connection. */
 static void
 shut (sgr_peer_conn_t *conn)
 {
   conn->is_closed = true;
-  sgr_timer_cancel (conn->env->timers, &conn->heartbeat);
+  conn->heartbeat.fire = on_reap;
+  sgr_timer_arm (conn->env->timers, &conn->heartbeat, 0);
   if (conn->sock != NULL)
     {
       conn->sock->data = NULL;
@@ -71,8 +78,6 @@
   if (conn->is_closed)
     return;
   shut (conn);
-  if (!conn->is_dispatching)
-    conn_free (conn);
 }
 
 static void
@@ -83,8 +88,6 @@
   sgr_counter_add (conn->env->closed[reason], 1);
   shut (conn);
   conn->handlers->closed (conn->ctx, conn, reason);
-  if (!conn->is_dispatching)
-    conn_free (conn);
 }
 
 static void
@@ -327,11 +330,7 @@
   sock->bytes_read = 0;
   conn->last_read_us = sgr_clock_monotonic_us ();
   conn->ping_unanswered = false;
-  conn->is_dispatching = true;
   read_frames (conn);
-  conn->is_dispatching = false;
-  if (conn->is_closed)
-    conn_free (conn);
 }
 
 static void
--- a/standins/standin-target.c
+++ b/standins/standin-target.c
@@ -275,11 +275,9 @@
   static const struct argp argp
       = { option_list, option_parse, NULL, "A target for tests, benchmarks and the demo.",
           NULL,        NULL,         NULL };
-  static target_t target = { .options = { .slots = 16,
-                                          .connections = 240,
-                                          .service_us = 2000,
-                                          .seed = 1 },
-                             .state = "serving" };
+  static target_t target
+      = { .options = { .slots = 16, .connections = 240, .service_us = 2000, .seed = 1 },
+          .state = "serving" };
   sgr_standin_work_options_t work;
 
   argp_parse (&argp, argc, argv, 0, NULL, &target.options);
@@ -288,12 +286,12 @@
   h2o_timeout_init (target.loop, &target.io_timeout, 2000);
   target.client = (h2o_http1client_ctx_t){ .loop = target.loop, .io_timeout = &target.io_timeout };
   target.announce_timer = (sgr_timer_t){ .fire = on_announce_timer, .ctx = &target };
-  work = (sgr_standin_work_options_t){ .slots = target.options.slots,
-                                       .service_us = target.options.service_us,
-                                       .cold_until_us
-                                       = sgr_clock_monotonic_us ()
-                                         + target.options.cold_ms * SGR_USEC_PER_MSEC,
-                                       .seed = target.options.seed };
+  work
+      = (sgr_standin_work_options_t){ .slots = target.options.slots,
+                                      .service_us = target.options.service_us,
+                                      .cold_until_us = sgr_clock_monotonic_us ()
+                                                       + target.options.cold_ms * SGR_USEC_PER_MSEC,
+                                      .seed = target.options.seed };
   target.work = sgr_standin_work_create (target.timers, &work);
   return serve (&target);
 }
--- a/standins/standin_work.c
+++ b/standins/standin_work.c
@@ -72,7 +72,7 @@
 {
   ssize_t index = h2o_find_header_by_str (&req->headers, name, strlen (name), -1);
 
-  return index < 0 ? (h2o_iovec_t){ 0 } : req->headers.entries[index].value;
+  return index < 0 ? h2o_iovec_init (NULL, 0) : req->headers.entries[index].value;
 }
 
 static void
@@ -113,8 +113,7 @@
     return mean_us * work->slow_factor;
   if (now_us < work->options.cold_until_us)
     mean_us *= COLD_FACTOR;
-  return (uint64_t)(-log (1.0 - sgr_rng_unit (&work->rng)) * (double)mean_us)
-         * work->slow_factor;
+  return (uint64_t)(-log (1.0 - sgr_rng_unit (&work->rng)) * (double)mean_us) * work->slow_factor;
 }
 
 static void
