Keep contacts able to answer when many nodes start at once

Debt from received bytes is bounded to half a second, contacts name other members in their answers, and absent contacts are tried only after the first full pull.

--- a/libsiskingrade/membership.c
+++ b/libsiskingrade/membership.c
@@ -187,7 +187,7 @@
 static void
 receive_charge (sgr_membership_t *m, sgr_membership_kind_t kind, size_t total)
 {
-  size_t detection = total > 128 ? 128 : total;
+  size_t detection = total > SGR_MEMBERSHIP_PROBE_BYTES ? SGR_MEMBERSHIP_PROBE_BYTES : total;
 
   if (kind >= SGR_MEMBERSHIP_DIGEST)
     sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_SYNC, total);
@@ -211,8 +211,7 @@
       const sgr_membership_record_t *record = &message->records[i];
       bool announced = record->member.id == message->sender;
       /* Records that come by a state transfer are known elsewhere, except the sender's own. */
-      sgr_membership_merge_t result
-          = sgr_membership_merge (m, now_us, record, !sync || announced);
+      sgr_membership_merge_t result = sgr_membership_merge (m, now_us, record, !sync || announced);
 
       if (result == SGR_MEMBERSHIP_MERGE_NEWER)
         news++;
@@ -258,7 +257,7 @@
 uint64_t
 sgr_membership_due (const sgr_membership_t *m)
 {
-  const uint64_t due[] = { m->probe.due_us, m->sync.due_us,  m->suspicion_due_us, m->relay_due_us,
+  const uint64_t due[] = { m->probe.due_us,  m->sync.due_us, m->suspicion_due_us, m->relay_due_us,
                            m->gossip_due_us, m->dead_due_us, m->collect_due_us };
   uint64_t earliest = UINT64_MAX;
 
@@ -345,8 +344,8 @@
 {
   sgr_membership_entry_t *self = sgr_membership_entry (m, m->self);
   size_t length = strnlen (update->service, SGR_NAME_MAX + 1);
-  bool leaving = update->target_state == SGR_TARGET_DRAINING
-                 || update->target_state == SGR_TARGET_LEFT;
+  bool leaving
+      = update->target_state == SGR_TARGET_DRAINING || update->target_state == SGR_TARGET_LEFT;
   sgr_member_t member;
   bool moved;
 
--- a/libsiskingrade/membership_budget.c
+++ b/libsiskingrade/membership_budget.c
@@ -14,6 +14,12 @@
 /* Bucket sizes in seconds of the whole rate. */
 static const double capacity_s[SGR_MEMBERSHIP_SHARES] = { 1, 2, 3 };
 
+/*
+ * Received bytes cannot be refused. A longer debt would silence a contact that many nodes address
+ * at once, which makes them all repeat their requests.
+ */
+#define DEBT_MAX_S 0.5
+
 void
 sgr_membership_budget_init (sgr_membership_budget_t *budget, uint32_t bytes_per_s, uint64_t now_us)
 {
@@ -70,6 +76,6 @@
         share = SGR_MEMBERSHIP_SYNC;
     }
   budget->tokens[share] -= (double)bytes;
-  if (budget->tokens[share] < -budget->capacity[share])
-    budget->tokens[share] = -budget->capacity[share];
+  if (budget->tokens[share] < -DEBT_MAX_S * budget->rate)
+    budget->tokens[share] = -DEBT_MAX_S * budget->rate;
 }
--- a/libsiskingrade/membership_budget.h
+++ b/libsiskingrade/membership_budget.h
@@ -6,6 +6,9 @@
 /* IPv4 and UDP headers of one datagram, in bytes. */
 #define SGR_MEMBERSHIP_DATAGRAM_OVERHEAD 28
 
+/* Largest part of a probe or its answer that counts as detection; the rest counts as updates. */
+#define SGR_MEMBERSHIP_PROBE_BYTES 80
+
 /**
  * enum sgr_membership_share_t - parts of the byte budget
  * @SGR_MEMBERSHIP_DETECTION: probes and their answers
@@ -26,7 +29,7 @@
  * cannot take from the ones before it: neither updates nor state transfers delay probes.
  * @sync_first: whether state transfer gets the largest share
  * @tokens: bytes that may be sent now; received bytes make it negative
- * @capacity: size of each bucket; a bucket never falls below minus this
+ * @capacity: size of each bucket
  */
 typedef struct
 {
@@ -54,8 +57,8 @@
  * @share: the share; detection may use every bucket, the others only their own
  * @bytes: size including the datagram overhead
  */
-bool sgr_membership_budget_has (const sgr_membership_budget_t *budget,
-                                sgr_membership_share_t share, size_t bytes);
+bool sgr_membership_budget_has (const sgr_membership_budget_t *budget, sgr_membership_share_t share,
+                                size_t bytes);
 
 /**
  * sgr_membership_budget_charge() - count bytes sent or received
--- a/libsiskingrade/membership_codec.c
+++ b/libsiskingrade/membership_codec.c
@@ -167,7 +167,7 @@
 typedef struct
 {
   size_t used;
-  _Alignas (16) uint8_t bytes[ARENA_SIZE];
+  _Alignas(16) uint8_t bytes[ARENA_SIZE];
 } arena_t;
 
 static void *
@@ -221,8 +221,8 @@
     return false;
   member->id = sgr_node_id_of (member->name);
   member->control_address = (sgr_address_t){ from->ip, (uint16_t)from->control_port };
-  member->data_address = (sgr_address_t){ from->data_ip == 0 ? from->ip : from->data_ip,
-                                          (uint16_t)from->data_port };
+  member->data_address
+      = (sgr_address_t){ from->data_ip == 0 ? from->ip : from->data_ip, (uint16_t)from->data_port };
   member->config_revision = from->config_revision;
   return true;
 }
--- a/libsiskingrade/membership_internal.h
+++ b/libsiskingrade/membership_internal.h
@@ -205,7 +205,8 @@
 void sgr_membership_sync_receive (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *from,
                                   const sgr_membership_message_t *message, uint32_t news);
 
-/** sgr_membership_sync_flush() - answer what was wanted or corrected while a datagram was processed */
+/** sgr_membership_sync_flush() - answer what was wanted or corrected while a datagram was processed
+ */
 void sgr_membership_sync_flush (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *from);
 
 #endif
--- a/libsiskingrade/membership_io.c
+++ b/libsiskingrade/membership_io.c
@@ -30,9 +30,8 @@
 datagram_send (void *ctx, const sgr_address_t *to, const uint8_t *bytes, size_t length)
 {
   sgr_membership_io_t *io = ctx;
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (to->port),
-                                 .sin_addr.s_addr = htonl (to->ip) };
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (to->port), .sin_addr.s_addr = htonl (to->ip) };
 
   /* A full socket buffer or an unreachable host counts as loss, which the protocol expects. */
   if (sendto (io->fd, bytes, length, MSG_DONTWAIT, (struct sockaddr *)&address, sizeof address)
@@ -131,8 +130,8 @@
   status = socket_bind (&bound.self.control_address, &io->fd);
   if (status != SGR_OK)
     goto free_io;
-  status = sgr_membership_create (&bound, &callbacks, io, sgr_clock_monotonic_us (),
-                                  &io->membership);
+  status
+      = sgr_membership_create (&bound, &callbacks, io, sgr_clock_monotonic_us (), &io->membership);
   if (status != SGR_OK)
     goto close_fd;
   io->socket = h2o_evloop_socket_create (loop, io->fd, H2O_SOCKET_FLAG_DONT_READ);
--- a/libsiskingrade/membership_probe.c
+++ b/libsiskingrade/membership_probe.c
@@ -356,7 +356,7 @@
   dead = random_dead (m);
   if (dead != SGR_MEMBERSHIP_NONE)
     ping_send (m, now_us, dead, ++m->sequence, SGR_MEMBERSHIP_SYNC);
-  if (m->contact_count == 0)
+  if (m->contact_count == 0 || m->sync.todo != 0)
     return;
   contact = &m->contacts[sgr_rng_below (&m->rng, m->contact_count)];
   if (sgr_membership_table_find_address (&m->table, contact, SGR_MEMBERSHIP_NONE)
--- a/libsiskingrade/membership_queue.c
+++ b/libsiskingrade/membership_queue.c
@@ -96,8 +96,7 @@
           list += SGR_MEMBERSHIP_SENDS_MAX - 1;
           continue;
         }
-      for (uint32_t handle = queue->first[list];
-           handle != SGR_MEMBERSHIP_NONE && count < max;
+      for (uint32_t handle = queue->first[list]; handle != SGR_MEMBERSHIP_NONE && count < max;
            handle = table->entries[handle].queue_next)
         handles[count++] = handle;
     }
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -2,9 +2,6 @@
 
 #include <math.h>
 
-/* Largest part of a probe datagram that is charged to detection; the rest are updates. */
-#define DETECTION_BYTES_MAX 128
-
 /* Routine updates in the queue from which on each is sent fewer times. */
 #define ROUTINE_MAX 32
 
@@ -57,8 +54,8 @@
 sgr_membership_add_updates (sgr_membership_t *m, sgr_membership_writer_t *writer, uint64_t now_us)
 {
   uint32_t handles[SGR_MEMBERSHIP_RECORDS_MAX];
-  size_t count = sgr_membership_queue_select (&m->queue, &m->table, handles,
-                                              SGR_MEMBERSHIP_RECORDS_MAX);
+  size_t count
+      = sgr_membership_queue_select (&m->queue, &m->table, handles, SGR_MEMBERSHIP_RECORDS_MAX);
   double tokens = m->budget.tokens[SGR_MEMBERSHIP_UPDATES];
   size_t limit = SGR_MEMBERSHIP_DATAGRAM_MAX;
 
@@ -92,8 +89,9 @@
   writer->message.config_revision = self->config_revision;
   length = sgr_membership_writer_finish (writer, bytes);
   total = length + SGR_MEMBERSHIP_DATAGRAM_OVERHEAD;
-  first = share == SGR_MEMBERSHIP_DETECTION && total > DETECTION_BYTES_MAX ? DETECTION_BYTES_MAX
-                                                                           : total;
+  first = total;
+  if (share == SGR_MEMBERSHIP_DETECTION && total > SGR_MEMBERSHIP_PROBE_BYTES)
+    first = SGR_MEMBERSHIP_PROBE_BYTES;
   if (share == SGR_MEMBERSHIP_SYNC && total <= INTRODUCTION_BYTES_MAX
       && !sgr_membership_budget_has (&m->budget, share, total)
       && m->budget.tokens[SGR_MEMBERSHIP_DETECTION]
--- a/libsiskingrade/membership_sync.c
+++ b/libsiskingrade/membership_sync.c
@@ -155,8 +155,8 @@
       join_tick (m, now_us);
       return;
     }
-  /* The answer is charged too; ask only when there is room for a full one. */
-  if (!sgr_membership_budget_has (&m->budget, SGR_MEMBERSHIP_SYNC, 2 * SGR_MEMBERSHIP_DATAGRAM_MAX))
+  /* The answer is charged too, and others may ask meanwhile. */
+  if (!sgr_membership_budget_has (&m->budget, SGR_MEMBERSHIP_SYNC, 3 * SGR_MEMBERSHIP_DATAGRAM_MAX))
     {
       sync->due_us = now_us + PULL_TIMEOUT_US / 4 + sgr_rng_below (&m->rng, PULL_TIMEOUT_US / 2);
       return;
@@ -261,18 +261,19 @@
              const sgr_membership_message_t *message)
 {
   sgr_membership_writer_t writer;
-  uint32_t peer = m->self;
+  uint32_t start = (uint32_t)sgr_rng_below (&m->rng, m->table.ring_count);
 
   sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PAGE);
   writer.message.sequence = message->sequence;
   for (uint32_t i = 0; i < m->table.ring_count; i++)
     {
+      uint32_t peer = m->table.ring[(start + i) % m->table.ring_count];
+
+      /* Others relieve the contact; it names itself only if it knows nobody else. */
       if (m->table.entries[peer].id != message->sender
+          && (peer != m->self || m->table.ring_count <= 2)
           && !sgr_membership_add (m, &writer, now_us, peer, true, JOIN_ANSWER_BYTES))
         break;
-      peer = m->table.ring[(m->ring_cursor + i) % m->table.ring_count];
-      if (peer == m->self)
-        break;
     }
   sgr_membership_send (m, &writer, from, SGR_MEMBERSHIP_SYNC);
 }
--- a/libsiskingrade/membership_update.c
+++ b/libsiskingrade/membership_update.c
@@ -35,8 +35,7 @@
 static int
 record_compare (const sgr_member_t *member, const sgr_membership_entry_t *entry)
 {
-  int life
-      = life_compare (member->boot_time_s, member->boot, entry->boot_time_s, entry->boot);
+  int life = life_compare (member->boot_time_s, member->boot, entry->boot_time_s, entry->boot);
 
   if (life != 0)
     return life;
@@ -106,8 +105,8 @@
 urgency_of (const sgr_member_t *member, sgr_member_status_t old_status,
             sgr_target_state_t old_state)
 {
-  bool leaving = member->target_state == SGR_TARGET_DRAINING
-                 || member->target_state == SGR_TARGET_LEFT;
+  bool leaving
+      = member->target_state == SGR_TARGET_DRAINING || member->target_state == SGR_TARGET_LEFT;
 
   if (member->status == SGR_MEMBER_LEFT || (leaving && member->target_state != old_state))
     return SGR_MEMBERSHIP_LEAVING;
@@ -136,8 +135,8 @@
 }
 
 static void
-apply (sgr_membership_t *m, uint64_t now_us, uint32_t handle,
-       const sgr_membership_record_t *record, bool spread, bool known)
+apply (sgr_membership_t *m, uint64_t now_us, uint32_t handle, const sgr_membership_record_t *record,
+       bool spread, bool known)
 {
   sgr_membership_entry_t *entry = sgr_membership_entry (m, handle);
   const sgr_member_t *member = &record->member;
