--- a/tests/membership_sim.h
+++ b/tests/membership_sim.h
@@ -49,6 +49,7 @@
   double loss;
   double duplicates;
   uint64_t jitter_us;
+  uint64_t epoch_s; /* wall clock of the hosts at time 0 */
   uint64_t now_us;
   uint64_t order;
   sgr_rng_t rng;
@@ -206,7 +207,7 @@
   self->control_address = (sgr_address_t){ SIM_IP + index, SIM_PORT };
   self->data_address = (sgr_address_t){ SIM_IP + index, SIM_PORT + 1 };
   self->boot = sgr_rng_next (&sim->rng) | 1;
-  self->boot_time_s = 1700000000 + sim->now_us / SIM_S;
+  self->boot_time_s = sim->epoch_s + sim->now_us / SIM_S;
   self->target_state = SGR_TARGET_SERVING;
   self->slots = 16;
   options.seed = sgr_rng_next (&sim->rng);
@@ -244,6 +245,7 @@
                   .domains = domains,
                   .contacts = 3,
                   .jitter_us = 2 * SIM_MS,
+                  .epoch_s = 1700000000,
                   .now_us = SIM_S };
   sgr_rng_seed (&sim->rng, seed);
   sgr_membership_options_init (&sim->options);
--- /dev/null
+++ b/tests/test_membership.c
@@ -0,0 +1,487 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "membership_codec.h"
+#include "membership_sim.h"
+
+#define NODES 30
+
+static uint32_t false_deaths;
+
+/* Counts running nodes that another node holds dead, the whole life of the sim through. */
+static void
+count_false_death (sim_t *sim, sim_node_t *node, const sgr_member_t *member)
+{
+  uint32_t index = member->control_address.ip - SIM_IP;
+
+  if (member->status == SGR_MEMBER_DEAD && index < sim->count && sim->nodes[index].up
+      && !sim->nodes[index].paused && sim->nodes[index].lives == 1)
+    false_deaths++;
+}
+
+/* All nodes know each other; 5% loss and up to 50 ms of variable delay. */
+static sim_t *
+sim_joined (uint64_t seed)
+{
+  sim_t *sim = malloc (sizeof *sim);
+
+  sim_init (sim, NODES, 2, 6, seed);
+  sim->loss = 0.05;
+  sim->jitter_us = 50 * SIM_MS;
+  sim->changed = count_false_death;
+  sim->options.sync_period_ms = 5000;
+  sim->options.dead_probe_period_ms = 5000;
+  for (uint32_t i = 0; i < NODES; i++)
+    sim_start (sim, i, NULL);
+  sim_run (sim, 30 * SIM_S);
+  assert_int_equal (sim_complete_count (sim), NODES);
+  false_deaths = 0;
+  return sim;
+}
+
+static void
+sim_done (sim_t *sim)
+{
+  sim_release (sim);
+  free (sim);
+}
+
+static sgr_member_t
+view (sim_t *sim, uint32_t viewer, uint32_t index)
+{
+  sgr_member_t member;
+
+  assert_int_equal (
+      sgr_membership_member_get (sim->nodes[viewer].membership, sim_id (index), &member), SGR_OK);
+  return member;
+}
+
+static void
+update (sim_t *sim, uint32_t index, sgr_target_state_t state, uint64_t revision)
+{
+  sgr_membership_update_t values = { state, "service-000", 16, revision };
+
+  assert_int_equal (sgr_membership_self_update (sim->nodes[index].membership, sim->now_us, &values),
+                    SGR_OK);
+  sim_schedule (&sim->nodes[index]);
+}
+
+/* Sends node @to a record as node @from would; status and incarnation are chosen freely. */
+static void
+inject (sim_t *sim, uint32_t from, uint32_t to, const sgr_member_t *member)
+{
+  sgr_membership_table_t table;
+  sgr_membership_writer_t writer;
+  sgr_address_t address = { SIM_IP + from, SIM_PORT };
+  uint8_t bytes[SGR_MEMBERSHIP_DATAGRAM_MAX];
+  sgr_membership_entry_t *entry;
+
+  sgr_membership_table_init (&table, 4);
+  sgr_membership_table_add (&table, member->id);
+  assert_true (sgr_membership_table_describe (&table, 0, member));
+  entry = &table.entries[0];
+  entry->boot = member->boot;
+  entry->boot_time_s = (uint32_t)member->boot_time_s;
+  entry->incarnation = member->incarnation;
+  entry->status = (uint8_t)member->status;
+  entry->target_state = (uint8_t)member->target_state;
+  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_GOSSIP);
+  writer.message.sender = sim_id (from);
+  writer.message.boot = view (sim, to, from).boot;
+  assert_true (sgr_membership_writer_add_record (&writer, &table, 0, true, 0, (uint32_t)from + 1,
+                                                 SGR_MEMBERSHIP_DATAGRAM_MAX));
+  assert_int_equal (sgr_membership_datagram_receive (sim->nodes[to].membership, sim->now_us,
+                                                     &address, bytes,
+                                                     sgr_membership_writer_finish (&writer, bytes)),
+                    SGR_OK);
+  sim_schedule (&sim->nodes[to]);
+  sgr_membership_table_release (&table);
+}
+
+static void
+assert_seen (sim_t *sim, uint32_t index, sgr_member_status_t status, sgr_target_state_t state)
+{
+  uint32_t viewers = sim_up_count (sim) - sim->nodes[index].up;
+
+  assert_int_equal (sim_seen_count (sim, sim_id (index), status, state), viewers);
+}
+
+/* Guards against a paused process that takes the silence of its pause for the death of others, and
+   against a death sentence that it cannot refute. */
+static void
+case_pause (sim_t *sim)
+{
+  sim->nodes[7].paused = true;
+  sim_run (sim, 3 * SIM_S);
+  sim_resume (sim, 7);
+  sim_run (sim, 20 * SIM_S);
+  assert_int_equal (false_deaths, 0);
+  sim->nodes[7].paused = true;
+  sim_run (sim, 90 * SIM_S);
+  assert_seen (sim, 7, SGR_MEMBER_DEAD, SGR_TARGET_SERVING);
+  sim_resume (sim, 7);
+  sim_run (sim, 30 * SIM_S);
+  assert_true (sgr_membership_counters (sim->nodes[7].membership)->late_ticks >= 2);
+  assert_int_equal (sim_complete_count (sim), NODES);
+  assert_int_equal (false_deaths, 0);
+}
+
+static bool
+block_into_5 (sim_t *sim, const sim_node_t *from, const sim_node_t *to)
+{
+  return to->index == 5;
+}
+
+/* Guards against a node that can send but not hear, and accuses healthy nodes. */
+static void
+case_asymmetric (sim_t *sim)
+{
+  uint32_t wrong = 0;
+
+  sim->blocked = block_into_5;
+  sim_run (sim, 60 * SIM_S);
+  for (uint32_t i = 0; i < NODES; i++)
+    wrong += i != 5 && sgr_membership_size (sim->nodes[i].membership) != NODES - 1;
+  assert_int_equal (wrong, 0);
+  assert_int_equal (view (sim, 0, 5).status, SGR_MEMBER_DEAD);
+  sim->blocked = NULL;
+  sim_run (sim, 60 * SIM_S);
+  assert_int_equal (sim_complete_count (sim), NODES);
+}
+
+/* Guards against a lost failure domain that is not noticed or does not come back. */
+static void
+case_domain (sim_t *sim)
+{
+  for (uint32_t i = 1; i < NODES; i += 6)
+    sim_stop (sim, i);
+  sim_run (sim, 40 * SIM_S);
+  assert_int_equal (sim_complete_count (sim), NODES - 5);
+  assert_int_equal (false_deaths, 0);
+  for (uint32_t i = 1; i < NODES; i += 6)
+    sim_start (sim, i, NULL);
+  sim_run (sim, 40 * SIM_S);
+  assert_int_equal (sim_complete_count (sim), NODES);
+}
+
+static bool
+block_regions (sim_t *sim, const sim_node_t *from, const sim_node_t *to)
+{
+  return from->region != to->region;
+}
+
+/* Guards against two sides of a healed partition that never meet again. */
+static void
+case_split (sim_t *sim)
+{
+  sim->blocked = block_regions;
+  sim_run (sim, 200 * SIM_S);
+  for (uint32_t i = 0; i < NODES; i++)
+    assert_int_equal (sgr_membership_size (sim->nodes[i].membership), NODES / 2);
+  sim->blocked = NULL;
+  sim_run (sim, 60 * SIM_S);
+  assert_int_equal (sim_complete_count (sim), NODES);
+}
+
+/* Guards against an old life that survives beside the new one at its address. */
+static void
+case_reborn (sim_t *sim)
+{
+  sgr_boot_id_t old = view (sim, 0, 4).boot;
+  sgr_member_t member;
+
+  sim_stop (sim, 4);
+  sim_run (sim, SIM_S);
+  sim_start (sim, 4, NULL);
+  sim_run (sim, 6 * SIM_S);
+  for (uint32_t i = 0; i < NODES; i++)
+    assert_int_not_equal (view (sim, i, 4).boot, old);
+  assert_seen (sim, 4, SGR_MEMBER_ALIVE, SGR_TARGET_SERVING);
+  /* Another name at the address ends the old life too, long before a suspicion would. */
+  sim_stop (sim, 9);
+  sim_run (sim, SIM_S);
+  sim_start (sim, 9, "replacement");
+  sim_run (sim, 6 * SIM_S);
+  for (uint32_t i = 0; i < NODES; i++)
+    {
+      assert_int_equal (sgr_membership_member_get (sim->nodes[i].membership,
+                                                   sgr_node_id_of ("replacement"), &member),
+                        SGR_OK);
+      assert_int_equal (member.status, SGR_MEMBER_ALIVE);
+      if (i != 9)
+        assert_int_equal (view (sim, i, 9).status, SGR_MEMBER_DEAD);
+    }
+}
+
+/* Guards against a life that starts with a slower clock than the one before and stays unseen. */
+static void
+case_clock_back (sim_t *sim)
+{
+  sim_stop (sim, 4);
+  sim->epoch_s -= 1000;
+  sim_start (sim, 4, NULL);
+  sim_run (sim, 15 * SIM_S);
+  assert_seen (sim, 4, SGR_MEMBER_ALIVE, SGR_TARGET_SERVING);
+  assert_int_equal (sim_complete_count (sim), NODES);
+}
+
+/* Fetches a new configuration at once, as the control task does over TCP. */
+static void
+fetch_revision (sim_t *sim, sim_node_t *node, const sgr_member_t *member)
+{
+  sgr_member_t self;
+
+  sgr_membership_self_get (node->membership, &self);
+  if (member->config_revision > self.config_revision)
+    update (sim, node->index, self.target_state, member->config_revision);
+}
+
+/* Guards against slow news of a draining or leaving target, and of a new configuration. */
+static void
+case_drain (sim_t *sim)
+{
+  update (sim, 12, SGR_TARGET_DRAINING, 0);
+  sim_run (sim, 3 * SIM_S);
+  assert_seen (sim, 12, SGR_MEMBER_ALIVE, SGR_TARGET_DRAINING);
+  sgr_membership_leave (sim->nodes[12].membership, sim->now_us);
+  sim_schedule (&sim->nodes[12]);
+  sim_run (sim, 3 * SIM_S);
+  assert_seen (sim, 12, SGR_MEMBER_LEFT, SGR_TARGET_LEFT);
+  sim->changed = fetch_revision;
+  update (sim, 3, SGR_TARGET_SERVING, 77);
+  sim_run (sim, 3 * SIM_S);
+  for (uint32_t i = 0; i < NODES; i++)
+    if (i != 12)
+      assert_int_equal (sgr_membership_revision_highest (sim->nodes[i].membership, NULL), 77);
+}
+
+/* Guards against a suspicion or a death sentence that its subject cannot undo. */
+static void
+case_refute (sim_t *sim)
+{
+  sgr_member_t member = view (sim, 0, 8);
+
+  member.status = SGR_MEMBER_SUSPECT;
+  inject (sim, 2, 0, &member);
+  assert_int_equal (view (sim, 0, 8).status, SGR_MEMBER_SUSPECT);
+  sim_run (sim, 5 * SIM_S);
+  assert_seen (sim, 8, SGR_MEMBER_ALIVE, SGR_TARGET_SERVING);
+  assert_true (view (sim, 0, 8).incarnation > member.incarnation);
+  member = view (sim, 0, 8);
+  member.status = SGR_MEMBER_DEAD;
+  inject (sim, 2, 0, &member);
+  sim_run (sim, 10 * SIM_S);
+  assert_seen (sim, 8, SGR_MEMBER_ALIVE, SGR_TARGET_SERVING);
+  assert_int_equal (sgr_membership_counters (sim->nodes[8].membership)->refutations, 2);
+}
+
+/* Guards against old messages that kill a new life or bring back a departed one. */
+static void
+case_old_messages (sim_t *sim)
+{
+  sgr_member_t old = view (sim, 0, 8);
+
+  sim_stop (sim, 8);
+  sim_run (sim, 2 * SIM_S);
+  sim_start (sim, 8, NULL);
+  sim_run (sim, 10 * SIM_S);
+  old.status = SGR_MEMBER_DEAD;
+  old.incarnation = 50;
+  inject (sim, 2, 0, &old);
+  assert_int_equal (view (sim, 0, 8).status, SGR_MEMBER_ALIVE);
+  old = view (sim, 0, 8);
+  sgr_membership_leave (sim->nodes[8].membership, sim->now_us);
+  sim_schedule (&sim->nodes[8]);
+  sim_run (sim, 3 * SIM_S);
+  sim_stop (sim, 8);
+  inject (sim, 2, 0, &old);
+  old.status = SGR_MEMBER_SUSPECT;
+  inject (sim, 3, 0, &old);
+  sim_run (sim, 20 * SIM_S);
+  assert_seen (sim, 8, SGR_MEMBER_LEFT, SGR_TARGET_LEFT);
+}
+
+/* Guards against updates that are applied twice or in the wrong order. */
+static void
+case_reordered (sim_t *sim)
+{
+  sim->duplicates = 0.3;
+  sim->jitter_us = 250 * SIM_MS;
+  for (int i = 0; i < 10; i++)
+    {
+      update (sim, 6, i % 2 == 0 ? SGR_TARGET_DRAINING : SGR_TARGET_SERVING, 0);
+      sim_run (sim, 300 * SIM_MS);
+    }
+  sim_run (sim, 15 * SIM_S);
+  assert_seen (sim, 6, SGR_MEMBER_ALIVE, SGR_TARGET_SERVING);
+  assert_int_equal (false_deaths, 0);
+}
+
+/* Guards against a flood of requests that breaks the byte budget or stops failure detection. */
+static void
+case_flood (sim_t *sim)
+{
+  const sgr_membership_counters_t *counters = sgr_membership_counters (sim->nodes[0].membership);
+  sgr_membership_counters_t before = *counters;
+  sgr_address_t from = { SIM_IP + 1, SIM_PORT };
+  uint8_t bytes[SGR_MEMBERSHIP_DATAGRAM_MAX];
+  sgr_membership_writer_t writer;
+  size_t length;
+
+  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PULL);
+  writer.message.sender = sim_id (1);
+  writer.message.boot = view (sim, 0, 1).boot;
+  writer.message.groups = UINT64_MAX - 1;
+  length = sgr_membership_writer_finish (&writer, bytes);
+  for (int i = 0; i < 3000; i++)
+    {
+      sgr_membership_datagram_receive (sim->nodes[0].membership, sim->now_us, &from, bytes, length);
+      sim_schedule (&sim->nodes[0]);
+      sim_run (sim, 10 * SIM_MS);
+    }
+  /* 30 s: the rate, and the buckets that may have been full. */
+  assert_true (counters->bytes_sent - before.bytes_sent <= 30 * 5000 + 30000);
+  assert_true (counters->budget_refusals > before.budget_refusals);
+  assert_true (counters->probes - before.probes >= 25);
+  assert_int_equal (false_deaths, 0);
+}
+
+/* Guards against tombstones that stay for ever or wander between nodes. */
+static void
+case_tombstones (sim_t *sim)
+{
+  sgr_member_t member;
+
+  sim_stop (sim, 8);
+  sim_run (sim, 40 * SIM_S);
+  assert_seen (sim, 8, SGR_MEMBER_DEAD, SGR_TARGET_SERVING);
+  sim_run (sim, 2 * 3600 * SIM_S + 120 * SIM_S);
+  for (uint32_t i = 0; i < NODES; i++)
+    if (i != 8)
+      assert_int_equal (sgr_membership_member_get (sim->nodes[i].membership, sim_id (8), &member),
+                        SGR_ERR_NOT_FOUND);
+  assert_int_equal (false_deaths, 0);
+}
+
+static void
+test_fault_cases (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    void (*run) (sim_t *sim);
+    uint64_t seed;
+  } cases[] = {
+    { "paused process", case_pause, 1 },
+    { "asymmetric partition", case_asymmetric, 2 },
+    { "failure domain lost and back", case_domain, 3 },
+    { "region split and healed", case_split, 4 },
+    { "back at the same address with nothing", case_reborn, 5 },
+    { "clock set back between lives", case_clock_back, 6 },
+    { "drain, leave and revision known in seconds", case_drain, 7 },
+    { "refuted suspicion and death", case_refute, 8 },
+    { "old messages after departure and rejoin", case_old_messages, 9 },
+    { "duplicate and reordered datagrams", case_reordered, 10 },
+    { "flood of requests", case_flood, 11 },
+    { "tombstones expire", case_tombstones, 12 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sim_t *sim = sim_joined (cases[i].seed);
+
+      print_message ("case: %s\n", cases[i].name);
+      cases[i].run (sim);
+      sim_done (sim);
+    }
+}
+
+static uint64_t
+digest_of_run (uint64_t seed)
+{
+  sim_t *sim = sim_joined (seed);
+  const sgr_membership_counters_t *counters = sgr_membership_counters (sim->nodes[3].membership);
+  uint64_t digest = counters->bytes_sent * 31 + counters->bytes_received * 17 + sim->order;
+
+  sim_done (sim);
+  return digest;
+}
+
+/* Guards against hidden inputs such as the wall clock or uninitialised memory. */
+static void
+test_same_seed_same_run (void **state)
+{
+  assert_true (digest_of_run (21) == digest_of_run (21));
+  assert_true (digest_of_run (21) != digest_of_run (22));
+}
+
+/* Guards against options that would make the protocol misbehave later. */
+static void
+test_create_rejects_bad_options (void **state)
+{
+  static const sgr_membership_callbacks_t callbacks = { sim_send, NULL };
+  sgr_membership_options_t good;
+  sgr_membership_t *m = NULL;
+
+  sgr_membership_options_init (&good);
+  good.self = (sgr_member_t){
+    .name = "a", .boot = 1, .boot_time_s = 1, .control_address = { 1, 1 }, .data_address = { 1, 2 }
+  };
+  for (int i = 0; i < 8; i++)
+    {
+      sgr_membership_options_t bad = good;
+
+      switch (i)
+        {
+        case 0:
+          bad.self.name[0] = '\0';
+          break;
+        case 1:
+          memset (bad.self.name, 'x', sizeof bad.self.name);
+          break;
+        case 2:
+          bad.self.boot = 0;
+          break;
+        case 3:
+          bad.self.control_address.port = 0;
+          break;
+        case 4:
+          bad.self.region[0] = '\n';
+          break;
+        case 5:
+          bad.probe_timeout_ms = bad.probe_period_ms;
+          break;
+        case 6:
+          bad.budget_bytes_per_s = 10;
+          break;
+        default:
+          bad.self.data_address.ip = 0;
+          break;
+        }
+      assert_int_equal (sgr_membership_create (&bad, &callbacks, NULL, 0, &m), SGR_ERR_INVALID);
+    }
+  assert_int_equal (sgr_membership_create (&good, &callbacks, NULL, 0, &m), SGR_OK);
+  assert_int_equal (sgr_membership_size (m), 1);
+  sgr_membership_leave (m, 1);
+  sgr_membership_leave (m, 1);
+  assert_int_equal (sgr_membership_self_update (
+                        m, 1, &(sgr_membership_update_t){ SGR_TARGET_SERVING, "s", 1, 1 }),
+                    SGR_ERR_CONFLICT);
+  sgr_membership_destroy (m);
+  sgr_membership_destroy (NULL);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_create_rejects_bad_options),
+    cmocka_unit_test (test_same_seed_same_run),
+    cmocka_unit_test (test_fault_cases),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
