--- a/libsiskingrade/membership.c
+++ b/libsiskingrade/membership.c
@@ -65,6 +65,7 @@
   m->sync.due_us = now_us + sgr_rng_below (&m->rng, period_us);
   m->sync.todo = UINT64_MAX;
   m->sync.behind = true;
+  m->budget.sync_first = true;
   m->sync.introductions = SGR_MEMBERSHIP_INTRODUCTIONS;
   m->suspicion_due_us = m->relay_due_us = m->gossip_due_us = UINT64_MAX;
   m->dead_due_us
@@ -186,7 +187,7 @@
 static void
 receive_charge (sgr_membership_t *m, sgr_membership_kind_t kind, size_t total)
 {
-  size_t detection = total > 128 ? 128 : total;
+  size_t detection = total > SGR_MEMBERSHIP_PROBE_BYTES ? SGR_MEMBERSHIP_PROBE_BYTES : total;
 
   if (kind >= SGR_MEMBERSHIP_DIGEST)
     sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_SYNC, total);
--- a/libsiskingrade/membership_budget.c
+++ b/libsiskingrade/membership_budget.c
@@ -4,16 +4,28 @@
  * Shares of the rate in percent. With 5% loss, probes of 2,600 nodes take about a tenth; the rest
  * of their share covers the indirect probes while a region is unreachable.
  */
-static const double rate_percent[SGR_MEMBERSHIP_SHARES] = { 30, 35, 35 };
+static const double rate_percent[2][SGR_MEMBERSHIP_SHARES] = {
+  { 30, 35, 35 },
+  /* While the full state is pulled: a page holds only records that are new to the receiver, which
+     makes it the cheaper way to spread them. */
+  { 25, 15, 60 },
+};
 
 /* Bucket sizes in seconds of the whole rate. */
 static const double capacity_s[SGR_MEMBERSHIP_SHARES] = { 1, 2, 3 };
 
+/*
+ * Received bytes cannot be refused. A longer debt would silence a contact that many nodes address
+ * at once, which makes them all repeat their requests.
+ */
+#define DEBT_MAX_S 0.5
+
 void
 sgr_membership_budget_init (sgr_membership_budget_t *budget, uint32_t bytes_per_s, uint64_t now_us)
 {
   budget->refilled_us = now_us;
   budget->rate = bytes_per_s;
+  budget->sync_first = false;
   for (int i = 0; i < SGR_MEMBERSHIP_SHARES; i++)
     budget->tokens[i] = budget->capacity[i] = capacity_s[i] * bytes_per_s;
 }
@@ -30,7 +42,7 @@
   budget->refilled_us = now_us;
   for (int i = 0; i < SGR_MEMBERSHIP_SHARES; i++)
     {
-      budget->tokens[i] += bytes * rate_percent[i] / 100 + overflow;
+      budget->tokens[i] += bytes * rate_percent[budget->sync_first][i] / 100 + overflow;
       overflow = 0;
       if (budget->tokens[i] > budget->capacity[i])
         {
@@ -64,6 +76,6 @@
         share = SGR_MEMBERSHIP_SYNC;
     }
   budget->tokens[share] -= (double)bytes;
-  if (budget->tokens[share] < -budget->capacity[share])
-    budget->tokens[share] = -budget->capacity[share];
+  if (budget->tokens[share] < -DEBT_MAX_S * budget->rate)
+    budget->tokens[share] = -DEBT_MAX_S * budget->rate;
 }
--- a/libsiskingrade/membership_budget.h
+++ b/libsiskingrade/membership_budget.h
@@ -6,6 +6,9 @@
 /* IPv4 and UDP headers of one datagram, in bytes. */
 #define SGR_MEMBERSHIP_DATAGRAM_OVERHEAD 28
 
+/* Largest part of a probe or its answer that counts as detection; the rest counts as updates. */
+#define SGR_MEMBERSHIP_PROBE_BYTES 80
+
 /**
  * enum sgr_membership_share_t - parts of the byte budget
  * @SGR_MEMBERSHIP_DETECTION: probes and their answers
@@ -24,13 +27,15 @@
  * struct sgr_membership_budget_t - token buckets of one node. Each share refills at its own rate;
  * what overflows one bucket fills the next, so that an idle share is of use to the others. A share
  * cannot take from the ones before it: neither updates nor state transfers delay probes.
+ * @sync_first: whether state transfer gets the largest share
  * @tokens: bytes that may be sent now; received bytes make it negative
- * @capacity: size of each bucket; a bucket never falls below minus this
+ * @capacity: size of each bucket
  */
 typedef struct
 {
   uint64_t refilled_us;
   uint32_t rate;
+  bool sync_first;
   double tokens[SGR_MEMBERSHIP_SHARES];
   double capacity[SGR_MEMBERSHIP_SHARES];
 } sgr_membership_budget_t;
