--- /dev/null
+++ b/bench/bench_balance.c
@@ -0,0 +1,213 @@
+#include "target_model.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define DURATION_US (120 * SGR_USEC_PER_SEC)
+#define TARGETS 5
+#define ENTRIES 12
+#define WORKERS 4
+
+static const double loads[] = { 0.50, 0.75, 0.90 };
+
+#define LOADS (sizeof loads / sizeof loads[0])
+#define RUNS (TARGET_MODEL_CASE_COUNT * LOADS * SGR_BALANCER_POLICY_COUNT)
+
+static const uint32_t probe_rates[] = { 0, 5, 10, 25, 50, 100, 200, 300 };
+
+#define PROBE_RATES (sizeof probe_rates / sizeof probe_rates[0])
+
+typedef struct
+{
+  target_model_options_t options;
+  target_model_result_t result;
+} run_t;
+
+typedef struct
+{
+  run_t *runs;
+  size_t count;
+  size_t first;
+} worker_t;
+
+static void *
+worker_main (void *ctx)
+{
+  worker_t *worker = ctx;
+
+  for (size_t i = worker->first; i < worker->count; i += WORKERS)
+    target_model_run (&worker->runs[i].options, &worker->runs[i].result);
+  return NULL;
+}
+
+/* Each run has its own model, so the figures do not depend on the number of threads. */
+static void
+runs_execute (run_t *runs, size_t count)
+{
+  pthread_t threads[WORKERS];
+  worker_t workers[WORKERS];
+
+  for (size_t i = 0; i < WORKERS; i++)
+    {
+      workers[i] = (worker_t){ runs, count, i };
+      if (pthread_create (&threads[i], NULL, worker_main, &workers[i]) != 0)
+        exit (1);
+    }
+  for (size_t i = 0; i < WORKERS; i++)
+    pthread_join (threads[i], NULL);
+}
+
+static const target_model_result_t *
+result_of (const run_t *runs, size_t kind, size_t load, size_t policy)
+{
+  return &runs[(kind * LOADS + load) * SGR_BALANCER_POLICY_COUNT + policy].result;
+}
+
+/* Share of failed calls in percent. */
+static double
+errors_of (const target_model_result_t *r)
+{
+  return 100.0 * (double)r->errors / (double)r->calls;
+}
+
+static const target_model_result_t *
+best_baseline (const run_t *runs, size_t kind, size_t load)
+{
+  const target_model_result_t *best = result_of (runs, kind, load, 1);
+
+  for (size_t policy = 2; policy < SGR_BALANCER_POLICY_COUNT; policy++)
+    {
+      const target_model_result_t *r = result_of (runs, kind, load, policy);
+
+      if (r->p99_us < best->p99_us || (r->p99_us == best->p99_us && r->errors < best->errors))
+        best = r;
+    }
+  return best;
+}
+
+static void
+group_print (const run_t *runs, size_t kind, size_t load)
+{
+  const target_model_result_t *mine = result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY);
+  const target_model_result_t *turns = result_of (runs, kind, load, SGR_BALANCER_ROUND_ROBIN);
+  const target_model_result_t *best = best_baseline (runs, kind, load);
+
+  printf ("\n%s, %.0f%% of slots\n", target_model_case_name ((target_model_case_t)kind),
+          loads[load] * 100);
+  printf ("  %-18s %8s %8s %8s %8s %8s  %s\n", "policy", "p50 ms", "p99 ms", "p99.9 ms", "errors %",
+          "att/call", "share by target");
+  for (size_t policy = 0; policy < SGR_BALANCER_POLICY_COUNT; policy++)
+    {
+      const target_model_result_t *r = result_of (runs, kind, load, policy);
+
+      printf ("  %-18s %8.1f %8.1f %8.1f %8.3f %8.3f ",
+              sgr_balancer_policy_name ((sgr_balancer_policy_t)policy), r->p50_us / 1e3,
+              r->p99_us / 1e3, r->p999_us / 1e3, errors_of (r),
+              (double)r->attempts / (double)r->calls);
+      for (unsigned i = 0; i < TARGETS; i++)
+        printf (" %.2f", r->share[i]);
+      printf ("\n");
+    }
+  printf ("  load-latency against round-robin: p99 x%.2f; against the best baseline: p99 x%.2f,"
+          " errors %+.3f%%\n",
+          mine->p99_us / turns->p99_us, mine->p99_us / best->p99_us,
+          errors_of (mine) - errors_of (best));
+}
+
+/* One line for each cell that misses a goal. Where p99 is the deadline, errors are compared. */
+static void
+goals_print (const run_t *runs)
+{
+  unsigned missed = 0;
+
+  printf ("\ngoals: slow target p99 at most x0.50 of round-robin; p99 at most x1.05 of the best"
+          " baseline, or errors\nwhere p99 is the deadline; a fail-fast target draws at most its"
+          " share\n");
+  for (size_t kind = 0; kind < TARGET_MODEL_CASE_COUNT; kind++)
+    for (size_t load = 0; load < LOADS; load++)
+      {
+        const target_model_result_t *mine = result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY);
+        const target_model_result_t *turns = result_of (runs, kind, load, SGR_BALANCER_ROUND_ROBIN);
+        const target_model_result_t *best = best_baseline (runs, kind, load);
+        double to_turns = mine->p99_us / turns->p99_us;
+        double to_best = mine->p99_us / best->p99_us;
+        const char *name = target_model_case_name ((target_model_case_t)kind);
+        double percent = loads[load] * 100;
+
+        if (mine->p99_us == best->p99_us && best->errors > 0)
+          to_best = errors_of (mine) / errors_of (best);
+        if (kind == TARGET_MODEL_SLOW && to_turns > 0.5)
+          missed += printf ("  missed: %s %.0f%%: x%.2f of round-robin\n", name, percent, to_turns)
+                    > 0;
+        if (to_best > 1.05)
+          missed += printf ("  missed: %s %.0f%%: x%.2f of the best baseline\n", name, percent,
+                            to_best)
+                    > 0;
+        if (kind == TARGET_MODEL_FAIL_FAST && mine->share_faulty > 1)
+          missed += printf ("  missed: %s %.0f%%: share %.2f\n", name, percent, mine->share_faulty)
+                    > 0;
+      }
+  printf ("  %u missed of %u cells\n", missed, (unsigned)(TARGET_MODEL_CASE_COUNT * LOADS));
+}
+
+static void
+policies_run (void)
+{
+  run_t *runs = calloc (RUNS, sizeof *runs);
+
+  if (runs == NULL)
+    exit (1);
+  for (size_t i = 0; i < RUNS; i++)
+    runs[i].options = (target_model_options_t){
+      .policy = (sgr_balancer_policy_t)(i % SGR_BALANCER_POLICY_COUNT),
+      .kind = (target_model_case_t)(i / SGR_BALANCER_POLICY_COUNT / LOADS),
+      .seed = 1 + i / SGR_BALANCER_POLICY_COUNT,
+      .load = loads[i / SGR_BALANCER_POLICY_COUNT % LOADS],
+      .targets = TARGETS,
+      .entries = ENTRIES,
+      .duration_us = DURATION_US,
+    };
+  runs_execute (runs, RUNS);
+  printf ("5 targets of 16 slots in 3 failure domains, 12 entry nodes, %.0f s of virtual time;\n"
+          "a failed call counts with its deadline of 2 s; shares are relative to an even spread\n",
+          DURATION_US / 1e6);
+  for (size_t kind = 0; kind < TARGET_MODEL_CASE_COUNT; kind++)
+    for (size_t load = 0; load < LOADS; load++)
+      group_print (runs, kind, load);
+  goals_print (runs);
+  free (runs);
+}
+
+static void
+probes_run (void)
+{
+  run_t runs[PROBE_RATES] = { 0 };
+
+  for (size_t i = 0; i < PROBE_RATES; i++)
+    runs[i].options = (target_model_options_t){
+      .kind = TARGET_MODEL_NOISY,
+      .seed = 100,
+      .load = 0.25,
+      .targets = TARGETS,
+      .entries = 24,
+      .duration_us = DURATION_US,
+      .probe_calls_per_s = probe_rates[i],
+    };
+  runs_execute (runs, PROBE_RATES);
+  printf ("\nprobe budget, noisy, 25%% of slots, 24 entry nodes, load-latency\n");
+  printf ("  %10s %10s %12s %8s %8s\n", "calls/s", "sent/s", "slot time %", "p99 ms", "p99.9 ms");
+  for (size_t i = 0; i < PROBE_RATES; i++)
+    printf ("  %10u %10.1f %12.3f %8.1f %8.1f\n", probe_rates[i],
+            (double)runs[i].result.probes * 1e6 / (double)runs[i].options.duration_us,
+            100 * runs[i].result.probe_slot_share, runs[i].result.p99_us / 1e3,
+            runs[i].result.p999_us / 1e3);
+}
+
+int
+main (void)
+{
+  policies_run ();
+  probes_run ();
+  return 0;
+}
