--- a/libsiskingrade/balancer_estimate.c
+++ b/libsiskingrade/balancer_estimate.c
@@ -231,7 +231,8 @@
            * fade (now_us + entry->info.link_rtt_us / 2, estimate->reported_us, latency_us);
   load = estimate->reported_load * kept + usual * (1 - kept);
   variance = load - estimate->reported_load * kept * kept;
-  load = fmax (load + estimate->unseen_count, entry->outstanding);
+  /* Of the attempts that the report cannot contain, some may have finished since. */
+  load = fmax (load + fmin (estimate->unseen_count, entry->outstanding), entry->outstanding);
   wait_us
       = latency_us / slots
         * expected_excess (load + 1 - slots, fmax (LOAD_DEVIATION_MIN, sqrt (fmax (0, variance))));
