Let a cold target help when all targets are hot

Cause: during its slow start a target kept at most a share of its slots, so that at 90% of slots the four others were overloaded although the fifth had recovered its speed. Change: slow start only makes a target hot earlier; the expected wait is that of its real slots, and the random rejection of targets in slow start is gone.

--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -13,27 +13,19 @@
 
 /* Draws the places to compare to the front of the candidates; returns how many. */
 static size_t
-draw (sgr_balancer_t *b, uint64_t now_us, size_t count)
+draw (sgr_balancer_t *b, size_t count)
 {
-  size_t drawn = 0;
+  size_t drawn = count < COMPARED_MAX ? count : COMPARED_MAX;
 
-  for (size_t i = 0; i < count && drawn < COMPARED_MAX; i++)
+  for (size_t i = 0; i < drawn && drawn < count; i++)
     {
       size_t j = i + sgr_rng_below (&b->rng, count - i);
       uint32_t place = b->candidates[j];
-      double ramp = sgr_balancer_ramp (b, &b->entries[place], now_us);
 
       b->candidates[j] = b->candidates[i];
-      b->candidates[i] = b->candidates[drawn];
-      if (ramp < 1 && sgr_rng_unit (&b->rng) >= ramp)
-        {
-          b->candidates[i] = place;
-          sgr_balancer_event (b, SGR_BALANCER_PICK_SLOW_START);
-          continue;
-        }
-      b->candidates[drawn++] = place;
+      b->candidates[i] = place;
     }
-  return drawn > 0 ? drawn : count;
+  return drawn;
 }
 
 static void
@@ -57,7 +49,7 @@
 uint32_t
 sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count)
 {
-  size_t drawn = draw (b, now_us, count);
+  size_t drawn = draw (b, count);
   double best_cost[2] = { INFINITY, INFINITY };
   uint32_t best[2] = { 0, 0 };
   bool is_hot_chosen;
--- a/libsiskingrade/balancer_estimate.c
+++ b/libsiskingrade/balancer_estimate.c
@@ -218,7 +218,7 @@
   const sgr_balancer_estimate_t *estimate = &entry->estimate;
   double latency_us = latency_estimate (b, entry, now_us);
   double usual = b->service_load * entry->info.slots;
-  double slots = fmax (1, entry->info.slots * sgr_balancer_ramp (b, entry, now_us));
+  double slots = entry->info.slots;
   double kept = 0;
   double load;
   double variance;
@@ -239,6 +239,8 @@
   return (sgr_balancer_score_t){
     .cost_us = entry->info.link_rtt_us + latency_us + wait_us
                + sgr_balancer_error_rate (entry, now_us) * ERROR_COST * service_latency (b),
-    .is_hot = load + 1 > slots,
+    /* Slow start makes a target hot earlier. It does not add to the cost: when all targets are hot,
+       a cold one that responds faster than the others is the better choice. */
+    .is_hot = load + 1 > fmax (1, slots * sgr_balancer_ramp (b, entry, now_us)),
   };
 }
