Weigh own outstanding attempts by the age of the report

Cause: own attempts were added in full to the usual load, which already contains them, so that targets without a usable report looked fuller than the others and drew too little. Change: attempts that the report lacks count with the report's weight; with the rest of the weight, own outstanding attempts count as a deviation from this node's average per target.

--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -227,6 +227,7 @@
   if (entry == NULL)
     return SGR_ERR_NOT_FOUND;
   entry->is_used = false;
+  b->outstanding -= entry->outstanding;
   while (b->order[i] != place)
     i++;
   b->order_count--;
@@ -359,6 +360,7 @@
   if (entry == NULL)
     return;
   entry->outstanding++;
+  b->outstanding++;
   entry->started_sum_us += now_us;
   sgr_balancer_estimate_start (entry, now_us);
 }
@@ -377,6 +379,7 @@
   if (entry->outstanding > 0)
     {
       entry->outstanding--;
+      b->outstanding--;
       entry->started_sum_us
           = entry->outstanding > 0 ? entry->started_sum_us - (now_us - latency_us) : 0;
     }
--- a/libsiskingrade/balancer_estimate.c
+++ b/libsiskingrade/balancer_estimate.c
@@ -221,6 +221,7 @@
   double slots = entry->info.slots;
   double kept = 0;
   double load;
+  double own;
   double variance;
   double wait_us;
 
@@ -231,8 +232,11 @@
            * fade (now_us + entry->info.link_rtt_us / 2, estimate->reported_us, latency_us);
   load = estimate->reported_load * kept + usual * (1 - kept);
   variance = load - estimate->reported_load * kept * kept;
-  /* Of the attempts that the report cannot contain, some may have finished since. */
-  load = fmax (load + fmin (estimate->unseen_count, entry->outstanding), entry->outstanding);
+  /* The report lacks own attempts since it was made, some of which may have finished. The usual
+     load contains the usual number of own attempts. */
+  own = kept * fmin (estimate->unseen_count, entry->outstanding)
+        + (1 - kept) * (entry->outstanding - (double)b->outstanding / (double)b->order_count);
+  load = fmax (load + own, entry->outstanding);
   wait_us
       = latency_us / slots
         * expected_excess (load + 1 - slots, fmax (LOAD_DEVIATION_MIN, sqrt (fmax (0, variance))));
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -92,6 +92,7 @@
  * @order_count: used entries of @order
  * @candidates: scratch space for a choice, as large as @entries
  * @turn: next place of the round robin
+ * @outstanding: own attempts in flight at all targets
  * @service_latency_us: average latency over all targets, 0 if unknown
  * @service_load: average reported load over all targets, as a share of their slots
  */
@@ -105,6 +106,7 @@
   size_t order_count;
   uint32_t *candidates;
   size_t turn;
+  uint32_t outstanding;
   double service_latency_us;
   double service_load;
   uint64_t counts[SGR_BALANCER_REASON_COUNT];
