Fall back to own attempts when reports are disproved

Cause: loads of targets whose reports are disproved were guessed from the average, and such a target lost against targets of known load nearly always; the others were overloaded. Change: the least trusted target sets the trust for all. The less trust, the more the cost is the latency, slowly averaged, times own outstanding attempts against the average target.

--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -63,6 +63,7 @@
   if (b == NULL)
     return NULL;
   b->options = *options;
+  b->trust = 1;
   sgr_rng_seed (&b->rng, options->seed);
   return b;
 }
--- a/libsiskingrade/balancer_estimate.c
+++ b/libsiskingrade/balancer_estimate.c
@@ -6,6 +6,9 @@
 /* Latency assumed before the first sample of any target. */
 #define LATENCY_DEFAULT_US 10000.0
 #define LATENCY_GAIN 0.125
+/* Gain of the average used without reports. That average contains queueing, which all nodes see
+   late; a faster one makes their choices swing together. */
+#define SLOW_GAIN (1.0 / 64)
 /* Weight of an average of this many own samples equals that of a fresh report. */
 #define OWN_WEIGHT_MAX 8.0
 /* Latency knowledge of a target without attempts or reports fades with this time constant. */
@@ -75,6 +78,11 @@
   if (is_contradicted)
     sgr_balancer_event (b, SGR_BALANCER_REPORT_CONTRADICTED);
   estimate->trust += TRUST_GAIN * ((is_contradicted ? 0 : 1) - estimate->trust);
+  /* Known and unknown loads cannot be compared fairly: the least of several known, varying loads
+     nearly always beats an unknown one. So the least trusted target sets the trust for all. */
+  b->trust = 1;
+  for (size_t i = 0; i < b->order_count; i++)
+    b->trust = fmin (b->trust, b->entries[b->order[i]].estimate.trust);
 }
 
 void
@@ -95,6 +103,8 @@
     sample_us *= (double)entry->info.slots / (entry->info.slots + report->queued);
   if (estimate->own_weight < 1)
     gain = 1;
+  estimate->slow_latency_us
+      += (gain > LATENCY_GAIN ? gain : SLOW_GAIN) * (raw_us - estimate->slow_latency_us);
   estimate->own_latency_us += gain * (sample_us - estimate->own_latency_us);
   estimate->own_weight = fmin (OWN_WEIGHT_MAX, estimate->own_weight * kept + 1);
   estimate->own_us = now_us;
@@ -212,6 +222,20 @@
          + excess * erfc (-z * M_SQRT1_2) / 2;
 }
 
+/* Cost from own attempts alone, without the link: latency times outstanding attempts against the
+   average target. */
+static double
+local_cost (const sgr_balancer_t *b, const sgr_balancer_entry_t *entry, uint64_t now_us)
+{
+  const sgr_balancer_estimate_t *estimate = &entry->estimate;
+  double own = fmin (1, estimate->own_weight) * fade (now_us, estimate->own_us, LATENCY_FADE_US);
+  double latency_us = (own * estimate->slow_latency_us + SERVICE_WEIGHT * service_latency (b))
+                      / (own + SERVICE_WEIGHT);
+
+  return latency_us * (entry->outstanding + 1.0)
+         / ((double)b->outstanding / (double)b->order_count + 1);
+}
+
 sgr_balancer_score_t
 sgr_balancer_score (const sgr_balancer_t *b, const sgr_balancer_entry_t *entry, uint64_t now_us)
 {
@@ -219,6 +243,7 @@
   double latency_us = latency_estimate (b, entry, now_us);
   double usual = b->service_load * entry->info.slots;
   double slots = entry->info.slots;
+  double ramp = sgr_balancer_ramp (b, entry, now_us);
   double kept = 0;
   double load;
   double own;
@@ -228,8 +253,8 @@
   /* Requests leave at the rate of 1 / latency and others arrive at the usual rate: the load
      moves from the reported to the usual one as in an M/M/infinity queue. */
   if (estimate->has_report)
-    kept = estimate->trust
-           * fade (now_us + entry->info.link_rtt_us / 2, estimate->reported_us, latency_us);
+    kept
+        = b->trust * fade (now_us + entry->info.link_rtt_us / 2, estimate->reported_us, latency_us);
   load = estimate->reported_load * kept + usual * (1 - kept);
   variance = load - estimate->reported_load * kept * kept;
   /* The report lacks own attempts since it was made, some of which may have finished. The usual
@@ -241,10 +266,11 @@
       = latency_us / slots
         * expected_excess (load + 1 - slots, fmax (LOAD_DEVIATION_MIN, sqrt (fmax (0, variance))));
   return (sgr_balancer_score_t){
-    .cost_us = entry->info.link_rtt_us + latency_us + wait_us
+    .cost_us = entry->info.link_rtt_us + b->trust * (latency_us + wait_us)
+               + (1 - b->trust) * local_cost (b, entry, now_us)
                + sgr_balancer_error_rate (entry, now_us) * ERROR_COST * service_latency (b),
     /* Slow start makes a target hot earlier. It does not add to the cost: when all targets are hot,
        a cold one that responds faster than the others is the better choice. */
-    .is_hot = load + 1 > fmax (1, slots * sgr_balancer_ramp (b, entry, now_us)),
+    .is_hot = (b->trust > 0.5 || ramp < 1) && load + 1 > fmax (1, slots * ramp),
   };
 }
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -15,6 +15,7 @@
  * @unseen_us: start times of own attempts that the report held cannot contain, oldest first
  * @unseen_count: used entries of @unseen_us
  * @own_latency_us: average of own samples, without link and queueing
+ * @slow_latency_us: slower average of own samples, without link and with queueing
  * @own_weight: samples behind @own_latency_us, saturating
  * @own_us: time of the last own sample
  * @observed_us: average of own latencies that came with a report, without the link
@@ -30,6 +31,7 @@
   uint64_t unseen_us[SGR_BALANCER_UNSEEN_MAX];
   uint32_t unseen_count;
   double own_latency_us;
+  double slow_latency_us;
   double own_weight;
   uint64_t own_us;
   double observed_us;
@@ -93,6 +95,7 @@
  * @candidates: scratch space for a choice, as large as @entries
  * @turn: next place of the round robin
  * @outstanding: own attempts in flight at all targets
+ * @trust: least trust in the reports of any target; at 0 only own attempts count
  * @service_latency_us: average latency over all targets, 0 if unknown
  * @service_load: average reported load over all targets, as a share of their slots
  */
@@ -107,6 +110,7 @@
   uint32_t *candidates;
   size_t turn;
   uint32_t outstanding;
+  double trust;
   double service_latency_us;
   double service_load;
   uint64_t counts[SGR_BALANCER_REASON_COUNT];
