Let reports of long queues keep their weight longer

Cause: the weight of a reported load faded with the latency of one request, but a queue of several times the slots drains only over that many latencies. Change: the time constant grows with the reported load above the slots.

--- a/libsiskingrade/balancer_estimate.c
+++ b/libsiskingrade/balancer_estimate.c
@@ -253,8 +253,9 @@
   /* Requests leave at the rate of 1 / latency and others arrive at the usual rate: the load
      moves from the reported to the usual one as in an M/M/infinity queue. */
   if (estimate->has_report)
-    kept
-        = b->trust * fade (now_us + entry->info.link_rtt_us / 2, estimate->reported_us, latency_us);
+    kept = b->trust
+           * fade (now_us + entry->info.link_rtt_us / 2, estimate->reported_us,
+                   latency_us * fmax (1, estimate->reported_load / slots));
   load = estimate->reported_load * kept + usual * (1 - kept);
   variance = load - estimate->reported_load * kept * kept;
   /* The report lacks own attempts since it was made, some of which may have finished. The usual
