Let a node ask its contacts for a few peers before it probes and pulls

Nodes that knew only contacts probed and pulled from them, so that at a start of 2,600 nodes each contact received 10 KB/s and live nodes were declared dead.

--- a/libsiskingrade/membership_internal.h
+++ b/libsiskingrade/membership_internal.h
@@ -70,6 +70,7 @@
  * @behind: whether the last exchange brought news, so that the next one follows soon
  * @asked: groups of the last pull
  * @sequence: sequence of the last digest or pull
+ * @joined: whether this node stopped asking its contacts for peers
  * @introductions: pulls that still include the own record
  * @attempts: pulls sent to contacts without an answer
  */
@@ -79,6 +80,7 @@
   bool behind;
   uint64_t asked;
   uint32_t sequence;
+  bool joined;
   uint32_t introductions;
   uint32_t attempts;
   uint64_t due_us;
@@ -196,6 +198,9 @@
 void sgr_membership_health_add (sgr_membership_t *m, int change);
 
 /* membership_sync.c */
+
+/** sgr_membership_is_joining() - whether this node still asks its contacts for peers */
+bool sgr_membership_is_joining (const sgr_membership_t *m);
 void sgr_membership_sync_tick (sgr_membership_t *m, uint64_t now_us);
 
 /**
--- a/libsiskingrade/membership_probe.c
+++ b/libsiskingrade/membership_probe.c
@@ -67,7 +67,8 @@
 probe_start (sgr_membership_t *m, uint64_t now_us)
 {
   sgr_membership_probe_t *probe = &m->probe;
-  uint32_t handle = m->left ? SGR_MEMBERSHIP_NONE : next_target (m);
+  bool quiet = m->left || sgr_membership_is_joining (m);
+  uint32_t handle = quiet ? SGR_MEMBERSHIP_NONE : next_target (m);
   const sgr_membership_entry_t *entry;
 
   probe->stage = SGR_MEMBERSHIP_PROBE_IDLE;
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -9,7 +9,7 @@
  * Answers up to this size may use bytes that detection leaves over. They introduce nodes to each
  * other, without which neither detection nor state transfer can begin.
  */
-#define INTRODUCTION_BYTES_MAX 300
+#define INTRODUCTION_BYTES_MAX 430
 
 bool
 sgr_membership_add (sgr_membership_t *m, sgr_membership_writer_t *writer, uint64_t now_us,
--- a/libsiskingrade/membership_sync.c
+++ b/libsiskingrade/membership_sync.c
@@ -10,10 +10,14 @@
 #define ASKS_MAX 32
 #define PULL_TIMEOUT_US SGR_USEC_PER_SEC
 #define CATCH_UP_US SGR_USEC_PER_SEC
-/* Doublings of the wait between two requests to join. */
+/* First wait between two requests to join, and how often it is doubled. */
+#define JOIN_WAIT_US (2 * SGR_USEC_PER_SEC)
 #define JOIN_BACKOFF_MAX 4
+/* With fewer peers, which are mostly contacts, a node asks for more of them before it begins to
+   probe and pull; otherwise all nodes that start at once would do so at the contacts. */
+#define JOIN_PEERS 6
 /* A contact answers a join with a few members, who then serve the rest of the state. */
-#define JOIN_ANSWER_BYTES 270
+#define JOIN_ANSWER_BYTES 400
 
 typedef bool (*entry_visit_t) (void *ctx, uint32_t handle);
 
@@ -50,6 +54,12 @@
                                                 visit->m->table.entries[handle].fingerprint);
 }
 
+bool
+sgr_membership_is_joining (const sgr_membership_t *m)
+{
+  return !m->sync.joined && sgr_membership_peer_count (m) < JOIN_PEERS && m->contact_count > 0;
+}
+
 static bool
 pull_send (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *to, uint64_t groups)
 {
@@ -110,7 +120,7 @@
 
   sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PULL);
   writer.message.groups = GROUP_BITS_ALL;
-  writer.message.sequence = ++m->sequence;
+  m->sync.sequence = writer.message.sequence = ++m->sequence;
   sgr_membership_add (m, &writer, now_us, m->self, true, SGR_MEMBERSHIP_DATAGRAM_MAX);
   sgr_membership_send (m, &writer, to, SGR_MEMBERSHIP_SYNC);
 }
@@ -128,9 +138,11 @@
     }
   join_send (m, now_us, &m->contacts[sgr_rng_below (&m->rng, m->contact_count)]);
   /* Contacts that thousands of nodes address at once answer few; the waits spread the rest. */
-  wait_us = PULL_TIMEOUT_US << sync->attempts;
+  wait_us = JOIN_WAIT_US << sync->attempts;
   if (sync->attempts < JOIN_BACKOFF_MAX)
     sync->attempts++;
+  else if (sgr_membership_peer_count (m) > 0)
+    sync->joined = true; /* no contact answers; the known peers have to do */
   sync->due_us = now_us + wait_us / 2 + sgr_rng_below (&m->rng, wait_us);
 }
 
@@ -150,7 +162,7 @@
       return;
     }
   peer = sgr_membership_random_peer (m);
-  if (peer == SGR_MEMBERSHIP_NONE)
+  if (peer == SGR_MEMBERSHIP_NONE || sgr_membership_is_joining (m))
     {
       join_tick (m, now_us);
       return;
@@ -347,6 +359,13 @@
   if (message->sequence != sync->sequence)
     return;
   sync->sequence = 0;
+  if (sgr_membership_is_joining (m))
+    {
+      /* A contact that names nobody new knows no more: the fleet is small. */
+      sync->joined = news == 0;
+      sync->due_us = now_us;
+      return;
+    }
   m->counters.syncs++;
   give_asked (m, now_us, from, message);
   if (sync->todo != 0)
