--- /dev/null
+++ b/libsiskingrade/config_error.h
@@ -0,0 +1,35 @@
+#ifndef SGR_CONFIG_ERROR_H
+#define SGR_CONFIG_ERROR_H
+
+#include "result.h"
+#include "types.h"
+
+#define SGR_CONFIG_PATH_MAX 192
+#define SGR_CONFIG_MESSAGE_MAX 320
+
+/**
+ * struct sgr_config_error_t - why an input was refused
+ * @result: kind of the error, SGR_OK if there is none
+ * @path: place in the document, such as "policies[3].deadline_ms"; empty for the whole document
+ * @message: what was found and what was expected
+ */
+typedef struct
+{
+  sgr_result_t result;
+  char path[SGR_CONFIG_PATH_MAX];
+  char message[SGR_CONFIG_MESSAGE_MAX];
+} sgr_config_error_t;
+
+/**
+ * sgr_config_error_set() - fill an error
+ * @error: the error, may be NULL
+ * @result: kind of the error
+ * @path: place in the document
+ * @format: printf format of the message
+ *
+ * Return: @result.
+ */
+sgr_result_t sgr_config_error_set (sgr_config_error_t *error, sgr_result_t result, const char *path,
+                                   const char *format, ...) __attribute__ ((format (printf, 4, 5)));
+
+#endif
