--- /dev/null
+++ b/libsiskingrade/config_approve.c
@@ -0,0 +1,270 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "config_commit_private.h"
+
+static void read_change (operation_t *op);
+static void read_current (operation_t *op);
+
+static const char superseded[]
+    = "another change took effect first; propose this one again on the revision in force";
+
+static void
+record_swap_done (void *ctx, const sgr_store_reply_t *reply)
+{
+  operation_t *op = ctx;
+
+  op->call = NULL;
+  switch (reply->outcome)
+    {
+    case SGR_STORE_OK:
+      op->commit->callbacks.record (op->commit->ctx, op->text, strlen (op->text));
+      operation_finish (op, SGR_OK);
+      return;
+    case SGR_STORE_CONFLICT:
+      if (!operation_retry (op, read_current))
+        operation_fail (op, op->unknown ? SGR_ERR_IO : SGR_ERR_UNAVAILABLE, "",
+                        "the store keeps giving an old version of the record in force; try again "
+                        "later");
+      return;
+    case SGR_STORE_UNKNOWN:
+      op->commit->unknown_count++;
+      op->unknown = true;
+      operation_unreachable (op, reply, read_current);
+      return;
+    case SGR_STORE_UNAVAILABLE:
+      operation_unreachable (op, reply, read_current);
+      return;
+    }
+}
+
+/* The read is stale if this node holds a higher revision; a swap on it would only conflict. A
+   record that this node cannot verify is never overwritten either. */
+static bool
+read_is_stale (const operation_t *op, const sgr_config_record_t *held,
+               const sgr_store_reply_t *reply)
+{
+  if (held == NULL)
+    return reply->value != NULL;
+  return reply->length != held->text.length
+         || memcmp (reply->value, held->text.bytes, reply->length) != 0;
+}
+
+static void
+write_record (operation_t *op, const sgr_config_record_t *base, uint64_t version)
+{
+  sgr_config_record_t *record;
+  sgr_result_t result
+      = sgr_config_change_commit (op->change, &op->commit->owners, base, &record, &op->error);
+
+  if (result != SGR_OK)
+    {
+      operation_finish (op, result);
+      return;
+    }
+  free (op->text);
+  op->text = calloc (1, record->text.length + 1);
+  memcpy (op->text, record->text.bytes, record->text.length);
+  sgr_config_record_destroy (record);
+  operation_swap (op, op->current_key, version, op->text, record_swap_done);
+}
+
+static void
+current_done (void *ctx, const sgr_store_reply_t *reply)
+{
+  operation_t *op = ctx;
+  const sgr_config_record_t *held;
+  int contains;
+
+  op->call = NULL;
+  if (reply->outcome != SGR_STORE_OK)
+    {
+      operation_unreachable (op, reply, read_current);
+      return;
+    }
+  held = operation_offer_current (op, reply);
+  contains = sgr_config_record_contains (op->commit->owners.deployment, held, &op->digest,
+                                         op->change->statement.revision);
+  if (contains == 1)
+    operation_finish (op, SGR_OK);
+  else if (contains == 0)
+    operation_fail (op, SGR_ERR_CONFLICT, "statement.revision", superseded);
+  else if (read_is_stale (op, held, reply))
+    {
+      if (!operation_retry (op, read_current))
+        operation_fail (op, op->unknown ? SGR_ERR_IO : SGR_ERR_UNAVAILABLE, "",
+                        "the store keeps giving an old version of the record in force; try again "
+                        "later");
+    }
+  else
+    write_record (op, held, reply->version);
+}
+
+static void
+read_current (operation_t *op)
+{
+  operation_get (op, op->current_key, current_done);
+}
+
+static void
+approval_swap_done (void *ctx, const sgr_store_reply_t *reply)
+{
+  operation_t *op = ctx;
+
+  op->call = NULL;
+  switch (reply->outcome)
+    {
+    case SGR_STORE_OK:
+      op->unknown = false;
+      if (sgr_config_change_approval_count (op->change) == SGR_CONFIG_OWNERS)
+        read_current (op);
+      else
+        operation_finish (op, SGR_OK);
+      return;
+    case SGR_STORE_CONFLICT:
+      if (!operation_retry (op, read_change))
+        operation_fail (op, op->unknown ? SGR_ERR_IO : SGR_ERR_UNAVAILABLE, "",
+                        "the change is being written by others all the time; try again later");
+      return;
+    case SGR_STORE_UNKNOWN:
+      op->commit->unknown_count++;
+      op->unknown = true;
+      operation_unreachable (op, reply, read_change);
+      return;
+    case SGR_STORE_UNAVAILABLE:
+      operation_unreachable (op, reply, read_change);
+      return;
+    }
+}
+
+static bool
+approval_stored (const operation_t *op)
+{
+  for (int i = 0; i < SGR_CONFIG_OWNERS; i++)
+    if (strcmp (op->change->approvals[i].owner, op->approval.owner) == 0
+        && memcmp (op->change->approvals[i].signature, op->approval.signature,
+                   sizeof op->approval.signature)
+               == 0)
+      return true;
+  return false;
+}
+
+static void
+add_approval (operation_t *op)
+{
+  sgr_result_t result;
+  json_t *json;
+
+  if (approval_stored (op))
+    {
+      /* Either this operation's own write whose reply was lost, or a repeated command: with both
+         approvals the change can take effect, with one it still needs the other owner. */
+      if (sgr_config_change_approval_count (op->change) == SGR_CONFIG_OWNERS)
+        {
+          op->unknown = false;
+          read_current (op);
+          return;
+        }
+      if (op->unknown)
+        {
+          operation_finish (op, SGR_OK);
+          return;
+        }
+    }
+  result = sgr_config_change_approve (op->change, &op->commit->owners, &op->approval, &op->error);
+  if (result != SGR_OK)
+    {
+      operation_finish (op, result);
+      return;
+    }
+  free (op->text);
+  json = sgr_config_change_write (op->change);
+  op->text = sgr_config_json_canonical (json);
+  json_decref (json);
+  operation_swap (op, op->change_key, op->version, op->text, approval_swap_done);
+}
+
+static void
+change_done (void *ctx, const sgr_store_reply_t *reply)
+{
+  operation_t *op = ctx;
+  const sgr_config_record_t *held = op->commit->callbacks.current (op->commit->ctx);
+  sgr_config_digest_t digest;
+  sgr_result_t result;
+
+  op->call = NULL;
+  if (reply->outcome != SGR_STORE_OK)
+    {
+      operation_unreachable (op, reply, read_change);
+      return;
+    }
+  sgr_config_change_destroy (op->change);
+  op->change = NULL;
+  if (reply->value == NULL)
+    {
+      operation_fail (op, SGR_ERR_NOT_FOUND, "id", "no change has this id");
+      return;
+    }
+  result = sgr_config_change_parse (reply->value, reply->length, &op->change, &op->error);
+  if (result != SGR_OK)
+    {
+      operation_finish (op, result);
+      return;
+    }
+  op->version = reply->version;
+  sgr_config_change_digest (op->change, &digest);
+  if (!sgr_config_digest_equal (&digest, &op->digest))
+    {
+      operation_fail (op, SGR_ERR_DENIED, "digest",
+                      "the proposal is not the one that was approved; read it and approve again");
+      return;
+    }
+  if (sgr_config_approval_verify (&op->commit->owners, &digest, &op->approval, &op->error) < 0)
+    {
+      operation_finish (op, SGR_ERR_DENIED);
+      return;
+    }
+  switch (sgr_config_record_contains (op->commit->owners.deployment, held, &digest,
+                                      op->change->statement.revision))
+    {
+    case 1:
+      operation_finish (op, SGR_OK);
+      return;
+    case 0:
+      operation_fail (op, SGR_ERR_CONFLICT, "statement.revision", superseded);
+      return;
+    default:
+      result = sgr_config_change_check (op->change, &op->commit->owners, held, NULL, &op->error);
+      if (result == SGR_OK)
+        add_approval (op);
+      else
+        operation_finish (op, result);
+    }
+}
+
+static void
+read_change (operation_t *op)
+{
+  operation_get (op, op->change_key, change_done);
+}
+
+static void
+base_done (void *ctx, const sgr_store_reply_t *reply)
+{
+  operation_t *op = ctx;
+
+  op->call = NULL;
+  if (reply->outcome != SGR_STORE_OK)
+    {
+      operation_unreachable (op, reply, NULL);
+      return;
+    }
+  operation_offer_current (op, reply);
+  read_change (op);
+}
+
+void
+sgr_config_approve_start (operation_t *op)
+{
+  operation_get (op, op->current_key, base_done);
+}
--- a/libsiskingrade/config_chain.h
+++ b/libsiskingrade/config_chain.h
@@ -125,6 +125,29 @@
                                        size_t length, sgr_config_record_t **record,
                                        sgr_config_error_t *error);
 
+/**
+ * sgr_config_record_verify_step() - as sgr_config_record_verify(), for a step from a known record
+ * @base: record that the step starts from; the content is its content with the step's edits
+ *
+ * Return: as sgr_config_record_verify(); SGR_ERR_CONFLICT if the step starts from another revision.
+ */
+sgr_result_t sgr_config_record_verify_step (const sgr_config_owners_t *owners, const void *text,
+                                            size_t length, const sgr_config_record_t *base,
+                                            sgr_config_record_t **record,
+                                            sgr_config_error_t *error);
+
+/**
+ * sgr_config_record_write() - the JSON of a record without its content
+ *
+ * Return: a new object, to which the caller adds "content" or the fields of a step.
+ */
+json_t *sgr_config_record_write (const char *deployment, const sgr_config_record_t *record);
+
+/**
+ * sgr_config_owners_check() - two owners with different names and keys
+ */
+sgr_result_t sgr_config_owners_check (const sgr_config_owners_t *owners, sgr_config_error_t *error);
+
 /**
  * sgr_config_chain_accept() - whether a verified record may replace the one in force
  * @current: record in force, NULL for none
--- a/libsiskingrade/config_commit.h
+++ b/libsiskingrade/config_commit.h
@@ -39,15 +39,17 @@
 /**
  * struct sgr_config_commit_callbacks_t - what the owner of the commit provides
  * @record: a record has taken effect or was read; offer it to the state
+ * @current: record in force at this node, NULL for none
  * @delay: run @fire after @delay_ms
  */
 typedef struct
 {
   void (*record) (void *ctx, const void *text, size_t length);
+  const sgr_config_record_t *(*current) (void *ctx);
   void (*delay) (void *ctx, uint32_t delay_ms, void (*fire) (void *fire_ctx), void *fire_ctx);
 } sgr_config_commit_callbacks_t;
 
-sgr_config_commit_t *sgr_config_commit_create (const sgr_config_owners_t *owners, const char *node,
+sgr_config_commit_t *sgr_config_commit_create (const sgr_config_owners_t *owners,
                                                sgr_store_t *store, uint64_t seed,
                                                const sgr_config_commit_callbacks_t *callbacks,
                                                void *ctx);
@@ -78,6 +80,9 @@
                             void *ctx);
 void sgr_config_commit_list (sgr_config_commit_t *commit, sgr_config_commit_cb_t cb, void *ctx);
 
+/** sgr_config_commit_unknown_count() - writes so far whose reply was lost */
+uint64_t sgr_config_commit_unknown_count (const sgr_config_commit_t *commit);
+
 /** sgr_config_commit_current_key() - key of the record in force of a deployment */
 void sgr_config_commit_current_key (const char *deployment, char *key, size_t size);
 
--- /dev/null
+++ b/libsiskingrade/config_edit.c
@@ -0,0 +1,203 @@
+#include "config_resource.h"
+
+#include <string.h>
+
+#include "config_json.h"
+
+static const char *const list_keys[] = { "policies", "services" };
+
+static json_t *
+find_item (const json_t *list, const char *name, size_t *position)
+{
+  size_t index;
+  json_t *item;
+
+  json_array_foreach ((json_t *)list, index, item)
+  {
+    const char *item_name = json_string_value (json_object_get (item, "name"));
+
+    if (item_name != NULL && strcmp (item_name, name) == 0)
+      {
+        *position = index;
+        return item;
+      }
+  }
+  return NULL;
+}
+
+static sgr_result_t
+apply_remove (json_t *list, const json_t *names, const char *key, sgr_config_error_t *error)
+{
+  char found[80], place[SGR_CONFIG_PATH_MAX];
+  size_t index, position;
+  json_t *item;
+
+  if (names != NULL && !json_is_array (names))
+    {
+      sgr_config_json_path (place, "remove", key);
+      return sgr_config_error_set (error, SGR_ERR_INVALID, place, "found %s, expected a list",
+                                   sgr_config_json_found (names, found, sizeof found));
+    }
+  json_array_foreach ((json_t *)names, index, item)
+  {
+    if (json_is_string (item) && find_item (list, json_string_value (item), &position) != NULL)
+      {
+        json_array_remove (list, position);
+        continue;
+      }
+    sgr_config_json_path_at (place, "remove", key, index);
+    return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                 "found %s, expected the name of one of the %s in force",
+                                 sgr_config_json_found (item, found, sizeof found), key);
+  }
+  return SGR_OK;
+}
+
+/* Inserts or replaces; the lists stay sorted by name, so that both sides of a transfer reach the
+   same canonical form. */
+static sgr_result_t
+apply_put (json_t *list, const json_t *items, const char *key, sgr_config_error_t *error)
+{
+  char found[80], place[SGR_CONFIG_PATH_MAX], name[SGR_NAME_MAX + 1];
+  size_t index, position;
+  json_t *item;
+
+  if (items != NULL && !json_is_array (items))
+    {
+      sgr_config_json_path (place, "put", key);
+      return sgr_config_error_set (error, SGR_ERR_INVALID, place, "found %s, expected a list",
+                                   sgr_config_json_found (items, found, sizeof found));
+    }
+  json_array_foreach ((json_t *)items, index, item)
+  {
+    sgr_config_json_path_at (place, "put", key, index);
+    if (!json_is_object (item))
+      return sgr_config_error_set (error, SGR_ERR_INVALID, place, "found %s, expected an object",
+                                   sgr_config_json_found (item, found, sizeof found));
+    if (sgr_config_json_name (item, place, "name", name, error) != SGR_OK)
+      return SGR_ERR_INVALID;
+    if (find_item (list, name, &position) != NULL)
+      {
+        json_array_set (list, position, item);
+        continue;
+      }
+    for (position = 0; position < json_array_size (list); position++)
+      if (strcmp (json_string_value (json_object_get (json_array_get (list, position), "name")),
+                  name)
+          > 0)
+        break;
+    json_array_insert (list, position, item);
+  }
+  return SGR_OK;
+}
+
+static sgr_result_t
+check_duplicates (const json_t *items, const char *key, sgr_config_error_t *error)
+{
+  char place[SGR_CONFIG_PATH_MAX];
+  size_t index, position;
+  json_t *item;
+
+  json_array_foreach ((json_t *)items, index, item)
+  {
+    const char *name = json_string_value (json_object_get (item, "name"));
+
+    if (name == NULL || (find_item (items, name, &position) != NULL && position == index))
+      continue;
+    sgr_config_json_path_at (place, "put", key, index);
+    return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                 "found \"%s\" a second time, expected each name once", name);
+  }
+  return SGR_OK;
+}
+
+static sgr_result_t
+check_edit (const json_t *edit, sgr_config_error_t *error)
+{
+  static const char *const parts[] = { "put", "remove", NULL };
+  static const char *const lists[] = { "policies", "services", NULL };
+
+  if (sgr_config_json_object (edit, "", NULL, parts, error) != SGR_OK)
+    return SGR_ERR_INVALID;
+  for (int i = 0; i < 2; i++)
+    {
+      const json_t *part = json_object_get (edit, parts[i]);
+
+      if (part != NULL && sgr_config_json_object (part, parts[i], NULL, lists, error) != SGR_OK)
+        return SGR_ERR_INVALID;
+    }
+  return SGR_OK;
+}
+
+sgr_result_t
+sgr_config_content_apply (const sgr_config_content_t *base, const json_t *edit,
+                          sgr_config_content_t **content, sgr_config_error_t *error)
+{
+  const json_t *put = json_object_get (edit, "put");
+  const json_t *removed = json_object_get (edit, "remove");
+  sgr_result_t result = check_edit (edit, error);
+  json_t *json;
+
+  *content = NULL;
+  if (result != SGR_OK)
+    return result;
+  json = json_object ();
+  for (int i = 0; i < 2 && result == SGR_OK; i++)
+    {
+      const char *key = list_keys[i];
+      json_t *list = base == NULL ? json_array () : json_copy (json_object_get (base->json, key));
+      const json_t *items = json_object_get (put, key);
+
+      json_object_set_new (json, key, list);
+      result = apply_remove (list, json_object_get (removed, key), key, error);
+      if (result == SGR_OK)
+        result = check_duplicates (items, key, error);
+      if (result == SGR_OK)
+        result = apply_put (list, items, key, error);
+    }
+  if (result == SGR_OK)
+    result = sgr_config_content_parse (json, "", content, error);
+  json_decref (json);
+  return result;
+}
+
+static void
+diff_list (const json_t *from, const json_t *to, json_t *put, json_t *removed)
+{
+  size_t i = 0, j = 0;
+
+  while (i < json_array_size (from) || j < json_array_size (to))
+    {
+      json_t *old = json_array_get (from, i), *new = json_array_get (to, j);
+      const char *old_name = json_string_value (json_object_get (old, "name"));
+      const char *new_name = json_string_value (json_object_get (new, "name"));
+      int order = old == NULL ? 1 : new == NULL ? -1 : strcmp (old_name, new_name);
+
+      if (order < 0)
+        json_array_append_new (removed, json_string (old_name));
+      else if (order > 0 || !json_equal (old, new))
+        json_array_append (put, new);
+      i += order <= 0;
+      j += order >= 0;
+    }
+}
+
+json_t *
+sgr_config_content_diff (const sgr_config_content_t *from, const sgr_config_content_t *to)
+{
+  json_t *edit = json_object (), *put = json_object (), *removed = json_object ();
+
+  json_object_set_new (edit, "put", put);
+  json_object_set_new (edit, "remove", removed);
+  for (int i = 0; i < 2; i++)
+    {
+      const char *key = list_keys[i];
+      json_t *put_list = json_array (), *removed_list = json_array ();
+
+      json_object_set_new (put, key, put_list);
+      json_object_set_new (removed, key, removed_list);
+      diff_list (from == NULL ? NULL : json_object_get (from->json, key),
+                 json_object_get (to->json, key), put_list, removed_list);
+    }
+  return edit;
+}
--- /dev/null
+++ b/libsiskingrade/config_json.c
@@ -0,0 +1,147 @@
+#include "config_json.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "config_resource.h"
+
+const char *
+sgr_config_json_found (const json_t *json, char *text, size_t size)
+{
+  if (json == NULL)
+    snprintf (text, size, "nothing");
+  else
+    switch (json_typeof (json))
+      {
+      case JSON_STRING:
+        snprintf (text, size, "the string \"%.40s\"", json_string_value (json));
+        break;
+      case JSON_INTEGER:
+        snprintf (text, size, "%" JSON_INTEGER_FORMAT, json_integer_value (json));
+        break;
+      case JSON_REAL:
+        snprintf (text, size, "the number %g", json_real_value (json));
+        break;
+      case JSON_OBJECT:
+        snprintf (text, size, "an object");
+        break;
+      case JSON_ARRAY:
+        snprintf (text, size, "a list");
+        break;
+      case JSON_TRUE:
+        snprintf (text, size, "true");
+        break;
+      case JSON_FALSE:
+        snprintf (text, size, "false");
+        break;
+      case JSON_NULL:
+        snprintf (text, size, "null");
+        break;
+      }
+  return text;
+}
+
+static bool
+list_has (const char *const *list, const char *key)
+{
+  for (; list != NULL && *list != NULL; list++)
+    if (strcmp (*list, key) == 0)
+      return true;
+  return false;
+}
+
+static void
+list_join (char *text, size_t size, const char *const *required, const char *const *optional)
+{
+  size_t length = 0;
+
+  text[0] = '\0';
+  for (int part = 0; part < 2; part++)
+    for (const char *const *key = part == 0 ? required : optional; key != NULL && *key != NULL;
+         key++)
+      if (length < size)
+        length += (size_t)snprintf (text + length, size - length, "%s%s", length > 0 ? ", " : "",
+                                    *key);
+}
+
+sgr_result_t
+sgr_config_json_object (const json_t *json, const char *path, const char *const *required,
+                        const char *const *optional, sgr_config_error_t *error)
+{
+  char found[80], expected[220], place[SGR_CONFIG_PATH_MAX];
+  const char *key;
+  json_t *value;
+
+  if (!json_is_object (json))
+    return sgr_config_error_set (error, SGR_ERR_INVALID, path, "found %s, expected an object",
+                                 sgr_config_json_found (json, found, sizeof found));
+  json_object_foreach ((json_t *)json, key, value)
+  {
+    if (list_has (required, key) || list_has (optional, key))
+      continue;
+    sgr_config_json_path (place, path, key);
+    list_join (expected, sizeof expected, required, optional);
+    return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                 "found an unknown key, expected one of: %s", expected);
+  }
+  for (; required != NULL && *required != NULL; required++)
+    if (json_object_get (json, *required) == NULL)
+      {
+        sgr_config_json_path (place, path, *required);
+        return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                     "found nothing, expected this key");
+      }
+  return SGR_OK;
+}
+
+void
+sgr_config_json_path (char *out, const char *path, const char *key)
+{
+  snprintf (out, SGR_CONFIG_PATH_MAX, "%s%s%s", path, path[0] != '\0' ? "." : "", key);
+}
+
+void
+sgr_config_json_path_at (char *out, const char *path, const char *key, size_t index)
+{
+  snprintf (out, SGR_CONFIG_PATH_MAX, "%s%s%s[%zu]", path, path[0] != '\0' ? "." : "", key, index);
+}
+
+sgr_result_t
+sgr_config_json_name (const json_t *json, const char *path, const char *key, char *name,
+                      sgr_config_error_t *error)
+{
+  const json_t *value = json_object_get (json, key);
+  char found[80], place[SGR_CONFIG_PATH_MAX];
+
+  if (json_is_string (value) && strlen (json_string_value (value)) == json_string_length (value)
+      && sgr_config_name_valid (json_string_value (value)))
+    {
+      snprintf (name, SGR_NAME_MAX + 1, "%s", json_string_value (value));
+      return SGR_OK;
+    }
+  sgr_config_json_path (place, path, key);
+  return sgr_config_error_set (
+      error, SGR_ERR_INVALID, place,
+      "found %s, expected a name of 1 to %d letters, digits, '-', '_' and '.'",
+      sgr_config_json_found (value, found, sizeof found), SGR_NAME_MAX);
+}
+
+sgr_result_t
+sgr_config_json_u64 (const json_t *json, const char *path, const char *key, uint64_t min,
+                     uint64_t max, uint64_t *value, sgr_config_error_t *error)
+{
+  const json_t *item = json_object_get (json, key);
+  char found[80], place[SGR_CONFIG_PATH_MAX];
+
+  if (json_is_integer (item) && json_integer_value (item) >= 0
+      && (uint64_t)json_integer_value (item) >= min && (uint64_t)json_integer_value (item) <= max)
+    {
+      *value = (uint64_t)json_integer_value (item);
+      return SGR_OK;
+    }
+  sgr_config_json_path (place, path, key);
+  return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                               "found %s, expected an integer from %llu to %llu",
+                               sgr_config_json_found (item, found, sizeof found),
+                               (unsigned long long)min, (unsigned long long)max);
+}
--- /dev/null
+++ b/libsiskingrade/config_resource.c
@@ -0,0 +1,368 @@
+#include "config_resource.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config_json.h"
+#include "config_policy.h"
+
+/** struct named_t - a resource of a list, for sorting and look-ups */
+typedef struct
+{
+  const char *name;
+  json_t *json;
+  size_t index;
+} named_t;
+
+static int
+compare_named (const void *a, const void *b)
+{
+  const named_t *left = a, *right = b;
+  int order = strcmp (left->name, right->name);
+
+  if (order != 0)
+    return order;
+  return left->index < right->index ? -1 : left->index > right->index;
+}
+
+static int
+compare_named_name (const void *a, const void *b)
+{
+  return strcmp (((const named_t *)a)->name, ((const named_t *)b)->name);
+}
+
+/* Names of all list items must have been checked. */
+static named_t *
+sort_by_name (const json_t *list)
+{
+  size_t index, count = json_array_size (list);
+  named_t *named = calloc (count + 1, sizeof *named);
+  json_t *item;
+
+  json_array_foreach ((json_t *)list, index, item)
+  {
+    named[index] = (named_t){ json_string_value (json_object_get (item, "name")), item, index };
+  }
+  if (count > 1)
+    qsort (named, count, sizeof *named, compare_named);
+  return named;
+}
+
+static const named_t *
+find_named (const named_t *named, size_t count, const char *name)
+{
+  named_t wanted = { .name = name };
+
+  if (count == 0)
+    return NULL;
+  return bsearch (&wanted, named, count, sizeof *named, compare_named_name);
+}
+
+static sgr_result_t
+check_policy (const json_t *json, const char *path, sgr_config_error_t *error)
+{
+  char name[SGR_NAME_MAX + 1];
+  sgr_policy_t policy;
+  sgr_result_t result;
+
+  sgr_policy_init (&policy, "");
+  result = sgr_config_policy_read (json, path, "name", &policy, error);
+  return result != SGR_OK ? result : sgr_config_json_name (json, path, "name", name, error);
+}
+
+static sgr_result_t
+check_service (const json_t *json, const char *path, sgr_config_error_t *error)
+{
+  static const char *const required[] = { "name", "policy", NULL };
+  static const char *const optional[] = { "overrides", NULL };
+  char name[SGR_NAME_MAX + 1], place[SGR_CONFIG_PATH_MAX];
+  const json_t *overrides = json_object_get (json, "overrides");
+  sgr_policy_t policy;
+
+  if (sgr_config_json_object (json, path, required, optional, error) != SGR_OK
+      || sgr_config_json_name (json, path, "name", name, error) != SGR_OK
+      || sgr_config_json_name (json, path, "policy", name, error) != SGR_OK)
+    return SGR_ERR_INVALID;
+  sgr_policy_init (&policy, "");
+  sgr_config_json_path (place, path, "overrides");
+  return overrides == NULL ? SGR_OK
+                           : sgr_config_policy_read (overrides, place, NULL, &policy, error);
+}
+
+/* Checks each resource of a list by itself, then that each name occurs once. */
+static sgr_result_t
+check_list (const json_t *json, const char *path, const char *key, size_t max,
+            sgr_result_t (*check) (const json_t *, const char *, sgr_config_error_t *),
+            sgr_config_error_t *error)
+{
+  const json_t *list = json_object_get (json, key);
+  char found[80], place[SGR_CONFIG_PATH_MAX];
+  sgr_result_t result = SGR_OK;
+  size_t index, count = json_array_size (list);
+  named_t *named;
+  json_t *item;
+
+  if (!json_is_array (list) || count > max)
+    {
+      sgr_config_json_path (place, path, key);
+      return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                   "found %s of %zu, expected a list of at most %zu",
+                                   sgr_config_json_found (list, found, sizeof found), count, max);
+    }
+  json_array_foreach ((json_t *)list, index, item)
+  {
+    sgr_config_json_path_at (place, path, key, index);
+    result = check (item, place, error);
+    if (result != SGR_OK)
+      return result;
+  }
+  named = sort_by_name (list);
+  for (size_t i = 1; i < count && result == SGR_OK; i++)
+    if (strcmp (named[i - 1].name, named[i].name) == 0)
+      {
+        char item_place[SGR_CONFIG_PATH_MAX];
+
+        sgr_config_json_path_at (place, path, key, named[i].index);
+        sgr_config_json_path (item_place, place, "name");
+        result = sgr_config_error_set (error, SGR_ERR_INVALID, item_place,
+                                       "found \"%s\" a second time, expected each name once",
+                                       named[i].name);
+      }
+  free (named);
+  return result;
+}
+
+static sgr_result_t
+build_service (sgr_policy_t *service, const named_t *entry, const named_t *policies,
+               size_t policy_count, const char *path, sgr_config_error_t *error)
+{
+  const char *policy_name = json_string_value (json_object_get (entry->json, "policy"));
+  const named_t *policy = find_named (policies, policy_count, policy_name);
+  const json_t *overrides = json_object_get (entry->json, "overrides");
+  char place[SGR_CONFIG_PATH_MAX], item_place[SGR_CONFIG_PATH_MAX];
+
+  if (policy == NULL)
+    {
+      sgr_config_json_path_at (item_place, path, "services", entry->index);
+      sgr_config_json_path (place, item_place, "policy");
+      return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                   "service \"%s\": found \"%s\", expected the name of a policy "
+                                   "in \"policies\"",
+                                   entry->name, policy_name);
+    }
+  sgr_policy_init (service, entry->name);
+  sgr_config_policy_read (policy->json, "", "name", service, NULL);
+  if (overrides != NULL)
+    sgr_config_policy_read (overrides, "", NULL, service, NULL);
+  return SGR_OK;
+}
+
+static sgr_result_t
+build_services (sgr_config_content_t *content, const char *path, sgr_config_error_t *error)
+{
+  const json_t *policy_list = json_object_get (content->json, "policies");
+  const json_t *service_list = json_object_get (content->json, "services");
+  named_t *policies = sort_by_name (policy_list);
+  named_t *services = sort_by_name (service_list);
+  size_t count = json_array_size (service_list);
+  sgr_result_t result = SGR_OK;
+
+  content->services = calloc (count + 1, sizeof *content->services);
+  for (size_t i = 0; i < count && result == SGR_OK; i++)
+    result = build_service (&content->services[i], &services[i], policies,
+                            json_array_size (policy_list), path, error);
+  content->service_count = count;
+  free (policies);
+  free (services);
+  return result;
+}
+
+sgr_result_t
+sgr_config_content_parse (const json_t *json, const char *path, sgr_config_content_t **content,
+                          sgr_config_error_t *error)
+{
+  static const char *const required[] = { "policies", "services", NULL };
+  sgr_config_content_t *made;
+  sgr_result_t result;
+
+  *content = NULL;
+  if (sgr_config_json_object (json, path, required, NULL, error) != SGR_OK
+      || check_list (json, path, "policies", SGR_CONFIG_POLICIES_MAX, check_policy, error) != SGR_OK
+      || check_list (json, path, "services", SGR_CONFIG_SERVICES_MAX, check_service, error)
+             != SGR_OK)
+    return SGR_ERR_INVALID;
+  made = calloc (1, sizeof *made);
+  if (made == NULL)
+    return SGR_ERR_NO_MEMORY;
+  made->json = json_deep_copy (json);
+  result = build_services (made, path, error);
+  if (result != SGR_OK)
+    {
+      sgr_config_content_destroy (made);
+      return result;
+    }
+  sgr_config_json_digest (made->json, &made->digest);
+  *content = made;
+  return SGR_OK;
+}
+
+static json_t *
+normalize_list (const json_t *list, bool policies)
+{
+  size_t count = json_array_size (list);
+  named_t *named = sort_by_name (list);
+  json_t *out = json_array ();
+
+  for (size_t i = 0; i < count; i++)
+    {
+      json_t *item;
+
+      if (policies)
+        {
+          sgr_policy_t policy;
+
+          sgr_policy_init (&policy, named[i].name);
+          sgr_config_policy_read (named[i].json, "", "name", &policy, NULL);
+          item = sgr_config_policy_write (&policy);
+          json_object_set_new (item, "name", json_string (named[i].name));
+        }
+      else
+        {
+          item = json_deep_copy (named[i].json);
+          if (json_object_size (json_object_get (item, "overrides")) == 0)
+            json_object_del (item, "overrides");
+        }
+      json_array_append_new (out, item);
+    }
+  free (named);
+  return out;
+}
+
+json_t *
+sgr_config_content_normalize (const json_t *json)
+{
+  json_t *out = json_object ();
+
+  json_object_set_new (out, "policies", normalize_list (json_object_get (json, "policies"), true));
+  json_object_set_new (out, "services", normalize_list (json_object_get (json, "services"), false));
+  return out;
+}
+
+static bool
+list_sorted (const json_t *list)
+{
+  for (size_t i = 1; i < json_array_size (list); i++)
+    if (strcmp (json_string_value (json_object_get (json_array_get (list, i - 1), "name")),
+                json_string_value (json_object_get (json_array_get (list, i), "name")))
+        > 0)
+      return false;
+  return true;
+}
+
+bool
+sgr_config_content_sorted (const sgr_config_content_t *content)
+{
+  return list_sorted (json_object_get (content->json, "policies"))
+         && list_sorted (json_object_get (content->json, "services"));
+}
+
+const sgr_policy_t *
+sgr_config_content_policy (const sgr_config_content_t *content, const char *service)
+{
+  size_t low = 0, high = content->service_count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+      int order = strcmp (service, content->services[middle].service);
+
+      if (order == 0)
+        return &content->services[middle];
+      if (order < 0)
+        high = middle;
+      else
+        low = middle + 1;
+    }
+  return NULL;
+}
+
+void
+sgr_config_content_destroy (sgr_config_content_t *content)
+{
+  if (content == NULL)
+    return;
+  json_decref (content->json);
+  free (content->services);
+  free (content);
+}
+
+json_t *
+sgr_config_json_load (const void *text, size_t length, sgr_config_error_t *error)
+{
+  json_error_t json_error;
+  json_t *json = json_loadb (text, length, JSON_REJECT_DUPLICATES, &json_error);
+
+  if (json == NULL)
+    sgr_config_error_set (error, SGR_ERR_INVALID, "", "line %d, column %d: %s, expected JSON",
+                          json_error.line, json_error.column, json_error.text);
+  return json;
+}
+
+char *
+sgr_config_json_canonical (const json_t *json)
+{
+  return json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENSURE_ASCII | JSON_ENCODE_ANY);
+}
+
+static int
+digest_add (const char *bytes, size_t length, void *ctx)
+{
+  return crypto_generichash_update (ctx, (const unsigned char *)bytes, length);
+}
+
+void
+sgr_config_json_digest (const json_t *json, sgr_config_digest_t *digest)
+{
+  crypto_generichash_state state;
+
+  crypto_generichash_init (&state, NULL, 0, sizeof digest->bytes);
+  json_dump_callback (json, digest_add, &state,
+                      JSON_COMPACT | JSON_SORT_KEYS | JSON_ENSURE_ASCII | JSON_ENCODE_ANY);
+  crypto_generichash_final (&state, digest->bytes, sizeof digest->bytes);
+}
+
+void
+sgr_config_digest_format (const sgr_config_digest_t *digest, char *hex)
+{
+  sodium_bin2hex (hex, SGR_CONFIG_DIGEST_HEX, digest->bytes, sizeof digest->bytes);
+}
+
+bool
+sgr_config_digest_parse (const char *hex, sgr_config_digest_t *digest)
+{
+  size_t length;
+
+  return strlen (hex) == 2 * sizeof digest->bytes
+         && sodium_hex2bin (digest->bytes, sizeof digest->bytes, hex, strlen (hex), NULL, &length,
+                            NULL)
+                == 0
+         && length == sizeof digest->bytes;
+}
+
+bool
+sgr_config_digest_equal (const sgr_config_digest_t *a, const sgr_config_digest_t *b)
+{
+  return memcmp (a->bytes, b->bytes, sizeof a->bytes) == 0;
+}
+
+bool
+sgr_config_name_valid (const char *name)
+{
+  size_t length = strlen (name);
+
+  return length >= 1 && length <= SGR_NAME_MAX
+         && strspn (name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.")
+                == length;
+}
--- a/libsiskingrade/config_resource.h
+++ b/libsiskingrade/config_resource.h
@@ -19,7 +19,7 @@
 
 /**
  * struct sgr_config_content_t - checked services and policies of a deployment
- * @json: the document in normal form: lists sorted by name, policies with every field
+ * @json: the document as it was read
  * @services: policy in effect of each service, sorted by service name
  * @service_count: entries of @services
  * @digest: digest of the canonical form of @json
@@ -39,14 +39,26 @@
  * @content: receives the content
  * @error: receives the reason of a refusal
  *
- * A document in normal form keeps its exact value, fields included whose defaults a later version
- * of the program changes, so that its digest stays the signed one.
+ * The document is kept as it is, because its digest is the signed one: a later version of the
+ * program with other defaults must not change it. sgr_config_content_normalize() writes all
+ * defaults out before owners sign.
  *
  * Return: SGR_OK, SGR_ERR_INVALID or SGR_ERR_NO_MEMORY.
  */
 sgr_result_t sgr_config_content_parse (const json_t *json, const char *path,
                                        sgr_config_content_t **content, sgr_config_error_t *error);
 
+/**
+ * sgr_config_content_normalize() - write a checked document in normal form
+ * @json: a checked content, or the "put" of an edit
+ *
+ * Return: a new document with the lists sorted by name and every field of each policy.
+ */
+json_t *sgr_config_content_normalize (const json_t *json);
+
+/** sgr_config_content_sorted() - whether both lists are sorted by name */
+bool sgr_config_content_sorted (const sgr_config_content_t *content);
+
 /**
  * sgr_config_content_apply() - put and remove single resources
  * @base: content to start from, NULL for none
--- /dev/null
+++ b/libsiskingrade/config_state.c
@@ -0,0 +1,219 @@
+#include "config_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Edits that a step may carry; a receiver further behind reads the whole record. */
+#define STEP_EDITS_MAX 8
+
+/** struct change_t - one step of the history */
+typedef struct
+{
+  uint64_t from;
+  uint64_t to;
+  char id[SGR_NAME_MAX + 1];
+  json_t *edit;
+} change_t;
+
+struct sgr_config_state_t
+{
+  sgr_config_owners_t owners;
+  sgr_config_record_t *record;
+  change_t *history;
+  size_t history_max;
+  size_t history_start;
+  size_t history_count;
+};
+
+sgr_config_state_t *
+sgr_config_state_create (const sgr_config_owners_t *owners, size_t history_max)
+{
+  sgr_config_state_t *state = calloc (1, sizeof *state);
+
+  if (state == NULL)
+    return NULL;
+  state->owners = *owners;
+  state->history_max = history_max > 0 ? history_max : 1;
+  state->history = calloc (state->history_max, sizeof *state->history);
+  if (state->history == NULL)
+    {
+      free (state);
+      return NULL;
+    }
+  return state;
+}
+
+void
+sgr_config_state_destroy (sgr_config_state_t *state)
+{
+  if (state == NULL)
+    return;
+  for (size_t i = 0; i < state->history_max; i++)
+    json_decref (state->history[i].edit);
+  free (state->history);
+  sgr_config_record_destroy (state->record);
+  free (state);
+}
+
+static const change_t *
+history_at (const sgr_config_state_t *state, size_t index)
+{
+  return &state->history[(state->history_start + index) % state->history_max];
+}
+
+static void
+history_add (sgr_config_state_t *state, const sgr_config_record_t *from,
+             const sgr_config_record_t *to)
+{
+  change_t *slot;
+
+  if (state->history_count == state->history_max)
+    {
+      state->history_start = (state->history_start + 1) % state->history_max;
+      state->history_count--;
+    }
+  slot = &state->history[(state->history_start + state->history_count++) % state->history_max];
+  json_decref (slot->edit);
+  slot->from = from->statement.revision;
+  slot->to = to->statement.revision;
+  memcpy (slot->id, to->statement.id, sizeof slot->id);
+  slot->edit = sgr_config_content_diff (from->content, to->content);
+}
+
+static sgr_result_t
+take (sgr_config_state_t *state, sgr_config_record_t *record, sgr_config_error_t *error)
+{
+  sgr_result_t result = sgr_config_chain_accept (state->record, record, error);
+
+  if (result != SGR_OK)
+    {
+      sgr_config_record_destroy (record);
+      return result;
+    }
+  if (state->record != NULL)
+    history_add (state, state->record, record);
+  sgr_config_record_destroy (state->record);
+  state->record = record;
+  return SGR_OK;
+}
+
+sgr_result_t
+sgr_config_state_offer (sgr_config_state_t *state, const void *text, size_t length,
+                        sgr_config_error_t *error)
+{
+  sgr_config_record_t *record;
+  sgr_result_t result;
+
+  /* Two readers, peers and the commit often bring the record that is in force already. */
+  if (state->record != NULL && length == state->record->text.length
+      && memcmp (text, state->record->text.bytes, length) == 0)
+    return sgr_config_error_set (error, SGR_ERR_CONFLICT, "statement.revision",
+                                 "found the revision in force");
+  result = sgr_config_record_verify (&state->owners, text, length, &record, error);
+  return result != SGR_OK ? result : take (state, record, error);
+}
+
+sgr_result_t
+sgr_config_state_offer_step (sgr_config_state_t *state, const void *text, size_t length,
+                             sgr_config_error_t *error)
+{
+  sgr_config_record_t *record;
+  sgr_result_t result
+      = sgr_config_record_verify_step (&state->owners, text, length, state->record, &record, error);
+
+  return result != SGR_OK ? result : take (state, record, error);
+}
+
+static size_t
+history_find (const sgr_config_state_t *state, uint64_t from)
+{
+  size_t index = 0;
+
+  while (index < state->history_count && history_at (state, index)->from != from)
+    index++;
+  return index;
+}
+
+sgr_result_t
+sgr_config_state_step (const sgr_config_state_t *state, uint64_t from, sgr_buffer_t *text)
+{
+  size_t index = history_find (state, from);
+  json_t *json, *edits;
+  char *dumped;
+
+  if (index == state->history_count || state->history_count - index > STEP_EDITS_MAX)
+    return SGR_ERR_NOT_FOUND;
+  json = sgr_config_record_write (state->owners.deployment, state->record);
+  edits = json_array ();
+  for (; index < state->history_count; index++)
+    json_array_append (edits, history_at (state, index)->edit);
+  json_object_set_new (json, "from", json_integer ((json_int_t)from));
+  json_object_set_new (json, "edits", edits);
+  dumped = sgr_config_json_canonical (json);
+  sgr_buffer_append (text, dumped, strlen (dumped));
+  free (dumped);
+  json_decref (json);
+  return SGR_OK;
+}
+
+uint64_t
+sgr_config_state_revision (const sgr_config_state_t *state)
+{
+  return state->record == NULL ? 0 : state->record->statement.revision;
+}
+
+const sgr_config_record_t *
+sgr_config_state_record (const sgr_config_state_t *state)
+{
+  return state->record;
+}
+
+const sgr_config_owners_t *
+sgr_config_state_owners (const sgr_config_state_t *state)
+{
+  return &state->owners;
+}
+
+const sgr_policy_t *
+sgr_config_state_policy (const sgr_config_state_t *state, const char *service)
+{
+  return state->record == NULL ? NULL : sgr_config_content_policy (state->record->content, service);
+}
+
+size_t
+sgr_config_state_service_count (const sgr_config_state_t *state)
+{
+  return state->record == NULL ? 0 : state->record->content->service_count;
+}
+
+const sgr_policy_t *
+sgr_config_state_service_at (const sgr_config_state_t *state, size_t index)
+{
+  return &state->record->content->services[index];
+}
+
+sgr_result_t
+sgr_config_state_changes_since (const sgr_config_state_t *state, uint64_t revision,
+                                json_t **changes)
+{
+  size_t index = history_find (state, revision);
+
+  *changes = NULL;
+  if (revision >= sgr_config_state_revision (state))
+    return SGR_ERR_UNAVAILABLE;
+  if (index == state->history_count)
+    return SGR_ERR_NOT_FOUND;
+  *changes = json_array ();
+  for (; index < state->history_count; index++)
+    {
+      const change_t *change = history_at (state, index);
+      json_t *json = json_object ();
+
+      json_object_set_new (json, "from", json_integer ((json_int_t)change->from));
+      json_object_set_new (json, "revision", json_integer ((json_int_t)change->to));
+      json_object_set_new (json, "change", json_string (change->id));
+      json_object_set (json, "edit", change->edit);
+      json_array_append_new (*changes, json);
+    }
+  return SGR_OK;
+}
--- /dev/null
+++ b/libsiskingrade/config_sync.c
@@ -0,0 +1,352 @@
+#include "config_sync.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "timer_heap.h"
+
+/* Peers known to have a higher revision. A few are enough to replace one that does not answer. */
+#define PEERS_MAX 8
+/* A watch that ends without news before this share of its wait counts as failed; otherwise a store
+   that answers at once would be called in a tight loop. */
+#define WATCH_EARLY_DIVISOR 2
+#define ROLE_DELAY_MS 500
+
+/** struct peer_t - a node that claims a higher revision */
+typedef struct
+{
+  sgr_node_id_t node;
+  sgr_address_t address;
+  uint64_t revision;
+  uint64_t retry_us;
+  uint32_t failures;
+} peer_t;
+
+struct sgr_config_sync_t
+{
+  sgr_config_sync_options_t options;
+  sgr_rng_t rng;
+  bool reader;
+  bool watching;
+  bool fetching;
+  uint64_t version;
+  uint64_t watch_start_us;
+  uint64_t watch_due_us;
+  uint32_t watch_failures;
+  uint64_t revision;
+  uint64_t fetch_due_us;
+  sgr_node_id_t fetch_node;
+  uint64_t fetch_revision;
+  peer_t peers[PEERS_MAX];
+  size_t peer_count;
+  sgr_config_sync_stats_t stats;
+};
+
+void
+sgr_config_sync_options_init (sgr_config_sync_options_t *options)
+{
+  *options = (sgr_config_sync_options_t){
+    .start_delay_ms = 2000,
+    .watch_ms = 55000,
+    .backoff_min_ms = 250,
+    .backoff_max_ms = 15000,
+    .fetch_spread_ms = 50,
+  };
+}
+
+static uint64_t
+jitter_us (sgr_config_sync_t *sync, uint64_t limit_ms)
+{
+  return sgr_rng_below (&sync->rng, limit_ms * SGR_USEC_PER_MSEC + 1);
+}
+
+sgr_config_sync_t *
+sgr_config_sync_create (const sgr_config_sync_options_t *options, uint64_t now_us)
+{
+  sgr_config_sync_t *sync = calloc (1, sizeof *sync);
+
+  if (sync == NULL)
+    return NULL;
+  sync->options = *options;
+  sgr_rng_seed (&sync->rng, options->seed ^ options->self);
+  sync->reader = true;
+  sync->watch_due_us = now_us + options->start_delay_ms * SGR_USEC_PER_MSEC
+                       + jitter_us (sync, options->start_delay_ms / 2);
+  return sync;
+}
+
+void
+sgr_config_sync_destroy (sgr_config_sync_t *sync)
+{
+  free (sync);
+}
+
+static uint64_t
+backoff_us (sgr_config_sync_t *sync, uint32_t failures)
+{
+  uint64_t wait_ms = sync->options.backoff_min_ms;
+
+  for (uint32_t i = 1; i < failures && wait_ms < sync->options.backoff_max_ms; i++)
+    wait_ms *= 2;
+  if (wait_ms > sync->options.backoff_max_ms)
+    wait_ms = sync->options.backoff_max_ms;
+  return wait_ms * SGR_USEC_PER_MSEC / 2 + jitter_us (sync, wait_ms / 2);
+}
+
+static uint64_t
+rendezvous_score (sgr_node_id_t node, const char *failure_domain)
+{
+  return XXH64 (&node, sizeof node, XXH64 (failure_domain, strlen (failure_domain), 0));
+}
+
+bool
+sgr_config_sync_elects (sgr_node_id_t self, const char *failure_domain, const sgr_member_t *members,
+                        size_t count)
+{
+  uint64_t own = rendezvous_score (self, failure_domain);
+  int ahead = 0;
+
+  for (size_t i = 0; i < count && ahead < SGR_CONFIG_SYNC_READERS; i++)
+    {
+      uint64_t score;
+
+      if (members[i].id == self || members[i].status != SGR_MEMBER_ALIVE
+          || strcmp (members[i].failure_domain, failure_domain) != 0)
+        continue;
+      score = rendezvous_score (members[i].id, failure_domain);
+      ahead += score > own || (score == own && members[i].id > self);
+    }
+  return ahead < SGR_CONFIG_SYNC_READERS;
+}
+
+void
+sgr_config_sync_members (sgr_config_sync_t *sync, uint64_t now_us, const sgr_member_t *members,
+                         size_t count)
+{
+  bool reader
+      = sgr_config_sync_elects (sync->options.self, sync->options.failure_domain, members, count);
+
+  if (reader && !sync->reader)
+    {
+      uint64_t due_us = now_us + jitter_us (sync, ROLE_DELAY_MS);
+
+      if (due_us > sync->watch_due_us)
+        sync->watch_due_us = due_us;
+    }
+  sync->reader = reader;
+  for (size_t i = 0; i < count; i++)
+    if (members[i].id != sync->options.self && members[i].status == SGR_MEMBER_ALIVE
+        && members[i].config_revision > sync->revision)
+      sgr_config_sync_peer_revision (sync, now_us, members[i].id, &members[i].control_address,
+                                     members[i].config_revision);
+}
+
+/* Prefers to keep peers with a high revision that have not failed; among equals the newcomer wins
+   half the time, so that the fleet does not ask the same few nodes. */
+static peer_t *
+peer_slot (sgr_config_sync_t *sync, uint64_t revision)
+{
+  peer_t *worst = &sync->peers[0];
+
+  if (sync->peer_count < PEERS_MAX)
+    return &sync->peers[sync->peer_count++];
+  for (size_t i = 1; i < PEERS_MAX; i++)
+    {
+      const peer_t *peer = &sync->peers[i];
+
+      if (peer->failures > worst->failures
+          || (peer->failures == worst->failures && peer->revision < worst->revision))
+        worst = &sync->peers[i];
+    }
+  if (worst->failures == 0 && worst->revision > revision)
+    return NULL;
+  if (worst->failures == 0 && worst->revision == revision && sgr_rng_below (&sync->rng, 2) == 0)
+    return NULL;
+  return worst;
+}
+
+void
+sgr_config_sync_peer_revision (sgr_config_sync_t *sync, uint64_t now_us, sgr_node_id_t peer,
+                               const sgr_address_t *address, uint64_t revision)
+{
+  bool idle = sync->peer_count == 0 && !sync->fetching;
+  peer_t *slot;
+
+  if (revision <= sync->revision || peer == sync->options.self)
+    return;
+  for (size_t i = 0; i < sync->peer_count; i++)
+    if (sync->peers[i].node == peer)
+      {
+        sync->peers[i].address = *address;
+        if (revision > sync->peers[i].revision)
+          sync->peers[i].revision = revision;
+        return;
+      }
+  slot = peer_slot (sync, revision);
+  if (slot == NULL)
+    return;
+  *slot = (peer_t){ .node = peer, .address = *address, .revision = revision };
+  if (idle)
+    sync->fetch_due_us = now_us + jitter_us (sync, sync->options.fetch_spread_ms);
+}
+
+void
+sgr_config_sync_in_force (sgr_config_sync_t *sync, uint64_t now_us, uint64_t revision)
+{
+  size_t kept = 0;
+
+  if (revision <= sync->revision)
+    return;
+  sync->revision = revision;
+  for (size_t i = 0; i < sync->peer_count; i++)
+    if (sync->peers[i].revision > revision)
+      sync->peers[kept++] = sync->peers[i];
+  sync->peer_count = kept;
+}
+
+void
+sgr_config_sync_store_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok, uint64_t version,
+                            uint64_t retry_after_ms)
+{
+  uint64_t early_us = sync->options.watch_ms * SGR_USEC_PER_MSEC / WATCH_EARLY_DIVISOR;
+  bool news = ok && version > sync->version;
+
+  sync->watching = false;
+  /* A version below the known one is a stale read, or a store that was restored. */
+  if (ok)
+    sync->version = version;
+  if (news || (ok && now_us - sync->watch_start_us >= early_us))
+    {
+      sync->watch_failures = 0;
+      sync->watch_due_us = now_us;
+      return;
+    }
+  sync->stats.store_failures++;
+  if (sync->watch_failures < 32)
+    sync->watch_failures++;
+  sync->watch_due_us = now_us + backoff_us (sync, sync->watch_failures);
+  if (sync->watch_due_us < now_us + retry_after_ms * SGR_USEC_PER_MSEC)
+    sync->watch_due_us
+        = now_us + retry_after_ms * SGR_USEC_PER_MSEC + jitter_us (sync, retry_after_ms / 2);
+}
+
+void
+sgr_config_sync_fetch_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok)
+{
+  sync->fetching = false;
+  sync->fetch_due_us = now_us;
+  if (ok && sync->revision >= sync->fetch_revision)
+    return;
+  sync->stats.fetch_failures++;
+  for (size_t i = 0; i < sync->peer_count; i++)
+    if (sync->peers[i].node == sync->fetch_node)
+      {
+        sync->peers[i].failures++;
+        sync->peers[i].retry_us = now_us + backoff_us (sync, sync->peers[i].failures);
+      }
+}
+
+/* The peer with the highest revision among those that may be asked now. */
+static const peer_t *
+pick_peer (sgr_config_sync_t *sync, uint64_t now_us, uint64_t *next_us)
+{
+  const peer_t *best = NULL;
+  uint64_t ties = 0;
+
+  for (size_t i = 0; i < sync->peer_count; i++)
+    {
+      const peer_t *peer = &sync->peers[i];
+
+      if (peer->retry_us > now_us)
+        {
+          if (peer->retry_us < *next_us)
+            *next_us = peer->retry_us;
+          continue;
+        }
+      if (best == NULL || peer->revision > best->revision)
+        ties = 0;
+      else if (peer->revision < best->revision)
+        continue;
+      if (sgr_rng_below (&sync->rng, ++ties) == 0)
+        best = peer;
+    }
+  return best;
+}
+
+static bool
+next_fetch (sgr_config_sync_t *sync, uint64_t now_us, sgr_config_sync_action_t *action,
+            uint64_t *next_us)
+{
+  const peer_t *peer;
+
+  if (sync->fetching || sync->peer_count == 0)
+    return false;
+  if (sync->fetch_due_us > now_us)
+    {
+      if (sync->fetch_due_us < *next_us)
+        *next_us = sync->fetch_due_us;
+      return false;
+    }
+  peer = pick_peer (sync, now_us, next_us);
+  if (peer == NULL)
+    return false;
+  sync->fetching = true;
+  sync->fetch_node = peer->node;
+  sync->fetch_revision = peer->revision;
+  sync->stats.fetches++;
+  *action = (sgr_config_sync_action_t){ .kind = SGR_CONFIG_SYNC_FETCH,
+                                        .peer = peer->node,
+                                        .address = peer->address,
+                                        .revision = peer->revision };
+  return true;
+}
+
+bool
+sgr_config_sync_next (sgr_config_sync_t *sync, uint64_t now_us, sgr_config_sync_action_t *action,
+                      uint64_t *next_us)
+{
+  *next_us = SGR_TIMER_NEVER;
+  *action = (sgr_config_sync_action_t){ .kind = SGR_CONFIG_SYNC_NONE };
+  if (sync->watching && !sync->reader)
+    {
+      sync->watching = false;
+      sync->watch_due_us = now_us + ROLE_DELAY_MS * SGR_USEC_PER_MSEC;
+      action->kind = SGR_CONFIG_SYNC_WATCH_CANCEL;
+      return true;
+    }
+  if (sync->reader && !sync->watching)
+    {
+      if (now_us >= sync->watch_due_us)
+        {
+          sync->watching = true;
+          sync->watch_start_us = now_us;
+          sync->stats.store_calls++;
+          action->kind = SGR_CONFIG_SYNC_WATCH;
+          action->after_version = sync->version;
+          action->wait_ms = sync->options.watch_ms;
+          return true;
+        }
+      *next_us = sync->watch_due_us;
+    }
+  return next_fetch (sync, now_us, action, next_us);
+}
+
+bool
+sgr_config_sync_is_reader (const sgr_config_sync_t *sync)
+{
+  return sync->reader;
+}
+
+const sgr_config_sync_stats_t *
+sgr_config_sync_stats (const sgr_config_sync_t *sync)
+{
+  return &sync->stats;
+}
+
+size_t
+sgr_config_sync_memory (const sgr_config_sync_t *sync)
+{
+  return sizeof *sync;
+}
--- a/libsiskingrade/config_sync.h
+++ b/libsiskingrade/config_sync.h
@@ -37,7 +37,6 @@
 typedef enum
 {
   SGR_CONFIG_SYNC_NONE = 0,
-  SGR_CONFIG_SYNC_GET,
   SGR_CONFIG_SYNC_WATCH,
   SGR_CONFIG_SYNC_WATCH_CANCEL,
   SGR_CONFIG_SYNC_FETCH,
@@ -45,7 +44,7 @@
 
 /**
  * struct sgr_config_sync_action_t - what the caller does next
- * @kind: read the store, watch it, stop the watch, or fetch from a peer
+ * @kind: watch the store, stop the watch, or fetch from a peer
  * @after_version: for WATCH, version of the store's key that is known
  * @wait_ms: for WATCH, longest wait
  * @peer: for FETCH, the node
@@ -78,8 +77,10 @@
 void sgr_config_sync_destroy (sgr_config_sync_t *sync);
 
 /**
- * sgr_config_sync_members() - replace the members; only the own failure domain is kept
+ * sgr_config_sync_members() - the members have changed; nothing of them is kept but whether this
+ * node reads the store and a few peers with a higher revision
  * @sync: the synchronisation
+ * @now_us: the time
  * @members: all members, this node may be among them
  * @count: number of members
  */
@@ -94,9 +95,10 @@
 void sgr_config_sync_in_force (sgr_config_sync_t *sync, uint64_t now_us, uint64_t revision);
 
 /**
- * sgr_config_sync_store_done() - a GET or WATCH has ended
+ * sgr_config_sync_store_done() - a WATCH has ended; report the record it brought before this
  * @ok: whether the store answered; a watch that ended without news is an answer
- * @version: version of the key that the store gave
+ * @version: version of the key that the store gave, 0 if it does not exist
+ * @retry_after_ms: wait that the store asked for, 0 for none
  */
 void sgr_config_sync_store_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok,
                                  uint64_t version, uint64_t retry_after_ms);
@@ -113,6 +115,16 @@
 bool sgr_config_sync_next (sgr_config_sync_t *sync, uint64_t now_us,
                            sgr_config_sync_action_t *action, uint64_t *next_us);
 
+/**
+ * sgr_config_sync_elects() - whether a node is among the readers of its failure domain
+ * @self: the node
+ * @failure_domain: its failure domain
+ * @members: all members
+ * @count: number of members
+ */
+bool sgr_config_sync_elects (sgr_node_id_t self, const char *failure_domain,
+                             const sgr_member_t *members, size_t count);
+
 bool sgr_config_sync_is_reader (const sgr_config_sync_t *sync);
 const sgr_config_sync_stats_t *sgr_config_sync_stats (const sgr_config_sync_t *sync);
 size_t sgr_config_sync_memory (const sgr_config_sync_t *sync);
--- /dev/null
+++ b/libsiskingrade/http_fetch.c
@@ -0,0 +1,220 @@
+#include "http_fetch.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <h2o/http1client.h>
+
+#include "buffer.h"
+#include "result.h"
+
+struct sgr_http_fetcher_t
+{
+  h2o_timeout_t timeout;
+  h2o_timeout_t at_once;
+  h2o_http1client_ctx_t client_ctx;
+  size_t body_max;
+  sgr_http_fetch_t *pending;
+};
+
+struct sgr_http_fetch_t
+{
+  sgr_http_fetch_t *next;
+  sgr_http_fetcher_t *fetcher;
+  h2o_http1client_t *client;
+  h2o_timeout_entry_t start;
+  sgr_http_fetch_cb_t cb;
+  void *ctx;
+  sgr_address_t address;
+  sgr_buffer_t request;
+  h2o_iovec_t request_vec;
+  sgr_buffer_t body;
+  const char *want[SGR_HTTP_FETCH_HEADERS];
+  sgr_http_fetch_reply_t reply;
+};
+
+sgr_http_fetcher_t *
+sgr_http_fetcher_create (h2o_loop_t *loop, uint32_t timeout_ms, size_t body_max)
+{
+  sgr_http_fetcher_t *fetcher = calloc (1, sizeof *fetcher);
+
+  if (fetcher == NULL)
+    return NULL;
+  h2o_timeout_init (loop, &fetcher->timeout, timeout_ms);
+  h2o_timeout_init (loop, &fetcher->at_once, 0);
+  fetcher->client_ctx.loop = loop;
+  fetcher->client_ctx.io_timeout = &fetcher->timeout;
+  fetcher->body_max = body_max;
+  return fetcher;
+}
+
+static void
+fetch_release (sgr_http_fetch_t *fetch)
+{
+  sgr_http_fetch_t **link = &fetch->fetcher->pending;
+
+  while (*link != fetch)
+    link = &(*link)->next;
+  *link = fetch->next;
+  if (h2o_timeout_is_linked (&fetch->start))
+    h2o_timeout_unlink (&fetch->start);
+  sgr_buffer_release (&fetch->request);
+  sgr_buffer_release (&fetch->body);
+  free (fetch);
+}
+
+void
+sgr_http_fetch_cancel (sgr_http_fetch_t *fetch)
+{
+  if (fetch->client != NULL)
+    h2o_http1client_cancel (fetch->client);
+  fetch_release (fetch);
+}
+
+void
+sgr_http_fetcher_destroy (sgr_http_fetcher_t *fetcher)
+{
+  if (fetcher == NULL)
+    return;
+  while (fetcher->pending != NULL)
+    sgr_http_fetch_cancel (fetcher->pending);
+  h2o_timeout_dispose (fetcher->client_ctx.loop, &fetcher->timeout);
+  h2o_timeout_dispose (fetcher->client_ctx.loop, &fetcher->at_once);
+  free (fetcher);
+}
+
+/* The client is closed by its caller in h2o once this returns. */
+static void
+fetch_end (sgr_http_fetch_t *fetch, const char *error)
+{
+  fetch->client = NULL;
+  fetch->reply.error = error;
+  fetch->reply.body = fetch->body.bytes;
+  fetch->reply.length = fetch->body.length;
+  fetch->cb (fetch->ctx, &fetch->reply);
+  fetch_release (fetch);
+}
+
+static int
+on_body (h2o_http1client_t *client, const char *error)
+{
+  sgr_http_fetch_t *fetch = client->data;
+
+  if (error != NULL && error != h2o_http1client_error_is_eos)
+    {
+      fetch_end (fetch, "the reply broke off");
+      return -1;
+    }
+  if (fetch->body.length + client->sock->input->size > fetch->fetcher->body_max)
+    {
+      fetch_end (fetch, "the reply is too large");
+      return -1;
+    }
+  if (client->sock->input->size > 0)
+    {
+      sgr_buffer_append (&fetch->body, client->sock->input->bytes, client->sock->input->size);
+      h2o_buffer_consume (&client->sock->input, client->sock->input->size);
+    }
+  if (error == h2o_http1client_error_is_eos)
+    {
+      fetch_end (fetch, NULL);
+      return -1;
+    }
+  return 0;
+}
+
+static void
+keep_header (sgr_http_fetch_t *fetch, const h2o_header_t *header)
+{
+  for (int i = 0; i < SGR_HTTP_FETCH_HEADERS; i++)
+    if (fetch->want[i] != NULL && header->name->len == strlen (fetch->want[i])
+        && strncasecmp (header->name->base, fetch->want[i], header->name->len) == 0)
+      snprintf (fetch->reply.got[i], sizeof fetch->reply.got[i], "%.*s", (int)header->value.len,
+                header->value.base);
+}
+
+static h2o_http1client_body_cb
+on_head (h2o_http1client_t *client, const char *error, int minor_version, int status,
+         h2o_iovec_t message, struct st_h2o_header_t *headers, size_t header_count, int rlen)
+{
+  sgr_http_fetch_t *fetch = client->data;
+
+  if (error != NULL && error != h2o_http1client_error_is_eos)
+    {
+      fetch_end (fetch, "no reply");
+      return NULL;
+    }
+  fetch->reply.status = status;
+  for (size_t i = 0; i < header_count; i++)
+    keep_header (fetch, &headers[i]);
+  if (error == h2o_http1client_error_is_eos)
+    {
+      fetch_end (fetch, NULL);
+      return NULL;
+    }
+  return on_body;
+}
+
+static h2o_http1client_head_cb
+on_connect (h2o_http1client_t *client, const char *error, h2o_iovec_t **bufs, size_t *count,
+            int *method_is_head)
+{
+  sgr_http_fetch_t *fetch = client->data;
+
+  if (error != NULL)
+    {
+      fetch_end (fetch, "no connection");
+      return NULL;
+    }
+  fetch->reply.sent = true;
+  fetch->request_vec = h2o_iovec_init ((const char *)fetch->request.bytes, fetch->request.length);
+  *bufs = &fetch->request_vec;
+  *count = 1;
+  *method_is_head = 0;
+  return on_head;
+}
+
+/* Connecting starts from the loop, because h2o may report a failure before it returns. */
+static void
+on_start (h2o_timeout_entry_t *entry)
+{
+  sgr_http_fetch_t *fetch = H2O_STRUCT_FROM_MEMBER (sgr_http_fetch_t, start, entry);
+  char host[24];
+
+  snprintf (host, sizeof host, "%u.%u.%u.%u", fetch->address.ip >> 24,
+            (fetch->address.ip >> 16) & 255, (fetch->address.ip >> 8) & 255,
+            fetch->address.ip & 255);
+  h2o_http1client_connect (&fetch->client, fetch, &fetch->fetcher->client_ctx,
+                           h2o_iovec_init (host, strlen (host)), fetch->address.port, 0,
+                           on_connect);
+}
+
+sgr_http_fetch_t *
+sgr_http_fetch_start (sgr_http_fetcher_t *fetcher, const sgr_http_fetch_request_t *request,
+                      sgr_http_fetch_cb_t cb, void *ctx)
+{
+  sgr_http_fetch_t *fetch = calloc (1, sizeof *fetch);
+  char host[24];
+
+  sgr_invariant (fetch != NULL);
+  fetch->fetcher = fetcher;
+  fetch->cb = cb;
+  fetch->ctx = ctx;
+  fetch->address = request->address;
+  memcpy (fetch->want, request->want, sizeof fetch->want);
+  sgr_address_format (&request->address, host, sizeof host);
+  sgr_buffer_printf (&fetch->request,
+                     "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %zu\r\n"
+                     "%s\r\n",
+                     request->method, request->path, host, request->length,
+                     request->headers != NULL ? request->headers : "");
+  if (request->length > 0)
+    sgr_buffer_append (&fetch->request, request->body, request->length);
+  fetch->next = fetcher->pending;
+  fetcher->pending = fetch;
+  fetch->start.cb = on_start;
+  h2o_timeout_link (fetcher->client_ctx.loop, &fetcher->at_once, &fetch->start);
+  return fetch;
+}
--- /dev/null
+++ b/libsiskingrade/store_http.c
@@ -0,0 +1,252 @@
+#include "store_http.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http_fetch.h"
+
+/* A watch ends by itself after its wait; silence for this much longer means that the store or the
+   connection is gone. */
+#define WATCH_GRACE_MS 5000
+/* Longest wait of a watch; it bounds the time for which a silent connection goes unnoticed. */
+#define WATCH_WAIT_MAX_MS 60000
+#define REPLY_MAX (SGR_STORE_VALUE_MAX + 1024)
+
+typedef enum
+{
+  CALL_GET,
+  CALL_WATCH,
+  CALL_WRITE,
+} call_kind_t;
+
+typedef struct
+{
+  sgr_store_t store;
+  sgr_store_http_options_t options;
+  sgr_http_fetcher_t *calls;
+  sgr_http_fetcher_t *watches;
+  sgr_store_call_t *pending;
+  uint64_t count;
+} store_http_t;
+
+struct sgr_store_call_t
+{
+  sgr_store_call_t *next;
+  store_http_t *owner;
+  call_kind_t kind;
+  sgr_http_fetch_t *fetch;
+  sgr_store_cb_t cb;
+  void *ctx;
+};
+
+static void
+call_release (sgr_store_call_t *call)
+{
+  sgr_store_call_t **link = &call->owner->pending;
+
+  while (*link != call)
+    link = &(*link)->next;
+  *link = call->next;
+  free (call);
+}
+
+static void
+read_status (const sgr_store_call_t *call, const sgr_http_fetch_reply_t *fetched,
+             sgr_store_reply_t *reply)
+{
+  switch (fetched->status)
+    {
+    case 200:
+    case 404:
+      reply->outcome = SGR_STORE_OK;
+      if (fetched->status == 200 && call->kind != CALL_WRITE && fetched->got[1][0] == '\0')
+        {
+          reply->value = fetched->body != NULL ? fetched->body : (const uint8_t *)"";
+          reply->length = fetched->length;
+        }
+      return;
+    case 409:
+      reply->outcome = SGR_STORE_CONFLICT;
+      reply->reason = "another version or holder";
+      return;
+    case 413:
+      reply->outcome = SGR_STORE_UNAVAILABLE;
+      reply->reason = "the value is larger than the store takes";
+      return;
+    case 429:
+      reply->outcome = SGR_STORE_UNAVAILABLE;
+      reply->reason = "rate limit of the store";
+      return;
+    case 503:
+      reply->outcome = SGR_STORE_UNAVAILABLE;
+      reply->reason = "the store is not available";
+      return;
+    default:
+      /* Any other status leaves open whether a write was done. */
+      reply->outcome = call->kind == CALL_WRITE ? SGR_STORE_UNKNOWN : SGR_STORE_UNAVAILABLE;
+      reply->reason = "unexpected status of the store";
+    }
+}
+
+static void
+on_fetched (void *ctx, const sgr_http_fetch_reply_t *fetched)
+{
+  sgr_store_call_t *call = ctx;
+  sgr_store_reply_t reply = { .outcome = SGR_STORE_UNAVAILABLE };
+  sgr_store_cb_t cb = call->cb;
+  void *cb_ctx = call->ctx;
+
+  if (fetched->error != NULL)
+    {
+      reply.reason = fetched->error;
+      if (call->kind == CALL_WRITE && fetched->sent)
+        reply.outcome = SGR_STORE_UNKNOWN;
+    }
+  else
+    {
+      read_status (call, fetched, &reply);
+      reply.version = strtoull (fetched->got[0], NULL, 10);
+      reply.retry_after_ms = strtoull (fetched->got[2], NULL, 10);
+    }
+  call_release (call);
+  cb (cb_ctx, &reply);
+}
+
+static sgr_store_call_t *
+call_start (store_http_t *http, call_kind_t kind, sgr_http_fetch_request_t *request,
+            sgr_store_cb_t cb, void *ctx)
+{
+  sgr_store_call_t *call = calloc (1, sizeof *call);
+
+  if (call == NULL)
+    return NULL;
+  request->address = http->options.address;
+  request->want[0] = "store-version";
+  request->want[1] = "store-no-news";
+  request->want[2] = "store-retry-after-ms";
+  call->owner = http;
+  call->kind = kind;
+  call->cb = cb;
+  call->ctx = ctx;
+  call->next = http->pending;
+  http->pending = call;
+  http->count++;
+  call->fetch = sgr_http_fetch_start (kind == CALL_WATCH ? http->watches : http->calls, request,
+                                      on_fetched, call);
+  return call;
+}
+
+/* Keys are made of names and slashes only, so they need no escaping. */
+static bool
+key_valid (const char *key)
+{
+  size_t length = strlen (key);
+
+  return length > 0 && length <= SGR_STORE_KEY_MAX
+         && strspn (key, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_./")
+                == length;
+}
+
+static sgr_store_call_t *
+http_get (sgr_store_t *store, const char *key, sgr_store_cb_t cb, void *ctx)
+{
+  char path[SGR_STORE_KEY_MAX + 32];
+
+  if (!key_valid (key))
+    return NULL;
+  snprintf (path, sizeof path, "/v1/kv/%s", key);
+  return call_start ((store_http_t *)store, CALL_GET,
+                     &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
+}
+
+static sgr_store_call_t *
+http_swap (sgr_store_t *store, const char *key, uint64_t expected, const void *value, size_t length,
+           sgr_store_cb_t cb, void *ctx)
+{
+  char path[SGR_STORE_KEY_MAX + 32], headers[64];
+  sgr_http_fetch_request_t request = { .path = path, .headers = headers };
+
+  if (!key_valid (key) || length > SGR_STORE_VALUE_MAX)
+    return NULL;
+  snprintf (path, sizeof path, "/v1/kv/%s", key);
+  snprintf (headers, sizeof headers, "Store-If-Version: %llu\r\n", (unsigned long long)expected);
+  request.method = value != NULL ? "PUT" : "DELETE";
+  request.body = value;
+  request.length = length;
+  return call_start ((store_http_t *)store, CALL_WRITE, &request, cb, ctx);
+}
+
+static sgr_store_call_t *
+http_lease (sgr_store_t *store, const char *name, const char *holder, uint32_t ttl_ms,
+            sgr_store_cb_t cb, void *ctx)
+{
+  char path[2 * SGR_STORE_KEY_MAX + 64];
+
+  if (!key_valid (name) || !key_valid (holder))
+    return NULL;
+  snprintf (path, sizeof path, "/v1/leases/%s?holder=%s&ttl_ms=%u", name, holder, ttl_ms);
+  return call_start ((store_http_t *)store, CALL_WRITE,
+                     &(sgr_http_fetch_request_t){ .method = "PUT", .path = path }, cb, ctx);
+}
+
+static sgr_store_call_t *
+http_watch (sgr_store_t *store, const char *key, uint64_t after, uint32_t wait_ms,
+            sgr_store_cb_t cb, void *ctx)
+{
+  char path[SGR_STORE_KEY_MAX + 96];
+
+  if (!key_valid (key))
+    return NULL;
+  if (wait_ms > WATCH_WAIT_MAX_MS)
+    wait_ms = WATCH_WAIT_MAX_MS;
+  snprintf (path, sizeof path, "/v1/kv/%s?after=%llu&wait_ms=%u", key, (unsigned long long)after,
+            wait_ms);
+  return call_start ((store_http_t *)store, CALL_WATCH,
+                     &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
+}
+
+static void
+http_cancel (sgr_store_t *store, sgr_store_call_t *call)
+{
+  sgr_http_fetch_cancel (call->fetch);
+  call_release (call);
+}
+
+sgr_store_t *
+sgr_store_http_create (h2o_loop_t *loop, const sgr_store_http_options_t *options)
+{
+  store_http_t *http = calloc (1, sizeof *http);
+
+  if (http == NULL)
+    return NULL;
+  http->store = (sgr_store_t){ .get = http_get,
+                               .swap = http_swap,
+                               .lease = http_lease,
+                               .watch = http_watch,
+                               .cancel = http_cancel };
+  http->options = *options;
+  http->calls = sgr_http_fetcher_create (loop, options->timeout_ms, REPLY_MAX);
+  http->watches = sgr_http_fetcher_create (loop, WATCH_WAIT_MAX_MS + WATCH_GRACE_MS, REPLY_MAX);
+  return &http->store;
+}
+
+void
+sgr_store_http_destroy (sgr_store_t *store)
+{
+  store_http_t *http = (store_http_t *)store;
+
+  if (http == NULL)
+    return;
+  while (http->pending != NULL)
+    http_cancel (store, http->pending);
+  sgr_http_fetcher_destroy (http->calls);
+  sgr_http_fetcher_destroy (http->watches);
+  free (http);
+}
+
+uint64_t
+sgr_store_http_calls (const sgr_store_t *store)
+{
+  return ((const store_http_t *)store)->count;
+}
--- /dev/null
+++ b/standins/standin-store.c
@@ -0,0 +1,426 @@
+/* Stand-in for the platform's key-value service, see docs/interfaces-store.md. Tests only. */
+#include <argp.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <h2o.h>
+
+#include "http_listener.h"
+#include "store_state.h"
+
+#define VALUE_MAX 1000000
+#define WAIT_MAX_MS 60000
+
+/** struct faults_t - switched by the admin endpoint; counts fall with each use */
+typedef struct
+{
+  uint64_t outage;
+  uint64_t slow_ms;
+  uint64_t lose_reply;
+  uint64_t drop_write;
+  uint64_t late_ms;
+  uint64_t stale_reads;
+} faults_t;
+
+/**
+ * enum waiter_kind_t - why a request waits
+ * @WAIT_WATCH: for news of a key
+ * @WAIT_SLOW: the store is slow; the request is handled when due
+ * @WAIT_LOST: its reply is lost; answered with 504 when due, or never
+ */
+typedef enum
+{
+  WAIT_WATCH,
+  WAIT_SLOW,
+  WAIT_LOST,
+} waiter_kind_t;
+
+/** struct waiter_t - a request that is answered later; @req is NULL once its connection is gone */
+typedef struct waiter_t
+{
+  struct waiter_t *next;
+  struct waiter_t **ref;
+  h2o_req_t *req;
+  char *key;
+  uint64_t after;
+  uint64_t due_us;
+  waiter_kind_t kind;
+} waiter_t;
+
+typedef struct
+{
+  store_state_t state;
+  faults_t faults;
+  store_bucket_t reads;
+  store_bucket_t writes;
+  waiter_t *waiters;
+  uint64_t counts[6];
+} server_t;
+
+enum
+{
+  COUNT_GET,
+  COUNT_WRITE,
+  COUNT_WATCH,
+  COUNT_LEASE,
+  COUNT_REFUSED,
+  COUNT_PENDING,
+};
+
+static const char *const count_names[]
+    = { "gets", "writes", "watches", "leases", "refused", "pending" };
+
+static server_t server;
+static volatile sig_atomic_t stopped;
+
+static void
+send_value (h2o_req_t *req, const store_key_t *key, bool news)
+{
+  char version[24];
+  bool exists = store_key_version (key) != 0, stale = false;
+  const sgr_buffer_t *value = exists ? &key->value : NULL;
+  uint64_t number = store_key_version (key);
+
+  if (key != NULL && server.faults.stale_reads > 0 && key->has_previous)
+    {
+      server.faults.stale_reads--;
+      value = &key->previous;
+      number = key->previous_version;
+      stale = true;
+    }
+  snprintf (version, sizeof version, "%llu", (unsigned long long)number);
+  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("store-version"), 0, NULL,
+                         h2o_strdup (&req->pool, version, SIZE_MAX).base, strlen (version));
+  if (!news)
+    h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("store-no-news"), 0, NULL,
+                           H2O_STRLIT ("1"));
+  if (!news || value == NULL)
+    value = NULL;
+  req->res.status = exists || stale || !news ? 200 : 404;
+  req->res.reason = req->res.status == 200 ? "OK" : "Not Found";
+  req->res.content_length = value != NULL ? value->length : 0;
+  h2o_send_inline (req, value != NULL && value->length > 0 ? (const char *)value->bytes : "",
+                   req->res.content_length);
+}
+
+static void
+send_status (h2o_req_t *req, int status, uint64_t version, const char *reason)
+{
+  char text[24];
+
+  snprintf (text, sizeof text, "%llu", (unsigned long long)version);
+  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("store-version"), 0, NULL,
+                         h2o_strdup (&req->pool, text, SIZE_MAX).base, strlen (text));
+  if (status == 429)
+    h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("store-retry-after-ms"), 0,
+                           NULL, H2O_STRLIT ("1000"));
+  if (status != 200)
+    server.counts[COUNT_REFUSED]++;
+  sgr_http_reply_error (req, status, reason, "");
+}
+
+static void
+on_request_gone (void *ref)
+{
+  waiter_t *waiter = *(waiter_t **)ref;
+
+  if (waiter != NULL)
+    waiter->req = NULL;
+}
+
+/* A wait of UINT64_MAX never ends. */
+static void
+wait_add (h2o_req_t *req, const char *key, uint64_t after, uint64_t wait_ms, waiter_kind_t kind)
+{
+  waiter_t *waiter = calloc (1, sizeof *waiter);
+  waiter_t **ref = h2o_mem_alloc_shared (&req->pool, sizeof *ref, on_request_gone);
+
+  *ref = waiter;
+  waiter->req = req;
+  waiter->key = strdup (key);
+  waiter->after = after;
+  waiter->due_us = wait_ms == UINT64_MAX ? UINT64_MAX
+                                         : sgr_clock_monotonic_us () + wait_ms * SGR_USEC_PER_MSEC;
+  waiter->kind = kind;
+  waiter->ref = ref;
+  waiter->next = server.waiters;
+  server.waiters = waiter;
+}
+
+static void handle (h2o_req_t *req, const char *path);
+
+static void
+wait_end (waiter_t *waiter, bool news)
+{
+  h2o_req_t *req = waiter->req;
+
+  if (req != NULL)
+    {
+      *waiter->ref = NULL;
+      if (waiter->kind == WAIT_SLOW)
+        handle (req, waiter->key);
+      else if (waiter->kind == WAIT_LOST)
+        send_status (req, 504, 0, "timeout");
+      else if (server.faults.outage)
+        send_status (req, 503, 0, "outage");
+      else
+        send_value (req, store_key_find (&server.state, waiter->key, false), news);
+    }
+  free (waiter->key);
+  free (waiter);
+}
+
+/* Answers watches with news, ended watches and delayed requests. */
+static void
+wait_run (void)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  waiter_t *waiter, *waiting = server.waiters;
+
+  server.waiters = NULL;
+  while ((waiter = waiting) != NULL)
+    {
+      bool watch = waiter->kind == WAIT_WATCH;
+      bool news = watch
+                  && store_key_version (store_key_find (&server.state, waiter->key, false))
+                         > waiter->after;
+
+      waiting = waiter->next;
+      if (waiter->req == NULL || news || waiter->due_us <= now_us
+          || (watch && server.faults.outage))
+        {
+          wait_end (waiter, news);
+          continue;
+        }
+      waiter->next = server.waiters;
+      server.waiters = waiter;
+    }
+}
+
+static void
+handle_read (h2o_req_t *req, const char *name)
+{
+  store_key_t *key = store_key_find (&server.state, name, false);
+  uint64_t after, wait_ms;
+
+  if (!sgr_http_query_u64 (req, "after", &after))
+    {
+      server.counts[COUNT_GET]++;
+      send_value (req, key, true);
+      return;
+    }
+  server.counts[COUNT_WATCH]++;
+  if (!sgr_http_query_u64 (req, "wait_ms", &wait_ms) || wait_ms > WAIT_MAX_MS)
+    wait_ms = WAIT_MAX_MS;
+  if (store_key_version (key) > after)
+    send_value (req, key, true);
+  else
+    wait_add (req, name, after, wait_ms, WAIT_WATCH);
+}
+
+static void
+handle_write (h2o_req_t *req, const char *name, bool removes)
+{
+  ssize_t at = h2o_find_header_by_str (&req->headers, H2O_STRLIT ("store-if-version"), -1);
+  store_key_t *key = store_key_find (&server.state, name, true);
+  uint64_t expected;
+
+  server.counts[COUNT_WRITE]++;
+  if (at < 0)
+    {
+      send_status (req, 400, 0, "no Store-If-Version");
+      return;
+    }
+  expected = strtoull (req->headers.entries[at].value.base, NULL, 10);
+  if (req->entity.len > VALUE_MAX)
+    {
+      send_status (req, 413, 0, "value too large");
+      return;
+    }
+  if (server.faults.drop_write > 0)
+    {
+      server.faults.drop_write--;
+      wait_add (req, name, 0, server.faults.late_ms > 0 ? server.faults.late_ms : UINT64_MAX,
+                WAIT_LOST);
+      return;
+    }
+  if (key == NULL
+      || !store_key_write (&server.state, key, expected,
+                           removes ? NULL : (req->entity.base != NULL ? req->entity.base : ""),
+                           req->entity.len))
+    {
+      send_status (req, key == NULL ? 503 : 409, store_key_version (key), "another version");
+      return;
+    }
+  if (server.faults.lose_reply > 0)
+    {
+      server.faults.lose_reply--;
+      wait_add (req, name, 0, UINT64_MAX, WAIT_LOST);
+    }
+  else
+    send_status (req, 200, key->version, "");
+  wait_run ();
+}
+
+static void
+handle_lease (h2o_req_t *req, const char *name)
+{
+  char holder[256];
+  uint64_t ttl_ms;
+  store_lease_t *lease;
+
+  server.counts[COUNT_LEASE]++;
+  if (!sgr_http_query_text (req, "holder", holder, sizeof holder)
+      || !sgr_http_query_u64 (req, "ttl_ms", &ttl_ms) || ttl_ms > 3600000)
+    {
+      send_status (req, 400, 0, "expected holder and ttl_ms");
+      return;
+    }
+  lease = store_lease_take (&server.state, name, holder, ttl_ms * SGR_USEC_PER_MSEC,
+                            sgr_clock_monotonic_us ());
+  if (lease == NULL)
+    send_status (req, 409, 0, "held by another");
+  else
+    send_status (req, 200, lease->fence, "");
+}
+
+static void
+handle (h2o_req_t *req, const char *path)
+{
+  bool is_read = h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("GET"));
+  bool removes = h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("DELETE"));
+
+  if (server.faults.outage)
+    send_status (req, 503, 0, "outage");
+  else if (!store_bucket_take (is_read ? &server.reads : &server.writes, sgr_clock_monotonic_us ()))
+    send_status (req, 429, 0, "rate limit");
+  else if (strncmp (path, "/v1/leases/", 11) == 0)
+    handle_lease (req, path + 11);
+  else if (is_read)
+    handle_read (req, path + 7);
+  else
+    handle_write (req, path + 7, removes);
+}
+
+static int
+on_request (h2o_handler_t *self, h2o_req_t *req)
+{
+  char path[512];
+  size_t length = req->path_normalized.len;
+
+  if (length >= sizeof path || length < 12)
+    {
+      send_status (req, 400, 0, "bad path");
+      return 0;
+    }
+  memcpy (path, req->path_normalized.base, length);
+  path[length] = '\0';
+  if (server.faults.slow_ms > 0)
+    wait_add (req, path, 0, server.faults.slow_ms, WAIT_SLOW);
+  else
+    handle (req, path);
+  return 0;
+}
+
+static int
+on_admin (h2o_handler_t *self, h2o_req_t *req)
+{
+  json_t *json = json_object ();
+  uint64_t value;
+
+  sgr_http_query_u64 (req, "outage", &server.faults.outage);
+  sgr_http_query_u64 (req, "slow_ms", &server.faults.slow_ms);
+  sgr_http_query_u64 (req, "lose_reply", &server.faults.lose_reply);
+  sgr_http_query_u64 (req, "drop_write", &server.faults.drop_write);
+  sgr_http_query_u64 (req, "late_ms", &server.faults.late_ms);
+  sgr_http_query_u64 (req, "stale_reads", &server.faults.stale_reads);
+  if (sgr_http_query_u64 (req, "read_rate", &value))
+    server.reads = (store_bucket_t){ .rate = (uint32_t)value,
+                                     .tokens = (double)value,
+                                     .filled_us = sgr_clock_monotonic_us () };
+  if (sgr_http_query_u64 (req, "write_rate", &value))
+    server.writes = (store_bucket_t){ .rate = (uint32_t)value,
+                                      .tokens = (double)value,
+                                      .filled_us = sgr_clock_monotonic_us () };
+  if (sgr_http_query_u64 (req, "lapse_leases", &value) && value != 0)
+    for (size_t i = 0; i < server.state.lease_count; i++)
+      server.state.leases[i].expires_us = 0;
+  server.counts[COUNT_PENDING] = 0;
+  for (const waiter_t *waiter = server.waiters; waiter != NULL; waiter = waiter->next)
+    server.counts[COUNT_PENDING] += waiter->kind == WAIT_WATCH;
+  for (size_t i = 0; i < sizeof count_names / sizeof count_names[0]; i++)
+    json_object_set_new (json, count_names[i], json_integer ((json_int_t)server.counts[i]));
+  sgr_http_reply_json (req, 200, json);
+  wait_run ();
+  return 0;
+}
+
+static void
+register_paths (void *ctx, h2o_hostconf_t *host)
+{
+  static const struct
+  {
+    const char *path;
+    int (*handler) (h2o_handler_t *, h2o_req_t *);
+  } paths[] = { { "/v1/kv", on_request }, { "/v1/leases", on_request }, { "/admin", on_admin } };
+
+  for (size_t i = 0; i < sizeof paths / sizeof paths[0]; i++)
+    h2o_create_handler (h2o_config_register_path (host, paths[i].path, 0), sizeof (h2o_handler_t))
+        ->on_req
+        = paths[i].handler;
+}
+
+static void
+on_signal (int number)
+{
+  stopped = 1;
+}
+
+static error_t
+parse_option (int key, char *argument, struct argp_state *state)
+{
+  if (key == ARGP_KEY_ARG || (key == 'l' && !sgr_address_parse (argument, state->input)))
+    {
+      /* Port 0 asks for a free port; the address parser only takes real ones. */
+      if (key == 'l' && strcmp (argument, "127.0.0.1:0") == 0)
+        return 0;
+      argp_error (state, "found \"%s\", expected --listen IP:PORT", argument);
+    }
+  return key == 'l' ? 0 : ARGP_ERR_UNKNOWN;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp_option options[]
+      = { { "listen", 'l', "IP:PORT", 0, "where to listen, 127.0.0.1:0 by default" }, { 0 } };
+  static const struct argp parser
+      = { options, parse_option, NULL, "Stand-in for the platform's key-value service." };
+  sgr_address_t address = { .ip = 0x7f000001, .port = 0 };
+  h2o_loop_t *loop = h2o_evloop_create ();
+  sgr_http_listener_t *listener;
+  char text[24];
+
+  argp_parse (&parser, argc, argv, 0, NULL, &address);
+  signal (SIGPIPE, SIG_IGN);
+  signal (SIGTERM, on_signal);
+  signal (SIGINT, on_signal);
+  listener = sgr_http_listener_create (loop, &address, VALUE_MAX + 1024, register_paths, NULL);
+  if (listener == NULL)
+    {
+      fprintf (stderr, "standin-store: cannot listen: %s\n", strerror (errno));
+      return 1;
+    }
+  sgr_address_format (&address, text, sizeof text);
+  printf ("listening %s\n", text);
+  fflush (stdout);
+  while (!stopped)
+    {
+      h2o_evloop_run (loop, 5);
+      wait_run ();
+    }
+  return 0;
+}
--- /dev/null
+++ b/standins/store_state.c
@@ -0,0 +1,82 @@
+#include "store_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+store_key_t *
+store_key_find (store_state_t *state, const char *name, bool create)
+{
+  for (size_t i = 0; i < state->key_count; i++)
+    if (strcmp (state->keys[i].name, name) == 0)
+      return &state->keys[i];
+  if (!create || state->key_count == STORE_KEYS_MAX)
+    return NULL;
+  state->keys[state->key_count].name = strdup (name);
+  return &state->keys[state->key_count++];
+}
+
+uint64_t
+store_key_version (const store_key_t *key)
+{
+  return key != NULL && key->exists ? key->version : 0;
+}
+
+bool
+store_key_write (store_state_t *state, store_key_t *key, uint64_t expected, const void *value,
+                 size_t length)
+{
+  if (store_key_version (key) != expected)
+    return false;
+  sgr_buffer_release (&key->previous);
+  key->previous = key->value;
+  key->previous_version = key->version;
+  key->has_previous = key->exists;
+  key->value = (sgr_buffer_t){ 0 };
+  key->version = ++state->version;
+  key->exists = value != NULL;
+  if (value != NULL)
+    sgr_buffer_append (&key->value, value, length);
+  return true;
+}
+
+store_lease_t *
+store_lease_take (store_state_t *state, const char *name, const char *holder, uint64_t ttl_us,
+                  uint64_t now_us)
+{
+  store_lease_t *lease = NULL;
+
+  for (size_t i = 0; i < state->lease_count; i++)
+    if (strcmp (state->leases[i].name, name) == 0)
+      lease = &state->leases[i];
+  if (lease == NULL)
+    {
+      if (state->lease_count == STORE_LEASES_MAX)
+        return NULL;
+      lease = &state->leases[state->lease_count++];
+      snprintf (lease->name, sizeof lease->name, "%s", name);
+    }
+  if (lease->expires_us > now_us && strcmp (lease->holder, holder) != 0)
+    return NULL;
+  /* A new fencing number for each holder and for each renewal after the lease has lapsed. */
+  if (lease->expires_us <= now_us)
+    lease->fence = ++state->version;
+  snprintf (lease->holder, sizeof lease->holder, "%s", holder);
+  lease->expires_us = now_us + ttl_us;
+  return lease;
+}
+
+bool
+store_bucket_take (store_bucket_t *bucket, uint64_t now_us)
+{
+  if (bucket->rate == 0)
+    return true;
+  bucket->tokens += (double)(now_us - bucket->filled_us) * bucket->rate / (double)SGR_USEC_PER_SEC;
+  if (bucket->tokens > bucket->rate)
+    bucket->tokens = bucket->rate;
+  bucket->filled_us = now_us;
+  if (bucket->tokens < 1.0)
+    return false;
+  bucket->tokens -= 1.0;
+  return true;
+}
