--- a/libsiskingrade/config_api.h
+++ b/libsiskingrade/config_api.h
@@ -27,6 +27,9 @@
 /** sgr_config_api_notify() - answer the waiting watchers; call from config_changed */
 void sgr_config_api_notify (sgr_config_api_t *api);
 
+/** sgr_config_api_stop() - answer all waiting watchers now, for a graceful shutdown */
+void sgr_config_api_stop (sgr_config_api_t *api);
+
 /** sgr_config_api_destroy() - call after h2o_context_dispose(), before sgr_config_io_destroy() */
 void sgr_config_api_destroy (sgr_config_api_t *api);
 
--- /dev/null
+++ b/libsiskingrade/config_api_status.c
@@ -0,0 +1,162 @@
+#include <string.h>
+
+#include "config_api_private.h"
+#include "http_listener.h"
+
+static size_t
+list_members (const sgr_config_api_t *api, const sgr_member_t **members)
+{
+  *members = NULL;
+  return api->members == NULL ? 0 : api->members (api->members_ctx, members);
+}
+
+static const char *
+member_status_name (sgr_member_status_t status)
+{
+  static const char *const names[] = { "alive", "suspect", "dead", "left" };
+
+  return (unsigned)status < 4 ? names[status] : "unknown";
+}
+
+static json_t *
+address_json (const sgr_address_t *address)
+{
+  char text[24];
+
+  sgr_address_format (address, text, sizeof text);
+  return json_string (text);
+}
+
+static json_t *
+node_json (const sgr_member_t *member)
+{
+  json_t *json = json_object ();
+
+  json_object_set_new (json, "name", json_string (member->name));
+  json_object_set_new (json, "status", json_string (member_status_name (member->status)));
+  json_object_set_new (json, "region", json_string (member->region));
+  json_object_set_new (json, "failure_domain", json_string (member->failure_domain));
+  json_object_set_new (json, "data_address", address_json (&member->data_address));
+  json_object_set_new (json, "control_address", address_json (&member->control_address));
+  json_object_set_new (json, "config_revision", json_integer ((json_int_t)member->config_revision));
+  return json;
+}
+
+static json_t *
+target_json (const sgr_member_t *member)
+{
+  json_t *json = json_object ();
+
+  json_object_set_new (json, "node", json_string (member->name));
+  json_object_set_new (json, "service", json_string (member->service));
+  json_object_set_new (json, "state", json_string (sgr_target_state_name (member->target_state)));
+  json_object_set_new (json, "slots", json_integer (member->slots));
+  json_object_set_new (json, "failure_domain", json_string (member->failure_domain));
+  return json;
+}
+
+static int
+reply_members (h2o_handler_t *handler, h2o_req_t *req, const char *key, bool targets)
+{
+  sgr_config_api_t *api = API_OF (handler);
+  const sgr_member_t *members;
+  json_t *json, *list;
+  size_t count;
+
+  if (!api_method_is (req, "GET"))
+    return 0;
+  count = list_members (api, &members);
+  json = json_object ();
+  list = json_array ();
+  for (size_t i = 0; i < count; i++)
+    if (!targets)
+      json_array_append_new (list, node_json (&members[i]));
+    else if (members[i].service[0] != '\0' && members[i].status != SGR_MEMBER_LEFT
+             && members[i].status != SGR_MEMBER_DEAD)
+      json_array_append_new (list, target_json (&members[i]));
+  json_object_set_new (json, key, list);
+  sgr_http_reply_json (req, 200, json);
+  return 0;
+}
+
+int
+api_on_nodes (h2o_handler_t *handler, h2o_req_t *req)
+{
+  return reply_members (handler, req, "nodes", false);
+}
+
+int
+api_on_targets (h2o_handler_t *handler, h2o_req_t *req)
+{
+  return reply_members (handler, req, "targets", true);
+}
+
+/* Adds a node to its failure domain: lowest and highest revision, and the nodes that lag. */
+static void
+status_add (json_t *domains, const sgr_member_t *member, uint64_t highest)
+{
+  json_t *domain = json_object_get (domains, member->failure_domain);
+  json_int_t revision = (json_int_t)member->config_revision;
+
+  if (domain == NULL)
+    {
+      domain = json_object ();
+      json_object_set_new (domain, "nodes", json_integer (0));
+      json_object_set_new (domain, "revision", json_integer (revision));
+      json_object_set_new (domain, "lagging", json_array ());
+      json_object_set_new (domains, member->failure_domain, domain);
+    }
+  json_object_set_new (domain, "nodes",
+                       json_integer (json_integer_value (json_object_get (domain, "nodes")) + 1));
+  if (revision < json_integer_value (json_object_get (domain, "revision")))
+    json_object_set_new (domain, "revision", json_integer (revision));
+  if (member->config_revision < highest)
+    {
+      json_t *lag = json_object ();
+
+      json_object_set_new (lag, "node", json_string (member->name));
+      json_object_set_new (lag, "revision", json_integer (revision));
+      json_object_set_new (lag, "status", json_string (member_status_name (member->status)));
+      json_array_append_new (json_object_get (domain, "lagging"), lag);
+    }
+}
+
+int
+api_on_status (h2o_handler_t *handler, h2o_req_t *req)
+{
+  sgr_config_api_t *api = API_OF (handler);
+  const sgr_config_state_t *state = sgr_config_io_state (api->io);
+  const sgr_config_record_t *record = sgr_config_state_record (state);
+  uint64_t highest = sgr_config_state_revision (state);
+  const sgr_member_t *members;
+  json_t *json, *domains;
+  size_t count;
+
+  if (!api_method_is (req, "GET"))
+    return 0;
+  count = list_members (api, &members);
+  for (size_t i = 0; i < count; i++)
+    if (members[i].status == SGR_MEMBER_ALIVE && members[i].config_revision > highest)
+      highest = members[i].config_revision;
+  json = json_object ();
+  domains = json_object ();
+  for (size_t i = 0; i < count; i++)
+    if (members[i].status == SGR_MEMBER_ALIVE || members[i].status == SGR_MEMBER_SUSPECT)
+      status_add (domains, &members[i], highest);
+  json_object_set_new (json, "deployment",
+                       json_string (sgr_config_state_owners (state)->deployment));
+  json_object_set_new (json, "revision",
+                       json_integer ((json_int_t)sgr_config_state_revision (state)));
+  json_object_set_new (json, "highest_revision", json_integer ((json_int_t)highest));
+  json_object_set_new (json, "change",
+                       record == NULL ? json_null () : json_string (record->statement.id));
+  json_object_set_new (json, "store_reader", json_boolean (sgr_config_io_is_reader (api->io)));
+  json_object_set_new (json, "store_calls",
+                       json_integer ((json_int_t)sgr_config_io_sync_stats (api->io)->store_calls));
+  json_object_set_new (
+      json, "store_failures",
+      json_integer ((json_int_t)sgr_config_io_sync_stats (api->io)->store_failures));
+  json_object_set_new (json, "failure_domains", domains);
+  sgr_http_reply_json (req, 200, json);
+  return 0;
+}
--- /dev/null
+++ b/libsiskingrade/config_io.c
@@ -0,0 +1,333 @@
+#include "config_io.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http_fetch.h"
+#include "log.h"
+#include "timer_heap.h"
+
+/* Period of the timer that drives the synchronisation. It adds at most this much to the time until
+   a revision is in force. */
+#define TICK_MS 20
+
+typedef struct delay_t
+{
+  struct delay_t *next;
+  uint64_t due_us;
+  void (*fire) (void *ctx);
+  void *ctx;
+} delay_t;
+
+struct sgr_config_io_t
+{
+  h2o_loop_t *loop;
+  sgr_config_io_options_t options;
+  sgr_config_io_callbacks_t callbacks;
+  void *ctx;
+  sgr_config_state_t *state;
+  sgr_config_sync_t *sync;
+  sgr_config_commit_t *commit;
+  sgr_http_fetcher_t *fetcher;
+  sgr_http_fetch_t *fetch;
+  bool fetch_full;
+  sgr_store_call_t *watch;
+  char watch_key[SGR_STORE_KEY_MAX + 1];
+  uint64_t next_us;
+  h2o_timeout_t tick;
+  h2o_timeout_entry_t tick_entry;
+  delay_t *delays;
+  sgr_config_io_stats_t stats;
+};
+
+static void run_actions (sgr_config_io_t *io);
+
+void
+sgr_config_io_options_init (sgr_config_io_options_t *options)
+{
+  memset (options, 0, sizeof *options);
+  sgr_config_sync_options_init (&options->sync);
+  options->history_max = 64;
+  options->fetch_timeout_ms = 2000;
+}
+
+/* Takes a record or a step; a refusal other than "not newer" is logged with its reason. */
+static sgr_result_t
+offer (sgr_config_io_t *io, const void *text, size_t length, bool step, sgr_config_error_t *error)
+{
+  sgr_config_error_t own = { SGR_OK };
+  sgr_result_t result = step ? sgr_config_state_offer_step (io->state, text, length, &own)
+                             : sgr_config_state_offer (io->state, text, length, &own);
+  uint64_t revision = sgr_config_state_revision (io->state);
+
+  if (error != NULL)
+    *error = own;
+  if (result == SGR_OK)
+    {
+      io->stats.records_taken++;
+      io->stats.steps_taken += step;
+      sgr_log_info ("config-in-force", "revision=%llu change=%s services=%zu",
+                    (unsigned long long)revision, sgr_config_state_record (io->state)->statement.id,
+                    sgr_config_state_service_count (io->state));
+      sgr_config_sync_in_force (io->sync, sgr_clock_monotonic_us (), revision);
+      if (io->callbacks.config_changed != NULL)
+        io->callbacks.config_changed (io->ctx, io->state);
+    }
+  else if (result != SGR_ERR_CONFLICT)
+    {
+      io->stats.records_refused++;
+      sgr_log_warn ("config-refused", "path=\"%s\" reason=\"%s\"", own.path, own.message);
+    }
+  return result;
+}
+
+sgr_result_t
+sgr_config_io_offer (sgr_config_io_t *io, const void *text, size_t length,
+                     sgr_config_error_t *error)
+{
+  return offer (io, text, length, false, error);
+}
+
+static void
+on_watch (void *ctx, const sgr_store_reply_t *reply)
+{
+  sgr_config_io_t *io = ctx;
+
+  io->watch = NULL;
+  if (reply->outcome == SGR_STORE_OK && reply->value != NULL)
+    offer (io, reply->value, reply->length, false, NULL);
+  sgr_config_sync_store_done (io->sync, sgr_clock_monotonic_us (), reply->outcome == SGR_STORE_OK,
+                              reply->version, reply->retry_after_ms);
+  run_actions (io);
+}
+
+static void
+on_fetch (void *ctx, const sgr_http_fetch_reply_t *reply)
+{
+  sgr_config_io_t *io = ctx;
+  bool step = reply->got[0][0] == '1', ok = reply->error == NULL && reply->status == 200;
+
+  io->fetch = NULL;
+  io->stats.fetch_bytes += reply->length;
+  if (ok)
+    {
+      sgr_result_t result = offer (io, reply->body, reply->length, step, NULL);
+
+      ok = result == SGR_OK || result == SGR_ERR_CONFLICT;
+      /* A step that does not lead to the approved content is replaced by the whole record. */
+      io->fetch_full = step && !ok;
+    }
+  sgr_config_sync_fetch_done (io->sync, sgr_clock_monotonic_us (), ok);
+  run_actions (io);
+}
+
+static void
+start_fetch (sgr_config_io_t *io, const sgr_config_sync_action_t *action)
+{
+  sgr_http_fetch_request_t request = { .address = action->address, .method = "GET" };
+  uint64_t revision = sgr_config_state_revision (io->state);
+  char path[64];
+
+  if (revision > 0 && !io->fetch_full)
+    snprintf (path, sizeof path, "/v1/config/raw?from=%llu", (unsigned long long)revision);
+  else
+    snprintf (path, sizeof path, "/v1/config/raw");
+  request.path = path;
+  request.want[0] = "config-step";
+  io->fetch = sgr_http_fetch_start (io->fetcher, &request, on_fetch, io);
+}
+
+static void
+start_watch (sgr_config_io_t *io, const sgr_config_sync_action_t *action)
+{
+  if (io->options.store != NULL)
+    io->watch = io->options.store->watch (io->options.store, io->watch_key, action->after_version,
+                                          action->wait_ms, on_watch, io);
+  if (io->watch == NULL)
+    sgr_config_sync_store_done (io->sync, sgr_clock_monotonic_us (), false, 0, 0);
+}
+
+static void
+run_actions (sgr_config_io_t *io)
+{
+  sgr_config_sync_action_t action;
+
+  while (sgr_config_sync_next (io->sync, sgr_clock_monotonic_us (), &action, &io->next_us))
+    switch (action.kind)
+      {
+      case SGR_CONFIG_SYNC_WATCH:
+        start_watch (io, &action);
+        break;
+      case SGR_CONFIG_SYNC_WATCH_CANCEL:
+        if (io->watch != NULL)
+          io->options.store->cancel (io->options.store, io->watch);
+        io->watch = NULL;
+        break;
+      case SGR_CONFIG_SYNC_FETCH:
+        start_fetch (io, &action);
+        break;
+      case SGR_CONFIG_SYNC_NONE:
+        break;
+      }
+}
+
+static void
+run_delays (sgr_config_io_t *io, uint64_t now_us)
+{
+  delay_t **link = &io->delays;
+
+  while (*link != NULL)
+    {
+      delay_t *delay = *link;
+
+      if (delay->due_us > now_us)
+        {
+          link = &delay->next;
+          continue;
+        }
+      *link = delay->next;
+      delay->fire (delay->ctx);
+      free (delay);
+      /* The callback may have added delays at the head of the list. */
+      link = &io->delays;
+    }
+}
+
+static void
+on_tick (h2o_timeout_entry_t *entry)
+{
+  sgr_config_io_t *io = H2O_STRUCT_FROM_MEMBER (sgr_config_io_t, tick_entry, entry);
+  uint64_t now_us = sgr_clock_monotonic_us ();
+
+  h2o_timeout_link (io->loop, &io->tick, &io->tick_entry);
+  run_delays (io, now_us);
+  if (now_us >= io->next_us)
+    run_actions (io);
+}
+
+static void
+commit_record (void *ctx, const void *text, size_t length)
+{
+  offer (ctx, text, length, false, NULL);
+}
+
+static const sgr_config_record_t *
+commit_current (void *ctx)
+{
+  return sgr_config_state_record (((sgr_config_io_t *)ctx)->state);
+}
+
+static void
+commit_delay (void *ctx, uint32_t delay_ms, void (*fire) (void *fire_ctx), void *fire_ctx)
+{
+  sgr_config_io_t *io = ctx;
+  delay_t *delay = calloc (1, sizeof *delay);
+
+  sgr_invariant (delay != NULL);
+  delay->due_us = sgr_clock_monotonic_us () + delay_ms * SGR_USEC_PER_MSEC;
+  delay->fire = fire;
+  delay->ctx = fire_ctx;
+  delay->next = io->delays;
+  io->delays = delay;
+}
+
+sgr_config_io_t *
+sgr_config_io_create (h2o_loop_t *loop, const sgr_config_io_options_t *options,
+                      const sgr_config_io_callbacks_t *callbacks, void *ctx)
+{
+  static const sgr_config_commit_callbacks_t commit_callbacks
+      = { commit_record, commit_current, commit_delay };
+  sgr_config_io_t *io = calloc (1, sizeof *io);
+
+  if (io == NULL)
+    return NULL;
+  sgr_invariant (sodium_init () >= 0);
+  io->loop = loop;
+  io->options = *options;
+  io->callbacks = *callbacks;
+  io->ctx = ctx;
+  io->state = sgr_config_state_create (&options->owners, options->history_max);
+  io->sync = sgr_config_sync_create (&options->sync, sgr_clock_monotonic_us ());
+  io->fetcher = sgr_http_fetcher_create (loop, options->fetch_timeout_ms, SGR_CONFIG_VALUE_MAX);
+  if (options->store != NULL)
+    io->commit = sgr_config_commit_create (&options->owners, options->store, options->seed,
+                                           &commit_callbacks, io);
+  sgr_config_commit_current_key (options->owners.deployment, io->watch_key, sizeof io->watch_key);
+  h2o_timeout_init (loop, &io->tick, TICK_MS);
+  io->tick_entry.cb = on_tick;
+  h2o_timeout_link (loop, &io->tick, &io->tick_entry);
+  return io;
+}
+
+void
+sgr_config_io_destroy (sgr_config_io_t *io)
+{
+  if (io == NULL)
+    return;
+  h2o_timeout_unlink (&io->tick_entry);
+  h2o_timeout_dispose (io->loop, &io->tick);
+  if (io->watch != NULL)
+    io->options.store->cancel (io->options.store, io->watch);
+  while (io->delays != NULL)
+    {
+      delay_t *delay = io->delays;
+
+      io->delays = delay->next;
+      free (delay);
+    }
+  sgr_config_commit_destroy (io->commit);
+  sgr_http_fetcher_destroy (io->fetcher);
+  sgr_config_sync_destroy (io->sync);
+  sgr_config_state_destroy (io->state);
+  free (io);
+}
+
+void
+sgr_config_io_members_update (sgr_config_io_t *io, const sgr_member_t *members, size_t count)
+{
+  sgr_config_sync_members (io->sync, sgr_clock_monotonic_us (), members, count);
+  run_actions (io);
+}
+
+void
+sgr_config_io_peer_revision (sgr_config_io_t *io, sgr_node_id_t node, const sgr_address_t *address,
+                             uint64_t revision)
+{
+  sgr_config_sync_peer_revision (io->sync, sgr_clock_monotonic_us (), node, address, revision);
+  run_actions (io);
+}
+
+const sgr_config_state_t *
+sgr_config_io_state (const sgr_config_io_t *io)
+{
+  return io->state;
+}
+
+const sgr_config_io_stats_t *
+sgr_config_io_stats (const sgr_config_io_t *io)
+{
+  sgr_config_io_t *mutable_io = (sgr_config_io_t *)io;
+
+  if (io->commit != NULL)
+    mutable_io->stats.store_unknown = sgr_config_commit_unknown_count (io->commit);
+  return &io->stats;
+}
+
+const sgr_config_sync_stats_t *
+sgr_config_io_sync_stats (const sgr_config_io_t *io)
+{
+  return sgr_config_sync_stats (io->sync);
+}
+
+bool
+sgr_config_io_is_reader (const sgr_config_io_t *io)
+{
+  return sgr_config_sync_is_reader (io->sync);
+}
+
+sgr_config_commit_t *
+sgr_config_io_commit (sgr_config_io_t *io)
+{
+  return io->commit;
+}
--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -311,7 +311,8 @@
   char path[512];
   size_t length = req->path_normalized.len;
 
-  if (length >= sizeof path || length < 12)
+  if (length >= sizeof path
+      || length < (strncmp (req->path_normalized.base, "/v1/kv/", 7) == 0 ? 8u : 12u))
     {
       send_status (req, 400, 0, "bad path");
       return 0;
