--- /dev/null
+++ b/libsiskingrade/control_config.c
@@ -0,0 +1,137 @@
+#include "control_config.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "config_api.h"
+#include "log.h"
+#include "store_http.h"
+
+#define STORE_TIMEOUT_MS 2000
+
+struct sgr_control_config_t
+{
+  sgr_control_t *control;
+  sgr_store_t *store;
+  sgr_config_io_t *io;
+  sgr_config_api_t *api;
+};
+
+static void
+on_config_changed (void *ctx, const sgr_config_state_t *state)
+{
+  sgr_control_config_t *config = ctx;
+
+  sgr_log_info ("configuration-in-force", "revision=%lu services=%zu",
+                sgr_config_state_revision (state), sgr_config_state_service_count (state));
+  sgr_control_self_update (config->control);
+  sgr_control_snapshot_due (config->control);
+  sgr_config_api_notify (config->api);
+}
+
+static size_t
+members_list (void *ctx, const sgr_member_t **members)
+{
+  const sgr_control_t *control = ctx;
+
+  *members = control->members;
+  return control->member_count;
+}
+
+static void
+owners_copy (const sgr_settings_t *settings, sgr_config_owners_t *owners)
+{
+  memcpy (owners->deployment, settings->deployment, sizeof owners->deployment);
+  for (size_t i = 0; i < SGR_CONFIG_OWNERS; i++)
+    {
+      memcpy (owners->owner[i].name, settings->owners[i].name, sizeof owners->owner[i].name);
+      memcpy (owners->owner[i].key, settings->owners[i].public_key, sizeof owners->owner[i].key);
+    }
+}
+
+sgr_control_config_t *
+sgr_control_config_create (sgr_control_t *control, h2o_hostconf_t *host)
+{
+  static const sgr_config_io_callbacks_t callbacks = { .config_changed = on_config_changed };
+  const sgr_settings_t *settings = control->settings;
+  sgr_control_config_t *config = calloc (1, sizeof *config);
+  sgr_store_http_options_t store = { .address = settings->store, .timeout_ms = STORE_TIMEOUT_MS };
+  sgr_config_io_options_t options;
+
+  sgr_invariant (config != NULL);
+  config->control = control;
+  if (settings->store.port != 0)
+    config->store = sgr_store_http_create (control->loop, &store);
+  sgr_config_io_options_init (&options);
+  owners_copy (settings, &options.owners);
+  options.sync.self = sgr_node_id_of (settings->name);
+  options.sync.seed = control->boot;
+  memcpy (options.sync.failure_domain, settings->failure_domain,
+          sizeof options.sync.failure_domain);
+  memcpy (options.node, settings->name, sizeof options.node);
+  options.store = config->store;
+  options.seed = control->boot;
+  config->io = sgr_config_io_create (control->loop, &options, &callbacks, config);
+  sgr_invariant (config->io != NULL);
+  config->api = sgr_config_api_create (host, config->io, members_list, control);
+  return config;
+}
+
+void
+sgr_control_config_destroy (sgr_control_config_t *config)
+{
+  if (config == NULL)
+    return;
+  /* The HTTP context lives as long as the process, and the API belongs to it. */
+  sgr_config_io_destroy (config->io);
+  if (config->store != NULL)
+    sgr_store_http_destroy (config->store);
+  free (config);
+}
+
+const sgr_config_state_t *
+sgr_control_config_state (const sgr_control_config_t *config)
+{
+  return sgr_config_io_state (config->io);
+}
+
+sgr_store_t *
+sgr_control_config_store (const sgr_control_config_t *config)
+{
+  return config->store;
+}
+
+void
+sgr_control_config_members (sgr_control_config_t *config, const sgr_member_t *members, size_t count)
+{
+  sgr_config_io_members_update (config->io, members, count);
+}
+
+void
+sgr_control_config_metrics (const sgr_control_config_t *config, sgr_buffer_t *text)
+{
+  const sgr_config_io_stats_t *stats = sgr_config_io_stats (config->io);
+  const sgr_config_sync_stats_t *sync = sgr_config_io_sync_stats (config->io);
+  const struct
+  {
+    const char *name;
+    const char *type;
+    uint64_t value;
+  } rows[] = {
+    { "config_revision", "gauge", sgr_config_state_revision (sgr_config_io_state (config->io)) },
+    { "config_reader", "gauge", sgr_config_io_is_reader (config->io) ? 1 : 0 },
+    { "config_records_taken_total", "counter", stats->records_taken },
+    { "config_records_refused_total", "counter", stats->records_refused },
+    { "config_fetch_bytes_total", "counter", stats->fetch_bytes },
+    { "config_fetches_total", "counter", sync->fetches },
+    { "config_fetch_failures_total", "counter", sync->fetch_failures },
+    { "store_watch_calls_total", "counter", sync->store_calls },
+    { "store_failures_total", "counter", sync->store_failures },
+    { "store_calls_total", "counter",
+      config->store != NULL ? sgr_store_http_calls (config->store) : 0 },
+  };
+
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    sgr_buffer_printf (text, "# TYPE siskingrade_%s %s\nsiskingrade_%s %lu\n", rows[i].name,
+                       rows[i].type, rows[i].name, rows[i].value);
+}
--- /dev/null
+++ b/libsiskingrade/control_config.h
@@ -0,0 +1,27 @@
+#ifndef SGR_CONTROL_CONFIG_H
+#define SGR_CONTROL_CONFIG_H
+
+#include "config_io.h"
+#include "control_internal.h"
+
+/**
+ * sgr_control_config_create() - the configuration of the node and its resources
+ * @control: the control task
+ * @host: HTTP host of the control address
+ */
+sgr_control_config_t *sgr_control_config_create (sgr_control_t *control, h2o_hostconf_t *host);
+void sgr_control_config_destroy (sgr_control_config_t *config);
+
+const sgr_config_state_t *sgr_control_config_state (const sgr_control_config_t *config);
+
+/** sgr_control_config_store() - client of the key-value service, NULL if the settings name none */
+sgr_store_t *sgr_control_config_store (const sgr_control_config_t *config);
+
+/** sgr_control_config_members() - the members changed */
+void sgr_control_config_members (sgr_control_config_t *config, const sgr_member_t *members,
+                                 size_t count);
+
+/** sgr_control_config_metrics() - append the counters of the configuration */
+void sgr_control_config_metrics (const sgr_control_config_t *config, sgr_buffer_t *text);
+
+#endif
--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -14,10 +14,16 @@
 /* Shared by the control_*.c files only. */
 
 typedef struct sgr_control_http_t sgr_control_http_t;
+typedef struct sgr_control_config_t sgr_control_config_t;
+typedef struct sgr_control_keys_t sgr_control_keys_t;
 
 /**
  * struct sgr_control_t - state of the control task
- * @stop_phase: how far a graceful shutdown is
+ * @members: all live members as of the last snapshot
+ * @member_count: entries of @members
+ * @is_stopping: a graceful shutdown has begun
+ * @is_drained: the data task has no open call any more
+ * @leave_us: when the leave was announced
  */
 typedef struct
 {
@@ -30,6 +36,10 @@
   sgr_data_task_t *data;
   sgr_membership_io_t *membership;
   sgr_control_http_t *http;
+  sgr_control_config_t *config;
+  sgr_control_keys_t *keys;
+  sgr_member_t *members;
+  size_t member_count;
   h2o_socket_t *signals;
   sgr_announce_t announce;
   sgr_timer_t announce_timer;
@@ -41,6 +51,9 @@
   uint64_t leave_us;
 } sgr_control_t;
 
+/** sgr_control_self_update() - tell membership of the local target and the revision in force */
+void sgr_control_self_update (sgr_control_t *control);
+
 /** sgr_control_local_changed() - the local target changed: tell membership and the data task */
 void sgr_control_local_changed (sgr_control_t *control);
 
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -11,8 +11,10 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "control_config.h"
 #include "control_http.h"
 #include "control_internal.h"
+#include "control_keys.h"
 #include "log.h"
 #include "task_loop.h"
 
@@ -42,35 +44,42 @@
   return x < y ? -1 : x > y;
 }
 
+/* Copies the live members, for the snapshot, the configuration and the resource API. */
 static void
-policy_add (sgr_snapshot_t *snapshot, const char *service)
+members_refresh (sgr_control_t *control)
 {
-  for (size_t i = 0; i < snapshot->policy_count; i++)
+  size_t room = sgr_membership_size (membership_of (control)) + 1;
+  sgr_member_t member;
+  size_t cursor = 0;
+
+  free (control->members);
+  control->members = calloc (room, sizeof *control->members);
+  sgr_invariant (control->members != NULL);
+  control->member_count = 0;
+  while (sgr_membership_member_next (membership_of (control), &cursor, &member))
     {
-      if (strcmp (snapshot->policies[i].service, service) == 0)
-        return;
+      if (member.status <= SGR_MEMBER_SUSPECT && control->member_count < room)
+        control->members[control->member_count++] = member;
     }
-  sgr_policy_init (&snapshot->policies[snapshot->policy_count++], service);
+  qsort (control->members, control->member_count, sizeof *control->members, member_order);
 }
 
 static sgr_snapshot_t *
 snapshot_build (const sgr_control_t *control)
 {
-  size_t room = sgr_membership_size (membership_of (control)) + 1;
-  sgr_snapshot_t *snapshot = sgr_snapshot_create (room, room);
-  sgr_member_t member;
-  size_t cursor = 0;
+  const sgr_config_state_t *state = sgr_control_config_state (control->config);
+  size_t policies = sgr_config_state_service_count (state);
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (control->member_count, policies);
 
   snapshot->local = control->announce.local;
-  while (sgr_membership_member_next (membership_of (control), &cursor, &member))
+  snapshot->config_revision = sgr_config_state_revision (state);
+  for (size_t i = 0; i < control->member_count; i++)
     {
-      if (member.status > SGR_MEMBER_SUSPECT || member.service[0] == '\0'
-          || snapshot->member_count == room)
-        continue;
-      snapshot->members[snapshot->member_count++] = member;
-      policy_add (snapshot, member.service);
+      if (control->members[i].service[0] != '\0')
+        snapshot->members[snapshot->member_count++] = control->members[i];
     }
-  qsort (snapshot->members, snapshot->member_count, sizeof *snapshot->members, member_order);
+  for (size_t i = 0; i < policies; i++)
+    snapshot->policies[snapshot->policy_count++] = *sgr_config_state_service_at (state, i);
   return snapshot;
 }
 
@@ -79,6 +88,8 @@
 {
   sgr_control_t *control = ctx;
 
+  members_refresh (control);
+  sgr_control_config_members (control->config, control->members, control->member_count);
   sgr_data_task_snapshot_send (control->data, snapshot_build (control));
 }
 
@@ -91,21 +102,31 @@
 }
 
 void
-sgr_control_local_changed (sgr_control_t *control)
+sgr_control_self_update (sgr_control_t *control)
 {
   const sgr_snapshot_local_t *local = &control->announce.local;
+  const sgr_config_state_t *state = sgr_control_config_state (control->config);
   sgr_membership_update_t update
       = { .target_state = local->service[0] != '\0' ? local->state : SGR_TARGET_LEFT,
           .service = local->service,
-          .slots = local->slots };
-  uint64_t now_us = sgr_clock_monotonic_us ();
+          .slots = local->slots,
+          .config_revision = sgr_config_state_revision (state) };
+
+  /* After the leave the own record is final, so that a conflict is no error. */
+  sgr_membership_self_update (membership_of (control), sgr_clock_monotonic_us (), &update);
+}
+
+void
+sgr_control_local_changed (sgr_control_t *control)
+{
+  const sgr_snapshot_local_t *local = &control->announce.local;
+  bool is_present = local->service[0] != '\0';
 
-  sgr_log_info ("target-changed", "service=%s state=%s slots=%u",
-                local->service[0] != '\0' ? local->service : "-",
-                sgr_target_state_name (update.target_state), local->slots);
-  sgr_membership_self_update (membership_of (control), now_us, &update);
+  sgr_log_info ("target-changed", "service=%s state=%s slots=%u", is_present ? local->service : "-",
+                sgr_target_state_name (is_present ? local->state : SGR_TARGET_LEFT), local->slots);
+  sgr_control_self_update (control);
   /* The gate learns of its own target at once. */
-  sgr_timer_arm (control->timers, &control->snapshot_timer, now_us);
+  sgr_timer_arm (control->timers, &control->snapshot_timer, sgr_clock_monotonic_us ());
 }
 
 static void
@@ -168,18 +189,6 @@
     stop_begin (sock->data);
 }
 
-static void
-key_bind (sgr_control_t *control, sgr_data_key_bind_t *bind)
-{
-  sgr_data_key_bound_t *bound = calloc (1, sizeof *bound);
-
-  sgr_invariant (bound != NULL);
-  bound->id = bind->id;
-  bound->result = SGR_ERR_UNAVAILABLE;
-  free (bind);
-  sgr_data_task_key_bound_send (control->data, bound);
-}
-
 static void
 on_message (void *ctx, int kind, void *message)
 {
@@ -187,7 +196,7 @@
 
   if (kind == MESSAGE_KEY_BIND)
     {
-      key_bind (control, message);
+      sgr_control_keys_bind (control->keys, message);
       return;
     }
   sgr_log_info ("drained", "calls=0");
@@ -278,6 +287,7 @@
 
   sgr_metrics_print (sgr_data_task_metrics (control->data), text);
   sgr_metrics_print (control->metrics, text);
+  sgr_control_config_metrics (control->config, text);
   sgr_buffer_printf (text, "# TYPE siskingrade_members gauge\nsiskingrade_members %zu\n",
                      sgr_membership_size (membership_of (control)));
   counter_print (text, "messages_sent_total", counters->messages_sent);
@@ -304,6 +314,8 @@
   if (result != SGR_OK)
     return result;
   control->http = sgr_control_http_create (control, errors);
+  control->config = sgr_control_config_create (control, sgr_control_http_host (control->http));
+  control->keys = sgr_control_keys_create (control, sgr_control_config_store (control->config));
   result = sgr_control_http_open (control->http, errors);
   if (result != SGR_OK)
     return result;
@@ -346,6 +358,9 @@
 
 out:
   sgr_control_http_destroy (control.http);
+  sgr_control_keys_destroy (control.keys);
+  sgr_control_config_destroy (control.config);
+  free (control.members);
   sgr_membership_io_destroy (control.membership);
   sgr_metrics_destroy (control.metrics);
   sgr_timer_heap_destroy (control.timers);
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -28,11 +28,12 @@
 static void
 read_node (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
-  static const char *const keys[] = { "name", "region", "failure_domain", NULL };
+  static const char *const keys[] = { "deployment", "name", "region", "failure_domain", NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "node");
 
   if (!sgr_yaml_mapping_check (yaml, node, "node", keys))
     return;
+  sgr_yaml_name_read (yaml, node, "deployment", "node", true, settings->deployment);
   sgr_yaml_name_read (yaml, node, "name", "node", true, settings->name);
   sgr_yaml_name_read (yaml, node, "region", "node", true, settings->region);
   sgr_yaml_name_read (yaml, node, "failure_domain", "node", true, settings->failure_domain);
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -23,6 +23,7 @@
 
 /**
  * struct sgr_settings_t - settings of a node, read once at start
+ * @deployment: deployment that the node belongs to; part of what the co-owners sign
  * @name: name of the node, unique in the fleet
  * @region: region
  * @failure_domain: failure domain, unique in the fleet
@@ -47,6 +48,7 @@
  */
 typedef struct
 {
+  char deployment[SGR_NAME_MAX + 1];
   char name[SGR_NAME_MAX + 1];
   char region[SGR_NAME_MAX + 1];
   char failure_domain[SGR_NAME_MAX + 1];
