--- a/tests/test_membership_io.c
+++ b/tests/test_membership_io.c
@@ -61,6 +61,7 @@
   sgr_membership_io_destroy (first);
   sgr_membership_io_destroy (NULL);
   h2o_evloop_run (loop, 0);
+  h2o_evloop_destroy (loop);
 }
 
 /* Guards against a socket or timer that stops working; the runner's time limit ends a hang. */
@@ -101,6 +102,7 @@
   for (int i = 0; i < 3; i++)
     sgr_membership_io_destroy (ios[i]);
   h2o_evloop_run (loop, 0);
+  h2o_evloop_destroy (loop);
 }
 
 int
