Add the setting advertise.peers and a fixture for tests on real processes

Tests of the path between nodes need a relay in the place of the network, so a node can announce an address other than the one that it listens on. The fixture starts a store, nodes and targets on loopback, approves a configuration and offers an HTTP client that tells a whole answer from a cut one.

--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -256,7 +256,7 @@
           sizeof options.self.failure_domain);
   options.self.boot = control->boot;
   options.self.boot_time_s = (uint64_t)time (NULL);
-  options.self.data_address = settings->peers;
+  options.self.data_address = settings->advertised_peers;
   options.self.control_address = settings->control;
   options.seed = control->boot;
   options.budget_bytes_per_s = (uint32_t)settings->membership_bytes_per_s;
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -66,6 +66,18 @@
                     "duplicate of another listen address");
 }
 
+static void
+read_advertise (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  static const char *const keys[] = { "peers", NULL };
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "advertise");
+
+  settings->advertised_peers = settings->peers;
+  if (node == 0 || !sgr_yaml_mapping_check (yaml, node, "advertise", keys))
+    return;
+  sgr_yaml_address_read (yaml, node, "peers", "advertise", false, &settings->advertised_peers);
+}
+
 static void
 read_contacts (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
@@ -224,13 +236,14 @@
 read_document (sgr_settings_t *settings, sgr_yaml_t *yaml)
 {
   static const char *const keys[]
-      = { "node", "listen", "contacts", "store", "owners", "tls", "log", "limits", NULL };
+      = { "node", "listen", "advertise", "contacts", "store", "owners", "tls", "log", "limits", NULL };
   sgr_yaml_node_t root = sgr_yaml_root (yaml);
 
   if (!sgr_yaml_mapping_check (yaml, root, "", keys))
     return SGR_ERR_INVALID;
   read_node (settings, yaml, root);
   read_listen (settings, yaml, root);
+  read_advertise (settings, yaml, root);
   read_contacts (settings, yaml, root);
   sgr_yaml_address_read (yaml, root, "store", "", false, &settings->store);
   read_owners (settings, yaml, root);
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -29,6 +29,7 @@
  * @failure_domain: failure domain, unique in the fleet
  * @callers: where callers connect
  * @peers: where other nodes send calls
+ * @advertised_peers: address of @peers as other nodes reach it, @peers unless set
  * @control: where control messages, announcements and the resource API arrive
  * @store: the platform's key-value service, port 0 for none
  * @contacts: control addresses of some other nodes
@@ -54,6 +55,7 @@
   char failure_domain[SGR_NAME_MAX + 1];
   sgr_address_t callers;
   sgr_address_t peers;
+  sgr_address_t advertised_peers;
   sgr_address_t control;
   sgr_address_t store;
   sgr_address_t contacts[SGR_SETTINGS_CONTACTS_MAX];
--- /dev/null
+++ b/tests/node_fixture.c
@@ -0,0 +1,383 @@
+#include "node_fixture.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "buffer.h"
+#include "node_fixture_config.h"
+#include "result.h"
+#include "timer_heap.h"
+
+#define READY_US (20ULL * 1000 * 1000)
+/* Below the range from which the kernel takes ports of outgoing connections. */
+#define PORT_FIRST 15000U
+#define PORT_COUNT 16000U
+
+static const char *
+build_folder (void)
+{
+  const char *build = getenv ("SGR_BUILD");
+
+  return build != NULL && build[0] != '\0' ? build : "build";
+}
+
+static bool
+is_free (uint16_t port, int type)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET,
+                            .sin_port = htons (port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
+  int on = 1;
+  bool free_now;
+
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  free_now = bind (fd, (struct sockaddr *)&at, sizeof at) == 0;
+  close (fd);
+  return free_now;
+}
+
+uint16_t
+sgr_fixture_port (void)
+{
+  static uint32_t next;
+
+  if (next == 0)
+    next = (uint32_t)getpid () * 61 + 1;
+  for (;;)
+    {
+      uint16_t port = (uint16_t)(PORT_FIRST + next++ % PORT_COUNT);
+
+      if (is_free (port, SOCK_STREAM) && is_free (port, SOCK_DGRAM))
+        return port;
+    }
+}
+
+void
+sgr_fixture_pause (void)
+{
+  struct timespec time = { .tv_nsec = 5 * 1000 * 1000 };
+
+  nanosleep (&time, NULL);
+}
+
+void
+sgr_fixture_init (sgr_fixture_t *fixture)
+{
+  *fixture = (sgr_fixture_t){ .limits = "  heartbeat_ms: 50\n  silence_ms: 300\n",
+                              .extra = "",
+                              .target_options = "--service-us=0" };
+  strcpy (fixture->folder, "/tmp/siskingrade-test-XXXXXX");
+  sgr_invariant (mkdtemp (fixture->folder) != NULL);
+}
+
+sgr_fixture_node_t *
+sgr_fixture_node_add (sgr_fixture_t *fixture, const char *name, const char *service,
+                      bool with_relay)
+{
+  sgr_fixture_node_t *node = &fixture->nodes[fixture->count++];
+
+  sgr_invariant (fixture->count <= SGR_FIXTURE_NODES_MAX);
+  *node = (sgr_fixture_node_t){ .service = service };
+  snprintf (node->name, sizeof node->name, "%s", name);
+  node->callers = sgr_fixture_port ();
+  node->peers = sgr_fixture_port ();
+  node->control = sgr_fixture_port ();
+  node->advertised = with_relay ? sgr_fixture_port () : node->peers;
+  if (service != NULL)
+    node->target = sgr_fixture_port ();
+  if (with_relay)
+    node->relay = sgr_relay_start (node->advertised, node->peers);
+  return node;
+}
+
+/* Starts a program with its output in a log file of the folder. */
+static pid_t
+spawn (const sgr_fixture_t *fixture, const char *log, char *const *arguments)
+{
+  pid_t parent = getpid ();
+  pid_t pid = fork ();
+  char path[128];
+  int fd;
+
+  sgr_invariant (pid >= 0);
+  if (pid > 0)
+    return pid;
+  /* No process outlives a test that was killed. */
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid () != parent)
+    _exit (126);
+  snprintf (path, sizeof path, "%s/%s.log", fixture->folder, log);
+  fd = open (path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+  dup2 (fd, 1);
+  dup2 (fd, 2);
+  execv (arguments[0], arguments);
+  _exit (127);
+}
+
+static void
+settings_write (const sgr_fixture_t *fixture, const sgr_fixture_node_t *node, const char *path)
+{
+  FILE *file = fopen (path, "w");
+
+  sgr_invariant (file != NULL);
+  fprintf (file,
+           "node:\n  deployment: " SGR_FIXTURE_DEPLOYMENT "\n  name: %s\n  region: test\n  failure_domain: test-1\n"
+           "listen:\n  callers: 127.0.0.1:%u\n  peers: 127.0.0.1:%u\n  control: 127.0.0.1:%u\n"
+           "advertise:\n  peers: 127.0.0.1:%u\ncontacts:\n",
+           node->name, node->callers, node->peers, node->control, node->advertised);
+  for (size_t i = 0; i < fixture->count; i++)
+    fprintf (file, "  - 127.0.0.1:%u\n", fixture->nodes[i].control);
+  fprintf (file, "store: 127.0.0.1:%u\nlimits:\n%s%s", fixture->store, fixture->limits,
+           fixture->extra);
+  sgr_fixture_owners_write (file);
+  fclose (file);
+}
+
+void
+sgr_fixture_node_start (sgr_fixture_t *fixture, sgr_fixture_node_t *node)
+{
+  char program[128];
+  char path[128];
+  char *arguments[] = { program, path, NULL };
+
+  snprintf (program, sizeof program, "%s/siskingraded", build_folder ());
+  snprintf (path, sizeof path, "%s/%s.yaml", fixture->folder, node->name);
+  settings_write (fixture, node, path);
+  node->pid = spawn (fixture, node->name, arguments);
+}
+
+void
+sgr_fixture_target_start (sgr_fixture_t *fixture, sgr_fixture_node_t *node)
+{
+  char options[256];
+  char program[128];
+  char listen[48];
+  char announce[48];
+  char service[64];
+  char log[64];
+  char *arguments[16] = { program, listen, announce, service };
+  size_t count = 4;
+  char *rest = options;
+
+  snprintf (program, sizeof program, "%s/standin-target", build_folder ());
+  snprintf (listen, sizeof listen, "--listen=127.0.0.1:%u", node->target);
+  snprintf (announce, sizeof announce, "--announce=127.0.0.1:%u", node->control);
+  snprintf (service, sizeof service, "--service=%s", node->service);
+  snprintf (log, sizeof log, "%s-target", node->name);
+  snprintf (options, sizeof options, "%s", fixture->target_options);
+  while (count < 15 && (arguments[count] = strsep (&rest, " ")) != NULL)
+    count++;
+  arguments[count] = NULL;
+  node->target_pid = spawn (fixture, log, arguments);
+}
+
+static void
+store_start (sgr_fixture_t *fixture)
+{
+  char program[128];
+  char listen[48];
+  char *arguments[] = { program, listen, NULL };
+
+  fixture->store = sgr_fixture_port ();
+  snprintf (program, sizeof program, "%s/standin-store", build_folder ());
+  snprintf (listen, sizeof listen, "--listen=127.0.0.1:%u", fixture->store);
+  fixture->store_pid = spawn (fixture, "store", arguments);
+}
+
+bool
+sgr_fixture_ready (const sgr_fixture_node_t *entry, const char *service)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + READY_US;
+  char fields[128];
+  sgr_probe_request_t request
+      = { .port = entry->callers, .path = "/", .fields = fields, .timeout_ms = 2000 };
+  bool is_ready = false;
+
+  snprintf (fields, sizeof fields,
+            "Siskingrade-Service: %s\r\nSiskingrade-Deadline-Ms: 1000\r\nConnection: close\r\n",
+            service);
+  while (!is_ready && sgr_clock_monotonic_us () < end_us)
+    {
+      sgr_probe_answer_t answer;
+
+      sgr_probe_call (&request, &answer);
+      is_ready = answer.end == SGR_PROBE_WHOLE && answer.status == 200;
+      sgr_probe_release (&answer);
+      if (!is_ready)
+        sgr_fixture_pause ();
+    }
+  return is_ready;
+}
+
+static void
+logs_print (const sgr_fixture_t *fixture)
+{
+  for (size_t i = 0; i < fixture->count; i++)
+    {
+      char path[128];
+      char line[512];
+      FILE *file;
+
+      snprintf (path, sizeof path, "%s/%s.log", fixture->folder, fixture->nodes[i].name);
+      file = fopen (path, "r");
+      while (file != NULL && fgets (line, sizeof line, file) != NULL)
+        fprintf (stderr, "%s: %s", fixture->nodes[i].name, line);
+      if (file != NULL)
+        fclose (file);
+    }
+}
+
+bool
+sgr_fixture_start (sgr_fixture_t *fixture)
+{
+  store_start (fixture);
+  for (size_t i = 0; i < fixture->count; i++)
+    sgr_fixture_node_start (fixture, &fixture->nodes[i]);
+  for (size_t i = 0; i < fixture->count; i++)
+    {
+      if (fixture->nodes[i].service != NULL)
+        sgr_fixture_target_start (fixture, &fixture->nodes[i]);
+    }
+  if (!sgr_fixture_services_set (fixture))
+    {
+      logs_print (fixture);
+      return false;
+    }
+  for (size_t i = 0; i < fixture->count; i++)
+    {
+      for (size_t j = 0; j < fixture->count; j++)
+        {
+          if (fixture->nodes[j].service == NULL
+              || sgr_fixture_ready (&fixture->nodes[i], fixture->nodes[j].service))
+            continue;
+          fprintf (stderr, "%s does not serve %s\n", fixture->nodes[i].name,
+                   fixture->nodes[j].service);
+          logs_print (fixture);
+          return false;
+        }
+    }
+  return true;
+}
+
+void
+sgr_fixture_kill (pid_t *pid)
+{
+  if (*pid <= 0)
+    return;
+  kill (*pid, SIGKILL);
+  waitpid (*pid, NULL, 0);
+  *pid = 0;
+}
+
+int
+sgr_fixture_wait (pid_t *pid, int timeout_ms)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + (uint64_t)timeout_ms * 1000;
+  int status;
+
+  while (waitpid (*pid, &status, WNOHANG) != *pid)
+    {
+      if (sgr_clock_monotonic_us () >= end_us)
+        return -1;
+      sgr_fixture_pause ();
+    }
+  *pid = 0;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : 128 + WTERMSIG (status);
+}
+
+void
+sgr_fixture_stop (sgr_fixture_t *fixture)
+{
+  static const char *const endings[] = { ".yaml", ".log", "-target.log" };
+  char path[192];
+
+  sgr_fixture_kill (&fixture->store_pid);
+  snprintf (path, sizeof path, "%s/store.log", fixture->folder);
+  unlink (path);
+  for (size_t i = 0; i < fixture->count; i++)
+    {
+      sgr_fixture_node_t *node = &fixture->nodes[i];
+
+      sgr_fixture_kill (&node->target_pid);
+      sgr_fixture_kill (&node->pid);
+      if (node->relay != NULL)
+        sgr_relay_stop (node->relay);
+      node->relay = NULL;
+      for (size_t j = 0; j < sizeof endings / sizeof endings[0]; j++)
+        {
+          snprintf (path, sizeof path, "%s/%s%s", fixture->folder, node->name, endings[j]);
+          unlink (path);
+        }
+    }
+  rmdir (fixture->folder);
+}
+
+unsigned
+sgr_fixture_executions (const sgr_fixture_node_t *node, const char *request_id)
+{
+  sgr_probe_request_t request = { .port = node->target, .path = "/executions" };
+  sgr_probe_answer_t answer;
+  size_t length = strlen (request_id);
+  unsigned count = 0;
+
+  sgr_probe_call (&request, &answer);
+  sgr_invariant (answer.end == SGR_PROBE_WHOLE);
+  for (const char *line = answer.body; line != NULL && *line != '\0';)
+    {
+      if (strncmp (line, request_id, length) == 0 && line[length] == ' ')
+        count = (unsigned)strtoul (line + length, NULL, 10);
+      line = strchr (line, '\n');
+      line = line != NULL ? line + 1 : NULL;
+    }
+  sgr_probe_release (&answer);
+  return count;
+}
+
+void
+sgr_fixture_admin (const sgr_fixture_node_t *node, const char *name)
+{
+  char path[64];
+  sgr_probe_request_t request = { .port = node->target, .method = "POST", .path = path, .body = "" };
+  sgr_probe_answer_t answer;
+
+  snprintf (path, sizeof path, "/admin/%s", name);
+  sgr_probe_call (&request, &answer);
+  sgr_invariant (answer.status == 200);
+  sgr_probe_release (&answer);
+}
+
+uint64_t
+sgr_fixture_metric (const sgr_fixture_node_t *node, const char *start)
+{
+  sgr_probe_request_t request = { .port = node->control, .path = "/metrics" };
+  sgr_probe_answer_t answer;
+  uint64_t sum = 0;
+
+  sgr_probe_call (&request, &answer);
+  for (const char *line = answer.body; line != NULL && *line != '\0';)
+    {
+      const char *end = strchr (line, '\n');
+
+      if (strncmp (line, start, strlen (start)) == 0)
+        {
+          const char *value = end != NULL ? end : line + strlen (line);
+
+          while (value > line && value[-1] != ' ')
+            value--;
+          sum += strtoull (value, NULL, 10);
+        }
+      line = end != NULL ? end + 1 : NULL;
+    }
+  sgr_probe_release (&answer);
+  return sum;
+}
--- /dev/null
+++ b/tests/node_fixture_config.c
@@ -0,0 +1,130 @@
+#include "node_fixture_config.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "config_change.h"
+#include "timer_heap.h"
+
+#define TRY_US (20ULL * 1000 * 1000)
+
+static const char *const owner_names[SGR_CONFIG_OWNERS] = { "one", "two" };
+
+static void
+keys_make (int owner, uint8_t *public_key, uint8_t *secret)
+{
+  uint8_t seed[crypto_sign_SEEDBYTES];
+
+  sgr_invariant (sodium_init () >= 0);
+  memset (seed, owner + 1, sizeof seed);
+  crypto_sign_seed_keypair (public_key, secret, seed);
+}
+
+void
+sgr_fixture_owners_write (FILE *file)
+{
+  uint8_t public_key[crypto_sign_PUBLICKEYBYTES];
+  uint8_t secret[crypto_sign_SECRETKEYBYTES];
+  char hex[2 * sizeof public_key + 1];
+
+  fprintf (file, "owners:\n");
+  for (int i = 0; i < SGR_CONFIG_OWNERS; i++)
+    {
+      keys_make (i, public_key, secret);
+      sodium_bin2hex (hex, sizeof hex, public_key, sizeof public_key);
+      fprintf (file, "  - name: %s\n    public_key: %s\n", owner_names[i], hex);
+    }
+}
+
+static json_t *
+content_make (const sgr_fixture_t *fixture)
+{
+  json_t *services = json_array ();
+
+  for (size_t i = 0; i < fixture->count; i++)
+    {
+      const char *service = fixture->nodes[i].service;
+      bool is_known = service == NULL;
+
+      for (size_t j = 0; j < i && !is_known; j++)
+        is_known = fixture->nodes[j].service != NULL
+                   && strcmp (fixture->nodes[j].service, service) == 0;
+      if (!is_known)
+        json_array_append_new (services,
+                               json_pack ("{s:s, s:s}", "name", service, "policy",
+                                          strcmp (service, "pair") == 0 ? "shedding" : "plain"));
+    }
+  return json_pack ("{s:{s:[{s:s}, {s:s, s:[i]}], s:o}}", "full", "policies", "name", "plain",
+                    "name", "shedding", "not_run_status", 503, "services", services);
+}
+
+/* Posts until a node takes it: the node may not have read the store yet. */
+static bool
+post (const sgr_fixture_t *fixture, const char *path, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+  uint64_t end_us = sgr_clock_monotonic_us () + TRY_US;
+  sgr_probe_request_t request = { .port = fixture->nodes[0].control,
+                                  .method = "POST",
+                                  .path = path,
+                                  .body = text,
+                                  .body_length = strlen (text),
+                                  .timeout_ms = 5000 };
+  int status = 0;
+
+  while (status != 200 && sgr_clock_monotonic_us () < end_us)
+    {
+      sgr_probe_answer_t answer;
+
+      sgr_probe_call (&request, &answer);
+      status = answer.status;
+      if (status != 200 && status != 503 && status != 0)
+        {
+          fprintf (stderr, "POST %s: %d %s\n", path, status, answer.body);
+          end_us = 0;
+        }
+      sgr_probe_release (&answer);
+      if (status != 200)
+        sgr_fixture_pause ();
+    }
+  free (text);
+  json_decref (json);
+  return status == 200;
+}
+
+static bool
+approve (const sgr_fixture_t *fixture, const sgr_config_change_t *change, int owner)
+{
+  sgr_config_approval_t approval = { 0 };
+  uint8_t public_key[crypto_sign_PUBLICKEYBYTES];
+  uint8_t secret[crypto_sign_SECRETKEYBYTES];
+  char hex[SGR_CONFIG_DIGEST_HEX];
+  sgr_config_digest_t digest;
+
+  sgr_config_change_digest (change, &digest);
+  sgr_config_digest_format (&digest, hex);
+  keys_make (owner, public_key, secret);
+  snprintf (approval.owner, sizeof approval.owner, "%s", owner_names[owner]);
+  sgr_config_statement_sign (&digest, secret, approval.signature);
+  return post (
+      fixture, "/v1/changes/first/approve",
+      json_pack ("{s:s, s:o}", "digest", hex, "approval", sgr_config_approval_write (&approval)));
+}
+
+bool
+sgr_fixture_services_set (const sgr_fixture_t *fixture)
+{
+  json_t *content = content_make (fixture);
+  sgr_config_change_t *change;
+  sgr_config_error_t error = { SGR_OK };
+  sgr_result_t result = sgr_config_change_propose (SGR_FIXTURE_DEPLOYMENT, NULL, "first",
+                                                   owner_names[0], content, &change, &error);
+  bool is_set;
+
+  sgr_invariant (result == SGR_OK);
+  is_set = post (fixture, "/v1/changes", sgr_config_change_write (change))
+           && approve (fixture, change, 0) && approve (fixture, change, 1);
+  sgr_config_change_destroy (change);
+  json_decref (content);
+  return is_set;
+}
--- /dev/null
+++ b/tests/path_check.c
@@ -0,0 +1,87 @@
+#include "path_check.h"
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <setjmp.h>
+
+#include <cmocka.h>
+
+int
+sgr_path_send (sgr_path_call_t *call)
+{
+  static unsigned next;
+
+  /* The first letter decides the pattern of the body, so neighbours differ in it. */
+  snprintf (call->id, sizeof call->id, "%c-%u", 'a' + next % 26, next);
+  next++;
+  snprintf (call->head, sizeof call->head,
+            "Siskingrade-Service: %s\r\nSiskingrade-Deadline-Ms: %d\r\nX-Request-Id: %s\r\n%s",
+            call->service, call->deadline_ms > 0 ? call->deadline_ms : 5000, call->id,
+            call->fields != NULL ? call->fields : "");
+  call->request = (sgr_probe_request_t){ .port = call->entry->callers,
+                                         .method = call->method,
+                                         .path = call->path,
+                                         .fields = call->head,
+                                         .body = call->body,
+                                         .body_length = call->body != NULL ? strlen (call->body) : 0 };
+  return sgr_probe_send (&call->request);
+}
+
+static void
+body_check (const sgr_path_call_t *call, const sgr_probe_answer_t *answer)
+{
+  size_t length = strncmp (call->path, "/bytes/", 7) == 0 ? strtoul (call->path + 7, NULL, 10) : 0;
+
+  if (strcmp (call->method, "HEAD") == 0)
+    return;
+  if (length == 0)
+    {
+      assert_int_equal (answer->length, strlen (call->id) + 1);
+      assert_memory_equal (answer->body, call->id, strlen (call->id));
+      return;
+    }
+  if (answer->end == SGR_PROBE_WHOLE)
+    assert_int_equal (answer->length, length);
+  assert_true (answer->length <= length);
+  for (size_t i = 0; i < answer->length; i++)
+    {
+      if (answer->body[i] != (char)('a' + (i + (uint8_t)call->id[0]) % 26))
+        fail_msg ("%s: byte %zu is not of this answer", call->id, i);
+    }
+}
+
+void
+sgr_path_check (const sgr_path_call_t *call, const sgr_probe_answer_t *answer, unsigned executions)
+{
+  char outcome[32];
+  char id[64];
+  bool is_idempotent = strcmp (call->method, "POST") != 0;
+
+  assert_true (is_idempotent ? executions <= 3 : executions <= 1);
+  if (answer->status == 0)
+    return;
+  assert_true (sgr_probe_field (answer, "siskingrade-outcome", outcome, sizeof outcome));
+  if (answer->status == 200)
+    {
+      assert_true (sgr_probe_field (answer, "x-request-id", id, sizeof id));
+      assert_string_equal (id, call->id);
+      assert_string_equal (outcome, "complete");
+      assert_true (executions >= 1);
+      body_check (call, answer);
+    }
+  if (strcmp (outcome, "not-run") == 0)
+    assert_int_equal (executions, 0);
+  /* An error of the node is never cut. */
+  if (strcmp (outcome, "complete") != 0)
+    assert_int_equal (answer->end, SGR_PROBE_WHOLE);
+}
+
+void
+sgr_path_receive (int fd, sgr_path_call_t *call, sgr_probe_answer_t *answer)
+{
+  assert_true (fd >= 0);
+  sgr_probe_receive (fd, &call->request, answer);
+}
