Give error answers and issued keys a length

Cause: h2o does not chunk answers with a status other than 200 and 206; without a length it ends the body with the connection, and a cut error looks whole. Change: set the content length. Before: 'closes before' reported as cut by the test's client. After: whole.

--- a/libsiskingrade/data_answer.c
+++ b/libsiskingrade/data_answer.c
@@ -146,6 +146,8 @@
 
   req->res.status = error->status;
   req->res.reason = "";
+  /* Without it h2o ends the body with the connection, and a cut one looks whole. */
+  req->res.content_length = (size_t)length;
   h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
                   H2O_STRLIT ("application/json"));
   h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("siskingrade-outcome"), 0, NULL,
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -261,6 +261,7 @@
   body = h2o_concat (&req->pool, h2o_iovec_init (H2O_STRLIT ("{\"key\":\"")),
                      h2o_iovec_init (text, strlen (text)), h2o_iovec_init (H2O_STRLIT ("\"}\n")));
   req->res.status = 201;
+  req->res.content_length = body.len;
   req->res.reason = "Created";
   h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
                   H2O_STRLIT ("application/json"));
