--- /dev/null
+++ b/libsiskingrade/data_attempt.c
@@ -0,0 +1,225 @@
+#include <string.h>
+#include <strings.h>
+
+#include "data_call_internal.h"
+#include "http_fields.h"
+
+/* Frames that an entry takes from a gate. */
+
+static sgr_result_t
+head_take (sgr_data_attempt_t *attempt, const Sgr__Pb__AnswerHead *head)
+{
+  sgr_buffer_t packed = { 0 };
+
+  if (attempt->has_head || head->status < 200 || head->status > 999)
+    return SGR_ERR_INVALID;
+  for (size_t i = 0; i < head->n_headers; i++)
+    {
+      if (!sgr_http_is_token (head->headers[i]->name, strlen (head->headers[i]->name))
+          || !sgr_http_is_value (head->headers[i]->value, strlen (head->headers[i]->value)))
+        return SGR_ERR_INVALID;
+    }
+  packed.length = sgr__pb__answer_head__pack (
+      head, sgr_buffer_reserve (&packed, sgr__pb__answer_head__get_packed_size (head)));
+  attempt->head = sgr__pb__answer_head__unpack (NULL, packed.length, packed.bytes);
+  sgr_invariant (attempt->head != NULL);
+  sgr_buffer_release (&packed);
+  attempt->has_head = true;
+  attempt->body_length = head->body_length;
+  return SGR_OK;
+}
+
+static void
+stream_if_large (sgr_data_call_t *call, sgr_data_attempt_t *attempt)
+{
+  sgr_call_event_t event = { .kind = SGR_CALL_EVENT_ANSWER_STARTED };
+  size_t limit = call->task->settings->answer_buffer_bytes;
+
+  /* The gate sends no more than the window until a part is passed on. */
+  if (limit > SGR_ANSWER_WINDOW_BYTES / 2)
+    limit = SGR_ANSWER_WINDOW_BYTES / 2;
+  if (call->req == NULL || call->streaming != NULL || attempt->body.length <= limit)
+    return;
+  event.attempt = attempt->id.attempt;
+  sgr_data_call_answer_start (call, attempt, attempt->body_length);
+  sgr_data_call_event (call, &event);
+}
+
+static sgr_result_t
+chunk_take (sgr_data_attempt_t *attempt, const Sgr__Pb__AnswerChunk *chunk)
+{
+  sgr_data_call_t *call = attempt->call;
+
+  if (!attempt->has_head || chunk->offset != attempt->received)
+    return SGR_ERR_INVALID;
+  if (attempt->body_length >= 0
+      && chunk->data.len > (uint64_t)attempt->body_length - attempt->received)
+    return SGR_ERR_INVALID;
+  /* Records are sent without credit; everything else has to keep to the window. */
+  if (attempt->received + chunk->data.len > attempt->taken + SGR_ANSWER_WINDOW_BYTES)
+    return SGR_ERR_INVALID;
+  attempt->received += chunk->data.len;
+  if (call->streaming == attempt)
+    {
+      sgr_data_answer_body (call->answer, chunk->data.data, chunk->data.len);
+      return SGR_OK;
+    }
+  sgr_buffer_append (&attempt->body, chunk->data.data, chunk->data.len);
+  stream_if_large (call, attempt);
+  return SGR_OK;
+}
+
+static sgr_retry_deeper_t
+deeper_of (const sgr_data_attempt_t *attempt)
+{
+  for (size_t i = 0; attempt->has_head && i < attempt->head->n_headers; i++)
+    {
+      const Sgr__Pb__Header *header = attempt->head->headers[i];
+
+      if (strcasecmp (header->name, "siskingrade-retried") == 0)
+        return sgr_retry_deeper_parse (header->value, strlen (header->value));
+    }
+  return SGR_RETRY_DEEPER_UNSAID;
+}
+
+static sgr_result_t
+end_take (sgr_data_attempt_t *attempt, const Sgr__Pb__AnswerEnd *end)
+{
+  sgr_call_event_t event = { .kind = SGR_CALL_EVENT_OUTCOME,
+                             .attempt = attempt->id.attempt,
+                             .outcome = SGR_OUTCOME_COMPLETE,
+                             .deeper = deeper_of (attempt) };
+
+  if (!attempt->has_head || end->length != attempt->received
+      || (attempt->body_length >= 0 && (uint64_t)attempt->body_length != attempt->received))
+    return SGR_ERR_INVALID;
+  sgr_data_attempt_balance (attempt, SGR_OUTCOME_COMPLETE, attempt->head->status >= 500, end->load);
+  sgr_data_call_event (attempt->call, &event);
+  return SGR_OK;
+}
+
+static sgr_result_t
+refusal_take (sgr_data_attempt_t *attempt, const Sgr__Pb__Refusal *refusal)
+{
+  sgr_call_event_t event = { .kind = SGR_CALL_EVENT_OUTCOME,
+                             .attempt = attempt->id.attempt,
+                             .outcome = (sgr_outcome_t)refusal->outcome,
+                             .reason = (sgr_call_reason_t)refusal->call_reason,
+                             .gate_reason = (sgr_gate_reason_t)refusal->gate_reason,
+                             .retry_after_ms = refusal->retry_after_ms,
+                             .deeper = deeper_of (attempt) };
+  bool is_error = refusal->call_reason != SGR_CALL_REASON_REFUSED;
+
+  if (refusal->outcome == SGR_OUTCOME_COMPLETE || refusal->outcome > SGR_OUTCOME_UNKNOWN
+      || refusal->gate_reason >= SGR_GATE_REASON_COUNT
+      || refusal->call_reason > SGR_CALL_REASON_KEY_CONFLICT)
+    return SGR_ERR_INVALID;
+  attempt->call->is_key_checked = true;
+  sgr_data_attempt_balance (attempt, event.outcome, is_error, refusal->load);
+  sgr_data_call_event (attempt->call, &event);
+  return SGR_OK;
+}
+
+static sgr_result_t
+query_reply_take (sgr_data_attempt_t *attempt, const Sgr__Pb__QueryReply *reply)
+{
+  sgr_call_event_t event = { .kind = SGR_CALL_EVENT_QUERY_REPLY,
+                             .attempt = attempt->id.attempt,
+                             .outcome = (sgr_outcome_t)reply->outcome,
+                             .gate_reason = (sgr_gate_reason_t)reply->gate_reason,
+                             .phase = (sgr_gate_phase_t)reply->phase };
+
+  if (reply->phase > SGR_GATE_PHASE_SETTLED || reply->outcome > SGR_OUTCOME_UNKNOWN
+      || reply->gate_reason >= SGR_GATE_REASON_COUNT)
+    return SGR_ERR_INVALID;
+  attempt->call->is_key_checked = false;
+  if (attempt->call->request.has_key && reply->phase == SGR_GATE_PHASE_SETTLED
+      && reply->outcome == SGR_OUTCOME_NOT_RUN)
+    {
+      /* The gate never saw this attempt, but it may know the key: ask it again by a new attempt,
+         which the plan makes only after a refusal with a time. */
+      event.kind = SGR_CALL_EVENT_OUTCOME;
+      event.reason = SGR_CALL_REASON_REFUSED;
+      event.retry_after_ms = 1;
+    }
+  sgr_data_call_event (attempt->call, &event);
+  return SGR_OK;
+}
+
+/* The recorded answer to a query comes without a reply; the plan has to know that it began, or else
+   it would not take note of a part that is passed on. */
+static void
+found_again (sgr_data_attempt_t *attempt)
+{
+  sgr_call_event_t event = { .kind = SGR_CALL_EVENT_QUERY_REPLY,
+                             .attempt = attempt->id.attempt,
+                             .phase = SGR_GATE_PHASE_RUNNING };
+
+  if (attempt->call->plan.attempts[attempt->id.attempt].state == SGR_CALL_ATTEMPT_LOST)
+    sgr_data_call_event (attempt->call, &event);
+}
+
+sgr_result_t
+sgr_data_attempt_frame (sgr_data_attempt_t *attempt, const Sgr__Pb__PeerFrame *frame)
+{
+  bool is_cancelled
+      = attempt->call->plan.attempts[attempt->id.attempt].state == SGR_CALL_ATTEMPT_CANCELLING;
+
+  switch (frame->body_case)
+    {
+    case SGR__PB__PEER_FRAME__BODY_ANSWER_HEAD:
+      if (is_cancelled)
+        return SGR_OK;
+      found_again (attempt);
+      if (attempt->call->is_finished)
+        return SGR_OK;
+      return head_take (attempt, frame->answer_head);
+    case SGR__PB__PEER_FRAME__BODY_ANSWER_CHUNK:
+      return is_cancelled ? SGR_OK : chunk_take (attempt, frame->answer_chunk);
+    case SGR__PB__PEER_FRAME__BODY_ANSWER_END:
+      return is_cancelled ? SGR_OK : end_take (attempt, frame->answer_end);
+    case SGR__PB__PEER_FRAME__BODY_REFUSAL:
+      return refusal_take (attempt, frame->refusal);
+    case SGR__PB__PEER_FRAME__BODY_QUERY_REPLY:
+      return query_reply_take (attempt, frame->query_reply);
+    default:
+      return SGR_ERR_INVALID;
+    }
+}
+
+void
+sgr_data_attempt_unsent (sgr_data_attempt_t *attempt)
+{
+  sgr_call_event_t event = { .kind = SGR_CALL_EVENT_OUTCOME,
+                             .attempt = attempt->id.attempt,
+                             .outcome = SGR_OUTCOME_NOT_RUN,
+                             .reason = SGR_CALL_REASON_NO_TARGET };
+
+  if (attempt->was_lost)
+    {
+      sgr_data_attempt_lost (attempt);
+      return;
+    }
+  sgr_data_attempt_balance (attempt, SGR_OUTCOME_NOT_RUN, true, NULL);
+  sgr_data_call_event (attempt->call, &event);
+}
+
+void
+sgr_data_attempt_lost (sgr_data_attempt_t *attempt)
+{
+  sgr_call_event_t event
+      = { .kind = SGR_CALL_EVENT_CONNECTION_LOST, .attempt = attempt->id.attempt };
+
+  attempt->was_lost = true;
+  sgr_data_attempt_balance (attempt, SGR_OUTCOME_UNKNOWN, true, NULL);
+  if (attempt->call->streaming != attempt && attempt->has_head)
+    {
+      /* A query may bring the whole answer again, from its head. */
+      sgr__pb__answer_head__free_unpacked (attempt->head, NULL);
+      attempt->head = NULL;
+      attempt->has_head = false;
+      attempt->received = 0;
+      attempt->body.length = 0;
+    }
+  sgr_data_call_event (attempt->call, &event);
+}
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -20,6 +20,8 @@
  * @status: HTTP status of the answer
  * @body_length: announced length of the body, -1 if unknown
  * @received: bytes of the body that arrived
+ * @taken: bytes of the body that the caller's connection took
+ * @was_lost: a connection that may have carried the attempt was lost
  * @body: bytes of the body that were not passed on
  * @head: header fields of the answer
  */
@@ -39,6 +41,8 @@
   int status;
   int64_t body_length;
   uint64_t received;
+  uint64_t taken;
+  bool was_lost;
   sgr_buffer_t body;
   Sgr__Pb__AnswerHead *head;
 } sgr_data_attempt_t;
@@ -75,6 +79,9 @@
 /** sgr_data_attempt_frame() - a frame of the gate for this attempt */
 sgr_result_t sgr_data_attempt_frame (sgr_data_attempt_t *attempt, const Sgr__Pb__PeerFrame *frame);
 
+/** sgr_data_attempt_unsent() - the link had no connection, so that nothing left this node */
+void sgr_data_attempt_unsent (sgr_data_attempt_t *attempt);
+
 /** sgr_data_attempt_lost() - the connection of the link is gone */
 void sgr_data_attempt_lost (sgr_data_attempt_t *attempt);
 
@@ -107,7 +114,7 @@
  * sgr_data_answer_start() - send the head
  * @req: request of h2o
  * @head: status and header fields
- * @body_length: bytes of the body, -1 if not known yet
+ * @body_length: bytes of the body, -1 if not known yet or if the answer has none
  * @taken: called with the number of bytes that the caller's connection took
  * @ctx: passed to the callbacks
  */
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "gate_request.h"
 #include "gate_run.h"
@@ -11,41 +10,6 @@
 #define KEYED_GRACE_US (30ULL * SGR_USEC_PER_SEC)
 #define DEFAULT_CONNECTIONS 240
 
-struct sgr_data_gate_t
-{
-  sgr_data_task_t *task;
-  sgr_gate_t *core;
-  sgr_policy_t policy;
-  sgr_target_client_t *client;
-  sgr_address_t target;
-  uint32_t connections;
-  sgr_id_map_t *waiters; /* by hash of the attempt id */
-  size_t runs;
-  sgr_timer_t tick;
-  sgr_counter_t *starts;
-  sgr_counter_t *queued;
-  sgr_counter_t *duplicates;
-  sgr_counter_t *refused[SGR_GATE_REASON_COUNT];
-};
-
-sgr_data_task_t *
-sgr_data_gate_task (const sgr_data_gate_t *gate)
-{
-  return gate->task;
-}
-
-sgr_gate_t *
-sgr_data_gate_core (const sgr_data_gate_t *gate)
-{
-  return gate->core;
-}
-
-sgr_target_client_t *
-sgr_data_gate_client (const sgr_data_gate_t *gate)
-{
-  return gate->client;
-}
-
 bool
 sgr_data_gate_is_not_run_status (const sgr_data_gate_t *gate, int status)
 {
@@ -57,45 +21,6 @@
   return false;
 }
 
-static uint64_t
-hash_of (const sgr_attempt_id_t *id)
-{
-  uint64_t words[4] = { id->node, id->boot, id->sequence, id->attempt };
-
-  return XXH64 (words, sizeof words, 0);
-}
-
-static sgr_gate_waiter_t *
-waiter_find (const sgr_data_gate_t *gate, const sgr_attempt_id_t *id)
-{
-  sgr_gate_waiter_t *waiter = sgr_id_map_get (gate->waiters, hash_of (id));
-
-  return waiter != NULL && sgr_attempt_id_equal (&waiter->id, id) ? waiter : NULL;
-}
-
-static sgr_gate_waiter_t *
-waiter_create (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const sgr_attempt_id_t *id,
-               uint64_t credit, sgr_gate_run_t *run)
-{
-  sgr_gate_waiter_t *waiter = calloc (1, sizeof *waiter);
-
-  sgr_invariant (waiter != NULL);
-  waiter->id = *id;
-  waiter->channel = channel;
-  waiter->credit = credit;
-  waiter->run = run;
-  sgr_id_map_put (gate->waiters, hash_of (id), waiter);
-  return waiter;
-}
-
-void
-sgr_data_gate_waiter_free (sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter)
-{
-  if (waiter_find (gate, &waiter->id) == waiter)
-    sgr_id_map_remove (gate->waiters, hash_of (&waiter->id));
-  free (waiter);
-}
-
 void
 sgr_data_gate_run_free (sgr_data_gate_t *gate, sgr_gate_run_t *run)
 {
@@ -103,6 +28,12 @@
   sgr_buffer_release (&run->message);
   sgr_buffer_release (&run->backlog);
   sgr_buffer_release (&run->record);
+  if (run->previous != NULL)
+    run->previous->next = run->next;
+  else
+    gate->first_run = run->next;
+  if (run->next != NULL)
+    run->next->previous = run->previous;
   free (run);
   gate->runs--;
 }
@@ -220,6 +151,32 @@
   return gate;
 }
 
+/* Destroys replaced clients whose requests have ended. */
+static void
+clients_sweep (sgr_data_gate_t *gate)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < gate->retired_count; i++)
+    {
+      if (sgr_target_client_is_idle (gate->retired[i]))
+        sgr_target_client_destroy (gate->retired[i]);
+      else
+        gate->retired[kept++] = gate->retired[i];
+    }
+  gate->retired_count = kept;
+}
+
+/* Open requests still use a replaced client, so it is destroyed later. */
+static void
+client_retire (sgr_data_gate_t *gate)
+{
+  gate->retired = realloc (gate->retired, (gate->retired_count + 1) * sizeof *gate->retired);
+  sgr_invariant (gate->retired != NULL);
+  gate->retired[gate->retired_count++] = gate->client;
+  gate->client = NULL;
+}
+
 void
 sgr_data_gate_destroy (sgr_data_gate_t *gate)
 {
@@ -228,6 +185,8 @@
   sgr_timer_cancel (gate->task->timers, &gate->tick);
   sgr_gate_destroy (gate->core);
   sgr_id_map_destroy (gate->waiters);
+  clients_sweep (gate);
+  free (gate->retired);
   free (gate);
 }
 
@@ -242,9 +201,10 @@
   if (gate->client != NULL && gate->target.ip == local->address.ip
       && gate->target.port == local->address.port && gate->connections == connections)
     return;
+  if (gate->client != NULL)
+    client_retire (gate);
   gate->target = local->address;
   gate->connections = connections;
-  /* Open requests still use the old client, so it is left to the end of the process. */
   gate->client = sgr_target_client_create (gate->task->loop, &local->address, connections);
 }
 
@@ -254,6 +214,7 @@
   const sgr_snapshot_t *snapshot = gate->task->snapshot;
   const sgr_snapshot_local_t *local = &snapshot->local;
 
+  clients_sweep (gate);
   client_update (gate, local);
   for (size_t i = 0; i < snapshot->policy_count; i++)
     {
@@ -301,20 +262,6 @@
   return SGR_OUTCOME_UNKNOWN;
 }
 
-/* Adds an attempt that gets the recorded answer when the run ends. */
-static void
-waiter_join (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const sgr_attempt_id_t *id,
-             sgr_gate_run_t *run)
-{
-  sgr_gate_waiter_t *joined;
-
-  if (run == NULL)
-    return;
-  joined = waiter_create (gate, channel, id, 0, run);
-  joined->next = run->joined;
-  run->joined = joined;
-}
-
 static void
 duplicate_answer (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const Sgr__Pb__Call *call,
                   const sgr_attempt_t *attempt, const sgr_gate_status_t *status)
@@ -330,9 +277,9 @@
     {
       run = sgr_gate_handle_user (gate->core, status->handle);
       /* A second copy of the same attempt is answered once, with the first. */
-      if (run == NULL || waiter_find (gate, &attempt->id) != NULL)
+      if (run == NULL || sgr_gate_waiter_find (gate, &attempt->id) != NULL)
         return;
-      waiter_join (gate, channel, &attempt->id, run);
+      sgr_gate_waiter_join (gate, channel, &attempt->id, run);
       return;
     }
   if (status->answer != NULL
@@ -358,6 +305,12 @@
   run->deadline_us = attempt->deadline_us;
   run->deadline = (sgr_timer_t){ .fire = on_deadline, .ctx = run };
   sgr_gate_request_write (call, &attempt->id, body, body_length, &run->message);
+  run->id = attempt->id;
+  run->credit = call->credit;
+  run->next = gate->first_run;
+  if (run->next != NULL)
+    run->next->previous = run;
+  gate->first_run = run;
   gate->runs++;
   return run;
 }
@@ -385,7 +338,7 @@
           sgr_gate_run_t *run, const sgr_gate_decision_t *decision, const sgr_attempt_id_t *id)
 {
   run->handle = decision->handle;
-  run->streaming = waiter_create (gate, channel, id, call->credit, run);
+  run->streaming = sgr_gate_waiter_create (gate, channel, id, call->credit, run);
   if (decision->kind == SGR_GATE_START)
     run_start (run);
   else
@@ -423,95 +376,6 @@
   tick_arm (gate, now_us);
 }
 
-void
-sgr_data_gate_cancel (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
-                      const sgr_attempt_id_t *id, sgr_boot_id_t gate_boot)
-{
-  uint64_t now_us = sgr_clock_monotonic_us ();
-  sgr_gate_waiter_t *waiter = waiter_find (gate, id);
-  sgr_gate_run_t *run = waiter != NULL ? waiter->run : NULL;
-  sgr_gate_status_t status;
-
-  if (run != NULL)
-    sgr_gate_run_detach (run, waiter);
-  sgr_gate_attempt_cancel (gate->core, now_us, id, gate_boot, &status);
-  /* A queued run is freed by the callback refuse within the cancel. */
-  if (run != NULL && status.phase == SGR_GATE_PHASE_RUNNING && run->idempotent && !run->keyed
-      && run->streaming == NULL && run->joined == NULL)
-    {
-      sgr_gate_run_abort (run, SGR_CALL_REASON_CANCELLED);
-      sgr_gate_attempt_query (gate->core, now_us, id, gate_boot, &status);
-    }
-  else if (run != NULL && status.phase == SGR_GATE_PHASE_SETTLED && status.started)
-    sgr_gate_run_settle (run);
-  sgr_gate_query_reply_send (channel, id, &status);
-}
-
-void
-sgr_data_gate_query (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const sgr_attempt_id_t *id,
-                     sgr_boot_id_t gate_boot)
-{
-  uint64_t now_us = sgr_clock_monotonic_us ();
-  sgr_gate_waiter_t *waiter = waiter_find (gate, id);
-  sgr_gate_status_t status;
-
-  sgr_gate_attempt_query (gate->core, now_us, id, gate_boot, &status);
-  /* An answer that has not begun moves to the connection of the query. */
-  if (waiter != NULL && !waiter->run->has_head)
-    waiter->channel = channel;
-  else if (waiter == NULL && status.phase != SGR_GATE_PHASE_SETTLED)
-    waiter_join (gate, channel, id, sgr_gate_handle_user (gate->core, status.handle));
-  else if (waiter == NULL && status.answer != NULL)
-    {
-      sgr_gate_waiter_t once = { .id = *id, .channel = channel };
-
-      if (sgr_gate_record_send (gate, &once, status.answer, status.answer_length))
-        return;
-    }
-  sgr_gate_query_reply_send (channel, id, &status);
-}
-
-void
-sgr_data_gate_credit (sgr_data_gate_t *gate, const sgr_attempt_id_t *id, uint32_t bytes)
-{
-  sgr_gate_waiter_t *waiter = waiter_find (gate, id);
-
-  if (waiter != NULL && waiter->run->streaming == waiter)
-    sgr_gate_run_credit (waiter->run, bytes);
-}
-
-/* Returns a waiter of the channel whose run goes on, NULL if there is none. */
-static sgr_gate_waiter_t *
-waiter_of_channel (const sgr_data_gate_t *gate, const sgr_data_channel_t *channel)
-{
-  sgr_gate_waiter_t *waiter;
-  size_t cursor = 0;
-
-  while ((waiter = sgr_id_map_next (gate->waiters, &cursor)) != NULL)
-    {
-      if (waiter->channel == channel)
-        return waiter;
-    }
-  return NULL;
-}
-
-void
-sgr_data_gate_channel_closed (sgr_data_gate_t *gate, const sgr_data_channel_t *channel)
-{
-  sgr_gate_waiter_t *waiter;
-
-  while ((waiter = waiter_of_channel (gate, channel)) != NULL)
-    {
-      sgr_gate_run_t *run = waiter->run;
-
-      sgr_gate_run_detach (run, waiter);
-      if (run->handle == 0)
-        sgr_gate_run_settle (run);
-      else if (run->request != NULL && run->idempotent && !run->keyed && run->joined == NULL)
-        sgr_gate_run_abort (run, SGR_CALL_REASON_CANCELLED);
-    }
-}
-
 void
 sgr_data_gate_drain (sgr_data_gate_t *gate, uint64_t now_us)
 {
--- a/libsiskingrade/data_gate.h
+++ b/libsiskingrade/data_gate.h
@@ -45,6 +45,12 @@
 /** sgr_data_gate_channel_closed() - the entry cannot be reached by this channel any more */
 void sgr_data_gate_channel_closed (sgr_data_gate_t *gate, const sgr_data_channel_t *channel);
 
+/**
+ * sgr_data_gate_entry_lost() - an entry did not come back: drop its queued attempts and its
+ * idempotent running ones
+ */
+void sgr_data_gate_entry_lost (sgr_data_gate_t *gate, sgr_node_id_t node, sgr_boot_id_t boot);
+
 void sgr_data_gate_drain (sgr_data_gate_t *gate, uint64_t now_us);
 
 /** sgr_data_gate_is_idle() - whether no request is queued, runs or has an unsent answer */
--- a/libsiskingrade/data_link.c
+++ b/libsiskingrade/data_link.c
@@ -138,10 +138,15 @@
 {
   sgr_data_link_t *link = ctx;
 
-  if (link->waiting > 0 || link->conn == NULL)
+  if (link->waiting > 0)
     return;
-  sgr_peer_conn_close (link->conn);
+  if (link->conn != NULL)
+    sgr_peer_conn_close (link->conn);
   link->conn = NULL;
+  if (link->is_local || sgr_data_member_find (link->links->task, link->node) != NULL)
+    return;
+  sgr_id_map_remove (link->links->by_node, link->node);
+  free (link);
 }
 
 static sgr_data_link_t *
@@ -211,14 +216,18 @@
   return link != NULL ? link : link_add (links, node);
 }
 
-static void
+static sgr_result_t
 on_ready (void *ctx, sgr_peer_conn_t *conn)
 {
   sgr_data_link_t *link = ctx;
 
+  /* Another node may have taken over the address of one that is gone. */
+  if (sgr_peer_conn_node (conn) != link->node)
+    return SGR_ERR_INVALID;
   link->boot = sgr_peer_conn_boot (conn);
   link->generation = sgr_peer_conn_generation (conn);
   link->has_generation = true;
+  return SGR_OK;
 }
 
 static sgr_result_t
@@ -245,7 +254,10 @@
           continue;
         }
       attempt->is_loss_due = false;
-      sgr_data_attempt_lost (attempt);
+      if (reason == SGR_PEER_CLOSE_CONNECT_FAILED)
+        sgr_data_attempt_unsent (attempt);
+      else
+        sgr_data_attempt_lost (attempt);
       attempt = link->attempts;
     }
 }
--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -16,11 +16,22 @@
   struct peer_t *next;
 } peer_t;
 
+/* An entry whose last connection broke and that may come back. */
+typedef struct lost_t
+{
+  sgr_data_peers_t *peers;
+  sgr_node_id_t node;
+  sgr_boot_id_t boot;
+  sgr_timer_t timer;
+  struct lost_t *next;
+} lost_t;
+
 struct sgr_data_peers_t
 {
   sgr_data_task_t *task;
   h2o_socket_t *listener;
   peer_t *first;
+  lost_t *lost;
 };
 
 static void
@@ -32,13 +43,14 @@
   sgr_peer_conn_send (peer->conn, frame, priority);
 }
 
-static void
+static sgr_result_t
 on_ready (void *ctx, sgr_peer_conn_t *conn)
 {
   peer_t *peer = ctx;
 
   peer->channel.node = sgr_peer_conn_node (conn);
   peer->channel.boot = sgr_peer_conn_boot (conn);
+  return SGR_OK;
 }
 
 static sgr_result_t
@@ -66,13 +78,73 @@
   free (peer);
 }
 
+static bool
+is_connected (const sgr_data_peers_t *peers, sgr_node_id_t node, sgr_boot_id_t boot)
+{
+  for (const peer_t *peer = peers->first; peer != NULL; peer = peer->next)
+    {
+      if (peer->channel.node == node && peer->channel.boot == boot)
+        return true;
+    }
+  return false;
+}
+
+static void
+lost_free (lost_t *lost)
+{
+  lost_t **place = &lost->peers->lost;
+
+  while (*place != lost)
+    place = &(*place)->next;
+  *place = lost->next;
+  sgr_timer_cancel (lost->peers->task->timers, &lost->timer);
+  free (lost);
+}
+
+static void
+on_lost_timer (void *ctx, uint64_t now_us)
+{
+  lost_t *lost = ctx;
+
+  if (!is_connected (lost->peers, lost->node, lost->boot))
+    sgr_data_gate_entry_lost (lost->peers->task->gate, lost->node, lost->boot);
+  lost_free (lost);
+}
+
+/* The entry notices the loss within the silence time and asks again on a new connection. */
+static void
+lost_add (sgr_data_peers_t *peers, const sgr_data_channel_t *channel)
+{
+  lost_t *lost;
+
+  for (lost = peers->lost; lost != NULL; lost = lost->next)
+    {
+      if (lost->node == channel->node && lost->boot == channel->boot)
+        return;
+    }
+  lost = calloc (1, sizeof *lost);
+  sgr_invariant (lost != NULL);
+  lost->peers = peers;
+  lost->node = channel->node;
+  lost->boot = channel->boot;
+  lost->timer = (sgr_timer_t){ .fire = on_lost_timer, .ctx = lost };
+  lost->next = peers->lost;
+  peers->lost = lost;
+  sgr_timer_arm (peers->task->timers, &lost->timer,
+                 sgr_clock_monotonic_us ()
+                     + 2 * peers->task->settings->silence_ms * SGR_USEC_PER_MSEC);
+}
+
 static void
 on_closed (void *ctx, sgr_peer_conn_t *conn, sgr_peer_close_t reason)
 {
   peer_t *peer = ctx;
+  sgr_data_peers_t *peers = peer->peers;
 
-  sgr_data_gate_channel_closed (peer->peers->task->gate, &peer->channel);
+  sgr_data_gate_channel_closed (peers->task->gate, &peer->channel);
   peer_unlink (peer);
+  if (peer->channel.node != 0 && !is_connected (peers, peer->channel.node, peer->channel.boot))
+    lost_add (peers, &peer->channel);
   peer_free (peer);
 }
 
@@ -128,6 +200,8 @@
   if (peers == NULL)
     return;
   h2o_socket_close (peers->listener);
+  while (peers->lost != NULL)
+    lost_free (peers->lost);
   for (peer_t *peer = peers->first; peer != NULL; peer = next)
     {
       next = peer->next;
--- /dev/null
+++ b/libsiskingrade/data_send.c
@@ -0,0 +1,169 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "data_call_internal.h"
+#include "data_link.h"
+#include "http_fields.h"
+
+void
+sgr_data_send_cancel (sgr_data_attempt_t *attempt)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Cancel message = SGR__PB__CANCEL__INIT;
+  Sgr__Pb__AttemptId id;
+
+  if (attempt->link == NULL)
+    return;
+  sgr_frame_id_set (&id, &attempt->id);
+  message.id = &id;
+  message.gate_boot = attempt->gate_boot;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_CANCEL;
+  frame.cancel = &message;
+  sgr_data_link_send (attempt->link, &frame, SGR_PEER_URGENT);
+}
+
+void
+sgr_data_send_query (sgr_data_attempt_t *attempt)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Query message = SGR__PB__QUERY__INIT;
+  Sgr__Pb__AttemptId id;
+
+  if (attempt->link == NULL)
+    return;
+  sgr_frame_id_set (&id, &attempt->id);
+  message.id = &id;
+  message.gate_boot = attempt->gate_boot;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_QUERY;
+  frame.query = &message;
+  sgr_data_link_send (attempt->link, &frame, SGR_PEER_URGENT);
+}
+
+void
+sgr_data_send_credit (sgr_data_attempt_t *attempt, size_t bytes)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Credit message = SGR__PB__CREDIT__INIT;
+  Sgr__Pb__AttemptId id;
+
+  if (attempt->link == NULL || bytes == 0)
+    return;
+  sgr_frame_id_set (&id, &attempt->id);
+  message.id = &id;
+  message.bytes = (uint32_t)bytes;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_CREDIT;
+  frame.credit = &message;
+  sgr_data_link_send (attempt->link, &frame, SGR_PEER_URGENT);
+}
+
+static size_t
+headers_fill (const sgr_data_call_t *call, const sgr_retry_chain_t *chain, Sgr__Pb__Header *headers,
+              Sgr__Pb__Header **pointers)
+{
+  h2o_req_t *req = call->req;
+  size_t used = 0;
+
+  for (size_t i = 0; i < req->headers.size; i++)
+    {
+      const h2o_header_t *header = &req->headers.entries[i];
+
+      if (!sgr_http_is_forwarded (header->name->base, header->name->len))
+        continue;
+      sgr__pb__header__init (&headers[used]);
+      headers[used].name = h2o_strdup (&req->pool, header->name->base, header->name->len).base;
+      headers[used].value = h2o_strdup (&req->pool, header->value.base, header->value.len).base;
+      used++;
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      char number[16];
+      int length = snprintf (number, sizeof number, "%u", i == 0 ? chain->depth : chain->retries);
+
+      sgr__pb__header__init (&headers[used]);
+      headers[used].name = i == 0 ? "siskingrade-depth" : "siskingrade-retry-budget";
+      headers[used].value = h2o_strdup (&req->pool, number, (size_t)length).base;
+      used++;
+    }
+  for (size_t i = 0; i < used; i++)
+    pointers[i] = &headers[i];
+  return used;
+}
+
+static sgr_result_t
+body_send (sgr_data_attempt_t *attempt, Sgr__Pb__AttemptId *id)
+{
+  h2o_iovec_t body = attempt->call->req->entity;
+  sgr_result_t result = SGR_OK;
+
+  for (size_t offset = 0; offset < body.len && result == SGR_OK;)
+    {
+      Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+      Sgr__Pb__CallBody part = SGR__PB__CALL_BODY__INIT;
+      size_t length = body.len - offset;
+
+      if (length > SGR_FRAME_CHUNK_BYTES)
+        length = SGR_FRAME_CHUNK_BYTES;
+      part.id = id;
+      part.offset = offset;
+      part.data.data = (uint8_t *)body.base + offset;
+      part.data.len = length;
+      frame.body_case = SGR__PB__PEER_FRAME__BODY_CALL_BODY;
+      frame.call_body = &part;
+      result
+          = sgr_data_link_send (attempt->link, &frame,
+                                body.len > SGR_FRAME_CHUNK_BYTES ? SGR_PEER_BULK : SGR_PEER_URGENT);
+      offset += length;
+    }
+  return result;
+}
+
+static void
+key_fill (const sgr_data_call_request_t *request, Sgr__Pb__IdempotencyKey *key)
+{
+  sgr__pb__idempotency_key__init (key);
+  key->high = request->key.high;
+  key->low = request->key.low;
+  key->generation = request->issued_key.generation;
+  key->fingerprint_high = request->fingerprint.high;
+  key->fingerprint_low = request->fingerprint.low;
+}
+
+sgr_result_t
+sgr_data_send_call (sgr_data_attempt_t *attempt, const sgr_retry_chain_t *chain)
+{
+  sgr_data_call_t *call = attempt->call;
+  h2o_req_t *req = call->req;
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Call message = SGR__PB__CALL__INIT;
+  Sgr__Pb__IdempotencyKey key;
+  Sgr__Pb__AttemptId id;
+  size_t room = req->headers.size + 2;
+  Sgr__Pb__Header *headers = h2o_mem_alloc_pool (&req->pool, room * sizeof *headers);
+  sgr_result_t result;
+
+  message.headers = h2o_mem_alloc_pool (&req->pool, room * sizeof *message.headers);
+  message.n_headers = headers_fill (call, chain, headers, message.headers);
+  sgr_frame_id_set (&id, &attempt->id);
+  message.id = &id;
+  message.gate_boot = attempt->gate_boot;
+  message.remaining_us
+      = call->request.deadline_us > now_us ? call->request.deadline_us - now_us : 0;
+  message.service = call->request.service;
+  message.tenant = call->request.tenant;
+  message.class_name = call->request.class_name;
+  message.method = h2o_strdup (&req->pool, req->method.base, req->method.len).base;
+  message.path = h2o_strdup (&req->pool, req->path.base, req->path.len).base;
+  message.idempotent = call->request.is_idempotent;
+  message.body_length = req->entity.len;
+  message.credit = SGR_ANSWER_WINDOW_BYTES;
+  if (call->request.has_key)
+    {
+      key_fill (&call->request, &key);
+      message.key = &key;
+    }
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_CALL;
+  frame.call = &message;
+  result = sgr_data_link_send (attempt->link, &frame, SGR_PEER_URGENT);
+  return result == SGR_OK ? body_send (attempt, &id) : result;
+}
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -33,7 +33,7 @@
   sgr_gate_finish_t finish = { .outcome = outcome, .declared_not_run = run->is_declared_not_run };
   sgr_gate_handle_t handle = run->handle;
 
-  sgr_timer_cancel (sgr_data_gate_task (run->gate)->timers, &run->deadline);
+  sgr_timer_cancel (run->gate->task->timers, &run->deadline);
   if (run->started_us != 0)
     finish.latency_us = now_us - run->started_us;
   if (outcome == SGR_OUTCOME_COMPLETE && run->is_recording)
@@ -42,7 +42,7 @@
       finish.answer_length = run->record.length;
     }
   run->handle = 0;
-  return sgr_gate_attempt_finish (sgr_data_gate_core (run->gate), handle, now_us, &finish);
+  return sgr_gate_attempt_finish (run->gate->core, handle, now_us, &finish);
 }
 
 /* The run ends without a whole answer. */
@@ -62,7 +62,7 @@
 {
   sgr_gate_run_t *run = ctx;
 
-  if (!sgr_gate_attempt_started (sgr_data_gate_core (run->gate), run->handle))
+  if (!sgr_gate_attempt_started (run->gate->core, run->handle))
     return false;
   run->started_us = sgr_clock_monotonic_us ();
   return true;
@@ -91,8 +91,9 @@
       sgr_gate_refusal_send (run->gate, waiter->channel, &waiter->id, &refusal);
       sgr_data_gate_waiter_free (run->gate, waiter);
     }
-  /* The entry of a non-idempotent request may ask again after its connection broke. */
-  run->is_recording = run->keyed || !run->idempotent;
+  /* The entry of a non-idempotent request may ask again after its connection broke, and one that
+     lost its connection already will. */
+  run->is_recording = run->keyed || !run->idempotent || run->streaming == NULL;
   if (run->is_recording)
     sgr_buffer_append (&run->record, head.bytes, head.length);
   sgr_buffer_release (&head);
@@ -211,8 +212,8 @@
 sgr_gate_run_start (sgr_gate_run_t *run)
 {
   run->request
-      = sgr_target_request_start (sgr_data_gate_client (run->gate), run->message.bytes,
-                                  run->message.length, run->is_head_method, &handlers, run);
+      = sgr_target_request_start (run->gate->client, run->message.bytes, run->message.length,
+                                  run->is_head_method, &handlers, run);
   sgr_buffer_release (&run->message);
 }
 
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -29,6 +29,10 @@
 
 /**
  * struct sgr_gate_run_t - one request at the local target
+ * @next: next run of the gate
+ * @previous: previous run of the gate
+ * @id: its attempt
+ * @credit: bytes of the answer that the entry takes at the start
  * @handle: attempt at the gate, 0 once it has finished
  * @idempotent: the request may run again, so it may be aborted
  * @keyed: it carries a key, its answer is recorded
@@ -43,7 +47,11 @@
  */
 typedef struct sgr_gate_run_t
 {
+  struct sgr_gate_run_t *next;
+  struct sgr_gate_run_t *previous;
   sgr_data_gate_t *gate;
+  sgr_attempt_id_t id;
+  uint64_t credit;
   sgr_gate_handle_t handle;
   bool idempotent;
   bool keyed;
@@ -79,13 +87,50 @@
 /** sgr_gate_run_settle() - free a run that has neither a request nor unsent bytes */
 bool sgr_gate_run_settle (sgr_gate_run_t *run);
 
+/**
+ * struct sgr_data_gate_t - the gate of the local target
+ * @client: client of the target, NULL before the first registration
+ * @retired: replaced clients that still have requests
+ * @waiters: waiters by hash of the attempt id
+ * @first_run: list of all runs
+ * @runs: their number
+ */
+struct sgr_data_gate_t
+{
+  sgr_data_task_t *task;
+  sgr_gate_t *core;
+  sgr_policy_t policy;
+  sgr_target_client_t *client;
+  sgr_target_client_t **retired;
+  size_t retired_count;
+  sgr_address_t target;
+  uint32_t connections;
+  sgr_id_map_t *waiters;
+  sgr_gate_run_t *first_run;
+  size_t runs;
+  sgr_timer_t tick;
+  sgr_counter_t *starts;
+  sgr_counter_t *queued;
+  sgr_counter_t *duplicates;
+  sgr_counter_t *refused[SGR_GATE_REASON_COUNT];
+};
+
+/* Waiters, gate_waiter.c. */
+
+/** sgr_gate_waiter_find() - waiter of an attempt, NULL if there is none */
+sgr_gate_waiter_t *sgr_gate_waiter_find (const sgr_data_gate_t *gate, const sgr_attempt_id_t *id);
+sgr_gate_waiter_t *sgr_gate_waiter_create (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                                           const sgr_attempt_id_t *id, uint64_t credit,
+                                           sgr_gate_run_t *run);
+void sgr_data_gate_waiter_free (sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter);
+
+/** sgr_gate_waiter_join() - add an attempt that gets the recorded answer when the run ends */
+void sgr_gate_waiter_join (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                           const sgr_attempt_id_t *id, sgr_gate_run_t *run);
+
 /* Provided by data_gate.c. */
 
-sgr_data_task_t *sgr_data_gate_task (const sgr_data_gate_t *gate);
-sgr_gate_t *sgr_data_gate_core (const sgr_data_gate_t *gate);
-sgr_target_client_t *sgr_data_gate_client (const sgr_data_gate_t *gate);
 bool sgr_data_gate_is_not_run_status (const sgr_data_gate_t *gate, int status);
-void sgr_data_gate_waiter_free (sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter);
 void sgr_data_gate_run_free (sgr_data_gate_t *gate, sgr_gate_run_t *run);
 
 /* Frames, gate_answer.c. */
--- /dev/null
+++ b/libsiskingrade/gate_waiter.c
@@ -0,0 +1,226 @@
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "gate_run.h"
+
+/* Entries that wait for the runs of the gate: cancels, queries and the loss of their connections.
+ */
+
+static uint64_t
+hash_of (const sgr_attempt_id_t *id)
+{
+  uint64_t words[4] = { id->node, id->boot, id->sequence, id->attempt };
+
+  return XXH64 (words, sizeof words, 0);
+}
+
+sgr_gate_waiter_t *
+sgr_gate_waiter_find (const sgr_data_gate_t *gate, const sgr_attempt_id_t *id)
+{
+  sgr_gate_waiter_t *waiter = sgr_id_map_get (gate->waiters, hash_of (id));
+
+  return waiter != NULL && sgr_attempt_id_equal (&waiter->id, id) ? waiter : NULL;
+}
+
+sgr_gate_waiter_t *
+sgr_gate_waiter_create (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                        const sgr_attempt_id_t *id, uint64_t credit, sgr_gate_run_t *run)
+{
+  sgr_gate_waiter_t *waiter = calloc (1, sizeof *waiter);
+
+  sgr_invariant (waiter != NULL);
+  waiter->id = *id;
+  waiter->channel = channel;
+  waiter->credit = credit;
+  waiter->run = run;
+  sgr_id_map_put (gate->waiters, hash_of (id), waiter);
+  return waiter;
+}
+
+void
+sgr_data_gate_waiter_free (sgr_data_gate_t *gate, sgr_gate_waiter_t *waiter)
+{
+  if (sgr_gate_waiter_find (gate, &waiter->id) == waiter)
+    sgr_id_map_remove (gate->waiters, hash_of (&waiter->id));
+  free (waiter);
+}
+
+void
+sgr_gate_waiter_join (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                      const sgr_attempt_id_t *id, sgr_gate_run_t *run)
+{
+  sgr_gate_waiter_t *joined;
+
+  if (run == NULL)
+    return;
+  joined = sgr_gate_waiter_create (gate, channel, id, 0, run);
+  joined->next = run->joined;
+  run->joined = joined;
+}
+
+void
+sgr_data_gate_cancel (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                      const sgr_attempt_id_t *id, sgr_boot_id_t gate_boot)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  sgr_gate_waiter_t *waiter = sgr_gate_waiter_find (gate, id);
+  sgr_gate_run_t *run = waiter != NULL ? waiter->run : NULL;
+  sgr_gate_status_t status;
+
+  if (run != NULL)
+    sgr_gate_run_detach (run, waiter);
+  sgr_gate_attempt_cancel (gate->core, now_us, id, gate_boot, &status);
+  /* A queued run is freed by the callback refuse within the cancel. */
+  if (run != NULL && status.phase == SGR_GATE_PHASE_RUNNING && run->idempotent && !run->keyed
+      && run->streaming == NULL && run->joined == NULL)
+    {
+      sgr_gate_run_abort (run, SGR_CALL_REASON_CANCELLED);
+      sgr_gate_attempt_query (gate->core, now_us, id, gate_boot, &status);
+    }
+  else if (run != NULL && status.phase == SGR_GATE_PHASE_SETTLED && status.started)
+    sgr_gate_run_settle (run);
+  sgr_gate_query_reply_send (channel, id, &status);
+}
+
+/* The answer was on its way when the connection of the entry broke: gives up what was not sent, and
+   keeps the run only if its whole answer can be sent again. */
+static void
+answer_restart (sgr_data_gate_t *gate, sgr_data_channel_t *channel, sgr_gate_waiter_t *waiter,
+                sgr_gate_status_t *status)
+{
+  sgr_gate_run_t *run = waiter->run;
+  sgr_attempt_id_t id = waiter->id;
+
+  sgr_gate_run_detach (run, waiter);
+  if (run->handle == 0)
+    sgr_gate_run_settle (run);
+  else if (run->is_recording)
+    sgr_gate_waiter_join (gate, channel, &id, run);
+  else
+    {
+      if (run->idempotent && !run->keyed && run->joined == NULL)
+        sgr_gate_run_abort (run, SGR_CALL_REASON_CANCELLED);
+      *status = (sgr_gate_status_t){ .phase = SGR_GATE_PHASE_SETTLED,
+                                     .outcome = SGR_OUTCOME_UNKNOWN,
+                                     .started = true };
+    }
+}
+
+/* An attempt that is queued or runs waits for its answer on the connection of the query. */
+static void
+waiter_attach (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const sgr_attempt_id_t *id,
+               sgr_gate_run_t *run)
+{
+  if (run == NULL)
+    return;
+  if (run->streaming == NULL && !run->has_head)
+    run->streaming = sgr_gate_waiter_create (gate, channel, id, run->credit, run);
+  else
+    sgr_gate_waiter_join (gate, channel, id, run);
+}
+
+void
+sgr_data_gate_query (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const sgr_attempt_id_t *id,
+                     sgr_boot_id_t gate_boot)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  sgr_gate_waiter_t *waiter = sgr_gate_waiter_find (gate, id);
+  sgr_gate_status_t status;
+
+  sgr_gate_attempt_query (gate->core, now_us, id, gate_boot, &status);
+  if (waiter != NULL && waiter->run->streaming == waiter && waiter->run->has_head)
+    answer_restart (gate, channel, waiter, &status);
+  else if (waiter != NULL)
+    waiter->channel = channel;
+  else if (status.phase != SGR_GATE_PHASE_SETTLED)
+    waiter_attach (gate, channel, id, sgr_gate_handle_user (gate->core, status.handle));
+  if (status.phase == SGR_GATE_PHASE_SETTLED && status.answer != NULL)
+    {
+      sgr_gate_waiter_t once = { .id = *id, .channel = channel };
+
+      if (sgr_gate_record_send (gate, &once, status.answer, status.answer_length))
+        return;
+    }
+  sgr_gate_query_reply_send (channel, id, &status);
+}
+
+void
+sgr_data_gate_credit (sgr_data_gate_t *gate, const sgr_attempt_id_t *id, uint32_t bytes)
+{
+  sgr_gate_waiter_t *waiter = sgr_gate_waiter_find (gate, id);
+
+  if (waiter != NULL && waiter->run->streaming == waiter)
+    sgr_gate_run_credit (waiter->run, bytes);
+}
+
+/* Takes all waiters away from a channel; their runs stay. Returns the runs, one for each. */
+static sgr_gate_run_t **
+waiters_detach (sgr_data_gate_t *gate, const sgr_data_channel_t *channel, size_t *count)
+{
+  sgr_gate_waiter_t **found = calloc (sgr_id_map_count (gate->waiters) + 1, sizeof *found);
+  sgr_gate_run_t **runs;
+  sgr_gate_waiter_t *waiter;
+  size_t cursor = 0;
+
+  sgr_invariant (found != NULL);
+  *count = 0;
+  while ((waiter = sgr_id_map_next (gate->waiters, &cursor)) != NULL)
+    {
+      if (waiter->channel == channel)
+        found[(*count)++] = waiter;
+    }
+  runs = calloc (*count + 1, sizeof *runs);
+  sgr_invariant (runs != NULL);
+  for (size_t i = 0; i < *count; i++)
+    {
+      runs[i] = found[i]->run;
+      sgr_gate_run_detach (runs[i], found[i]);
+    }
+  free (found);
+  return runs;
+}
+
+void
+sgr_data_gate_channel_closed (sgr_data_gate_t *gate, const sgr_data_channel_t *channel)
+{
+  size_t count;
+  sgr_gate_run_t **runs = waiters_detach (gate, channel, &count);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      sgr_gate_run_t *run = runs[i];
+      bool is_seen = false;
+
+      for (size_t j = 0; j < i && !is_seen; j++)
+        is_seen = runs[j] == run;
+      if (is_seen)
+        continue;
+      /* Runs whose answer can be fetched by a query stay until sgr_data_gate_entry_lost(). */
+      if (run->handle == 0)
+        sgr_gate_run_settle (run);
+      else if (run->request != NULL && run->has_head && !run->is_recording && run->idempotent
+               && !run->keyed && run->streaming == NULL && run->joined == NULL)
+        sgr_gate_run_abort (run, SGR_CALL_REASON_CANCELLED);
+    }
+  free (runs);
+}
+
+void
+sgr_data_gate_entry_lost (sgr_data_gate_t *gate, sgr_node_id_t node, sgr_boot_id_t boot)
+{
+  sgr_gate_run_t *next;
+
+  sgr_gate_entry_lost (gate->core, sgr_clock_monotonic_us (), node, boot);
+  for (sgr_gate_run_t *run = gate->first_run; run != NULL; run = next)
+    {
+      next = run->next;
+      if (run->id.node == node && run->id.boot == boot && run->request != NULL && run->idempotent
+          && !run->keyed && run->streaming == NULL && run->joined == NULL)
+        {
+          sgr_gate_run_abort (run, SGR_CALL_REASON_CANCELLED);
+          /* The end of a run may start or refuse others. */
+          next = gate->first_run;
+        }
+    }
+}
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -223,7 +223,8 @@
   if (now_us - conn->last_read_us >= conn->env->silence_us
       && (conn->ping_unanswered || !conn->is_ready))
     {
-      fail (conn, SGR_PEER_CLOSE_SILENT);
+      /* Nothing is written before the connection is established. */
+      fail (conn, conn->is_connected ? SGR_PEER_CLOSE_SILENT : SGR_PEER_CLOSE_CONNECT_FAILED);
       return;
     }
   if (conn->is_ready && now_us - conn->last_read_us >= conn->env->heartbeat_us)
@@ -259,8 +260,7 @@
   conn->remote_node = hello->node;
   conn->remote_boot = hello->boot;
   conn->remote_generation = hello->load->key_generation;
-  conn->handlers->ready (conn->ctx, conn);
-  return SGR_OK;
+  return conn->handlers->ready (conn->ctx, conn);
 }
 
 /* Returns false if the connection was closed. */
--- a/libsiskingrade/peer_conn.h
+++ b/libsiskingrade/peer_conn.h
@@ -71,14 +71,14 @@
 
 /**
  * struct sgr_peer_conn_handlers_t - what the owner of a connection is told
- * @ready: the other side's Hello arrived
+ * @ready: the other side's Hello arrived; SGR_OK to go on, else the connection is closed
  * @frame: a frame other than Hello, Ping and Pong arrived; SGR_OK to go on, else the connection is
  *         closed as malformed
  * @closed: the connection is gone; it is freed after this call
  */
 typedef struct
 {
-  void (*ready) (void *ctx, sgr_peer_conn_t *conn);
+  sgr_result_t (*ready) (void *ctx, sgr_peer_conn_t *conn);
   sgr_result_t (*frame) (void *ctx, sgr_peer_conn_t *conn, const Sgr__Pb__PeerFrame *frame);
   void (*closed) (void *ctx, sgr_peer_conn_t *conn, sgr_peer_close_t reason);
 } sgr_peer_conn_handlers_t;
--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -52,6 +52,12 @@
   return client;
 }
 
+bool
+sgr_target_client_is_idle (const sgr_target_client_t *client)
+{
+  return client->open == 0;
+}
+
 void
 sgr_target_client_destroy (sgr_target_client_t *client)
 {
--- a/libsiskingrade/target_client.h
+++ b/libsiskingrade/target_client.h
@@ -50,6 +50,9 @@
 sgr_target_client_t *sgr_target_client_create (h2o_loop_t *loop, const sgr_address_t *address,
                                                size_t connections);
 
+/** sgr_target_client_is_idle() - whether no request is open */
+bool sgr_target_client_is_idle (const sgr_target_client_t *client);
+
 /** sgr_target_client_destroy() - close idle connections; no request may be open */
 void sgr_target_client_destroy (sgr_target_client_t *client);
 
--- a/standins/standin_work.c
+++ b/standins/standin_work.c
@@ -163,6 +163,7 @@
   if (work->is_failing_fast || strcmp (job->fault, "error") == 0)
     {
       req->res.status = 500;
+      req->res.content_length = 6;
       h2o_send_inline (req, H2O_STRLIT ("error\n"));
       return;
     }
@@ -278,6 +279,8 @@
     {
       req->res.status = 503;
       req->res.reason = "";
+      req->res.content_length
+          = 5; /* h2o ends answers of this status with the connection otherwise */
       h2o_send_inline (req, H2O_STRLIT ("shed\n"));
       return;
     }
--- a/tests/http_probe.c
+++ b/tests/http_probe.c
@@ -99,7 +99,7 @@
       size_t size;
       size_t skip;
 
-      if (line_end == NULL)
+      if (line_end == NULL || line_end == from)
         return false;
       size = strtoul (from, NULL, 16);
       skip = (size_t)(line_end + 2 - from);
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -28,11 +28,11 @@
 void sgr_relay_now (sgr_relay_t *relay, sgr_relay_action_t action);
 
 /**
- * sgr_relay_after() - apply an action once bytes have passed, counted from now
+ * sgr_relay_after() - apply an action at a moment of the traffic
  * @relay: the relay
  * @action: what to do
- * @up: bytes towards the far side, which are passed on first; 0 for no such condition
- * @down: bytes from the far side; the first of them are passed on, 0 for no such condition
+ * @up: after a piece of at least so many bytes towards the far side was passed on; 0 for none
+ * @down: after so many bytes from the far side were passed on, counted from now; 0 for none
  */
 void sgr_relay_after (sgr_relay_t *relay, sgr_relay_action_t action, size_t up, size_t down);
 
