Refuse malformed and cut answers of the target before they do harm

Causes: h2o 2.2.5 asserts when an answer has a length that is no number or an unknown transfer coding, which ends the node. It takes a connection that closes between two chunks for the end of the body, so that a cut answer passed as whole. It chunks answers with status 200 and 206 only; others without a length ended with the connection, so that callers could not see a cut. HEAD answers lost their length, 204 answers got one. Change: the head is checked before h2o parses it, a close between chunks and an answer with both a length and chunks are failures, the node writes the chunks of other statuses itself, and the length of HEAD answers is passed on.

--- a/libsiskingrade/data_answer.c
+++ b/libsiskingrade/data_answer.c
@@ -12,6 +12,8 @@
   void *ctx;
   sgr_buffer_t sending;
   sgr_buffer_t waiting;
+  char chunk_head[20];
+  bool is_chunked;
   bool is_sending;
   bool is_ended;
   bool is_aborted;
@@ -27,12 +29,42 @@
   sgr_buffer_release (&answer->waiting);
 }
 
+/* Writes one chunk and, at the end, the last one. An aborted body lacks the last one. */
+static size_t
+chunk_fill (sgr_data_answer_t *answer, h2o_iovec_t *vectors)
+{
+  size_t length = answer->sending.length;
+  size_t count = 0;
+
+  if (length > 0)
+    {
+      int size = snprintf (answer->chunk_head, sizeof answer->chunk_head, "%zx\r\n", length);
+
+      vectors[count++] = h2o_iovec_init (answer->chunk_head, (size_t)size);
+      vectors[count++] = h2o_iovec_init (answer->sending.bytes, length);
+      vectors[count++] = h2o_iovec_init (H2O_STRLIT ("\r\n"));
+    }
+  if (answer->is_ended && !answer->is_aborted)
+    vectors[count++] = h2o_iovec_init (H2O_STRLIT ("0\r\n\r\n"));
+  return count;
+}
+
+static size_t
+vectors_fill (sgr_data_answer_t *answer, h2o_iovec_t *vectors)
+{
+  if (answer->is_chunked)
+    return chunk_fill (answer, vectors);
+  vectors[0] = h2o_iovec_init (answer->sending.bytes, answer->sending.length);
+  return answer->sending.length > 0 ? 1 : 0;
+}
+
 static void
 send_next (sgr_data_answer_t *answer)
 {
   h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
   sgr_buffer_t spare = answer->sending;
-  h2o_iovec_t vector;
+  h2o_iovec_t vectors[4];
+  size_t count;
 
   if (answer->is_sending || answer->is_closed)
     return;
@@ -41,14 +73,14 @@
   spare.length = 0;
   answer->sending = answer->waiting;
   answer->waiting = spare;
-  vector = h2o_iovec_init (answer->sending.bytes, answer->sending.length);
+  count = vectors_fill (answer, vectors);
   if (answer->is_aborted)
     state = H2O_SEND_STATE_ERROR;
   else if (answer->is_ended)
     state = H2O_SEND_STATE_FINAL;
   answer->is_sending = true;
   answer->is_closed = state != H2O_SEND_STATE_IN_PROGRESS;
-  h2o_send (answer->req, &vector, vector.len > 0 ? 1 : 0, state);
+  h2o_send (answer->req, vectors, count, state);
 }
 
 static void
@@ -70,6 +102,17 @@
   ((sgr_data_answer_t *)generator)->is_closed = true;
 }
 
+/* A HEAD answer tells the length that the body of a GET would have. */
+static void
+length_take (h2o_req_t *req, const h2o_iovec_t *value)
+{
+  uint64_t length;
+
+  if (h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("HEAD"))
+      && sgr_http_number_parse (value->base, value->len, INT64_MAX, &length))
+    req->res.content_length = (size_t)length;
+}
+
 static void
 fields_add (h2o_req_t *req, const Sgr__Pb__AnswerHead *head)
 {
@@ -79,6 +122,11 @@
       h2o_iovec_t value = h2o_strdup (&req->pool, head->headers[i]->value, SIZE_MAX);
 
       h2o_strtolower (name.base, name.len);
+      if (h2o_memis (name.base, name.len, H2O_STRLIT ("content-length")))
+        {
+          length_take (req, &value);
+          continue;
+        }
       /* h2o writes these two itself. */
       if (h2o_memis (name.base, name.len, H2O_STRLIT ("date"))
           || h2o_memis (name.base, name.len, H2O_STRLIT ("server")))
@@ -90,6 +138,18 @@
                          H2O_STRLIT ("complete"));
 }
 
+/* h2o chunks answers with the status 200 and 206 only; others without a length it would end with
+   the connection, so that a cut one looks whole. */
+static bool
+needs_chunks (const h2o_req_t *req)
+{
+  int status = req->res.status;
+
+  return req->res.content_length == SIZE_MAX && req->version == 0x101 && status != 200
+         && status != 206 && status != 204 && status != 304
+         && !h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("HEAD"));
+}
+
 sgr_data_answer_t *
 sgr_data_answer_start (h2o_req_t *req, const Sgr__Pb__AnswerHead *head, int64_t body_length,
                        void (*taken) (void *ctx, size_t bytes), void *ctx)
@@ -104,9 +164,13 @@
   answer->ctx = ctx;
   req->res.status = (int)head->status;
   req->res.reason = "";
-  if (body_length >= 0)
+  if (body_length >= 0 && head->status != 204 && head->status != 304)
     req->res.content_length = (size_t)body_length;
   fields_add (req, head);
+  answer->is_chunked = needs_chunks (req);
+  if (answer->is_chunked)
+    h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_TRANSFER_ENCODING, NULL,
+                    H2O_STRLIT ("chunked"));
   h2o_start_response (req, &answer->super);
   return answer;
 }
--- a/libsiskingrade/gate_answer.c
+++ b/libsiskingrade/gate_answer.c
@@ -65,7 +65,7 @@
 
 void
 sgr_gate_head_encode (sgr_buffer_t *record, int status, const sgr_http_field_t *fields,
-                      size_t count, int64_t body_length)
+                      size_t count, int64_t body_length, bool is_head_method)
 {
   Sgr__Pb__AnswerHead head = SGR__PB__ANSWER_HEAD__INIT;
   Sgr__Pb__Header headers[FIELDS_MAX];
@@ -76,10 +76,12 @@
   for (size_t i = 0; i < count && used < FIELDS_MAX; i++)
     {
       const sgr_http_field_t *field = &fields[i];
-      bool is_retried
-          = h2o_lcstris (field->name, field->name_length, H2O_STRLIT ("siskingrade-retried"));
+      bool is_kept
+          = h2o_lcstris (field->name, field->name_length, H2O_STRLIT ("siskingrade-retried"))
+            || (is_head_method
+                && h2o_lcstris (field->name, field->name_length, H2O_STRLIT ("content-length")));
 
-      if (!is_retried && !sgr_http_is_forwarded (field->name, field->name_length))
+      if (!is_kept && !sgr_http_is_forwarded (field->name, field->name_length))
         continue;
       sgr__pb__header__init (&headers[used]);
       headers[used].name = text_copy (field->name, field->name_length);
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -79,7 +79,7 @@
       run->is_declared_not_run = true;
       return;
     }
-  sgr_gate_head_encode (&head, status, fields, count, body_length);
+  sgr_gate_head_encode (&head, status, fields, count, body_length, run->is_head_method);
   run->has_head = true;
   if (run->streaming != NULL && !sgr_gate_head_send (run->streaming, head.bytes, head.length))
     {
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -158,9 +158,10 @@
  * @fields: header fields; hop-by-hop ones are left out
  * @count: entries of @fields
  * @body_length: bytes of the body, -1 if not known yet
+ * @is_head_method: answer to HEAD, whose length field is passed on
  */
 void sgr_gate_head_encode (sgr_buffer_t *record, int status, const sgr_http_field_t *fields,
-                           size_t count, int64_t body_length);
+                           size_t count, int64_t body_length, bool is_head_method);
 
 /** sgr_gate_head_send() - send an encoded head; false if it is too large for a frame */
 bool sgr_gate_head_send (sgr_gate_waiter_t *waiter, const uint8_t *record, size_t length);
--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "result.h"
+#include "target_head.h"
 
 /* Longer than any deadline: the gate ends requests by their own deadlines. */
 #define IO_TIMEOUT_MS (3600ULL * 1000)
@@ -16,6 +17,7 @@
 {
   h2o_socketpool_t pool;
   h2o_timeout_t io_timeout;
+  h2o_timeout_t at_once;
   h2o_http1client_ctx_t ctx;
   size_t open;
 };
@@ -29,10 +31,14 @@
   uint8_t *message;
   h2o_iovec_t vector;
   bool is_head;
+  bool is_chunked;
   bool is_started;
   bool is_in_callback;
   bool is_cancelled;
   h2o_socket_cb paused_read;
+  h2o_socket_cb head_read;    /* h2o's own callbacks, which head_check() and */
+  h2o_socket_cb head_written; /* on_written() stand in front of */
+  h2o_timeout_entry_t guard;
 };
 
 sgr_target_client_t *
@@ -47,6 +53,7 @@
   h2o_socketpool_init_by_address (&client->pool, (struct sockaddr *)&to, sizeof to, 0, connections);
   h2o_socketpool_set_timeout (&client->pool, loop, POOL_IDLE_MS);
   h2o_timeout_init (loop, &client->io_timeout, IO_TIMEOUT_MS);
+  h2o_timeout_init (loop, &client->at_once, 0);
   client->ctx.loop = loop;
   client->ctx.io_timeout = &client->io_timeout;
   return client;
@@ -68,12 +75,14 @@
   h2o_timeout_dispose (client->ctx.loop, &client->pool._interval_cb.timeout);
   h2o_socketpool_dispose (&client->pool);
   h2o_timeout_dispose (client->ctx.loop, &client->io_timeout);
+  h2o_timeout_dispose (client->ctx.loop, &client->at_once);
   free (client);
 }
 
 static void
 request_free (sgr_target_request_t *request)
 {
+  h2o_timeout_unlink (&request->guard);
   request->client->open--;
   free (request->message);
   free (request);
@@ -103,6 +112,12 @@
       finish (request, errstr);
       return 0;
     }
+  /* h2o reports a close between two chunks as the end of the body. Only then nothing was read. */
+  if (errstr != NULL && request->is_chunked && http->sock->bytes_read == 0)
+    {
+      finish (request, "closed before the last chunk");
+      return 0;
+    }
   input = http->sock->input;
   if (input->size > 0)
     {
@@ -142,7 +157,7 @@
 /* Finds how the body is framed. A body that ends with the connection cannot be told from a
    truncated one, so it is refused. */
 static bool
-body_length_find (const sgr_target_request_t *request, int status, const sgr_http_field_t *fields,
+body_length_find (sgr_target_request_t *request, int status, const sgr_http_field_t *fields,
                   size_t count, int64_t *length)
 {
   bool is_chunked = false;
@@ -161,7 +176,9 @@
                             H2O_STRLIT ("transfer-encoding")))
         is_chunked = true;
     }
-  return is_chunked || *length >= 0;
+  request->is_chunked = is_chunked;
+  /* With both, two readers may disagree on where the body ends. */
+  return is_chunked != (*length >= 0);
 }
 
 static h2o_http1client_body_cb
@@ -201,6 +218,59 @@
   return on_body;
 }
 
+static sgr_target_request_t *
+request_of (h2o_socket_t *sock)
+{
+  return ((h2o_http1client_t *)sock->data)->data;
+}
+
+static void
+head_check (h2o_socket_t *sock, const char *err)
+{
+  sgr_target_request_t *request = request_of (sock);
+
+  if (err == NULL && !sgr_target_head_is_valid (sock->input->bytes, sock->input->size))
+    {
+      h2o_http1client_cancel (request->http);
+      finish (request, "malformed answer head");
+      return;
+    }
+  request->head_read (sock, err);
+}
+
+static void
+head_read_guard (sgr_target_request_t *request, h2o_socket_t *sock)
+{
+  request->head_read = sock->_cb.read;
+  sock->_cb.read = head_check;
+}
+
+static void
+on_written (h2o_socket_t *sock, const char *err)
+{
+  sgr_target_request_t *request = request_of (sock);
+
+  request->head_written (sock, err);
+  if (err == NULL)
+    head_read_guard (request, sock);
+}
+
+/* Runs after h2o has begun to write the request and before any event of the socket. */
+static void
+on_guard (h2o_timeout_entry_t *entry)
+{
+  sgr_target_request_t *request = H2O_STRUCT_FROM_MEMBER (sgr_target_request_t, guard, entry);
+  h2o_socket_t *sock = request->http->sock;
+
+  if (sock->_cb.read != NULL)
+    head_read_guard (request, sock);
+  else
+    {
+      request->head_written = sock->_cb.write;
+      sock->_cb.write = on_written;
+    }
+}
+
 static h2o_http1client_head_cb
 on_connect (h2o_http1client_t *http, const char *errstr, h2o_iovec_t **vectors, size_t *count,
             int *method_is_head)
@@ -227,6 +297,8 @@
       return NULL;
     }
   request->is_started = true;
+  request->guard.cb = on_guard;
+  h2o_timeout_link (request->client->ctx.loop, &request->client->at_once, &request->guard);
   *vectors = &request->vector;
   *count = 1;
   *method_is_head = request->is_head;
--- a/standins/standin_work.c
+++ b/standins/standin_work.c
@@ -182,7 +182,10 @@
     req->res.content_length = job->length;
   job->super.proceed = on_proceed;
   h2o_start_response (req, &job->super);
-  piece_send (job);
+  if (h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("HEAD")))
+    h2o_send (req, NULL, 0, H2O_SEND_STATE_FINAL);
+  else
+    piece_send (job);
 }
 
 static void
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -239,21 +239,24 @@
 }
 
 bool
-sgr_fixture_start (sgr_fixture_t *fixture)
+sgr_fixture_begin (sgr_fixture_t *fixture)
 {
   store_start (fixture);
-  for (size_t i = 0; i < fixture->count; i++)
-    sgr_fixture_node_start (fixture, &fixture->nodes[i]);
   for (size_t i = 0; i < fixture->count; i++)
     {
-      if (fixture->nodes[i].service != NULL)
+      sgr_fixture_node_start (fixture, &fixture->nodes[i]);
+      if (fixture->nodes[i].service != NULL && !fixture->has_own_targets)
         sgr_fixture_target_start (fixture, &fixture->nodes[i]);
     }
-  if (!sgr_fixture_services_set (fixture))
-    {
-      logs_print (fixture);
-      return false;
-    }
+  if (sgr_fixture_services_set (fixture))
+    return true;
+  logs_print (fixture);
+  return false;
+}
+
+bool
+sgr_fixture_await (const sgr_fixture_t *fixture)
+{
   for (size_t i = 0; i < fixture->count; i++)
     {
       for (size_t j = 0; j < fixture->count; j++)
@@ -270,6 +273,12 @@
   return true;
 }
 
+bool
+sgr_fixture_start (sgr_fixture_t *fixture)
+{
+  return sgr_fixture_begin (fixture) && sgr_fixture_await (fixture);
+}
+
 void
 sgr_fixture_kill (pid_t *pid)
 {
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -46,6 +46,7 @@
  * @limits: lines of the section "limits" of the settings, two blanks in front of each
  * @extra: further lines of the settings
  * @target_options: further arguments of the targets, separated by one blank
+ * @has_own_targets: the test provides the targets
  * @store: port of the store
  * @store_pid: process of the store
  * @folder: temporary folder with settings and logs
@@ -57,6 +58,7 @@
   const char *limits;
   const char *extra;
   const char *target_options;
+  bool has_own_targets;
   uint16_t store;
   pid_t store_pid;
   char folder[64];
@@ -75,6 +77,12 @@
 sgr_fixture_node_t *sgr_fixture_node_add (sgr_fixture_t *fixture, const char *name,
                                           const char *service, bool with_relay);
 
+/** sgr_fixture_begin() - start all processes and set the configuration */
+bool sgr_fixture_begin (sgr_fixture_t *fixture);
+
+/** sgr_fixture_await() - wait until every node serves every service */
+bool sgr_fixture_await (const sgr_fixture_t *fixture);
+
 /** sgr_fixture_start() - start all and wait until every node serves every service */
 bool sgr_fixture_start (sgr_fixture_t *fixture);
 
