--- a/tests/relay.c
+++ b/tests/relay.c
@@ -17,11 +17,21 @@
 #define PAIRS_MAX 64
 #define PIECE_BYTES 65536
 
+#define HELD_MAX 512
+
+/* Data that waits for its time. */
+typedef struct
+{
+  size_t length;
+  uint64_t due_us;
+} piece_t;
+
 /* One direction of a connection. */
 typedef struct
 {
   sgr_buffer_t held;
-  uint64_t due_us;
+  piece_t pieces[HELD_MAX];
+  size_t count;
   bool is_muted;
 } way_t;
 
@@ -104,22 +114,35 @@
 static bool
 flush_way (way_t *way, int to, uint64_t now_us)
 {
-  size_t offset = 0;
-
-  if (way->held.length == 0 || way->due_us > now_us)
-    return true;
-  while (offset < way->held.length)
+  while (way->count > 0 && way->pieces[0].due_us <= now_us)
     {
-      ssize_t sent = send (to, way->held.bytes + offset, way->held.length - offset, MSG_NOSIGNAL);
+      size_t length = way->pieces[0].length;
 
-      if (sent <= 0)
-        return false;
-      offset += (size_t)sent;
+      for (size_t offset = 0; offset < length;)
+        {
+          ssize_t sent = send (to, way->held.bytes + offset, length - offset, MSG_NOSIGNAL);
+
+          if (sent <= 0)
+            return false;
+          offset += (size_t)sent;
+        }
+      sgr_buffer_consume (&way->held, length);
+      way->count--;
+      memmove (way->pieces, way->pieces + 1, way->count * sizeof way->pieces[0]);
     }
-  way->held.length = 0;
   return true;
 }
 
+static void
+hold (way_t *way, size_t length, uint64_t due_us)
+{
+  way->held.length += length;
+  if (way->count < HELD_MAX)
+    way->pieces[way->count++] = (piece_t){ .length = length, .due_us = due_us };
+  else
+    way->pieces[HELD_MAX - 1].length += length;
+}
+
 /* Takes bytes from one side; counts them against the pending action. */
 static bool
 take (sgr_relay_t *relay, pair_t *pair, bool is_up, uint64_t now_us)
@@ -134,8 +157,6 @@
     return way->is_muted; /* a muted connection does not show its end */
   if (way->is_muted)
     return true;
-  if (way->held.length == 0)
-    way->due_us = now_us + relay->delay_us;
   pass = (size_t)got;
   if (relay->pending != 0 && *left > 0)
     {
@@ -145,7 +166,7 @@
         pass = *left;
       if (!is_up && !is_due)
         *left -= pass;
-      way->held.length += pass;
+      hold (way, pass, now_us + relay->delay_us);
       if (is_due)
         {
           sgr_relay_action_t action = relay->pending;
@@ -156,7 +177,7 @@
         }
       return true;
     }
-  way->held.length += pass;
+  hold (way, pass, now_us + relay->delay_us);
   return true;
 }
 
--- a/tests/test_path_faults.c
+++ b/tests/test_path_faults.c
@@ -15,6 +15,10 @@
 /* Fault cases of the call path on real processes: what the caller sees and how often the target
    ran the request. */
 
+/* A Call frame is longer than this and other frames towards the gate are shorter. */
+#define CALL_SENT 120
+#define STARTS "siskingrade_gate_starts_total"
+
 enum
 {
   ENTRY,
@@ -62,6 +66,8 @@
 
 /**
  * struct fault_case_t - a fault and what is expected
+ * @action: what happens to the connections between the nodes: at once, or with @up not 0 after the
+ *          request started at the target, or after @down bytes of frames towards the entry
  * @end: how the exchange ends for the caller
  * @status: status that the caller sees, 0 for any that is true
  * @reason: value of Siskingrade-Reason, NULL for any
@@ -118,17 +124,25 @@
                            .deadline_ms = fault->deadline_ms };
   sgr_probe_answer_t answer;
 
+  uint64_t starts = sgr_fixture_metric (node (GATE), STARTS);
+  int fd;
+
   if (fault->action != 0 && fault->up == 0 && fault->down == 0)
     sgr_relay_now (node (GATE)->relay, fault->action);
-  else if (fault->action != 0)
-    sgr_relay_after (node (GATE)->relay, fault->action, fault->up, fault->down);
-  sgr_path_receive (sgr_path_send (&call), &call, &answer);
+  else if (fault->action != 0 && fault->down != 0)
+    sgr_relay_after (node (GATE)->relay, fault->action, 0, fault->down);
+  fd = sgr_path_send (&call);
+  if (fault->up != 0)
+    {
+      while (sgr_fixture_metric (node (GATE), STARTS) == starts)
+        sgr_fixture_pause ();
+      sgr_relay_now (node (GATE)->relay, fault->action);
+    }
+  sgr_path_receive (fd, &call, &answer);
   result_check (fault, &call, &answer);
   sgr_probe_release (&answer);
 }
 
-/* A Call frame is longer than this and other frames towards the gate are shorter. */
-#define CALL_SENT 120
 #define FAULT(name) "X-Fault: " name "\r\n"
 #define SLOW(ms) "X-Service-Us: " #ms "000\r\n"
 
@@ -369,7 +383,7 @@
                                .body = "body" };
       int fd = sgr_path_send (&call);
 
-      while (sgr_fixture_metric (node (GATE), "siskingrade_gate_starts_total") == 0)
+      while (sgr_fixture_metric (node (GATE), STARTS) == 0)
         sgr_fixture_pause ();
       while (i >= 2 && sgr_fixture_executions (node (GATE), call.id) == 0)
         sgr_fixture_pause ();
@@ -393,7 +407,7 @@
   sgr_path_call_t late
       = { .entry = node (ENTRY), .service = "one", .method = "POST", .path = "/", .body = "late" };
   int status;
-  uint64_t before = sgr_fixture_metric (node (GATE), "siskingrade_gate_starts_total");
+  uint64_t before = sgr_fixture_metric (node (GATE), STARTS);
 
   for (size_t i = 0; i < 6; i++)
     {
@@ -406,7 +420,7 @@
       sockets[i] = sgr_path_send (&calls[i]);
       assert_true (sockets[i] >= 0);
     }
-  while (sgr_fixture_metric (node (GATE), "siskingrade_gate_starts_total") < before + 6)
+  while (sgr_fixture_metric (node (GATE), STARTS) < before + 6)
     sgr_fixture_pause ();
   sgr_fixture_admin (node (GATE), "drain");
   do
