--- /dev/null
+++ b/tests/test_announce.c
@@ -0,0 +1,116 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "announce.h"
+
+/* Announcements of targets: bad ones are refused with the key at fault and change nothing. */
+
+static sgr_result_t
+put (sgr_announce_t *announce, uint64_t now_us, const char *body, char *error, bool *is_changed)
+{
+  sgr_buffer_t text = { 0 };
+  sgr_result_t result
+      = sgr_announce_put (announce, now_us, 1000, body, strlen (body), &text, is_changed);
+
+  sgr_buffer_append (&text, "", 1);
+  strncpy (error, (const char *)text.bytes, 199);
+  error[199] = '\0';
+  sgr_buffer_release (&text);
+  return result;
+}
+
+static void
+test_bad_bodies (void **state)
+{
+  static const struct
+  {
+    const char *body;
+    const char *key;
+  } cases[] = {
+    { "", "body" },
+    { "[]", "body" },
+    { "{\"service\":\"a\"", "body" },
+    { "{\"service\":\"a\",\"service\":\"b\",\"address\":\"1.2.3.4:5\",\"slots\":1}", "body" },
+    { "{}", "service" },
+    { "{\"service\":\"\",\"address\":\"1.2.3.4:5\",\"slots\":1}", "service" },
+    { "{\"service\":\"a b\",\"address\":\"1.2.3.4:5\",\"slots\":1}", "service" },
+    { "{\"service\":7,\"address\":\"1.2.3.4:5\",\"slots\":1}", "service" },
+    { "{\"service\":\"a\",\"slots\":1}", "address" },
+    { "{\"service\":\"a\",\"address\":\"host:5\",\"slots\":1}", "address" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4\",\"slots\":1}", "address" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:0\",\"slots\":1}", "address" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:65536\",\"slots\":1}", "address" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\"}", "slots" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":0}", "slots" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":-1}", "slots" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1.5}", "slots" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":\"1\"}", "slots" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":5000}", "slots" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"connections\":0}",
+      "connections" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"state\":\"left\"}", "state" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"state\":3}", "state" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"weight\":3}", "weight" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_announce_t announce = { 0 };
+      bool is_changed;
+      char error[200];
+
+      assert_int_equal (put (&announce, 1, cases[i].body, error, &is_changed), SGR_ERR_INVALID);
+      assert_false (is_changed);
+      assert_int_equal (announce.local.service[0], '\0');
+      if (strncmp (error, cases[i].key, strlen (cases[i].key)) != 0)
+        fail_msg ("%s: %s, expected it to name %s", cases[i].body, error, cases[i].key);
+    }
+}
+
+#define GOOD "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":4}"
+
+static void
+test_life (void **state)
+{
+  sgr_announce_t announce = { 0 };
+  bool is_changed;
+  char error[200];
+
+  assert_int_equal (put (&announce, 100, GOOD, error, &is_changed), SGR_OK);
+  assert_true (is_changed);
+  assert_int_equal (announce.local.state, SGR_TARGET_SERVING);
+  assert_int_equal (announce.local.connections, 240);
+  assert_int_equal (put (&announce, 600, GOOD, error, &is_changed), SGR_OK);
+  assert_false (is_changed);
+  /* Another target must not take the place of one that is there. */
+  assert_int_equal (put (&announce, 700,
+                         "{\"service\":\"a\",\"address\":\"1.2.3.4:6\",\"slots\":4}", error,
+                         &is_changed),
+                    SGR_ERR_CONFLICT);
+  assert_int_equal (announce.local.address.port, 5);
+  assert_false (sgr_announce_expire (&announce, 1599));
+  assert_true (sgr_announce_expire (&announce, 1600));
+  assert_false (sgr_announce_expire (&announce, 1700));
+  assert_int_equal (put (&announce, 1800,
+                         "{\"service\":\"b\",\"address\":\"1.2.3.4:6\",\"slots\":4,"
+                         "\"state\":\"warming\",\"connections\":9}",
+                         error, &is_changed),
+                    SGR_OK);
+  assert_true (is_changed);
+  assert_int_equal (announce.local.state, SGR_TARGET_WARMING);
+  assert_true (sgr_announce_leave (&announce));
+  assert_false (sgr_announce_leave (&announce));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_bad_bodies), cmocka_unit_test (test_life) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_id_map.c
@@ -0,0 +1,89 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "id_map.h"
+#include "rng.h"
+
+/* The map against a plain table, with ids that collide, are removed and come back. */
+
+#define IDS 700
+
+static uint64_t
+id_of (size_t index)
+{
+  /* Neighbours, multiples of large powers of two and extreme ids. */
+  if (index % 3 == 0)
+    return index;
+  return index % 3 == 1 ? (uint64_t)index << 48 : UINT64_MAX - index;
+}
+
+static void
+test_against_table (void **state)
+{
+  sgr_id_map_t *map = sgr_id_map_create ();
+  static char values[IDS];
+  bool is_there[IDS] = { false };
+  size_t count = 0;
+  sgr_rng_t rng;
+
+  sgr_rng_seed (&rng, 7);
+  for (int step = 0; step < 100000; step++)
+    {
+      size_t index = sgr_rng_next (&rng) % IDS;
+      uint64_t id = id_of (index);
+
+      if (sgr_rng_next (&rng) % 2 == 0)
+        {
+          sgr_id_map_put (map, id, &values[index]);
+          count += !is_there[index];
+          is_there[index] = true;
+        }
+      else
+        {
+          assert_ptr_equal (sgr_id_map_remove (map, id), is_there[index] ? &values[index] : NULL);
+          count -= is_there[index];
+          is_there[index] = false;
+        }
+      index = sgr_rng_next (&rng) % IDS;
+      assert_ptr_equal (sgr_id_map_get (map, id_of (index)),
+                        is_there[index] ? &values[index] : NULL);
+      assert_int_equal (sgr_id_map_count (map), count);
+    }
+  sgr_id_map_destroy (map);
+}
+
+static void
+test_iteration (void **state)
+{
+  sgr_id_map_t *map = sgr_id_map_create ();
+  static char values[IDS];
+  size_t cursor = 0;
+  size_t seen = 0;
+  char *value;
+
+  assert_null (sgr_id_map_next (map, &cursor));
+  for (size_t i = 0; i < IDS; i++)
+    sgr_id_map_put (map, id_of (i), &values[i]);
+  cursor = 0;
+  while ((value = sgr_id_map_next (map, &cursor)) != NULL)
+    {
+      assert_int_equal (*value, 0);
+      *value = 1;
+      seen++;
+    }
+  assert_int_equal (seen, IDS);
+  sgr_id_map_destroy (map);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_against_table), cmocka_unit_test (test_iteration) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
