--- a/libsiskingrade/data_calls.c
+++ b/libsiskingrade/data_calls.c
@@ -79,7 +79,8 @@
   open_call_t *open;
 
   if (!sgr_gate_request_is_valid (call) || call->body_length > calls->body_max
-      || id->attempt >= SGR_CALL_ATTEMPTS_MAX)
+      || id->attempt >= SGR_CALL_ATTEMPTS_MAX
+      || call->remaining_us > SGR_DEADLINE_MAX_MS * SGR_USEC_PER_MSEC)
     return SGR_ERR_INVALID;
   if (call->body_length == 0)
     {
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -306,7 +306,7 @@
   run->deadline = (sgr_timer_t){ .fire = on_deadline, .ctx = run };
   sgr_gate_request_write (call, &attempt->id, body, body_length, &run->message);
   run->id = attempt->id;
-  run->credit = call->credit;
+  run->credit = call->credit < SGR_GATE_CREDIT_MAX_BYTES ? call->credit : SGR_GATE_CREDIT_MAX_BYTES;
   run->next = gate->first_run;
   if (run->next != NULL)
     run->next->previous = run;
@@ -338,7 +338,7 @@
           sgr_gate_run_t *run, const sgr_gate_decision_t *decision, const sgr_attempt_id_t *id)
 {
   run->handle = decision->handle;
-  run->streaming = sgr_gate_waiter_create (gate, channel, id, call->credit, run);
+  run->streaming = sgr_gate_waiter_create (gate, channel, id, run->credit, run);
   if (decision->kind == SGR_GATE_START)
     run_start (run);
   else
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -12,7 +12,6 @@
 #include "http_tls.h"
 #include "listener.h"
 
-#define DEADLINE_MAX_MS 600000
 #define KEYS_PATH "/.siskingrade/keys"
 
 struct sgr_data_http_t
@@ -112,7 +111,7 @@
   uint64_t deadline_ms = policy->deadline_ms;
 
   if (value.base != NULL
-      && (!sgr_http_number_parse (value.base, value.len, DEADLINE_MAX_MS, &deadline_ms)
+      && (!sgr_http_number_parse (value.base, value.len, SGR_DEADLINE_MAX_MS, &deadline_ms)
           || deadline_ms == 0))
     return false;
   *deadline_us = sgr_clock_monotonic_us () + deadline_ms * SGR_USEC_PER_MSEC;
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -18,6 +18,8 @@
 
 /* Shared by the data_*.c files only. */
 
+#define SGR_DEADLINE_MAX_MS 600000ULL
+
 typedef struct sgr_data_gate_t sgr_data_gate_t;
 typedef struct sgr_data_links_t sgr_data_links_t;
 typedef struct sgr_data_link_t sgr_data_link_t;
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -231,6 +231,8 @@
 sgr_gate_run_credit (sgr_gate_run_t *run, uint32_t bytes)
 {
   run->streaming->credit += bytes;
+  if (run->streaming->credit > SGR_GATE_CREDIT_MAX_BYTES)
+    run->streaming->credit = SGR_GATE_CREDIT_MAX_BYTES;
   backlog_flush (run);
   if (run->backlog.length > 0)
     return;
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -4,6 +4,10 @@
 #include "data_gate.h"
 #include "target_client.h"
 
+/* Bytes that a gate sends ahead of an entry, however much the entry allows; bounds the memory of
+   one answer. */
+#define SGR_GATE_CREDIT_MAX_BYTES (1024U * 1024)
+
 /* One admitted attempt at the gate, shared by data_gate.c and gate_run.c. */
 
 /**
--- /dev/null
+++ b/tests/test_path_peer.c
@@ -0,0 +1,421 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "buffer.h"
+#include "frame.h"
+#include "gate.h"
+#include "node_fixture.h"
+#include "path_check.h"
+#include "rng.h"
+#include "timer_heap.h"
+
+/* A peer that does not keep to the protocol: its connection is closed and counted, the node and the
+   calls of others go on. */
+
+enum
+{
+  ENTRY,
+  GATE,
+};
+
+#define PEER_NODE 77
+#define PEER_BOOT 78
+
+static sgr_fixture_t fixture;
+
+static int
+start (void **state)
+{
+  sgr_fixture_init (&fixture);
+  sgr_fixture_node_add (&fixture, "entry", NULL, false);
+  sgr_fixture_node_add (&fixture, "gate", "one", false);
+  return sgr_fixture_start (&fixture) ? 0 : -1;
+}
+
+static int
+stop (void **state)
+{
+  sgr_fixture_stop (&fixture);
+  return 0;
+}
+
+static void
+hello_add (sgr_buffer_t *out, uint32_t version, uint64_t node, bool with_load)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Hello hello = SGR__PB__HELLO__INIT;
+  Sgr__Pb__LoadReport load = SGR__PB__LOAD_REPORT__INIT;
+
+  hello.version = version;
+  hello.node = node;
+  hello.boot = PEER_BOOT;
+  hello.load = with_load ? &load : NULL;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_HELLO;
+  frame.hello = &hello;
+  sgr_frame_append (out, &frame);
+}
+
+static void
+ping_add (sgr_buffer_t *out)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Ping ping = SGR__PB__PING__INIT;
+
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_PING;
+  frame.ping = &ping;
+  sgr_frame_append (out, &frame);
+}
+
+typedef struct
+{
+  uint64_t node;
+  uint64_t sequence;
+  uint32_t attempt;
+  uint64_t boot;
+  uint64_t remaining_us;
+  uint64_t body_length;
+  const char *method;
+  const char *path;
+  const char *name;
+  const char *value;
+} call_t;
+
+static void
+call_add (sgr_buffer_t *out, const call_t *call)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Call message = SGR__PB__CALL__INIT;
+  Sgr__Pb__Header header = SGR__PB__HEADER__INIT;
+  Sgr__Pb__Header *headers[] = { &header };
+  Sgr__Pb__AttemptId id;
+  sgr_attempt_id_t attempt = { .node = call->node != 0 ? call->node : PEER_NODE,
+                               .boot = PEER_BOOT,
+                               .sequence = call->sequence,
+                               .attempt = call->attempt };
+
+  sgr_frame_id_set (&id, &attempt);
+  header.name = (char *)(call->name != NULL ? call->name : "x-request-id");
+  header.value = (char *)(call->value != NULL ? call->value : "peer");
+  message.id = &id;
+  message.gate_boot = call->boot;
+  message.remaining_us = call->remaining_us != 0 ? call->remaining_us : 1000000;
+  message.service = "one";
+  message.tenant = "t";
+  message.class_name = "c";
+  message.method = (char *)(call->method != NULL ? call->method : "POST");
+  message.path = (char *)(call->path != NULL ? call->path : "/");
+  message.headers = headers;
+  message.n_headers = 1;
+  message.body_length = call->body_length;
+  message.credit = UINT32_MAX;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_CALL;
+  frame.call = &message;
+  sgr_frame_append (out, &frame);
+}
+
+static void
+body_add (sgr_buffer_t *out, uint64_t sequence, uint64_t offset, size_t length)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__CallBody body = SGR__PB__CALL_BODY__INIT;
+  Sgr__Pb__AttemptId id;
+  sgr_attempt_id_t attempt = { .node = PEER_NODE, .boot = PEER_BOOT, .sequence = sequence };
+  uint8_t data[100] = { 0 };
+
+  sgr_frame_id_set (&id, &attempt);
+  body.id = &id;
+  body.offset = offset;
+  body.data.data = data;
+  body.data.len = length;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_CALL_BODY;
+  frame.call_body = &body;
+  sgr_frame_append (out, &frame);
+}
+
+static void
+query_add (sgr_buffer_t *out, uint64_t sequence, uint64_t boot)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__Query query = SGR__PB__QUERY__INIT;
+  Sgr__Pb__AttemptId id;
+  sgr_attempt_id_t attempt = { .node = PEER_NODE, .boot = PEER_BOOT, .sequence = sequence };
+
+  sgr_frame_id_set (&id, &attempt);
+  query.id = &id;
+  query.gate_boot = boot;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_QUERY;
+  frame.query = &query;
+  sgr_frame_append (out, &frame);
+}
+
+static void
+end_add (sgr_buffer_t *out)
+{
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__AnswerEnd end = SGR__PB__ANSWER_END__INIT;
+  Sgr__Pb__AttemptId id;
+  sgr_attempt_id_t attempt = { .node = PEER_NODE, .boot = PEER_BOOT, .sequence = 1 };
+
+  sgr_frame_id_set (&id, &attempt);
+  end.id = &id;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_ANSWER_END;
+  frame.answer_end = &end;
+  sgr_frame_append (out, &frame);
+}
+
+/* Connects to the gate's node. A deadline keeps a fault from hanging the test. */
+static int
+peer_connect (void)
+{
+  struct timeval time = { .tv_sec = 10 };
+  int fd = sgr_probe_connect (fixture.nodes[GATE].peers);
+
+  assert_true (fd >= 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &time, sizeof time);
+  return fd;
+}
+
+/* Reads the next frame; NULL if the connection ended. */
+static Sgr__Pb__PeerFrame *
+frame_read (int fd, sgr_buffer_t *input)
+{
+  for (;;)
+    {
+      Sgr__Pb__PeerFrame *frame;
+      size_t consumed;
+      ssize_t got;
+
+      assert_int_equal (sgr_frame_decode (input->bytes, input->length, &frame, &consumed), SGR_OK);
+      if (frame != NULL)
+        {
+          sgr_buffer_consume (input, consumed);
+          return frame;
+        }
+      got = recv (fd, sgr_buffer_reserve (input, 65536), 65536, 0);
+      if (got <= 0)
+        return NULL;
+      input->length += (size_t)got;
+    }
+}
+
+enum
+{
+  CASE_PING_FIRST,
+  CASE_HELLO_TWICE,
+  CASE_VERSION,
+  CASE_NODE_ZERO,
+  CASE_NO_LOAD,
+  CASE_OTHER_NAME,
+  CASE_BAD_FIELD,
+  CASE_BAD_VALUE,
+  CASE_BAD_PATH,
+  CASE_BAD_METHOD,
+  CASE_ATTEMPT_NUMBER,
+  CASE_DEADLINE,
+  CASE_BODY_TOO_LONG,
+  CASE_BODY_OFFSET,
+  CASE_BODY_BEYOND,
+  CASE_CALL_TWICE,
+  CASE_ANSWER,
+  CASE_OVERSIZED,
+  CASE_EMPTY,
+  CASE_COUNT,
+};
+
+static const call_t bad_calls[CASE_COUNT] = {
+  [CASE_OTHER_NAME] = { .node = 5, .sequence = 1 },
+  [CASE_BAD_FIELD] = { .sequence = 2, .name = "a b" },
+  [CASE_BAD_VALUE] = { .sequence = 3, .value = "a\r\nx: y" },
+  [CASE_BAD_PATH] = { .sequence = 4, .path = "/ HTTP/1.1\r\n" },
+  [CASE_BAD_METHOD] = { .sequence = 5, .method = "GET /" },
+  [CASE_ATTEMPT_NUMBER] = { .sequence = 6, .attempt = 4000000000U },
+  [CASE_DEADLINE] = { .sequence = 7, .remaining_us = UINT64_MAX },
+  [CASE_BODY_TOO_LONG] = { .sequence = 8, .body_length = UINT64_MAX },
+  [CASE_BODY_OFFSET] = { .sequence = 9, .body_length = 50 },
+  [CASE_BODY_BEYOND] = { .sequence = 10, .body_length = 50 },
+  [CASE_CALL_TWICE] = { .sequence = 11, .body_length = 50 },
+};
+
+static void
+case_fill (int number, sgr_buffer_t *out)
+{
+  if (number == CASE_PING_FIRST)
+    ping_add (out);
+  else if (number == CASE_VERSION || number == CASE_NODE_ZERO || number == CASE_NO_LOAD)
+    hello_add (out, number == CASE_VERSION ? 99 : SGR_FRAME_VERSION,
+               number == CASE_NODE_ZERO ? 0 : PEER_NODE, number != CASE_NO_LOAD);
+  else
+    hello_add (out, SGR_FRAME_VERSION, PEER_NODE, true);
+  if (number == CASE_HELLO_TWICE)
+    hello_add (out, SGR_FRAME_VERSION, PEER_NODE, true);
+  if (number >= CASE_OTHER_NAME && number <= CASE_CALL_TWICE)
+    call_add (out, &bad_calls[number]);
+  if (number == CASE_BODY_OFFSET)
+    body_add (out, 9, 10, 20);
+  if (number == CASE_BODY_BEYOND)
+    body_add (out, 10, 0, 60);
+  if (number == CASE_CALL_TWICE)
+    call_add (out, &bad_calls[number]);
+  if (number == CASE_ANSWER)
+    end_add (out);
+  if (number == CASE_OVERSIZED)
+    sgr_buffer_append (out, "\x7f\xff\xff\xff", 4);
+  if (number == CASE_EMPTY)
+    sgr_buffer_append (out, "\0\0\0\0", 4);
+}
+
+static void
+test_bad_frames (void **state)
+{
+  for (int number = 0; number < CASE_COUNT; number++)
+    {
+      bool is_hello = number == CASE_PING_FIRST || number == CASE_HELLO_TWICE
+                      || number == CASE_VERSION || number == CASE_NODE_ZERO
+                      || number == CASE_NO_LOAD;
+      const char *metric = is_hello ? "siskingrade_peer_closed_total{reason=\"bad-hello\"}"
+                                    : "siskingrade_peer_closed_total{reason=\"bad-frame\"}";
+      uint64_t before = sgr_fixture_metric (&fixture.nodes[GATE], metric);
+      sgr_buffer_t out = { 0 };
+      sgr_buffer_t input = { 0 };
+      Sgr__Pb__PeerFrame *frame;
+      int fd = peer_connect ();
+
+      case_fill (number, &out);
+      assert_int_equal (send (fd, out.bytes, out.length, MSG_NOSIGNAL), (ssize_t)out.length);
+      while ((frame = frame_read (fd, &input)) != NULL)
+        {
+          if (frame->body_case != SGR__PB__PEER_FRAME__BODY_HELLO)
+            fail_msg ("case %d: frame %d", number, frame->body_case);
+          sgr_frame_free (frame);
+        }
+      close (fd);
+      sgr_buffer_release (&out);
+      sgr_buffer_release (&input);
+      if (sgr_fixture_metric (&fixture.nodes[GATE], metric) != before + 1)
+        fail_msg ("case %d is not counted as %s", number, metric);
+    }
+  assert_int_equal (sgr_fixture_executions (&fixture.nodes[GATE], "peer"), 0);
+  assert_true (sgr_fixture_ready (&fixture.nodes[ENTRY], "one"));
+}
+
+/* Random bytes never end the node. */
+static void
+test_random_bytes (void **state)
+{
+  sgr_rng_t rng;
+
+  sgr_rng_seed (&rng, 5);
+  for (int i = 0; i < 200; i++)
+    {
+      sgr_buffer_t out = { 0 };
+      int fd = peer_connect ();
+      size_t from;
+
+      hello_add (&out, SGR_FRAME_VERSION, PEER_NODE, true);
+      from = out.length;
+      call_add (&out, &(call_t){ .sequence = 1000 + (uint64_t)i, .boot = 1 });
+      for (int j = 0; j < 1 + i % 8; j++)
+        out.bytes[from + sgr_rng_next (&rng) % (out.length - from)] = (uint8_t)sgr_rng_next (&rng);
+      send (fd, out.bytes, out.length, MSG_NOSIGNAL);
+      close (fd);
+      sgr_buffer_release (&out);
+    }
+  assert_true (sgr_fixture_ready (&fixture.nodes[ENTRY], "one"));
+}
+
+/* A query for an attempt that the gate has not seen keeps a late copy of it from running. */
+static void
+test_query_then_late_call (void **state)
+{
+  sgr_buffer_t out = { 0 };
+  sgr_buffer_t input = { 0 };
+  Sgr__Pb__PeerFrame *frame;
+  int fd = peer_connect ();
+  uint64_t boot;
+
+  frame = frame_read (fd, &input);
+  assert_non_null (frame);
+  assert_int_equal (frame->body_case, SGR__PB__PEER_FRAME__BODY_HELLO);
+  boot = frame->hello->boot;
+  sgr_frame_free (frame);
+  hello_add (&out, SGR_FRAME_VERSION, PEER_NODE, true);
+  query_add (&out, 5000, boot);
+  query_add (&out, 5001, boot + 1);
+  call_add (&out, &(call_t){ .sequence = 5000, .boot = boot });
+  call_add (&out, &(call_t){ .sequence = 5002, .boot = boot, .value = "peer-runs" });
+  assert_int_equal (send (fd, out.bytes, out.length, MSG_NOSIGNAL), (ssize_t)out.length);
+  frame = frame_read (fd, &input);
+  assert_int_equal (frame->query_reply->phase, SGR_GATE_PHASE_SETTLED);
+  assert_int_equal (frame->query_reply->outcome, SGR_OUTCOME_NOT_RUN);
+  sgr_frame_free (frame);
+  frame = frame_read (fd, &input);
+  assert_int_equal (frame->query_reply->outcome, SGR_OUTCOME_UNKNOWN);
+  sgr_frame_free (frame);
+  frame = frame_read (fd, &input);
+  assert_int_equal (frame->body_case, SGR__PB__PEER_FRAME__BODY_REFUSAL);
+  assert_int_equal (frame->refusal->outcome, SGR_OUTCOME_NOT_RUN);
+  assert_int_equal (frame->refusal->gate_reason, SGR_GATE_REASON_TOMBSTONE);
+  sgr_frame_free (frame);
+  frame = frame_read (fd, &input);
+  assert_int_equal (frame->body_case, SGR__PB__PEER_FRAME__BODY_ANSWER_HEAD);
+  sgr_frame_free (frame);
+  close (fd);
+  sgr_buffer_release (&out);
+  sgr_buffer_release (&input);
+  assert_int_equal (sgr_fixture_executions (&fixture.nodes[GATE], "peer"), 0);
+  assert_int_equal (sgr_fixture_executions (&fixture.nodes[GATE], "peer-runs"), 1);
+}
+
+/* Another node at the address of one that is gone must not answer in its name. */
+static void
+test_reused_address (void **state)
+{
+  sgr_fixture_node_t *gate = &fixture.nodes[GATE];
+  uint64_t starts = sgr_fixture_metric (gate, "siskingrade_gate_starts_total");
+  sgr_path_call_t call = { .entry = &fixture.nodes[ENTRY],
+                           .service = "one",
+                           .method = "POST",
+                           .path = "/",
+                           .fields = "X-Service-Us: 200000\r\n",
+                           .body = "body",
+                           .deadline_ms = 4000 };
+  sgr_probe_answer_t answer;
+  int fd = sgr_path_send (&call);
+
+  while (sgr_fixture_metric (gate, "siskingrade_gate_starts_total") == starts)
+    sgr_fixture_pause ();
+  sgr_fixture_kill (&gate->pid);
+  strcpy (gate->name, "impostor");
+  sgr_fixture_node_start (&fixture, gate);
+  sgr_path_receive (fd, &call, &answer);
+  assert_int_equal (answer.end, SGR_PROBE_WHOLE);
+  assert_true (answer.status == 502 || answer.status == 504);
+  sgr_path_check (&call, &answer, sgr_fixture_executions (gate, call.id));
+  sgr_probe_release (&answer);
+  assert_true (sgr_fixture_metric (&fixture.nodes[ENTRY],
+                                   "siskingrade_peer_closed_total{reason=\"bad-hello\"}")
+               >= 1);
+  assert_true (sgr_fixture_ready (&fixture.nodes[ENTRY], "one"));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_bad_frames),
+    cmocka_unit_test (test_random_bytes),
+    cmocka_unit_test (test_query_then_late_call),
+    cmocka_unit_test (test_reused_address),
+  };
+
+  return cmocka_run_group_tests (tests, start, stop);
+}
