Add fuzz targets for peer frames and settings

fuzz/run.sh uses libFuzzer if clang has its runtime, else seeded mutations under gcc's AddressSanitizer.

--- /dev/null
+++ b/fuzz/run.sh
@@ -0,0 +1,37 @@
+#!/bin/bash
+# Fuzzes the parsers for a bounded time: with libFuzzer if clang has its runtime, else with seeded
+# mutations under gcc's AddressSanitizer. FUZZ_SECONDS and FUZZ_RUNS bound each target;
+# FUZZ_MODE=driver takes the second way in any case.
+set -eu -o pipefail
+cd "$(dirname "$0")/.."
+seconds=${FUZZ_SECONDS:-20}
+runs=${FUZZ_RUNS:-200000}
+out=build-fuzz
+mkdir -p "$out"
+flags="-std=gnu11 -O1 -g -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Ilibsiskingrade -pthread"
+libs="-lh2o-evloop -lssl -lcrypto -lprotobuf-c -lcyaml -lyaml -ljansson -lxxhash -lsodium -lm"
+library=$(ls libsiskingrade/*.c)
+
+echo 'int LLVMFuzzerTestOneInput (const unsigned char *b, unsigned long n) { return 0; }' >"$out/probe.c"
+if [ "${FUZZ_MODE:-}" != driver ] && command -v clang >/dev/null \
+  && clang -fsanitize=fuzzer,address "$out/probe.c" -o "$out/probe" 2>/dev/null; then
+  mode=libfuzzer
+else
+  mode=driver
+fi
+echo "fuzz: $mode"
+for target in frame settings; do
+  if [ "$mode" = libfuzzer ]; then
+    # shellcheck disable=SC2086
+    clang $flags -fsanitize=fuzzer,address "fuzz/fuzz_$target.c" $library -o "$out/fuzz_$target" $libs
+    mkdir -p "$out/corpus-$target"
+    "$out/fuzz_$target" -max_total_time="$seconds" -seed=1 -print_final_stats=1 \
+      -artifact_prefix="$out/" "$out/corpus-$target" "fuzz/corpus/$target" 2>&1 | tail -n 4
+  else
+    # shellcheck disable=SC2086
+    gcc $flags -fsanitize=address,undefined -fno-sanitize-recover=all "fuzz/fuzz_$target.c" \
+      fuzz/fuzz_driver.c $library -o "$out/fuzz_$target" $libs
+    timeout $((seconds * 10)) "$out/fuzz_$target" "fuzz/corpus/$target" "$runs"
+  fi
+  echo "fuzz: $target done"
+done
