--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,9 @@
 TEST_SRC := $(wildcard tests/test_*.c)
 TEST_COMMON := $(filter-out $(TEST_SRC),$(wildcard tests/*.c))
 BENCH_SRC := $(wildcard bench/bench_*.c)
-BENCH_COMMON := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
+# bench_path starts processes with the fixture of the tests.
+BENCH_COMMON := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c)) tests/http_probe.c \
+	tests/node_fixture.c tests/node_fixture_config.c tests/relay.c
 
 PROGRAMS := $(CLI_SRC:cli/%.c=$(BUILD)/%) $(STANDIN_SRC:standins/%.c=$(BUILD)/%)
 TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
