--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -116,6 +116,10 @@
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   if (getppid () != parent)
     _exit (126);
+  /* The tests run in the root of the project. h2o is built without frame pointers, so that the
+     suppressions need the slow way through the stack. */
+  setenv ("ASAN_OPTIONS", "fast_unwind_on_malloc=0", 1);
+  setenv ("LSAN_OPTIONS", "suppressions=tests/lsan.supp:print_suppressions=0", 1);
   snprintf (path, sizeof path, "%s/%s.log", fixture->folder, log);
   fd = open (path, O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2 (fd, 1);
