--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -195,13 +195,18 @@
 void
 sgr_data_peers_destroy (sgr_data_peers_t *peers)
 {
+  lost_t *lost_next;
   peer_t *next;
 
   if (peers == NULL)
     return;
   h2o_socket_close (peers->listener);
-  while (peers->lost != NULL)
-    lost_free (peers->lost);
+  for (lost_t *lost = peers->lost; lost != NULL; lost = lost_next)
+    {
+      lost_next = lost->next;
+      sgr_timer_cancel (peers->task->timers, &lost->timer);
+      free (lost);
+    }
   for (peer_t *peer = peers->first; peer != NULL; peer = next)
     {
       next = peer->next;
--- a/tests/relay.c
+++ b/tests/relay.c
@@ -297,6 +297,14 @@
   pthread_mutex_unlock (&relay->lock);
 }
 
+void
+sgr_relay_retarget (sgr_relay_t *relay, uint16_t to_port)
+{
+  pthread_mutex_lock (&relay->lock);
+  relay->to_port = to_port;
+  pthread_mutex_unlock (&relay->lock);
+}
+
 void
 sgr_relay_delay (sgr_relay_t *relay, uint64_t delay_us)
 {
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -36,6 +36,9 @@
  */
 void sgr_relay_after (sgr_relay_t *relay, sgr_relay_action_t action, size_t up, size_t down);
 
+/** sgr_relay_retarget() - later connections go to another port */
+void sgr_relay_retarget (sgr_relay_t *relay, uint16_t to_port);
+
 /** sgr_relay_delay() - hold every piece of data back for a time, 0 to pass at once */
 void sgr_relay_delay (sgr_relay_t *relay, uint64_t delay_us);
 
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -20,7 +20,7 @@
   sgr_result_t result;
 } bad_case_t;
 
-#define BYTES(text) text, sizeof text - 1
+#define BYTES(text) (text), sizeof (text) - 1
 
 static void
 test_bad_bytes (void **state)
--- a/tests/test_http_fields.c
+++ b/tests/test_http_fields.c
@@ -19,7 +19,7 @@
   bool value;
 } text_case_t;
 
-#define TEXT(text) text, sizeof text - 1
+#define TEXT(text) (text), sizeof (text) - 1
 
 static void
 test_texts (void **state)
