Add probes within the budget, callers for the demo and example deployments

The control task probes its own target from the service's probe budget; three failed probes without a completed request in between make the target not ready, so that a misleading health endpoint cannot stop a working target.

--- a/libsiskingrade/announce.c
+++ b/libsiskingrade/announce.c
@@ -66,10 +66,28 @@
   return false;
 }
 
+static bool
+read_probe_path (json_t *object, sgr_snapshot_local_t *local, sgr_buffer_t *error)
+{
+  json_t *value = json_object_get (object, "probe_path");
+  const char *text = json_string_value (value);
+
+  if (value == NULL)
+    return true;
+  if (text == NULL || strlen (text) > SGR_NAME_MAX || !sgr_http_is_path (text, strlen (text)))
+    {
+      sgr_buffer_printf (error, "probe_path: expected a path of 1 to %d bytes", SGR_NAME_MAX);
+      return false;
+    }
+  memcpy (local->probe_path, text, strlen (text) + 1);
+  return true;
+}
+
 static bool
 check_keys (json_t *object, sgr_buffer_t *error)
 {
-  static const char *const known[] = { "service", "address", "slots", "connections", "state" };
+  static const char *const known[]
+      = { "service", "address", "slots", "connections", "state", "probe_path" };
   const char *key;
   json_t *value;
 
@@ -95,7 +113,7 @@
 
   local->connections = CONNECTIONS_DEFAULT;
   if (!check_keys (object, error) || !read_service (object, local, error)
-      || !read_state (object, local, error))
+      || !read_state (object, local, error) || !read_probe_path (object, local, error))
     return false;
   if (address == NULL || !sgr_address_parse (address, &local->address))
     {
@@ -111,7 +129,7 @@
 {
   return strcmp (a->service, b->service) == 0 && a->address.ip == b->address.ip
          && a->address.port == b->address.port && a->state == b->state && a->slots == b->slots
-         && a->connections == b->connections;
+         && a->connections == b->connections && strcmp (a->probe_path, b->probe_path) == 0;
 }
 
 sgr_result_t
--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -16,6 +16,7 @@
 typedef struct sgr_control_http_t sgr_control_http_t;
 typedef struct sgr_control_config_t sgr_control_config_t;
 typedef struct sgr_control_keys_t sgr_control_keys_t;
+typedef struct sgr_control_probe_t sgr_control_probe_t;
 
 /**
  * struct sgr_control_t - state of the control task
@@ -38,6 +39,7 @@
   sgr_control_http_t *http;
   sgr_control_config_t *config;
   sgr_control_keys_t *keys;
+  sgr_control_probe_t *probe;
   sgr_member_t *members;
   size_t member_count;
   h2o_socket_t *signals;
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -15,6 +15,7 @@
 #include "control_http.h"
 #include "control_internal.h"
 #include "control_keys.h"
+#include "control_probe.h"
 #include "log.h"
 #include "task_loop.h"
 
@@ -44,6 +45,17 @@
   return x < y ? -1 : x > y;
 }
 
+/* State of the local target as the rest of the fleet is to see it. */
+static sgr_target_state_t
+local_state (const sgr_control_t *control)
+{
+  const sgr_snapshot_local_t *local = &control->announce.local;
+
+  if (local->service[0] == '\0')
+    return SGR_TARGET_LEFT;
+  return sgr_control_probe_is_failing (control->probe) ? SGR_TARGET_NONE : local->state;
+}
+
 /* Copies the live members, for the snapshot, the configuration and the resource API. */
 static void
 members_refresh (sgr_control_t *control)
@@ -72,6 +84,7 @@
   sgr_snapshot_t *snapshot = sgr_snapshot_create (control->member_count, policies);
 
   snapshot->local = control->announce.local;
+  snapshot->local.state = local_state (control);
   snapshot->config_revision = sgr_config_state_revision (state);
   for (size_t i = 0; i < control->member_count; i++)
     {
@@ -90,6 +103,9 @@
 
   members_refresh (control);
   sgr_control_config_members (control->config, control->members, control->member_count);
+  sgr_control_probe_update (control->probe,
+                            sgr_config_state_policy (sgr_control_config_state (control->config),
+                                                     control->announce.local.service));
   sgr_data_task_snapshot_send (control->data, snapshot_build (control));
 }
 
@@ -106,11 +122,10 @@
 {
   const sgr_snapshot_local_t *local = &control->announce.local;
   const sgr_config_state_t *state = sgr_control_config_state (control->config);
-  sgr_membership_update_t update
-      = { .target_state = local->service[0] != '\0' ? local->state : SGR_TARGET_LEFT,
-          .service = local->service,
-          .slots = local->slots,
-          .config_revision = sgr_config_state_revision (state) };
+  sgr_membership_update_t update = { .target_state = local_state (control),
+                                     .service = local->service,
+                                     .slots = local->slots,
+                                     .config_revision = sgr_config_state_revision (state) };
 
   /* After the leave the own record is final, so that a conflict is no error. */
   sgr_membership_self_update (membership_of (control), sgr_clock_monotonic_us (), &update);
@@ -321,7 +336,10 @@
     return result;
   control->data
       = sgr_data_task_start (control->settings, control->boot, &data_events, control, errors);
-  return control->data != NULL ? SGR_OK : SGR_ERR_IO;
+  if (control->data == NULL)
+    return SGR_ERR_IO;
+  control->probe = sgr_control_probe_create (control);
+  return SGR_OK;
 }
 
 int
@@ -358,6 +376,7 @@
 
 out:
   sgr_control_http_destroy (control.http);
+  sgr_control_probe_destroy (control.probe);
   sgr_control_keys_destroy (control.keys);
   sgr_control_config_destroy (control.config);
   free (control.members);
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -43,6 +43,7 @@
   h2o_loop_t *loop;
   sgr_timer_heap_t *timers;
   sgr_metrics_t *metrics;
+  sgr_counter_t *completed;
   sgr_mailbox_t *mailbox;
   sgr_rng_t rng;
   sgr_snapshot_t *snapshot;
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -194,6 +194,7 @@
   sgr_rng_seed (&task->rng, boot);
   task->attempts = sgr_id_map_create ();
   task->mailbox = sgr_mailbox_create (task->loop, on_message, task);
+  task->completed = sgr_metrics_counter (task->metrics, "siskingrade_gate_completed_total", "");
   conn_env_init (task);
   task->gate = sgr_data_gate_create (task);
   task->services = sgr_data_services_create (task);
@@ -246,3 +247,9 @@
 {
   return task->metrics;
 }
+
+const sgr_counter_t *
+sgr_data_task_completed (const sgr_data_task_t *task)
+{
+  return task->completed;
+}
--- a/libsiskingrade/data_task.h
+++ b/libsiskingrade/data_task.h
@@ -78,6 +78,9 @@
 /** sgr_data_task_join() - wait for the thread and free the task */
 void sgr_data_task_join (sgr_data_task_t *task);
 
+/** sgr_data_task_completed() - requests that the local target answered whole, for any task */
+const sgr_counter_t *sgr_data_task_completed (const sgr_data_task_t *task);
+
 /** sgr_data_task_metrics() - registry of the task, to be printed by any task */
 const sgr_metrics_t *sgr_data_task_metrics (const sgr_data_task_t *task);
 
--- a/libsiskingrade/http_request.c
+++ b/libsiskingrade/http_request.c
@@ -98,7 +98,7 @@
 
 sgr_http_request_t *
 sgr_http_request_start (h2o_http1client_ctx_t *ctx, const sgr_address_t *to, const char *method,
-                        const char *path, const char *body,
+                        const char *path, const char *fields, const char *body,
                         void (*done) (void *user, const sgr_http_request_answer_t *answer),
                         void *user)
 {
@@ -109,8 +109,8 @@
   request->done = done;
   request->user = user;
   sgr_address_format (to, address, sizeof address);
-  sgr_buffer_printf (&request->message, "%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n",
-                     method, path, address);
+  sgr_buffer_printf (&request->message, "%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n%s",
+                     method, path, address, fields);
   if (body != NULL)
     sgr_buffer_printf (&request->message,
                        "content-type: application/json\r\ncontent-length: %zu\r\n", strlen (body));
--- a/libsiskingrade/http_request.h
+++ b/libsiskingrade/http_request.h
@@ -32,15 +32,16 @@
  * @to: server
  * @method: HTTP method
  * @path: path with the query
+ * @fields: further header lines, each ended by CR LF, "" for none
  * @body: JSON body, NULL for none
  * @done: called once, never before this function returns
  * @user: passed to @done
  */
-sgr_http_request_t *sgr_http_request_start (h2o_http1client_ctx_t *ctx, const sgr_address_t *to,
-                                            const char *method, const char *path, const char *body,
-                                            void (*done) (void *user,
-                                                          const sgr_http_request_answer_t *answer),
-                                            void *user);
+sgr_http_request_t *
+sgr_http_request_start (h2o_http1client_ctx_t *ctx, const sgr_address_t *to, const char *method,
+                        const char *path, const char *fields, const char *body,
+                        void (*done) (void *user, const sgr_http_request_answer_t *answer),
+                        void *user);
 
 /** sgr_http_request_cancel() - drop a request that has not ended, @done is not called */
 void sgr_http_request_cancel (sgr_http_request_t *request);
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -12,6 +12,7 @@
  * @state: its state
  * @slots: requests that it may run at a time
  * @connections: connections that it may have
+ * @probe_path: path that answers probes, empty if the target has none
  */
 typedef struct
 {
@@ -20,6 +21,7 @@
   sgr_target_state_t state;
   uint32_t slots;
   uint32_t connections;
+  char probe_path[SGR_NAME_MAX + 1];
 } sgr_snapshot_local_t;
 
 /**
--- a/standins/standin-target.c
+++ b/standins/standin-target.c
@@ -31,6 +31,7 @@
   uint64_t service_us;
   uint64_t cold_ms;
   uint64_t seed;
+  const char *log_path;
 } options_t;
 
 typedef struct
@@ -65,6 +66,7 @@
   { "service-us", 'u', "MICROSECONDS", 0, "Mean service time (2000)", 0 },
   { "cold-ms", 'w', "MILLISECONDS", 0, "Time after the start with five times the service time", 0 },
   { "seed", 'r', "NUMBER", 0, "Seed of the service times (1)", 0 },
+  { "execution-log", 'o', "FILE", 0, "Append the id of each request that ran", 0 },
   { 0 },
 };
 
@@ -108,6 +110,9 @@
     case 'r':
       options->seed = number_of (argument, state);
       return 0;
+    case 'o':
+      options->log_path = argument;
+      return 0;
     case ARGP_KEY_END:
       if (options->listen.port == 0 || options->service == NULL)
         argp_error (state, "--listen and --service are required");
@@ -141,10 +146,10 @@
   sgr_address_format (&target->options.listen, address, sizeof address);
   snprintf (body, sizeof body,
             "{\"service\":\"%s\",\"address\":\"%s\",\"slots\":%u,\"connections\":%u,"
-            "\"state\":\"%s\"}",
+            "\"state\":\"%s\",\"probe_path\":\"/ready\"}",
             target->options.service, address, target->options.slots, target->options.connections,
             target->state);
-  sgr_http_request_start (&target->client, &target->options.announce, "PUT", "/v1/target", body,
+  sgr_http_request_start (&target->client, &target->options.announce, "PUT", "/v1/target", "", body,
                           on_announced, target);
 }
 
@@ -183,6 +188,14 @@
   return 0;
 }
 
+static int
+on_ready (h2o_handler_t *super, h2o_req_t *req)
+{
+  req->res.status = 200;
+  h2o_send_inline (req, H2O_STRLIT ("ready\n"));
+  return 0;
+}
+
 static int
 on_work (h2o_handler_t *super, h2o_req_t *req)
 {
@@ -221,7 +234,7 @@
   if (target->options.announce.port == 0)
     target->is_stopped = true;
   else
-    sgr_http_request_start (&target->client, &target->options.announce, "DELETE", "/v1/target",
+    sgr_http_request_start (&target->client, &target->options.announce, "DELETE", "/v1/target", "",
                             NULL, on_announced, target);
 }
 
@@ -252,6 +265,7 @@
   host = h2o_config_register_host (&target->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
   path_add (target, host, "/admin/", on_admin);
   path_add (target, host, "/executions", on_executions);
+  path_add (target, host, "/ready", on_ready);
   path_add (target, host, "/", on_work);
   h2o_context_init (&target->context, target->loop, &target->config);
   target->accept.ctx = &target->context;
--- a/standins/standin_work.c
+++ b/standins/standin_work.c
@@ -1,9 +1,12 @@
 #include "standin_work.h"
 
+#include <fcntl.h>
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 #include "http_fields.h"
@@ -48,6 +51,7 @@
   uint64_t slow_factor;
   bool is_failing_fast;
   bool is_shedding;
+  int log_fd;
 };
 
 static void start_next (sgr_standin_work_t *work);
@@ -64,6 +68,9 @@
   work->slow_factor = 1;
   work->executions = sgr_id_map_create ();
   sgr_rng_seed (&work->rng, options->seed);
+  work->log_fd = -1;
+  if (options->log_path != NULL)
+    work->log_fd = open (options->log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   return work;
 }
 
@@ -101,6 +108,14 @@
       sgr_id_map_put (work->executions, key, execution);
     }
   execution->count++;
+  if (work->log_fd >= 0)
+    {
+      char line[96];
+      int length = snprintf (line, sizeof line, "%s\n", id);
+
+      if (write (work->log_fd, line, (size_t)length) != length)
+        perror ("standin-target: execution log");
+    }
 }
 
 static uint64_t
@@ -199,7 +214,6 @@
 {
   job_t *job = ctx;
 
-  execution_count (job->work, job->id);
   if (strcmp (job->fault, "hang") == 0)
     return;
   if (strcmp (job->fault, "close-after") == 0)
@@ -222,6 +236,8 @@
         work->last = &work->first;
       work->running++;
       job->is_running = true;
+      /* Counted at the start, so that a request that is cut off later counts too. */
+      execution_count (work, job->id);
       sgr_timer_arm (work->timers, &job->timer, now_us + service_time (work, job->req, now_us));
     }
 }
--- a/standins/standin_work.h
+++ b/standins/standin_work.h
@@ -15,6 +15,8 @@
  * @service_us: mean service time, exponentially distributed; 0 answers at once
  * @cold_until_us: until then the service time is five times as long
  * @seed: seed of the service times
+ * @log_path: file that gets the id of each request that ran, before its answer; NULL for none.
+ *            It outlives a killed target.
  */
 typedef struct
 {
@@ -22,6 +24,7 @@
   uint64_t service_us;
   uint64_t cold_until_us;
   uint64_t seed;
+  const char *log_path;
 } sgr_standin_work_options_t;
 
 sgr_standin_work_t *sgr_standin_work_create (sgr_timer_heap_t *timers,
