--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,13 @@
 BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
 
 C_FILES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard libsiskingrade/*.[ch] cli/*.[ch] standins/*.[ch] \
-	tests/*.[ch] bench/*.[ch] fuzz/*.[ch]))
+	tests/*.[ch] bench/*.[ch] fuzz/*.[ch] examples/*.c))
 
-.PHONY: all help deps check check-asan bench demo fuzz format format-check lint proto clean
+# Guards against a public header that cannot be used alone.
+$(BUILD)/embed: examples/embed.c $(LIB)
+	$(CC) -std=gnu11 -Wall -Ilibsiskingrade $(SAN) -o $@ $^ -lsodium -ljansson -lprotobuf-c -lxxhash -lm
+
+.PHONY: all help deps install check check-asan bench demo fuzz format format-check lint proto clean
 .SECONDARY:
 
 all: $(LIB) $(PROGRAMS)
@@ -68,7 +72,7 @@
 	@tests/install-packages.sh $(PACKAGES)
 
 check: deps
-	@$(MAKE) -j$(JOBS) --no-print-directory all $(TESTS)
+	@$(MAKE) -j$(JOBS) --no-print-directory all $(TESTS) $(BUILD)/embed
 	@tests/run.sh $(BUILD) $(TESTS)
 
 check-asan: deps
@@ -78,7 +82,7 @@
 check-nodeps: all $(TESTS)
 	@tests/run.sh $(BUILD) $(TESTS)
 
-tests: all $(TESTS)
+tests: all $(TESTS) $(BUILD)/embed
 
 bench: deps
 	@$(MAKE) -j$(JOBS) --no-print-directory all $(BENCHES)
@@ -104,6 +108,26 @@
 lint:
 	@tests/lint.sh "$(CPPFLAGS)" $(filter %.c,$(C_FILES))
 
+PREFIX ?= /usr/local
+VERSION = $(shell sed -n 's/.*SGR_VERSION "\(.*\)"/\1/p' libsiskingrade/version.h)
+PUBLIC_HEADERS := siskingrade.h balancer.h buffer.h call_plan.h config_chain.h config_error.h \
+	config_resource.h config_state.h config_sync.h gate.h gate_limits.h histogram.h idempotency_key.h \
+	member.h membership.h policy.h probe_budget.h result.h retry_budget.h rng.h types.h version.h
+
+# Programs, man pages, and the library with its public headers.
+install: all
+	install -d $(DESTDIR)$(PREFIX)/sbin $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
+	  $(DESTDIR)$(PREFIX)/include/siskingrade $(DESTDIR)$(PREFIX)/share/man/man1 \
+	  $(DESTDIR)$(PREFIX)/share/man/man8
+	install $(BUILD)/siskingraded $(DESTDIR)$(PREFIX)/sbin
+	install $(BUILD)/siskingradectl $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 $(PUBLIC_HEADERS:%=libsiskingrade/%) $(DESTDIR)$(PREFIX)/include/siskingrade
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+	sed 's|@PREFIX@|$(PREFIX)|; s|@VERSION@|$(VERSION)|' libsiskingrade/siskingrade.pc.in \
+	  >$(DESTDIR)$(PREFIX)/lib/pkgconfig/siskingrade.pc
+
 clean:
 	rm -rf build build-asan build-fuzz
 
