--- a/libsiskingrade/gate_queue.c
+++ b/libsiskingrade/gate_queue.c
@@ -216,6 +216,10 @@
 
   if (!queue->newest_first)
     return;
+  /* Newcomers displace the oldest items of a full queue, so their wait says little then: a flow
+     stays overloaded until it has nearly drained. */
+  if (flow->overloaded && flow->count > 1)
+    return;
   if (flow->oldest->queued_us + target_us >= now_us)
     {
       flow->above_since_us = 0;
