--- a/bench/sim_overload.c
+++ b/bench/sim_overload.c
@@ -14,9 +14,9 @@
 struct sim_t;
 
 /**
- * struct sim_call_t - one call of a caller, freed when no attempt refers to it any more
+ * struct sim_call_t - one call of a caller, freed once no attempt refers to it any more
  */
-typedef struct
+typedef struct sim_call_t
 {
   struct sim_t *sim;
   uint32_t tenant;
@@ -27,6 +27,7 @@
   bool open;
   sgr_call_plan_t plan;
   sgr_timer_t timer;
+  struct sim_call_t *dead_next;
 } sim_call_t;
 
 /**
@@ -69,6 +70,7 @@
   sgr_timer_heap_t *heap;
   sgr_retry_budget_t budget;
   uint64_t sequence;
+  sim_call_t *dead; /* freed between two moments, when no event holds them */
   sim_target_t targets[TARGETS_MAX];
   sim_source_t sources[SIM_TENANTS];
 } sim_t;
@@ -94,7 +96,20 @@
   if (--call->references > 0)
     return;
   sgr_timer_cancel (call->sim->heap, &call->timer);
-  free (call);
+  call->dead_next = call->sim->dead;
+  call->sim->dead = call;
+}
+
+static void
+dead_free (sim_t *sim)
+{
+  while (sim->dead != NULL)
+    {
+      sim_call_t *call = sim->dead;
+
+      sim->dead = call->dead_next;
+      free (call);
+    }
 }
 
 static void
@@ -466,7 +481,10 @@
         source_arm (&sim->sources[i], 0);
     }
   while (next_us != SGR_TIMER_NEVER)
-    next_us = sgr_timer_heap_run (sim->heap, next_us);
+    {
+      next_us = sgr_timer_heap_run (sim->heap, next_us);
+      dead_free (sim);
+    }
   for (uint32_t i = 0; i < options->targets; i++)
     sgr_gate_destroy (sim->targets[i].gate);
   sgr_timer_heap_destroy (sim->heap);
