--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -52,6 +52,7 @@
   size_t drawn = draw (b, count);
   double best_cost[2] = { INFINITY, INFINITY };
   uint32_t best[2] = { 0, 0 };
+  bool is_ramping[2] = { false, false };
   bool is_hot_chosen;
 
   for (size_t i = 0; i < drawn; i++)
@@ -64,13 +65,15 @@
         {
           best_cost[score.is_hot] = cost;
           best[score.is_hot] = place;
+          is_ramping[score.is_hot] = score.is_ramping;
         }
     }
   is_hot_chosen = best_cost[true] * HOT_PENALTY < best_cost[false];
   if (best_cost[false] == INFINITY)
     sgr_balancer_event (b, SGR_BALANCER_PICK_ALL_HOT);
   else if (best_cost[true] < best_cost[false] && !is_hot_chosen)
-    sgr_balancer_event (b, SGR_BALANCER_PICK_HOT_AVOIDED);
+    sgr_balancer_event (b, is_ramping[true] ? SGR_BALANCER_PICK_SLOW_START
+                                            : SGR_BALANCER_PICK_HOT_AVOIDED);
   far_count (b, count, best[is_hot_chosen]);
   return best[is_hot_chosen];
 }
--- a/libsiskingrade/balancer_estimate.c
+++ b/libsiskingrade/balancer_estimate.c
@@ -270,6 +270,7 @@
     .cost_us = entry->info.link_rtt_us + b->trust * (latency_us + wait_us)
                + (1 - b->trust) * local_cost (b, entry, now_us)
                + sgr_balancer_error_rate (entry, now_us) * ERROR_COST * service_latency (b),
+    .is_ramping = ramp < 1,
     /* Slow start makes a target hot earlier. It does not add to the cost: when all targets are hot,
        a cold one that responds faster than the others is the better choice. */
     .is_hot = (b->trust > 0.5 || ramp < 1) && load + 1 > fmax (1, slots * ramp),
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -120,11 +120,13 @@
  * struct sgr_balancer_score_t - expected cost of one more request at a target
  * @cost_us: expected latency, with a charge for errors, microseconds
  * @is_hot: whether the request is expected to wait
+ * @is_ramping: whether the target is in slow start
  */
 typedef struct
 {
   double cost_us;
   bool is_hot;
+  bool is_ramping;
 } sgr_balancer_score_t;
 
 /* balancer_estimate.c */
--- a/libsiskingrade/probe_budget.c
+++ b/libsiskingrade/probe_budget.c
@@ -23,15 +23,18 @@
 sgr_probe_budget_init (sgr_probe_budget_t *budget, const sgr_probe_budget_config_t *config,
                        uint64_t now_us)
 {
+  /* A restart may pass the budget's own config. */
+  const sgr_probe_budget_config_t copy = *config;
+
   memset (budget, 0, sizeof *budget);
   budget->filled_us = UINT64_MAX;
-  if (config->targets_max == 0 || config->window_us == 0)
+  if (copy.targets_max == 0 || copy.window_us == 0)
     return SGR_ERR_INVALID;
-  budget->config = *config;
-  budget->share_calls = share_calls_of (config, config->window_us);
-  budget->share_bytes = share_of (config->bytes_per_s, config->targets_max, config->window_us);
-  if (now_us < UINT64_MAX - config->window_us)
-    budget->filled_us = now_us + config->window_us;
+  budget->config = copy;
+  budget->share_calls = share_calls_of (&copy, copy.window_us);
+  budget->share_bytes = share_of (copy.bytes_per_s, copy.targets_max, copy.window_us);
+  if (now_us < UINT64_MAX - copy.window_us)
+    budget->filled_us = now_us + copy.window_us;
   return SGR_OK;
 }
 
--- a/libsiskingrade/probe_budget.h
+++ b/libsiskingrade/probe_budget.h
@@ -58,16 +58,21 @@
  * The tokens of a probe return one window after the probe ended, not at a steady rate: a bucket
  * with a burst and a steady rate would let both pass within one window.
  *
- * Proved bound: in any closed window of @window_us, the probes of all gates that are active at any
- * moment of the window cost together, calls and bytes in full, at most the largest budget that any
- * of these gates held in that window. Take one gate and the probe of the window that was reserved
- * last. At its reservation every other probe of the window had not ended, or had ended less than a
- * window ago, and so still held its tokens; the sum therefore was within the share in force then.
- * Summed over at most @targets_max gates this is at most the budget. A restarted gate stays empty
- * for more than one window, so no window contains probes of two lives, provided that the earlier
- * process has ended. A lowered budget cuts the buckets at once: tokens held by earlier probes
- * count against the smaller bucket. A raised one adds its difference at once. Different values of
- * @targets_max at the same time would break the sum, so that a change of it is refused.
+ * Proved bounds, for any closed window of @window_us, in calls and in bytes, over all gates:
+ *
+ * 1. The probes reserved in the window cost at most the largest budget that any gate held in it.
+ * 2. The probes active at any moment of the window cost in full at most the largest budget that any
+ *    gate held from the earliest reservation of these probes to the end of the window. The two
+ *    differ only while probes reserved before a lowering are still active: these are not recalled.
+ *
+ * Take one gate and, of its probes that are counted, the one reserved last. At its reservation each
+ * other one had not ended, or had ended at most a window ago, and so still held its tokens; their
+ * sum therefore was within the share in force then. Summed over at most @targets_max gates this is
+ * at most the budget. A restarted gate stays empty for more than one window, so no window contains
+ * probes of two lives, provided that the earlier process has ended. A lowered budget cuts the
+ * buckets at once: tokens held by earlier probes count against the smaller bucket. A raised one
+ * adds its difference at once. Different values of @targets_max at the same time would break the
+ * sum, so that a change of it is refused.
  *
  * A share below one call in a window allows no probe at all.
  */
