--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -44,8 +44,9 @@
  * @error_us: time of the last change of @error_rate
  * @consecutive: errors since the last success
  * @is_ejected: out of the regular choice
- * @ejected_us: when it was ejected
  * @trial_us: earliest next half-open trial
+ * @trial_start_us: start of the last trial
+ * @is_trial_out: whether that trial has not finished
  * @backoff_us: wait before that trial
  * @trials_passed: trials passed since the ejection
  */
@@ -55,8 +56,9 @@
   uint64_t error_us;
   uint32_t consecutive;
   bool is_ejected;
-  uint64_t ejected_us;
   uint64_t trial_us;
+  uint64_t trial_start_us;
+  bool is_trial_out;
   uint64_t backoff_us;
   uint32_t trials_passed;
 } sgr_balancer_health_t;
--- a/libsiskingrade/balancer_outlier.c
+++ b/libsiskingrade/balancer_outlier.c
@@ -74,6 +74,7 @@
 {
   sgr_balancer_health_t *health = &entry->health;
 
+  health->is_trial_out = false;
   if (is_error)
     {
       health->trials_passed = 0;
@@ -102,8 +103,8 @@
 
   if (health->is_ejected)
     {
-      /* Attempts from before the ejection are no trials. */
-      if (now_us - latency_us >= health->ejected_us)
+      /* Attempts from before the ejection, or for want of another target, are no trials. */
+      if (health->is_trial_out && now_us - latency_us >= health->trial_start_us)
         trial_result (b, entry, now_us, is_error);
       return;
     }
@@ -118,7 +119,7 @@
       return;
     }
   health->is_ejected = true;
-  health->ejected_us = now_us;
+  health->is_trial_out = false;
   health->trials_passed = 0;
   health->backoff_us = BACKOFF_FIRST_US;
   health->trial_us = now_us + BACKOFF_FIRST_US + sgr_rng_below (&b->rng, BACKOFF_FIRST_US / 4);
@@ -134,5 +135,7 @@
     return false;
   /* One trial at a time: the next is due after a full back-off unless this one finishes. */
   health->trial_us = now_us + health->backoff_us;
+  health->trial_start_us = now_us;
+  health->is_trial_out = true;
   return true;
 }
