--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -235,8 +235,8 @@
 static sgr_result_t
 read_document (sgr_settings_t *settings, sgr_yaml_t *yaml)
 {
-  static const char *const keys[]
-      = { "node", "listen", "advertise", "contacts", "store", "owners", "tls", "log", "limits", NULL };
+  static const char *const keys[] = { "node",   "listen", "advertise", "contacts", "store",
+                                      "owners", "tls",    "log",       "limits",   NULL };
   sgr_yaml_node_t root = sgr_yaml_root (yaml);
 
   if (!sgr_yaml_mapping_check (yaml, root, "", keys))
--- a/standins/standin-caller.c
+++ b/standins/standin-caller.c
@@ -40,7 +40,10 @@
 
   if (colon == NULL || colon - argument > SGR_NAME_MAX
       || options->service_count == SGR_CALLER_SERVICES_MAX)
-    argp_error (state, "expected NAME:KIND: %s", argument);
+    {
+      argp_error (state, "expected NAME:KIND: %s", argument);
+      return;
+    }
   snprintf (service->name, sizeof service->name, "%.*s", (int)(colon - argument), argument);
   for (int kind = 0; kind < 3; kind++)
     {
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -131,7 +131,8 @@
 
   sgr_invariant (file != NULL);
   fprintf (file,
-           "node:\n  deployment: " SGR_FIXTURE_DEPLOYMENT "\n  name: %s\n  region: test\n  failure_domain: test-1\n"
+           "node:\n  deployment: " SGR_FIXTURE_DEPLOYMENT
+           "\n  name: %s\n  region: test\n  failure_domain: test-1\n"
            "listen:\n  callers: 127.0.0.1:%u\n  peers: 127.0.0.1:%u\n  control: 127.0.0.1:%u\n"
            "advertise:\n  peers: 127.0.0.1:%u\ncontacts:\n",
            node->name, node->callers, node->peers, node->control, node->advertised);
@@ -347,7 +348,8 @@
 sgr_fixture_admin (const sgr_fixture_node_t *node, const char *name)
 {
   char path[64];
-  sgr_probe_request_t request = { .port = node->target, .method = "POST", .path = path, .body = "" };
+  sgr_probe_request_t request
+      = { .port = node->target, .method = "POST", .path = path, .body = "" };
   sgr_probe_answer_t answer;
 
   snprintf (path, sizeof path, "/admin/%s", name);
--- a/tests/node_fixture_config.c
+++ b/tests/node_fixture_config.c
@@ -47,8 +47,8 @@
       bool is_known = service == NULL;
 
       for (size_t j = 0; j < i && !is_known; j++)
-        is_known = fixture->nodes[j].service != NULL
-                   && strcmp (fixture->nodes[j].service, service) == 0;
+        is_known
+            = fixture->nodes[j].service != NULL && strcmp (fixture->nodes[j].service, service) == 0;
       if (!is_known)
         json_array_append_new (services,
                                json_pack ("{s:s, s:s}", "name", service, "policy",
--- a/tests/path_check.c
+++ b/tests/path_check.c
@@ -21,12 +21,13 @@
             "Siskingrade-Service: %s\r\nSiskingrade-Deadline-Ms: %d\r\nX-Request-Id: %s\r\n%s",
             call->service, call->deadline_ms > 0 ? call->deadline_ms : 5000, call->id,
             call->fields != NULL ? call->fields : "");
-  call->request = (sgr_probe_request_t){ .port = call->entry->callers,
-                                         .method = call->method,
-                                         .path = call->path,
-                                         .fields = call->head,
-                                         .body = call->body,
-                                         .body_length = call->body != NULL ? strlen (call->body) : 0 };
+  call->request
+      = (sgr_probe_request_t){ .port = call->entry->callers,
+                               .method = call->method,
+                               .path = call->path,
+                               .fields = call->head,
+                               .body = call->body,
+                               .body_length = call->body != NULL ? strlen (call->body) : 0 };
   return sgr_probe_send (&call->request);
 }
 
--- a/tests/relay.c
+++ b/tests/relay.c
@@ -110,8 +110,7 @@
     return true;
   while (offset < way->held.length)
     {
-      ssize_t sent
-          = send (to, way->held.bytes + offset, way->held.length - offset, MSG_NOSIGNAL);
+      ssize_t sent = send (to, way->held.bytes + offset, way->held.length - offset, MSG_NOSIGNAL);
 
       if (sent <= 0)
         return false;
@@ -192,7 +191,8 @@
   if (pair->near < 0)
     return;
   if (is_open)
-    is_open = flush_way (&pair->up, pair->far, now_us) && flush_way (&pair->down, pair->near, now_us);
+    is_open
+        = flush_way (&pair->up, pair->far, now_us) && flush_way (&pair->down, pair->near, now_us);
   if (!is_open)
     pair_close (pair);
 }
