Use one HTTP client and one listener for small messages

Cause: the probes, the stand-ins and the configuration each had an HTTP client of their own, and listening sockets were opened in two places.

--- a/libsiskingrade/control_http.c
+++ b/libsiskingrade/control_http.c
@@ -4,17 +4,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "listener.h"
+#include "http_listener.h"
 #include "log.h"
 
+/* Two values of the largest size that the store takes. */
+#define BODY_MAX_BYTES (2U * 1024 * 1024)
+
 struct sgr_control_http_t
 {
   sgr_control_t *control;
-  h2o_globalconf_t config;
-  h2o_hostconf_t *host;
-  h2o_context_t context;
-  h2o_accept_ctx_t accept;
-  h2o_socket_t *listener;
+  sgr_http_listener_t *listener;
+  void (*setup) (void *ctx, h2o_hostconf_t *host);
+  void *ctx;
 };
 
 typedef struct
@@ -100,72 +101,51 @@
 }
 
 static void
-path_add (sgr_control_http_t *http, const char *path,
+path_add (sgr_control_http_t *http, h2o_hostconf_t *host, const char *path,
           int (*on_req) (h2o_handler_t *super, h2o_req_t *req))
 {
-  h2o_pathconf_t *conf = h2o_config_register_path (http->host, path, 0);
+  h2o_pathconf_t *conf = h2o_config_register_path (host, path, 0);
   handler_t *handler = (handler_t *)h2o_create_handler (conf, sizeof *handler);
 
   handler->super.on_req = on_req;
   handler->control = http->control;
 }
 
-sgr_control_http_t *
-sgr_control_http_create (sgr_control_t *control, sgr_buffer_t *errors)
-{
-  sgr_control_http_t *http = calloc (1, sizeof *http);
-
-  sgr_invariant (http != NULL);
-  http->control = control;
-  h2o_config_init (&http->config);
-  http->config.max_request_entity_size = 2 * 1024 * 1024;
-  http->config.server_name = h2o_iovec_init (H2O_STRLIT ("siskingrade"));
-  http->host
-      = h2o_config_register_host (&http->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
-  path_add (http, "/metrics", on_metrics);
-  path_add (http, "/v1/target", on_target);
-  return http;
-}
-
-h2o_hostconf_t *
-sgr_control_http_host (sgr_control_http_t *http)
-{
-  return http->host;
-}
-
 static void
-on_accept (h2o_socket_t *listener, const char *err)
+on_setup (void *ctx, h2o_hostconf_t *host)
 {
-  sgr_control_http_t *http = listener->data;
-  h2o_socket_t *sock;
+  sgr_control_http_t *http = ctx;
 
-  if (err == NULL && (sock = h2o_evloop_socket_accept (listener)) != NULL)
-    h2o_accept (&http->accept, sock);
+  path_add (http, host, "/metrics", on_metrics);
+  path_add (http, host, "/v1/target", on_target);
+  http->setup (http->ctx, host);
 }
 
-sgr_result_t
-sgr_control_http_open (sgr_control_http_t *http, sgr_buffer_t *errors)
+sgr_control_http_t *
+sgr_control_http_create (sgr_control_t *control, void (*setup) (void *ctx, h2o_hostconf_t *host),
+                         void *ctx, sgr_buffer_t *errors)
 {
-  const sgr_address_t *at = &http->control->settings->control;
+  sgr_control_http_t *http = calloc (1, sizeof *http);
+  sgr_address_t at = control->settings->control;
   char address[32];
 
-  h2o_context_init (&http->context, http->control->loop, &http->config);
-  http->accept.ctx = &http->context;
-  http->accept.hosts = http->config.hosts;
-  if (sgr_listener_open (http->control->loop, at, on_accept, http, &http->listener) == SGR_OK)
-    return SGR_OK;
-  sgr_address_format (at, address, sizeof address);
+  sgr_invariant (http != NULL);
+  http->control = control;
+  http->setup = setup;
+  http->ctx = ctx;
+  http->listener = sgr_http_listener_create (control->loop, &at, BODY_MAX_BYTES, on_setup, http);
+  if (http->listener != NULL)
+    return http;
+  sgr_address_format (&at, address, sizeof address);
   sgr_buffer_printf (errors, "listen.control: cannot listen on %s: %s\n", address,
                      strerror (errno));
-  return SGR_ERR_IO;
+  free (http);
+  return NULL;
 }
 
 void
 sgr_control_http_destroy (sgr_control_http_t *http)
 {
-  if (http == NULL)
-    return;
-  if (http->listener != NULL)
-    h2o_socket_close (http->listener);
-  http->listener = NULL;
+  if (http != NULL)
+    sgr_http_listener_stop (http->listener);
 }
--- a/libsiskingrade/control_http.h
+++ b/libsiskingrade/control_http.h
@@ -6,15 +6,17 @@
 /**
  * sgr_control_http_create() - serve the control address over HTTP
  * @control: the control task
+ * @setup: adds other resources to the host
+ * @ctx: passed to @setup
  * @errors: receives a line if the address cannot be used
+ *
+ * Return: the server, NULL after an error.
  */
-sgr_control_http_t *sgr_control_http_create (sgr_control_t *control, sgr_buffer_t *errors);
+sgr_control_http_t *sgr_control_http_create (sgr_control_t *control,
+                                             void (*setup) (void *ctx, h2o_hostconf_t *host),
+                                             void *ctx, sgr_buffer_t *errors);
 
-/** sgr_control_http_host() - host to which other resources are added before the first request */
-h2o_hostconf_t *sgr_control_http_host (sgr_control_http_t *http);
-
-/** sgr_control_http_open() - start to accept connections, after all resources were added */
-sgr_result_t sgr_control_http_open (sgr_control_http_t *http, sgr_buffer_t *errors);
+/** sgr_control_http_destroy() - accept no more connections; open ones end with the process */
 void sgr_control_http_destroy (sgr_control_http_t *http);
 
 #endif
--- a/libsiskingrade/control_probe.c
+++ b/libsiskingrade/control_probe.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "http_request.h"
+#include "http_fetch.h"
 #include "log.h"
 #include "probe_budget.h"
 
@@ -12,6 +12,8 @@
 #define WINDOW_US (10 * SGR_USEC_PER_SEC)
 /* Reserved for one probe: connection, request and answer with the headers of IP and TCP. */
 #define PROBE_BYTES 1500
+/* Longest body of an answer that keeps a probe within its reserve. */
+#define BODY_MAX_BYTES 512
 #define PROBE_TIMEOUT_MS 1000
 #define INTERVAL_MIN_US (1 * SGR_USEC_PER_SEC)
 #define FAILURES_MAX 3
@@ -19,8 +21,7 @@
 struct sgr_control_probe_t
 {
   sgr_control_t *control;
-  h2o_timeout_t timeout;
-  h2o_http1client_ctx_t client;
+  sgr_http_fetcher_t *fetcher;
   sgr_probe_budget_t budget;
   bool has_budget;
   char service[SGR_NAME_MAX + 1];
@@ -78,16 +79,16 @@
 }
 
 static void
-on_answer (void *user, const sgr_http_request_answer_t *answer)
+on_reply (void *ctx, const sgr_http_fetch_reply_t *reply)
 {
-  sgr_control_probe_t *probe = user;
+  sgr_control_probe_t *probe = ctx;
   uint64_t now_us = sgr_clock_monotonic_us ();
 
   probe->is_active = false;
   sgr_probe_budget_release (&probe->budget, now_us, probe->reservation);
   if (probe->control->announce.local.service[0] == '\0')
     return;
-  result_take (probe, answer->result == SGR_OK && answer->status < 500);
+  result_take (probe, reply->error == NULL && reply->status < 500);
   next_arm (probe, now_us);
 }
 
@@ -96,6 +97,7 @@
 {
   sgr_control_probe_t *probe = ctx;
   const sgr_snapshot_local_t *local = &probe->control->announce.local;
+  sgr_http_fetch_request_t request = { .method = "GET" };
 
   if (!probe->has_budget || probe->is_active || local->service[0] == '\0'
       || local->probe_path[0] == '\0' || probe->control->is_stopping)
@@ -108,8 +110,9 @@
   probe->is_active = true;
   sgr_counter_add (probe->sent, 1);
   sgr_counter_add (probe->bytes, PROBE_BYTES);
-  sgr_http_request_start (&probe->client, &local->address, "GET", local->probe_path, "", NULL,
-                          on_answer, probe);
+  request.address = local->address;
+  request.path = local->probe_path;
+  sgr_http_fetch_start (probe->fetcher, &request, on_reply, probe);
 }
 
 /* The budget is divided by targets_max, so that only that many targets may probe: those with the
@@ -172,8 +175,7 @@
 
   sgr_invariant (probe != NULL);
   probe->control = control;
-  h2o_timeout_init (control->loop, &probe->timeout, PROBE_TIMEOUT_MS);
-  probe->client = (h2o_http1client_ctx_t){ .loop = control->loop, .io_timeout = &probe->timeout };
+  probe->fetcher = sgr_http_fetcher_create (control->loop, PROBE_TIMEOUT_MS, BODY_MAX_BYTES);
   probe->timer = (sgr_timer_t){ .fire = on_timer, .ctx = probe };
   probe->completed = sgr_data_task_completed (control->data);
   probe->sent = sgr_metrics_counter (control->metrics, "siskingrade_probe_calls_total", "");
@@ -188,6 +190,6 @@
   if (probe == NULL)
     return;
   sgr_timer_cancel (probe->control->timers, &probe->timer);
-  h2o_timeout_dispose (probe->control->loop, &probe->timeout);
+  sgr_http_fetcher_destroy (probe->fetcher);
   free (probe);
 }
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -323,6 +323,14 @@
   counter_print (text, "deaths_total", counters->deaths);
 }
 
+static void
+resources_add (void *ctx, h2o_hostconf_t *host)
+{
+  sgr_control_t *control = ctx;
+
+  control->config = sgr_control_config_create (control, host);
+}
+
 static sgr_result_t
 open_all (sgr_control_t *control, sgr_buffer_t *errors)
 {
@@ -336,12 +344,10 @@
   result = membership_open (control, errors);
   if (result != SGR_OK)
     return result;
-  control->http = sgr_control_http_create (control, errors);
-  control->config = sgr_control_config_create (control, sgr_control_http_host (control->http));
+  control->http = sgr_control_http_create (control, resources_add, control, errors);
+  if (control->http == NULL)
+    return SGR_ERR_IO;
   control->keys = sgr_control_keys_create (control, sgr_control_config_store (control->config));
-  result = sgr_control_http_open (control->http, errors);
-  if (result != SGR_OK)
-    return result;
   control->data
       = sgr_data_task_start (control->settings, control->boot, &data_events, control, errors);
   if (control->data == NULL)
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -360,6 +360,7 @@
 sgr_data_http_create (sgr_data_task_t *task, sgr_buffer_t *errors)
 {
   sgr_data_http_t *http = calloc (1, sizeof *http);
+  sgr_address_t at = task->settings->callers;
   char address[32];
 
   sgr_invariant (http != NULL);
@@ -373,8 +374,7 @@
     }
   config_init (http);
   http->accept.ssl_ctx = http->tls;
-  if (sgr_listener_open (task->loop, &task->settings->callers, on_accept, http, &http->listener)
-      == SGR_OK)
+  if (sgr_listener_open (task->loop, &at, on_accept, http, &http->listener) == SGR_OK)
     return http;
   sgr_address_format (&task->settings->callers, address, sizeof address);
   sgr_buffer_printf (errors, "listen.callers: cannot listen on %s: %s\n", address,
--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -107,12 +107,12 @@
 sgr_data_peers_create (sgr_data_task_t *task, sgr_buffer_t *errors)
 {
   sgr_data_peers_t *peers = calloc (1, sizeof *peers);
+  sgr_address_t at = task->settings->peers;
   char address[32];
 
   sgr_invariant (peers != NULL);
   peers->task = task;
-  if (sgr_listener_open (task->loop, &task->settings->peers, on_accept, peers, &peers->listener)
-      == SGR_OK)
+  if (sgr_listener_open (task->loop, &at, on_accept, peers, &peers->listener) == SGR_OK)
     return peers;
   sgr_address_format (&task->settings->peers, address, sizeof address);
   sgr_buffer_printf (errors, "listen.peers: cannot listen on %s: %s\n", address, strerror (errno));
--- a/libsiskingrade/http_listener.c
+++ b/libsiskingrade/http_listener.c
@@ -1,11 +1,9 @@
 #include "http_listener.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
-#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
+
+#include "listener.h"
 
 struct sgr_http_listener_t
 {
@@ -41,44 +39,18 @@
   h2o_accept (&listener->accept, accepted);
 }
 
-static int
-listen_socket (sgr_address_t *address)
-{
-  struct sockaddr_in name = { .sin_family = AF_INET };
-  socklen_t length = sizeof name;
-  int on = 1, fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0), saved;
-
-  if (fd < 0)
-    return -1;
-  name.sin_addr.s_addr = htonl (address->ip);
-  name.sin_port = htons (address->port);
-  if (setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0
-      || bind (fd, (struct sockaddr *)&name, sizeof name) != 0 || listen (fd, 1024) != 0
-      || getsockname (fd, (struct sockaddr *)&name, &length) != 0)
-    {
-      saved = errno;
-      close (fd);
-      errno = saved;
-      return -1;
-    }
-  address->port = ntohs (name.sin_port);
-  return fd;
-}
-
 sgr_http_listener_t *
 sgr_http_listener_create (h2o_loop_t *loop, sgr_address_t *address, size_t body_max,
                           void (*setup) (void *ctx, h2o_hostconf_t *host), void *ctx)
 {
-  sgr_http_listener_t *listener;
+  sgr_http_listener_t *listener = calloc (1, sizeof *listener);
   h2o_hostconf_t *host;
-  int fd = listen_socket (address);
 
-  if (fd < 0)
-    return NULL;
-  listener = calloc (1, sizeof *listener);
   if (listener == NULL)
+    return NULL;
+  if (sgr_listener_open (loop, address, on_accept, listener, &listener->socket) != SGR_OK)
     {
-      close (fd);
+      free (listener);
       return NULL;
     }
   h2o_config_init (&listener->config);
@@ -90,9 +62,6 @@
   h2o_context_init (&listener->context, loop, &listener->config);
   listener->accept.ctx = &listener->context;
   listener->accept.hosts = listener->config.hosts;
-  listener->socket = h2o_evloop_socket_create (loop, fd, H2O_SOCKET_FLAG_DONT_READ);
-  listener->socket->data = listener;
-  h2o_socket_read_start (listener->socket, on_accept);
   return listener;
 }
 
--- a/libsiskingrade/listener.h
+++ b/libsiskingrade/listener.h
@@ -9,14 +9,14 @@
 /**
  * sgr_listener_open() - listen on a TCP address within an event loop
  * @loop: event loop
- * @address: where to listen
+ * @address: where to listen; port 0 takes a free one, which is filled in
  * @on_accept: called by the loop when a connection waits
  * @data: stored as the data of the socket
  * @listener: receives the socket, to be closed with h2o_socket_close()
  *
  * Return: SGR_ERR_IO with errno set, if the address cannot be bound.
  */
-sgr_result_t sgr_listener_open (h2o_loop_t *loop, const sgr_address_t *address,
-                                h2o_socket_cb on_accept, void *data, h2o_socket_t **listener);
+sgr_result_t sgr_listener_open (h2o_loop_t *loop, sgr_address_t *address, h2o_socket_cb on_accept,
+                                void *data, h2o_socket_t **listener);
 
 #endif
--- a/standins/caller_load.c
+++ b/standins/caller_load.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #include "histogram.h"
-#include "http_request.h"
+#include "http_fetch.h"
 #include "result.h"
 #include "rng.h"
 #include "task_loop.h"
@@ -35,8 +35,7 @@
   const sgr_caller_options_t *options;
   h2o_loop_t *loop;
   sgr_timer_heap_t *timers;
-  h2o_timeout_t timeout;
-  h2o_http1client_ctx_t client;
+  sgr_http_fetcher_t *fetcher;
   sgr_rng_t rng;
   sgr_timer_t arrival;
   uint64_t end_us;
@@ -86,17 +85,17 @@
 }
 
 static bool
-is_expected_body (const call_t *call, const sgr_http_request_answer_t *answer)
+is_expected_body (const call_t *call, const sgr_http_fetch_reply_t *reply)
 {
   size_t length = strlen (call->id);
 
   if (service_of (call)->kind != SGR_CALLER_LARGE)
-    return answer->length == length + 1 && memcmp (answer->body, call->id, length) == 0;
-  if (answer->length != LARGE_BYTES)
+    return reply->length == length + 1 && memcmp (reply->body, call->id, length) == 0;
+  if (reply->length != LARGE_BYTES)
     return false;
-  for (size_t i = 0; i < answer->length; i++)
+  for (size_t i = 0; i < reply->length; i++)
     {
-      if (answer->body[i] != (char)('a' + (i + (uint8_t)call->id[0]) % 26))
+      if ((char)reply->body[i] != (char)('a' + (i + (uint8_t)call->id[0]) % 26))
         return false;
     }
   return true;
@@ -112,15 +111,15 @@
 }
 
 static const char *
-outcome_of (const sgr_http_request_answer_t *answer, bool *is_repeat_safe)
+outcome_of (const sgr_http_fetch_reply_t *reply, bool *is_repeat_safe)
 {
   json_t *body;
   const char *outcome = "failed";
 
   *is_repeat_safe = false;
-  if (answer->result != SGR_OK)
-    return answer->is_sent ? "unknown" : "not-run";
-  body = json_loadb (answer->body, answer->length, 0, NULL);
+  if (reply->error != NULL)
+    return reply->sent ? "unknown" : "not-run";
+  body = json_loadb ((const char *)reply->body, reply->length, 0, NULL);
   if (json_is_string (json_object_get (body, "outcome")))
     outcome = strcmp (json_string_value (json_object_get (body, "outcome")), "not-run") == 0
                   ? "not-run"
@@ -131,16 +130,16 @@
 }
 
 static void
-on_answer (void *user, const sgr_http_request_answer_t *answer)
+on_answer (void *ctx, const sgr_http_fetch_reply_t *reply)
 {
-  call_t *call = user;
+  call_t *call = ctx;
   row_t *row = &call->load->rows[call->service];
   bool is_repeat_safe;
   const char *outcome;
 
-  if (answer->result == SGR_OK && answer->status == 200)
+  if (reply->error == NULL && reply->status == 200)
     {
-      bool is_expected = is_expected_body (call, answer);
+      bool is_expected = is_expected_body (call, reply);
 
       sgr_histogram_record (&row->latency, sgr_clock_monotonic_us () - call->start_us);
       row->whole += is_expected;
@@ -148,7 +147,7 @@
       call_end (call, is_expected ? "complete" : "wrong");
       return;
     }
-  outcome = outcome_of (answer, &is_repeat_safe);
+  outcome = outcome_of (reply, &is_repeat_safe);
   /* Look-ups may be repeated, and writes with their key. */
   if (call->tries < TRIES_MAX
       && (call->key[0] != '\0' || service_of (call)->kind != SGR_CALLER_WRITE))
@@ -162,6 +161,16 @@
   call_end (call, outcome);
 }
 
+static void
+request_send (call_t *call, const char *method, const char *path, const char *fields,
+              sgr_http_fetch_cb_t done)
+{
+  sgr_http_fetch_request_t request
+      = { .address = *node_choose (call->load), .method = method, .path = path, .headers = fields };
+
+  sgr_http_fetch_start (call->load->fetcher, &request, done, call);
+}
+
 static void
 call_send (call_t *call)
 {
@@ -180,21 +189,19 @@
   snprintf (path, sizeof path, service->kind == SGR_CALLER_LARGE ? "/bytes/%d" : "/work",
             LARGE_BYTES);
   call->tries++;
-  sgr_http_request_start (&call->load->client, node_choose (call->load),
-                          service->kind == SGR_CALLER_WRITE ? "POST" : "GET", path, fields, NULL,
-                          on_answer, call);
+  request_send (call, service->kind == SGR_CALLER_WRITE ? "POST" : "GET", path, fields, on_answer);
 }
 
 static void key_request (call_t *call);
 
 static void
-on_key (void *user, const sgr_http_request_answer_t *answer)
+on_key (void *ctx, const sgr_http_fetch_reply_t *reply)
 {
-  call_t *call = user;
-  json_t *body = json_loadb (answer->body != NULL ? answer->body : "", answer->length, 0, NULL);
+  call_t *call = ctx;
+  json_t *body = json_loadb ((const char *)reply->body, reply->length, 0, NULL);
   const char *key = json_string_value (json_object_get (body, "key"));
 
-  if (answer->result == SGR_OK && key != NULL)
+  if (reply->error == NULL && key != NULL)
     {
       snprintf (call->key, sizeof call->key, "%s", key);
       call->tries = 0;
@@ -217,8 +224,7 @@
 
   call->tries++;
   snprintf (path, sizeof path, "/.siskingrade/keys?service=%s", service_of (call)->name);
-  sgr_http_request_start (&call->load->client, node_choose (call->load), "POST", path, "", NULL,
-                          on_key, call);
+  request_send (call, "POST", path, NULL, on_key);
 }
 
 static void
@@ -289,8 +295,7 @@
   load->options = options;
   load->loop = h2o_evloop_create ();
   load->timers = sgr_timer_heap_create ();
-  h2o_timeout_init (load->loop, &load->timeout, IO_TIMEOUT_MS);
-  load->client = (h2o_http1client_ctx_t){ .loop = load->loop, .io_timeout = &load->timeout };
+  load->fetcher = sgr_http_fetcher_create (load->loop, IO_TIMEOUT_MS, 2 * LARGE_BYTES);
   sgr_rng_seed (&load->rng, options->seed);
   load->end_us = now_us + options->seconds * SGR_USEC_PER_SEC;
   if (options->report_path != NULL && (load->report = fopen (options->report_path, "w")) == NULL)
--- a/standins/standin-target.c
+++ b/standins/standin-target.c
@@ -9,7 +9,7 @@
 
 #include "buffer.h"
 #include "http_fields.h"
-#include "http_request.h"
+#include "http_fetch.h"
 #include "id_map.h"
 #include "listener.h"
 #include "rng.h"
@@ -20,6 +20,8 @@
    reader can check them; faults are asked for with the request field X-Fault. */
 
 #define ANNOUNCE_US (500 * SGR_USEC_PER_MSEC)
+#define ANNOUNCE_TIMEOUT_MS 2000
+#define ANSWER_MAX_BYTES 4096
 
 typedef struct
 {
@@ -39,8 +41,7 @@
   options_t options;
   h2o_loop_t *loop;
   sgr_timer_heap_t *timers;
-  h2o_timeout_t io_timeout;
-  h2o_http1client_ctx_t client;
+  sgr_http_fetcher_t *fetcher;
   h2o_globalconf_t config;
   h2o_context_t context;
   h2o_accept_ctx_t accept;
@@ -123,12 +124,12 @@
 }
 
 static void
-on_announced (void *user, const sgr_http_request_answer_t *answer)
+on_announced (void *ctx, const sgr_http_fetch_reply_t *reply)
 {
-  target_t *target = user;
+  target_t *target = ctx;
 
-  if (answer->result != SGR_OK || answer->status != 200)
-    fprintf (stderr, "standin-target: announcement failed: status %d\n", answer->status);
+  if (reply->error != NULL || reply->status != 200)
+    fprintf (stderr, "standin-target: announcement failed: status %d\n", reply->status);
   if (target->is_leaving)
     target->is_stopped = true;
   else
@@ -136,6 +137,18 @@
                    sgr_clock_monotonic_us () + ANNOUNCE_US);
 }
 
+static void
+announce (target_t *target, const char *method, const char *body)
+{
+  sgr_http_fetch_request_t request = { .address = target->options.announce,
+                                       .method = method,
+                                       .path = "/v1/target",
+                                       .body = body,
+                                       .length = body != NULL ? strlen (body) : 0 };
+
+  sgr_http_fetch_start (target->fetcher, &request, on_announced, target);
+}
+
 static void
 on_announce_timer (void *ctx, uint64_t now_us)
 {
@@ -149,8 +162,7 @@
             "\"state\":\"%s\",\"probe_path\":\"/ready\"}",
             target->options.service, address, target->options.slots, target->options.connections,
             target->state);
-  sgr_http_request_start (&target->client, &target->options.announce, "PUT", "/v1/target", "", body,
-                          on_announced, target);
+  announce (target, "PUT", body);
 }
 
 /* POST /admin/NAME changes how the target behaves. */
@@ -234,8 +246,7 @@
   if (target->options.announce.port == 0)
     target->is_stopped = true;
   else
-    sgr_http_request_start (&target->client, &target->options.announce, "DELETE", "/v1/target", "",
-                            NULL, on_announced, target);
+    announce (target, "DELETE", NULL);
 }
 
 static void
@@ -297,8 +308,7 @@
   argp_parse (&argp, argc, argv, 0, NULL, &target.options);
   target.loop = h2o_evloop_create ();
   target.timers = sgr_timer_heap_create ();
-  h2o_timeout_init (target.loop, &target.io_timeout, 2000);
-  target.client = (h2o_http1client_ctx_t){ .loop = target.loop, .io_timeout = &target.io_timeout };
+  target.fetcher = sgr_http_fetcher_create (target.loop, ANNOUNCE_TIMEOUT_MS, ANSWER_MAX_BYTES);
   target.announce_timer = (sgr_timer_t){ .fire = on_announce_timer, .ctx = &target };
   work
       = (sgr_standin_work_options_t){ .slots = target.options.slots,
