--- a/Makefile
+++ b/Makefile
@@ -34,10 +34,6 @@
 C_FILES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard libsiskingrade/*.[ch] cli/*.[ch] standins/*.[ch] \
 	tests/*.[ch] bench/*.[ch] fuzz/*.[ch] examples/*.c))
 
-# Guards against a public header that cannot be used alone.
-$(BUILD)/embed: examples/embed.c $(LIB)
-	$(CC) -std=gnu11 -Wall -Ilibsiskingrade $(SAN) -o $@ $^ -lsodium -ljansson -lprotobuf-c -lxxhash -lm
-
 .PHONY: all help deps install check check-asan bench demo fuzz format format-check lint proto clean
 .SECONDARY:
 
@@ -68,6 +64,10 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(LDFLAGS) $(SAN) -o $@ $^ $(LDLIBS)
 
+# Guards against a public header that cannot be used alone.
+$(BUILD)/embed: examples/embed.c $(LIB)
+	$(CC) -std=gnu11 -Wall -Ilibsiskingrade $(SAN) -o $@ $^ -lsodium -ljansson -lprotobuf-c -lxxhash -lm
+
 deps:
 	@tests/install-packages.sh $(PACKAGES)
 
