--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -53,6 +53,10 @@
   done | awk -v name="$name" 'index($1, name) == 1 && ($1 == name || substr($1, length(name) + 1, 1) == "{") { sum += $2 } END { print sum + 0 }'
 }
 
+public_key () { # NAME
+  awk '{ print $2 }' "$work/$1.pub"
+}
+
 node_settings () { # DEPLOYMENT REGION INDEX BASE SERVICE
   cat <<SETTINGS
 node: {deployment: $1, name: $1-$5-$3, region: $2, failure_domain: $2-$(($3 % 3 + 1))}
@@ -63,8 +67,8 @@
 contacts: ["127.0.0.1:$(($4 + 300))", "127.0.0.1:$(($4 + 301))", "127.0.0.1:$(($4 + 302))"]
 store: 127.0.0.1:$4
 owners:
-  - {name: first, public_key: $(cat "$work/$1-first.pub")}
-  - {name: second, public_key: $(cat "$work/$1-second.pub")}
+  - {name: first, public_key: $(public_key "$1-first")}
+  - {name: second, public_key: $(public_key "$1-second")}
 log: {level: info}
 SETTINGS
 }
@@ -89,8 +93,8 @@
   cat >"$work/$name-owners.yaml" <<OWNERS
 deployment: $name
 owners:
-  - {name: first, public_key: $(cat "$work/$name-first.pub")}
-  - {name: second, public_key: $(cat "$work/$name-second.pub")}
+  - {name: first, public_key: $(public_key "$name-first")}
+  - {name: second, public_key: $(public_key "$name-second")}
 OWNERS
   start "$work/$name-store.log" "$build/standin-store" --listen "127.0.0.1:$base"
   for entry in $services; do
