--- a/libsiskingrade/config_edit.c
+++ b/libsiskingrade/config_edit.c
@@ -53,29 +53,18 @@
   return SGR_OK;
 }
 
-/* Inserts or replaces; the lists stay sorted by name, so that both sides of a transfer reach the
-   same canonical form. */
-static sgr_result_t
-apply_put (json_t *list, const json_t *items, const char *key, sgr_config_error_t *error)
+/* Inserts or replaces checked items; the lists stay sorted by name, so that both sides of a
+   transfer reach the same canonical form. */
+static void
+apply_put (json_t *list, const json_t *items)
 {
-  char found[80], place[SGR_CONFIG_PATH_MAX], name[SGR_NAME_MAX + 1];
   size_t index, position;
   json_t *item;
 
-  if (items != NULL && !json_is_array (items))
-    {
-      sgr_config_json_path (place, "put", key);
-      return sgr_config_error_set (error, SGR_ERR_INVALID, place, "found %s, expected a list",
-                                   sgr_config_json_found (items, found, sizeof found));
-    }
   json_array_foreach ((json_t *)items, index, item)
   {
-    sgr_config_json_path_at (place, "put", key, index);
-    if (!json_is_object (item))
-      return sgr_config_error_set (error, SGR_ERR_INVALID, place, "found %s, expected an object",
-                                   sgr_config_json_found (item, found, sizeof found));
-    if (sgr_config_json_name (item, place, "name", name, error) != SGR_OK)
-      return SGR_ERR_INVALID;
+    const char *name = json_string_value (json_object_get (item, "name"));
+
     if (find_item (list, name, &position) != NULL)
       {
         json_array_set (list, position, item);
@@ -88,27 +77,6 @@
         break;
     json_array_insert (list, position, item);
   }
-  return SGR_OK;
-}
-
-static sgr_result_t
-check_duplicates (const json_t *items, const char *key, sgr_config_error_t *error)
-{
-  char place[SGR_CONFIG_PATH_MAX];
-  size_t index, position;
-  json_t *item;
-
-  json_array_foreach ((json_t *)items, index, item)
-  {
-    const char *name = json_string_value (json_object_get (item, "name"));
-
-    if (name == NULL || (find_item (items, name, &position) != NULL && position == index))
-      continue;
-    sgr_config_json_path_at (place, "put", key, index);
-    return sgr_config_error_set (error, SGR_ERR_INVALID, place,
-                                 "found \"%s\" a second time, expected each name once", name);
-  }
-  return SGR_OK;
 }
 
 static sgr_result_t
@@ -150,10 +118,10 @@
 
       json_object_set_new (json, key, list);
       result = apply_remove (list, json_object_get (removed, key), key, error);
+      if (result == SGR_OK && items != NULL)
+        result = sgr_config_resource_check (put, "put", key, error);
       if (result == SGR_OK)
-        result = check_duplicates (items, key, error);
-      if (result == SGR_OK)
-        result = apply_put (list, items, key, error);
+        apply_put (list, items);
     }
   if (result == SGR_OK)
     result = sgr_config_content_parse (json, "", content, error);
--- a/libsiskingrade/config_resource.c
+++ b/libsiskingrade/config_resource.c
@@ -91,12 +91,12 @@
                            : sgr_config_policy_read (overrides, place, NULL, &policy, error);
 }
 
-/* Checks each resource of a list by itself, then that each name occurs once. */
-static sgr_result_t
-check_list (const json_t *json, const char *path, const char *key, size_t max,
-            sgr_result_t (*check) (const json_t *, const char *, sgr_config_error_t *),
-            sgr_config_error_t *error)
+sgr_result_t
+sgr_config_resource_check (const json_t *json, const char *path, const char *key,
+                           sgr_config_error_t *error)
 {
+  bool policies = strcmp (key, "policies") == 0;
+  size_t max = policies ? SGR_CONFIG_POLICIES_MAX : SGR_CONFIG_SERVICES_MAX;
   const json_t *list = json_object_get (json, key);
   char found[80], place[SGR_CONFIG_PATH_MAX];
   sgr_result_t result = SGR_OK;
@@ -114,7 +114,7 @@
   json_array_foreach ((json_t *)list, index, item)
   {
     sgr_config_json_path_at (place, path, key, index);
-    result = check (item, place, error);
+    result = policies ? check_policy (item, place, error) : check_service (item, place, error);
     if (result != SGR_OK)
       return result;
   }
@@ -189,9 +189,8 @@
 
   *content = NULL;
   if (sgr_config_json_object (json, path, required, NULL, error) != SGR_OK
-      || check_list (json, path, "policies", SGR_CONFIG_POLICIES_MAX, check_policy, error) != SGR_OK
-      || check_list (json, path, "services", SGR_CONFIG_SERVICES_MAX, check_service, error)
-             != SGR_OK)
+      || sgr_config_resource_check (json, path, "policies", error) != SGR_OK
+      || sgr_config_resource_check (json, path, "services", error) != SGR_OK)
     return SGR_ERR_INVALID;
   made = calloc (1, sizeof *made);
   if (made == NULL)
--- a/libsiskingrade/config_resource.h
+++ b/libsiskingrade/config_resource.h
@@ -56,6 +56,15 @@
  */
 json_t *sgr_config_content_normalize (const json_t *json);
 
+/**
+ * sgr_config_resource_check() - check the resources of one list, each by itself and for duplicates
+ * @json: object that holds the list
+ * @path: place of @json in its document
+ * @key: "policies" or "services"
+ */
+sgr_result_t sgr_config_resource_check (const json_t *json, const char *path, const char *key,
+                                        sgr_config_error_t *error);
+
 /** sgr_config_content_sorted() - whether both lists are sorted by name */
 bool sgr_config_content_sorted (const sgr_config_content_t *content);
 
--- a/libsiskingrade/http_listener.c
+++ b/libsiskingrade/http_listener.c
@@ -113,6 +113,9 @@
   if (listener == NULL)
     return;
   sgr_http_listener_stop (listener);
+  /* The graceful shutdown of HTTP/2 leaves a timer that h2o does not remove by itself. */
+  if (h2o_timeout_is_linked (&listener->context.http2._graceful_shutdown_timeout))
+    h2o_timeout_unlink (&listener->context.http2._graceful_shutdown_timeout);
   h2o_context_dispose (&listener->context);
   h2o_config_dispose (&listener->config);
   free (listener);
--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 
 #include <h2o.h>
 
@@ -383,21 +384,28 @@
 static error_t
 parse_option (int key, char *argument, struct argp_state *state)
 {
-  if (key == ARGP_KEY_ARG || (key == 'l' && !sgr_address_parse (argument, state->input)))
+  switch (key)
     {
+    case 'p':
+      prctl (PR_SET_PDEATHSIG, SIGTERM);
+      return 0;
+    case 'l':
       /* Port 0 asks for a free port; the address parser only takes real ones. */
-      if (key == 'l' && strcmp (argument, "127.0.0.1:0") == 0)
-        return 0;
-      argp_error (state, "found \"%s\", expected --listen IP:PORT", argument);
+      if (strcmp (argument, "127.0.0.1:0") != 0 && !sgr_address_parse (argument, state->input))
+        argp_error (state, "found \"%s\", expected --listen IP:PORT", argument);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
     }
-  return key == 'l' ? 0 : ARGP_ERR_UNKNOWN;
 }
 
 int
 main (int argc, char **argv)
 {
   static const struct argp_option options[]
-      = { { "listen", 'l', "IP:PORT", 0, "where to listen, 127.0.0.1:0 by default" }, { 0 } };
+      = { { "listen", 'l', "IP:PORT", 0, "where to listen, 127.0.0.1:0 by default" },
+          { "exit-with-parent", 'p', NULL, 0, "end when the parent process ends" },
+          { 0 } };
   static const struct argp parser
       = { options, parse_option, NULL, "Stand-in for the platform's key-value service." };
   sgr_address_t address = { .ip = 0x7f000001, .port = 0 };
--- /dev/null
+++ b/tests/test_config_ctl.c
@@ -0,0 +1,200 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include <cmocka.h>
+
+#include "config_rig.h"
+
+#define ARGS(...) ((const char *const[]){ __VA_ARGS__, NULL })
+
+static rig_t rig;
+static char owners_file[128], key_file[2][128];
+
+static const char first_yaml[] = "deployment: herd\n"
+                                 "policies:\n"
+                                 "  - name: lookup\n"
+                                 "    idempotency: always\n"
+                                 "    deadline_ms: 800\n"
+                                 "  - name: transfer\n"
+                                 "    idempotency: never\n"
+                                 "    not_run_status: [503]\n"
+                                 "services:\n"
+                                 "  - name: tally\n"
+                                 "    policy: lookup\n"
+                                 "  - name: transfers\n"
+                                 "    policy: transfer\n"
+                                 "    overrides:\n"
+                                 "      queue_max: 12\n";
+
+static int
+setup (void **state)
+{
+  char path[128], text[1024] = "deployment: herd\nowners:\n", out[1024];
+  char prefix[2][128];
+
+  rig_start (&rig, 6);
+  for (int i = 0; i < 2; i++)
+    {
+      char line[256];
+      FILE *file;
+
+      snprintf (prefix[i], sizeof prefix[i], "%s/%s", rig.directory, rig.keys.owners.owner[i].name);
+      assert_int_equal (rig_ctl (&rig, out, sizeof out, ARGS ("keygen", prefix[i])), 0);
+      snprintf (key_file[i], sizeof key_file[i], "%.100s.key", prefix[i]);
+      snprintf (path, sizeof path, "%.100s.pub", prefix[i]);
+      file = fopen (path, "r");
+      assert_non_null (fgets (line, sizeof line, file));
+      fclose (file);
+      line[strcspn (line, "\n")] = '\0';
+      snprintf (text + strlen (text), sizeof text - strlen (text),
+                "  - name: %s\n    key: \"%s\"\n", rig.keys.owners.owner[i].name, line);
+      assert_true (sodium_hex2bin (rig.keys.owners.owner[i].key, SGR_CONFIG_KEY_BYTES,
+                                   strrchr (line, ' ') + 1, 64, NULL, NULL, NULL)
+                   == 0);
+    }
+  rig_file (&rig, "owners.yaml", text, owners_file, sizeof owners_file);
+  /* The nodes restart with the generated keys in their settings. */
+  for (size_t i = 0; i < rig.count; i++)
+    {
+      rig_node_stop (&rig, i);
+      rig_node_start (&rig, i);
+    }
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  rig_stop (&rig);
+  return 0;
+}
+
+static int
+signed_ctl (char *out, size_t size, int owner, const char *command, const char *argument,
+            const char *id)
+{
+  return rig_ctl (&rig, out, size,
+                  ARGS ("--owners", owners_file, "--owner", rig.keys.owners.owner[owner].name,
+                        "--key", key_file[owner], "--id", id, command, argument));
+}
+
+/* Guards the whole way of a change: two owners on the command line, one store, six nodes. */
+static void
+test_ctl_create_approve_propose (void **state)
+{
+  char path[128], out[8192];
+  struct stat status;
+
+  assert_int_equal (stat (key_file[0], &status), 0);
+  assert_int_equal (status.st_mode & 0777, 0600);
+  rig_file (&rig, "first.yaml", first_yaml, path, sizeof path);
+  assert_int_equal (signed_ctl (out, sizeof out, 0, "create", path, "first"), 0);
+  assert_non_null (strstr (out, "state       pending"));
+  assert_int_equal (signed_ctl (out, sizeof out, 0, "approve", "first", "-"), 1);
+  assert_non_null (strstr (out, "has approved already"));
+  assert_int_equal (signed_ctl (out, sizeof out, 1, "approve", "first", "-"), 0);
+  assert_non_null (strstr (out, "state       in-force"));
+  rig_until_revision (&rig, 1);
+  assert_int_equal (signed_ctl (out, sizeof out, 0, "create", path, "second"), 1);
+
+  rig_file (&rig, "edit.yaml",
+            "deployment: herd\nput:\n  services:\n    - name: brands\n      policy: lookup\n"
+            "remove:\n  services: [transfers]\n",
+            path, sizeof path);
+  assert_int_equal (signed_ctl (out, sizeof out, 1, "propose", path, "edit"), 0);
+  assert_int_equal (signed_ctl (out, sizeof out, 0, "approve", "edit", "-"), 0);
+  rig_until_revision (&rig, 2);
+  for (size_t i = 0; i < rig.count; i++)
+    {
+      const sgr_config_state_t *config = sgr_config_io_state (rig.nodes[i].io);
+
+      assert_int_equal (sgr_config_state_policy (config, "brands")->deadline_ms, 800);
+      assert_null (sgr_config_state_policy (config, "transfers"));
+      assert_false (rig.nodes[i].went_back);
+    }
+  assert_int_equal (rig_ctl (&rig, out, sizeof out, ARGS ("list", "changes")), 0);
+  assert_non_null (strstr (out, "was-in-force"));
+  assert_int_equal (rig_ctl (&rig, out, sizeof out, ARGS ("status")), 0);
+  assert_non_null (strstr (out, "deployment herd, revision 2 (edit)"));
+  assert_int_equal (
+      rig_ctl (&rig, out, sizeof out, ARGS ("watch", "--revision", "1", "--count", "1")), 0);
+  assert_string_equal (out, "revision 2 in force, change edit\n");
+  assert_int_equal (rig_ctl (&rig, out, sizeof out, ARGS ("--json", "get", "service", "tally")), 0);
+}
+
+/* Guards against errors that do not lead the operator to the place in the file. */
+static void
+test_ctl_bad_file_table (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    const char *message;
+  } cases[] = {
+    { "deployment: herd\npolicies: []\nservices:\n  - name: a\n    policy: b\n",
+      ":5: services[0].policy" },
+    { "deployment: herd\npolicies:\n  - name: a\n    deadline: 3\nservices: []\n",
+      ":4: policies[0].deadline: found an unknown key" },
+    { "deployment: herd\npolicies:\n  - name: a\n    deadline_ms: soon\nservices: []\n",
+      ":4: policies[0].deadline_ms: found the string \"soon\", expected an integer from 1" },
+    { "deployment: herd\npolicies: []\npolicies: []\nservices: []\n",
+      ":3: policies: found a second" },
+    { "deployment: other\npolicies: []\nservices: []\n", ":1: deployment: found \"other\"" },
+    { "deployment: herd\npolicies: [\n", ":3: " },
+    { "", "empty document" },
+    { "deployment: herd\n---\na: 1\n", "several documents" },
+    { "deployment: herd\nput:\n  services:\n    - name: a\n      polcy: b\n",
+      ":5: put.services[0].polcy" },
+    { "a: &a [*a]\n", "found" },
+  };
+  char path[128], out[4096];
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      rig_file (&rig, "bad.yaml", cases[i].text, path, sizeof path);
+      assert_int_equal (signed_ctl (out, sizeof out, 0, "propose", path, "bad"), 78);
+      if (strstr (out, cases[i].message) == NULL)
+        fail_msg ("case %zu: %s", i, out);
+    }
+}
+
+/* Guards the exit statuses that scripts rely on. */
+static void
+test_ctl_exit_status_table (void **state)
+{
+  char out[4096], open_key[128], text[256] = "siskingrade-ed25519-secret 00\n";
+
+  rig_file (&rig, "open.key", text, open_key, sizeof open_key);
+  assert_int_equal (rig_ctl (&rig, out, sizeof out, ARGS ("frobnicate")), 64);
+  assert_int_equal (rig_ctl (&rig, out, sizeof out, ARGS ("list", "frobs")), 64);
+  assert_int_equal (rig_ctl (&rig, out, sizeof out, ARGS ("--node", "x", "status")), 64);
+  assert_int_equal (rig_ctl (&rig, out, sizeof out, ARGS ("get", "service", "nothing")), 1);
+  assert_int_equal (rig_ctl (&rig, out, sizeof out,
+                             ARGS ("--owners", owners_file, "--owner", "aigerim", "--key", open_key,
+                                   "approve", "first")),
+                    77);
+  assert_int_equal (rig_ctl (&rig, out, sizeof out,
+                             ARGS ("--owners", owners_file, "--owner", "bolat", "--key",
+                                   key_file[0], "approve", "first")),
+                    77);
+  rig_faults (&rig, "outage=1");
+  assert_int_equal (rig_ctl (&rig, out, sizeof out, ARGS ("list", "changes")), 69);
+  rig_faults (&rig, "outage=0");
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_ctl_create_approve_propose),
+    cmocka_unit_test (test_ctl_bad_file_table),
+    cmocka_unit_test (test_ctl_exit_status_table),
+  };
+
+  return cmocka_run_group_tests (tests, setup, teardown);
+}
