--- a/libsiskingrade/call_plan.c
+++ b/libsiskingrade/call_plan.c
@@ -359,14 +359,14 @@
   sgr_call_plan_t *plan = turn->plan;
   sgr_call_event_t failure = *event;
 
-  if (attempt->state != SGR_CALL_ATTEMPT_LOST && attempt->state != SGR_CALL_ATTEMPT_CANCELLING)
+  if (attempt->state == SGR_CALL_ATTEMPT_STARTING || plan->committed == event->attempt)
     return;
   if (event->phase != SGR_GATE_PHASE_SETTLED)
     {
       /* The gate sends the answer on the connection of the query. Work that runs on although it
          was cancelled stays unknown. */
-      attempt->state = attempt->state == SGR_CALL_ATTEMPT_LOST ? SGR_CALL_ATTEMPT_SENT
-                                                               : SGR_CALL_ATTEMPT_UNKNOWN;
+      attempt->state = attempt->state == SGR_CALL_ATTEMPT_CANCELLING ? SGR_CALL_ATTEMPT_UNKNOWN
+                                                                     : SGR_CALL_ATTEMPT_SENT;
       return;
     }
   attempt->state
--- a/libsiskingrade/call_plan.h
+++ b/libsiskingrade/call_plan.h
@@ -48,7 +48,8 @@
  * @SGR_CALL_EVENT_OUTCOME: an attempt ended; sets @outcome, @reason, @gate_reason,
  * @retry_after_ms, @deeper; complete only with the whole answer at hand
  * @SGR_CALL_EVENT_CONNECTION_LOST: the connection of a sent attempt broke or went silent
- * @SGR_CALL_EVENT_QUERY_REPLY: reply to a query or cancel; sets @phase, and when settled
+ * @SGR_CALL_EVENT_QUERY_REPLY: reply to a query, to a cancel, or to a Call frame that the gate
+ * found to be a duplicate; sets @phase, and when settled
  * @outcome and @gate_reason; complete means that the request ran but the answer is not at hand (a
  * recorded answer is reported as SGR_CALL_EVENT_OUTCOME)
  * @SGR_CALL_EVENT_TIMER: the time in timer_us has come
--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -466,7 +466,9 @@
 
   if (work == NULL || work->phase != SGR_GATE_WORK_RUNNING)
     return SGR_OUTCOME_UNKNOWN;
-  if (outcome == SGR_OUTCOME_NOT_RUN && work->started && !finish->declared_not_run)
+  if (work->cancelled)
+    outcome = SGR_OUTCOME_NOT_RUN;
+  else if (outcome == SGR_OUTCOME_NOT_RUN && work->started && !finish->declared_not_run)
     outcome = SGR_OUTCOME_UNKNOWN;
   service_us = finish->latency_us > 0 ? finish->latency_us : now_us - work->slot_us;
   if (outcome == SGR_OUTCOME_COMPLETE && finish->latency_us > 0)
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -278,8 +278,10 @@
  * @status: receives what is known after the cancel
  *
  * A queued attempt is dropped with the callback refuse, unless other attempts with its key joined
- * it. A running one is only marked; the caller may abort the request to the target if it is
- * idempotent. An attempt never seen leaves a tombstone and is settled as NOT_RUN.
+ * it. One with a slot that was not started is settled as NOT_RUN: sgr_gate_attempt_started()
+ * returns false from then on, and its slot is given back by sgr_gate_attempt_finish(). A started
+ * one runs on; the caller may abort the request to the target if it is idempotent. An attempt never
+ * seen leaves a tombstone and is settled as NOT_RUN.
  */
 void sgr_gate_attempt_cancel (sgr_gate_t *gate, uint64_t now_us, const sgr_attempt_id_t *id,
                               sgr_boot_id_t gate_boot, sgr_gate_status_t *status);
--- a/libsiskingrade/gate_internal.h
+++ b/libsiskingrade/gate_internal.h
@@ -26,7 +26,7 @@
  * @phase: where it is
  * @serial: distinguishes the uses of this record in handles
  * @started: its first byte may have reached the target
- * @cancelled: must not be started
+ * @cancelled: was cancelled before it was started, and never will be started
  * @drop_reason: reason for the callback refuse
  * @attempt: its record in the ledger
  * @slot_us: when it got its slot
--- a/libsiskingrade/gate_status.c
+++ b/libsiskingrade/gate_status.c
@@ -1,5 +1,26 @@
 #include "gate_internal.h"
 
+static void
+status_settled (sgr_gate_status_t *status, sgr_outcome_t outcome, sgr_gate_reason_t reason)
+{
+  *status = (sgr_gate_status_t){ .phase = SGR_GATE_PHASE_SETTLED,
+                                 .outcome = outcome,
+                                 .reason = reason };
+}
+
+static void
+status_of_work (const sgr_gate_work_t *work, sgr_gate_status_t *status)
+{
+  if (work->cancelled)
+    {
+      status_settled (status, SGR_OUTCOME_NOT_RUN, SGR_GATE_REASON_CANCELLED);
+      return;
+    }
+  status->phase
+      = work->phase == SGR_GATE_WORK_RUNNING ? SGR_GATE_PHASE_RUNNING : SGR_GATE_PHASE_QUEUED;
+  status->started = work->started;
+}
+
 void
 sgr_gate_status_fill (const sgr_gate_t *gate, const sgr_ledger_attempt_t *attempt,
                       sgr_gate_status_t *status)
@@ -25,17 +46,7 @@
   status->handle = attempt->phase == SGR_LEDGER_JOINED ? attempt->key->work : attempt->work;
   work = sgr_gate_work_find (gate, status->handle);
   sgr_invariant (work != NULL);
-  status->phase
-      = work->phase == SGR_GATE_WORK_RUNNING ? SGR_GATE_PHASE_RUNNING : SGR_GATE_PHASE_QUEUED;
-  status->started = work->started;
-}
-
-static void
-status_settled (sgr_gate_status_t *status, sgr_outcome_t outcome, sgr_gate_reason_t reason)
-{
-  *status = (sgr_gate_status_t){ .phase = SGR_GATE_PHASE_SETTLED,
-                                 .outcome = outcome,
-                                 .reason = reason };
+  status_of_work (work, status);
 }
 
 /* Returns the record of a remembered attempt, or NULL after filling the status of another one. */
@@ -104,7 +115,8 @@
           status_settled (status, SGR_OUTCOME_NOT_RUN, SGR_GATE_REASON_CANCELLED);
           return;
         }
-      work->cancelled = true;
+      /* An attempt that is not started now never will be. */
+      work->cancelled = !work->started;
     }
   sgr_gate_status_fill (gate, attempt, status);
 }
@@ -142,9 +154,7 @@
   work = sgr_gate_work_find (gate, key->work);
   sgr_invariant (work != NULL);
   status->handle = key->work;
-  status->started = work->started;
-  status->phase
-      = work->phase == SGR_GATE_WORK_RUNNING ? SGR_GATE_PHASE_RUNNING : SGR_GATE_PHASE_QUEUED;
+  status_of_work (work, status);
 }
 
 uint64_t
