--- a/libsiskingrade/membership_internal.h
+++ b/libsiskingrade/membership_internal.h
@@ -68,6 +68,7 @@
  * struct sgr_membership_sync_t - state transfer
  * @todo: groups that the first full pull has not completed
  * @behind: whether the last exchange brought news, so that the next one follows soon
+ * @fruitless: pulls in a row that brought no news
  * @asked: groups of the last pull
  * @sequence: sequence of the last digest or pull
  * @joined: whether this node stopped asking its contacts for peers
@@ -78,6 +79,7 @@
 {
   uint64_t todo;
   bool behind;
+  uint32_t fruitless;
   uint64_t asked;
   uint32_t sequence;
   bool joined;
--- a/libsiskingrade/membership_sync.c
+++ b/libsiskingrade/membership_sync.c
@@ -10,6 +10,8 @@
 #define ASKS_MAX 32
 #define PULL_TIMEOUT_US SGR_USEC_PER_SEC
 #define CATCH_UP_US SGR_USEC_PER_SEC
+/* Pulls in a row without news after which a difference is left to the other side or to gossip. */
+#define FRUITLESS_MAX 3
 /* First wait between two requests to join, and how often it is doubled. */
 #define JOIN_WAIT_US (2 * SGR_USEC_PER_SEC)
 #define JOIN_BACKOFF_MAX 4
@@ -194,6 +196,7 @@
 
   m->sync.sequence = 0;
   m->sync.behind = false;
+  m->sync.fruitless = 0;
   m->sync.due_us = now_us + period_us / 2 + sgr_rng_below (&m->rng, period_us);
 }
 
@@ -377,8 +380,10 @@
       m->budget.sync_first = sync->todo != 0;
       sync->due_us = now_us;
     }
-  else if (news > 0)
+  else if (news > 0 || ++sync->fruitless < FRUITLESS_MAX)
     {
+      if (news > 0)
+        sync->fruitless = 0;
       sync->behind = true;
       sync->due_us = now_us;
     }
