--- a/bench/bench_membership.c
+++ b/bench/bench_membership.c
@@ -197,7 +197,8 @@
 
   for (uint32_t i = 0; i < sim->count; i++)
     {
-      const sgr_membership_counters_t *counters = sgr_membership_counters (sim->nodes[i].membership);
+      const sgr_membership_counters_t *counters
+          = sgr_membership_counters (sim->nodes[i].membership);
 
       sum.bytes_sent += counters->bytes_sent;
       sum.bytes_received += counters->bytes_received;
--- a/libsiskingrade/membership.c
+++ b/libsiskingrade/membership.c
@@ -19,7 +19,7 @@
     .suspicion_stretch = 6,
     .gossip_period_ms = 200,
     .gossip_fanout = 3,
-    .sync_period_ms = 30000,
+    .sync_period_ms = 10000,
     .dead_probe_period_ms = 20000,
     .tombstone_s = 2 * 3600,
     .members_max = 8192,
