Make state transfer cheaper and spread mass failures with fewer sends

Listed fingerprints are found through a bit filter, and records asked for are looked up only in the groups of the pull. When many members fail at once, each node finds most of them itself.

--- a/bench/bench_membership.c
+++ b/bench/bench_membership.c
@@ -364,11 +364,14 @@
   bench.last_false_us = calloc (size, sizeof *bench.last_false_us);
   bench.bytes = calloc (size, sizeof *bench.bytes);
   phase_start (&bench);
+  fprintf (stderr, "%u nodes: started at %.0f s of virtual time, %.0f s of processor\n", size,
+           (double)bench.sim.now_us / SIM_S, cpu_s ());
   phase_steady (&bench);
   for (size_t i = 0; i < sizeof phases / sizeof phases[0]; i++)
     if (fork () == 0)
       {
         phases[i](&bench);
+        fprintf (stderr, "%u nodes: phase %zu done, %.0f s of processor\n", size, i, cpu_s ());
         _exit (0);
       }
   while (wait (NULL) > 0)
@@ -420,7 +423,10 @@
 static double
 value_of (const result_t *result, const row_t *row)
 {
-  return *(const double *)((const char *)result + row->offset);
+  double value;
+
+  memcpy (&value, (const char *)result + row->offset, sizeof value);
+  return value;
 }
 
 /* Least squares over the sizes: change of the value for one more node. */
--- a/libsiskingrade/membership_io.c
+++ b/libsiskingrade/membership_io.c
@@ -59,7 +59,7 @@
     return;
   for (int i = 0; i < READ_BATCH; i++)
     {
-      struct sockaddr_in address;
+      struct sockaddr_in address = { 0 };
       socklen_t size = sizeof address;
       ssize_t length
           = recvfrom (io->fd, bytes, sizeof bytes, 0, (struct sockaddr *)&address, &size);
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -2,8 +2,8 @@
 
 #include <math.h>
 
-/* Routine updates in the queue from which on each is sent fewer times. */
-#define ROUTINE_MAX 32
+/* Updates of one urgency in the queue from which on each is sent fewer times. */
+#define QUEUED_MAX 32
 
 /*
  * Answers up to this size may use bytes that detection leaves over. They introduce nodes to each
@@ -23,31 +23,31 @@
 }
 
 static uint32_t
-sends_of (const sgr_membership_t *m, sgr_membership_urgency_t urgency)
+sends_of (const sgr_membership_t *m, const sgr_membership_entry_t *entry)
 {
+  sgr_membership_urgency_t urgency = sgr_membership_queue_urgency (entry);
   /* A receiver is missed with probability exp(-sends); 4 log10 N leaves well under one of 2,600. */
   uint32_t factor = urgency == SGR_MEMBERSHIP_LEAVING ? 4 : 3;
   uint32_t sends = factor * (uint32_t)ceil (log10 (m->table.ring_count + 1.0));
-  uint32_t queued = m->queue.count[SGR_MEMBERSHIP_ROUTINE];
-
-  /* When many nodes start at once, the state transfer is the cheaper way to spread them. */
-  if (urgency == SGR_MEMBERSHIP_ROUTINE && queued > ROUTINE_MAX)
-    sends = sends * ROUTINE_MAX / queued + 1;
+  uint32_t queued = m->queue.count[urgency];
+
+  /* When many nodes start at once, the state transfer is the cheaper way to spread them; when many
+     fail at once, every node finds most of them itself. Refutations keep all their sends. */
+  if (queued > QUEUED_MAX
+      && (urgency == SGR_MEMBERSHIP_ROUTINE
+          || (urgency == SGR_MEMBERSHIP_HEALTH && entry->status != SGR_MEMBER_ALIVE)))
+    sends = sends * QUEUED_MAX / queued + 1;
   return sends > SGR_MEMBERSHIP_SENDS_MAX ? SGR_MEMBERSHIP_SENDS_MAX : sends;
 }
 
 void
 sgr_membership_heard (sgr_membership_t *m, uint32_t handle)
 {
-  sgr_membership_entry_t *entry = sgr_membership_entry (m, handle);
-  sgr_membership_urgency_t urgency;
+  const sgr_membership_entry_t *entry = sgr_membership_entry (m, handle);
 
-  if (entry->queue_list == 0)
-    return;
-  urgency = sgr_membership_queue_urgency (entry);
   /* Urgent updates keep all their transmissions, since they must reach every node by gossip. */
-  if (urgency != SGR_MEMBERSHIP_LEAVING)
-    sgr_membership_queue_count_send (&m->queue, &m->table, handle, sends_of (m, urgency));
+  if (entry->queue_list != 0 && sgr_membership_queue_urgency (entry) != SGR_MEMBERSHIP_LEAVING)
+    sgr_membership_queue_count_send (&m->queue, &m->table, handle, sends_of (m, entry));
 }
 
 void
@@ -70,7 +70,7 @@
       if (!sgr_membership_add (m, writer, now_us, handles[i], entry->queue_full, limit))
         break;
       sgr_membership_queue_count_send (&m->queue, &m->table, handles[i],
-                                       sends_of (m, sgr_membership_queue_urgency (entry)));
+                                       sends_of (m, entry));
     }
 }
 
--- a/libsiskingrade/membership_suspicion.c
+++ b/libsiskingrade/membership_suspicion.c
@@ -51,8 +51,8 @@
         {
           m->suspicion_capacity = m->suspicion_capacity == 0 ? 8 : m->suspicion_capacity * 2;
           m->suspicions = realloc (m->suspicions, m->suspicion_capacity * sizeof *m->suspicions);
-          sgr_invariant (m->suspicions != NULL);
         }
+      sgr_invariant (m->suspicions != NULL);
       m->table.entries[handle].suspicion = m->suspicion_count;
       suspicion = &m->suspicions[m->suspicion_count++];
       *suspicion = (sgr_membership_suspicion_t){
--- a/libsiskingrade/membership_sync.c
+++ b/libsiskingrade/membership_sync.c
@@ -8,6 +8,7 @@
 #define PULL_FINGERPRINTS_MAX 100
 /* Records of the receiver that an answer asks for. */
 #define ASKS_MAX 32
+#define FILTER_BITS 1024
 #define PULL_TIMEOUT_US SGR_USEC_PER_SEC
 #define CATCH_UP_US SGR_USEC_PER_SEC
 /* Pulls in a row without news after which a difference is left to the other side or to gossip. */
@@ -45,8 +46,36 @@
   const sgr_membership_message_t *message;
   uint64_t now_us;
   uint64_t found[(SGR_MEMBERSHIP_FINGERPRINTS_MAX + 63) / 64];
+  uint64_t filter[FILTER_BITS / 64];
 } visit_t;
 
+/* Most records are not among the listed ones; the filter spares the comparison with each. */
+static void
+filter_fill (visit_t *visit)
+{
+  for (size_t i = 0; i < visit->message->fingerprint_count; i++)
+    {
+      uint32_t bit = visit->message->fingerprints[i] % FILTER_BITS;
+
+      visit->filter[bit / 64] |= 1ULL << (bit % 64);
+    }
+}
+
+/* Place of a fingerprint among the listed ones, the number of listed ones if it is not there. */
+static size_t
+fingerprint_find (const visit_t *visit, uint32_t fingerprint)
+{
+  uint32_t bit = fingerprint % FILTER_BITS;
+  size_t count = visit->message->fingerprint_count;
+
+  if ((visit->filter[bit / 64] >> (bit % 64) & 1) == 0)
+    return count;
+  for (size_t i = 0; i < count; i++)
+    if (visit->message->fingerprints[i] == fingerprint)
+      return i;
+  return count;
+}
+
 static bool
 fingerprint_add (void *ctx, uint32_t handle)
 {
@@ -234,9 +263,8 @@
   visit_t *visit = ctx;
   uint32_t fingerprint = visit->m->table.entries[handle].fingerprint;
 
-  for (size_t i = 0; i < visit->message->fingerprint_count; i++)
-    if (visit->message->fingerprints[i] == fingerprint)
-      return true;
+  if (fingerprint_find (visit, fingerprint) < visit->message->fingerprint_count)
+    return true;
   return sgr_membership_add (visit->m, visit->writer, visit->now_us, handle, true,
                              SGR_MEMBERSHIP_DATAGRAM_MAX);
 }
@@ -245,11 +273,10 @@
 fingerprint_mark (void *ctx, uint32_t handle)
 {
   visit_t *visit = ctx;
-  uint32_t fingerprint = visit->m->table.entries[handle].fingerprint;
+  size_t i = fingerprint_find (visit, visit->m->table.entries[handle].fingerprint);
 
-  for (size_t i = 0; i < visit->message->fingerprint_count; i++)
-    if (visit->message->fingerprints[i] == fingerprint)
-      visit->found[i / 64] |= 1ULL << (i % 64);
+  if (i < visit->message->fingerprint_count)
+    visit->found[i / 64] |= 1ULL << (i % 64);
   return true;
 }
 
@@ -314,6 +341,7 @@
     }
   sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PAGE);
   writer.message.sequence = message->sequence;
+  filter_fill (&visit);
   page_add_asks (&visit);
   for (unsigned i = 0; i < SGR_MEMBERSHIP_GROUPS; i++)
     {
@@ -328,27 +356,33 @@
   sgr_membership_send (m, &writer, from, SGR_MEMBERSHIP_SYNC);
 }
 
+/* Adds a record if the sender of the page asked for it. */
+static bool
+give_add (void *ctx, uint32_t handle)
+{
+  visit_t *visit = ctx;
+  uint32_t fingerprint = visit->m->table.entries[handle].fingerprint;
+
+  if (fingerprint_find (visit, fingerprint) == visit->message->fingerprint_count)
+    return true;
+  return sgr_membership_add (visit->m, visit->writer, visit->now_us, handle, true,
+                             SGR_MEMBERSHIP_DATAGRAM_MAX);
+}
+
 static void
 give_asked (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *from,
             const sgr_membership_message_t *message)
 {
   sgr_membership_writer_t writer;
+  visit_t visit = { .m = m, .writer = &writer, .message = message, .now_us = now_us };
 
   if (message->fingerprint_count == 0)
     return;
   sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_GIVE);
-  for (uint32_t i = 0; i < m->table.ring_count; i++)
-    {
-      uint32_t handle = m->table.ring[i];
-      uint32_t fingerprint = m->table.entries[handle].fingerprint;
-
-      for (size_t j = 0; j < message->fingerprint_count; j++)
-        if (message->fingerprints[j] == fingerprint)
-          {
-            sgr_membership_add (m, &writer, now_us, handle, true, SGR_MEMBERSHIP_DATAGRAM_MAX);
-            break;
-          }
-    }
+  filter_fill (&visit);
+  for (unsigned group = 0; group < SGR_MEMBERSHIP_GROUPS; group++)
+    if ((m->sync.asked >> group & 1) && !group_visit (m, group, give_add, &visit))
+      break;
   if (writer.message.n_records > 0)
     sgr_membership_send (m, &writer, from, SGR_MEMBERSHIP_SYNC);
 }
--- a/tests/test_membership_io.c
+++ b/tests/test_membership_io.c
@@ -1,6 +1,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -21,7 +22,7 @@
   options.seed = seed;
   options.probe_period_ms = 40;
   options.probe_timeout_ms = 20;
-  strcpy (options.self.name, name);
+  snprintf (options.self.name, sizeof options.self.name, "%s", name);
   options.self.boot = seed;
   options.self.boot_time_s = 100;
   options.self.control_address = (sgr_address_t){ LOOPBACK, 0 };
