Prefer targets that accept work in a repeated choice

Cause: when capacity is short, the fast targets are full and each refuses; a call that tried three of them failed although a slow one had room. Change: in a choice that excludes targets of earlier attempts, recent refusals add to the cost.

--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -350,7 +350,7 @@
   sgr_balancer_event (b, SGR_BALANCER_PICKED);
   if (is_baseline)
     return handle_of (b, sgr_balancer_baseline_choose (b, count));
-  return handle_of (b, sgr_balancer_choose (b, now_us, count));
+  return handle_of (b, sgr_balancer_choose (b, now_us, count, exclude_count > 0));
 }
 
 void
@@ -392,6 +392,7 @@
     sgr_balancer_outlier_result (b, entry, now_us, latency_us, is_error);
   if (report != NULL)
     sgr_balancer_estimate_report (b, entry, now_us, report);
+  sgr_balancer_estimate_admission (entry, now_us, outcome == SGR_OUTCOME_NOT_RUN && !is_error);
   if (outcome == SGR_OUTCOME_NOT_RUN && !is_error)
     {
       sgr_balancer_event (b, SGR_BALANCER_REFUSED);
--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -47,7 +47,7 @@
 }
 
 uint32_t
-sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count)
+sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_repeated)
 {
   size_t drawn = draw (b, count);
   double best_cost[2] = { INFINITY, INFINITY };
@@ -58,7 +58,7 @@
   for (size_t i = 0; i < drawn; i++)
     {
       uint32_t place = b->candidates[i];
-      sgr_balancer_score_t score = sgr_balancer_score (b, &b->entries[place], now_us);
+      sgr_balancer_score_t score = sgr_balancer_score (b, &b->entries[place], now_us, is_repeated);
       double cost = score.cost_us * (1 + COST_JITTER * sgr_rng_unit (&b->rng));
 
       if (cost < best_cost[score.is_hot])
--- a/libsiskingrade/balancer_estimate.c
+++ b/libsiskingrade/balancer_estimate.c
@@ -19,6 +19,12 @@
 #define RAMP_FLOOR 0.1
 /* An error costs the caller this many average latencies. */
 #define ERROR_COST 20.0
+/* In a repeated choice a refusal costs the caller this many average latencies, as the next attempt
+   may be the last one. */
+#define REFUSAL_COST 30.0
+#define REFUSAL_GAIN 0.125
+/* A full queue changes within this time. */
+#define REFUSAL_FADE_US 2e5
 /* Least uncertainty of a load estimate, requests. */
 #define LOAD_DEVIATION_MIN 0.5
 /* Reports lose weight when own latencies differ from what they imply by more than this factor. */
@@ -157,6 +163,22 @@
   sgr_balancer_event (b, SGR_BALANCER_REPORT_USED);
 }
 
+static double
+refusal_rate (const sgr_balancer_estimate_t *estimate, uint64_t now_us)
+{
+  return estimate->refusal_rate * fade (now_us, estimate->refusal_us, REFUSAL_FADE_US);
+}
+
+void
+sgr_balancer_estimate_admission (sgr_balancer_entry_t *entry, uint64_t now_us, bool is_refused)
+{
+  sgr_balancer_estimate_t *estimate = &entry->estimate;
+  double rate = refusal_rate (estimate, now_us);
+
+  estimate->refusal_rate = rate + REFUSAL_GAIN * ((is_refused ? 1 : 0) - rate);
+  estimate->refusal_us = now_us;
+}
+
 void
 sgr_balancer_estimate_refused (sgr_balancer_entry_t *entry, uint64_t now_us)
 {
@@ -237,7 +259,8 @@
 }
 
 sgr_balancer_score_t
-sgr_balancer_score (const sgr_balancer_t *b, const sgr_balancer_entry_t *entry, uint64_t now_us)
+sgr_balancer_score (const sgr_balancer_t *b, const sgr_balancer_entry_t *entry, uint64_t now_us,
+                    bool is_repeated)
 {
   const sgr_balancer_estimate_t *estimate = &entry->estimate;
   double latency_us = latency_estimate (b, entry, now_us);
@@ -249,6 +272,7 @@
   double own;
   double variance;
   double wait_us;
+  double failures;
 
   /* Requests leave at the rate of 1 / latency and others arrive at the usual rate: the load
      moves from the reported to the usual one as in an M/M/infinity queue. */
@@ -266,10 +290,12 @@
   wait_us
       = latency_us / slots
         * expected_excess (load + 1 - slots, fmax (LOAD_DEVIATION_MIN, sqrt (fmax (0, variance))));
+  failures = sgr_balancer_error_rate (entry, now_us) * ERROR_COST;
+  if (is_repeated)
+    failures += refusal_rate (estimate, now_us) * REFUSAL_COST;
   return (sgr_balancer_score_t){
     .cost_us = entry->info.link_rtt_us + b->trust * (latency_us + wait_us)
-               + (1 - b->trust) * local_cost (b, entry, now_us)
-               + sgr_balancer_error_rate (entry, now_us) * ERROR_COST * service_latency (b),
+               + (1 - b->trust) * local_cost (b, entry, now_us) + failures * service_latency (b),
     .is_ramping = ramp < 1,
     /* Slow start makes a target hot earlier. It does not add to the cost: when all targets are hot,
        a cold one that responds faster than the others is the better choice. */
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -14,6 +14,8 @@
  * @trust: weight of reports, 0 to 1; falls when own attempts disprove them
  * @unseen_us: start times of own attempts that the report held cannot contain, oldest first
  * @unseen_count: used entries of @unseen_us
+ * @refusal_rate: share of recent attempts that the gate refused
+ * @refusal_us: time of the last change of @refusal_rate
  * @own_latency_us: average of own samples, without link and queueing
  * @slow_latency_us: slower average of own samples, without link and with queueing
  * @own_weight: samples behind @own_latency_us, saturating
@@ -30,6 +32,8 @@
   double trust;
   uint64_t unseen_us[SGR_BALANCER_UNSEEN_MAX];
   uint32_t unseen_count;
+  double refusal_rate;
+  uint64_t refusal_us;
   double own_latency_us;
   double slow_latency_us;
   double own_weight;
@@ -139,11 +143,13 @@
                                    const sgr_load_report_t *report);
 void sgr_balancer_estimate_report (sgr_balancer_t *b, sgr_balancer_entry_t *entry, uint64_t now_us,
                                    const sgr_load_report_t *report);
+void sgr_balancer_estimate_admission (sgr_balancer_entry_t *entry, uint64_t now_us,
+                                      bool is_refused);
 void sgr_balancer_estimate_refused (sgr_balancer_entry_t *entry, uint64_t now_us);
 double sgr_balancer_ramp (const sgr_balancer_t *b, const sgr_balancer_entry_t *entry,
                           uint64_t now_us);
 sgr_balancer_score_t sgr_balancer_score (const sgr_balancer_t *b, const sgr_balancer_entry_t *entry,
-                                         uint64_t now_us);
+                                         uint64_t now_us, bool is_repeated);
 
 /* balancer_outlier.c */
 double sgr_balancer_error_rate (const sgr_balancer_entry_t *entry, uint64_t now_us);
@@ -152,7 +158,7 @@
 bool sgr_balancer_outlier_trial (sgr_balancer_entry_t *entry, uint64_t now_us);
 
 /* balancer_choose.c */
-uint32_t sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count);
+uint32_t sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_repeated);
 
 /* balancer_baseline.c */
 uint32_t sgr_balancer_baseline_choose (sgr_balancer_t *b, size_t count);
--- a/tests/test_balancer.c
+++ b/tests/test_balancer.c
@@ -533,6 +533,27 @@
   sgr_balancer_destroy (f.b);
 }
 
+/* Guards against calls that end after refusals by full gates while another gate has room. */
+static void
+test_repeated_choice_avoids_refusals (void **state)
+{
+  fixture_t f = fixture_make (&plain, 3);
+  sgr_load_report_t full = report_make (SLOTS, 4 * SLOTS, 0);
+  sgr_load_report_t room = report_make (SLOTS, 6 * SLOTS, 0);
+
+  warm_up (&f, 10);
+  for (int i = 0; i < 20; i++)
+    {
+      sgr_balancer_attempt_start (f.b, f.now_us, f.targets[0]);
+      sgr_balancer_attempt_finish (f.b, f.now_us, f.targets[0], SGR_OUTCOME_NOT_RUN, 200, false,
+                                   &full);
+    }
+  sgr_balancer_report_update (f.b, f.now_us, f.targets[2], &room);
+  for (int i = 0; i < 100; i++)
+    assert_int_equal (sgr_balancer_pick (f.b, f.now_us, &f.targets[1], 1), f.targets[2]);
+  sgr_balancer_destroy (f.b);
+}
+
 /* Guards against labels that are missing in metrics. */
 static void
 test_names (void **state)
@@ -561,6 +582,7 @@
     cmocka_unit_test (test_disproved_reports_lose_weight),
     cmocka_unit_test (test_stalled_target_is_left),
     cmocka_unit_test (test_refusal_is_load_not_error),
+    cmocka_unit_test (test_repeated_choice_avoids_refusals),
     cmocka_unit_test (test_names),
   };
 
