Measure other sizes of a service in the balance benchmark

Three to nine targets and three to 48 entry nodes run through the same cells, so that constants are not fitted to one size.

--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -14,6 +14,15 @@
 #define LOADS (sizeof loads / sizeof loads[0])
 #define RUNS (TARGET_MODEL_CASE_COUNT * LOADS * SGR_BALANCER_POLICY_COUNT)
 
+/* Other sizes of a service, to show that the policy does not fit one size only. */
+static const struct
+{
+  unsigned targets;
+  unsigned entries;
+} sizes[] = { { 3, 9 }, { 5, 3 }, { 5, 48 }, { 9, 24 } };
+
+#define SIZES (sizeof sizes / sizeof sizes[0])
+
 static const uint32_t probe_rates[] = { 0, 5, 10, 25, 50, 100, 200, 300 };
 
 #define PROBE_RATES (sizeof probe_rates / sizeof probe_rates[0])
@@ -115,44 +124,56 @@
           errors_of (mine) - errors_of (best));
 }
 
-/* One line for each cell that misses a goal. Where p99 is the deadline, errors are compared. */
+/* Ratio of p99 to the best baseline; of errors where both p99 are the deadline. */
+static double
+ratio_to_best (const run_t *runs, size_t kind, size_t load)
+{
+  const target_model_result_t *mine = result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY);
+  const target_model_result_t *best = best_baseline (runs, kind, load);
+
+  if (mine->p99_us == best->p99_us && best->errors > 0)
+    return errors_of (mine) / errors_of (best);
+  return mine->p99_us / best->p99_us;
+}
+
+static double
+ratio_to_turns (const run_t *runs, size_t kind, size_t load)
+{
+  return result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY)->p99_us
+         / result_of (runs, kind, load, SGR_BALANCER_ROUND_ROBIN)->p99_us;
+}
+
+/* Prints one line for each goal that a cell misses. */
 static void
 goals_print (const run_t *runs)
 {
   unsigned missed = 0;
 
-  printf ("\ngoals: slow target p99 at most x0.50 of round-robin; p99 at most x1.05 of the best"
-          " baseline, or errors\nwhere p99 is the deadline; a fail-fast target draws at most its"
-          " share\n");
   for (size_t kind = 0; kind < TARGET_MODEL_CASE_COUNT; kind++)
     for (size_t load = 0; load < LOADS; load++)
       {
-        const target_model_result_t *mine = result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY);
-        const target_model_result_t *turns = result_of (runs, kind, load, SGR_BALANCER_ROUND_ROBIN);
-        const target_model_result_t *best = best_baseline (runs, kind, load);
-        double to_turns = mine->p99_us / turns->p99_us;
-        double to_best = mine->p99_us / best->p99_us;
+        double to_turns = ratio_to_turns (runs, kind, load);
+        double to_best = ratio_to_best (runs, kind, load);
+        double share = result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY)->share_faulty;
         const char *name = target_model_case_name ((target_model_case_t)kind);
         double percent = loads[load] * 100;
+        bool is_missed[] = { kind == TARGET_MODEL_SLOW && to_turns > 0.5, to_best > 1.05,
+                             kind == TARGET_MODEL_FAIL_FAST && share > 1 };
 
-        if (mine->p99_us == best->p99_us && best->errors > 0)
-          to_best = errors_of (mine) / errors_of (best);
-        if (kind == TARGET_MODEL_SLOW && to_turns > 0.5)
-          missed += printf ("  missed: %s %.0f%%: x%.2f of round-robin\n", name, percent, to_turns)
-                    > 0;
-        if (to_best > 1.05)
-          missed += printf ("  missed: %s %.0f%%: x%.2f of the best baseline\n", name, percent,
-                            to_best)
-                    > 0;
-        if (kind == TARGET_MODEL_FAIL_FAST && mine->share_faulty > 1)
-          missed += printf ("  missed: %s %.0f%%: share %.2f\n", name, percent, mine->share_faulty)
-                    > 0;
+        if (is_missed[0])
+          printf ("  missed: %s %.0f%%: x%.2f of round-robin\n", name, percent, to_turns);
+        if (is_missed[1])
+          printf ("  missed: %s %.0f%%: x%.2f of the best baseline\n", name, percent, to_best);
+        if (is_missed[2])
+          printf ("  missed: %s %.0f%%: share %.2f\n", name, percent, share);
+        missed += is_missed[0] || is_missed[1] || is_missed[2];
       }
-  printf ("  %u missed of %u cells\n", missed, (unsigned)(TARGET_MODEL_CASE_COUNT * LOADS));
+  printf ("  %u of %u cells miss a goal\n", missed, (unsigned)(TARGET_MODEL_CASE_COUNT * LOADS));
 }
 
-static void
-policies_run (void)
+/* Runs all policies in all cells; the caller frees the runs. */
+static run_t *
+cells_run (unsigned targets, unsigned entries, uint64_t duration_us)
 {
   run_t *runs = calloc (RUNS, sizeof *runs);
 
@@ -164,21 +185,58 @@
       .kind = (target_model_case_t)(i / SGR_BALANCER_POLICY_COUNT / LOADS),
       .seed = 1 + i / SGR_BALANCER_POLICY_COUNT,
       .load = loads[i / SGR_BALANCER_POLICY_COUNT % LOADS],
-      .targets = TARGETS,
-      .entries = ENTRIES,
-      .duration_us = DURATION_US,
+      .targets = targets,
+      .entries = entries,
+      .duration_us = duration_us,
     };
   runs_execute (runs, RUNS);
+  return runs;
+}
+
+static void
+policies_run (void)
+{
+  run_t *runs = cells_run (TARGETS, ENTRIES, DURATION_US);
+
   printf ("5 targets of 16 slots in 3 failure domains, 12 entry nodes, %.0f s of virtual time;\n"
           "a failed call counts with its deadline of 2 s; shares are relative to an even spread\n",
           DURATION_US / 1e6);
   for (size_t kind = 0; kind < TARGET_MODEL_CASE_COUNT; kind++)
     for (size_t load = 0; load < LOADS; load++)
       group_print (runs, kind, load);
+  printf ("\ngoals: slow target p99 at most x0.50 of round-robin; p99 at most x1.05 of the best"
+          " baseline, or errors\nwhere both p99 are the deadline; a fail-fast target draws at most"
+          " its share\n");
   goals_print (runs);
   free (runs);
 }
 
+static void
+sizes_run (void)
+{
+  for (size_t size = 0; size < SIZES; size++)
+    {
+      run_t *runs = cells_run (sizes[size].targets, sizes[size].entries, DURATION_US / 2);
+
+      printf ("\n%u targets, %u entry nodes, %.0f s: p99 of load-latency against round-robin, and"
+              " against the best baseline\n  %-12s",
+              sizes[size].targets, sizes[size].entries, DURATION_US / 2e6, "case");
+      for (size_t load = 0; load < LOADS; load++)
+        printf ("    %4.0f%%       ", loads[load] * 100);
+      printf ("\n");
+      for (size_t kind = 0; kind < TARGET_MODEL_CASE_COUNT; kind++)
+        {
+          printf ("  %-12s", target_model_case_name ((target_model_case_t)kind));
+          for (size_t load = 0; load < LOADS; load++)
+            printf ("  x%.2f  x%.2f ", ratio_to_turns (runs, kind, load),
+                    ratio_to_best (runs, kind, load));
+          printf ("\n");
+        }
+      goals_print (runs);
+      free (runs);
+    }
+}
+
 static void
 probes_run (void)
 {
@@ -208,6 +266,7 @@
 main (void)
 {
   policies_run ();
+  sizes_run ();
   probes_run ();
   return 0;
 }
