--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -56,7 +56,7 @@
 }
 
 public_key () { # NAME
-  awk '{ print $2 }' "$work/$1.pub"
+  cat "$work/$1.pub"
 }
 
 node_settings () { # DEPLOYMENT REGION INDEX BASE SERVICE
@@ -124,19 +124,19 @@
   "${ctl[@]}" --owner second --key "$work/$name-second.key" approve initial || exit 1
   wait_for "$name: configuration" in_force "$index" "${control_ports[@]}"
   echo "  in force at all $index nodes after $((($(date +%s%N) - started) / 1000000)) ms"
-  "${ctl[@]}" status
 
-  # A target of the first service drains, another is killed, while calls run.
+  # A target of the first service drains, one of the service with writes is killed, while calls run.
   ( sleep 3
     curl -s -X POST "http://127.0.0.1:$((base + 400))/admin/drain" >/dev/null
     sleep 2
-    kill -9 "${target_pids[1]}" ) &
+    kill -9 "${target_pids[6]}" ) &
   local faults=$!
   "$build/standin-caller" "${node_options[@]}" "$@" --rate 200 --seconds 10 --seed "$base" \
     --report "$work/$name-writes" | tee "$work/$name-table"
   promise "answers whole and of their own call (exit status of the callers)" "${PIPESTATUS[0]}" 0
   wait "$faults" 2>/dev/null
   check_executions "$name"
+  "${ctl[@]}" status
   local sent failed bytes
   sent=$(metric_sum siskingrade_probe_calls_total "${control_ports[@]}")
   failed=$(metric_sum siskingrade_probe_failures_total "${control_ports[@]}")
--- a/libsiskingrade/ctl_keys.c
+++ b/libsiskingrade/ctl_keys.c
@@ -92,9 +92,9 @@
 static sgr_result_t
 read_owner (const json_t *json, size_t index, sgr_config_owner_t *owner, sgr_config_error_t *error)
 {
-  static const char *const required[] = { "name", "key", NULL };
+  static const char *const required[] = { "name", "public_key", NULL };
   char place[SGR_CONFIG_PATH_MAX], key_place[SGR_CONFIG_PATH_MAX], found[80];
-  const json_t *key = json_object_get (json, "key");
+  const json_t *key = json_object_get (json, "public_key");
 
   sgr_config_json_path_at (place, "", "owners", index);
   if (sgr_config_json_object (json, place, required, NULL, error) != SGR_OK
@@ -102,7 +102,7 @@
     return SGR_ERR_INVALID;
   if (json_is_string (key) && sgr_ctl_keys_parse_public (json_string_value (key), owner->key))
     return SGR_OK;
-  sgr_config_json_path (key_place, place, "key");
+  sgr_config_json_path (key_place, place, "public_key");
   return sgr_config_error_set (
       error, SGR_ERR_INVALID, key_place, "found %s, expected a public key of %d hexadecimal digits",
       sgr_config_json_found (key, found, sizeof found), 2 * (int)SGR_CONFIG_KEY_BYTES);
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -185,7 +185,7 @@
     }
   run->request = NULL;
   run->is_whole = true;
-  sgr_counter_add (sgr_data_gate_task (run->gate)->completed, 1);
+  sgr_counter_add (run->gate->task->completed, 1);
   finish_at_gate (run, SGR_OUTCOME_COMPLETE);
   answer_joined (run);
   backlog_flush (run);
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -1,9 +1,9 @@
 #include "settings.h"
 
-#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "ctl_keys.h"
 #include "yaml_reader.h"
 
 #define KIB 1024ULL
@@ -116,18 +116,14 @@
   sgr_settings_owner_t *owner = &settings->owners[index];
   sgr_yaml_node_t key_node = sgr_yaml_get (yaml, item, "public_key");
   const char *hex = sgr_yaml_scalar (yaml, key_node);
-  size_t length = 0;
 
   if (!sgr_yaml_mapping_check (yaml, item, "owners", keys))
     return;
   sgr_yaml_name_read (yaml, item, "name", "owners", true, owner->name);
-  if (hex == NULL || strlen (hex) != 2 * sizeof owner->public_key
-      || sodium_hex2bin (owner->public_key, sizeof owner->public_key, hex, strlen (hex), NULL,
-                         &length, NULL)
-             != 0
-      || length != sizeof owner->public_key)
+  if (hex == NULL || !sgr_ctl_keys_parse_public (hex, owner->public_key))
     sgr_yaml_error (yaml, key_node != 0 ? key_node : item, "owners.public_key",
-                    "expected %zu hexadecimal digits", 2 * sizeof owner->public_key);
+                    "expected the content of a .pub file, or its %zu hexadecimal digits",
+                    2 * sizeof owner->public_key);
 }
 
 static void
--- a/standins/standin-target.c
+++ b/standins/standin-target.c
@@ -316,7 +316,7 @@
                                       .cold_until_us = sgr_clock_monotonic_us ()
                                                        + target.options.cold_ms * SGR_USEC_PER_MSEC,
                                       .seed = target.options.seed,
-                                       .log_path = target.options.log_path };
+                                      .log_path = target.options.log_path };
   target.work = sgr_standin_work_create (target.timers, &work);
   return serve (&target);
 }
--- a/tests/test_config_ctl.c
+++ b/tests/test_config_ctl.c
@@ -52,7 +52,7 @@
       fclose (file);
       line[strcspn (line, "\n")] = '\0';
       snprintf (text + strlen (text), sizeof text - strlen (text),
-                "  - name: %s\n    key: \"%s\"\n", rig.keys.owners.owner[i].name, line);
+                "  - name: %s\n    public_key: \"%s\"\n", rig.keys.owners.owner[i].name, line);
       assert_true (sodium_hex2bin (rig.keys.owners.owner[i].key, SGR_CONFIG_KEY_BYTES,
                                    strrchr (line, ' ') + 1, 64, NULL, NULL, NULL)
                    == 0);
