--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -192,7 +192,8 @@
  * @attempts_max: attempts that the ledger remembers, more than slots and queue together
  * @keys_max: keys that the ledger remembers
  * @peers_max: process lives of entry nodes that the ledger remembers
- * @answer_bytes_max: bytes of all recorded answers together
+ * @answer_bytes_max: bytes of all recorded answers of keys; attempts without key may use a quarter
+ * more, dropped with the attempt
  * @answer_length_max: longest answer that is recorded
  * @attempt_retention_us: how long an attempt is remembered after its end if there is room
  * @key_retention_us: how long a key is remembered after its end
