Add metrics of the gate and its ledger; shorten the tests

Change: sgr_gate_metrics_set() writes load, refusals by reason and the use of the ledger into the registry of the owning task. The tests use positional initialisers; what they check is unchanged.

--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -1,6 +1,7 @@
 #ifndef SGR_GATE_H
 #define SGR_GATE_H
 
+#include "counter.h"
 #include "gate_limits.h"
 #include "idempotency_key.h"
 #include "policy.h"
@@ -364,6 +365,16 @@
 /** sgr_gate_refused_count() - refusals for a reason since the start */
 uint64_t sgr_gate_refused_count (const sgr_gate_t *gate, sgr_gate_reason_t reason);
 
+/**
+ * sgr_gate_metrics_set() - write the state of the gate into a registry
+ * @gate: the gate
+ * @metrics: registry of the task that owns the gate; all names start with "siskingrade_gate_"
+ *
+ * Call it before the registry is printed: load, queue order, refusals by reason, and how full the
+ * ledger is.
+ */
+void sgr_gate_metrics_set (const sgr_gate_t *gate, sgr_metrics_t *metrics);
+
 /** sgr_gate_reason_name() - name of a reason as callers see it, such as "queue-full" */
 const char *sgr_gate_reason_name (sgr_gate_reason_t reason);
 
--- a/libsiskingrade/gate_ledger.c
+++ b/libsiskingrade/gate_ledger.c
@@ -437,3 +437,15 @@
 {
   return 1 + now_us / ledger->options.key_generation_us;
 }
+
+sgr_ledger_usage_t
+sgr_ledger_usage (const sgr_ledger_t *ledger)
+{
+  return (sgr_ledger_usage_t){
+    .attempts = ledger->attempt_index.used,
+    .keys = ledger->key_index.used,
+    .peers = ledger->peer_index.used,
+    .answer_bytes = ledger->key_answer_bytes + ledger->plain_answer_bytes,
+    .answer_bytes_expected = ledger->key_answers_expected,
+  };
+}
--- a/libsiskingrade/gate_ledger.h
+++ b/libsiskingrade/gate_ledger.h
@@ -106,6 +106,25 @@
   sgr_ledger_answer_t answer;
 } sgr_ledger_key_t;
 
+/**
+ * struct sgr_ledger_usage_t - how full a ledger is
+ * @attempts: remembered attempts
+ * @keys: remembered keys
+ * @peers: remembered process lives of entries
+ * @answer_bytes: bytes of recorded answers
+ * @answer_bytes_expected: bytes set aside for answers of keyed work in progress
+ */
+typedef struct
+{
+  uint32_t attempts;
+  uint32_t keys;
+  uint32_t peers;
+  size_t answer_bytes;
+  size_t answer_bytes_expected;
+} sgr_ledger_usage_t;
+
+sgr_ledger_usage_t sgr_ledger_usage (const sgr_ledger_t *ledger);
+
 sgr_ledger_t *sgr_ledger_create (const sgr_gate_options_t *options);
 void sgr_ledger_destroy (sgr_ledger_t *ledger);
 
--- a/tests/test_call_plan.c
+++ b/tests/test_call_plan.c
@@ -41,9 +41,8 @@
       case SGR_CALL_ACTION_START:
         driver->starts++;
         driver->hedges += actions[i].hedge;
-        event = (sgr_call_event_t){ .kind = SGR_CALL_EVENT_PICKED,
-                                    .attempt = actions[i].attempt,
-                                    .target = 100 + actions[i].attempt };
+        event = (sgr_call_event_t){ SGR_CALL_EVENT_PICKED, actions[i].attempt,
+                                    100 + actions[i].attempt };
         drive (driver, now_us, event);
         event.kind = SGR_CALL_EVENT_SENT;
         drive (driver, now_us, event);
@@ -98,11 +97,7 @@
               sgr_gate_reason_t gate_reason)
 {
   drive (&scene->driver, scene->now_us,
-         (sgr_call_event_t){ .kind = SGR_CALL_EVENT_OUTCOME,
-                             .attempt = attempt,
-                             .outcome = outcome,
-                             .reason = reason,
-                             .gate_reason = gate_reason });
+         (sgr_call_event_t){ SGR_CALL_EVENT_OUTCOME, attempt, 0, outcome, reason, gate_reason });
 }
 
 static void
@@ -137,12 +132,12 @@
 static sgr_attempt_t
 attempt_of (uint64_t sequence, uint32_t number)
 {
-  return (sgr_attempt_t){ .id = { .node = 1, .boot = 1, .sequence = sequence, .attempt = number },
-                          .gate_boot = BOOT,
-                          .deadline_us = DEADLINE_US,
-                          .tenant = "t",
-                          .class_name = "",
-                          .idempotent = scene->options.idempotent,
+  return (sgr_attempt_t){ { 1, 1, sequence, number },
+                          BOOT,
+                          DEADLINE_US,
+                          "t",
+                          "",
+                          scene->options.idempotent,
                           .has_key = scene->options.keyed && sequence < 100,
                           .key = { 1, 2 } };
 }
@@ -150,14 +145,11 @@
 static void
 status_tell (const sgr_gate_status_t *status)
 {
-  sgr_call_event_t event = { .kind = SGR_CALL_EVENT_QUERY_REPLY,
-                             .attempt = scene->attempt,
-                             .phase = status->phase,
-                             .outcome = status->outcome,
-                             .gate_reason = status->reason };
-
-  if (status->answer != NULL)
-    event.kind = SGR_CALL_EVENT_OUTCOME;
+  sgr_call_event_kind_t kind
+      = status->answer != NULL ? SGR_CALL_EVENT_OUTCOME : SGR_CALL_EVENT_QUERY_REPLY;
+  sgr_call_event_t event
+      = { kind, scene->attempt, 0, status->outcome, 0, status->reason, .phase = status->phase };
+
   drive (&scene->driver, scene->now_us, event);
 }
 
@@ -499,11 +491,9 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_fault_table),
-    cmocka_unit_test (test_hedge_table),
-    cmocka_unit_test (test_retry_rules),
-  };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_fault_table), cmocka_unit_test (test_hedge_table),
+          cmocka_unit_test (test_retry_rules) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_call_property.c
+++ b/tests/test_call_property.c
@@ -21,6 +21,7 @@
 #define MESSAGES_MAX 4096
 #define JOBS_MAX 256
 #define SLOTS 3
+#define JOINED_MAX 33
 #define DEADLINE_US (60 * MS)
 
 typedef struct
@@ -53,7 +54,7 @@
   MESSAGE_QUERY,
   MESSAGE_CANCEL,
   MESSAGE_ANSWER,
-  MESSAGE_REPLY,
+  MESSAGE_REPLY
 } message_kind_t;
 
 typedef struct
@@ -75,8 +76,7 @@
   bool running;
   bool sent;
   bool executed;
-  uint32_t calls[1 + 32];
-  uint32_t attempts[1 + 32];
+  uint32_t calls[JOINED_MAX], attempts[JOINED_MAX];
   int count;
 } job_t;
 
@@ -149,8 +149,7 @@
 {
   for (int i = 0; i < job->count; i++)
     message_send (MESSAGE_ANSWER, job->calls[i], job->attempts[i],
-                  (sgr_call_event_t){
-                      .kind = SGR_CALL_EVENT_OUTCOME, .outcome = outcome, .gate_reason = reason },
+                  (sgr_call_event_t){ SGR_CALL_EVENT_OUTCOME, 0, 0, outcome, 0, reason },
                   world->calls[job->calls[0]].request);
   job->used = false;
 }
@@ -220,19 +219,15 @@
 {
   const call_t *call = &world->calls[message->call];
 
-  return (sgr_attempt_id_t){ .node = (sgr_node_id_t)call->entry + 1,
-                             .boot = call->entry_boot,
-                             .sequence = message->call,
-                             .attempt = message->attempt };
+  return (sgr_attempt_id_t){ (sgr_node_id_t)call->entry + 1, call->entry_boot, message->call,
+                             message->attempt };
 }
 
 static void
 reply_status (const message_t *message, const sgr_gate_status_t *status)
 {
-  sgr_call_event_t reply = { .kind = SGR_CALL_EVENT_QUERY_REPLY,
-                             .phase = status->phase,
-                             .outcome = status->outcome,
-                             .gate_reason = status->reason };
+  sgr_call_event_t reply = { SGR_CALL_EVENT_QUERY_REPLY, 0, 0, status->outcome, 0, status->reason,
+                             .phase = status->phase };
   message_kind_t kind = MESSAGE_REPLY;
   uint32_t token = 0;
 
@@ -261,7 +256,7 @@
     }
   if (job->executed)
     world->calls[message->call].ran = true;
-  if (job->count < 1 + 32)
+  if (job->count < JOINED_MAX)
     {
       job->calls[job->count] = message->call;
       job->attempts[job->count++] = message->attempt;
@@ -559,9 +554,7 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_random_interleavings),
-  };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_random_interleavings) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -74,11 +74,7 @@
 static sgr_attempt_t
 attempt_of (uint64_t sequence)
 {
-  return (sgr_attempt_t){ .id = { .node = ENTRY, .boot = 1, .sequence = sequence },
-                          .gate_boot = BOOT,
-                          .deadline_us = 1000 * SEC,
-                          .tenant = "t",
-                          .class_name = "" };
+  return (sgr_attempt_t){ { ENTRY, 1, sequence, 0 }, BOOT, 1000 * SEC, "t", "" };
 }
 
 static sgr_attempt_t
@@ -422,6 +418,8 @@
 test_slots_and_drain (void **state)
 {
   static const char *const names[] = { "a", "b", "c", "d", "e", "f", "g", "h" };
+  sgr_metrics_t *metrics = sgr_metrics_create ();
+  const sgr_counter_t *counter;
   sgr_gate_handle_t handles[4];
   sgr_load_report_t report;
   fixture_t f;
@@ -449,6 +447,12 @@
   assert_int_equal (f.refused_reason, SGR_GATE_REASON_DRAINING);
   assert_int_equal (finish (&f, f.started[0], 5, SGR_OUTCOME_COMPLETE, NULL), SGR_OUTCOME_COMPLETE);
   sgr_gate_load_report (f.gate, &report);
+  sgr_gate_metrics_set (f.gate, metrics);
+  counter = sgr_metrics_counter (metrics, "siskingrade_gate_refused_total", "reason=\"draining\"");
+  assert_int_equal (sgr_counter_get (counter), 3);
+  counter = sgr_metrics_counter (metrics, "siskingrade_gate_ledger_attempts", "");
+  assert_int_equal (sgr_counter_get (counter), 8);
+  sgr_metrics_destroy (metrics);
   assert_int_equal (report.in_flight, 1);
   assert_int_equal (report.queued, 0);
   assert_int_equal (report.state, SGR_TARGET_DRAINING);
@@ -490,18 +494,16 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_refusal_table),
-    cmocka_unit_test (test_not_run_stays_true),
-    cmocka_unit_test (test_finish_outcome_table),
-    cmocka_unit_test (test_key_life),
-    cmocka_unit_test (test_joined_work_goes_on),
-    cmocka_unit_test (test_key_memory_is_bounded),
-    cmocka_unit_test (test_attempt_memory_is_bounded),
-    cmocka_unit_test (test_queue_drops_what_cannot_finish),
-    cmocka_unit_test (test_slots_and_drain),
-    cmocka_unit_test (test_tenants_are_fair),
-  };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_refusal_table),
+                                      cmocka_unit_test (test_not_run_stays_true),
+                                      cmocka_unit_test (test_finish_outcome_table),
+                                      cmocka_unit_test (test_key_life),
+                                      cmocka_unit_test (test_joined_work_goes_on),
+                                      cmocka_unit_test (test_key_memory_is_bounded),
+                                      cmocka_unit_test (test_attempt_memory_is_bounded),
+                                      cmocka_unit_test (test_queue_drops_what_cannot_finish),
+                                      cmocka_unit_test (test_slots_and_drain),
+                                      cmocka_unit_test (test_tenants_are_fair) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_idempotency_key.c
+++ b/tests/test_idempotency_key.c
@@ -107,12 +107,10 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_issued_key_round_trip),
-    cmocka_unit_test (test_issued_key_bad_inputs),
-    cmocka_unit_test (test_key_kind_table),
-    cmocka_unit_test (test_hashes_separate_fields),
-  };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_issued_key_round_trip),
+          cmocka_unit_test (test_issued_key_bad_inputs), cmocka_unit_test (test_key_kind_table),
+          cmocka_unit_test (test_hashes_separate_fields) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_retry_budget.c
+++ b/tests/test_retry_budget.c
@@ -100,11 +100,9 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_budget_follows_successes),
-    cmocka_unit_test (test_chain_parse_table),
-    cmocka_unit_test (test_chain_shares_one_allowance),
-  };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_budget_follows_successes),
+                                      cmocka_unit_test (test_chain_parse_table),
+                                      cmocka_unit_test (test_chain_shares_one_allowance) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
