--- a/libsiskingrade/membership_probe.c
+++ b/libsiskingrade/membership_probe.c
@@ -277,7 +277,9 @@
       ack_receive (m, message);
       break;
     case SGR_MEMBERSHIP_NACK:
-      if (message->sequence == m->probe.sequence && message->target == m->probe.id)
+      /* Duplicates must not make this node look healthier than it is. */
+      if (message->sequence == m->probe.sequence && message->target == m->probe.id
+          && m->probe.nacks < m->probe.nacks_expected)
         m->probe.nacks++;
       break;
     default:
@@ -324,6 +326,12 @@
     }
 }
 
+void
+sgr_membership_dead_ping (sgr_membership_t *m, uint64_t now_us, uint32_t handle)
+{
+  ping_send (m, now_us, handle, ++m->sequence, SGR_MEMBERSHIP_SYNC);
+}
+
 static uint32_t
 random_dead (sgr_membership_t *m)
 {
@@ -356,7 +364,7 @@
     return;
   dead = random_dead (m);
   if (dead != SGR_MEMBERSHIP_NONE)
-    ping_send (m, now_us, dead, ++m->sequence, SGR_MEMBERSHIP_SYNC);
+    sgr_membership_dead_ping (m, now_us, dead);
   if (m->contact_count == 0 || m->sync.todo != 0)
     return;
   contact = &m->contacts[sgr_rng_below (&m->rng, m->contact_count)];
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -69,8 +69,7 @@
 
       if (!sgr_membership_add (m, writer, now_us, handles[i], entry->queue_full, limit))
         break;
-      sgr_membership_queue_count_send (&m->queue, &m->table, handles[i],
-                                       sends_of (m, entry));
+      sgr_membership_queue_count_send (&m->queue, &m->table, handles[i], sends_of (m, entry));
     }
 }
 
--- a/libsiskingrade/membership_sync.c
+++ b/libsiskingrade/membership_sync.c
@@ -248,7 +248,8 @@
 diff_receive (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *from,
               const sgr_membership_message_t *message)
 {
-  if (message->sequence != m->sync.sequence || m->sync.todo != 0)
+  /* The sequence is 0 while no answer is awaited. */
+  if (m->sync.sequence == 0 || message->sequence != m->sync.sequence || m->sync.todo != 0)
     return;
   if (message->groups != 0)
     pull_send (m, now_us, from, message->groups);
@@ -393,7 +394,7 @@
 {
   sgr_membership_sync_t *sync = &m->sync;
 
-  if (message->sequence != sync->sequence)
+  if (sync->sequence == 0 || message->sequence != sync->sequence)
     return;
   sync->sequence = 0;
   if (sgr_membership_is_joining (m))
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -399,6 +399,34 @@
     }
 }
 
+/* Guards against contacts that drown in a common start, so that live nodes are declared dead, nodes
+   stay without peers, or a node leaves its byte budget. */
+static void
+test_mass_start (void **state)
+{
+  sim_t sim;
+
+  sim_init (&sim, 200, 4, 15, 31);
+  sim.loss = 0.05;
+  sim.jitter_us = 20 * SIM_MS;
+  sim.contacts = 3;
+  sim.changed = count_false_death;
+  false_deaths = 0;
+  for (uint32_t i = 0; i < sim.count; i++)
+    sim_start (&sim, i, NULL);
+  sim_run (&sim, 120 * SIM_S);
+  assert_int_equal (false_deaths, 0);
+  assert_int_equal (sim_complete_count (&sim), sim.count);
+  for (uint32_t i = 0; i < sim.count; i++)
+    {
+      const sgr_membership_counters_t *counters = sgr_membership_counters (sim.nodes[i].membership);
+
+      assert_true (sgr_membership_is_synced (sim.nodes[i].membership));
+      assert_true (counters->bytes_sent + counters->bytes_received <= 120 * 5000 + 30000);
+    }
+  sim_release (&sim);
+}
+
 static uint64_t
 digest_of_run (uint64_t seed)
 {
@@ -480,6 +508,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_create_rejects_bad_options),
     cmocka_unit_test (test_same_seed_same_run),
+    cmocka_unit_test (test_mass_start),
     cmocka_unit_test (test_fault_cases),
   };
 
