Choose a hot target only at twice the cost of a free one

Cause: estimates of waiting are uncertain, so that a target whose slots are all in use was chosen too readily over a dearer one with a free slot. Change: the factor rises from 1.2 to 2.

--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -7,7 +7,7 @@
    all choose the same target. */
 #define COMPARED_MAX 3
 /* A hot target is chosen over one with a free slot only if that costs this many times as much. */
-#define HOT_PENALTY 1.2
+#define HOT_PENALTY 2.0
 /* Random part of a cost, against equal choices by many nodes. */
 #define COST_JITTER 0.05
 
