--- /dev/null
+++ b/tests/test_config_chain.c
@@ -0,0 +1,256 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "config_change.h"
+#include "config_state.h"
+#include "config_support.h"
+
+static support_keys_t keys;
+
+static int
+setup (void **state)
+{
+  support_keys_init (&keys);
+  return 0;
+}
+
+/* Replaces the value at a dotted path of two keys or of "approvals". */
+static void
+tamper (json_t *json, int how, const sgr_config_record_t *other)
+{
+  json_t *statement = json_object_get (json, "statement");
+  json_t *approvals = json_object_get (json, "approvals");
+
+  switch (how)
+    {
+    case 0:
+      json_object_set_new (statement, "revision", json_integer (9));
+      break;
+    case 1:
+      json_object_set_new (statement, "author", json_string ("someone"));
+      break;
+    case 2:
+      json_object_set (json, "content", other->content->json);
+      break;
+    case 3:
+      json_array_remove (approvals, 1);
+      break;
+    case 4:
+      json_array_set (approvals, 1, json_array_get (approvals, 0));
+      break;
+    case 5:
+      json_object_set_new (json_array_get (approvals, 0), "owner", json_string ("stranger"));
+      break;
+    case 6:
+      json_array_set_new (approvals, 0, sgr_config_approval_write (&other->approvals[0]));
+      break;
+    case 7:
+      json_object_set_new (json, "deployment", json_string ("glazing"));
+      break;
+    case 8:
+      json_object_set_new (json, "lineage", json_array ());
+      break;
+    case 9:
+      json_object_set_new (json, "extra", json_integer (1));
+      break;
+    case 10:
+      json_object_set_new (json_array_get (json_object_get (json, "lineage"), 0), "author",
+                           json_string ("someone"));
+      break;
+    default:
+      json_object_set_new (json, "format", json_integer (2));
+    }
+}
+
+/* Guards against a record that takes effect although any part of it was changed. */
+static void
+test_record_tamper_table (void **state)
+{
+  static const sgr_result_t expected[]
+      = { SGR_ERR_DENIED,  SGR_ERR_DENIED,  SGR_ERR_DENIED, SGR_ERR_DENIED,
+          SGR_ERR_DENIED,  SGR_ERR_DENIED,  SGR_ERR_DENIED, SGR_ERR_DENIED,
+          SGR_ERR_INVALID, SGR_ERR_INVALID, SGR_ERR_DENIED, SGR_ERR_INVALID };
+  sgr_config_record_t *first = support_record (&keys, NULL, "a", support_content (2, 100));
+  sgr_config_record_t *second = support_record (&keys, first, "b", support_edit (200));
+  sgr_config_record_t *taken;
+
+  assert_int_equal (sgr_config_record_verify (&keys.owners, second->text.bytes, second->text.length,
+                                              &taken, NULL),
+                    SGR_OK);
+  assert_int_equal (taken->lineage_count, 1);
+  sgr_config_record_destroy (taken);
+  for (int how = 0; how < 12; how++)
+    {
+      json_t *json = sgr_config_json_load (second->text.bytes, second->text.length, NULL);
+      sgr_config_error_t error = { SGR_OK };
+      char *text;
+
+      tamper (json, how, first);
+      text = sgr_config_json_canonical (json);
+      assert_int_equal (
+          sgr_config_record_verify (&keys.owners, text, strlen (text), &taken, &error),
+          expected[how]);
+      assert_true (error.message[0] != '\0');
+      free (text);
+      json_decref (json);
+    }
+  sgr_config_record_destroy (first);
+  sgr_config_record_destroy (second);
+}
+
+/* Guards against a node that goes back, or follows a fork that both owners once signed. */
+static void
+test_state_takes_only_the_chain (void **state)
+{
+  sgr_config_record_t *chain[24], *fork, *fork_next;
+  sgr_config_state_t *node = sgr_config_state_create (&keys.owners, 4);
+  sgr_buffer_t step = { 0 };
+  json_t *changes;
+
+  chain[0] = support_record (&keys, NULL, "c0", support_content (2, 100));
+  for (int i = 1; i < 24; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "c%d", i);
+      chain[i] = support_record (&keys, chain[i - 1], id, support_edit (100 + (uint32_t)i));
+    }
+  fork = support_record (&keys, chain[0], "fork", support_edit (999));
+  fork_next = support_record (&keys, fork, "fork-next", support_edit (998));
+#define OFFER(record)                                                                              \
+  sgr_config_state_offer (node, (record)->text.bytes, (record)->text.length, NULL)
+  assert_int_equal (OFFER (chain[1]), SGR_OK);
+  assert_int_equal (OFFER (chain[0]), SGR_ERR_CONFLICT);
+  assert_int_equal (OFFER (chain[1]), SGR_ERR_CONFLICT);
+  assert_int_equal (OFFER (fork), SGR_ERR_CONFLICT);
+  assert_int_equal (OFFER (fork_next), SGR_ERR_CONFLICT);
+  assert_int_equal (sgr_config_state_revision (node), 2);
+  assert_int_equal (OFFER (chain[4]), SGR_OK);
+  /* A watcher of a revision that this node skipped, or that is too old, lists again. */
+  assert_int_equal (sgr_config_state_changes_since (node, 3, &changes), SGR_ERR_NOT_FOUND);
+  assert_int_equal (sgr_config_state_changes_since (node, 5, &changes), SGR_ERR_UNAVAILABLE);
+  assert_int_equal (sgr_config_state_changes_since (node, 2, &changes), SGR_OK);
+  assert_int_equal (json_array_size (changes), 1);
+  json_decref (changes);
+  for (int i = 5; i < 10; i++)
+    assert_int_equal (OFFER (chain[i]), SGR_OK);
+  assert_int_equal (sgr_config_state_changes_since (node, 2, &changes), SGR_ERR_NOT_FOUND);
+  /* A step leads to the same record; from another revision it is refused. */
+  assert_int_equal (sgr_config_state_step (node, 7, &step), SGR_OK);
+  assert_int_equal (sgr_config_state_step (node, 2, &step), SGR_ERR_NOT_FOUND);
+  assert_int_equal (sgr_config_state_offer_step (node, step.bytes, step.length, NULL),
+                    SGR_ERR_CONFLICT);
+  sgr_config_state_destroy (node);
+  node = sgr_config_state_create (&keys.owners, 4);
+  assert_int_equal (OFFER (chain[6]), SGR_OK);
+  assert_int_equal (sgr_config_state_offer_step (node, step.bytes, step.length, NULL), SGR_OK);
+  assert_memory_equal (sgr_config_state_record (node)->text.bytes, chain[9]->text.bytes,
+                       chain[9]->text.length);
+  /* Further ahead than the lineage reaches, both signatures are enough. */
+  sgr_config_state_destroy (node);
+  node = sgr_config_state_create (&keys.owners, 4);
+  assert_int_equal (OFFER (chain[0]), SGR_OK);
+  assert_int_equal (OFFER (chain[23]), SGR_OK);
+  for (int i = 0; i < 24; i++)
+    sgr_config_record_destroy (chain[i]);
+  sgr_config_record_destroy (fork);
+  sgr_config_record_destroy (fork_next);
+  sgr_config_state_destroy (node);
+  sgr_buffer_release (&step);
+}
+
+/* Guards against an approval that is spent on another revision, or a replay of an old one. */
+static void
+test_change_approval_is_bound (void **state)
+{
+  sgr_config_record_t *first = support_record (&keys, NULL, "a", support_content (2, 100));
+  sgr_config_record_t *second = support_record (&keys, first, "b", support_edit (200));
+  sgr_config_change_t *old = support_change (&keys, first, "x", support_edit (300));
+  sgr_config_change_t *new = support_change (&keys, second, "x", support_edit (300));
+  sgr_config_approval_t approval = support_sign (&keys, old, 0, 0);
+  sgr_config_error_t error = { SGR_OK };
+
+  assert_int_equal (sgr_config_change_approve (new, &keys.owners, &approval, &error),
+                    SGR_ERR_DENIED);
+  assert_int_equal (sgr_config_change_approve (old, &keys.owners, &approval, &error), SGR_OK);
+  assert_int_equal (sgr_config_change_approve (old, &keys.owners, &approval, &error),
+                    SGR_ERR_CONFLICT);
+  assert_int_equal (sgr_config_change_check (old, &keys.owners, second, NULL, &error),
+                    SGR_ERR_CONFLICT);
+  assert_non_null (strstr (error.message, "propose it again"));
+  sgr_config_change_destroy (old);
+  sgr_config_change_destroy (new);
+  sgr_config_record_destroy (first);
+  sgr_config_record_destroy (second);
+}
+
+/* A content of 400 services, each with a policy of its own with @limits limits. */
+static json_t *
+large_content (int limits)
+{
+  json_t *body = support_content (400, 100), *content = json_object_get (body, "full");
+  json_t *policies = json_object_get (content, "policies");
+
+  for (int i = 0; i < 400; i++)
+    {
+      json_t *table = json_object ();
+      char name[64];
+
+      for (int limit = 0; limit < limits; limit++)
+        {
+          snprintf (name, sizeof name, "a-tenant-with-a-rather-long-name-%04d", limit);
+          json_object_set_new (table, name, json_integer (10));
+        }
+      snprintf (name, sizeof name, "q%03d", i);
+      json_array_append_new (policies,
+                             json_pack ("{s:s, s:o}", "name", name, "tenant_limits", table));
+    }
+  return body;
+}
+
+/* Guards the size of the store's values: 400 services fit, a larger content has a clear error. */
+static void
+test_change_size (void **state)
+{
+  sgr_config_record_t *record = support_record (&keys, NULL, "large", large_content (32));
+  sgr_config_change_t *change;
+  sgr_config_error_t error = { SGR_OK };
+  json_t *body = large_content (32);
+
+  assert_true (record->text.length > 700000 && record->text.length < SGR_CONFIG_VALUE_MAX);
+  for (int i = 0; i < 400; i++)
+    {
+      json_t *services = json_object_get (json_object_get (body, "full"), "services");
+      json_t *overrides = json_object ();
+      json_t *limits = json_deep_copy (json_object_get (
+          json_array_get (json_object_get (json_object_get (body, "full"), "policies"), 1),
+          "tenant_limits"));
+
+      json_object_set_new (overrides, "class_limits", limits);
+      json_object_set_new (json_array_get (services, (size_t)i), "overrides", overrides);
+    }
+  assert_int_equal (sgr_config_change_propose ("herd", NULL, "x", "aigerim", body, &change, &error),
+                    SGR_ERR_LIMIT);
+  assert_non_null (strstr (error.message, "values up to 1 MB"));
+  json_decref (body);
+  sgr_config_record_destroy (record);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_record_tamper_table),
+    cmocka_unit_test (test_state_takes_only_the_chain),
+    cmocka_unit_test (test_change_approval_is_bound),
+    cmocka_unit_test (test_change_size),
+  };
+
+  return cmocka_run_group_tests (tests, setup, NULL);
+}
