--- /dev/null
+++ b/tests/test_config_io.c
@@ -0,0 +1,238 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "config_rig.h"
+
+static rig_t rig;
+static sgr_config_record_t *current;
+
+static int
+setup (void **state)
+{
+  rig_start (&rig, 6);
+  current = NULL;
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  sgr_config_record_destroy (current);
+  rig_stop (&rig);
+  return 0;
+}
+
+static int
+post_change (int node, const sgr_config_change_t *change)
+{
+  json_t *json = sgr_config_change_write (change);
+  char *text = sgr_config_json_canonical (json);
+  int status = rig_call (&rig, &rig.nodes[node].address, "POST", "/v1/changes", text, NULL);
+
+  free (text);
+  json_decref (json);
+  return status;
+}
+
+static int
+post_approval (int node, const sgr_config_change_t *change, int owner)
+{
+  sgr_config_approval_t approval = support_sign (&rig.keys, change, owner, owner);
+  char hex[SGR_CONFIG_DIGEST_HEX], path[128];
+  sgr_config_digest_t digest;
+  json_t *json = json_object ();
+  char *text;
+  int status;
+
+  sgr_config_change_digest (change, &digest);
+  sgr_config_digest_format (&digest, hex);
+  json_object_set_new (json, "digest", json_string (hex));
+  json_object_set_new (json, "approval", sgr_config_approval_write (&approval));
+  text = sgr_config_json_canonical (json);
+  snprintf (path, sizeof path, "/v1/changes/%s/approve", change->statement.id);
+  status = rig_call (&rig, &rig.nodes[node].address, "POST", path, text, NULL);
+  free (text);
+  json_decref (json);
+  return status;
+}
+
+/* Lets a change of one policy take effect through two nodes. */
+static void
+change_deadline (const char *id, uint32_t deadline_ms)
+{
+  sgr_config_change_t *change = support_change (&rig.keys, current, id,
+                                                current == NULL ? support_content (4, deadline_ms)
+                                                                : support_edit (deadline_ms));
+
+  assert_int_equal (post_change (0, change), 200);
+  assert_int_equal (post_approval (0, change, 0), 200);
+  assert_int_equal (post_approval (1, change, 1), 200);
+  sgr_config_change_destroy (change);
+  rig_until_revision (&rig, current == NULL ? 1 : current->statement.revision + 1);
+  sgr_config_record_destroy (current);
+  {
+    const sgr_buffer_t *text
+        = &sgr_config_state_record (sgr_config_io_state (rig.nodes[0].io))->text;
+
+    assert_int_equal (
+        sgr_config_record_verify (&rig.keys.owners, text->bytes, text->length, &current, NULL),
+        SGR_OK);
+  }
+}
+
+static uint32_t
+deadline_at (int node)
+{
+  return sgr_config_state_policy (sgr_config_io_state (rig.nodes[node].io), "service-0000")
+      ->deadline_ms;
+}
+
+/* Guards against a node that needs the store to get the configuration in force. */
+static void
+test_io_restart_empty_while_store_is_down (void **state)
+{
+  change_deadline ("c1", 100);
+  change_deadline ("c2", 200);
+  rig_faults (&rig, "outage=1");
+  rig_node_stop (&rig, 4);
+  rig_node_start (&rig, 4);
+  sgr_config_io_members_update (rig.nodes[4].io, rig.members, rig.count);
+  rig_until_revision (&rig, 2);
+  assert_int_equal (deadline_at (4), 200);
+  assert_true (sgr_config_io_stats (rig.nodes[4].io)->fetch_bytes > 0);
+  rig_faults (&rig, "outage=0");
+}
+
+/* Guards against a write that is done twice or given up when its reply is lost, slow or dropped. */
+static void
+test_io_store_fault_table (void **state)
+{
+  static const char *const faults[] = { "lose_reply=1", "drop_write=1", "drop_write=1&late_ms=200",
+                                        "slow_ms=30", "stale_reads=2" };
+  char id[16];
+
+  change_deadline ("start", 100);
+  for (size_t i = 0; i < sizeof faults / sizeof faults[0]; i++)
+    {
+      rig_faults (&rig, faults[i]);
+      snprintf (id, sizeof id, "fault%zu", i);
+      change_deadline (id, 101 + (uint32_t)i);
+      rig_faults (&rig, "slow_ms=0&stale_reads=0&late_ms=0");
+      for (int node = 0; node < 6; node++)
+        {
+          assert_int_equal (deadline_at (node), 101 + i);
+          assert_false (rig.nodes[node].went_back);
+        }
+    }
+  assert_int_equal (current->statement.revision, 6);
+}
+
+/* Guards against a change that is refused without a reason, or lost, while the store is down. */
+static void
+test_io_store_down (void **state)
+{
+  sgr_config_change_t *change;
+
+  change_deadline ("start", 100);
+  change = support_change (&rig.keys, current, "next", support_edit (300));
+  rig_faults (&rig, "outage=1");
+  assert_int_equal (post_change (0, change), 503);
+  rig_faults (&rig, "outage=0");
+  assert_int_equal (post_change (0, change), 200);
+  assert_int_equal (post_approval (0, change, 0), 200);
+  rig_faults (&rig, "outage=1");
+  assert_int_equal (post_approval (1, change, 1), 503);
+  assert_int_equal (deadline_at (3), 100);
+  rig_faults (&rig, "outage=0");
+  assert_int_equal (post_approval (1, change, 1), 200);
+  rig_until_revision (&rig, 2);
+  assert_int_equal (deadline_at (3), 300);
+  sgr_config_change_destroy (change);
+}
+
+/* Guards the resources against bad requests; each is refused with a reason. */
+static void
+test_api_bad_request_table (void **state)
+{
+  static const struct
+  {
+    const char *method;
+    const char *path;
+    const char *body;
+    int status;
+  } cases[] = {
+    { "POST", "/v1/services", "", 405 },
+    { "GET", "/v1/services/none", NULL, 404 },
+    { "GET", "/v1/changes/none", NULL, 404 },
+    { "GET", "/v1/changes/a/b", NULL, 404 },
+    { "GET", "/v1/changes/a/approve", NULL, 405 },
+    { "POST", "/v1/changes", "", 400 },
+    { "POST", "/v1/changes", "{}", 400 },
+    { "POST", "/v1/changes", "[1,", 400 },
+    { "POST", "/v1/changes/x/approve", "{\"digest\":\"00\"}", 400 },
+    { "GET", "/v1/watch", NULL, 400 },
+    { "GET", "/v1/watch?revision=x", NULL, 400 },
+    { "GET", "/v1/config/raw", NULL, 404 },
+    { "GET", "/v1/status", NULL, 200 },
+    { "GET", "/v1/nodes", NULL, 200 },
+    { "GET", "/v1/targets", NULL, 200 },
+    { "DELETE", "/v1/nodes", NULL, 405 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      json_t *json;
+      int status = rig_call (&rig, &rig.nodes[0].address, cases[i].method, cases[i].path,
+                             cases[i].body, &json);
+
+      if (status != cases[i].status)
+        fail_msg ("%s %s: status %d", cases[i].method, cases[i].path, status);
+      if (status != 200)
+        assert_true (json_is_string (json_object_get (json, "reason")));
+      json_decref (json);
+    }
+}
+
+/* Guards against a watcher that misses a change: one that is too far behind is told to list. */
+static void
+test_api_watch (void **state)
+{
+  json_t *json, *changes;
+
+  change_deadline ("c1", 100);
+  change_deadline ("c2", 200);
+  assert_int_equal (
+      rig_call (&rig, &rig.nodes[0].address, "GET", "/v1/watch?revision=1", NULL, &json), 200);
+  changes = json_object_get (json, "changes");
+  assert_int_equal (json_array_size (changes), 1);
+  assert_string_equal (json_string_value (json_object_get (json_array_get (changes, 0), "change")),
+                       "c2");
+  json_decref (json);
+  assert_int_equal (
+      rig_call (&rig, &rig.nodes[0].address, "GET", "/v1/watch?revision=2&wait_ms=50", NULL, &json),
+      200);
+  assert_int_equal (json_array_size (json_object_get (json, "changes")), 0);
+  json_decref (json);
+  assert_int_equal (
+      rig_call (&rig, &rig.nodes[0].address, "GET", "/v1/watch?revision=0", NULL, NULL), 410);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_io_restart_empty_while_store_is_down, setup, teardown),
+    cmocka_unit_test_setup_teardown (test_io_store_fault_table, setup, teardown),
+    cmocka_unit_test_setup_teardown (test_io_store_down, setup, teardown),
+    cmocka_unit_test_setup_teardown (test_api_bad_request_table, setup, teardown),
+    cmocka_unit_test_setup_teardown (test_api_watch, setup, teardown),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_store_http.c
@@ -0,0 +1,217 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "config_rig.h"
+
+static rig_t rig;
+static sgr_store_t *store;
+
+typedef struct
+{
+  bool done;
+  sgr_store_outcome_t outcome;
+  uint64_t version;
+  size_t length;
+  char value[32];
+  bool exists;
+} got_t;
+
+static int
+setup (void **state)
+{
+  sgr_store_http_options_t options;
+
+  rig_start (&rig, 0);
+  options = (sgr_store_http_options_t){ rig.store_address, 300 };
+  store = sgr_store_http_create (rig.loop, &options);
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  sgr_store_http_destroy (store);
+  rig_stop (&rig);
+  return 0;
+}
+
+static void
+on_reply (void *ctx, const sgr_store_reply_t *reply)
+{
+  got_t *got = ctx;
+
+  got->done = true;
+  got->outcome = reply->outcome;
+  got->version = reply->version;
+  got->exists = reply->value != NULL;
+  got->length = reply->length;
+  if (reply->value != NULL && reply->length < sizeof got->value)
+    memcpy (got->value, reply->value, reply->length);
+}
+
+static bool
+is_done (rig_t *world, void *ctx)
+{
+  return ((got_t *)ctx)->done;
+}
+
+static got_t
+finish (got_t *got)
+{
+  rig_until (&rig, is_done, got);
+  return *got;
+}
+
+static got_t
+get (const char *key)
+{
+  got_t got = { 0 };
+
+  assert_non_null (store->get (store, key, on_reply, &got));
+  return finish (&got);
+}
+
+static got_t
+swap (const char *key, uint64_t expected, const char *value)
+{
+  got_t got = { 0 };
+
+  assert_non_null (store->swap (store, key, expected, value, value != NULL ? strlen (value) : 0,
+                                on_reply, &got));
+  return finish (&got);
+}
+
+static sgr_store_outcome_t
+lease (const char *holder, uint32_t ttl_ms)
+{
+  got_t got = { 0 };
+
+  assert_non_null (store->lease (store, "lease", holder, ttl_ms, on_reply, &got));
+  return finish (&got).outcome;
+}
+
+/* Guards the contract of the store: versions, create-if-absent, removal. */
+static void
+test_store_swap_contract (void **state)
+{
+  got_t got = get ("k"), first;
+
+  assert_int_equal (got.outcome, SGR_STORE_OK);
+  assert_false (got.exists);
+  first = swap ("k", 0, "one");
+  assert_int_equal (first.outcome, SGR_STORE_OK);
+  assert_int_equal (swap ("k", 0, "two").outcome, SGR_STORE_CONFLICT);
+  got = get ("k");
+  assert_true (got.exists && got.version == first.version);
+  assert_string_equal (got.value, "one");
+  got = swap ("k", first.version, "two");
+  assert_true (got.outcome == SGR_STORE_OK && got.version > first.version);
+  assert_int_equal (swap ("k", got.version, NULL).outcome, SGR_STORE_OK);
+  assert_false (get ("k").exists);
+  assert_null (store->get (store, "a key", on_reply, &got));
+  assert_null (store->swap (store, "k", 0, "", SGR_STORE_VALUE_MAX + 1, on_reply, &got));
+}
+
+/* Guards against a value near 1 MB that is cut. */
+static void
+test_store_large_value (void **state)
+{
+  char *value = malloc (SGR_STORE_VALUE_MAX + 1);
+
+  memset (value, 'x', SGR_STORE_VALUE_MAX);
+  value[SGR_STORE_VALUE_MAX] = '\0';
+  assert_int_equal (swap ("large", 0, value).outcome, SGR_STORE_OK);
+  assert_int_equal (get ("large").length, SGR_STORE_VALUE_MAX);
+  free (value);
+}
+
+/* Guards against an outcome that claims more than is known. */
+static void
+test_store_fault_table (void **state)
+{
+  static const struct
+  {
+    const char *faults;
+    sgr_store_outcome_t read;
+    sgr_store_outcome_t write;
+  } cases[] = {
+    { "outage=1", SGR_STORE_UNAVAILABLE, SGR_STORE_UNAVAILABLE },
+    { "outage=0&lose_reply=1", SGR_STORE_OK, SGR_STORE_UNKNOWN },
+    { "drop_write=1", SGR_STORE_OK, SGR_STORE_UNKNOWN },
+    { "drop_write=1&late_ms=50", SGR_STORE_OK, SGR_STORE_UNKNOWN },
+    { "late_ms=0&slow_ms=60000", SGR_STORE_UNAVAILABLE, SGR_STORE_UNKNOWN },
+    { "slow_ms=0&read_rate=1&write_rate=1", SGR_STORE_OK, SGR_STORE_OK },
+    { "read_rate=0&write_rate=0", SGR_STORE_OK, SGR_STORE_OK },
+  };
+  bool limited = false;
+  char key[16];
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      rig_faults (&rig, cases[i].faults);
+      snprintf (key, sizeof key, "f%zu", i);
+      assert_int_equal (get ("none").outcome, cases[i].read);
+      assert_int_equal (swap (key, 0, "x").outcome, cases[i].write);
+    }
+  /* One call a second: a run of calls meets the limit, however slow the machine is. */
+  rig_faults (&rig, "read_rate=1");
+  for (int i = 0; i < 1000 && !limited; i++)
+    limited = get ("none").outcome == SGR_STORE_UNAVAILABLE;
+  assert_true (limited);
+  rig_faults (&rig, "read_rate=0");
+}
+
+/* Guards against a watch that misses a write, or that the store counts more than once. */
+static void
+test_store_watch (void **state)
+{
+  got_t watch = { 0 }, none = { 0 };
+  uint64_t version = swap ("w", 0, "one").version;
+
+  assert_non_null (store->watch (store, "w", version, 10000, on_reply, &watch));
+  version = swap ("w", version, "two").version;
+  assert_int_equal (finish (&watch).version, version);
+  assert_string_equal (watch.value, "two");
+  assert_non_null (store->watch (store, "w", version, 50, on_reply, &none));
+  finish (&none);
+  assert_int_equal (none.outcome, SGR_STORE_OK);
+  assert_false (none.exists);
+  assert_int_equal (none.version, version);
+  store->cancel (store, store->watch (store, "w", version, 10000, on_reply, &none));
+}
+
+/* Guards against a paused holder whose lease has lapsed: it is told, and a swap on an old version
+   conflicts, so two holders never both write. */
+static void
+test_store_lapsed_lease (void **state)
+{
+  uint64_t version = swap ("guarded", 0, "start").version;
+
+  assert_int_equal (lease ("first", 60000), SGR_STORE_OK);
+  assert_int_equal (lease ("second", 60000), SGR_STORE_CONFLICT);
+  rig_faults (&rig, "lapse_leases=1");
+  assert_int_equal (lease ("second", 60000), SGR_STORE_OK);
+  assert_int_equal (swap ("guarded", version, "second").outcome, SGR_STORE_OK);
+  assert_int_equal (swap ("guarded", version, "first").outcome, SGR_STORE_CONFLICT);
+  assert_int_equal (lease ("first", 60000), SGR_STORE_CONFLICT);
+  assert_int_equal (lease ("second", 0), SGR_STORE_OK);
+  assert_int_equal (lease ("first", 60000), SGR_STORE_OK);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_store_swap_contract), cmocka_unit_test (test_store_large_value),
+    cmocka_unit_test (test_store_fault_table),   cmocka_unit_test (test_store_watch),
+    cmocka_unit_test (test_store_lapsed_lease),
+  };
+
+  return cmocka_run_group_tests (tests, setup, teardown);
+}
