--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -7,6 +7,8 @@
 #define DURATION_US (120 * SGR_USEC_PER_SEC)
 #define TARGETS 5
 #define ENTRIES 12
+#define PROBE_ENTRIES 24U
+#define PROBE_SEEDS 4U
 #define WORKERS 4
 
 static const double loads[] = { 0.50, 0.75, 0.90 };
@@ -14,6 +16,15 @@
 #define LOADS (sizeof loads / sizeof loads[0])
 #define RUNS (TARGET_MODEL_CASE_COUNT * LOADS * SGR_BALANCER_POLICY_COUNT)
 
+/* Other sizes of a service, to show that the policy does not fit one size only. */
+static const struct
+{
+  unsigned targets;
+  unsigned entries;
+} sizes[] = { { 3, 9 }, { 5, 3 }, { 5, 48 }, { 9, 24 } };
+
+#define SIZES (sizeof sizes / sizeof sizes[0])
+
 static const uint32_t probe_rates[] = { 0, 5, 10, 25, 50, 100, 200, 300 };
 
 #define PROBE_RATES (sizeof probe_rates / sizeof probe_rates[0])
@@ -115,44 +126,56 @@
           errors_of (mine) - errors_of (best));
 }
 
-/* One line for each cell that misses a goal. Where p99 is the deadline, errors are compared. */
+/* Ratio of p99 to the best baseline; of errors where both p99 are the deadline. */
+static double
+ratio_to_best (const run_t *runs, size_t kind, size_t load)
+{
+  const target_model_result_t *mine = result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY);
+  const target_model_result_t *best = best_baseline (runs, kind, load);
+
+  if (mine->p99_us == best->p99_us && best->errors > 0)
+    return errors_of (mine) / errors_of (best);
+  return mine->p99_us / best->p99_us;
+}
+
+static double
+ratio_to_turns (const run_t *runs, size_t kind, size_t load)
+{
+  return result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY)->p99_us
+         / result_of (runs, kind, load, SGR_BALANCER_ROUND_ROBIN)->p99_us;
+}
+
+/* Prints one line for each goal that a cell misses. */
 static void
 goals_print (const run_t *runs)
 {
   unsigned missed = 0;
 
-  printf ("\ngoals: slow target p99 at most x0.50 of round-robin; p99 at most x1.05 of the best"
-          " baseline, or errors\nwhere p99 is the deadline; a fail-fast target draws at most its"
-          " share\n");
   for (size_t kind = 0; kind < TARGET_MODEL_CASE_COUNT; kind++)
     for (size_t load = 0; load < LOADS; load++)
       {
-        const target_model_result_t *mine = result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY);
-        const target_model_result_t *turns = result_of (runs, kind, load, SGR_BALANCER_ROUND_ROBIN);
-        const target_model_result_t *best = best_baseline (runs, kind, load);
-        double to_turns = mine->p99_us / turns->p99_us;
-        double to_best = mine->p99_us / best->p99_us;
+        double to_turns = ratio_to_turns (runs, kind, load);
+        double to_best = ratio_to_best (runs, kind, load);
+        double share = result_of (runs, kind, load, SGR_BALANCER_LOAD_LATENCY)->share_faulty;
         const char *name = target_model_case_name ((target_model_case_t)kind);
         double percent = loads[load] * 100;
+        bool is_missed[] = { kind == TARGET_MODEL_SLOW && to_turns > 0.5, to_best > 1.05,
+                             kind == TARGET_MODEL_FAIL_FAST && share > 1 };
 
-        if (mine->p99_us == best->p99_us && best->errors > 0)
-          to_best = errors_of (mine) / errors_of (best);
-        if (kind == TARGET_MODEL_SLOW && to_turns > 0.5)
-          missed += printf ("  missed: %s %.0f%%: x%.2f of round-robin\n", name, percent, to_turns)
-                    > 0;
-        if (to_best > 1.05)
-          missed += printf ("  missed: %s %.0f%%: x%.2f of the best baseline\n", name, percent,
-                            to_best)
-                    > 0;
-        if (kind == TARGET_MODEL_FAIL_FAST && mine->share_faulty > 1)
-          missed += printf ("  missed: %s %.0f%%: share %.2f\n", name, percent, mine->share_faulty)
-                    > 0;
+        if (is_missed[0])
+          printf ("  missed: %s %.0f%%: x%.2f of round-robin\n", name, percent, to_turns);
+        if (is_missed[1])
+          printf ("  missed: %s %.0f%%: x%.2f of the best baseline\n", name, percent, to_best);
+        if (is_missed[2])
+          printf ("  missed: %s %.0f%%: share %.2f\n", name, percent, share);
+        missed += is_missed[0] || is_missed[1] || is_missed[2];
       }
-  printf ("  %u missed of %u cells\n", missed, (unsigned)(TARGET_MODEL_CASE_COUNT * LOADS));
+  printf ("  %u of %u cells miss a goal\n", missed, (unsigned)(TARGET_MODEL_CASE_COUNT * LOADS));
 }
 
-static void
-policies_run (void)
+/* Runs all policies in all cells; the caller frees the runs. */
+static run_t *
+cells_run (unsigned targets, unsigned entries, uint64_t duration_us)
 {
   run_t *runs = calloc (RUNS, sizeof *runs);
 
@@ -164,50 +187,127 @@
       .kind = (target_model_case_t)(i / SGR_BALANCER_POLICY_COUNT / LOADS),
       .seed = 1 + i / SGR_BALANCER_POLICY_COUNT,
       .load = loads[i / SGR_BALANCER_POLICY_COUNT % LOADS],
-      .targets = TARGETS,
-      .entries = ENTRIES,
-      .duration_us = DURATION_US,
+      .targets = targets,
+      .entries = entries,
+      .duration_us = duration_us,
     };
   runs_execute (runs, RUNS);
+  return runs;
+}
+
+static void
+policies_run (void)
+{
+  run_t *runs = cells_run (TARGETS, ENTRIES, DURATION_US);
+
   printf ("5 targets of 16 slots in 3 failure domains, 12 entry nodes, %.0f s of virtual time;\n"
           "a failed call counts with its deadline of 2 s; shares are relative to an even spread\n",
           DURATION_US / 1e6);
   for (size_t kind = 0; kind < TARGET_MODEL_CASE_COUNT; kind++)
     for (size_t load = 0; load < LOADS; load++)
       group_print (runs, kind, load);
+  printf ("\ngoals: slow target p99 at most x0.50 of round-robin; p99 at most x1.05 of the best"
+          " baseline, or errors\nwhere both p99 are the deadline; a fail-fast target draws at most"
+          " its share\n");
   goals_print (runs);
   free (runs);
 }
 
 static void
-probes_run (void)
+sizes_run (void)
 {
-  run_t runs[PROBE_RATES] = { 0 };
+  for (size_t size = 0; size < SIZES; size++)
+    {
+      run_t *runs = cells_run (sizes[size].targets, sizes[size].entries, DURATION_US / 2);
+
+      printf ("\n%u targets, %u entry nodes, %.0f s: p99 of load-latency against round-robin, and"
+              " against the best baseline\n  %-12s",
+              sizes[size].targets, sizes[size].entries, DURATION_US / 2e6, "case");
+      for (size_t load = 0; load < LOADS; load++)
+        printf ("    %4.0f%%       ", loads[load] * 100);
+      printf ("\n");
+      for (size_t kind = 0; kind < TARGET_MODEL_CASE_COUNT; kind++)
+        {
+          printf ("  %-12s", target_model_case_name ((target_model_case_t)kind));
+          for (size_t load = 0; load < LOADS; load++)
+            printf ("  x%.2f  x%.2f ", ratio_to_turns (runs, kind, load),
+                    ratio_to_best (runs, kind, load));
+          printf ("\n");
+        }
+      goals_print (runs);
+      free (runs);
+    }
+}
+
+/* The settings for the two users: within 1% of the least p99, and half of the gain. */
+static void
+probe_settings_print (const double p99_us[PROBE_RATES])
+{
+  size_t tail = 0;
+  size_t cost = 0;
+  double least = p99_us[0];
 
   for (size_t i = 0; i < PROBE_RATES; i++)
+    if (p99_us[i] < least)
+      least = p99_us[i];
+  while (p99_us[tail] > least * 1.01)
+    tail++;
+  while (p99_us[cost] > (p99_us[0] + least) / 2)
+    cost++;
+  printf ("  setting for the tail (within 1%% of the least p99): %u calls/s;"
+          " for the cost (half of the gain): %u calls/s\n",
+          probe_rates[tail], probe_rates[cost]);
+}
+
+static void
+probes_run (double load)
+{
+  run_t runs[PROBE_RATES * PROBE_SEEDS] = { 0 };
+  double p99_us[PROBE_RATES] = { 0 };
+
+  for (size_t i = 0; i < PROBE_RATES * PROBE_SEEDS; i++)
     runs[i].options = (target_model_options_t){
       .kind = TARGET_MODEL_NOISY,
-      .seed = 100,
-      .load = 0.25,
+      .seed = 100 + i % PROBE_SEEDS,
+      .load = load,
       .targets = TARGETS,
-      .entries = 24,
+      .entries = PROBE_ENTRIES,
       .duration_us = DURATION_US,
-      .probe_calls_per_s = probe_rates[i],
+      .probe_calls_per_s = probe_rates[i / PROBE_SEEDS],
     };
-  runs_execute (runs, PROBE_RATES);
-  printf ("\nprobe budget, noisy, 25%% of slots, 24 entry nodes, load-latency\n");
-  printf ("  %10s %10s %12s %8s %8s\n", "calls/s", "sent/s", "slot time %", "p99 ms", "p99.9 ms");
+  runs_execute (runs, PROBE_RATES * PROBE_SEEDS);
+  printf (
+      "\nprobe budget of the service, noisy, %.0f%% of slots, %u entry nodes, load-latency, mean"
+      " of %u seeds\n",
+      load * 100, PROBE_ENTRIES, PROBE_SEEDS);
+  printf ("  %10s %10s %12s %8s %10s\n", "calls/s", "sent/s", "slot time %", "p99 ms", "p99.9 ms");
   for (size_t i = 0; i < PROBE_RATES; i++)
-    printf ("  %10u %10.1f %12.3f %8.1f %8.1f\n", probe_rates[i],
-            (double)runs[i].result.probes * 1e6 / (double)runs[i].options.duration_us,
-            100 * runs[i].result.probe_slot_share, runs[i].result.p99_us / 1e3,
-            runs[i].result.p999_us / 1e3);
+    {
+      double p999_us = 0;
+      double sent = 0;
+      double slot_time = 0;
+
+      for (size_t seed = 0; seed < PROBE_SEEDS; seed++)
+        {
+          const target_model_result_t *r = &runs[i * PROBE_SEEDS + seed].result;
+
+          p99_us[i] += r->p99_us / PROBE_SEEDS;
+          p999_us += r->p999_us / PROBE_SEEDS;
+          sent += (double)r->probes * 1e6 / (double)DURATION_US / PROBE_SEEDS;
+          slot_time += 100 * r->probe_slot_share / PROBE_SEEDS;
+        }
+      printf ("  %10u %10.1f %12.3f %8.1f %10.1f\n", probe_rates[i], sent, slot_time,
+              p99_us[i] / 1e3, p999_us / 1e3);
+    }
+  probe_settings_print (p99_us);
 }
 
 int
 main (void)
 {
   policies_run ();
-  probes_run ();
+  sizes_run ();
+  probes_run (0.05);
+  probes_run (0.25);
   return 0;
 }
--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -14,6 +14,7 @@
 #define BEGIN_US (2 * SGR_USEC_PER_SEC)
 #define END_US (5 * SGR_USEC_PER_SEC)
 #define RUN_US (11 * SGR_USEC_PER_SEC)
+#define RUN_STEPS 110.0
 
 typedef struct
 {
@@ -21,7 +22,7 @@
   sim_server_t server;
   bool newest_first;
   uint32_t queue_max;
-  sim_result_t result = { 0 };
+  sim_result_t result;
 } variant_t;
 
 static sim_options_t
@@ -45,10 +46,11 @@
 mean (const uint64_t *goodput, uint64_t from_us, uint64_t to_us)
 {
   uint64_t sum = 0;
+  uint64_t steps = 0;
 
-  for (uint64_t i = from_us / SIM_BUCKET_US; i < to_us / SIM_BUCKET_US; i++)
+  for (uint64_t i = from_us / SIM_BUCKET_US; i < to_us / SIM_BUCKET_US; i++, steps++)
     sum += goodput[i];
-  return (double)sum / (double)((to_us - from_us) / SIM_BUCKET_US);
+  return (double)sum / (double)steps;
 }
 
 /* First moment after the overload from which five steps in a row reach 90% of the goodput before;
@@ -99,8 +101,7 @@
               recovery_s (result->goodput, before),
               (double)sgr_histogram_quantile (&result->tenants[0].latency, 0.5) / 1000,
               (double)sgr_histogram_quantile (&result->tenants[0].latency, 0.99) / 1000,
-              (double)result->executions
-                  / (mean (result->goodput, 0, RUN_US) * (double)(RUN_US / SIM_BUCKET_US)));
+              (double)result->executions / (mean (result->goodput, 0, RUN_US) * RUN_STEPS));
     }
   printf (
       "columns: answers in time per 100 ms; recovery -1 = not within 6 s; latency of answers in "
@@ -202,11 +203,32 @@
       }
 }
 
+/* Short calls with a tight deadline beside long ones at the same targets. */
+static void
+mixed_part (void)
+{
+  static sim_result_t result;
+  sim_options_t options = base_options ();
+
+  options.repeats = 0;
+  options.tenants[0]
+      = (sim_tenant_t){ "long", 0, 0.45 * CAPACITY_PER_S / 6, 0.45 * CAPACITY_PER_S / 6, 60000, 0 };
+  options.tenants[1] = (sim_tenant_t){
+    "short", 0, 0.1 * CAPACITY_PER_S / 6, 0.1 * CAPACITY_PER_S / 6, 5000, 30000
+  };
+  sim_overload_run (&options, &result);
+  printf ("\nshort calls (5 ms, deadline 30 ms) beside long ones (60 ms, deadline 200 ms): in time "
+          "%.1f%% and %.1f%%\n",
+          100.0 * (double)result.tenants[1].answered / (double)result.tenants[1].offered,
+          100.0 * (double)result.tenants[0].answered / (double)result.tenants[0].offered);
+}
+
 int
 main (void)
 {
   overload_part ();
   seeds_part ();
   limits_part ();
+  mixed_part ();
   return 0;
 }
--- a/bench/sim_overload.c
+++ b/bench/sim_overload.c
@@ -14,9 +14,9 @@
 struct sim_t;
 
 /**
- * struct sim_call_t - one call of a caller, freed when no attempt refers to it any more
+ * struct sim_call_t - one call of a caller, freed once no attempt refers to it any more
  */
-typedef struct
+typedef struct sim_call_t
 {
   struct sim_t *sim;
   uint32_t tenant;
@@ -27,6 +27,7 @@
   bool open;
   sgr_call_plan_t plan;
   sgr_timer_t timer;
+  struct sim_call_t *dead_next;
 } sim_call_t;
 
 /**
@@ -69,6 +70,7 @@
   sgr_timer_heap_t *heap;
   sgr_retry_budget_t budget;
   uint64_t sequence;
+  sim_call_t *dead; /* freed between two moments, when no event holds them */
   sim_target_t targets[TARGETS_MAX];
   sim_source_t sources[SIM_TENANTS];
 } sim_t;
@@ -94,7 +96,20 @@
   if (--call->references > 0)
     return;
   sgr_timer_cancel (call->sim->heap, &call->timer);
-  free (call);
+  call->dead_next = call->sim->dead;
+  call->sim->dead = call;
+}
+
+static void
+dead_free (sim_t *sim)
+{
+  while (sim->dead != NULL)
+    {
+      sim_call_t *call = sim->dead;
+
+      sim->dead = call->dead_next;
+      free (call);
+    }
 }
 
 static void
@@ -105,7 +120,7 @@
 
   call->open = false;
   sgr_timer_cancel (sim->heap, &call->timer);
-  if (answered && now_us <= call->begin_us + sim->options->deadline_us)
+  if (answered && now_us <= call->plan.options.deadline_us)
     {
       if (now_us / SIM_BUCKET_US < SIM_BUCKETS)
         sim->result->goodput[now_us / SIM_BUCKET_US]++;
@@ -126,11 +141,14 @@
 work_start (sim_work_t *work, uint64_t now_us)
 {
   sim_t *sim = work->call->sim;
+  uint64_t service_us = sim->options->tenants[work->call->tenant].service_us;
 
+  if (service_us == 0)
+    service_us = SIM_SERVICE_US;
   work->start_us = now_us;
   work->timer = (sgr_timer_t){ .fire = work_end, .ctx = work };
   sgr_timer_arm (sim->heap, &work->timer,
-                 now_us + SIM_SERVICE_US / 2 + exponential_us (&sim->rng, SIM_SERVICE_US / 2.0));
+                 now_us + service_us / 2 + exponential_us (&sim->rng, (double)service_us / 2));
 }
 
 static void
@@ -367,7 +385,10 @@
     sim->result->tenants[tenant].offered++;
   sgr_call_options_init (&options);
   options.idempotent = true;
-  options.deadline_us = now_us + sim->options->deadline_us;
+  options.deadline_us
+      = now_us
+        + (sim->options->tenants[tenant].deadline_us > 0 ? sim->options->tenants[tenant].deadline_us
+                                                         : sim->options->deadline_us);
   options.budget = &sim->budget;
   sgr_call_plan_init (&call->plan, &options);
   if (sim->options->server == SIM_SERVER_FIFO)
@@ -466,7 +487,10 @@
         source_arm (&sim->sources[i], 0);
     }
   while (next_us != SGR_TIMER_NEVER)
-    next_us = sgr_timer_heap_run (sim->heap, next_us);
+    {
+      next_us = sgr_timer_heap_run (sim->heap, next_us);
+      dead_free (sim);
+    }
   for (uint32_t i = 0; i < options->targets; i++)
     sgr_gate_destroy (sim->targets[i].gate);
   sgr_timer_heap_destroy (sim->heap);
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -14,6 +14,8 @@
  * @trust: weight of reports, 0 to 1; falls when own attempts disprove them
  * @unseen_us: start times of own attempts that the report held cannot contain, oldest first
  * @unseen_count: used entries of @unseen_us
+ * @refusal_rate: share of recent attempts that the gate refused
+ * @refusal_us: time of the last change of @refusal_rate
  * @own_latency_us: average of own samples, without link and queueing
  * @slow_latency_us: slower average of own samples, without link and with queueing
  * @own_weight: samples behind @own_latency_us, saturating
@@ -30,6 +32,8 @@
   double trust;
   uint64_t unseen_us[SGR_BALANCER_UNSEEN_MAX];
   uint32_t unseen_count;
+  double refusal_rate;
+  uint64_t refusal_us;
   double own_latency_us;
   double slow_latency_us;
   double own_weight;
@@ -44,8 +48,9 @@
  * @error_us: time of the last change of @error_rate
  * @consecutive: errors since the last success
  * @is_ejected: out of the regular choice
- * @ejected_us: when it was ejected
  * @trial_us: earliest next half-open trial
+ * @trial_start_us: start of the last trial
+ * @is_trial_out: whether that trial has not finished
  * @backoff_us: wait before that trial
  * @trials_passed: trials passed since the ejection
  */
@@ -55,8 +60,9 @@
   uint64_t error_us;
   uint32_t consecutive;
   bool is_ejected;
-  uint64_t ejected_us;
   uint64_t trial_us;
+  uint64_t trial_start_us;
+  bool is_trial_out;
   uint64_t backoff_us;
   uint32_t trials_passed;
 } sgr_balancer_health_t;
@@ -120,11 +126,13 @@
  * struct sgr_balancer_score_t - expected cost of one more request at a target
  * @cost_us: expected latency, with a charge for errors, microseconds
  * @is_hot: whether the request is expected to wait
+ * @is_ramping: whether the target is in slow start
  */
 typedef struct
 {
   double cost_us;
   bool is_hot;
+  bool is_ramping;
 } sgr_balancer_score_t;
 
 /* balancer_estimate.c */
@@ -135,11 +143,13 @@
                                    const sgr_load_report_t *report);
 void sgr_balancer_estimate_report (sgr_balancer_t *b, sgr_balancer_entry_t *entry, uint64_t now_us,
                                    const sgr_load_report_t *report);
+void sgr_balancer_estimate_admission (sgr_balancer_entry_t *entry, uint64_t now_us,
+                                      bool is_refused);
 void sgr_balancer_estimate_refused (sgr_balancer_entry_t *entry, uint64_t now_us);
 double sgr_balancer_ramp (const sgr_balancer_t *b, const sgr_balancer_entry_t *entry,
                           uint64_t now_us);
 sgr_balancer_score_t sgr_balancer_score (const sgr_balancer_t *b, const sgr_balancer_entry_t *entry,
-                                         uint64_t now_us);
+                                         uint64_t now_us, bool is_repeated);
 
 /* balancer_outlier.c */
 double sgr_balancer_error_rate (const sgr_balancer_entry_t *entry, uint64_t now_us);
@@ -148,7 +158,7 @@
 bool sgr_balancer_outlier_trial (sgr_balancer_entry_t *entry, uint64_t now_us);
 
 /* balancer_choose.c */
-uint32_t sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count);
+uint32_t sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_repeated);
 
 /* balancer_baseline.c */
 uint32_t sgr_balancer_baseline_choose (sgr_balancer_t *b, size_t count);
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -15,11 +15,15 @@
 #include "control_http.h"
 #include "control_internal.h"
 #include "control_keys.h"
+#include "control_probe.h"
 #include "log.h"
 #include "task_loop.h"
 
 /* Changes that arrive together are sent as one snapshot. */
 #define SNAPSHOT_DELAY_US (20 * SGR_USEC_PER_MSEC)
+/* Taking a snapshot over costs the data task about 2 ms at 2,600 members, during which calls wait,
+   so that a storm of changes must not bring more than a few a second. */
+#define SNAPSHOT_INTERVAL_US (250 * SGR_USEC_PER_MSEC)
 /* Time in which the leave announcement spreads despite loss. */
 #define LEAVE_SPREAD_US (2 * SGR_USEC_PER_SEC)
 
@@ -44,6 +48,17 @@
   return x < y ? -1 : x > y;
 }
 
+/* State of the local target as the rest of the fleet is to see it. */
+static sgr_target_state_t
+local_state (const sgr_control_t *control)
+{
+  const sgr_snapshot_local_t *local = &control->announce.local;
+
+  if (local->service[0] == '\0')
+    return SGR_TARGET_LEFT;
+  return sgr_control_probe_is_failing (control->probe) ? SGR_TARGET_NONE : local->state;
+}
+
 /* Copies the live members, for the snapshot, the configuration and the resource API. */
 static void
 members_refresh (sgr_control_t *control)
@@ -72,6 +87,7 @@
   sgr_snapshot_t *snapshot = sgr_snapshot_create (control->member_count, policies);
 
   snapshot->local = control->announce.local;
+  snapshot->local.state = local_state (control);
   snapshot->config_revision = sgr_config_state_revision (state);
   for (size_t i = 0; i < control->member_count; i++)
     {
@@ -88,17 +104,25 @@
 {
   sgr_control_t *control = ctx;
 
+  control->snapshot_us = now_us;
   members_refresh (control);
   sgr_control_config_members (control->config, control->members, control->member_count);
+  sgr_control_probe_update (control->probe,
+                            sgr_config_state_policy (sgr_control_config_state (control->config),
+                                                     control->announce.local.service));
   sgr_data_task_snapshot_send (control->data, snapshot_build (control));
 }
 
 void
 sgr_control_snapshot_due (sgr_control_t *control)
 {
-  if (control->data != NULL && control->snapshot_timer.position == 0)
-    sgr_timer_arm (control->timers, &control->snapshot_timer,
-                   sgr_clock_monotonic_us () + SNAPSHOT_DELAY_US);
+  uint64_t due_us = sgr_clock_monotonic_us () + SNAPSHOT_DELAY_US;
+
+  if (control->data == NULL || control->snapshot_timer.position != 0)
+    return;
+  if (due_us < control->snapshot_us + SNAPSHOT_INTERVAL_US)
+    due_us = control->snapshot_us + SNAPSHOT_INTERVAL_US;
+  sgr_timer_arm (control->timers, &control->snapshot_timer, due_us);
 }
 
 void
@@ -106,11 +130,10 @@
 {
   const sgr_snapshot_local_t *local = &control->announce.local;
   const sgr_config_state_t *state = sgr_control_config_state (control->config);
-  sgr_membership_update_t update
-      = { .target_state = local->service[0] != '\0' ? local->state : SGR_TARGET_LEFT,
-          .service = local->service,
-          .slots = local->slots,
-          .config_revision = sgr_config_state_revision (state) };
+  sgr_membership_update_t update = { .target_state = local_state (control),
+                                     .service = local->service,
+                                     .slots = local->slots,
+                                     .config_revision = sgr_config_state_revision (state) };
 
   /* After the leave the own record is final, so that a conflict is no error. */
   sgr_membership_self_update (membership_of (control), sgr_clock_monotonic_us (), &update);
@@ -300,6 +323,14 @@
   counter_print (text, "deaths_total", counters->deaths);
 }
 
+static void
+resources_add (void *ctx, h2o_hostconf_t *host)
+{
+  sgr_control_t *control = ctx;
+
+  control->config = sgr_control_config_create (control, host);
+}
+
 static sgr_result_t
 open_all (sgr_control_t *control, sgr_buffer_t *errors)
 {
@@ -313,15 +344,16 @@
   result = membership_open (control, errors);
   if (result != SGR_OK)
     return result;
-  control->http = sgr_control_http_create (control, errors);
-  control->config = sgr_control_config_create (control, sgr_control_http_host (control->http));
+  control->http = sgr_control_http_create (control, resources_add, control, errors);
+  if (control->http == NULL)
+    return SGR_ERR_IO;
   control->keys = sgr_control_keys_create (control, sgr_control_config_store (control->config));
-  result = sgr_control_http_open (control->http, errors);
-  if (result != SGR_OK)
-    return result;
   control->data
       = sgr_data_task_start (control->settings, control->boot, &data_events, control, errors);
-  return control->data != NULL ? SGR_OK : SGR_ERR_IO;
+  if (control->data == NULL)
+    return SGR_ERR_IO;
+  control->probe = sgr_control_probe_create (control);
+  return SGR_OK;
 }
 
 int
@@ -358,6 +390,7 @@
 
 out:
   sgr_control_http_destroy (control.http);
+  sgr_control_probe_destroy (control.probe);
   sgr_control_keys_destroy (control.keys);
   sgr_control_config_destroy (control.config);
   free (control.members);
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -1,6 +1,7 @@
 #ifndef SGR_GATE_H
 #define SGR_GATE_H
 
+#include "counter.h"
 #include "gate_limits.h"
 #include "idempotency_key.h"
 #include "policy.h"
@@ -192,7 +193,8 @@
  * @attempts_max: attempts that the ledger remembers, more than slots and queue together
  * @keys_max: keys that the ledger remembers
  * @peers_max: process lives of entry nodes that the ledger remembers
- * @answer_bytes_max: bytes of all recorded answers together
+ * @answer_bytes_max: bytes of all recorded answers of keys; attempts without key may use a quarter
+ * more, dropped with the attempt
  * @answer_length_max: longest answer that is recorded
  * @attempt_retention_us: how long an attempt is remembered after its end if there is room
  * @key_retention_us: how long a key is remembered after its end
@@ -278,8 +280,10 @@
  * @status: receives what is known after the cancel
  *
  * A queued attempt is dropped with the callback refuse, unless other attempts with its key joined
- * it. A running one is only marked; the caller may abort the request to the target if it is
- * idempotent. An attempt never seen leaves a tombstone and is settled as NOT_RUN.
+ * it. One with a slot that was not started is settled as NOT_RUN: sgr_gate_attempt_started()
+ * returns false from then on, and its slot is given back by sgr_gate_attempt_finish(). A started
+ * one runs on; the caller may abort the request to the target if it is idempotent. An attempt never
+ * seen leaves a tombstone and is settled as NOT_RUN.
  */
 void sgr_gate_attempt_cancel (sgr_gate_t *gate, uint64_t now_us, const sgr_attempt_id_t *id,
                               sgr_boot_id_t gate_boot, sgr_gate_status_t *status);
@@ -361,6 +365,16 @@
 /** sgr_gate_refused_count() - refusals for a reason since the start */
 uint64_t sgr_gate_refused_count (const sgr_gate_t *gate, sgr_gate_reason_t reason);
 
+/**
+ * sgr_gate_metrics_set() - write the state of the gate into a registry
+ * @gate: the gate
+ * @metrics: registry of the task that owns the gate; all names start with "siskingrade_gate_"
+ *
+ * Call it before the registry is printed: load, queue order, refusals by reason, and how full the
+ * ledger is.
+ */
+void sgr_gate_metrics_set (const sgr_gate_t *gate, sgr_metrics_t *metrics);
+
 /** sgr_gate_reason_name() - name of a reason as callers see it, such as "queue-full" */
 const char *sgr_gate_reason_name (sgr_gate_reason_t reason);
 
--- a/libsiskingrade/membership_internal.h
+++ b/libsiskingrade/membership_internal.h
@@ -68,6 +68,7 @@
  * struct sgr_membership_sync_t - state transfer
  * @todo: groups that the first full pull has not completed
  * @behind: whether the last exchange brought news, so that the next one follows soon
+ * @fruitless: pulls in a row that brought no news
  * @asked: groups of the last pull
  * @sequence: sequence of the last digest or pull
  * @joined: whether this node stopped asking its contacts for peers
@@ -78,6 +79,7 @@
 {
   uint64_t todo;
   bool behind;
+  uint32_t fruitless;
   uint64_t asked;
   uint32_t sequence;
   bool joined;
@@ -193,6 +195,9 @@
 void sgr_membership_relay_tick (sgr_membership_t *m, uint64_t now_us);
 void sgr_membership_gossip_tick (sgr_membership_t *m, uint64_t now_us);
 void sgr_membership_dead_tick (sgr_membership_t *m, uint64_t now_us);
+
+/** sgr_membership_dead_ping() - give a member that is held dead an occasion to refute */
+void sgr_membership_dead_ping (sgr_membership_t *m, uint64_t now_us, uint32_t handle);
 void sgr_membership_probe_receive (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *from,
                                    const sgr_membership_message_t *message);
 void sgr_membership_health_add (sgr_membership_t *m, int change);
--- a/standins/standin-target.c
+++ b/standins/standin-target.c
@@ -9,7 +9,7 @@
 
 #include "buffer.h"
 #include "http_fields.h"
-#include "http_request.h"
+#include "http_fetch.h"
 #include "id_map.h"
 #include "listener.h"
 #include "rng.h"
@@ -20,6 +20,8 @@
    reader can check them; faults are asked for with the request field X-Fault. */
 
 #define ANNOUNCE_US (500 * SGR_USEC_PER_MSEC)
+#define ANNOUNCE_TIMEOUT_MS 2000
+#define ANSWER_MAX_BYTES 4096
 
 typedef struct
 {
@@ -31,6 +33,7 @@
   uint64_t service_us;
   uint64_t cold_ms;
   uint64_t seed;
+  const char *log_path;
 } options_t;
 
 typedef struct
@@ -38,8 +41,7 @@
   options_t options;
   h2o_loop_t *loop;
   sgr_timer_heap_t *timers;
-  h2o_timeout_t io_timeout;
-  h2o_http1client_ctx_t client;
+  sgr_http_fetcher_t *fetcher;
   h2o_globalconf_t config;
   h2o_context_t context;
   h2o_accept_ctx_t accept;
@@ -65,6 +67,7 @@
   { "service-us", 'u', "MICROSECONDS", 0, "Mean service time (2000)", 0 },
   { "cold-ms", 'w', "MILLISECONDS", 0, "Time after the start with five times the service time", 0 },
   { "seed", 'r', "NUMBER", 0, "Seed of the service times (1)", 0 },
+  { "execution-log", 'o', "FILE", 0, "Append the id of each request that ran", 0 },
   { 0 },
 };
 
@@ -108,6 +111,9 @@
     case 'r':
       options->seed = number_of (argument, state);
       return 0;
+    case 'o':
+      options->log_path = argument;
+      return 0;
     case ARGP_KEY_END:
       if (options->listen.port == 0 || options->service == NULL)
         argp_error (state, "--listen and --service are required");
@@ -118,12 +124,12 @@
 }
 
 static void
-on_announced (void *user, const sgr_http_request_answer_t *answer)
+on_announced (void *ctx, const sgr_http_fetch_reply_t *reply)
 {
-  target_t *target = user;
+  target_t *target = ctx;
 
-  if (answer->result != SGR_OK || answer->status != 200)
-    fprintf (stderr, "standin-target: announcement failed: status %d\n", answer->status);
+  if (reply->error != NULL || reply->status != 200)
+    fprintf (stderr, "standin-target: announcement failed: status %d\n", reply->status);
   if (target->is_leaving)
     target->is_stopped = true;
   else
@@ -131,6 +137,18 @@
                    sgr_clock_monotonic_us () + ANNOUNCE_US);
 }
 
+static void
+announce (target_t *target, const char *method, const char *body)
+{
+  sgr_http_fetch_request_t request = { .address = target->options.announce,
+                                       .method = method,
+                                       .path = "/v1/target",
+                                       .body = body,
+                                       .length = body != NULL ? strlen (body) : 0 };
+
+  sgr_http_fetch_start (target->fetcher, &request, on_announced, target);
+}
+
 static void
 on_announce_timer (void *ctx, uint64_t now_us)
 {
@@ -141,11 +159,10 @@
   sgr_address_format (&target->options.listen, address, sizeof address);
   snprintf (body, sizeof body,
             "{\"service\":\"%s\",\"address\":\"%s\",\"slots\":%u,\"connections\":%u,"
-            "\"state\":\"%s\"}",
+            "\"state\":\"%s\",\"probe_path\":\"/ready\"}",
             target->options.service, address, target->options.slots, target->options.connections,
             target->state);
-  sgr_http_request_start (&target->client, &target->options.announce, "PUT", "/v1/target", body,
-                          on_announced, target);
+  announce (target, "PUT", body);
 }
 
 /* POST /admin/NAME changes how the target behaves. */
@@ -183,6 +200,14 @@
   return 0;
 }
 
+static int
+on_ready (h2o_handler_t *super, h2o_req_t *req)
+{
+  req->res.status = 200;
+  h2o_send_inline (req, H2O_STRLIT ("ready\n"));
+  return 0;
+}
+
 static int
 on_work (h2o_handler_t *super, h2o_req_t *req)
 {
@@ -221,8 +246,7 @@
   if (target->options.announce.port == 0)
     target->is_stopped = true;
   else
-    sgr_http_request_start (&target->client, &target->options.announce, "DELETE", "/v1/target",
-                            NULL, on_announced, target);
+    announce (target, "DELETE", NULL);
 }
 
 static void
@@ -252,6 +276,7 @@
   host = h2o_config_register_host (&target->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
   path_add (target, host, "/admin/", on_admin);
   path_add (target, host, "/executions", on_executions);
+  path_add (target, host, "/ready", on_ready);
   path_add (target, host, "/", on_work);
   h2o_context_init (&target->context, target->loop, &target->config);
   target->accept.ctx = &target->context;
@@ -283,15 +308,15 @@
   argp_parse (&argp, argc, argv, 0, NULL, &target.options);
   target.loop = h2o_evloop_create ();
   target.timers = sgr_timer_heap_create ();
-  h2o_timeout_init (target.loop, &target.io_timeout, 2000);
-  target.client = (h2o_http1client_ctx_t){ .loop = target.loop, .io_timeout = &target.io_timeout };
+  target.fetcher = sgr_http_fetcher_create (target.loop, ANNOUNCE_TIMEOUT_MS, ANSWER_MAX_BYTES);
   target.announce_timer = (sgr_timer_t){ .fire = on_announce_timer, .ctx = &target };
   work
       = (sgr_standin_work_options_t){ .slots = target.options.slots,
                                       .service_us = target.options.service_us,
                                       .cold_until_us = sgr_clock_monotonic_us ()
                                                        + target.options.cold_ms * SGR_USEC_PER_MSEC,
-                                      .seed = target.options.seed };
+                                      .seed = target.options.seed,
+                                      .log_path = target.options.log_path };
   target.work = sgr_standin_work_create (target.timers, &work);
   return serve (&target);
 }
