--- a/libsiskingrade/membership.c
+++ b/libsiskingrade/membership.c
@@ -5,8 +5,6 @@
 
 /* A tick this late means that the process was paused or starved. */
 #define LATE_US (500 * SGR_USEC_PER_MSEC)
-/* Time after which failure detection on the other side would have found a real death too. */
-#define HEALED_US (90 * SGR_USEC_PER_SEC)
 #define COLLECT_PERIOD_US (60 * SGR_USEC_PER_SEC)
 
 void
@@ -202,25 +200,6 @@
     }
 }
 
-/*
- * Corrects the sender of a stale record. If this node has held the member dead for long while the
- * sender still holds it alive, a partition between them has healed: the member itself is asked, and
- * the sender is spared a wrong death.
- */
-static void
-stale_answer (sgr_membership_t *m, uint64_t now_us, const sgr_membership_record_t *record,
-              bool announced)
-{
-  uint32_t handle = sgr_membership_table_find (&m->table, record->member.id);
-  const sgr_membership_entry_t *entry = sgr_membership_entry (m, handle);
-
-  if (!announced && entry->status == SGR_MEMBER_DEAD && entry->name != NULL
-      && entry->boot == record->member.boot && now_us - entry->since_us > HEALED_US)
-    sgr_membership_dead_ping (m, now_us, handle);
-  else if (m->correction_count < SGR_MEMBERSHIP_CORRECTIONS_MAX)
-    m->corrections[m->correction_count++] = handle;
-}
-
 static uint32_t
 records_merge (sgr_membership_t *m, uint64_t now_us, const sgr_membership_message_t *message)
 {
@@ -236,8 +215,10 @@
 
       if (result == SGR_MEMBERSHIP_MERGE_NEWER)
         news++;
-      if (result == SGR_MEMBERSHIP_MERGE_STALE && (sync || announced))
-        stale_answer (m, now_us, record, announced);
+      if (result == SGR_MEMBERSHIP_MERGE_STALE && (sync || announced)
+          && m->correction_count < SGR_MEMBERSHIP_CORRECTIONS_MAX)
+        m->corrections[m->correction_count++]
+            = sgr_membership_table_find (&m->table, record->member.id);
     }
   return news;
 }
--- a/libsiskingrade/membership_budget.c
+++ b/libsiskingrade/membership_budget.c
@@ -8,7 +8,7 @@
   { 30, 35, 35 },
   /* While the full state is pulled: a page holds only records that are new to the receiver, which
      makes it the cheaper way to spread them. */
-  { 25, 15, 60 },
+  { 25, 5, 70 },
 };
 
 /* Bucket sizes in seconds of the whole rate. */
--- a/libsiskingrade/membership_internal.h
+++ b/libsiskingrade/membership_internal.h
@@ -195,9 +195,6 @@
 void sgr_membership_relay_tick (sgr_membership_t *m, uint64_t now_us);
 void sgr_membership_gossip_tick (sgr_membership_t *m, uint64_t now_us);
 void sgr_membership_dead_tick (sgr_membership_t *m, uint64_t now_us);
-
-/** sgr_membership_dead_ping() - give a member that is held dead an occasion to refute */
-void sgr_membership_dead_ping (sgr_membership_t *m, uint64_t now_us, uint32_t handle);
 void sgr_membership_probe_receive (sgr_membership_t *m, uint64_t now_us, const sgr_address_t *from,
                                    const sgr_membership_message_t *message);
 void sgr_membership_health_add (sgr_membership_t *m, int change);
--- a/libsiskingrade/membership_probe.c
+++ b/libsiskingrade/membership_probe.c
@@ -1,5 +1,8 @@
 #include "membership_internal.h"
 
+/* Probe periods between two probes until the full state was pulled once. */
+#define PULLING_PERIODS 3
+
 void
 sgr_membership_health_add (sgr_membership_t *m, int change)
 {
@@ -73,6 +76,9 @@
 
   probe->stage = SGR_MEMBERSHIP_PROBE_IDLE;
   probe->next_us = now_us + stretched_us (m, m->options.probe_period_ms);
+  /* Nodes that know few members would all probe the contacts. */
+  if (m->sync.todo != 0)
+    probe->next_us = now_us + PULLING_PERIODS * stretched_us (m, m->options.probe_period_ms);
   probe->due_us = probe->next_us;
   if (handle == SGR_MEMBERSHIP_NONE)
     return;
@@ -293,7 +299,7 @@
   if (m->queue.count[SGR_MEMBERSHIP_LEAVING] > 0 || m->revision_sends > 0)
     return true;
   /* Health updates travel on probes too; they get rounds of their own while bytes are left over. */
-  return m->queue.count[SGR_MEMBERSHIP_HEALTH] > 0
+  return m->queue.count[SGR_MEMBERSHIP_HEALTH] > 0 && m->sync.todo == 0
          && m->budget.tokens[SGR_MEMBERSHIP_UPDATES]
                 > m->budget.capacity[SGR_MEMBERSHIP_UPDATES] / 2;
 }
@@ -326,12 +332,6 @@
     }
 }
 
-void
-sgr_membership_dead_ping (sgr_membership_t *m, uint64_t now_us, uint32_t handle)
-{
-  ping_send (m, now_us, handle, ++m->sequence, SGR_MEMBERSHIP_SYNC);
-}
-
 static uint32_t
 random_dead (sgr_membership_t *m)
 {
@@ -364,7 +364,7 @@
     return;
   dead = random_dead (m);
   if (dead != SGR_MEMBERSHIP_NONE)
-    sgr_membership_dead_ping (m, now_us, dead);
+    ping_send (m, now_us, dead, ++m->sequence, SGR_MEMBERSHIP_SYNC);
   if (m->contact_count == 0 || m->sync.todo != 0)
     return;
   contact = &m->contacts[sgr_rng_below (&m->rng, m->contact_count)];
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -4,6 +4,10 @@
 
 /* Updates of one urgency in the queue from which on each is sent fewer times. */
 #define QUEUED_MAX 32
+/* Updates in one datagram of a node that still pulls the full state, in bytes. */
+#define PULLING_UPDATE_BYTES 250
+/* No record is shorter. */
+#define RECORD_BYTES_MIN 30
 
 /*
  * Answers up to this size may use bytes that detection leaves over. They introduce nodes to each
@@ -54,15 +58,21 @@
 sgr_membership_add_updates (sgr_membership_t *m, sgr_membership_writer_t *writer, uint64_t now_us)
 {
   uint32_t handles[SGR_MEMBERSHIP_RECORDS_MAX];
-  size_t count
-      = sgr_membership_queue_select (&m->queue, &m->table, handles, SGR_MEMBERSHIP_RECORDS_MAX);
   double tokens = m->budget.tokens[SGR_MEMBERSHIP_UPDATES];
   size_t limit = SGR_MEMBERSHIP_DATAGRAM_MAX;
+  size_t count;
 
-  if (tokens <= 0)
+  if (tokens < RECORD_BYTES_MIN)
     return;
+  /* A node that still pulls the full state knows few others, mostly contacts. */
+  if (m->sync.todo != 0 && tokens > PULLING_UPDATE_BYTES)
+    tokens = PULLING_UPDATE_BYTES;
   if ((double)writer->size + tokens < (double)limit)
     limit = writer->size + (size_t)tokens;
+  count = (limit - writer->size) / RECORD_BYTES_MIN;
+  if (count > SGR_MEMBERSHIP_RECORDS_MAX)
+    count = SGR_MEMBERSHIP_RECORDS_MAX;
+  count = sgr_membership_queue_select (&m->queue, &m->table, handles, count);
   for (size_t i = 0; i < count; i++)
     {
       sgr_membership_entry_t *entry = sgr_membership_entry (m, handles[i]);
