--- a/libsiskingrade/membership.c
+++ b/libsiskingrade/membership.c
@@ -190,13 +190,13 @@
   size_t detection = total > SGR_MEMBERSHIP_PROBE_BYTES ? SGR_MEMBERSHIP_PROBE_BYTES : total;
 
   if (kind >= SGR_MEMBERSHIP_DIGEST)
-    sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_SYNC, total);
+    sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_SYNC, total, false);
   else if (kind == SGR_MEMBERSHIP_GOSSIP)
-    sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_UPDATES, total);
+    sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_UPDATES, total, false);
   else
     {
-      sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_DETECTION, detection);
-      sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_UPDATES, total - detection);
+      sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_DETECTION, detection, false);
+      sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_UPDATES, total - detection, false);
     }
 }
 
@@ -237,7 +237,7 @@
   if (sgr_membership_message_decode (bytes, length, &message) != SGR_OK)
     {
       m->counters.malformed++;
-      sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_SYNC, total);
+      sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_SYNC, total, false);
       return SGR_ERR_INVALID;
     }
   receive_charge (m, message.kind, total);
--- a/libsiskingrade/membership_budget.c
+++ b/libsiskingrade/membership_budget.c
@@ -1,18 +1,19 @@
 #include "membership_budget.h"
 
 /*
- * Shares of the rate in percent. With 5% loss, probes of 2,600 nodes take about a tenth; the rest
- * of their share covers the indirect probes while a region is unreachable.
+ * Shares of the rate in percent. With 5% loss, probes take about a tenth; the rest of their share
+ * covers the indirect probes while a region is unreachable. The reserve is enough for 6 answers a
+ * second: a node that many others address at once must not look dead.
  */
 static const double rate_percent[2][SGR_MEMBERSHIP_SHARES] = {
-  { 30, 35, 35 },
+  { 10, 20, 35, 35 },
   /* While the full state is pulled: a page holds only records that are new to the receiver, which
      makes it the cheaper way to spread them. */
-  { 25, 5, 70 },
+  { 10, 20, 5, 65 },
 };
 
 /* Bucket sizes in seconds of the whole rate. */
-static const double capacity_s[SGR_MEMBERSHIP_SHARES] = { 1, 2, 3 };
+static const double capacity_s[SGR_MEMBERSHIP_SHARES] = { 0.2, 1, 2, 3 };
 
 /*
  * Received bytes cannot be refused. A longer debt would silence a contact that many nodes address
@@ -60,21 +61,33 @@
     return true;
   if (share != SGR_MEMBERSHIP_DETECTION)
     return false;
-  return budget->tokens[SGR_MEMBERSHIP_UPDATES] >= (double)bytes
-         || budget->tokens[SGR_MEMBERSHIP_SYNC] >= (double)bytes;
+  for (int i = 0; i < SGR_MEMBERSHIP_SHARES; i++)
+    if (budget->tokens[i] >= (double)bytes)
+      return true;
+  return false;
+}
+
+/* Detection takes from the first share that has the bytes. */
+static sgr_membership_share_t
+share_of (const sgr_membership_budget_t *budget, sgr_membership_share_t share, size_t bytes,
+          bool sent)
+{
+  static const sgr_membership_share_t order[] = { SGR_MEMBERSHIP_DETECTION, SGR_MEMBERSHIP_UPDATES,
+                                                  SGR_MEMBERSHIP_SYNC, SGR_MEMBERSHIP_RESERVE };
+
+  if (share != SGR_MEMBERSHIP_DETECTION)
+    return share;
+  for (size_t i = 0; i < sizeof order / sizeof order[0]; i++)
+    if (budget->tokens[order[i]] >= (double)bytes && (sent || order[i] != SGR_MEMBERSHIP_RESERVE))
+      return order[i];
+  return share;
 }
 
 void
 sgr_membership_budget_charge (sgr_membership_budget_t *budget, sgr_membership_share_t share,
-                              size_t bytes)
+                              size_t bytes, bool sent)
 {
-  if (share == SGR_MEMBERSHIP_DETECTION && budget->tokens[share] < (double)bytes)
-    {
-      if (budget->tokens[SGR_MEMBERSHIP_UPDATES] >= (double)bytes)
-        share = SGR_MEMBERSHIP_UPDATES;
-      else if (budget->tokens[SGR_MEMBERSHIP_SYNC] >= (double)bytes)
-        share = SGR_MEMBERSHIP_SYNC;
-    }
+  share = share_of (budget, share, bytes, sent);
   budget->tokens[share] -= (double)bytes;
   if (budget->tokens[share] < -DEBT_MAX_S * budget->rate)
     budget->tokens[share] = -DEBT_MAX_S * budget->rate;
--- a/libsiskingrade/membership_budget.h
+++ b/libsiskingrade/membership_budget.h
@@ -11,13 +11,16 @@
 
 /**
  * enum sgr_membership_share_t - parts of the byte budget
+ * @SGR_MEMBERSHIP_RESERVE: probes and their answers when all other shares are used up; received
+ * bytes do not use it
  * @SGR_MEMBERSHIP_DETECTION: probes and their answers
  * @SGR_MEMBERSHIP_UPDATES: piggybacked and urgent updates
  * @SGR_MEMBERSHIP_SYNC: full state and anti-entropy
  */
 typedef enum
 {
-  SGR_MEMBERSHIP_DETECTION = 0,
+  SGR_MEMBERSHIP_RESERVE = 0,
+  SGR_MEMBERSHIP_DETECTION,
   SGR_MEMBERSHIP_UPDATES,
   SGR_MEMBERSHIP_SYNC,
   SGR_MEMBERSHIP_SHARES,
@@ -54,7 +57,7 @@
 /**
  * sgr_membership_budget_has() - whether bytes may be sent now
  * @budget: the budget
- * @share: the share; detection may use every bucket, the others only their own
+ * @share: the share; detection may use every bucket, the others only their own; not RESERVE
  * @bytes: size including the datagram overhead
  */
 bool sgr_membership_budget_has (const sgr_membership_budget_t *budget, sgr_membership_share_t share,
@@ -65,8 +68,9 @@
  * @budget: the budget
  * @share: the share
  * @bytes: size including the datagram overhead
+ * @sent: whether they are sent, not received
  */
 void sgr_membership_budget_charge (sgr_membership_budget_t *budget, sgr_membership_share_t share,
-                                   size_t bytes);
+                                   size_t bytes, bool sent);
 
 #endif
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -111,9 +111,9 @@
       m->counters.budget_refusals++;
       return false;
     }
-  sgr_membership_budget_charge (&m->budget, share, first);
+  sgr_membership_budget_charge (&m->budget, share, first, true);
   if (total > first)
-    sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_UPDATES, total - first);
+    sgr_membership_budget_charge (&m->budget, SGR_MEMBERSHIP_UPDATES, total - first, true);
   m->counters.messages_sent++;
   m->counters.bytes_sent += total;
   m->callbacks.send (m->ctx, to, bytes, length);
--- a/tests/test_membership_codec.c
+++ b/tests/test_membership_codec.c
@@ -284,7 +284,7 @@
       sgr_membership_budget_refill (&budget, now_us);
       while (sgr_membership_budget_has (&budget, SGR_MEMBERSHIP_SYNC, 1200))
         {
-          sgr_membership_budget_charge (&budget, SGR_MEMBERSHIP_SYNC, 1200);
+          sgr_membership_budget_charge (&budget, SGR_MEMBERSHIP_SYNC, 1200, true);
           sync_bytes += 1200;
         }
       assert_true (sgr_membership_budget_has (&budget, SGR_MEMBERSHIP_DETECTION, 80));
@@ -292,6 +292,15 @@
   /* An idle node lends its other shares to the transfer, but never more than the whole. */
   assert_true (sync_bytes > 90 * 5000);
   assert_true (sync_bytes <= 100 * 5000 + 3 * 5000);
+  /* A flood of received bytes leaves the reserve for answers to probes. */
+  for (uint64_t now_us = 100 * SGR_USEC_PER_SEC; now_us < 110 * SGR_USEC_PER_SEC; now_us += 1000)
+    {
+      sgr_membership_budget_refill (&budget, now_us);
+      for (int share = SGR_MEMBERSHIP_DETECTION; share < SGR_MEMBERSHIP_SHARES; share++)
+        sgr_membership_budget_charge (&budget, (sgr_membership_share_t)share, 1000, false);
+    }
+  assert_true (sgr_membership_budget_has (&budget, SGR_MEMBERSHIP_DETECTION, 80));
+  assert_false (sgr_membership_budget_has (&budget, SGR_MEMBERSHIP_SYNC, 80));
 }
 
 int
