--- a/libsiskingrade/membership.h
+++ b/libsiskingrade/membership.h
@@ -68,7 +68,8 @@
  * @target_state: state of the local target
  * @service: service of the local target, "" for none, at most SGR_NAME_MAX bytes
  * @slots: requests that the local target may run at a time
- * @config_revision: revision of the configuration in force at this node; never decreases
+ * @config_revision: revision of the configuration in force at this node, to be set once its content
+ *                   is there; never decreases
  */
 typedef struct
 {
@@ -169,8 +170,8 @@
  * @now_us: monotonic time
  * @update: new values; a lower @config_revision than the present one is ignored
  *
- * Return: SGR_OK, SGR_ERR_INVALID if @service is not a valid name, or SGR_ERR_CONFLICT after
- * sgr_membership_leave().
+ * Return: SGR_OK, SGR_ERR_INVALID if @service is not a valid name, SGR_ERR_CONFLICT after
+ * sgr_membership_leave(), or SGR_ERR_LIMIT if too many names of services are known already.
  */
 sgr_result_t sgr_membership_self_update (sgr_membership_t *membership, uint64_t now_us,
                                          const sgr_membership_update_t *update);
