--- a/tests/test_membership_codec.c
+++ b/tests/test_membership_codec.c
@@ -77,71 +77,78 @@
 }
 
 static void
-spoil (parts_t *parts, int number)
+spoil_record (parts_t *parts, int number)
 {
   static char long_name[] = "a-name-without-end-a-name-without-end-a-name-without-end-a-name-x";
-  Sgr__MembershipDatagram *datagram = &parts->datagram;
   Sgr__MembershipRecord *record = &parts->record;
 
   switch (number)
     {
     case 0:
-      datagram->version = 2;
+      record->name = (ProtobufCBinaryData){ sizeof long_name - 1, (uint8_t *)long_name };
       break;
     case 1:
-      datagram->kind = 0;
+      record->name = (ProtobufCBinaryData){ 4, (uint8_t *)"a\0bc" };
       break;
     case 2:
-      datagram->kind = SGR_MEMBERSHIP_GIVE + 1;
+      record->name = (ProtobufCBinaryData){ 4, (uint8_t *)"a bc" };
       break;
     case 3:
-      datagram->sender = 0;
+      record->region = 2;
       break;
     case 4:
-      record->name = (ProtobufCBinaryData){ sizeof long_name - 1, (uint8_t *)long_name };
+      parts->strings[0] = (ProtobufCBinaryData){ sizeof long_name - 1, (uint8_t *)long_name };
       break;
     case 5:
-      record->name = (ProtobufCBinaryData){ 4, (uint8_t *)"a\0bc" };
+      record->control_port = 65536;
       break;
     case 6:
-      record->name = (ProtobufCBinaryData){ 4, (uint8_t *)"a bc" };
+      record->ip = 0;
       break;
     case 7:
-      record->region = 2;
+      record->boot_time_s = UINT32_MAX;
       break;
     case 8:
-      parts->strings[0] = (ProtobufCBinaryData){ sizeof long_name - 1, (uint8_t *)long_name };
+      record->incarnation = UINT64_MAX;
       break;
     case 9:
-      record->control_port = 65536;
+      record->state = (SGR_TARGET_LEFT + 1) << 2;
       break;
-    case 10:
-      record->ip = 0;
+    default:
+      record->name.len = 0; /* neither a name nor an id */
       break;
-    case 11:
-      record->boot_time_s = UINT32_MAX;
+    }
+}
+
+static void
+spoil_datagram (Sgr__MembershipDatagram *datagram, int number)
+{
+  switch (number)
+    {
+    case 0:
+      datagram->version = 2;
       break;
-    case 12:
-      record->incarnation = UINT64_MAX;
+    case 1:
+      datagram->kind = 0;
       break;
-    case 13:
-      record->state = (SGR_TARGET_LEFT + 1) << 2;
+    case 2:
+      datagram->kind = SGR_MEMBERSHIP_GIVE + 1;
       break;
-    case 14:
+    case 3:
+      datagram->sender = 0;
+      break;
+    case 4:
       datagram->n_digests = SGR_MEMBERSHIP_GROUPS;
       break;
-    case 15:
+    case 5:
       datagram->kind = SGR_MEMBERSHIP_DIGEST;
       datagram->n_digests = SGR_MEMBERSHIP_GROUPS - 1;
       break;
-    case 16:
+    case 6:
       datagram->n_fingerprints = SGR_MEMBERSHIP_FINGERPRINTS_MAX + 1;
       break;
-    case 17:
-      datagram->kind = SGR_MEMBERSHIP_PING_REQ;
-      break;
     default:
-      record->name.len = 0;
+      datagram->kind = SGR_MEMBERSHIP_PING_REQ; /* without a target */
       break;
     }
 }
@@ -160,7 +167,10 @@
   for (int i = 0; i <= 18; i++)
     {
       parts_init (&parts);
-      spoil (&parts, i);
+      if (i < 11)
+        spoil_record (&parts, i);
+      else
+        spoil_datagram (&parts.datagram, i - 11);
       length = sgr__membership_datagram__pack (&parts.datagram, bytes);
       assert_int_equal (sgr_membership_datagram_receive (m, 1, &from, bytes, length),
                         SGR_ERR_INVALID);
