--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -226,7 +226,8 @@
  * @latency_us: time since sgr_balancer_attempt_start(), microseconds
  * @is_error: the target failed: an error status, a broken connection or a missed deadline; false
  *   for an attempt that this node cancelled
- * @report: load report that came with the response, NULL if none
+ * @report: load report that came with the response, NULL if none; its latency is that of the target
+ *   without the wait in the gate's queue, its age includes the time on the link
  */
 void sgr_balancer_attempt_finish (sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target,
                                   sgr_outcome_t outcome, uint64_t latency_us, bool is_error,
@@ -237,7 +238,7 @@
  * @b: the balancer
  * @now_us: the time
  * @target: the handle
- * @report: the report; its age includes the time on the link
+ * @report: the report, as for sgr_balancer_attempt_finish()
  */
 void sgr_balancer_report_update (sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target,
                                  const sgr_load_report_t *report);
