Release the memory of the event loop and of h2o's queue

AddressSanitizer reported 88 bytes for each listener that was closed, and the loop of siskingradectl; test_store_http, test_config_io and test_config_ctl now run clean under it.

--- a/libsiskingrade/ctl_client.c
+++ b/libsiskingrade/ctl_client.c
@@ -46,6 +46,7 @@
   if (client == NULL)
     return;
   sgr_http_fetcher_destroy (client->fetcher);
+  h2o_evloop_destroy (client->loop);
   free (client);
 }
 
--- a/libsiskingrade/http_listener.c
+++ b/libsiskingrade/http_listener.c
@@ -110,13 +110,18 @@
 void
 sgr_http_listener_destroy (sgr_http_listener_t *listener)
 {
+  h2o_multithread_queue_t *queue;
+
   if (listener == NULL)
     return;
   sgr_http_listener_stop (listener);
   /* The graceful shutdown of HTTP/2 leaves a timer that h2o does not remove by itself. */
   if (h2o_timeout_is_linked (&listener->context.http2._graceful_shutdown_timeout))
     h2o_timeout_unlink (&listener->context.http2._graceful_shutdown_timeout);
+  queue = listener->context.queue;
   h2o_context_dispose (&listener->context);
+  /* h2o 2.2.5 closes the queue of the context and does not release its memory. */
+  free (queue);
   h2o_config_dispose (&listener->config);
   free (listener);
 }
--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -59,6 +59,8 @@
   store_bucket_t writes;
   waiter_t *waiters;
   uint64_t counts[6];
+  h2o_loop_t *loop;
+  sgr_http_listener_t *listener;
 } server_t;
 
 enum
@@ -409,16 +411,16 @@
   static const struct argp parser
       = { options, parse_option, NULL, "Stand-in for the platform's key-value service." };
   sgr_address_t address = { .ip = 0x7f000001, .port = 0 };
-  h2o_loop_t *loop = h2o_evloop_create ();
-  sgr_http_listener_t *listener;
   char text[24];
 
   argp_parse (&parser, argc, argv, 0, NULL, &address);
   signal (SIGPIPE, SIG_IGN);
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
-  listener = sgr_http_listener_create (loop, &address, VALUE_MAX + 1024, register_paths, NULL);
-  if (listener == NULL)
+  server.loop = h2o_evloop_create ();
+  server.listener
+      = sgr_http_listener_create (server.loop, &address, VALUE_MAX + 1024, register_paths, NULL);
+  if (server.listener == NULL)
     {
       fprintf (stderr, "standin-store: cannot listen: %s\n", strerror (errno));
       return 1;
@@ -428,7 +430,7 @@
   fflush (stdout);
   while (!stopped)
     {
-      h2o_evloop_run (loop, 5);
+      h2o_evloop_run (server.loop, 5);
       wait_run ();
     }
   return 0;
--- a/tests/config_rig.c
+++ b/tests/config_rig.c
@@ -17,6 +17,9 @@
 
 extern char **environ;
 
+/* One loop for all tests of a program; h2o leaves closed sockets to its next run. */
+static h2o_loop_t *shared_loop;
+
 static const char *
 build_directory (void)
 {
@@ -137,7 +140,9 @@
   support_keys_init (&rig->keys);
   snprintf (rig->directory, sizeof rig->directory, "/tmp/sgr-config-XXXXXX");
   sgr_invariant (mkdtemp (rig->directory) != NULL);
-  rig->loop = h2o_evloop_create ();
+  if (shared_loop == NULL)
+    shared_loop = h2o_evloop_create ();
+  rig->loop = shared_loop;
   rig->count = count;
   start_store (rig);
   for (size_t i = 0; i < count; i++)
