--- a/tests/test_config_chain.c
+++ b/tests/test_config_chain.c
@@ -104,79 +104,120 @@
   sgr_config_record_destroy (second);
 }
 
-/* Guards against a node that goes back, or follows a fork that both owners once signed. */
-static void
-test_state_takes_only_the_chain (void **state)
-{
-  sgr_config_record_t *chain[24], *fork, *fork_next;
-  sgr_config_state_t *node = sgr_config_state_create (&keys.owners, 4);
-  sgr_buffer_t step = { 0 };
-  json_t *changes;
+#define CHAIN 24
+#define OFFER(node, record)                                                                        \
+  sgr_config_state_offer ((node), (record)->text.bytes, (record)->text.length, NULL)
+
+static sgr_config_record_t *chain[CHAIN];
 
+static int
+chain_setup (void **state)
+{
   chain[0] = support_record (&keys, NULL, "c0", support_content (2, 100));
-  for (int i = 1; i < 24; i++)
+  for (int i = 1; i < CHAIN; i++)
     {
       char id[16];
 
       snprintf (id, sizeof id, "c%d", i);
       chain[i] = support_record (&keys, chain[i - 1], id, support_edit (100 + (uint32_t)i));
     }
-  fork = support_record (&keys, chain[0], "fork", support_edit (999));
-  fork_next = support_record (&keys, fork, "fork-next", support_edit (998));
-#define OFFER(record)                                                                              \
-  sgr_config_state_offer (node, (record)->text.bytes, (record)->text.length, NULL)
-  assert_int_equal (OFFER (chain[1]), SGR_OK);
-  assert_int_equal (OFFER (chain[0]), SGR_ERR_CONFLICT);
-  assert_int_equal (OFFER (chain[1]), SGR_ERR_CONFLICT);
-  assert_int_equal (OFFER (fork), SGR_ERR_CONFLICT);
-  assert_int_equal (OFFER (fork_next), SGR_ERR_CONFLICT);
+  return 0;
+}
+
+static int
+chain_teardown (void **state)
+{
+  for (int i = 0; i < CHAIN; i++)
+    sgr_config_record_destroy (chain[i]);
+  return 0;
+}
+
+/* A node that holds the revision of chain[@at]. */
+static sgr_config_state_t *
+node_at (int at)
+{
+  sgr_config_state_t *node = sgr_config_state_create (&keys.owners, 4);
+
+  assert_int_equal (OFFER (node, chain[at]), SGR_OK);
+  return node;
+}
+
+/* Guards against a node that goes back, or follows a fork that both owners once signed. */
+static void
+test_state_takes_only_the_chain (void **state)
+{
+  sgr_config_record_t *fork = support_record (&keys, chain[0], "fork", support_edit (999));
+  sgr_config_record_t *fork_next = support_record (&keys, fork, "fork-next", support_edit (998));
+  sgr_config_state_t *node = node_at (1);
+
+  assert_int_equal (OFFER (node, chain[0]), SGR_ERR_CONFLICT);
+  assert_int_equal (OFFER (node, chain[1]), SGR_ERR_CONFLICT);
+  assert_int_equal (OFFER (node, fork), SGR_ERR_CONFLICT);
+  assert_int_equal (OFFER (node, fork_next), SGR_ERR_CONFLICT);
   assert_int_equal (sgr_config_state_revision (node), 2);
-  assert_int_equal (OFFER (chain[4]), SGR_OK);
-  /* A watcher of a revision that this node skipped, or that is too old, lists again. */
+  sgr_config_state_destroy (node);
+  /* Further ahead than the lineage reaches, both signatures are enough. */
+  node = node_at (0);
+  assert_int_equal (OFFER (node, chain[23]), SGR_OK);
+  sgr_config_state_destroy (node);
+  sgr_config_record_destroy (fork);
+  sgr_config_record_destroy (fork_next);
+}
+
+/* Guards against a watcher that misses a change: a revision that this node skipped, or one that is
+   older than its history, is listed again. */
+static void
+test_state_watchers (void **state)
+{
+  sgr_config_state_t *node = node_at (1);
+  json_t *changes;
+
+  assert_int_equal (OFFER (node, chain[4]), SGR_OK);
   assert_int_equal (sgr_config_state_changes_since (node, 3, &changes), SGR_ERR_NOT_FOUND);
   assert_int_equal (sgr_config_state_changes_since (node, 5, &changes), SGR_ERR_UNAVAILABLE);
   assert_int_equal (sgr_config_state_changes_since (node, 2, &changes), SGR_OK);
   assert_int_equal (json_array_size (changes), 1);
   json_decref (changes);
   for (int i = 5; i < 10; i++)
-    assert_int_equal (OFFER (chain[i]), SGR_OK);
+    assert_int_equal (OFFER (node, chain[i]), SGR_OK);
   assert_int_equal (sgr_config_state_changes_since (node, 2, &changes), SGR_ERR_NOT_FOUND);
-  /* A step leads to the same record; from another revision it is refused. */
-  assert_int_equal (sgr_config_state_step (node, 7, &step), SGR_OK);
-  assert_int_equal (sgr_config_state_step (node, 2, &step), SGR_ERR_NOT_FOUND);
-  assert_int_equal (sgr_config_state_offer_step (node, step.bytes, step.length, NULL),
-                    SGR_ERR_CONFLICT);
-  sgr_config_state_destroy (node);
-  node = sgr_config_state_create (&keys.owners, 4);
-  assert_int_equal (OFFER (chain[6]), SGR_OK);
-  assert_int_equal (sgr_config_state_offer_step (node, step.bytes, step.length, NULL), SGR_OK);
-  assert_memory_equal (sgr_config_state_record (node)->text.bytes, chain[9]->text.bytes,
-                       chain[9]->text.length);
-  /* Most of the lineage comes from the receiver's own record. */
-  sgr_buffer_release (&step);
-  sgr_config_state_destroy (node);
-  node = sgr_config_state_create (&keys.owners, 4);
-  assert_int_equal (OFFER (chain[19]), SGR_OK);
-  assert_int_equal (OFFER (chain[21]), SGR_OK);
-  assert_int_equal (OFFER (chain[23]), SGR_OK);
-  assert_int_equal (sgr_config_state_step (node, 20, &step), SGR_OK);
   sgr_config_state_destroy (node);
-  node = sgr_config_state_create (&keys.owners, 4);
-  assert_int_equal (OFFER (chain[19]), SGR_OK);
-  assert_int_equal (sgr_config_state_offer_step (node, step.bytes, step.length, NULL), SGR_OK);
-  assert_memory_equal (sgr_config_state_record (node)->text.bytes, chain[23]->text.bytes,
-                       chain[23]->text.length);
-  /* Further ahead than the lineage reaches, both signatures are enough. */
-  sgr_config_state_destroy (node);
-  node = sgr_config_state_create (&keys.owners, 4);
-  assert_int_equal (OFFER (chain[0]), SGR_OK);
-  assert_int_equal (OFFER (chain[23]), SGR_OK);
-  for (int i = 0; i < 24; i++)
-    sgr_config_record_destroy (chain[i]);
-  sgr_config_record_destroy (fork);
-  sgr_config_record_destroy (fork_next);
-  sgr_config_state_destroy (node);
-  sgr_buffer_release (&step);
+}
+
+/* Guards against a step that leads to another record than the whole one, or that counts as a bad
+   record because the receiver has moved on meanwhile. */
+static void
+test_state_steps (void **state)
+{
+  static const struct
+  {
+    int first;
+    int second;
+    int last;
+  } cases[] = { { 6, 7, 9 }, { 0, 1, 2 }, { 19, 21, 23 } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      const sgr_config_record_t *last = chain[cases[i].last];
+      sgr_config_state_t *sender = node_at (cases[i].first);
+      sgr_config_state_t *receiver = node_at (cases[i].first);
+      sgr_buffer_t step = { 0 };
+
+      assert_int_equal (OFFER (sender, chain[cases[i].second]), SGR_OK);
+      assert_int_equal (OFFER (sender, last), SGR_OK);
+      assert_int_equal (sgr_config_state_step (sender, 0, &step), SGR_ERR_NOT_FOUND);
+      assert_int_equal (sgr_config_state_step (sender, (uint64_t)cases[i].first + 1, &step),
+                        SGR_OK);
+      assert_int_equal (sgr_config_state_offer_step (receiver, step.bytes, step.length, NULL),
+                        SGR_OK);
+      assert_memory_equal (sgr_config_state_record (receiver)->text.bytes, last->text.bytes,
+                           last->text.length);
+      assert_int_equal (sgr_config_state_offer_step (receiver, step.bytes, step.length, NULL),
+                        SGR_ERR_CONFLICT);
+      sgr_config_state_destroy (sender);
+      sgr_config_state_destroy (receiver);
+      sgr_buffer_release (&step);
+    }
 }
 
 /* Guards against an approval that is spent on another revision, or a replay of an old one. */
@@ -261,7 +302,9 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_record_tamper_table),
-    cmocka_unit_test (test_state_takes_only_the_chain),
+    cmocka_unit_test_setup_teardown (test_state_takes_only_the_chain, chain_setup, chain_teardown),
+    cmocka_unit_test_setup_teardown (test_state_watchers, chain_setup, chain_teardown),
+    cmocka_unit_test_setup_teardown (test_state_steps, chain_setup, chain_teardown),
     cmocka_unit_test (test_change_approval_is_bound),
     cmocka_unit_test (test_change_size),
   };
--- a/tests/test_config_commit.c
+++ b/tests/test_config_commit.c
@@ -130,19 +130,22 @@
                              on_result, result);
 }
 
+/** struct fault_case_t - fault of the next write to a key, and the results that are due */
+typedef struct
+{
+  const char *name;
+  const char *key;
+  fake_faults_t faults;
+  int proposed;
+  int approved;
+  uint64_t revision;
+} fault_case_t;
+
 /* Guards against a lost, dropped, late or refused write that is taken for its opposite. */
 static void
 test_commit_fault_table (void **state)
 {
-  static const struct
-  {
-    const char *name;
-    const char *key;
-    fake_faults_t faults;
-    int proposed;
-    int approved;
-    uint64_t revision;
-  } cases[] = {
+  static const fault_case_t cases[] = {
     { "no fault", "none", { 0 }, SGR_OK, SGR_OK, 1 },
     { "reply of the proposal lost", "changes/c", { .lose_reply = 100 }, SGR_OK, SGR_OK, 1 },
     { "proposal dropped", "changes/c", { .drop_write = 100 }, SGR_OK, SGR_OK, 1 },
