--- a/tests/test_config_chain.c
+++ b/tests/test_config_chain.c
@@ -10,6 +10,7 @@
 #include "config_change.h"
 #include "config_state.h"
 #include "config_support.h"
+#include "rng.h"
 
 static support_keys_t keys;
 
@@ -220,6 +221,74 @@
     }
 }
 
+/* Offers a record, one with a changed byte, or a step of another node. */
+static void
+random_offer (sgr_rng_t *rng, sgr_config_state_t **nodes, size_t count, sgr_config_state_t *node)
+{
+  const sgr_config_record_t *record = chain[sgr_rng_below (rng, CHAIN)];
+  const sgr_config_state_t *peer = nodes[sgr_rng_below (rng, count)];
+  sgr_buffer_t text = { 0 };
+
+  switch (sgr_rng_below (rng, 3))
+    {
+    case 0:
+      OFFER (node, record);
+      return;
+    case 1:
+      sgr_buffer_append (&text, record->text.bytes, record->text.length);
+      text.bytes[sgr_rng_below (rng, text.length)] ^= (uint8_t)(1u << sgr_rng_below (rng, 7));
+      sgr_config_state_offer (node, text.bytes, text.length, NULL);
+      break;
+    default:
+      if (sgr_config_state_step (peer, sgr_config_state_revision (node), &text) == SGR_OK)
+        sgr_config_state_offer_step (node, text.bytes, text.length, NULL);
+    }
+  sgr_buffer_release (&text);
+}
+
+/* Guards the invariant of every node under any order of records, old, changed or partial ones:
+   the revision never goes back, and what is in force is what both owners approved. */
+static void
+test_state_property (void **state)
+{
+  sgr_config_state_t *nodes[3];
+  uint64_t revisions[3] = { 0 }, taken = 0;
+  sgr_rng_t rng;
+
+  sgr_rng_seed (&rng, 42);
+  for (int i = 0; i < 3; i++)
+    nodes[i] = sgr_config_state_create (&keys.owners, 4);
+  for (int round = 0; round < 3000; round++)
+    {
+      size_t i = sgr_rng_below (&rng, 3);
+      const sgr_config_record_t *record;
+
+      if (sgr_rng_below (&rng, 40) == 0)
+        {
+          sgr_config_state_destroy (nodes[i]);
+          nodes[i] = sgr_config_state_create (&keys.owners, 4);
+          revisions[i] = 0;
+        }
+      random_offer (&rng, nodes, 3, nodes[i]);
+      record = sgr_config_state_record (nodes[i]);
+      assert_true (sgr_config_state_revision (nodes[i]) >= revisions[i]);
+      taken += sgr_config_state_revision (nodes[i]) > revisions[i];
+      revisions[i] = sgr_config_state_revision (nodes[i]);
+      if (record != NULL)
+        {
+          const sgr_config_record_t *approved = chain[revisions[i] - 1];
+
+          assert_true (sgr_config_digest_equal (&record->digest, &approved->digest));
+          assert_true (
+              sgr_config_digest_equal (&record->content->digest, &approved->content->digest));
+        }
+    }
+  /* Enough records must be taken, or the test shows nothing. */
+  assert_true (taken > 100);
+  for (int i = 0; i < 3; i++)
+    sgr_config_state_destroy (nodes[i]);
+}
+
 /* Guards against an approval that is spent on another revision, or a replay of an old one. */
 static void
 test_change_approval_is_bound (void **state)
@@ -305,6 +374,7 @@
     cmocka_unit_test_setup_teardown (test_state_takes_only_the_chain, chain_setup, chain_teardown),
     cmocka_unit_test_setup_teardown (test_state_watchers, chain_setup, chain_teardown),
     cmocka_unit_test_setup_teardown (test_state_steps, chain_setup, chain_teardown),
+    cmocka_unit_test_setup_teardown (test_state_property, chain_setup, chain_teardown),
     cmocka_unit_test (test_change_approval_is_bound),
     cmocka_unit_test (test_change_size),
   };
