--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -206,6 +206,7 @@
   char fields[128];
   sgr_probe_request_t request
       = { .port = entry->callers, .path = "/", .fields = fields, .timeout_ms = 2000 };
+  char last[1024] = "";
   bool is_ready = false;
 
   snprintf (fields, sizeof fields,
@@ -217,10 +218,14 @@
 
       sgr_probe_call (&request, &answer);
       is_ready = answer.end == SGR_PROBE_WHOLE && answer.status == 200;
+      snprintf (last, sizeof last, "end %d: %s%s", answer.end,
+                answer.head != NULL ? answer.head : "", answer.body != NULL ? answer.body : "");
       sgr_probe_release (&answer);
       if (!is_ready)
         sgr_fixture_pause ();
     }
+  if (!is_ready)
+    fprintf (stderr, "%s does not serve %s, %s\n", entry->name, service, last);
   return is_ready;
 }
 
@@ -268,8 +273,6 @@
           if (fixture->nodes[j].service == NULL
               || sgr_fixture_ready (&fixture->nodes[i], fixture->nodes[j].service))
             continue;
-          fprintf (stderr, "%s does not serve %s\n", fixture->nodes[i].name,
-                   fixture->nodes[j].service);
           logs_print (fixture);
           return false;
         }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -69,7 +69,7 @@
                 "}\n",
     "f:4: owners.public_key: both" },
   { NODE LISTEN "owners:\n  - {name: a, public_key: 12}\n  - {name: b, public_key: " KEY_2 "}\n",
-    "f:4: owners.public_key: expected 64" },
+    "f:4: owners.public_key: expected the content of a .pub file, or its 64 hexadecimal digits" },
   { NODE LISTEN OWNERS "tls: {certificate: /nonexistent, key: /nonexistent}\n",
     "f:6: certificate: " },
   { NODE LISTEN OWNERS "log: {level: loud}\n", "f:6: log.level: expected" },
