Answer unknown when a caller's own key cannot be bound

Cause: with the store down a repeat was answered not-run although an earlier call with the key had run; test_path_own_key failed in test_store_down_at_repeat and, because the wait for the store was no longer than one lost reply, in the case of the lost reply. Change: the outcome is unknown with a safe repeat, the store's time-out is 1 s and the wait covers the reads that settle a write.

--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -7,7 +7,8 @@
 #include "log.h"
 #include "store_http.h"
 
-#define STORE_TIMEOUT_MS 2000
+/* The store answers in milliseconds; a reply that takes this long is lost. */
+#define STORE_TIMEOUT_MS 1000
 
 struct sgr_control_config_t
 {
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -195,6 +195,20 @@
   return NULL;
 }
 
+/* Nothing was sent for this call, but an earlier call with the key may have run, and the caller asks
+   about both. A repeat with the same key is safe. */
+static void
+key_refuse (h2o_req_t *req, const char *reason)
+{
+  sgr_data_error_t error = { .status = 503,
+                             .outcome = SGR_OUTCOME_UNKNOWN,
+                             .reason = reason,
+                             .is_repeat_safe = true,
+                             .retry_after_ms = 1000 };
+
+  sgr_data_error_send (req, &error);
+}
+
 static void
 on_key_bound (void *ctx, sgr_result_t result, const sgr_issued_key_t *key)
 {
@@ -206,7 +220,7 @@
       sgr_data_call_start (pending->http->task, pending->req, pending->service, &pending->request);
       return;
     }
-  refuse (pending->req, 503, result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
+  key_refuse (pending->req, result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
 }
 
 static void
--- a/libsiskingrade/data_keys.c
+++ b/libsiskingrade/data_keys.c
@@ -8,6 +8,8 @@
 /* How often and how long a gate is waited for whose key generation is not known yet. */
 #define RETRY_US (2 * SGR_USEC_PER_MSEC)
 #define WAIT_US (2 * SGR_USEC_PER_SEC)
+/* Longest wait for the store; above the time-out of a write and of the reads that settle it. */
+#define BIND_US (5 * SGR_USEC_PER_SEC)
 
 struct sgr_data_keys_t
 {
@@ -68,6 +70,7 @@
   bind->key = job->key;
   bind->candidate = *candidate;
   sgr_id_map_put (job->keys->binds, job->id, job);
+  job->give_up_us = sgr_clock_monotonic_us () + BIND_US;
   sgr_timer_arm (task->timers, &job->timer, job->give_up_us);
   task->events.key_bind (task->events_ctx, bind);
 }
