Let reported target states expire, so that a restarted gate gets work again

Cause: the first refusal of a restarted gate carried the state left, because its target had not announced itself yet. Change: a reported state holds for 3 s, and a node whose target never announced itself reports none instead of left.

--- a/libsiskingrade/announce.c
+++ b/libsiskingrade/announce.c
@@ -169,6 +169,7 @@
   bool was_registered = announce->local.service[0] != '\0';
 
   announce->local = (sgr_snapshot_local_t){ 0 };
+  announce->has_left = announce->has_left || was_registered;
   return was_registered;
 }
 
--- a/libsiskingrade/announce.h
+++ b/libsiskingrade/announce.h
@@ -8,11 +8,13 @@
  * struct sgr_announce_t - the target that announced itself to this node
  * @local: what it announced, without a service if there is none
  * @expires_us: when it counts as gone unless it renews
+ * @has_left: a target was registered before and is not any more
  */
 typedef struct
 {
   sgr_snapshot_local_t local;
   uint64_t expires_us;
+  bool has_left;
 } sgr_announce_t;
 
 /**
--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -1,5 +1,8 @@
 #include "balancer_internal.h"
 
+/* Time in which membership spreads the state of a target to all nodes. */
+#define REPORTED_STATE_US (3 * SGR_USEC_PER_SEC)
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -259,6 +262,20 @@
   return b->order_count;
 }
 
+/* Drops reported states that membership has had the time to spread, or to contradict. A target that
+   is not chosen brings no new report, so that it would stay out for good. */
+static void
+reported_states_expire (sgr_balancer_t *b, uint64_t now_us)
+{
+  for (size_t i = 0; i < b->order_count; i++)
+    {
+      sgr_balancer_entry_t *entry = &b->entries[b->order[i]];
+
+      if (now_us > entry->estimate.reported_us + REPORTED_STATE_US)
+        entry->reported_state = SGR_TARGET_NONE;
+    }
+}
+
 /* State of a target for new work: a gate that reports draining is believed before membership. */
 static sgr_target_state_t
 state_of (const sgr_balancer_entry_t *entry)
@@ -325,6 +342,7 @@
   sgr_balancer_target_t trial = SGR_BALANCER_TARGET_NONE;
   size_t count;
 
+  reported_states_expire (b, now_us);
   if (!is_baseline)
     trial = trial_pick (b, now_us, exclude, exclude_count);
   if (trial != SGR_BALANCER_TARGET_NONE)
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "config_api.h"
-#include "log.h"
 #include "store_http.h"
 
 /* The store answers in milliseconds; a reply that takes this long is lost. */
@@ -23,8 +22,6 @@
 {
   sgr_control_config_t *config = ctx;
 
-  sgr_log_info ("configuration-in-force", "revision=%lu services=%zu",
-                sgr_config_state_revision (state), sgr_config_state_service_count (state));
   sgr_control_self_update (config->control);
   sgr_control_snapshot_due (config->control);
   sgr_config_api_notify (config->api);
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -55,7 +55,7 @@
   const sgr_snapshot_local_t *local = &control->announce.local;
 
   if (local->service[0] == '\0')
-    return SGR_TARGET_LEFT;
+    return control->announce.has_left ? SGR_TARGET_LEFT : SGR_TARGET_NONE;
   return sgr_control_probe_is_failing (control->probe) ? SGR_TARGET_NONE : local->state;
 }
 
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -195,8 +195,8 @@
   return NULL;
 }
 
-/* Nothing was sent for this call, but an earlier call with the key may have run, and the caller asks
-   about both. A repeat with the same key is safe. */
+/* Nothing was sent for this call, but an earlier call with the key may have run, and the caller
+   asks about both. A repeat with the same key is safe. */
 static void
 key_refuse (h2o_req_t *req, const char *reason)
 {
--- a/tests/test_balancer.c
+++ b/tests/test_balancer.c
@@ -209,6 +209,22 @@
   sgr_balancer_destroy (f.b);
 }
 
+/* Guards against a target that stays out for good: its gate restarted, reported left before its
+   target had announced itself, and membership showed no change between. */
+static void
+test_reported_left_expires (void **state)
+{
+  fixture_t f = fixture_make (&plain, 1);
+  sgr_load_report_t report = report_make (1, 0, 100);
+
+  report.state = SGR_TARGET_LEFT;
+  sgr_balancer_report_update (f.b, f.now_us, f.targets[0], &report);
+  assert_int_equal (sgr_balancer_pick (f.b, f.now_us, NULL, 0), SGR_BALANCER_TARGET_NONE);
+  f.now_us += 4 * SGR_USEC_PER_SEC;
+  assert_int_equal (sgr_balancer_pick (f.b, f.now_us, NULL, 0), f.targets[0]);
+  sgr_balancer_destroy (f.b);
+}
+
 /* Guards against fast errors that look like an idle, fast target, also where it is not ejected. */
 static void
 test_fail_fast_target_draws_little (void **state)
@@ -571,6 +587,7 @@
     cmocka_unit_test (test_targets_and_handles),
     cmocka_unit_test (test_eligibility_table),
     cmocka_unit_test (test_reported_draining_is_believed),
+    cmocka_unit_test (test_reported_left_expires),
     cmocka_unit_test (test_fail_fast_target_draws_little),
     cmocka_unit_test (test_ejection_cap_table),
     cmocka_unit_test (test_half_open_trials),
--- a/tests/test_path_own_key.c
+++ b/tests/test_path_own_key.c
@@ -113,20 +113,20 @@
 {
   const char *name;
   const char *fault;
-  int status;
   const char *outcome;
-  unsigned runs;
-  int repeat_status;
   const char *repeat_outcome;
+  int status;
+  int repeat_status;
+  unsigned runs;
   unsigned repeat_runs;
 } store_case_t;
 
 /* Each fault is set before the first call and cleared before its repeat through another node. */
 static const store_case_t store_cases[] = {
-  { "reply of the write lost", "lose_reply=1", 200, "complete", 1, 200, "complete", 0 },
-  { "write not taken, no reply", "drop_write=1", 503, "unknown", 0, 200, "complete", 1 },
-  { "store down", "outage=1", 503, "unknown", 0, 200, "complete", 1 },
-  { "store slow", "slow_ms=300", 200, "complete", 1, 200, "complete", 0 },
+  { "reply of the write lost", "lose_reply=1", "complete", "complete", 200, 200, 1, 0 },
+  { "write not taken, no reply", "drop_write=1", "unknown", "complete", 503, 200, 0, 1 },
+  { "store down", "outage=1", "unknown", "complete", 503, 200, 0, 1 },
+  { "store slow", "slow_ms=300", "complete", "complete", 200, 200, 1, 0 },
 };
 
 /* Guards against two runs, and against a wrong not-run, when the store fails at the binding. */
@@ -143,13 +143,13 @@
       store_fault (row->fault);
       assert_int_equal (call_with_key (ENTRY, key, "a", row->status, row->outcome), row->runs);
       store_fault ("outage=0&lose_reply=0&drop_write=0&slow_ms=0");
-      assert_int_equal (
-          call_with_key (OTHER, key, "a", row->repeat_status, row->repeat_outcome),
-          row->repeat_runs);
+      assert_int_equal (call_with_key (OTHER, key, "a", row->repeat_status, row->repeat_outcome),
+                        row->repeat_runs);
     }
 }
 
-/* Guards against a false not-run: the first call ran, and the store cannot be asked by the second. */
+/* Guards against a false not-run: the first call ran, and the store cannot be asked by the second.
+ */
 static void
 test_store_down_at_repeat (void **state)
 {
