--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD ?= build
 JOBS := $(shell nproc)
 PACKAGES := gcc make pkg-config libh2o-evloop-dev libprotobuf-c-dev protobuf-c-compiler \
-	libcmocka-dev libcyaml-dev libyaml-dev libjansson-dev libxxhash-dev libsodium-dev libssl-dev
+	libcmocka-dev libcyaml-dev libyaml-dev libjansson-dev libxxhash-dev libsodium-dev libssl-dev curl openssl
 CI_PACKAGES := clang-format clang-tidy cppcheck
 
 CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Ilibsiskingrade
