Bound the latency histograms by tenant; publish gate and balancer counts

Cause: each call looked its histogram up in a list by text, and callers choose the names of tenants, so that memory and the cost of a call grew with every new name; the counts of the gate and of the balancers were not published, and an answer with status 5xx fed the retry budget. Change: 64 pairs of tenant and class have a histogram of their own in each service, found by hash, others share one; the data task copies the counts once a second; 5xx answers are told to the call plan. Conclusion: memory of a node no longer depends on what callers send.

--- a/libsiskingrade/data_attempt.c
+++ b/libsiskingrade/data_attempt.c
@@ -90,10 +90,11 @@
                              .outcome = SGR_OUTCOME_COMPLETE,
                              .deeper = deeper_of (attempt) };
 
+  event.error_status = attempt->has_head && attempt->head->status >= 500;
   if (!attempt->has_head || end->length != attempt->received
       || (attempt->body_length >= 0 && (uint64_t)attempt->body_length != attempt->received))
     return SGR_ERR_INVALID;
-  sgr_data_attempt_balance (attempt, SGR_OUTCOME_COMPLETE, attempt->head->status >= 500, end->load);
+  sgr_data_attempt_balance (attempt, SGR_OUTCOME_COMPLETE, event.error_status, end->load);
   sgr_data_call_event (attempt->call, &event);
   return SGR_OK;
 }
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -206,14 +206,9 @@
 static void
 latency_record (sgr_data_call_t *call)
 {
-  uint64_t latency_us = sgr_clock_monotonic_us () - call->start_us;
-  char labels[3 * SGR_NAME_MAX + 64];
-
-  sgr_histogram_record (&call->service->latency, latency_us);
-  snprintf (labels, sizeof labels, "service=\"%s\",tenant=\"%s\",class=\"%s\"",
-            call->request.service, call->request.tenant, call->request.class_name);
-  sgr_histogram_record (
-      sgr_metrics_histogram (call->task->metrics, "siskingrade_call_seconds", labels), latency_us);
+  sgr_data_service_latency_record (call->service, call->task->metrics, call->request.tenant,
+                                   call->request.class_name,
+                                   sgr_clock_monotonic_us () - call->start_us);
 }
 
 static void
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -98,7 +98,6 @@
                                  .reason = SGR_CALL_REASON_REFUSED,
                                  .gate_reason = reason };
 
-  sgr_counter_add (gate->refused[reason], 1);
   run->handle = 0;
   while (run->streaming != NULL || run->joined != NULL)
     {
@@ -123,14 +122,7 @@
   gate->starts = sgr_metrics_counter (metrics, "siskingrade_gate_starts_total", "");
   gate->queued = sgr_metrics_counter (metrics, "siskingrade_gate_queued_total", "");
   gate->duplicates = sgr_metrics_counter (metrics, "siskingrade_gate_duplicates_total", "");
-  for (int i = 0; i < SGR_GATE_REASON_COUNT; i++)
-    {
-      char labels[96];
-
-      snprintf (labels, sizeof labels, "reason=\"%s\"",
-                sgr_gate_reason_name ((sgr_gate_reason_t)i));
-      gate->refused[i] = sgr_metrics_counter (metrics, "siskingrade_gate_refused_total", labels);
-    }
+  gate->misdirected = sgr_metrics_counter (metrics, "siskingrade_gate_misdirected_total", "");
 }
 
 sgr_data_gate_t *
@@ -325,8 +317,6 @@
 
   if (decision->kind == SGR_GATE_CONFLICT)
     refusal.reason = SGR_CALL_REASON_KEY_CONFLICT;
-  else
-    sgr_counter_add (gate->refused[decision->reason], 1);
   refusal.outcome = decision->kind == SGR_GATE_CONFLICT
                         ? decision->outcome
                         : refused_outcome (gate, now_us, attempt, decision->outcome);
@@ -362,6 +352,8 @@
   attempt.user = run;
   if (strcmp (call->service, gate->policy.service) == 0 && gate->client != NULL)
     sgr_gate_attempt_admit (gate->core, now_us, &attempt, &decision);
+  else
+    sgr_counter_add (gate->misdirected, 1);
   if (decision.kind == SGR_GATE_START || decision.kind == SGR_GATE_QUEUED)
     {
       admitted (gate, channel, call, run, &decision, &id);
@@ -397,3 +389,9 @@
   sgr_frame_load_set (load, &report);
   load->key_generation = sgr_gate_key_generation (gate->core, sgr_clock_monotonic_us ());
 }
+
+void
+sgr_data_gate_metrics_set (const sgr_data_gate_t *gate)
+{
+  sgr_gate_metrics_set (gate->core, gate->task->metrics);
+}
--- a/libsiskingrade/data_gate.h
+++ b/libsiskingrade/data_gate.h
@@ -56,6 +56,9 @@
 /** sgr_data_gate_is_idle() - whether no request is queued, runs or has an unsent answer */
 bool sgr_data_gate_is_idle (const sgr_data_gate_t *gate);
 
+/** sgr_data_gate_metrics_set() - write the state of the gate into the task's registry */
+void sgr_data_gate_metrics_set (const sgr_data_gate_t *gate);
+
 /** sgr_data_gate_load() - load and key generation of the gate as a message */
 void sgr_data_gate_load (const sgr_data_gate_t *gate, Sgr__Pb__LoadReport *load);
 
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -63,6 +63,7 @@
   bool is_stopped;
   bool had_snapshot;
   sgr_timer_t drain_timer;
+  sgr_timer_t metrics_timer;
   uint64_t drain_deadline_us;
 };
 
--- a/libsiskingrade/data_send.c
+++ b/libsiskingrade/data_send.c
@@ -5,21 +5,29 @@
 #include "data_link.h"
 #include "http_fields.h"
 
+/* Sends a small frame about an attempt; @id is the place for the attempt's id in the message. */
+static void
+control_send (sgr_data_attempt_t *attempt, Sgr__Pb__PeerFrame *frame, Sgr__Pb__AttemptId **id)
+{
+  Sgr__Pb__AttemptId message;
+
+  if (attempt->link == NULL)
+    return;
+  sgr_frame_id_set (&message, &attempt->id);
+  *id = &message;
+  sgr_data_link_send (attempt->link, frame, SGR_PEER_URGENT);
+}
+
 void
 sgr_data_send_cancel (sgr_data_attempt_t *attempt)
 {
   Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
   Sgr__Pb__Cancel message = SGR__PB__CANCEL__INIT;
-  Sgr__Pb__AttemptId id;
 
-  if (attempt->link == NULL)
-    return;
-  sgr_frame_id_set (&id, &attempt->id);
-  message.id = &id;
   message.gate_boot = attempt->gate_boot;
   frame.body_case = SGR__PB__PEER_FRAME__BODY_CANCEL;
   frame.cancel = &message;
-  sgr_data_link_send (attempt->link, &frame, SGR_PEER_URGENT);
+  control_send (attempt, &frame, &message.id);
 }
 
 void
@@ -27,16 +35,11 @@
 {
   Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
   Sgr__Pb__Query message = SGR__PB__QUERY__INIT;
-  Sgr__Pb__AttemptId id;
 
-  if (attempt->link == NULL)
-    return;
-  sgr_frame_id_set (&id, &attempt->id);
-  message.id = &id;
   message.gate_boot = attempt->gate_boot;
   frame.body_case = SGR__PB__PEER_FRAME__BODY_QUERY;
   frame.query = &message;
-  sgr_data_link_send (attempt->link, &frame, SGR_PEER_URGENT);
+  control_send (attempt, &frame, &message.id);
 }
 
 void
@@ -44,16 +47,13 @@
 {
   Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
   Sgr__Pb__Credit message = SGR__PB__CREDIT__INIT;
-  Sgr__Pb__AttemptId id;
 
-  if (attempt->link == NULL || bytes == 0)
+  if (bytes == 0)
     return;
-  sgr_frame_id_set (&id, &attempt->id);
-  message.id = &id;
   message.bytes = (uint32_t)bytes;
   frame.body_case = SGR__PB__PEER_FRAME__BODY_CREDIT;
   frame.credit = &message;
-  sgr_data_link_send (attempt->link, &frame, SGR_PEER_URGENT);
+  control_send (attempt, &frame, &message.id);
 }
 
 static size_t
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -1,12 +1,16 @@
 #include "data_service.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Starting values for links that were not measured yet; the balancer learns the latency itself. */
 #define LINK_SAME_DOMAIN_US 200
 #define LINK_SAME_REGION_US 8000
 #define LINK_FAR_US 60000
+/* Pairs of tenant and class with a histogram of their own, for each service. */
+#define SERIES_MAX 64
 
 struct sgr_data_services_t
 {
@@ -29,6 +33,7 @@
 service_destroy (sgr_data_service_t *service)
 {
   sgr_balancer_destroy (service->balancer);
+  sgr_id_map_destroy (service->series);
   free (service);
 }
 
@@ -106,6 +111,7 @@
   sgr_invariant (service != NULL && !is_found);
   service->balancer = sgr_balancer_create (&options);
   sgr_invariant (service->balancer != NULL);
+  service->series = sgr_id_map_create ();
   sgr_retry_budget_init (&service->retries, policy->retry_percent);
   services->list = realloc (services->list, (services->count + 1) * sizeof (sgr_data_service_t *));
   sgr_invariant (services->list != NULL);
@@ -216,3 +222,58 @@
     *node = sgr_balancer_target_info (service->balancer, target)->node;
   return target;
 }
+
+static uint64_t
+series_key (const char *tenant, const char *class_name)
+{
+  return XXH64 (class_name, strlen (class_name), XXH64 (tenant, strlen (tenant), 0));
+}
+
+static sgr_histogram_t *
+series_add (sgr_data_service_t *service, sgr_metrics_t *metrics, const char *tenant,
+            const char *class_name)
+{
+  char labels[3 * SGR_NAME_MAX + 64];
+  sgr_histogram_t *histogram;
+
+  snprintf (labels, sizeof labels, "service=\"%s\",tenant=\"%s\",class=\"%s\"",
+            service->policy.service, tenant, class_name);
+  histogram = sgr_metrics_histogram (metrics, "siskingrade_call_seconds", labels);
+  sgr_id_map_put (service->series, series_key (tenant, class_name), histogram);
+  return histogram;
+}
+
+void
+sgr_data_service_latency_record (sgr_data_service_t *service, sgr_metrics_t *metrics,
+                                 const char *tenant, const char *class_name, uint64_t latency_us)
+{
+  sgr_histogram_t *histogram = sgr_id_map_get (service->series, series_key (tenant, class_name));
+
+  if (histogram == NULL && sgr_id_map_count (service->series) >= SERIES_MAX)
+    {
+      tenant = "other";
+      class_name = "other";
+      histogram = sgr_id_map_get (service->series, series_key (tenant, class_name));
+    }
+  if (histogram == NULL)
+    histogram = series_add (service, metrics, tenant, class_name);
+  sgr_histogram_record (histogram, latency_us);
+  sgr_histogram_record (&service->latency, latency_us);
+}
+
+void
+sgr_data_services_metrics_set (const sgr_data_services_t *services, sgr_metrics_t *metrics)
+{
+  for (int reason = 0; reason < SGR_BALANCER_REASON_COUNT; reason++)
+    {
+      uint64_t sum = 0;
+      char labels[64];
+
+      for (size_t i = 0; i < services->count; i++)
+        sum += sgr_balancer_count (services->list[i]->balancer, (sgr_balancer_reason_t)reason);
+      snprintf (labels, sizeof labels, "event=\"%s\"",
+                sgr_balancer_reason_name ((sgr_balancer_reason_t)reason));
+      sgr_counter_set (sgr_metrics_counter (metrics, "siskingrade_balancer_events_total", labels),
+                       sum);
+    }
+}
--- a/libsiskingrade/data_service.h
+++ b/libsiskingrade/data_service.h
@@ -9,6 +9,7 @@
  * @balancer: targets of the service
  * @retries: retry budget
  * @latency: latency of complete calls, for the delay of hedges
+ * @series: latency histograms by hash of tenant and class
  */
 struct sgr_data_service_t
 {
@@ -16,6 +17,7 @@
   sgr_balancer_t *balancer;
   sgr_retry_budget_t retries;
   sgr_histogram_t latency;
+  sgr_id_map_t *series;
   bool is_present;
 };
 
@@ -27,6 +29,24 @@
 void sgr_data_services_update (sgr_data_services_t *services, const sgr_snapshot_t *old,
                                uint64_t now_us);
 
+/**
+ * sgr_data_service_latency_record() - count a complete call
+ * @service: the service
+ * @metrics: registry of the task
+ * @tenant: tenant of the call
+ * @class_name: class of the call
+ * @latency_us: time from its arrival to its answer, microseconds
+ *
+ * Callers choose the names of tenants and classes, so that only a number of them get a histogram of
+ * their own; the others share one.
+ */
+void sgr_data_service_latency_record (sgr_data_service_t *service, sgr_metrics_t *metrics,
+                                      const char *tenant, const char *class_name,
+                                      uint64_t latency_us);
+
+/** sgr_data_services_metrics_set() - events of all balancers together */
+void sgr_data_services_metrics_set (const sgr_data_services_t *services, sgr_metrics_t *metrics);
+
 /** sgr_data_service_find() - service by name, NULL if the configuration has none */
 sgr_data_service_t *sgr_data_service_find (sgr_data_services_t *services, const char *name);
 
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -14,6 +14,8 @@
 
 #define IDLE_PING_US (15 * SGR_USEC_PER_SEC)
 #define DRAIN_POLL_US (5 * SGR_USEC_PER_MSEC)
+/* Values that the decision modules count themselves are copied into the registry this often. */
+#define METRICS_US (1 * SGR_USEC_PER_SEC)
 
 typedef enum
 {
@@ -64,6 +66,16 @@
          && sgr_data_gate_is_idle (task->gate);
 }
 
+static void
+on_metrics_timer (void *ctx, uint64_t now_us)
+{
+  sgr_data_task_t *task = ctx;
+
+  sgr_data_gate_metrics_set (task->gate);
+  sgr_data_services_metrics_set (task->services, task->metrics);
+  sgr_timer_arm (task->timers, &task->metrics_timer, now_us + METRICS_US);
+}
+
 static void
 on_drain_timer (void *ctx, uint64_t now_us)
 {
@@ -191,6 +203,7 @@
   task->timers = sgr_timer_heap_create ();
   task->metrics = sgr_metrics_create ();
   task->drain_timer = (sgr_timer_t){ .fire = on_drain_timer, .ctx = task };
+  task->metrics_timer = (sgr_timer_t){ .fire = on_metrics_timer, .ctx = task };
   sgr_rng_seed (&task->rng, boot);
   task->attempts = sgr_id_map_create ();
   task->mailbox = sgr_mailbox_create (task->loop, on_message, task);
@@ -203,6 +216,7 @@
   task->peers = sgr_data_peers_create (task, errors);
   if (task->peers != NULL)
     task->http = sgr_data_http_create (task, errors);
+  sgr_timer_arm (task->timers, &task->metrics_timer, sgr_clock_monotonic_us ());
   if (task->http == NULL || pthread_create (&task->thread, NULL, run, task) != 0)
     {
       task_free (task);
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -116,7 +116,7 @@
   sgr_counter_t *starts;
   sgr_counter_t *queued;
   sgr_counter_t *duplicates;
-  sgr_counter_t *refused[SGR_GATE_REASON_COUNT];
+  sgr_counter_t *misdirected;
 };
 
 /* Waiters, gate_waiter.c. */
--- a/libsiskingrade/membership.c
+++ b/libsiskingrade/membership.c
@@ -63,7 +63,7 @@
 
   m->probe.next_us = m->probe.due_us = now_us + sgr_rng_below (&m->rng, period_us);
   m->sync.due_us = now_us + sgr_rng_below (&m->rng, period_us);
-  m->sync.todo = UINT64_MAX;
+  m->sync.missing_groups = UINT64_MAX;
   m->sync.behind = true;
   m->budget.sync_first = true;
   m->sync.introductions = SGR_MEMBERSHIP_INTRODUCTIONS;
@@ -428,7 +428,7 @@
 bool
 sgr_membership_is_synced (const sgr_membership_t *m)
 {
-  return m->sync.todo == 0;
+  return m->sync.missing_groups == 0;
 }
 
 uint64_t
--- a/libsiskingrade/membership_internal.h
+++ b/libsiskingrade/membership_internal.h
@@ -66,7 +66,7 @@
 
 /**
  * struct sgr_membership_sync_t - state transfer
- * @todo: groups that the first full pull has not completed
+ * @missing_groups: groups that the first full pull has not completed
  * @behind: whether the last exchange brought news, so that the next one follows soon
  * @fruitless: pulls in a row that brought no news
  * @asked: groups of the last pull
@@ -77,7 +77,7 @@
  */
 typedef struct
 {
-  uint64_t todo;
+  uint64_t missing_groups;
   bool behind;
   uint32_t fruitless;
   uint64_t asked;
--- a/libsiskingrade/membership_probe.c
+++ b/libsiskingrade/membership_probe.c
@@ -77,7 +77,7 @@
   probe->stage = SGR_MEMBERSHIP_PROBE_IDLE;
   probe->next_us = now_us + stretched_us (m, m->options.probe_period_ms);
   /* Nodes that know few members would all probe the contacts. */
-  if (m->sync.todo != 0)
+  if (m->sync.missing_groups != 0)
     probe->next_us = now_us + PULLING_PERIODS * stretched_us (m, m->options.probe_period_ms);
   probe->due_us = probe->next_us;
   if (handle == SGR_MEMBERSHIP_NONE)
@@ -299,7 +299,7 @@
   if (m->queue.count[SGR_MEMBERSHIP_LEAVING] > 0 || m->revision_sends > 0)
     return true;
   /* Health updates travel on probes too; they get rounds of their own while bytes are left over. */
-  return m->queue.count[SGR_MEMBERSHIP_HEALTH] > 0 && m->sync.todo == 0
+  return m->queue.count[SGR_MEMBERSHIP_HEALTH] > 0 && m->sync.missing_groups == 0
          && m->budget.tokens[SGR_MEMBERSHIP_UPDATES]
                 > m->budget.capacity[SGR_MEMBERSHIP_UPDATES] / 2;
 }
@@ -365,7 +365,7 @@
   dead = random_dead (m);
   if (dead != SGR_MEMBERSHIP_NONE)
     ping_send (m, now_us, dead, ++m->sequence, SGR_MEMBERSHIP_SYNC);
-  if (m->contact_count == 0 || m->sync.todo != 0)
+  if (m->contact_count == 0 || m->sync.missing_groups != 0)
     return;
   contact = &m->contacts[sgr_rng_below (&m->rng, m->contact_count)];
   if (sgr_membership_table_find_address (&m->table, contact, SGR_MEMBERSHIP_NONE)
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -65,7 +65,7 @@
   if (tokens < RECORD_BYTES_MIN)
     return;
   /* A node that still pulls the full state knows few others, mostly contacts. */
-  if (m->sync.todo != 0 && tokens > PULLING_UPDATE_BYTES)
+  if (m->sync.missing_groups != 0 && tokens > PULLING_UPDATE_BYTES)
     tokens = PULLING_UPDATE_BYTES;
   if ((double)writer->size + tokens < (double)limit)
     limit = writer->size + (size_t)tokens;
--- a/libsiskingrade/membership_suspicion.c
+++ b/libsiskingrade/membership_suspicion.c
@@ -23,7 +23,7 @@
   double share;
 
   /* A node that knows only a part of the members would take their number for smaller than it is. */
-  if (m->sync.todo != 0)
+  if (m->sync.missing_groups != 0)
     return (uint64_t)longest;
   /* The suspect, this node and those that cannot be asked do not confirm. */
   if (expected < 1)
--- a/libsiskingrade/membership_sync.c
+++ b/libsiskingrade/membership_sync.c
@@ -205,9 +205,9 @@
       return;
     }
   address = sgr_membership_address (m, peer);
-  if (sync->todo != 0)
+  if (sync->missing_groups != 0)
     {
-      pull_send (m, now_us, &address, sync->todo);
+      pull_send (m, now_us, &address, sync->missing_groups);
       sync->due_us = now_us + PULL_TIMEOUT_US;
       return;
     }
@@ -249,7 +249,7 @@
               const sgr_membership_message_t *message)
 {
   /* The sequence is 0 while no answer is awaited. */
-  if (m->sync.sequence == 0 || message->sequence != m->sync.sequence || m->sync.todo != 0)
+  if (m->sync.sequence == 0 || message->sequence != m->sync.sequence || m->sync.missing_groups != 0)
     return;
   if (message->groups != 0)
     pull_send (m, now_us, from, message->groups);
@@ -406,13 +406,13 @@
     }
   m->counters.syncs++;
   give_asked (m, now_us, from, message);
-  if (sync->todo != 0)
+  if (sync->missing_groups != 0)
     {
       /* A group is complete when a peer had nothing new in it: when many nodes start at once, the
          first peers know little themselves. */
       if (news == 0)
-        sync->todo &= ~(message->groups & sync->asked);
-      m->budget.sync_first = sync->todo != 0;
+        sync->missing_groups &= ~(message->groups & sync->asked);
+      m->budget.sync_first = sync->missing_groups != 0;
       sync->due_us = now_us;
     }
   else if (news > 0 || ++sync->fruitless < FRUITLESS_MAX)
--- /dev/null
+++ b/tests/test_data_service.c
@@ -0,0 +1,130 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "data_internal.h"
+#include "data_service.h"
+
+/* Services and targets of the data task as snapshots replace each other. */
+
+typedef struct
+{
+  sgr_settings_t settings;
+  sgr_data_task_t task;
+} rig_t;
+
+static void
+rig_start (rig_t *rig)
+{
+  memset (rig, 0, sizeof *rig);
+  rig->task.settings = &rig->settings;
+  sgr_rng_seed (&rig->task.rng, 1);
+  rig->task.metrics = sgr_metrics_create ();
+  rig->task.services = sgr_data_services_create (&rig->task);
+}
+
+static void
+rig_stop (rig_t *rig)
+{
+  sgr_data_services_destroy (rig->task.services);
+  sgr_metrics_destroy (rig->task.metrics);
+  sgr_snapshot_unref (rig->task.snapshot);
+}
+
+/* Gives the task a snapshot with one service and a member that serves @member_service. */
+static void
+rig_snapshot (rig_t *rig, const char *service, const char *member_service)
+{
+  sgr_snapshot_t *old = rig->task.snapshot;
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (1, 1);
+
+  sgr_policy_init (&snapshot->policies[0], service);
+  snapshot->policy_count = 1;
+  snapshot->members[0] = (sgr_member_t){ .id = 7, .slots = 4 };
+  snapshot->members[0].target_state = SGR_TARGET_SERVING;
+  snprintf (snapshot->members[0].service, sizeof snapshot->members[0].service, "%s",
+            member_service);
+  snapshot->member_count = member_service[0] != '\0' ? 1 : 0;
+  rig->task.snapshot = snapshot;
+  sgr_data_services_update (rig->task.services, old, 1);
+  sgr_snapshot_unref (old);
+}
+
+static bool
+has_target (rig_t *rig, const char *service)
+{
+  sgr_data_service_t *found = sgr_data_service_find (rig->task.services, service);
+  sgr_node_id_t node = 0;
+
+  return found != NULL
+         && sgr_data_service_pick (found, 2, NULL, 0, &node) != SGR_BALANCER_TARGET_NONE;
+}
+
+/* Guards against calls to a target that left the service, and against a target that returns and is
+   not chosen again. */
+static void
+test_target_moves (void **state)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  rig_snapshot (&rig, "a", "a");
+  assert_true (has_target (&rig, "a"));
+  rig_snapshot (&rig, "a", "");
+  assert_false (has_target (&rig, "a"));
+  rig_snapshot (&rig, "a", "a");
+  assert_true (has_target (&rig, "a"));
+  rig_snapshot (&rig, "a", "b");
+  assert_false (has_target (&rig, "a"));
+  rig_snapshot (&rig, "b", "b");
+  assert_null (sgr_data_service_find (rig.task.services, "a"));
+  assert_true (has_target (&rig, "b"));
+  rig_stop (&rig);
+}
+
+/* Guards against metrics that grow with the tenant names that callers make up. */
+static void
+test_series_are_bounded (void **state)
+{
+  sgr_buffer_t text = { 0 };
+  sgr_data_service_t *service;
+  size_t lines = 0;
+  rig_t rig;
+
+  rig_start (&rig);
+  rig_snapshot (&rig, "a", "a");
+  service = sgr_data_service_find (rig.task.services, "a");
+  for (int i = 0; i < 5000; i++)
+    {
+      char tenant[16];
+
+      snprintf (tenant, sizeof tenant, "t%d", i);
+      sgr_data_service_latency_record (service, rig.task.metrics, tenant, "c", 1000);
+    }
+  sgr_metrics_print (rig.task.metrics, &text);
+  sgr_buffer_append (&text, "", 1);
+  for (const char *at = (const char *)text.bytes; (at = strstr (at, "_count{")) != NULL; at++)
+    lines++;
+  assert_in_range (lines, 2, 65);
+  assert_non_null (strstr ((const char *)text.bytes,
+                           "_count{service=\"a\",tenant=\"other\",class=\"other\"} 4936\n"));
+  assert_non_null (strstr ((const char *)text.bytes, "tenant=\"t0\",class=\"c\"} 1\n"));
+  sgr_buffer_release (&text);
+  rig_stop (&rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_target_moves),
+    cmocka_unit_test (test_series_are_bounded),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
