Drop a target that takes no connection before its announcement expires

Cause: a killed target stayed registered until its announcement expired after 3 s; keys were issued for its gate meanwhile, and a key cannot leave its gate. Change: two failed connections in a row end the registration, the next renewal of a living target restores it. Conclusion: the node beside a target learns of its death from its own connections first.

--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -31,6 +31,7 @@
 {
   MESSAGE_DRAINED,
   MESSAGE_KEY_BIND,
+  MESSAGE_TARGET_UNREACHABLE,
 } message_kind_t;
 
 static sgr_membership_t *
@@ -212,19 +213,33 @@
     stop_begin (sock->data);
 }
 
+static void
+drained (sgr_control_t *control)
+{
+  sgr_log_info ("drained", "calls=0");
+  control->is_drained = true;
+  stop_if_drained (control);
+}
+
 static void
 on_message (void *ctx, int kind, void *message)
 {
   sgr_control_t *control = ctx;
 
-  if (kind == MESSAGE_KEY_BIND)
+  switch ((message_kind_t)kind)
     {
+    case MESSAGE_KEY_BIND:
       sgr_control_keys_bind (control->keys, message);
-      return;
+      break;
+    case MESSAGE_TARGET_UNREACHABLE:
+      /* A target that lives renews its announcement and is back with that. */
+      if (sgr_announce_leave (&control->announce))
+        sgr_control_local_changed (control);
+      break;
+    case MESSAGE_DRAINED:
+      drained (control);
+      break;
     }
-  sgr_log_info ("drained", "calls=0");
-  control->is_drained = true;
-  stop_if_drained (control);
 }
 
 static void
@@ -239,9 +254,16 @@
   sgr_mailbox_send (((sgr_control_t *)ctx)->mailbox, MESSAGE_KEY_BIND, bind);
 }
 
+static void
+on_target_unreachable (void *ctx)
+{
+  sgr_mailbox_send (((sgr_control_t *)ctx)->mailbox, MESSAGE_TARGET_UNREACHABLE, NULL);
+}
+
 static const sgr_data_task_events_t data_events = {
   .drained = on_drained,
   .key_bind = on_key_bind,
+  .target_unreachable = on_target_unreachable,
 };
 
 static sgr_result_t
--- a/libsiskingrade/data_task.h
+++ b/libsiskingrade/data_task.h
@@ -42,11 +42,13 @@
  * receiver only hands them on
  * @drained: no call is open any more after sgr_data_task_drain()
  * @key_bind: a caller's own key is to be bound; takes over @bind
+ * @target_unreachable: the local target takes no connection
  */
 typedef struct
 {
   void (*drained) (void *ctx);
   void (*key_bind) (void *ctx, sgr_data_key_bind_t *bind);
+  void (*target_unreachable) (void *ctx);
 } sgr_data_task_events_t;
 
 /**
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Connections to the target that may fail in a row before it counts as gone. */
+#define CONNECT_FAILURES_MAX 2
 /* Longest answer that is recorded for a key; longer ones are passed on but not kept. */
 #define RECORD_MAX_BYTES (64U * 1024)
 
@@ -62,6 +64,8 @@
 {
   sgr_gate_run_t *run = ctx;
 
+  run->is_connected = true;
+  run->gate->connect_failures = 0;
   if (!sgr_gate_attempt_started (run->gate->core, run->handle))
     return false;
   run->started_us = sgr_clock_monotonic_us ();
@@ -192,11 +196,21 @@
   sgr_gate_run_settle (run);
 }
 
+/* A target that takes no connection is gone before its announcement expires. */
+static void
+connect_failed (sgr_data_gate_t *gate)
+{
+  if (++gate->connect_failures % CONNECT_FAILURES_MAX == 0)
+    gate->task->events.target_unreachable (gate->task->events_ctx);
+}
+
 static void
 on_failed (void *ctx, bool is_started, const char *reason)
 {
   sgr_gate_run_t *run = ctx;
 
+  if (!run->is_connected)
+    connect_failed (run->gate);
   end_without_answer (run, is_started ? SGR_OUTCOME_UNKNOWN : SGR_OUTCOME_NOT_RUN,
                       is_started ? SGR_CALL_REASON_CONNECTION_LOST : SGR_CALL_REASON_NO_TARGET);
 }
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -47,6 +47,7 @@
  * @backlog: bytes of the answer without credit yet
  * @record: recorded head and body, in the form of sgr_gate_answer_send()
  * @is_recording: the record is whole so far
+ * @is_connected: a connection to the target was there
  * @is_whole: the whole answer arrived
  */
 typedef struct sgr_gate_run_t
@@ -73,6 +74,7 @@
   sgr_buffer_t backlog;
   sgr_buffer_t record;
   bool is_recording;
+  bool is_connected;
   bool is_whole;
 } sgr_gate_run_t;
 
@@ -98,6 +100,7 @@
  * @waiters: waiters by hash of the attempt id
  * @first_run: list of all runs
  * @runs: their number
+ * @connect_failures: connections to the target that failed in a row
  */
 struct sgr_data_gate_t
 {
@@ -112,6 +115,7 @@
   sgr_id_map_t *waiters;
   sgr_gate_run_t *first_run;
   size_t runs;
+  unsigned connect_failures;
   sgr_timer_t tick;
   sgr_counter_t *starts;
   sgr_counter_t *queued;
