Take a target back when its service has no probes any more

Cause, found by reading: a target that failed its probes stayed not ready when the owners then set the probe budget to zero, since no success could end the state. The state is now cleared whenever no probe is allowed. No test covers the change of the budget on real processes yet.

--- a/libsiskingrade/control_probe.c
+++ b/libsiskingrade/control_probe.c
@@ -47,6 +47,14 @@
   sgr_control_local_changed (probe->control);
 }
 
+/* Without probes no success could end the failing state. */
+static void
+failing_clear (sgr_control_probe_t *probe)
+{
+  probe->failures = 0;
+  failing_set (probe, false);
+}
+
 static void
 result_take (sgr_control_probe_t *probe, bool is_ok)
 {
@@ -143,6 +151,7 @@
   if (policy == NULL || !is_entitled (probe, policy))
     {
       probe->has_budget = false;
+      failing_clear (probe);
       return;
     }
   is_same = strcmp (probe->service, policy->service) == 0;
@@ -158,7 +167,12 @@
     probe->has_budget = sgr_probe_budget_init (&probe->budget, &config, now_us) == SGR_OK;
   else
     probe->has_budget = true;
-  if (probe->has_budget && probe->timer.position == 0 && !probe->is_active)
+  if (probe->is_active)
+    return;
+  if (!probe->has_budget
+      || sgr_probe_budget_next_us (&probe->budget, now_us, PROBE_BYTES) == SGR_TIMER_NEVER)
+    failing_clear (probe);
+  else if (probe->timer.position == 0)
     next_arm (probe, now_us);
 }
 
