--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -94,7 +94,7 @@
   sgr_rng_seed (&task.rng, 1);
   built = cpu_us ();
   for (int i = 0; i < ROUNDS; i++)
-    sgr_snapshot_unref (snapshot_make (size));
+    sgr_snapshot_destroy (snapshot_make (size));
   built = (cpu_us () - built) / ROUNDS;
   heap = heap_bytes ();
   task.services = sgr_data_services_create (&task);
@@ -111,7 +111,7 @@
           (double)snapshot_bytes / 1024.0, (double)heap / 1024.0, built / 1000.0, first / 1000.0,
           again / 1000.0);
   sgr_data_services_destroy (task.services);
-  sgr_snapshot_unref (snapshot);
+  sgr_snapshot_destroy (snapshot);
 }
 
 static void
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -36,17 +36,6 @@
   return control->member_count;
 }
 
-static void
-owners_copy (const sgr_settings_t *settings, sgr_config_owners_t *owners)
-{
-  memcpy (owners->deployment, settings->deployment, sizeof owners->deployment);
-  for (size_t i = 0; i < SGR_CONFIG_OWNERS; i++)
-    {
-      memcpy (owners->owner[i].name, settings->owners[i].name, sizeof owners->owner[i].name);
-      memcpy (owners->owner[i].key, settings->owners[i].public_key, sizeof owners->owner[i].key);
-    }
-}
-
 sgr_control_config_t *
 sgr_control_config_create (sgr_control_t *control, h2o_hostconf_t *host)
 {
@@ -61,7 +50,8 @@
   if (settings->store.port != 0)
     config->store = sgr_store_http_create (control->loop, &store);
   sgr_config_io_options_init (&options);
-  owners_copy (settings, &options.owners);
+  memcpy (options.owners.deployment, settings->deployment, sizeof options.owners.deployment);
+  memcpy (options.owners.owner, settings->owners, sizeof options.owners.owner);
   options.sync.self = sgr_node_id_of (settings->name);
   options.sync.seed = control->boot;
   memcpy (options.sync.failure_domain, settings->failure_domain,
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -89,7 +89,6 @@
 
   snapshot->local = control->announce.local;
   snapshot->local.state = local_state (control);
-  snapshot->config_revision = sgr_config_state_revision (state);
   for (size_t i = 0; i < control->member_count; i++)
     {
       if (control->members[i].service[0] != '\0')
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -284,8 +284,7 @@
 }
 
 static sgr_gate_run_t *
-run_create (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const Sgr__Pb__Call *call,
-            const sgr_attempt_t *attempt, const void *body, size_t body_length)
+run_create (sgr_data_gate_t *gate, const Sgr__Pb__Call *call, const sgr_attempt_t *attempt)
 {
   sgr_gate_run_t *run = calloc (1, sizeof *run);
 
@@ -296,7 +295,6 @@
   run->is_head_method = strcmp (call->method, "HEAD") == 0;
   run->deadline_us = attempt->deadline_us;
   run->deadline = (sgr_timer_t){ .fire = on_deadline, .ctx = run };
-  sgr_gate_request_write (call, &attempt->id, body, body_length, &run->message);
   run->id = attempt->id;
   run->credit = call->credit < SGR_GATE_CREDIT_MAX_BYTES ? call->credit : SGR_GATE_CREDIT_MAX_BYTES;
   run->next = gate->first_run;
@@ -324,11 +322,11 @@
 }
 
 static void
-admitted (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const Sgr__Pb__Call *call,
-          sgr_gate_run_t *run, const sgr_gate_decision_t *decision, const sgr_attempt_id_t *id)
+admitted (sgr_data_gate_t *gate, sgr_data_channel_t *channel, sgr_gate_run_t *run,
+          const sgr_gate_decision_t *decision)
 {
   run->handle = decision->handle;
-  run->streaming = sgr_gate_waiter_create (gate, channel, id, run->credit, run);
+  run->streaming = sgr_gate_waiter_create (gate, channel, &run->id, run->credit, run);
   if (decision->kind == SGR_GATE_START)
     run_start (run);
   else
@@ -348,7 +346,7 @@
   sgr_gate_run_t *run;
 
   attempt_fill (&attempt, call, &id, now_us);
-  run = run_create (gate, channel, call, &attempt, body, body_length);
+  run = run_create (gate, call, &attempt);
   attempt.user = run;
   if (strcmp (call->service, gate->policy.service) == 0 && gate->client != NULL)
     sgr_gate_attempt_admit (gate->core, now_us, &attempt, &decision);
@@ -356,7 +354,9 @@
     sgr_counter_add (gate->misdirected, 1);
   if (decision.kind == SGR_GATE_START || decision.kind == SGR_GATE_QUEUED)
     {
-      admitted (gate, channel, call, run, &decision, &id);
+      /* Only now, so that a refusal under overload does not copy the body. */
+      sgr_gate_request_write (call, &id, body, body_length, &run->message);
+      admitted (gate, channel, run, &decision);
       tick_arm (gate, now_us);
       return;
     }
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -56,7 +56,7 @@
   sgr_data_services_update (task->services, old, now_us);
   sgr_data_gate_update (task->gate, now_us);
   task->had_snapshot = true;
-  sgr_snapshot_unref (old);
+  sgr_snapshot_destroy (old);
 }
 
 static bool
@@ -178,7 +178,7 @@
   sgr_data_services_destroy (task->services);
   sgr_data_gate_destroy (task->gate);
   sgr_id_map_destroy (task->attempts);
-  sgr_snapshot_unref (task->snapshot);
+  sgr_snapshot_destroy (task->snapshot);
   /* Closed connections are due at time 0 and freed by their timers. */
   sgr_timer_heap_run (task->timers, 0);
   sgr_timer_heap_destroy (task->timers);
--- a/libsiskingrade/data_task.h
+++ b/libsiskingrade/data_task.h
@@ -65,7 +65,7 @@
                                       const sgr_data_task_events_t *events, void *ctx,
                                       sgr_buffer_t *errors);
 
-/** sgr_data_task_snapshot_send() - hand a snapshot over, with its reference; from any task */
+/** sgr_data_task_snapshot_send() - hand a snapshot over; from any task */
 void sgr_data_task_snapshot_send (sgr_data_task_t *task, sgr_snapshot_t *snapshot);
 
 /** sgr_data_task_key_bound_send() - reply to a key_bind, takes over @bound; from any task */
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -188,7 +188,6 @@
       return;
     }
   run->request = NULL;
-  run->is_whole = true;
   sgr_counter_add (run->gate->task->completed, 1);
   finish_at_gate (run, SGR_OUTCOME_COMPLETE);
   answer_joined (run);
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -48,7 +48,6 @@
  * @record: recorded head and body, in the form of sgr_gate_answer_send()
  * @is_recording: the record is whole so far
  * @is_connected: a connection to the target was there
- * @is_whole: the whole answer arrived
  */
 typedef struct sgr_gate_run_t
 {
@@ -75,7 +74,6 @@
   sgr_buffer_t record;
   bool is_recording;
   bool is_connected;
-  bool is_whole;
 } sgr_gate_run_t;
 
 /** sgr_gate_run_start() - send the request to the target */
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -113,17 +113,17 @@
 read_owner (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t item, size_t index)
 {
   static const char *const keys[] = { "name", "public_key", NULL };
-  sgr_settings_owner_t *owner = &settings->owners[index];
+  sgr_config_owner_t *owner = &settings->owners[index];
   sgr_yaml_node_t key_node = sgr_yaml_get (yaml, item, "public_key");
   const char *hex = sgr_yaml_scalar (yaml, key_node);
 
   if (!sgr_yaml_mapping_check (yaml, item, "owners", keys))
     return;
   sgr_yaml_name_read (yaml, item, "name", "owners", true, owner->name);
-  if (hex == NULL || !sgr_ctl_keys_parse_public (hex, owner->public_key))
+  if (hex == NULL || !sgr_ctl_keys_parse_public (hex, owner->key))
     sgr_yaml_error (yaml, key_node != 0 ? key_node : item, "owners.public_key",
                     "expected the content of a .pub file, or its %zu hexadecimal digits",
-                    2 * sizeof owner->public_key);
+                    2 * sizeof owner->key);
 }
 
 static void
@@ -131,18 +131,17 @@
 {
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "owners");
 
-  if (!sgr_yaml_is_sequence (yaml, node) || sgr_yaml_count (yaml, node) != SGR_SETTINGS_OWNERS)
+  if (!sgr_yaml_is_sequence (yaml, node) || sgr_yaml_count (yaml, node) != SGR_CONFIG_OWNERS)
     {
       sgr_yaml_error (yaml, node != 0 ? node : root, "owners", "expected a list of %d co-owners",
-                      SGR_SETTINGS_OWNERS);
+                      SGR_CONFIG_OWNERS);
       return;
     }
-  for (size_t i = 0; i < SGR_SETTINGS_OWNERS; i++)
+  for (size_t i = 0; i < SGR_CONFIG_OWNERS; i++)
     read_owner (settings, yaml, sgr_yaml_item (yaml, node, i), i);
   if (strcmp (settings->owners[0].name, settings->owners[1].name) == 0)
     sgr_yaml_error (yaml, node, "owners.name", "duplicate name");
-  if (memcmp (settings->owners[0].public_key, settings->owners[1].public_key, SGR_PUBLIC_KEY_BYTES)
-      == 0)
+  if (memcmp (settings->owners[0].key, settings->owners[1].key, SGR_CONFIG_KEY_BYTES) == 0)
     sgr_yaml_error (yaml, node, "owners.public_key", "both co-owners have the same key");
 }
 
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -2,25 +2,13 @@
 #define SGR_SETTINGS_H
 
 #include "buffer.h"
+#include "config_chain.h"
 #include "log.h"
 #include "result.h"
 
 #define SGR_SETTINGS_CONTACTS_MAX 16
-#define SGR_SETTINGS_OWNERS 2
-#define SGR_PUBLIC_KEY_BYTES 32
 #define SGR_SETTINGS_PATH_MAX 255
 
-/**
- * struct sgr_settings_owner_t - one of the two co-owners
- * @name: name of the owner
- * @public_key: Ed25519 public key
- */
-typedef struct
-{
-  char name[SGR_NAME_MAX + 1];
-  uint8_t public_key[SGR_PUBLIC_KEY_BYTES];
-} sgr_settings_owner_t;
-
 /**
  * struct sgr_settings_t - settings of a node, read once at start
  * @deployment: deployment that the node belongs to; part of what the co-owners sign
@@ -60,7 +48,7 @@
   sgr_address_t store;
   sgr_address_t contacts[SGR_SETTINGS_CONTACTS_MAX];
   size_t contact_count;
-  sgr_settings_owner_t owners[SGR_SETTINGS_OWNERS];
+  sgr_config_owner_t owners[SGR_CONFIG_OWNERS];
   char tls_certificate[SGR_SETTINGS_PATH_MAX + 1];
   char tls_key[SGR_SETTINGS_PATH_MAX + 1];
   sgr_log_level_t log_level;
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -25,9 +25,8 @@
 } sgr_snapshot_local_t;
 
 /**
- * struct sgr_snapshot_t - what the data task knows of the rest; never changed after it was sent
- * @references: users of the snapshot
- * @config_revision: revision of the configuration
+ * struct sgr_snapshot_t - what the data task knows of the rest; sent whole from the control task,
+ * which keeps no access to it
  * @local: the local target
  * @members: nodes with a target, this node included
  * @member_count: entries of @members
@@ -36,8 +35,6 @@
  */
 typedef struct
 {
-  _Atomic uint32_t references;
-  uint64_t config_revision;
   sgr_snapshot_local_t local;
   sgr_member_t *members;
   size_t member_count;
@@ -46,14 +43,13 @@
 } sgr_snapshot_t;
 
 /**
- * sgr_snapshot_create() - an empty snapshot with one reference
+ * sgr_snapshot_create() - an empty snapshot
  * @members: room for members
  * @policies: room for policies
  */
 sgr_snapshot_t *sgr_snapshot_create (size_t members, size_t policies);
-sgr_snapshot_t *sgr_snapshot_ref (sgr_snapshot_t *snapshot);
 
-/** sgr_snapshot_unref() - drop a reference, free the snapshot with the last one; NULL is allowed */
-void sgr_snapshot_unref (sgr_snapshot_t *snapshot);
+/** sgr_snapshot_destroy() - free a snapshot; NULL is allowed */
+void sgr_snapshot_destroy (sgr_snapshot_t *snapshot);
 
 #endif
--- a/tests/test_data_service.c
+++ b/tests/test_data_service.c
@@ -33,7 +33,7 @@
 {
   sgr_data_services_destroy (rig->task.services);
   sgr_metrics_destroy (rig->task.metrics);
-  sgr_snapshot_unref (rig->task.snapshot);
+  sgr_snapshot_destroy (rig->task.snapshot);
 }
 
 /* Gives the task a snapshot with one service and a member that serves @member_service. */
@@ -52,7 +52,7 @@
   snapshot->member_count = member_service[0] != '\0' ? 1 : 0;
   rig->task.snapshot = snapshot;
   sgr_data_services_update (rig->task.services, old, 1);
-  sgr_snapshot_unref (old);
+  sgr_snapshot_destroy (old);
 }
 
 static bool
