Find metrics by hash and keep their labels whole

Change: names and labels are stored whole, an index by hash is asked first, the list is walked only to add.

--- a/libsiskingrade/counter.c
+++ b/libsiskingrade/counter.c
@@ -3,15 +3,15 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
+#include "id_map.h"
 #include "result.h"
 
-#define LABELS_MAX 160
-
 typedef struct metric_t
 {
-  char name[SGR_NAME_MAX + 1];
-  char labels[LABELS_MAX];
+  char *name;
+  char *labels;
   sgr_counter_t counter;
   sgr_histogram_t *histogram;
   struct metric_t *next;
@@ -19,8 +19,9 @@
 
 struct sgr_metrics_t
 {
-  pthread_mutex_t mutex; /* guards the list, not the values */
+  pthread_mutex_t mutex; /* guards list and index, not the values */
   metric_t *first;
+  sgr_id_map_t *index; /* by hash of name and labels */
 };
 
 /* Upper bounds of the printed buckets in microseconds. */
@@ -36,6 +37,7 @@
 
   sgr_invariant (metrics != NULL);
   pthread_mutex_init (&metrics->mutex, NULL);
+  metrics->index = sgr_id_map_create ();
   return metrics;
 }
 
@@ -49,16 +51,19 @@
   for (metric_t *metric = metrics->first; metric != NULL; metric = next)
     {
       next = metric->next;
+      free (metric->name);
+      free (metric->labels);
       free (metric->histogram);
       free (metric);
     }
+  sgr_id_map_destroy (metrics->index);
   pthread_mutex_destroy (&metrics->mutex);
   free (metrics);
 }
 
 /* Metrics of one name stay together, as the Prometheus text format asks for. */
 static metric_t *
-find_or_add (sgr_metrics_t *metrics, const char *name, const char *labels)
+list_find_or_add (sgr_metrics_t *metrics, const char *name, const char *labels)
 {
   metric_t **place = &metrics->first;
   metric_t *metric;
@@ -76,13 +81,28 @@
     }
   metric = calloc (1, sizeof *metric);
   sgr_invariant (metric != NULL);
-  strncpy (metric->name, name, sizeof metric->name - 1);
-  strncpy (metric->labels, labels, sizeof metric->labels - 1);
+  metric->name = strdup (name);
+  metric->labels = strdup (labels);
+  sgr_invariant (metric->name != NULL && metric->labels != NULL);
   metric->next = *place;
   *place = metric;
   return metric;
 }
 
+/* The list is walked only for a new metric: a node with many services has thousands of them. */
+static metric_t *
+find_or_add (sgr_metrics_t *metrics, const char *name, const char *labels)
+{
+  uint64_t key = XXH64 (labels, strlen (labels), XXH64 (name, strlen (name), 0));
+  metric_t *metric = sgr_id_map_get (metrics->index, key);
+
+  if (metric != NULL && strcmp (metric->name, name) == 0 && strcmp (metric->labels, labels) == 0)
+    return metric;
+  metric = list_find_or_add (metrics, name, labels);
+  sgr_id_map_put (metrics->index, key, metric);
+  return metric;
+}
+
 sgr_counter_t *
 sgr_metrics_counter (sgr_metrics_t *metrics, const char *name, const char *labels)
 {
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -1,6 +1,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -139,6 +140,28 @@
   sgr_metrics_destroy (metrics);
 }
 
+/* Guards against names of full length that are cut, so that each lookup adds a metric and the text
+   ends within a quotation. */
+static void
+test_metrics_long_labels (void **state)
+{
+  sgr_metrics_t *metrics = sgr_metrics_create ();
+  sgr_buffer_t text = { 0 };
+  char name[SGR_NAME_MAX + 1];
+  char labels[256];
+
+  memset (name, 'x', SGR_NAME_MAX);
+  name[SGR_NAME_MAX] = '\0';
+  snprintf (labels, sizeof labels, "service=\"%s\",tenant=\"%s\",class=\"%s\"", name, name, name);
+  assert_ptr_equal (sgr_metrics_counter (metrics, "a_total", labels),
+                    sgr_metrics_counter (metrics, "a_total", labels));
+  sgr_metrics_print (metrics, &text);
+  sgr_buffer_append (&text, "", 1);
+  assert_non_null (strstr ((char *)text.bytes, labels));
+  sgr_buffer_release (&text);
+  sgr_metrics_destroy (metrics);
+}
+
 int
 main (void)
 {
@@ -147,6 +170,7 @@
     cmocka_unit_test (test_histogram_quantile_error),
     cmocka_unit_test (test_timer_heap_order_with_cancels),
     cmocka_unit_test (test_metrics_print_format),
+    cmocka_unit_test (test_metrics_long_labels),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
