Remove calls that nothing uses; publish failed sends of membership

sgr_config_io_offer, sgr_config_io_peer_revision and sgr_gate_handle_user_set had no caller and no test. The count of datagrams that the system refused to send was kept but not printed.

--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -82,13 +82,6 @@
   return result;
 }
 
-sgr_result_t
-sgr_config_io_offer (sgr_config_io_t *io, const void *text, size_t length,
-                     sgr_config_error_t *error)
-{
-  return offer (io, text, length, false, error);
-}
-
 static void
 on_watch (void *ctx, const sgr_store_reply_t *reply)
 {
@@ -290,14 +283,6 @@
   run_actions (io);
 }
 
-void
-sgr_config_io_peer_revision (sgr_config_io_t *io, sgr_node_id_t node, const sgr_address_t *address,
-                             uint64_t revision)
-{
-  sgr_config_sync_peer_revision (io->sync, sgr_clock_monotonic_us (), node, address, revision);
-  run_actions (io);
-}
-
 const sgr_config_state_t *
 sgr_config_io_state (const sgr_config_io_t *io)
 {
--- a/libsiskingrade/config_io.h
+++ b/libsiskingrade/config_io.h
@@ -60,14 +60,6 @@
 /** sgr_config_io_members_update() - replace the members; their revisions are learned too */
 void sgr_config_io_members_update (sgr_config_io_t *io, const sgr_member_t *members, size_t count);
 
-/** sgr_config_io_peer_revision() - a member or a contact says which revision is in force there */
-void sgr_config_io_peer_revision (sgr_config_io_t *io, sgr_node_id_t node,
-                                  const sgr_address_t *address, uint64_t revision);
-
-/** sgr_config_io_offer() - offer a record from elsewhere, for instance from the commit */
-sgr_result_t sgr_config_io_offer (sgr_config_io_t *io, const void *text, size_t length,
-                                  sgr_config_error_t *error);
-
 const sgr_config_state_t *sgr_config_io_state (const sgr_config_io_t *io);
 const sgr_config_io_stats_t *sgr_config_io_stats (const sgr_config_io_t *io);
 const sgr_config_sync_stats_t *sgr_config_io_sync_stats (const sgr_config_io_t *io);
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -339,6 +339,7 @@
   counter_print (text, "bytes_sent_total", counters->bytes_sent);
   counter_print (text, "bytes_received_total", counters->bytes_received);
   counter_print (text, "malformed_total", counters->malformed);
+  counter_print (text, "send_errors_total", sgr_membership_io_send_errors (control->membership));
   counter_print (text, "suspicions_total", counters->suspicions);
   counter_print (text, "refutations_total", counters->refutations);
   counter_print (text, "deaths_total", counters->deaths);
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -359,9 +359,6 @@
 /** sgr_gate_handle_user() - pointer from sgr_attempt_t, NULL if the handle has ended */
 void *sgr_gate_handle_user (const sgr_gate_t *gate, sgr_gate_handle_t handle);
 
-/** sgr_gate_handle_user_set() - change that pointer, for example when its connection closes */
-void sgr_gate_handle_user_set (sgr_gate_t *gate, sgr_gate_handle_t handle, void *user);
-
 /** sgr_gate_refused_count() - refusals for a reason since the start */
 uint64_t sgr_gate_refused_count (const sgr_gate_t *gate, sgr_gate_reason_t reason);
 
--- a/libsiskingrade/gate_status.c
+++ b/libsiskingrade/gate_status.c
@@ -201,15 +201,6 @@
   return work != NULL ? work->user : NULL;
 }
 
-void
-sgr_gate_handle_user_set (sgr_gate_t *gate, sgr_gate_handle_t handle, void *user)
-{
-  sgr_gate_work_t *work = sgr_gate_work_find (gate, handle);
-
-  if (work != NULL)
-    work->user = user;
-}
-
 uint64_t
 sgr_gate_refused_count (const sgr_gate_t *gate, sgr_gate_reason_t reason)
 {
