--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	libcmocka-dev libcyaml-dev libyaml-dev libjansson-dev libxxhash-dev libsodium-dev libssl-dev curl openssl
 CI_PACKAGES := clang-format clang-tidy cppcheck
 
-CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Ilibsiskingrade
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Ilibsiskingrade -Iplatform
 OPT ?= -O2 -g
 CFLAGS += -std=gnu11 $(OPT) -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wno-unused-parameter -Wno-missing-field-initializers -fno-omit-frame-pointer -pthread
@@ -19,6 +19,8 @@
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libsiskingrade.a
 
+PLATFORM_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
+
 CLI_SRC := $(wildcard cli/*.c)
 STANDIN_SRC := $(wildcard standins/standin-*.c)
 STANDIN_COMMON := $(filter-out $(STANDIN_SRC),$(wildcard standins/*.c))
@@ -29,12 +31,12 @@
 BENCH_COMMON := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c)) tests/http_probe.c \
 	tests/node_fixture.c tests/node_fixture_config.c tests/relay.c
 
-PROGRAMS := $(CLI_SRC:cli/%.c=$(BUILD)/%) $(STANDIN_SRC:standins/%.c=$(BUILD)/%)
+PROGRAMS := $(CLI_SRC:cli/%.c=$(BUILD)/%) $(BUILD)/siskingraded-platform $(STANDIN_SRC:standins/%.c=$(BUILD)/%)
 TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
 BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
 
 C_FILES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard libsiskingrade/*.[ch] cli/*.[ch] standins/*.[ch] \
-	tests/*.[ch] bench/*.[ch] fuzz/*.[ch] examples/*.c))
+	platform/*.[ch] tests/*.[ch] bench/*.[ch] fuzz/*.[ch] examples/*.c))
 
 .PHONY: all help deps install check check-asan bench demo fuzz format format-check lint proto clean
 .SECONDARY:
@@ -52,13 +54,17 @@
 	@rm -f $@
 	$(AR) rcs $@ $^
 
+$(BUILD)/siskingraded-platform: $(PLATFORM_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) $(SAN) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/siskingrade%: $(BUILD)/cli/siskingrade%.o $(LIB)
 	$(CC) $(LDFLAGS) $(SAN) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/standin-%: $(BUILD)/standins/standin-%.o $(STANDIN_COMMON:%.c=$(BUILD)/%.o) $(LIB)
 	$(CC) $(LDFLAGS) $(SAN) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_COMMON:%.c=$(BUILD)/%.o) $(LIB)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_COMMON:%.c=$(BUILD)/%.o) \
+  $(filter-out %/main.o,$(PLATFORM_OBJ)) $(LIB)
 	@mkdir -p $(dir $@)
 	$(CC) $(LDFLAGS) $(SAN) -o $@ $^ -lcmocka $(LDLIBS)
 
--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -53,7 +53,7 @@
 static sgr_snapshot_t *
 snapshot_make (const size_case_t *size)
 {
-  sgr_snapshot_t *snapshot = sgr_snapshot_create (size->members, size->services);
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (size->members, size->services, 0);
 
   for (size_t i = 0; i < size->members; i++)
     {
--- a/libsiskingrade/announce.c
+++ b/libsiskingrade/announce.c
@@ -1,6 +1,7 @@
 #include "announce.h"
 
 #include <jansson.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "http_fields.h"
@@ -87,7 +88,8 @@
 check_keys (json_t *object, sgr_buffer_t *error)
 {
   static const char *const known[]
-      = { "service", "address", "slots", "connections", "state", "probe_path" };
+      = { "service",    "address",  "slots",      "connections", "state",
+          "probe_path", "instance", "started_ms", "sequence" };
   const char *key;
   json_t *value;
 
@@ -124,19 +126,110 @@
          && read_number (object, "connections", CONNECTIONS_MAX, false, &local->connections, error);
 }
 
+/* Reads what tells two lives of a target and two announcements of one life apart. */
+static bool
+read_order (json_t *object, sgr_announcement_t *announcement, sgr_buffer_t *error)
+{
+  static const char *const keys[] = { "started_ms", "sequence" };
+  uint64_t *const values[] = { &announcement->started_ms, &announcement->sequence };
+  json_t *instance = json_object_get (object, "instance");
+  const char *text = json_string_value (instance);
+
+  for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++)
+    {
+      json_t *value = json_object_get (object, keys[i]);
+
+      if (value != NULL && (!json_is_integer (value) || json_integer_value (value) < 0))
+        {
+          sgr_buffer_printf (error, "%s: expected a whole number", keys[i]);
+          return false;
+        }
+      *values[i] = (uint64_t)json_integer_value (value);
+    }
+  if (instance == NULL)
+    return true;
+  if (text == NULL || strlen (text) > SGR_NAME_MAX || !sgr_http_is_token (text, strlen (text)))
+    {
+      sgr_buffer_printf (error, "instance: expected a name of 1 to %d bytes", SGR_NAME_MAX);
+      return false;
+    }
+  memcpy (announcement->local.instance, text, strlen (text) + 1);
+  return true;
+}
+
 static bool
 is_same (const sgr_snapshot_local_t *a, const sgr_snapshot_local_t *b)
 {
   return strcmp (a->service, b->service) == 0 && a->address.ip == b->address.ip
          && a->address.port == b->address.port && a->state == b->state && a->slots == b->slots
-         && a->connections == b->connections && strcmp (a->probe_path, b->probe_path) == 0;
+         && a->connections == b->connections && strcmp (a->instance, b->instance) == 0
+         && strcmp (a->probe_path, b->probe_path) == 0;
+}
+
+/* Whether an announcement comes from a later life at the same host than the registered one. */
+static bool
+is_successor (const sgr_announce_t *announce, const sgr_announcement_t *announcement)
+{
+  return announcement->started_ms != 0 && announcement->started_ms > announce->started_ms;
+}
+
+static bool
+has_ended (const sgr_announce_t *announce, const sgr_announcement_t *announcement)
+{
+  return announcement->local.instance[0] != '\0'
+         && strcmp (announce->ended_instance, announcement->local.instance) == 0
+         && announcement->started_ms <= announce->ended_ms;
+}
+
+static bool
+is_late (const sgr_announce_t *announce, const sgr_announcement_t *announcement)
+{
+  if (has_ended (announce, announcement))
+    return true;
+  if (announcement->started_ms == 0)
+    return false;
+  if (announcement->started_ms != announce->started_ms)
+    return announcement->started_ms < announce->started_ms;
+  return announcement->sequence <= announce->sequence && announcement->sequence != 0;
+}
+
+static bool
+is_same_target (const sgr_snapshot_local_t *a, const sgr_snapshot_local_t *b)
+{
+  return strcmp (a->service, b->service) == 0 && a->address.ip == b->address.ip
+         && a->address.port == b->address.port && strcmp (a->instance, b->instance) == 0;
+}
+
+sgr_result_t
+sgr_announce_take (sgr_announce_t *announce, uint64_t now_us, uint64_t ttl_us,
+                   const sgr_announcement_t *announcement, bool *is_changed)
+{
+  sgr_snapshot_local_t local = announcement->local;
+  bool is_registered = announce->local.service[0] != '\0';
+
+  *is_changed = false;
+  if (is_late (announce, announcement))
+    return SGR_OK;
+  if (is_registered && !is_same_target (&announce->local, &local)
+      && !is_successor (announce, announcement))
+    return SGR_ERR_CONFLICT;
+  if (is_registered && announce->local.state == SGR_TARGET_DRAINING
+      && is_same_target (&announce->local, &local) && local.instance[0] != '\0'
+      && !is_successor (announce, announcement))
+    local.state = SGR_TARGET_DRAINING;
+  *is_changed = !is_same (&announce->local, &local);
+  announce->local = local;
+  announce->started_ms = announcement->started_ms;
+  announce->sequence = announcement->sequence;
+  announce->expires_us = now_us + ttl_us;
+  return SGR_OK;
 }
 
 sgr_result_t
 sgr_announce_put (sgr_announce_t *announce, uint64_t now_us, uint64_t ttl_us, const char *body,
                   size_t length, sgr_buffer_t *error, bool *is_changed)
 {
-  sgr_snapshot_local_t local = { 0 };
+  sgr_announcement_t announcement = { 0 };
   json_error_t problem;
   json_t *object = json_loadb (body != NULL ? body : "", length, JSON_REJECT_DUPLICATES, &problem);
   sgr_result_t result = SGR_ERR_INVALID;
@@ -144,27 +237,20 @@
   *is_changed = false;
   if (!json_is_object (object))
     sgr_buffer_printf (error, "body: expected a JSON object");
-  else if (read_local (object, &local, error))
+  else if (read_local (object, &announcement.local, error)
+           && read_order (object, &announcement, error))
     result = SGR_OK;
   json_decref (object);
   if (result != SGR_OK)
     return result;
-  if (announce->local.service[0] != '\0'
-      && (strcmp (announce->local.service, local.service) != 0
-          || announce->local.address.ip != local.address.ip
-          || announce->local.address.port != local.address.port))
-    {
-      sgr_buffer_printf (error, "target: another target is registered at this node");
-      return SGR_ERR_CONFLICT;
-    }
-  *is_changed = !is_same (&announce->local, &local);
-  announce->local = local;
-  announce->expires_us = now_us + ttl_us;
-  return SGR_OK;
+  result = sgr_announce_take (announce, now_us, ttl_us, &announcement, is_changed);
+  if (result == SGR_ERR_CONFLICT)
+    sgr_buffer_printf (error, "target: another target is registered at this node");
+  return result;
 }
 
 bool
-sgr_announce_leave (sgr_announce_t *announce)
+sgr_announce_drop (sgr_announce_t *announce)
 {
   bool was_registered = announce->local.service[0] != '\0';
 
@@ -173,10 +259,37 @@
   return was_registered;
 }
 
+static void
+ended_set (sgr_announce_t *announce, const char *instance, uint64_t started_ms)
+{
+  snprintf (announce->ended_instance, sizeof announce->ended_instance, "%s", instance);
+  announce->ended_ms = started_ms;
+}
+
+bool
+sgr_announce_leave (sgr_announce_t *announce)
+{
+  ended_set (announce, announce->local.instance, announce->started_ms);
+  return sgr_announce_drop (announce);
+}
+
+bool
+sgr_announce_instance_leave (sgr_announce_t *announce, const char *instance, uint64_t started_ms)
+{
+  bool is_registered
+      = announce->local.service[0] != '\0' && strcmp (announce->local.instance, instance) == 0;
+
+  if (is_registered && (started_ms == 0 || started_ms >= announce->started_ms))
+    return sgr_announce_leave (announce);
+  if (started_ms != 0)
+    ended_set (announce, instance, started_ms);
+  return false;
+}
+
 bool
 sgr_announce_expire (sgr_announce_t *announce, uint64_t now_us)
 {
   if (announce->local.service[0] == '\0' || now_us < announce->expires_us)
     return false;
-  return sgr_announce_leave (announce);
+  return sgr_announce_drop (announce);
 }
--- /dev/null
+++ b/libsiskingrade/call_fields.c
@@ -0,0 +1,59 @@
+#include "call_fields.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include "http_fields.h"
+
+#define LOAD_FIGURES 4
+#define FIGURE_MAX 1000000
+
+const sgr_call_fields_t sgr_call_fields_default = {
+  .deadline = "siskingrade-deadline-ms",
+  .request_id = "siskingrade-request-id",
+  .instance = "siskingrade-instance",
+  .caller_service = "siskingrade-caller-service",
+  .not_run = "siskingrade-not-run",
+  .load = "siskingrade-load",
+};
+
+static bool
+is_named (const char *field, const char *name, size_t length)
+{
+  return strlen (field) == length && strncasecmp (field, name, length) == 0;
+}
+
+bool
+sgr_call_fields_is_set_here (const sgr_call_fields_t *fields, const char *name, size_t length)
+{
+  return is_named (fields->deadline, name, length) || is_named (fields->instance, name, length)
+         || is_named (fields->caller_service, name, length);
+}
+
+bool
+sgr_target_load_parse (const char *text, size_t length, sgr_target_load_t *load)
+{
+  uint64_t figures[LOAD_FIGURES] = { 0, 0, 0, 100 };
+  size_t count = 0;
+
+  for (;;)
+    {
+      const char *comma = memchr (text, ',', length);
+      size_t size = comma != NULL ? (size_t)(comma - text) : length;
+
+      if (count == LOAD_FIGURES || !sgr_http_number_parse (text, size, FIGURE_MAX, &figures[count]))
+        return false;
+      count++;
+      if (comma == NULL)
+        break;
+      text = comma + 1;
+      length -= size + 1;
+    }
+  if (count < LOAD_FIGURES - 1)
+    return false;
+  *load = (sgr_target_load_t){ .running = (uint32_t)figures[0],
+                               .waiting = (uint32_t)figures[1],
+                               .slots = (uint32_t)figures[2],
+                               .cost_percent = (uint32_t)figures[3] };
+  return true;
+}
--- a/libsiskingrade/config_edit.c
+++ b/libsiskingrade/config_edit.c
@@ -4,7 +4,8 @@
 
 #include "config_json.h"
 
-static const char *const list_keys[] = { "policies", "services" };
+static const char *const list_keys[] = { "policies", "services", "routes" };
+#define LIST_COUNT (sizeof list_keys / sizeof list_keys[0])
 
 static json_t *
 find_item (const json_t *list, const char *name, size_t *position)
@@ -79,11 +80,17 @@
   }
 }
 
+static bool
+is_optional (const char *key)
+{
+  return strcmp (key, "routes") == 0;
+}
+
 static sgr_result_t
 check_edit (const json_t *edit, sgr_config_error_t *error)
 {
   static const char *const parts[] = { "put", "remove", NULL };
-  static const char *const lists[] = { "policies", "services", NULL };
+  static const char *const lists[] = { "policies", "services", "routes", NULL };
 
   if (sgr_config_json_object (edit, "", NULL, parts, error) != SGR_OK)
     return SGR_ERR_INVALID;
@@ -110,12 +117,19 @@
   if (result != SGR_OK)
     return result;
   json = json_object ();
-  for (int i = 0; i < 2 && result == SGR_OK; i++)
+  for (size_t i = 0; i < LIST_COUNT && result == SGR_OK; i++)
     {
       const char *key = list_keys[i];
-      json_t *list = base == NULL ? json_array () : json_copy (json_object_get (base->json, key));
+      const json_t *present = base == NULL ? NULL : json_object_get (base->json, key);
+      json_t *list = present == NULL ? json_array () : json_copy ((json_t *)present);
       const json_t *items = json_object_get (put, key);
 
+      /* A document without routes stays one, so that its digest does not change. */
+      if (is_optional (key) && present == NULL && json_array_size (items) == 0)
+        {
+          json_decref (list);
+          continue;
+        }
       json_object_set_new (json, key, list);
       result = apply_remove (list, json_object_get (removed, key), key, error);
       if (result == SGR_OK && items != NULL)
@@ -157,11 +171,16 @@
 
   json_object_set_new (edit, "put", put);
   json_object_set_new (edit, "remove", removed);
-  for (int i = 0; i < 2; i++)
+  for (size_t i = 0; i < LIST_COUNT; i++)
     {
       const char *key = list_keys[i];
-      json_t *put_list = json_array (), *removed_list = json_array ();
+      json_t *put_list, *removed_list;
 
+      if (is_optional (key) && json_object_get (to->json, key) == NULL
+          && (from == NULL || json_object_get (from->json, key) == NULL))
+        continue;
+      put_list = json_array ();
+      removed_list = json_array ();
       json_object_set_new (put, key, put_list);
       json_object_set_new (removed, key, removed_list);
       diff_list (from == NULL ? NULL : json_object_get (from->json, key),
--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -243,10 +243,15 @@
   io->state = sgr_config_state_create (&options->owners, options->history_max);
   io->sync = sgr_config_sync_create (&options->sync, sgr_clock_monotonic_us ());
   io->fetcher = sgr_http_fetcher_create (loop, options->fetch_timeout_ms, SGR_CONFIG_VALUE_MAX);
-  if (options->store != NULL)
+  if (options->source != NULL)
+    sgr_config_state_source_set (io->state, options->source);
+  if (options->store != NULL && options->source == NULL)
     io->commit = sgr_config_commit_create (&options->owners, options->store, options->seed,
                                            &commit_callbacks, io);
-  sgr_config_commit_current_key (options->owners.deployment, io->watch_key, sizeof io->watch_key);
+  if (options->source != NULL)
+    snprintf (io->watch_key, sizeof io->watch_key, "%s", options->source->key);
+  else
+    sgr_config_commit_current_key (options->owners.deployment, io->watch_key, sizeof io->watch_key);
   h2o_timeout_init (loop, &io->tick, TICK_MS);
   io->tick_entry.cb = on_tick;
   h2o_timeout_link (loop, &io->tick, &io->tick_entry);
--- a/libsiskingrade/config_io.h
+++ b/libsiskingrade/config_io.h
@@ -17,6 +17,7 @@
  * @node: name of the node, part of the writer ids
  * @history_max: steps kept for watchers
  * @fetch_timeout_ms: longest wait for a peer
+ * @source: source of documents that count as approved; NULL for records of the owners
  * @store: the store; NULL for a node that only learns from peers; not owned
  * @seed: seed of jitter and writer ids
  */
@@ -27,6 +28,7 @@
   char node[SGR_NAME_MAX + 1];
   size_t history_max;
   uint32_t fetch_timeout_ms;
+  const sgr_config_source_t *source;
   sgr_store_t *store;
   uint64_t seed;
 } sgr_config_io_options_t;
--- a/libsiskingrade/config_policy.c
+++ b/libsiskingrade/config_policy.c
@@ -41,16 +41,16 @@
       "class_limits, tenant_limit_default, probe_calls_per_s, probe_bytes_per_s, targets_max, "
       "slow_start_ms, eject_percent, key_store_per_s";
 
-static sgr_result_t
-read_idempotency (const json_t *value, const char *place, sgr_policy_t *policy,
-                  sgr_config_error_t *error)
+sgr_result_t
+sgr_config_idempotency_read (const json_t *value, const char *place,
+                             sgr_policy_idempotency_t *idempotency, sgr_config_error_t *error)
 {
   char found[80];
 
   for (int i = 0; i < 3; i++)
     if (json_is_string (value) && strcmp (json_string_value (value), idempotency_names[i]) == 0)
       {
-        policy->idempotency = (sgr_policy_idempotency_t)i;
+        *idempotency = (sgr_policy_idempotency_t)i;
         return SGR_OK;
       }
   return sgr_config_error_set (error, SGR_ERR_INVALID, place,
@@ -58,6 +58,12 @@
                                sgr_config_json_found (value, found, sizeof found));
 }
 
+const char *
+sgr_config_idempotency_name (sgr_policy_idempotency_t idempotency)
+{
+  return idempotency_names[idempotency];
+}
+
 static sgr_result_t
 read_status (const json_t *value, const char *place, sgr_policy_t *policy,
              sgr_config_error_t *error)
@@ -175,7 +181,7 @@
       continue;
     sgr_config_json_path (place, path, key);
     if (strcmp (key, "idempotency") == 0)
-      result = read_idempotency (value, place, policy, error);
+      result = sgr_config_idempotency_read (value, place, &policy->idempotency, error);
     else if (strcmp (key, "not_run_status") == 0)
       result = read_status (value, place, policy, error);
     else if (strcmp (key, "tenant_limits") == 0)
@@ -217,7 +223,8 @@
   for (uint32_t i = 0; i < policy->not_run_status_count; i++)
     json_array_append_new (status, json_integer (policy->not_run_status[i]));
   json_object_set_new (json, "not_run_status", status);
-  json_object_set_new (json, "idempotency", json_string (idempotency_names[policy->idempotency]));
+  json_object_set_new (json, "idempotency",
+                       json_string (sgr_config_idempotency_name (policy->idempotency)));
   json_object_set_new (json, "tenant_limits",
                        write_limits (policy->tenant_limits, policy->tenant_limit_count));
   json_object_set_new (json, "class_limits",
--- a/libsiskingrade/config_policy.h
+++ b/libsiskingrade/config_policy.h
@@ -26,4 +26,16 @@
  */
 json_t *sgr_config_policy_write (const sgr_policy_t *policy);
 
+/**
+ * sgr_config_idempotency_read() - read "by-method", "always" or "never"
+ * @value: the value
+ * @place: its place in the document
+ * @idempotency: receives the meaning
+ * @error: receives the reason of a refusal
+ */
+sgr_result_t sgr_config_idempotency_read (const json_t *value, const char *place,
+                                          sgr_policy_idempotency_t *idempotency,
+                                          sgr_config_error_t *error);
+const char *sgr_config_idempotency_name (sgr_policy_idempotency_t idempotency);
+
 #endif
--- a/libsiskingrade/config_resource.c
+++ b/libsiskingrade/config_resource.c
@@ -7,6 +7,7 @@
 
 #include "config_json.h"
 #include "config_policy.h"
+#include "config_route.h"
 
 /** struct named_t - a resource of a list, for sorting and look-ups */
 typedef struct
@@ -91,11 +92,28 @@
                            : sgr_config_policy_read (overrides, place, NULL, &policy, error);
 }
 
+static sgr_result_t
+check_route (const json_t *json, const char *path, sgr_config_error_t *error)
+{
+  sgr_route_t route;
+
+  return sgr_config_route_read (json, path, &route, error);
+}
+
+static sgr_result_t
+check_item (const json_t *json, const char *path, const char *key, sgr_config_error_t *error)
+{
+  if (strcmp (key, "policies") == 0)
+    return check_policy (json, path, error);
+  if (strcmp (key, "services") == 0)
+    return check_service (json, path, error);
+  return check_route (json, path, error);
+}
+
 sgr_result_t
 sgr_config_resource_check (const json_t *json, const char *path, const char *key,
                            sgr_config_error_t *error)
 {
-  bool policies = strcmp (key, "policies") == 0;
   const json_t *list = json_object_get (json, key);
   char found[80], place[SGR_CONFIG_PATH_MAX];
   sgr_result_t result = SGR_OK;
@@ -113,7 +131,7 @@
   json_array_foreach ((json_t *)list, index, item)
   {
     sgr_config_json_path_at (place, path, key, index);
-    result = policies ? check_policy (item, place, error) : check_service (item, place, error);
+    result = check_item (item, place, key, error);
     if (result != SGR_OK)
       return result;
   }
@@ -178,24 +196,74 @@
   return result;
 }
 
+/* Every service of a route has to be in the content, and no two routes may match the same paths. */
+static sgr_result_t
+check_route_links (const sgr_config_content_t *content, size_t index, const char *path,
+                   sgr_config_error_t *error)
+{
+  const sgr_route_t *route = &content->routes[index];
+  char place[SGR_CONFIG_PATH_MAX];
+
+  sgr_config_json_path_at (place, path, "routes", index);
+  for (uint32_t i = 0; i < route->part_count; i++)
+    {
+      if (sgr_config_content_policy (content, route->parts[i].service) == NULL)
+        return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                     "route \"%s\": found service \"%s\", expected the name of a "
+                                     "service in \"services\"",
+                                     route->name, route->parts[i].service);
+    }
+  for (size_t i = 0; i < index; i++)
+    {
+      if (strcmp (content->routes[i].host, route->host) == 0
+          && strcmp (content->routes[i].prefix, route->prefix) == 0)
+        return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                     "route \"%s\": found the host and prefix of route \"%s\"",
+                                     route->name, content->routes[i].name);
+    }
+  return SGR_OK;
+}
+
+static sgr_result_t
+build_routes (sgr_config_content_t *content, const char *path, sgr_config_error_t *error)
+{
+  const json_t *list = json_object_get (content->json, "routes");
+  sgr_result_t result = SGR_OK;
+
+  content->route_count = json_array_size (list);
+  content->routes = calloc (content->route_count + 1, sizeof *content->routes);
+  sgr_invariant (content->routes != NULL);
+  for (size_t i = 0; i < content->route_count && result == SGR_OK; i++)
+    {
+      sgr_config_route_read (json_array_get (list, i), "", &content->routes[i], NULL);
+      result = check_route_links (content, i, path, error);
+    }
+  return result;
+}
+
 sgr_result_t
 sgr_config_content_parse (const json_t *json, const char *path, sgr_config_content_t **content,
                           sgr_config_error_t *error)
 {
   static const char *const required[] = { "policies", "services", NULL };
+  static const char *const optional[] = { "routes", NULL };
   sgr_config_content_t *made;
   sgr_result_t result;
 
   *content = NULL;
-  if (sgr_config_json_object (json, path, required, NULL, error) != SGR_OK
+  if (sgr_config_json_object (json, path, required, optional, error) != SGR_OK
       || sgr_config_resource_check (json, path, "policies", error) != SGR_OK
-      || sgr_config_resource_check (json, path, "services", error) != SGR_OK)
+      || sgr_config_resource_check (json, path, "services", error) != SGR_OK
+      || (json_object_get (json, "routes") != NULL
+          && sgr_config_resource_check (json, path, "routes", error) != SGR_OK))
     return SGR_ERR_INVALID;
   made = calloc (1, sizeof *made);
   if (made == NULL)
     return SGR_ERR_NO_MEMORY;
   made->json = json_deep_copy (json);
   result = build_services (made, path, error);
+  if (result == SGR_OK)
+    result = build_routes (made, path, error);
   if (result != SGR_OK)
     {
       sgr_config_content_destroy (made);
@@ -206,6 +274,15 @@
   return SGR_OK;
 }
 
+static json_t *
+normalize_route (const json_t *json)
+{
+  sgr_route_t route;
+
+  sgr_config_route_read (json, "", &route, NULL);
+  return sgr_config_route_write (&route);
+}
+
 static json_t *
 normalize_list (const json_t *list, bool policies)
 {
@@ -238,6 +315,19 @@
   return out;
 }
 
+static json_t *
+normalize_routes (const json_t *list)
+{
+  size_t count = json_array_size (list);
+  named_t *named = sort_by_name (list);
+  json_t *out = json_array ();
+
+  for (size_t i = 0; i < count; i++)
+    json_array_append_new (out, normalize_route (named[i].json));
+  free (named);
+  return out;
+}
+
 json_t *
 sgr_config_content_normalize (const json_t *json)
 {
@@ -245,6 +335,8 @@
 
   json_object_set_new (out, "policies", normalize_list (json_object_get (json, "policies"), true));
   json_object_set_new (out, "services", normalize_list (json_object_get (json, "services"), false));
+  if (json_object_get (json, "routes") != NULL)
+    json_object_set_new (out, "routes", normalize_routes (json_object_get (json, "routes")));
   return out;
 }
 
@@ -263,7 +355,8 @@
 sgr_config_content_sorted (const sgr_config_content_t *content)
 {
   return list_sorted (json_object_get (content->json, "policies"))
-         && list_sorted (json_object_get (content->json, "services"));
+         && list_sorted (json_object_get (content->json, "services"))
+         && list_sorted (json_object_get (content->json, "routes"));
 }
 
 const sgr_policy_t *
@@ -293,6 +386,7 @@
     return;
   json_decref (content->json);
   free (content->services);
+  free (content->routes);
   free (content);
 }
 
--- a/libsiskingrade/config_resource.h
+++ b/libsiskingrade/config_resource.h
@@ -4,7 +4,7 @@
 #include <jansson.h>
 
 #include "config_error.h"
-#include "policy.h"
+#include "route.h"
 
 #define SGR_CONFIG_RESOURCES_MAX 2048
 #define SGR_CONFIG_DIGEST_BYTES 32
@@ -17,10 +17,12 @@
 } sgr_config_digest_t;
 
 /**
- * struct sgr_config_content_t - checked services and policies of a deployment
+ * struct sgr_config_content_t - checked services, policies and routes of a deployment
  * @json: the document as it was read
  * @services: policy in effect of each service, sorted by service name
  * @service_count: entries of @services
+ * @routes: routes; without any, callers name the service of each call
+ * @route_count: entries of @routes
  * @digest: digest of the canonical form of @json
  */
 typedef struct
@@ -28,12 +30,14 @@
   json_t *json;
   sgr_policy_t *services;
   size_t service_count;
+  sgr_route_t *routes;
+  size_t route_count;
   sgr_config_digest_t digest;
 } sgr_config_content_t;
 
 /**
- * sgr_config_content_parse() - check a document of services and policies
- * @json: object with the lists "policies" and "services"
+ * sgr_config_content_parse() - check a document of services, policies and routes
+ * @json: object with the lists "policies" and "services", and optionally "routes"
  * @path: place of @json in its document, "" for the document itself
  * @content: receives the content
  * @error: receives the reason of a refusal
@@ -59,19 +63,19 @@
  * sgr_config_resource_check() - check the resources of one list, each by itself and for duplicates
  * @json: object that holds the list
  * @path: place of @json in its document
- * @key: "policies" or "services"
+ * @key: "policies", "services" or "routes"
  */
 sgr_result_t sgr_config_resource_check (const json_t *json, const char *path, const char *key,
                                         sgr_config_error_t *error);
 
-/** sgr_config_content_sorted() - whether both lists are sorted by name */
+/** sgr_config_content_sorted() - whether all lists are sorted by name */
 bool sgr_config_content_sorted (const sgr_config_content_t *content);
 
 /**
  * sgr_config_content_apply() - put and remove single resources
  * @base: content to start from, NULL for none
- * @edit: object with "put" and "remove", each with lists "policies" and "services"; "put" holds
- *        resources, "remove" holds names
+ * @edit: object with "put" and "remove", each with lists "policies", "services" and "routes"; "put"
+ * holds resources, "remove" holds names
  * @content: receives the new content
  * @error: receives the reason of a refusal
  */
--- /dev/null
+++ b/libsiskingrade/config_route.c
@@ -0,0 +1,154 @@
+#include "config_route.h"
+
+#include <string.h>
+
+#include "config_json.h"
+#include "config_policy.h"
+
+#define TIMEOUT_MAX_MS 600000
+#define PRIORITY_MAX 100
+#define ATTEMPTS_MAX 10
+#define WEIGHT_MAX 10000
+
+static sgr_result_t
+read_host (const json_t *json, const char *path, sgr_route_t *route, sgr_config_error_t *error)
+{
+  const json_t *value = json_object_get (json, "host");
+  const char *text = json_string_value (value);
+  size_t length = text != NULL ? strlen (text) : 0;
+  char found[80], place[SGR_CONFIG_PATH_MAX];
+
+  if (length > 0 && length <= SGR_ROUTE_HOST_MAX
+      && strspn (text, "abcdefghijklmnopqrstuvwxyz0123456789-_.") == length)
+    {
+      memcpy (route->host, text, length + 1);
+      return SGR_OK;
+    }
+  sgr_config_json_path (place, path, "host");
+  return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                               "found %s, expected a host name in lower case without a port",
+                               sgr_config_json_found (value, found, sizeof found));
+}
+
+static sgr_result_t
+read_prefix (const json_t *json, const char *path, sgr_route_t *route, sgr_config_error_t *error)
+{
+  const json_t *value = json_object_get (json, "prefix");
+  const char *text = json_string_value (value);
+  size_t length = text != NULL ? strlen (text) : 0;
+  char found[80], place[SGR_CONFIG_PATH_MAX];
+
+  if (length > 0 && length <= SGR_ROUTE_PREFIX_MAX && text[0] == '/' && text[length - 1] == '/'
+      && strpbrk (text, " ?#") == NULL)
+    {
+      memcpy (route->prefix, text, length + 1);
+      return SGR_OK;
+    }
+  sgr_config_json_path (place, path, "prefix");
+  return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                               "found %s, expected a path with a slash at both ends",
+                               sgr_config_json_found (value, found, sizeof found));
+}
+
+static sgr_result_t
+read_part (const json_t *json, const char *path, sgr_route_part_t *part, sgr_config_error_t *error)
+{
+  static const char *const required[] = { "service", "weight", NULL };
+  uint64_t weight;
+
+  if (sgr_config_json_object (json, path, required, NULL, error) != SGR_OK
+      || sgr_config_json_name (json, path, "service", part->service, error) != SGR_OK
+      || sgr_config_json_u64 (json, path, "weight", 0, WEIGHT_MAX, &weight, error) != SGR_OK)
+    return SGR_ERR_INVALID;
+  part->weight = (uint32_t)weight;
+  return SGR_OK;
+}
+
+static sgr_result_t
+read_parts (const json_t *json, const char *path, sgr_route_t *route, sgr_config_error_t *error)
+{
+  const json_t *list = json_object_get (json, "services");
+  char found[80], place[SGR_CONFIG_PATH_MAX];
+  uint64_t sum = 0;
+
+  sgr_config_json_path (place, path, "services");
+  if (!json_is_array (list) || json_array_size (list) < 1
+      || json_array_size (list) > SGR_ROUTE_PARTS_MAX)
+    return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                 "found %s of %zu, expected a list of 1 to %d services",
+                                 sgr_config_json_found (list, found, sizeof found),
+                                 json_array_size (list), SGR_ROUTE_PARTS_MAX);
+  for (size_t i = 0; i < json_array_size (list); i++)
+    {
+      char item_place[SGR_CONFIG_PATH_MAX];
+
+      sgr_config_json_path_at (item_place, path, "services", i);
+      if (read_part (json_array_get (list, i), item_place, &route->parts[i], error) != SGR_OK)
+        return SGR_ERR_INVALID;
+      sum += route->parts[i].weight;
+    }
+  route->part_count = (uint32_t)json_array_size (list);
+  if (sum == 0)
+    return sgr_config_error_set (error, SGR_ERR_INVALID, place,
+                                 "found weights of 0 only, expected one above 0");
+  return SGR_OK;
+}
+
+static sgr_result_t
+read_number (const json_t *json, const char *path, const char *key, uint64_t min, uint64_t max,
+             uint32_t *number, sgr_config_error_t *error)
+{
+  uint64_t value;
+
+  if (json_object_get (json, key) == NULL)
+    return SGR_OK;
+  if (sgr_config_json_u64 (json, path, key, min, max, &value, error) != SGR_OK)
+    return SGR_ERR_INVALID;
+  *number = (uint32_t)value;
+  return SGR_OK;
+}
+
+sgr_result_t
+sgr_config_route_read (const json_t *json, const char *path, sgr_route_t *route,
+                       sgr_config_error_t *error)
+{
+  static const char *const required[] = { "name", "host", "prefix", "services", NULL };
+  static const char *const optional[]
+      = { "idempotency", "timeout_ms", "target_latency_ms", "priority", "attempts_max", NULL };
+  const json_t *idempotency = json_object_get (json, "idempotency");
+  char place[SGR_CONFIG_PATH_MAX];
+
+  memset (route, 0, sizeof *route);
+  if (sgr_config_json_object (json, path, required, optional, error) != SGR_OK
+      || sgr_config_json_name (json, path, "name", route->name, error) != SGR_OK
+      || read_host (json, path, route, error) != SGR_OK
+      || read_prefix (json, path, route, error) != SGR_OK
+      || read_parts (json, path, route, error) != SGR_OK)
+    return SGR_ERR_INVALID;
+  sgr_config_json_path (place, path, "idempotency");
+  if (idempotency != NULL
+      && sgr_config_idempotency_read (idempotency, place, &route->idempotency, error) != SGR_OK)
+    return SGR_ERR_INVALID;
+  if (read_number (json, path, "timeout_ms", 0, TIMEOUT_MAX_MS, &route->timeout_ms, error) != SGR_OK
+      || read_number (json, path, "target_latency_ms", 0, TIMEOUT_MAX_MS, &route->target_latency_ms,
+                      error)
+             != SGR_OK
+      || read_number (json, path, "priority", 0, PRIORITY_MAX, &route->priority, error) != SGR_OK)
+    return SGR_ERR_INVALID;
+  return read_number (json, path, "attempts_max", 0, ATTEMPTS_MAX, &route->attempts_max, error);
+}
+
+json_t *
+sgr_config_route_write (const sgr_route_t *route)
+{
+  json_t *parts = json_array ();
+
+  for (uint32_t i = 0; i < route->part_count; i++)
+    json_array_append_new (parts, json_pack ("{s:s, s:i}", "service", route->parts[i].service,
+                                             "weight", (int)route->parts[i].weight));
+  return json_pack ("{s:s, s:s, s:s, s:o, s:s, s:i, s:i, s:i, s:i}", "name", route->name, "host",
+                    route->host, "prefix", route->prefix, "services", parts, "idempotency",
+                    sgr_config_idempotency_name (route->idempotency), "timeout_ms",
+                    (int)route->timeout_ms, "target_latency_ms", (int)route->target_latency_ms,
+                    "priority", (int)route->priority, "attempts_max", (int)route->attempts_max);
+}
--- a/libsiskingrade/config_state.c
+++ b/libsiskingrade/config_state.c
@@ -18,6 +18,7 @@
 struct sgr_config_state_t
 {
   sgr_config_owners_t owners;
+  const sgr_config_source_t *source;
   sgr_config_record_t *record;
   change_t *history;
   size_t history_max;
@@ -43,6 +44,13 @@
   return state;
 }
 
+void
+sgr_config_state_source_set (sgr_config_state_t *state, const sgr_config_source_t *source)
+{
+  sgr_invariant (state->record == NULL);
+  state->source = source;
+}
+
 void
 sgr_config_state_destroy (sgr_config_state_t *state)
 {
@@ -80,10 +88,48 @@
   slot->edit = sgr_config_content_diff (from->content, to->content);
 }
 
+/* Documents of a source have no signed predecessor; their revision alone orders them. */
+static sgr_result_t
+accept (const sgr_config_state_t *state, const sgr_config_record_t *record,
+        sgr_config_error_t *error)
+{
+  uint64_t held = sgr_config_state_revision (state);
+
+  if (state->source == NULL)
+    return sgr_config_chain_accept (state->record, record, error);
+  if (record->statement.revision > held)
+    return SGR_OK;
+  return sgr_config_error_set (error, SGR_ERR_CONFLICT, "revision",
+                               "found %lu, expected one above %lu", record->statement.revision,
+                               held);
+}
+
+static sgr_result_t
+source_read (const sgr_config_source_t *source, const void *text, size_t length,
+             sgr_config_record_t **record, sgr_config_error_t *error)
+{
+  sgr_config_content_t *content = NULL;
+  json_t *json = NULL;
+  uint64_t revision;
+  sgr_result_t result = source->read (text, length, &revision, &json, error);
+
+  if (result == SGR_OK)
+    result = sgr_config_content_parse (json, "", &content, error);
+  json_decref (json);
+  if (result != SGR_OK)
+    return result;
+  *record = sgr_config_record_create ();
+  sgr_invariant (*record != NULL);
+  (*record)->statement.revision = revision;
+  (*record)->content = content;
+  sgr_buffer_append (&(*record)->text, text, length);
+  return SGR_OK;
+}
+
 static sgr_result_t
 take (sgr_config_state_t *state, sgr_config_record_t *record, sgr_config_error_t *error)
 {
-  sgr_result_t result = sgr_config_chain_accept (state->record, record, error);
+  sgr_result_t result = accept (state, record, error);
 
   if (result != SGR_OK)
     {
@@ -109,7 +155,10 @@
       && memcmp (text, state->record->text.bytes, length) == 0)
     return sgr_config_error_set (error, SGR_ERR_CONFLICT, "statement.revision",
                                  "found the revision in force");
-  result = sgr_config_record_verify (&state->owners, text, length, &record, error);
+  if (state->source != NULL)
+    result = source_read (state->source, text, length, &record, error);
+  else
+    result = sgr_config_record_verify (&state->owners, text, length, &record, error);
   return result != SGR_OK ? result : take (state, record, error);
 }
 
@@ -118,9 +167,12 @@
                              sgr_config_error_t *error)
 {
   sgr_config_record_t *record;
-  sgr_result_t result
-      = sgr_config_record_verify_step (&state->owners, text, length, state->record, &record, error);
+  sgr_result_t result;
 
+  if (state->source != NULL)
+    return sgr_config_error_set (error, SGR_ERR_INVALID, "", "found a step, expected a document");
+  result
+      = sgr_config_record_verify_step (&state->owners, text, length, state->record, &record, error);
   return result != SGR_OK ? result : take (state, record, error);
 }
 
@@ -141,7 +193,8 @@
   json_t *json, *edits, *lineage;
   char *dumped;
 
-  if (index == state->history_count || state->history_count - index > STEP_EDITS_MAX)
+  if (state->source != NULL || index == state->history_count
+      || state->history_count - index > STEP_EDITS_MAX)
     return SGR_ERR_NOT_FOUND;
   json = sgr_config_record_write (state->owners.deployment, state->record);
   /* The receiver holds the statement of @from and its ancestors. */
@@ -190,6 +243,13 @@
   return state->record == NULL ? 0 : state->record->content->service_count;
 }
 
+const sgr_route_t *
+sgr_config_state_routes (const sgr_config_state_t *state, size_t *count)
+{
+  *count = state->record == NULL ? 0 : state->record->content->route_count;
+  return state->record == NULL ? NULL : state->record->content->routes;
+}
+
 const sgr_policy_t *
 sgr_config_state_service_at (const sgr_config_state_t *state, size_t index)
 {
--- a/libsiskingrade/config_state.h
+++ b/libsiskingrade/config_state.h
@@ -2,6 +2,7 @@
 #define SGR_CONFIG_STATE_H
 
 #include "config_chain.h"
+#include "config_source.h"
 
 typedef struct sgr_config_state_t sgr_config_state_t;
 
@@ -11,6 +12,13 @@
  * @history_max: steps kept for watchers, at least 1
  */
 sgr_config_state_t *sgr_config_state_create (const sgr_config_owners_t *owners, size_t history_max);
+/**
+ * sgr_config_state_source_set() - take documents of a source instead of records of the owners
+ * @state: a node without a configuration
+ * @source: the source, valid as long as @state
+ */
+void sgr_config_state_source_set (sgr_config_state_t *state, const sgr_config_source_t *source);
+
 void sgr_config_state_destroy (sgr_config_state_t *state);
 
 /**
@@ -60,6 +68,15 @@
 size_t sgr_config_state_service_count (const sgr_config_state_t *state);
 const sgr_policy_t *sgr_config_state_service_at (const sgr_config_state_t *state, size_t index);
 
+/**
+ * sgr_config_state_routes() - routes in force
+ * @state: the state
+ * @count: receives their number
+ *
+ * Return: the routes, valid until the next offer that is taken; NULL if there is no configuration.
+ */
+const sgr_route_t *sgr_config_state_routes (const sgr_config_state_t *state, size_t *count);
+
 /**
  * sgr_config_state_changes_since() - what a watcher has not seen yet
  * @state: the state
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -4,10 +4,6 @@
 #include <string.h>
 
 #include "config_api.h"
-#include "store_http.h"
-
-/* The store answers in milliseconds; a reply that takes this long is lost. */
-#define STORE_TIMEOUT_MS 1000
 
 struct sgr_control_config_t
 {
@@ -42,13 +38,12 @@
   static const sgr_config_io_callbacks_t callbacks = { .config_changed = on_config_changed };
   const sgr_settings_t *settings = control->settings;
   sgr_control_config_t *config = calloc (1, sizeof *config);
-  sgr_store_http_options_t store = { .address = settings->store, .timeout_ms = STORE_TIMEOUT_MS };
   sgr_config_io_options_t options;
 
   sgr_invariant (config != NULL);
   config->control = control;
   if (settings->store.port != 0)
-    config->store = sgr_store_http_create (control->loop, &store);
+    config->store = control->adapter->store_create (control->loop, settings);
   sgr_config_io_options_init (&options);
   memcpy (options.owners.deployment, settings->deployment, sizeof options.owners.deployment);
   memcpy (options.owners.owner, settings->owners, sizeof options.owners.owner);
@@ -56,6 +51,9 @@
   options.sync.seed = control->boot;
   memcpy (options.sync.failure_domain, settings->failure_domain,
           sizeof options.sync.failure_domain);
+  options.sync.start_delay_ms = (uint32_t)settings->store_delay_ms;
+  options.sync.watch_ms = (uint32_t)settings->store_watch_ms;
+  options.source = control->adapter->config;
   memcpy (options.node, settings->name, sizeof options.node);
   options.store = config->store;
   options.seed = control->boot;
@@ -73,7 +71,7 @@
   /* The HTTP context lives as long as the process, and the API belongs to it. */
   sgr_config_io_destroy (config->io);
   if (config->store != NULL)
-    sgr_store_http_destroy (config->store);
+    config->control->adapter->store_destroy (config->store);
   free (config);
 }
 
@@ -115,8 +113,7 @@
     { "config_fetch_failures_total", "counter", sync->fetch_failures },
     { "store_watch_calls_total", "counter", sync->store_calls },
     { "store_failures_total", "counter", sync->store_failures },
-    { "store_calls_total", "counter",
-      config->store != NULL ? sgr_store_http_calls (config->store) : 0 },
+    { "store_calls_total", "counter", config->store != NULL ? config->store->calls : 0 },
   };
 
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
--- /dev/null
+++ b/libsiskingrade/control_contacts.c
@@ -0,0 +1,167 @@
+#include "control_contacts.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+/* First and longest wait after a call that the store did not answer; doubled in between. */
+#define RETRY_MIN_US (200 * SGR_USEC_PER_MSEC)
+#define RETRY_MAX_US (2 * SGR_USEC_PER_SEC)
+/* A node that knows nobody reads the list again: others may have registered meanwhile. */
+#define ALONE_RETRY_US (2 * SGR_USEC_PER_SEC)
+
+typedef enum
+{
+  STEP_REGISTER,
+  STEP_LIST,
+  STEP_DONE,
+} step_t;
+
+struct sgr_control_contacts_t
+{
+  sgr_control_t *control;
+  sgr_store_t *store;
+  sgr_store_call_t *call;
+  step_t step;
+  char prefix[SGR_NAME_MAX + 16];
+  char key[2 * SGR_NAME_MAX + 16];
+  char address[32];
+  sgr_timer_t timer;
+  uint64_t retry_us;
+};
+
+static void
+retry_later (sgr_control_contacts_t *contacts, const char *action, const sgr_store_reply_t *reply)
+{
+  sgr_log_warn ("contacts-failed", "action=%s reason=\"%s\" retry_ms=%lu", action,
+                reply != NULL && reply->reason != NULL ? reply->reason : "not sent",
+                (unsigned long)(contacts->retry_us / SGR_USEC_PER_MSEC));
+  sgr_timer_arm (contacts->control->timers, &contacts->timer,
+                 sgr_clock_monotonic_us () + contacts->retry_us);
+  contacts->retry_us *= 2;
+  if (contacts->retry_us > RETRY_MAX_US)
+    contacts->retry_us = RETRY_MAX_US;
+}
+
+/* Adds the addresses in an order that differs between nodes, because membership keeps only some. */
+static size_t
+contacts_take (sgr_control_contacts_t *contacts, const sgr_store_reply_t *reply)
+{
+  size_t start = reply->item_count > 0 ? contacts->control->boot % reply->item_count : 0;
+  size_t taken = 0;
+
+  for (size_t i = 0; i < reply->item_count; i++)
+    {
+      const sgr_store_item_t *item = &reply->items[(start + i) % reply->item_count];
+      sgr_address_t address;
+      char text[32];
+
+      snprintf (text, sizeof text, "%.*s", (int)(item->length < 31 ? item->length : 31),
+                (const char *)item->value);
+      if (strcmp (item->key, contacts->key) == 0)
+        continue;
+      if (!sgr_address_parse (text, &address))
+        {
+          sgr_log_warn ("contact-refused", "key=%s reason=\"expected IP:PORT\"", item->key);
+          continue;
+        }
+      sgr_membership_contact_add (sgr_membership_io_membership (contacts->control->membership),
+                                  &address);
+      taken++;
+    }
+  return taken;
+}
+
+static void
+on_listed (void *ctx, const sgr_store_reply_t *reply)
+{
+  sgr_control_contacts_t *contacts = ctx;
+  size_t taken;
+
+  contacts->call = NULL;
+  if (reply->outcome != SGR_STORE_OK)
+    {
+      retry_later (contacts, "list", reply);
+      return;
+    }
+  taken = contacts_take (contacts, reply);
+  sgr_log_info ("contacts-read", "contacts=%zu", taken);
+  if (taken > 0)
+    contacts->step = STEP_DONE;
+  else
+    sgr_timer_arm (contacts->control->timers, &contacts->timer,
+                   sgr_clock_monotonic_us () + ALONE_RETRY_US);
+}
+
+static void step_run (sgr_control_contacts_t *contacts);
+
+static void
+on_registered (void *ctx, const sgr_store_reply_t *reply)
+{
+  sgr_control_contacts_t *contacts = ctx;
+
+  contacts->call = NULL;
+  if (reply->outcome != SGR_STORE_OK)
+    {
+      retry_later (contacts, "register", reply);
+      return;
+    }
+  contacts->step = STEP_LIST;
+  contacts->retry_us = RETRY_MIN_US;
+  step_run (contacts);
+}
+
+static void
+step_run (sgr_control_contacts_t *contacts)
+{
+  sgr_store_t *store = contacts->store;
+
+  if (contacts->step == STEP_DONE || contacts->call != NULL)
+    return;
+  if (contacts->step == STEP_REGISTER)
+    contacts->call = store->swap (store, contacts->key, SGR_STORE_ANY_VERSION, contacts->address,
+                                  strlen (contacts->address), on_registered, contacts);
+  else
+    contacts->call = store->list (store, contacts->prefix, on_listed, contacts);
+  if (contacts->call == NULL)
+    retry_later (contacts, "send", NULL);
+}
+
+static void
+on_timer (void *ctx, uint64_t now_us)
+{
+  step_run (ctx);
+}
+
+sgr_control_contacts_t *
+sgr_control_contacts_create (sgr_control_t *control, sgr_store_t *store)
+{
+  sgr_control_contacts_t *contacts;
+
+  if (store == NULL)
+    return NULL;
+  contacts = calloc (1, sizeof *contacts);
+  sgr_invariant (contacts != NULL);
+  contacts->control = control;
+  contacts->store = store;
+  contacts->retry_us = RETRY_MIN_US;
+  contacts->timer = (sgr_timer_t){ .fire = on_timer, .ctx = contacts };
+  snprintf (contacts->prefix, sizeof contacts->prefix, "nodes/%s/", control->settings->deployment);
+  snprintf (contacts->key, sizeof contacts->key, "%s%s", contacts->prefix, control->settings->name);
+  sgr_address_format (&control->settings->control, contacts->address, sizeof contacts->address);
+  step_run (contacts);
+  return contacts;
+}
+
+void
+sgr_control_contacts_destroy (sgr_control_contacts_t *contacts)
+{
+  if (contacts == NULL)
+    return;
+  if (contacts->call != NULL)
+    contacts->store->cancel (contacts->store, contacts->call);
+  sgr_timer_cancel (contacts->control->timers, &contacts->timer);
+  free (contacts);
+}
--- a/libsiskingrade/control_http.c
+++ b/libsiskingrade/control_http.c
@@ -10,10 +10,21 @@
 /* Two values of the largest size that the store takes. */
 #define BODY_MAX_BYTES (2U * 1024 * 1024)
 
+/* An address with the paths that it serves. */
+typedef enum
+{
+  PLACE_CONTROL,
+  PLACE_READY,
+  PLACE_TARGETS,
+  PLACE_COUNT,
+} place_t;
+
+static const char *const place_names[] = { "listen.control", "listen.ready", "listen.targets" };
+
 struct sgr_control_http_t
 {
   sgr_control_t *control;
-  sgr_http_listener_t *listener;
+  sgr_http_listener_t *listeners[PLACE_COUNT];
   void (*setup) (void *ctx, h2o_hostconf_t *host);
   void *ctx;
 };
@@ -72,9 +83,7 @@
       sgr_buffer_release (&error);
       return;
     }
-  if (is_changed)
-    sgr_control_local_changed (control);
-  sgr_timer_arm (control->timers, &control->announce_timer, control->announce.expires_us);
+  sgr_control_announce_renewed (control, is_changed);
   sgr_buffer_printf (&body, "{\"node\":\"%s\",\"ttl_ms\":%lu}\n", control->settings->name, ttl_ms);
   text_send (req, 200, "application/json", body.bytes, body.length);
   sgr_buffer_release (&body);
@@ -111,41 +120,87 @@
   handler->control = http->control;
 }
 
+static int
+on_ready (h2o_handler_t *super, h2o_req_t *req)
+{
+  if (sgr_control_is_ready (((handler_t *)super)->control))
+    text_send (req, 200, "application/json", "{}\n", 3);
+  else
+    error_send (req, 503, "the node does not take calls");
+  return 0;
+}
+
 static void
-on_setup (void *ctx, h2o_hostconf_t *host)
+control_setup (void *ctx, h2o_hostconf_t *host)
 {
   sgr_control_http_t *http = ctx;
 
   path_add (http, host, "/metrics", on_metrics);
   path_add (http, host, "/v1/target", on_target);
+  path_add (http, host, "/v1/ready", on_ready);
   http->setup (http->ctx, host);
 }
 
+static void
+ready_setup (void *ctx, h2o_hostconf_t *host)
+{
+  sgr_control_http_t *http = ctx;
+
+  path_add (http, host, "/v1/ready", on_ready);
+  if (http->control->adapter->ready_setup != NULL)
+    http->control->adapter->ready_setup (http->control, host);
+}
+
+static void
+targets_setup (void *ctx, h2o_hostconf_t *host)
+{
+  sgr_control_http_t *http = ctx;
+
+  path_add (http, host, "/v1/target", on_target);
+  if (http->control->adapter->targets_setup != NULL)
+    http->control->adapter->targets_setup (http->control, host);
+}
+
 sgr_control_http_t *
 sgr_control_http_create (sgr_control_t *control, void (*setup) (void *ctx, h2o_hostconf_t *host),
                          void *ctx, sgr_buffer_t *errors)
 {
+  static void (*const setups[]) (void *, h2o_hostconf_t *)
+      = { control_setup, ready_setup, targets_setup };
   sgr_control_http_t *http = calloc (1, sizeof *http);
-  sgr_address_t at = control->settings->control;
-  char address[32];
+  sgr_address_t places[]
+      = { control->settings->control, control->settings->ready, control->settings->targets };
 
   sgr_invariant (http != NULL);
   http->control = control;
   http->setup = setup;
   http->ctx = ctx;
-  http->listener = sgr_http_listener_create (control->loop, &at, BODY_MAX_BYTES, on_setup, http);
-  if (http->listener != NULL)
-    return http;
-  sgr_address_format (&at, address, sizeof address);
-  sgr_buffer_printf (errors, "listen.control: cannot listen on %s: %s\n", address,
-                     strerror (errno));
-  free (http);
-  return NULL;
+  for (int place = 0; place < PLACE_COUNT; place++)
+    {
+      char address[32];
+
+      if (places[place].port == 0)
+        continue;
+      http->listeners[place] = sgr_http_listener_create (control->loop, &places[place],
+                                                         BODY_MAX_BYTES, setups[place], http);
+      if (http->listeners[place] != NULL)
+        continue;
+      sgr_address_format (&places[place], address, sizeof address);
+      sgr_buffer_printf (errors, "%s: cannot listen on %s: %s\n", place_names[place], address,
+                         strerror (errno));
+      sgr_control_http_destroy (http);
+      free (http);
+      return NULL;
+    }
+  return http;
 }
 
 void
 sgr_control_http_destroy (sgr_control_http_t *http)
 {
-  if (http != NULL)
-    sgr_http_listener_stop (http->listener);
+  for (int place = 0; http != NULL && place < PLACE_COUNT; place++)
+    {
+      if (http->listeners[place] != NULL)
+        sgr_http_listener_stop (http->listeners[place]);
+    }
 }
--- /dev/null
+++ b/libsiskingrade/control_target.c
@@ -0,0 +1,88 @@
+#include "control_config.h"
+#include "control_internal.h"
+#include "control_probe.h"
+#include "log.h"
+
+/* The target of this host: its announcements, and what the node tells others of it. */
+
+sgr_target_state_t
+sgr_control_local_state (const sgr_control_t *control)
+{
+  const sgr_snapshot_local_t *local = &control->announce.local;
+
+  if (local->service[0] == '\0')
+    return control->announce.has_left ? SGR_TARGET_LEFT : SGR_TARGET_NONE;
+  return sgr_control_probe_is_failing (control->probe) ? SGR_TARGET_NONE : local->state;
+}
+
+void
+sgr_control_self_update (sgr_control_t *control)
+{
+  const sgr_snapshot_local_t *local = &control->announce.local;
+  const sgr_config_state_t *state = sgr_control_config_state (control->config);
+  sgr_membership_update_t update = { .target_state = sgr_control_local_state (control),
+                                     .service = local->service,
+                                     .slots = local->slots,
+                                     .config_revision = sgr_config_state_revision (state) };
+
+  /* After the leave the own record is final, so that a conflict is no error. */
+  sgr_membership_self_update (sgr_membership_io_membership (control->membership),
+                              sgr_clock_monotonic_us (), &update);
+}
+
+void
+sgr_control_local_changed (sgr_control_t *control)
+{
+  const sgr_snapshot_local_t *local = &control->announce.local;
+  bool is_present = local->service[0] != '\0';
+
+  sgr_log_info ("target-changed", "service=%s instance=%s state=%s slots=%u sequence=%lu",
+                is_present ? local->service : "-", is_present ? local->instance : "-",
+                sgr_target_state_name (is_present ? local->state : SGR_TARGET_LEFT), local->slots,
+                control->announce.sequence);
+  sgr_control_self_update (control);
+  sgr_control_snapshot_now (control);
+}
+
+void
+sgr_control_announce_renewed (sgr_control_t *control, bool is_changed)
+{
+  if (is_changed)
+    sgr_control_local_changed (control);
+  if (control->announce.local.service[0] != '\0')
+    sgr_timer_arm (control->timers, &control->announce_timer, control->announce.expires_us);
+}
+
+void
+sgr_control_announce_timer (void *ctx, uint64_t now_us)
+{
+  sgr_control_t *control = ctx;
+
+  if (sgr_announce_expire (&control->announce, now_us))
+    sgr_control_local_changed (control);
+  else if (control->announce.local.service[0] != '\0')
+    sgr_timer_arm (control->timers, &control->announce_timer, control->announce.expires_us);
+}
+
+sgr_result_t
+sgr_control_target_announce (sgr_control_t *control, const sgr_announcement_t *announcement)
+{
+  uint64_t ttl_us = control->settings->announce_ttl_ms * SGR_USEC_PER_MSEC;
+  bool is_changed;
+  sgr_result_t result;
+
+  if (control->is_stopping)
+    return SGR_ERR_UNAVAILABLE;
+  result = sgr_announce_take (&control->announce, sgr_clock_monotonic_us (), ttl_us, announcement,
+                              &is_changed);
+  if (result == SGR_OK)
+    sgr_control_announce_renewed (control, is_changed);
+  return result;
+}
+
+void
+sgr_control_target_leave (sgr_control_t *control, const char *instance, uint64_t started_ms)
+{
+  if (sgr_announce_instance_leave (&control->announce, instance, started_ms))
+    sgr_control_local_changed (control);
+}
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -12,11 +12,13 @@
 #include <unistd.h>
 
 #include "control_config.h"
+#include "control_contacts.h"
 #include "control_http.h"
 #include "control_internal.h"
 #include "control_keys.h"
 #include "control_probe.h"
 #include "log.h"
+#include "store_http.h"
 #include "task_loop.h"
 
 /* Changes that arrive together are sent as one snapshot. */
@@ -27,6 +29,9 @@
 /* Time in which the leave announcement spreads despite loss. */
 #define LEAVE_SPREAD_US (2 * SGR_USEC_PER_SEC)
 
+/* A node that has met no other one by then serves what its own target can. */
+#define READY_ALONE_US (2 * SGR_USEC_PER_SEC)
+
 typedef enum
 {
   MESSAGE_DRAINED,
@@ -49,17 +54,6 @@
   return x < y ? -1 : x > y;
 }
 
-/* State of the local target as the rest of the fleet is to see it. */
-static sgr_target_state_t
-local_state (const sgr_control_t *control)
-{
-  const sgr_snapshot_local_t *local = &control->announce.local;
-
-  if (local->service[0] == '\0')
-    return control->announce.has_left ? SGR_TARGET_LEFT : SGR_TARGET_NONE;
-  return sgr_control_probe_is_failing (control->probe) ? SGR_TARGET_NONE : local->state;
-}
-
 /* Copies the live members, for the snapshot, the configuration and the resource API. */
 static void
 members_refresh (sgr_control_t *control)
@@ -84,11 +78,13 @@
 snapshot_build (const sgr_control_t *control)
 {
   const sgr_config_state_t *state = sgr_control_config_state (control->config);
-  size_t policies = sgr_config_state_service_count (state);
-  sgr_snapshot_t *snapshot = sgr_snapshot_create (control->member_count, policies);
+  size_t policies = sgr_config_state_service_count (state), route_count;
+  const sgr_route_t *routes = sgr_config_state_routes (state, &route_count);
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (control->member_count, policies, route_count);
 
+  snapshot->config_revision = sgr_config_state_revision (state);
   snapshot->local = control->announce.local;
-  snapshot->local.state = local_state (control);
+  snapshot->local.state = sgr_control_local_state (control);
   for (size_t i = 0; i < control->member_count; i++)
     {
       if (control->members[i].service[0] != '\0')
@@ -96,6 +92,9 @@
     }
   for (size_t i = 0; i < policies; i++)
     snapshot->policies[snapshot->policy_count++] = *sgr_config_state_service_at (state, i);
+  if (route_count > 0)
+    memcpy (snapshot->routes, routes, route_count * sizeof *routes);
+  snapshot->route_count = route_count;
   return snapshot;
 }
 
@@ -113,6 +112,12 @@
   sgr_data_task_snapshot_send (control->data, snapshot_build (control));
 }
 
+void
+sgr_control_snapshot_now (sgr_control_t *control)
+{
+  sgr_timer_arm (control->timers, &control->snapshot_timer, sgr_clock_monotonic_us ());
+}
+
 void
 sgr_control_snapshot_due (sgr_control_t *control)
 {
@@ -125,33 +130,6 @@
   sgr_timer_arm (control->timers, &control->snapshot_timer, due_us);
 }
 
-void
-sgr_control_self_update (sgr_control_t *control)
-{
-  const sgr_snapshot_local_t *local = &control->announce.local;
-  const sgr_config_state_t *state = sgr_control_config_state (control->config);
-  sgr_membership_update_t update = { .target_state = local_state (control),
-                                     .service = local->service,
-                                     .slots = local->slots,
-                                     .config_revision = sgr_config_state_revision (state) };
-
-  /* After the leave the own record is final, so that a conflict is no error. */
-  sgr_membership_self_update (membership_of (control), sgr_clock_monotonic_us (), &update);
-}
-
-void
-sgr_control_local_changed (sgr_control_t *control)
-{
-  const sgr_snapshot_local_t *local = &control->announce.local;
-  bool is_present = local->service[0] != '\0';
-
-  sgr_log_info ("target-changed", "service=%s state=%s slots=%u", is_present ? local->service : "-",
-                sgr_target_state_name (is_present ? local->state : SGR_TARGET_LEFT), local->slots);
-  sgr_control_self_update (control);
-  /* The gate learns of its own target at once. */
-  sgr_timer_arm (control->timers, &control->snapshot_timer, sgr_clock_monotonic_us ());
-}
-
 static void
 on_member_changed (void *ctx, const sgr_member_t *member)
 {
@@ -163,15 +141,14 @@
   sgr_control_snapshot_due (ctx);
 }
 
-static void
-on_announce_timer (void *ctx, uint64_t now_us)
+bool
+sgr_control_is_ready (const sgr_control_t *control)
 {
-  sgr_control_t *control = ctx;
+  bool has_config = sgr_config_state_revision (sgr_control_config_state (control->config)) > 0;
+  bool has_members = control->member_count > 1
+                     || sgr_clock_monotonic_us () >= control->started_us + READY_ALONE_US;
 
-  if (sgr_announce_expire (&control->announce, now_us))
-    sgr_control_local_changed (control);
-  else if (control->announce.local.service[0] != '\0')
-    sgr_timer_arm (control->timers, &control->announce_timer, control->announce.expires_us);
+  return has_config && has_members && !control->is_stopping;
 }
 
 static void
@@ -203,13 +180,43 @@
   sgr_data_task_drain (control->data);
 }
 
+/* Only the log level can change while the node runs; the other settings belong to its sockets and
+   to what other nodes know of it. */
+static void
+settings_reload (sgr_control_t *control)
+{
+  static sgr_settings_t settings;
+  sgr_buffer_t errors = { 0 };
+
+  if (sgr_settings_load (&settings, control->settings_path, &errors) == SGR_OK)
+    {
+      bool is_same;
+
+      sgr_log_setup (control->settings->name, settings.log_level);
+      settings.log_level = control->settings->log_level;
+      is_same = memcmp (&settings, control->settings, sizeof settings) == 0;
+      sgr_log_info ("settings-reloaded", "restart_needed=%s", is_same ? "no" : "yes");
+    }
+  else
+    {
+      sgr_buffer_append (&errors, "", 1);
+      sgr_log_error ("settings-refused", "reason=\"%s\"", (const char *)errors.bytes);
+    }
+  sgr_buffer_release (&errors);
+}
+
 static void
 on_signal (h2o_socket_t *sock, const char *err)
 {
   struct signalfd_siginfo info;
 
   while (read (h2o_socket_get_fd (sock), &info, sizeof info) == (ssize_t)sizeof info)
-    stop_begin (sock->data);
+    {
+      if (info.ssi_signo == SIGHUP)
+        settings_reload (sock->data);
+      else
+        stop_begin (sock->data);
+    }
 }
 
 static void
@@ -232,7 +239,7 @@
       break;
     case MESSAGE_TARGET_UNREACHABLE:
       /* A target that lives renews its announcement and is back with that. */
-      if (sgr_announce_leave (&control->announce))
+      if (sgr_announce_drop (&control->announce))
         sgr_control_local_changed (control);
       break;
     case MESSAGE_DRAINED:
@@ -274,6 +281,7 @@
   sigemptyset (&set);
   sigaddset (&set, SIGTERM);
   sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
   /* Blocked before the data task starts, so that its thread inherits the mask. */
   if (pthread_sigmask (SIG_BLOCK, &set, NULL) != 0)
     return SGR_ERR_IO;
@@ -370,21 +378,37 @@
   if (control->http == NULL)
     return SGR_ERR_IO;
   control->keys = sgr_control_keys_create (control, sgr_control_config_store (control->config));
-  control->data
-      = sgr_data_task_start (control->settings, control->boot, &data_events, control, errors);
+  control->contacts
+      = sgr_control_contacts_create (control, sgr_control_config_store (control->config));
+  control->data = sgr_data_task_start (control->settings, control->adapter->fields, control->boot,
+                                       &data_events, control, errors);
   if (control->data == NULL)
     return SGR_ERR_IO;
   control->probe = sgr_control_probe_create (control);
   return SGR_OK;
 }
 
+const sgr_adapter_t sgr_adapter_default = {
+  .fields = &sgr_call_fields_default,
+  .store_create = sgr_store_http_open,
+  .store_destroy = sgr_store_http_destroy,
+};
+
 int
-sgr_control_task_run (const sgr_settings_t *settings)
+sgr_control_task_run (const char *settings_path, const sgr_settings_t *settings,
+                      const sgr_adapter_t *adapter)
 {
-  sgr_control_t control = { .settings = settings };
+  sgr_control_t control
+      = { .settings_path = settings_path, .settings = settings, .adapter = adapter };
   sgr_buffer_t errors = { 0 };
   int status = 0;
 
+  if (settings->is_approved_outside != (adapter->config != NULL))
+    {
+      fprintf (stderr, "siskingraded: approval: expected %s with this program\n",
+               adapter->config != NULL ? "outside" : "owners");
+      return EX_CONFIG;
+    }
   /* A peer or caller that closes early is seen as a write error, not as a signal. */
   signal (SIGPIPE, SIG_IGN);
   randombytes_buf (&control.boot, sizeof control.boot);
@@ -392,7 +416,8 @@
   control.timers = sgr_timer_heap_create ();
   control.metrics = sgr_metrics_create ();
   control.mailbox = sgr_mailbox_create (control.loop, on_message, &control);
-  control.announce_timer = (sgr_timer_t){ .fire = on_announce_timer, .ctx = &control };
+  control.started_us = sgr_clock_monotonic_us ();
+  control.announce_timer = (sgr_timer_t){ .fire = sgr_control_announce_timer, .ctx = &control };
   control.snapshot_timer = (sgr_timer_t){ .fire = on_snapshot_timer, .ctx = &control };
   control.stop_timer = (sgr_timer_t){ .fire = on_stop_timer, .ctx = &control };
   if (open_all (&control, &errors) != SGR_OK)
@@ -413,6 +438,7 @@
 out:
   sgr_control_http_destroy (control.http);
   sgr_control_probe_destroy (control.probe);
+  sgr_control_contacts_destroy (control.contacts);
   sgr_control_keys_destroy (control.keys);
   sgr_control_config_destroy (control.config);
   free (control.members);
--- a/libsiskingrade/data_answer.c
+++ b/libsiskingrade/data_answer.c
@@ -221,11 +221,15 @@
                          strlen (error->reason));
   if (error->retry_after_ms > 0)
     {
-      /* Retry-After has whole seconds; it is rounded up. */
-      h2o_iovec_t seconds;
-
-      seconds.base = h2o_mem_alloc_pool (&req->pool, 16);
-      seconds.len = (size_t)snprintf (seconds.base, 16, "%u", (error->retry_after_ms + 999) / 1000);
+      h2o_iovec_t seconds = { .base = h2o_mem_alloc_pool (&req->pool, 16) };
+
+      /* In HTTP the field has whole seconds; they are rounded up. */
+      if (error->has_retry_fractions)
+        seconds.len = (size_t)snprintf (seconds.base, 16, "%u.%03u", error->retry_after_ms / 1000,
+                                        error->retry_after_ms % 1000);
+      else
+        seconds.len
+            = (size_t)snprintf (seconds.base, 16, "%u", (error->retry_after_ms + 999) / 1000);
       h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_RETRY_AFTER, NULL, seconds.base,
                       seconds.len);
     }
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -158,7 +158,8 @@
                                            ? sgr_gate_reason_name (finish->gate_reason)
                                            : sgr_call_reason_name (finish->reason),
                              .is_repeat_safe = finish->repeat_safe,
-                             .retry_after_ms = finish->retry_after_ms };
+                             .retry_after_ms = finish->retry_after_ms,
+                             .has_retry_fractions = call->task->fields->has_retry_fractions };
   char labels[128];
 
   /* That this attempt was not run says nothing about an earlier call with the key, unless the gate
@@ -315,7 +316,7 @@
   options.idempotent = request->is_idempotent;
   options.keyed = request->has_key;
   options.deadline_us = request->deadline_us;
-  options.attempts_max = service->policy.attempts_max;
+  options.attempts_max = request->attempts_max;
   options.hedge_delay_us = hedge_delay_us (service);
   options.chain = request->chain;
   options.budget = &service->retries;
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -50,6 +50,9 @@
 /**
  * struct sgr_data_call_request_t - what the HTTP side read of a call; texts live as long as the
  * request of h2o
+ * @class_name: class for limits and histograms; of a routed call the name of its route
+ * @attempts_max: targets that the call may be sent to
+ * @priority: rank under overload, 0 is served first
  */
 typedef struct
 {
@@ -58,6 +61,8 @@
   char class_name[SGR_NAME_MAX + 1];
   bool is_idempotent;
   uint64_t deadline_us;
+  uint32_t attempts_max;
+  uint32_t priority;
   sgr_retry_chain_t chain;
   bool has_key;
   bool is_key_issued;
@@ -92,6 +97,7 @@
  * @reason: machine-readable reason
  * @is_repeat_safe: the caller may send the call again
  * @retry_after_ms: when a repeat has a chance, 0 if unknown
+ * @has_retry_fractions: the caller reads fractions of a second
  */
 typedef struct
 {
@@ -100,6 +106,7 @@
   const char *reason;
   bool is_repeat_safe;
   uint32_t retry_after_ms;
+  bool has_retry_fractions;
 } sgr_data_error_t;
 
 /** sgr_data_error_send() - answer a request with an error */
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "gate_request.h"
 #include "gate_run.h"
@@ -26,6 +27,7 @@
 {
   sgr_timer_cancel (gate->task->timers, &run->deadline);
   sgr_buffer_release (&run->message);
+  sgr_buffer_release (&run->body);
   sgr_buffer_release (&run->backlog);
   sgr_buffer_release (&run->record);
   if (run->previous != NULL)
@@ -283,6 +285,19 @@
   sgr_gate_refusal_send (gate, channel, &attempt->id, &refusal);
 }
 
+static void
+request_id_take (sgr_gate_run_t *run, const Sgr__Pb__Call *call)
+{
+  const char *name = run->gate->task->fields->request_id;
+
+  for (size_t i = 0; i < call->n_headers; i++)
+    {
+      if (strcasecmp (call->headers[i]->name, name) == 0
+          && strlen (call->headers[i]->value) < sizeof run->request_id)
+        strcpy (run->request_id, call->headers[i]->value);
+    }
+}
+
 static sgr_gate_run_t *
 run_create (sgr_data_gate_t *gate, const Sgr__Pb__Call *call, const sgr_attempt_t *attempt)
 {
@@ -296,6 +311,7 @@
   run->deadline_us = attempt->deadline_us;
   run->deadline = (sgr_timer_t){ .fire = on_deadline, .ctx = run };
   run->id = attempt->id;
+  request_id_take (run, call);
   run->credit = call->credit < SGR_GATE_CREDIT_MAX_BYTES ? call->credit : SGR_GATE_CREDIT_MAX_BYTES;
   run->next = gate->first_run;
   if (run->next != NULL)
@@ -355,7 +371,9 @@
   if (decision.kind == SGR_GATE_START || decision.kind == SGR_GATE_QUEUED)
     {
       /* Only now, so that a refusal under overload does not copy the body. */
-      sgr_gate_request_write (call, &id, body, body_length, &run->message);
+      sgr_gate_request_write (call, &id, gate->task->fields->instance,
+                              gate->task->snapshot->local.instance, body_length, &run->message);
+      sgr_buffer_append (&run->body, body, body_length);
       admitted (gate, channel, run, &decision);
       tick_arm (gate, now_us);
       return;
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -88,7 +88,7 @@
 }
 
 static bool
-idempotency_read (const h2o_req_t *req, const sgr_policy_t *policy, bool *is_idempotent)
+idempotency_read (const h2o_req_t *req, sgr_policy_idempotency_t idempotency, bool *is_idempotent)
 {
   h2o_iovec_t value = header_find (req, "siskingrade-idempotent");
 
@@ -97,23 +97,29 @@
       *is_idempotent = h2o_memis (value.base, value.len, H2O_STRLIT ("yes"));
       return *is_idempotent || h2o_memis (value.base, value.len, H2O_STRLIT ("no"));
     }
-  if (policy->idempotency == SGR_IDEMPOTENCY_BY_METHOD)
+  if (idempotency == SGR_IDEMPOTENCY_BY_METHOD)
     *is_idempotent = sgr_http_method_is_idempotent (req->method.base, req->method.len);
   else
-    *is_idempotent = policy->idempotency == SGR_IDEMPOTENCY_ALWAYS;
+    *is_idempotent = idempotency == SGR_IDEMPOTENCY_ALWAYS;
   return true;
 }
 
+/* The caller's deadline, or that of the policy if it gives none, within the timeout of the route.
+ */
 static bool
-deadline_read (const h2o_req_t *req, const sgr_policy_t *policy, uint64_t *deadline_us)
+deadline_read (const h2o_req_t *req, const char *field, const sgr_policy_t *policy,
+               const sgr_route_t *route, uint64_t *deadline_us)
 {
-  h2o_iovec_t value = header_find (req, "siskingrade-deadline-ms");
+  h2o_iovec_t value = header_find (req, field);
   uint64_t deadline_ms = policy->deadline_ms;
 
   if (value.base != NULL
       && (!sgr_http_number_parse (value.base, value.len, SGR_DEADLINE_MAX_MS, &deadline_ms)
           || deadline_ms == 0))
     return false;
+  if (route != NULL && route->timeout_ms > 0
+      && (value.base == NULL || deadline_ms > route->timeout_ms))
+    deadline_ms = route->timeout_ms;
   *deadline_us = sgr_clock_monotonic_us () + deadline_ms * SGR_USEC_PER_MSEC;
   return true;
 }
@@ -168,9 +174,11 @@
   return size <= SGR_HTTP_HEAD_MAX_BYTES;
 }
 
-/* Reads the header fields of a call. Returns the reason of an error, NULL if there is none. */
+/* Reads the header fields of a call; @route is NULL for a call that names its service. Returns the
+   reason of an error, NULL if there is none. */
 static const char *
-request_read (const h2o_req_t *req, const sgr_policy_t *policy, sgr_data_call_request_t *request)
+request_read (const sgr_data_http_t *http, const h2o_req_t *req, const sgr_policy_t *policy,
+              const sgr_route_t *route, sgr_data_call_request_t *request)
 {
   h2o_iovec_t tenant = header_find (req, "siskingrade-tenant");
   h2o_iovec_t class_name = header_find (req, "siskingrade-class");
@@ -178,14 +186,19 @@
   h2o_iovec_t retries = header_find (req, "siskingrade-retry-budget");
 
   strcpy (request->tenant, "default");
-  strcpy (request->class_name, "default");
+  strcpy (request->class_name, route != NULL ? route->name : "default");
+  request->attempts_max = policy->attempts_max;
+  if (route != NULL && route->attempts_max > 0)
+    request->attempts_max = route->attempts_max;
+  request->priority = route != NULL ? route->priority : 0;
   if (tenant.base != NULL && !name_copy (tenant, request->tenant))
     return "bad-tenant";
-  if (class_name.base != NULL && !name_copy (class_name, request->class_name))
+  if (route == NULL && class_name.base != NULL && !name_copy (class_name, request->class_name))
     return "bad-class";
-  if (!idempotency_read (req, policy, &request->is_idempotent))
+  if (!idempotency_read (req, route != NULL ? route->idempotency : policy->idempotency,
+                         &request->is_idempotent))
     return "bad-idempotent";
-  if (!deadline_read (req, policy, &request->deadline_us))
+  if (!deadline_read (req, http->task->fields->deadline, policy, route, &request->deadline_us))
     return "bad-deadline";
   if (sgr_retry_chain_parse (depth.base, depth.len, retries.base, retries.len, &request->chain)
       != SGR_OK)
@@ -223,26 +236,55 @@
   key_refuse (pending->req, result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
 }
 
+/* Finds the service of a call: the part of a route whose turn it is, or without routes the service
+   that the caller names. Answers the request itself if there is none. */
+static sgr_data_service_t *
+service_choose (sgr_data_http_t *http, h2o_req_t *req, const sgr_route_t **route, char *name)
+{
+  sgr_route_table_t *routes = http->task->routes;
+  sgr_data_service_t *service;
+
+  if (routes == NULL || http->task->snapshot->config_revision == 0)
+    {
+      refuse (req, 503, "no-configuration");
+      return NULL;
+    }
+  if (sgr_route_table_count (routes) > 0)
+    {
+      sgr_route_entry_t *entry = sgr_route_table_find (
+          routes, req->authority.base, req->authority.len, req->path.base, req->path.len);
+
+      if (entry == NULL)
+        {
+          refuse (req, 404, "no-route");
+          return NULL;
+        }
+      *route = sgr_route_entry_route (entry);
+      strcpy (name, sgr_route_entry_part (entry)->service);
+    }
+  else if (!service_read (req, name))
+    {
+      refuse (req, 400, "bad-service");
+      return NULL;
+    }
+  service = sgr_data_service_find (http->task->services, name);
+  if (service == NULL)
+    refuse (req, 404, "unknown-service");
+  return service;
+}
+
 static void
 call_begin (sgr_data_http_t *http, h2o_req_t *req)
 {
   sgr_data_call_request_t request = { 0 };
-  sgr_data_service_t *service;
+  const sgr_route_t *route = NULL;
+  sgr_data_service_t *service = service_choose (http, req, &route, request.service);
   pending_t *pending;
   const char *reason;
 
-  if (!service_read (req, request.service))
-    {
-      refuse (req, 400, "bad-service");
-      return;
-    }
-  service = sgr_data_service_find (http->task->services, request.service);
   if (service == NULL)
-    {
-      refuse (req, 404, "unknown-service");
-      return;
-    }
-  reason = request_read (req, &service->policy, &request);
+    return;
+  reason = request_read (http, req, &service->policy, route, &request);
   if (reason != NULL)
     {
       refuse (req, 400, reason);
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -31,12 +31,14 @@
 
 /**
  * struct sgr_data_task_t - state of the data task; only its thread uses it, but for the mailbox
+ * @routes: routes of the snapshot
  * @calls: open calls of callers
  * @attempts: entry side attempts by sgr_data_attempt_key()
  */
 struct sgr_data_task_t
 {
   const sgr_settings_t *settings;
+  const sgr_call_fields_t *fields;
   sgr_node_id_t node;
   sgr_boot_id_t boot;
   sgr_data_task_events_t events;
@@ -49,6 +51,7 @@
   sgr_mailbox_t *mailbox;
   sgr_rng_t rng;
   sgr_snapshot_t *snapshot;
+  sgr_route_table_t *routes;
   sgr_data_gate_t *gate;
   sgr_data_links_t *links;
   sgr_data_services_t *services;
@@ -62,6 +65,7 @@
   bool is_draining;
   bool is_stopped;
   bool had_snapshot;
+  sgr_timer_t leave_timer;
   sgr_timer_t drain_timer;
   sgr_timer_t metrics_timer;
   uint64_t drain_deadline_us;
--- a/libsiskingrade/data_send.c
+++ b/libsiskingrade/data_send.c
@@ -56,10 +56,33 @@
   control_send (attempt, &frame, &message.id);
 }
 
+static void
+header_set (Sgr__Pb__Header *header, const char *name, const char *value)
+{
+  sgr__pb__header__init (header);
+  header->name = (char *)name;
+  header->value = (char *)value;
+}
+
+/* Name of the service beside which this node runs, NULL if it has none. */
+static const char *
+own_service (const sgr_data_task_t *task)
+{
+  if (task->settings->service[0] != '\0')
+    return task->settings->service;
+  if (task->snapshot == NULL || task->snapshot->local.service[0] == '\0')
+    return NULL;
+  return task->snapshot->local.service;
+}
+
+/* Room that headers_fill() takes beside the caller's own fields. */
+#define HEADERS_ADDED 3
+
 static size_t
 headers_fill (const sgr_data_call_t *call, const sgr_retry_chain_t *chain, Sgr__Pb__Header *headers,
               Sgr__Pb__Header **pointers)
 {
+  const char *service = own_service (call->task);
   h2o_req_t *req = call->req;
   size_t used = 0;
 
@@ -67,23 +90,24 @@
     {
       const h2o_header_t *header = &req->headers.entries[i];
 
-      if (!sgr_http_is_forwarded (header->name->base, header->name->len))
+      if (!sgr_http_is_forwarded (header->name->base, header->name->len)
+          || sgr_call_fields_is_set_here (call->task->fields, header->name->base,
+                                          header->name->len))
         continue;
-      sgr__pb__header__init (&headers[used]);
-      headers[used].name = h2o_strdup (&req->pool, header->name->base, header->name->len).base;
-      headers[used].value = h2o_strdup (&req->pool, header->value.base, header->value.len).base;
-      used++;
+      header_set (&headers[used++],
+                  h2o_strdup (&req->pool, header->name->base, header->name->len).base,
+                  h2o_strdup (&req->pool, header->value.base, header->value.len).base);
     }
   for (int i = 0; i < 2; i++)
     {
       char number[16];
       int length = snprintf (number, sizeof number, "%u", i == 0 ? chain->depth : chain->retries);
 
-      sgr__pb__header__init (&headers[used]);
-      headers[used].name = i == 0 ? "siskingrade-depth" : "siskingrade-retry-budget";
-      headers[used].value = h2o_strdup (&req->pool, number, (size_t)length).base;
-      used++;
+      header_set (&headers[used++], i == 0 ? "siskingrade-depth" : "siskingrade-retry-budget",
+                  h2o_strdup (&req->pool, number, (size_t)length).base);
     }
+  if (service != NULL)
+    header_set (&headers[used++], call->task->fields->caller_service, service);
   for (size_t i = 0; i < used; i++)
     pointers[i] = &headers[i];
   return used;
@@ -138,7 +162,7 @@
   Sgr__Pb__Call message = SGR__PB__CALL__INIT;
   Sgr__Pb__IdempotencyKey key;
   Sgr__Pb__AttemptId id;
-  size_t room = req->headers.size + 2;
+  size_t room = req->headers.size + HEADERS_ADDED;
   Sgr__Pb__Header *headers = h2o_mem_alloc_pool (&req->pool, room * sizeof *headers);
   sgr_result_t result;
 
@@ -154,6 +178,8 @@
   message.class_name = call->request.class_name;
   message.method = h2o_strdup (&req->pool, req->method.base, req->method.len).base;
   message.path = h2o_strdup (&req->pool, req->path.base, req->path.len).base;
+  message.authority = h2o_strdup (&req->pool, req->authority.base, req->authority.len).base;
+  message.priority = call->request.priority;
   message.idempotent = call->request.is_idempotent;
   message.body_length = req->entity.len;
   message.credit = SGR_ANSWER_WINDOW_BYTES;
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -46,6 +46,16 @@
   return NULL;
 }
 
+static void
+routes_take (sgr_data_task_t *task)
+{
+  const sgr_snapshot_t *snapshot = task->snapshot;
+  sgr_route_table_t *old = task->routes;
+
+  task->routes = sgr_route_table_create (snapshot->routes, snapshot->route_count, old, &task->rng);
+  sgr_route_table_destroy (old);
+}
+
 static void
 snapshot_take (sgr_data_task_t *task, sgr_snapshot_t *snapshot)
 {
@@ -53,6 +63,8 @@
   sgr_snapshot_t *old = task->snapshot;
 
   task->snapshot = snapshot;
+  if (old == NULL || old->config_revision != snapshot->config_revision)
+    routes_take (task);
   sgr_data_services_update (task->services, old, now_us);
   sgr_data_gate_update (task->gate, now_us);
   task->had_snapshot = true;
@@ -87,18 +99,28 @@
     sgr_timer_arm (task->timers, &task->drain_timer, now_us + DRAIN_POLL_US);
 }
 
+/* Callers have had the time to turn to other nodes. */
+static void
+on_leave_timer (void *ctx, uint64_t now_us)
+{
+  sgr_data_task_t *task = ctx;
+
+  task->is_draining = true;
+  sgr_data_http_drain (task->http);
+  sgr_timer_arm (task->timers, &task->drain_timer, now_us + DRAIN_POLL_US);
+}
+
 static void
 drain_begin (sgr_data_task_t *task)
 {
   uint64_t now_us = sgr_clock_monotonic_us ();
 
-  if (task->is_draining)
+  if (task->drain_deadline_us != 0)
     return;
-  task->is_draining = true;
   task->drain_deadline_us = now_us + task->settings->drain_timeout_ms * SGR_USEC_PER_MSEC;
-  sgr_data_http_drain (task->http);
   sgr_data_gate_drain (task->gate, now_us);
-  sgr_timer_arm (task->timers, &task->drain_timer, now_us + DRAIN_POLL_US);
+  sgr_timer_arm (task->timers, &task->leave_timer,
+                 now_us + task->settings->leave_delay_ms * SGR_USEC_PER_MSEC);
 }
 
 static void
@@ -179,6 +201,7 @@
   sgr_data_gate_destroy (task->gate);
   sgr_id_map_destroy (task->attempts);
   sgr_snapshot_destroy (task->snapshot);
+  sgr_route_table_destroy (task->routes);
   /* Closed connections are due at time 0 and freed by their timers. */
   sgr_timer_heap_run (task->timers, 0);
   sgr_timer_heap_destroy (task->timers);
@@ -187,13 +210,15 @@
 }
 
 sgr_data_task_t *
-sgr_data_task_start (const sgr_settings_t *settings, sgr_boot_id_t boot,
-                     const sgr_data_task_events_t *events, void *ctx, sgr_buffer_t *errors)
+sgr_data_task_start (const sgr_settings_t *settings, const sgr_call_fields_t *fields,
+                     sgr_boot_id_t boot, const sgr_data_task_events_t *events, void *ctx,
+                     sgr_buffer_t *errors)
 {
   sgr_data_task_t *task = calloc (1, sizeof *task);
 
   sgr_invariant (task != NULL);
   task->settings = settings;
+  task->fields = fields;
   task->node = sgr_node_id_of (settings->name);
   task->boot = boot;
   task->events = *events;
@@ -202,6 +227,7 @@
   task->loop = h2o_evloop_create ();
   task->timers = sgr_timer_heap_create ();
   task->metrics = sgr_metrics_create ();
+  task->leave_timer = (sgr_timer_t){ .fire = on_leave_timer, .ctx = task };
   task->drain_timer = (sgr_timer_t){ .fire = on_drain_timer, .ctx = task };
   task->metrics_timer = (sgr_timer_t){ .fire = on_metrics_timer, .ctx = task };
   sgr_rng_seed (&task->rng, boot);
--- a/libsiskingrade/data_task.h
+++ b/libsiskingrade/data_task.h
@@ -1,6 +1,7 @@
 #ifndef SGR_DATA_TASK_H
 #define SGR_DATA_TASK_H
 
+#include "call_fields.h"
 #include "counter.h"
 #include "idempotency_key.h"
 #include "settings.h"
@@ -54,6 +55,7 @@
 /**
  * sgr_data_task_start() - open the sockets and start the thread
  * @settings: settings, valid until the task is joined
+ * @fields: names of the header fields, valid until the task is joined
  * @boot: boot id of this process life
  * @events: messages from the task
  * @ctx: passed with the messages
@@ -61,7 +63,8 @@
  *
  * Return: the task, NULL after an error.
  */
-sgr_data_task_t *sgr_data_task_start (const sgr_settings_t *settings, sgr_boot_id_t boot,
+sgr_data_task_t *sgr_data_task_start (const sgr_settings_t *settings,
+                                      const sgr_call_fields_t *fields, sgr_boot_id_t boot,
                                       const sgr_data_task_events_t *events, void *ctx,
                                       sgr_buffer_t *errors);
 
--- a/libsiskingrade/gate_request.c
+++ b/libsiskingrade/gate_request.c
@@ -11,7 +11,8 @@
   if (!sgr_http_is_token (call->method, strlen (call->method))
       || !sgr_http_is_path (call->path, strlen (call->path)))
     return false;
-  if (!sgr_http_is_token (call->service, strlen (call->service)))
+  if (!sgr_http_is_token (call->service, strlen (call->service))
+      || !sgr_http_is_value (call->authority, strlen (call->authority)))
     return false;
   for (size_t i = 0; i < call->n_headers; i++)
     {
@@ -32,24 +33,29 @@
 }
 
 void
-sgr_gate_request_write (const Sgr__Pb__Call *call, const sgr_attempt_id_t *id, const void *body,
-                        size_t body_length, sgr_buffer_t *message)
+sgr_gate_request_write (const Sgr__Pb__Call *call, const sgr_attempt_id_t *id, const char *instance,
+                        const char *instance_name, size_t body_length, sgr_buffer_t *head)
 {
-  sgr_buffer_printf (message, "%s %s HTTP/1.1\r\nhost: %s\r\n", call->method, call->path,
-                     call->service);
+  const char *host = call->authority[0] != '\0' ? call->authority : call->service;
+
+  sgr_buffer_printf (head, "%s %s HTTP/1.1\r\nhost: %s\r\n", call->method, call->path, host);
   for (size_t i = 0; i < call->n_headers; i++)
     {
       const Sgr__Pb__Header *header = call->headers[i];
 
-      sgr_buffer_printf (message, "%s: %s\r\n", header->name, header->value);
+      sgr_buffer_printf (head, "%s: %s\r\n", header->name, header->value);
     }
-  sgr_buffer_printf (message,
-                     "siskingrade-attempt: %016" PRIx64 "-%016" PRIx64 "-%" PRIu64 "-%u\r\n",
+  sgr_buffer_printf (head, "siskingrade-attempt: %016" PRIx64 "-%016" PRIx64 "-%" PRIu64 "-%u\r\n",
                      id->node, id->boot, id->sequence, id->attempt);
-  sgr_buffer_printf (message, "siskingrade-deadline-ms: %" PRIu64 "\r\n",
-                     call->remaining_us / 1000);
+  if (instance != NULL && instance_name[0] != '\0')
+    sgr_buffer_printf (head, "%s: %s\r\n", instance, instance_name);
   if (body_length > 0 || has_body_by_method (call->method))
-    sgr_buffer_printf (message, "content-length: %zu\r\n", body_length);
-  sgr_buffer_append (message, "\r\n", 2);
-  sgr_buffer_append (message, body, body_length);
+    sgr_buffer_printf (head, "content-length: %zu\r\n", body_length);
+}
+
+void
+sgr_gate_request_end (const char *deadline, uint64_t remaining_us, sgr_buffer_t *head)
+{
+  sgr_buffer_printf (head, "%s: %" PRIu64 "\r\n\r\n", deadline,
+                     (uint64_t)((remaining_us + SGR_USEC_PER_MSEC - 1) / SGR_USEC_PER_MSEC));
 }
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "gate_request.h"
+
 /* Connections to the target that may fail in a row before it counts as gone. */
 #define CONNECT_FAILURES_MAX 2
 /* Longest answer that is recorded for a key; longer ones are passed on but not kept. */
@@ -72,13 +74,49 @@
   return true;
 }
 
+static const sgr_http_field_t *
+field_find (const sgr_http_field_t *fields, size_t count, const char *name)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      if (h2o_lcstris (fields[i].name, fields[i].name_length, name, strlen (name)))
+        return &fields[i];
+    }
+  return NULL;
+}
+
+/* A target that answers late, or twice, leaves the answer to another request on the connection. No
+   request asks for an encoding, so that an encoded body is not the one that the target made. */
+static bool
+is_own_answer (const sgr_gate_run_t *run, const sgr_http_field_t *fields, size_t count)
+{
+  const sgr_call_fields_t *names = run->gate->task->fields;
+  const sgr_http_field_t *id = field_find (fields, count, names->request_id);
+
+  if (run->request_id[0] == '\0')
+    return true;
+  if (id == NULL)
+    return !names->is_id_repeated;
+  if (names->is_id_repeated && field_find (fields, count, "content-encoding") != NULL)
+    return false;
+  return id->value_length == strlen (run->request_id)
+         && memcmp (id->value, run->request_id, id->value_length) == 0;
+}
+
 static void
 on_head (void *ctx, int status, const sgr_http_field_t *fields, size_t count, int64_t body_length)
 {
   sgr_gate_run_t *run = ctx;
   sgr_buffer_t head = { 0 };
 
-  if (sgr_data_gate_is_not_run_status (run->gate, status))
+  if (!is_own_answer (run, fields, count))
+    {
+      /* Closes the connection, on which nothing can be told apart any more. */
+      sgr_gate_run_abort (run, SGR_CALL_REASON_ANSWER_LOST);
+      return;
+    }
+  if (sgr_data_gate_is_not_run_status (run->gate, status)
+      || field_find (fields, count, run->gate->task->fields->not_run) != NULL)
     {
       run->is_declared_not_run = true;
       return;
@@ -225,10 +263,16 @@
 void
 sgr_gate_run_start (sgr_gate_run_t *run)
 {
+  uint64_t now_us = sgr_clock_monotonic_us ();
+
+  sgr_gate_request_end (run->gate->task->fields->deadline,
+                        run->deadline_us > now_us ? run->deadline_us - now_us : 0, &run->message);
+  sgr_buffer_append (&run->message, run->body.bytes, run->body.length);
   run->request
       = sgr_target_request_start (run->gate->client, run->message.bytes, run->message.length,
                                   run->is_head_method, &handlers, run);
   sgr_buffer_release (&run->message);
+  sgr_buffer_release (&run->body);
 }
 
 void
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -40,7 +40,9 @@
  * @handle: attempt at the gate, 0 once it has finished
  * @idempotent: the request may run again, so it may be aborted
  * @keyed: it carries a key, its answer is recorded
- * @message: the HTTP request
+ * @request_id: id of the request, empty if it has none
+ * @message: head of the HTTP request without its end, until it is sent
+ * @body: body of the HTTP request, until it is sent
  * @request: the request at the target, NULL while it waits or after its end
  * @streaming: the first attempt, gets the answer as it arrives; NULL if its channel is gone
  * @joined: later attempts with the same key, get the recorded answer at the end
@@ -60,7 +62,9 @@
   bool idempotent;
   bool keyed;
   bool is_head_method;
+  char request_id[SGR_NAME_MAX + 1];
   sgr_buffer_t message;
+  sgr_buffer_t body;
   sgr_target_request_t *request;
   uint64_t started_us;
   uint64_t deadline_us;
--- a/libsiskingrade/peer.pb-c.c
+++ b/libsiskingrade/peer.pb-c.c
@@ -1215,7 +1215,7 @@
   (ProtobufCMessageInit) sgr__pb__idempotency_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__call__field_descriptors[13] =
+static const ProtobufCFieldDescriptor sgr__pb__call__field_descriptors[15] =
 {
   {
     "id",
@@ -1373,8 +1373,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "authority",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__Call, authority),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__Call, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__pb__call__field_indices_by_name[] = {
+  13,   /* field[13] = authority */
   10,   /* field[10] = body_length */
   5,   /* field[5] = class_name */
   11,   /* field[11] = credit */
@@ -1385,6 +1410,7 @@
   12,   /* field[12] = key */
   6,   /* field[6] = method */
   7,   /* field[7] = path */
+  14,   /* field[14] = priority */
   2,   /* field[2] = remaining_us */
   3,   /* field[3] = service */
   4,   /* field[4] = tenant */
@@ -1392,7 +1418,7 @@
 static const ProtobufCIntRange sgr__pb__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor sgr__pb__call__descriptor =
 {
@@ -1402,7 +1428,7 @@
   "Sgr__Pb__Call",
   "sgr.pb",
   sizeof(Sgr__Pb__Call),
-  13,
+  15,
   sgr__pb__call__field_descriptors,
   sgr__pb__call__field_indices_by_name,
   1,  sgr__pb__call__number_ranges,
--- a/libsiskingrade/peer.pb-c.h
+++ b/libsiskingrade/peer.pb-c.h
@@ -129,10 +129,18 @@
   uint64_t body_length;
   uint32_t credit;
   Sgr__Pb__IdempotencyKey *key;
+  /*
+   * Host field of the caller's request.
+   */
+  char *authority;
+  /*
+   * Rank under overload, 0 is served first.
+   */
+  uint32_t priority;
 };
 #define SGR__PB__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__call__descriptor) \
-    , NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL }
+    , NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Sgr__Pb__CallBody
--- /dev/null
+++ b/libsiskingrade/route.c
@@ -0,0 +1,184 @@
+#include "route.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "result.h"
+
+/**
+ * struct sgr_route_entry_t - a route and the state of its split
+ * @route: the route
+ * @prefix_length: bytes of its prefix
+ * @weight_sum: weights of all parts
+ * @credit: for each part, how far it is ahead of its share, in weights
+ */
+struct sgr_route_entry_t
+{
+  sgr_route_t route;
+  size_t prefix_length;
+  uint64_t weight_sum;
+  int64_t credit[SGR_ROUTE_PARTS_MAX];
+};
+
+struct sgr_route_table_t
+{
+  sgr_route_entry_t *entries;
+  size_t count;
+};
+
+/* Routes of a host stand together, the longest prefix first. */
+static int
+entry_order (const void *a, const void *b)
+{
+  const sgr_route_entry_t *left = a, *right = b;
+  int order = strcmp (left->route.host, right->route.host);
+
+  if (order != 0)
+    return order;
+  if (left->prefix_length != right->prefix_length)
+    return left->prefix_length > right->prefix_length ? -1 : 1;
+  return strcmp (left->route.prefix, right->route.prefix);
+}
+
+static bool
+has_same_parts (const sgr_route_t *a, const sgr_route_t *b)
+{
+  if (a->part_count != b->part_count)
+    return false;
+  for (uint32_t i = 0; i < a->part_count; i++)
+    {
+      if (a->parts[i].weight != b->parts[i].weight
+          || strcmp (a->parts[i].service, b->parts[i].service) != 0)
+        return false;
+    }
+  return true;
+}
+
+static const sgr_route_entry_t *
+entry_by_name (const sgr_route_table_t *table, const char *name)
+{
+  for (size_t i = 0; table != NULL && i < table->count; i++)
+    {
+      if (strcmp (table->entries[i].route.name, name) == 0)
+        return &table->entries[i];
+    }
+  return NULL;
+}
+
+static void
+entry_init (sgr_route_entry_t *entry, const sgr_route_t *route, const sgr_route_entry_t *before,
+            sgr_rng_t *rng)
+{
+  *entry = (sgr_route_entry_t){ .route = *route, .prefix_length = strlen (route->prefix) };
+  for (uint32_t i = 0; i < route->part_count; i++)
+    entry->weight_sum += route->parts[i].weight;
+  sgr_invariant (entry->weight_sum > 0);
+  if (before != NULL && has_same_parts (&before->route, route))
+    {
+      memcpy (entry->credit, before->credit, sizeof entry->credit);
+      return;
+    }
+  for (uint64_t skipped = sgr_rng_below (rng, entry->weight_sum); skipped > 0; skipped--)
+    sgr_route_entry_part (entry);
+}
+
+sgr_route_table_t *
+sgr_route_table_create (const sgr_route_t *routes, size_t count, const sgr_route_table_t *previous,
+                        sgr_rng_t *rng)
+{
+  sgr_route_table_t *table = calloc (1, sizeof *table);
+
+  sgr_invariant (table != NULL);
+  table->entries = calloc (count + 1, sizeof *table->entries);
+  sgr_invariant (table->entries != NULL);
+  for (size_t i = 0; i < count; i++)
+    entry_init (&table->entries[i], &routes[i], entry_by_name (previous, routes[i].name), rng);
+  table->count = count;
+  qsort (table->entries, count, sizeof *table->entries, entry_order);
+  return table;
+}
+
+void
+sgr_route_table_destroy (sgr_route_table_t *table)
+{
+  if (table == NULL)
+    return;
+  free (table->entries);
+  free (table);
+}
+
+size_t
+sgr_route_table_count (const sgr_route_table_t *table)
+{
+  return table->count;
+}
+
+/* Compares a host name of the table with one of a request, which may have capitals and a port. */
+static int
+host_order (const char *known, const char *host, size_t length)
+{
+  const char *port = memchr (host, ':', length);
+  char lower[SGR_ROUTE_HOST_MAX + 1];
+
+  if (port != NULL)
+    length = (size_t)(port - host);
+  if (length > SGR_ROUTE_HOST_MAX)
+    return 1;
+  for (size_t i = 0; i < length; i++)
+    lower[i] = host[i] >= 'A' && host[i] <= 'Z' ? (char)(host[i] + 'a' - 'A') : host[i];
+  lower[length] = '\0';
+  return strcmp (known, lower);
+}
+
+sgr_route_entry_t *
+sgr_route_table_find (sgr_route_table_t *table, const char *host, size_t host_length,
+                      const char *path, size_t path_length)
+{
+  const char *query = memchr (path, '?', path_length);
+  size_t low = 0, high = table->count;
+
+  if (query != NULL)
+    path_length = (size_t)(query - path);
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+
+      if (host_order (table->entries[middle].route.host, host, host_length) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  for (; low < table->count; low++)
+    {
+      sgr_route_entry_t *entry = &table->entries[low];
+
+      if (host_order (entry->route.host, host, host_length) != 0)
+        return NULL;
+      if (path_length >= entry->prefix_length
+          && memcmp (path, entry->route.prefix, entry->prefix_length) == 0)
+        return entry;
+    }
+  return NULL;
+}
+
+const sgr_route_t *
+sgr_route_entry_route (const sgr_route_entry_t *entry)
+{
+  return &entry->route;
+}
+
+const sgr_route_part_t *
+sgr_route_entry_part (sgr_route_entry_t *entry)
+{
+  uint32_t best = 0;
+
+  for (uint32_t i = 0; i < entry->route.part_count; i++)
+    {
+      entry->credit[i] += entry->route.parts[i].weight;
+      if (entry->credit[i] > entry->credit[best])
+        best = i;
+    }
+  entry->credit[best] -= (int64_t)entry->weight_sum;
+  return &entry->route.parts[best];
+}
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -18,6 +18,9 @@
     .answer_buffer_bytes = 64 * KIB,
     .calls_max = 10000,
     .announce_ttl_ms = 3000,
+    .store_delay_ms = 2000,
+    .store_watch_ms = 55000,
+    .leave_delay_ms = 0,
     .drain_timeout_ms = 60000,
     .heartbeat_ms = 250,
     .silence_ms = 1000,
@@ -28,13 +31,15 @@
 static void
 read_node (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
-  static const char *const keys[] = { "deployment", "name", "region", "failure_domain", NULL };
+  static const char *const keys[]
+      = { "deployment", "name", "service", "region", "failure_domain", NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "node");
 
   if (!sgr_yaml_mapping_check (yaml, node, "node", keys))
     return;
   sgr_yaml_name_read (yaml, node, "deployment", "node", true, settings->deployment);
   sgr_yaml_name_read (yaml, node, "name", "node", true, settings->name);
+  sgr_yaml_name_read (yaml, node, "service", "node", false, settings->service);
   sgr_yaml_name_read (yaml, node, "region", "node", true, settings->region);
   sgr_yaml_name_read (yaml, node, "failure_domain", "node", true, settings->failure_domain);
 }
@@ -48,7 +53,7 @@
 static void
 read_listen (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
-  static const char *const keys[] = { "callers", "peers", "control", NULL };
+  static const char *const keys[] = { "callers", "peers", "control", "ready", "targets", NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "listen");
 
   if (!sgr_yaml_mapping_check (yaml, node, "listen", keys))
@@ -57,6 +62,8 @@
       || !sgr_yaml_address_read (yaml, node, "peers", "listen", true, &settings->peers)
       || !sgr_yaml_address_read (yaml, node, "control", "listen", true, &settings->control))
     return;
+  sgr_yaml_address_read (yaml, node, "ready", "listen", false, &settings->ready);
+  sgr_yaml_address_read (yaml, node, "targets", "listen", false, &settings->targets);
   if (same_address (&settings->callers, &settings->peers))
     sgr_yaml_error (yaml, sgr_yaml_get (yaml, node, "peers"), "listen.peers",
                     "duplicate of listen.callers");
@@ -126,11 +133,30 @@
                     2 * sizeof owner->key);
 }
 
+static void
+read_approval (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "approval");
+  const char *text = sgr_yaml_scalar (yaml, node);
+
+  if (node == 0)
+    return;
+  settings->is_approved_outside = text != NULL && strcmp (text, "outside") == 0;
+  if (!settings->is_approved_outside && (text == NULL || strcmp (text, "owners") != 0))
+    sgr_yaml_error (yaml, node, "approval", "expected owners or outside");
+}
+
 static void
 read_owners (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "owners");
 
+  if (settings->is_approved_outside)
+    {
+      if (node != 0)
+        sgr_yaml_error (yaml, node, "owners", "expected none with \"approval: outside\"");
+      return;
+    }
   if (!sgr_yaml_is_sequence (yaml, node) || sgr_yaml_count (yaml, node) != SGR_CONFIG_OWNERS)
     {
       sgr_yaml_error (yaml, node != 0 ? node : root, "owners", "expected a list of %d co-owners",
@@ -200,6 +226,9 @@
                                       "answer_buffer_bytes",
                                       "calls_max",
                                       "announce_ttl_ms",
+                                      "store_delay_ms",
+                                      "store_watch_ms",
+                                      "leave_delay_ms",
                                       "drain_timeout_ms",
                                       "heartbeat_ms",
                                       "silence_ms",
@@ -216,6 +245,12 @@
   sgr_yaml_number_read (yaml, node, "calls_max", "limits", 1, 1000000, &settings->calls_max);
   sgr_yaml_number_read (yaml, node, "announce_ttl_ms", "limits", 100, 60000,
                         &settings->announce_ttl_ms);
+  sgr_yaml_number_read (yaml, node, "store_delay_ms", "limits", 0, 60000,
+                        &settings->store_delay_ms);
+  sgr_yaml_number_read (yaml, node, "store_watch_ms", "limits", 100, 60000,
+                        &settings->store_watch_ms);
+  sgr_yaml_number_read (yaml, node, "leave_delay_ms", "limits", 0, 60000,
+                        &settings->leave_delay_ms);
   sgr_yaml_number_read (yaml, node, "drain_timeout_ms", "limits", 0, 3600000,
                         &settings->drain_timeout_ms);
   sgr_yaml_number_read (yaml, node, "heartbeat_ms", "limits", 10, 60000, &settings->heartbeat_ms);
@@ -230,8 +265,9 @@
 static sgr_result_t
 read_document (sgr_settings_t *settings, sgr_yaml_t *yaml)
 {
-  static const char *const keys[] = { "node",   "listen", "advertise", "contacts", "store",
-                                      "owners", "tls",    "log",       "limits",   NULL };
+  static const char *const keys[]
+      = { "node",   "listen", "advertise", "contacts", "store", "approval",
+          "owners", "tls",    "log",       "limits",   NULL };
   sgr_yaml_node_t root = sgr_yaml_root (yaml);
 
   if (!sgr_yaml_mapping_check (yaml, root, "", keys))
@@ -241,6 +277,7 @@
   read_advertise (settings, yaml, root);
   read_contacts (settings, yaml, root);
   sgr_yaml_address_read (yaml, root, "store", "", false, &settings->store);
+  read_approval (settings, yaml, root);
   read_owners (settings, yaml, root);
   read_tls (settings, yaml, root);
   read_log (settings, yaml, root);
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -13,15 +13,19 @@
  * struct sgr_settings_t - settings of a node, read once at start
  * @deployment: deployment that the node belongs to; part of what the co-owners sign
  * @name: name of the node, unique in the fleet
+ * @service: service whose target runs beside the node, empty if only its announcement tells
  * @region: region
  * @failure_domain: failure domain, unique in the fleet
  * @callers: where callers connect
  * @peers: where other nodes send calls
  * @advertised_peers: address of @peers as other nodes reach it, @peers unless set
  * @control: where control messages, announcements and the resource API arrive
+ * @ready: where readiness is asked for, port 0 for the control address only
+ * @targets: where targets announce themselves, port 0 for the control address only
  * @store: the platform's key-value service, port 0 for none
  * @contacts: control addresses of some other nodes
  * @contact_count: used entries of @contacts
+ * @is_approved_outside: configuration is approved outside of siskingrade; there are no owners here
  * @owners: the two co-owners
  * @tls_certificate: PEM file for callers' TLS, empty for plain TCP
  * @tls_key: PEM file of the private key
@@ -30,6 +34,9 @@
  * @answer_buffer_bytes: answers up to this size are held whole before they are passed on
  * @calls_max: calls open at this node at a time
  * @announce_ttl_ms: an announcement that is not renewed for this long is dropped
+ * @store_delay_ms: wait before the first call to the store, a random half is added
+ * @store_watch_ms: longest wait of one watch of the store
+ * @leave_delay_ms: time between a stop signal and the first refusal of a caller's request
  * @drain_timeout_ms: longest wait for calls in flight at a planned stop
  * @heartbeat_ms: interval of pings on a connection between nodes
  * @silence_ms: a connection between nodes without any byte for this long is given up
@@ -39,15 +46,19 @@
 {
   char deployment[SGR_NAME_MAX + 1];
   char name[SGR_NAME_MAX + 1];
+  char service[SGR_NAME_MAX + 1];
   char region[SGR_NAME_MAX + 1];
   char failure_domain[SGR_NAME_MAX + 1];
   sgr_address_t callers;
   sgr_address_t peers;
   sgr_address_t advertised_peers;
   sgr_address_t control;
+  sgr_address_t ready;
+  sgr_address_t targets;
   sgr_address_t store;
   sgr_address_t contacts[SGR_SETTINGS_CONTACTS_MAX];
   size_t contact_count;
+  bool is_approved_outside;
   sgr_config_owner_t owners[SGR_CONFIG_OWNERS];
   char tls_certificate[SGR_SETTINGS_PATH_MAX + 1];
   char tls_key[SGR_SETTINGS_PATH_MAX + 1];
@@ -56,6 +67,9 @@
   uint64_t answer_buffer_bytes;
   uint64_t calls_max;
   uint64_t announce_ttl_ms;
+  uint64_t store_delay_ms;
+  uint64_t store_watch_ms;
+  uint64_t leave_delay_ms;
   uint64_t drain_timeout_ms;
   uint64_t heartbeat_ms;
   uint64_t silence_ms;
--- a/libsiskingrade/snapshot.c
+++ b/libsiskingrade/snapshot.c
@@ -3,14 +3,16 @@
 #include <stdlib.h>
 
 sgr_snapshot_t *
-sgr_snapshot_create (size_t members, size_t policies)
+sgr_snapshot_create (size_t members, size_t policies, size_t routes)
 {
   sgr_snapshot_t *snapshot = calloc (1, sizeof *snapshot);
 
   sgr_invariant (snapshot != NULL);
   snapshot->members = calloc (members + 1, sizeof *snapshot->members);
   snapshot->policies = calloc (policies + 1, sizeof *snapshot->policies);
-  sgr_invariant (snapshot->members != NULL && snapshot->policies != NULL);
+  snapshot->routes = calloc (routes + 1, sizeof *snapshot->routes);
+  sgr_invariant (snapshot->members != NULL && snapshot->policies != NULL
+                 && snapshot->routes != NULL);
   return snapshot;
 }
 
@@ -21,5 +23,6 @@
     return;
   free (snapshot->members);
   free (snapshot->policies);
+  free (snapshot->routes);
   free (snapshot);
 }
--- a/libsiskingrade/store.h
+++ b/libsiskingrade/store.h
@@ -6,6 +6,8 @@
 
 #define SGR_STORE_VALUE_MAX 1000000
 #define SGR_STORE_KEY_MAX 255
+/* As expected version of a swap: write whatever the version is. */
+#define SGR_STORE_ANY_VERSION UINT64_MAX
 
 /**
  * enum sgr_store_outcome_t - what is known of a call to the store
@@ -22,6 +24,21 @@
   SGR_STORE_UNKNOWN,
 } sgr_store_outcome_t;
 
+/**
+ * struct sgr_store_item_t - one key of a list
+ * @key: the key, zero-terminated
+ * @version: its version
+ * @value: its value
+ * @length: its length in bytes
+ */
+typedef struct
+{
+  const char *key;
+  uint64_t version;
+  const uint8_t *value;
+  size_t length;
+} sgr_store_item_t;
+
 /**
  * struct sgr_store_reply_t - end of a call
  * @outcome: what is known
@@ -29,6 +46,8 @@
  *           lease, its fencing number
  * @value: the value of a read, NULL if there is none; valid during the callback
  * @length: its length in bytes
+ * @items: keys of a list, valid during the callback
+ * @item_count: entries of @items
  * @retry_after_ms: wait that the store asks for, 0 for none
  * @reason: short text for a call that is not ok
  */
@@ -38,6 +57,8 @@
   uint64_t version;
   const uint8_t *value;
   size_t length;
+  const sgr_store_item_t *items;
+  size_t item_count;
   uint64_t retry_after_ms;
   const char *reason;
 } sgr_store_reply_t;
@@ -56,15 +77,18 @@
  * input exceeds the limits of the store.
  *
  * @get: read a key
- * @swap: write a key if it has version @expected, 0 for a key that does not exist; a NULL value
- *        removes the key
+ * @list: read the keys that begin with a prefix, at most about 500 of them
+ * @swap: write a key if it has version @expected, 0 for a key that does not exist,
+ *        SGR_STORE_ANY_VERSION for any; a NULL value removes the key
  * @lease: take or renew a lease for a holder; a @ttl_ms of 0 gives it up
  * @watch: read a key as soon as its version is above @after, at the latest after @wait_ms
  * @cancel: drop a pending call, its callback does not run
+ * @calls: calls sent since the start, a watch counted as one
  */
 struct sgr_store_t
 {
   sgr_store_call_t *(*get) (sgr_store_t *store, const char *key, sgr_store_cb_t cb, void *ctx);
+  sgr_store_call_t *(*list) (sgr_store_t *store, const char *prefix, sgr_store_cb_t cb, void *ctx);
   sgr_store_call_t *(*swap) (sgr_store_t *store, const char *key, uint64_t expected,
                              const void *value, size_t length, sgr_store_cb_t cb, void *ctx);
   sgr_store_call_t *(*lease) (sgr_store_t *store, const char *name, const char *holder,
@@ -72,6 +96,7 @@
   sgr_store_call_t *(*watch) (sgr_store_t *store, const char *key, uint64_t after, uint32_t wait_ms,
                               sgr_store_cb_t cb, void *ctx);
   void (*cancel) (sgr_store_t *store, sgr_store_call_t *call);
+  uint64_t calls;
 };
 
 #endif
--- a/libsiskingrade/store_http.c
+++ b/libsiskingrade/store_http.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "http_fetch.h"
 
 /* A watch ends by itself after its wait; silence for this much longer means that the store or the
@@ -11,11 +13,14 @@
 #define WATCH_GRACE_MS 5000
 /* Longest wait of a watch; it bounds the time for which a silent connection goes unnoticed. */
 #define WATCH_WAIT_MAX_MS 60000
+/* The store answers in milliseconds; a reply that takes this long is lost. */
+#define STORE_TIMEOUT_MS 1000
 #define REPLY_MAX (SGR_STORE_VALUE_MAX + 1024)
 
 typedef enum
 {
   CALL_GET,
+  CALL_LIST,
   CALL_WATCH,
   CALL_WRITE,
 } call_kind_t;
@@ -27,7 +32,6 @@
   sgr_http_fetcher_t *calls;
   sgr_http_fetcher_t *watches;
   sgr_store_call_t *pending;
-  uint64_t count;
 } store_http_t;
 
 struct sgr_store_call_t
@@ -89,13 +93,51 @@
     }
 }
 
+/* Passes the items of a list on; they live until the callback has returned. */
+static void
+list_reply (const sgr_store_call_t *call, sgr_store_reply_t *reply)
+{
+  json_error_t error;
+  json_t *json = json_loadb ((const char *)reply->value, reply->length, 0, &error);
+  const json_t *list = json_object_get (json, "items");
+  size_t count = json_array_size (list);
+  sgr_store_item_t *items = calloc (count + 1, sizeof *items);
+
+  sgr_invariant (items != NULL);
+  if (!json_is_array (list))
+    {
+      reply->outcome = SGR_STORE_UNAVAILABLE;
+      reply->reason = "the store's list cannot be read";
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      const json_t *item = json_array_get (list, i);
+      const char *key = json_string_value (json_object_get (item, "key"));
+      const char *value = json_string_value (json_object_get (item, "value"));
+
+      if (key == NULL || value == NULL)
+        continue;
+      items[reply->item_count++] = (sgr_store_item_t){
+        .key = key,
+        .version = (uint64_t)json_integer_value (json_object_get (item, "version")),
+        .value = (const uint8_t *)value,
+        .length = strlen (value),
+      };
+    }
+  reply->items = items;
+  reply->value = NULL;
+  reply->length = 0;
+  call->cb (call->ctx, reply);
+  free (items);
+  json_decref (json);
+}
+
 static void
 on_fetched (void *ctx, const sgr_http_fetch_reply_t *fetched)
 {
   sgr_store_call_t *call = ctx;
   sgr_store_reply_t reply = { .outcome = SGR_STORE_UNAVAILABLE };
-  sgr_store_cb_t cb = call->cb;
-  void *cb_ctx = call->ctx;
+  sgr_store_call_t done = *call;
 
   if (fetched->error != NULL)
     {
@@ -110,7 +152,10 @@
       reply.retry_after_ms = strtoull (fetched->got[2], NULL, 10);
     }
   call_release (call);
-  cb (cb_ctx, &reply);
+  if (done.kind == CALL_LIST && reply.outcome == SGR_STORE_OK)
+    list_reply (&done, &reply);
+  else
+    done.cb (done.ctx, &reply);
 }
 
 static sgr_store_call_t *
@@ -131,7 +176,7 @@
   call->ctx = ctx;
   call->next = http->pending;
   http->pending = call;
-  http->count++;
+  http->store.calls++;
   call->fetch = sgr_http_fetch_start (kind == CALL_WATCH ? http->watches : http->calls, request,
                                       on_fetched, call);
   return call;
@@ -160,6 +205,18 @@
                      &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
 }
 
+static sgr_store_call_t *
+http_list (sgr_store_t *store, const char *prefix, sgr_store_cb_t cb, void *ctx)
+{
+  char path[SGR_STORE_KEY_MAX + 32];
+
+  if (!key_valid (prefix))
+    return NULL;
+  snprintf (path, sizeof path, "/v1/kv?prefix=%s", prefix);
+  return call_start ((store_http_t *)store, CALL_LIST,
+                     &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
+}
+
 static sgr_store_call_t *
 http_swap (sgr_store_t *store, const char *key, uint64_t expected, const void *value, size_t length,
            sgr_store_cb_t cb, void *ctx)
@@ -170,7 +227,10 @@
   if (!key_valid (key) || length > SGR_STORE_VALUE_MAX)
     return NULL;
   snprintf (path, sizeof path, "/v1/kv/%s", key);
-  snprintf (headers, sizeof headers, "Store-If-Version: %llu\r\n", (unsigned long long)expected);
+  if (expected == SGR_STORE_ANY_VERSION)
+    snprintf (headers, sizeof headers, "Store-If-Version: any\r\n");
+  else
+    snprintf (headers, sizeof headers, "Store-If-Version: %lu\r\n", expected);
   request.method = value != NULL ? "PUT" : "DELETE";
   request.body = value;
   request.length = length;
@@ -221,6 +281,7 @@
   if (http == NULL)
     return NULL;
   http->store = (sgr_store_t){ .get = http_get,
+                               .list = http_list,
                                .swap = http_swap,
                                .lease = http_lease,
                                .watch = http_watch,
@@ -231,6 +292,14 @@
   return &http->store;
 }
 
+sgr_store_t *
+sgr_store_http_open (h2o_loop_t *loop, const sgr_settings_t *settings)
+{
+  sgr_store_http_options_t options = { .address = settings->store, .timeout_ms = STORE_TIMEOUT_MS };
+
+  return sgr_store_http_create (loop, &options);
+}
+
 void
 sgr_store_http_destroy (sgr_store_t *store)
 {
@@ -248,9 +317,3 @@
   sgr_http_fetcher_destroy (http->watches);
   free (http);
 }
-
-uint64_t
-sgr_store_http_calls (const sgr_store_t *store)
-{
-  return ((const store_http_t *)store)->count;
-}
--- a/libsiskingrade/store_http.h
+++ b/libsiskingrade/store_http.h
@@ -3,6 +3,7 @@
 
 #include <h2o.h>
 
+#include "settings.h"
 #include "store.h"
 
 /**
@@ -23,10 +24,10 @@
  */
 sgr_store_t *sgr_store_http_create (h2o_loop_t *loop, const sgr_store_http_options_t *options);
 
+/** sgr_store_http_open() - client of the service that the settings name */
+sgr_store_t *sgr_store_http_open (h2o_loop_t *loop, const sgr_settings_t *settings);
+
 /** sgr_store_http_destroy() - cancels pending calls without their callbacks */
 void sgr_store_http_destroy (sgr_store_t *store);
 
-/** sgr_store_http_calls() - calls sent since the start, a watch counted as one */
-uint64_t sgr_store_http_calls (const sgr_store_t *store);
-
 #endif
--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -224,6 +224,28 @@
     wait_add (req, name, after, wait_ms, WAIT_WATCH);
 }
 
+/* Values of listed keys are written as JSON strings, so that only texts can be listed. */
+static void
+handle_list (h2o_req_t *req)
+{
+  json_t *list = json_array ();
+  char prefix[256];
+
+  server.counts[COUNT_GET]++;
+  if (!sgr_http_query_text (req, "prefix", prefix, sizeof prefix))
+    prefix[0] = '\0';
+  for (size_t i = 0; i < server.state.key_count; i++)
+    {
+      const store_key_t *key = &server.state.keys[i];
+
+      if (key->exists && strncmp (key->name, prefix, strlen (prefix)) == 0)
+        json_array_append_new (list, json_pack ("{s:s, s:I, s:s%}", "key", key->name, "version",
+                                                (json_int_t)key->version, "value",
+                                                (const char *)key->value.bytes, key->value.length));
+    }
+  sgr_http_reply_json (req, 200, json_pack ("{s:o}", "items", list));
+}
+
 static void
 handle_write (h2o_req_t *req, const char *name, bool removes)
 {
@@ -237,7 +259,11 @@
       send_status (req, 400, 0, "no Store-If-Version");
       return;
     }
-  expected = strtoull (req->headers.entries[at].value.base, NULL, 10);
+  if (h2o_memis (req->headers.entries[at].value.base, req->headers.entries[at].value.len,
+                 H2O_STRLIT ("any")))
+    expected = store_key_version (key);
+  else
+    expected = strtoull (req->headers.entries[at].value.base, NULL, 10);
   if (req->entity.len > VALUE_MAX)
     {
       send_status (req, 413, 0, "value too large");
@@ -302,6 +328,8 @@
     send_status (req, 429, 0, "rate limit");
   else if (strncmp (path, "/v1/leases/", 11) == 0)
     handle_lease (req, path + 11);
+  else if (strcmp (path, "/v1/kv") == 0)
+    handle_list (req);
   else if (is_read)
     handle_read (req, path + 7);
   else
@@ -314,8 +342,10 @@
   char path[512];
   size_t length = req->path_normalized.len;
 
+  bool is_list = h2o_memis (req->path_normalized.base, length, H2O_STRLIT ("/v1/kv"));
+
   if (length >= sizeof path
-      || length < (strncmp (req->path_normalized.base, "/v1/kv/", 7) == 0 ? 8u : 12u))
+      || (!is_list && length < (strncmp (req->path_normalized.base, "/v1/kv/", 7) == 0 ? 8u : 12u)))
     {
       send_status (req, 400, 0, "bad path");
       return 0;
--- a/tests/test_data_service.c
+++ b/tests/test_data_service.c
@@ -41,7 +41,7 @@
 rig_snapshot (rig_t *rig, const char *service, const char *member_service)
 {
   sgr_snapshot_t *old = rig->task.snapshot;
-  sgr_snapshot_t *snapshot = sgr_snapshot_create (1, 1);
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (1, 1, 0);
 
   sgr_policy_init (&snapshot->policies[0], service);
   snapshot->policy_count = 1;
