Run pipelined requests of a caller at the same time

h2o handles the requests of an HTTP/1.1 connection one after the other, and stops reading while one runs, so that a caller's departure goes unnoticed. Plain connections of callers are now served by http1_server: http_parser reads them, h2o's request core and handlers stay, answers leave in the order of the requests. A request with two lengths, or with a length and chunks, is refused with 400 and a close; it was answered 404 before. A stop reads no further request, answers those that were read and closes with the last one. HTTP/2 with prior knowledge is recognised by its preface and handed to h2o.

Ruled out: watching the socket beside h2o, which cannot see a close behind pipelined bytes. tests/test_path_caller.c fails on the tree before.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 BUILD ?= build
 JOBS := $(shell nproc)
 PACKAGES := gcc make pkg-config libh2o-evloop-dev libprotobuf-c-dev protobuf-c-compiler \
-	libcmocka-dev libcyaml-dev libyaml-dev libjansson-dev libxxhash-dev libsodium-dev libssl-dev curl openssl
+	libcmocka-dev libcyaml-dev libyaml-dev libjansson-dev libxxhash-dev libsodium-dev libssl-dev libhttp-parser-dev \
+	curl openssl
 CI_PACKAGES := clang-format clang-tidy cppcheck
 
 CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Ilibsiskingrade -Iplatform
@@ -12,7 +13,7 @@
 CFLAGS += -std=gnu11 $(OPT) -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wno-unused-parameter -Wno-missing-field-initializers -fno-omit-frame-pointer -pthread
 # The h2o and cmocka headers are system headers, so that their own warnings do not count.
-LDLIBS += -lh2o-evloop -lssl -lcrypto -lprotobuf-c -lcyaml -lyaml -ljansson -lxxhash -lsodium -lm
+LDLIBS += -lh2o-evloop -lhttp_parser -lssl -lcrypto -lprotobuf-c -lcyaml -lyaml -ljansson -lxxhash -lsodium -lm
 LDFLAGS += -pthread
 
 LIB_SRC := $(wildcard libsiskingrade/*.c)
--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -9,7 +9,7 @@
 out=build-fuzz
 mkdir -p "$out"
 flags="-std=gnu11 -O1 -g -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Ilibsiskingrade -pthread"
-libs="-lh2o-evloop -lssl -lcrypto -lprotobuf-c -lcyaml -lyaml -ljansson -lxxhash -lsodium -lm"
+libs="-lh2o-evloop -lhttp_parser -lssl -lcrypto -lprotobuf-c -lcyaml -lyaml -ljansson -lxxhash -lsodium -lm"
 library=$(ls libsiskingrade/*.c)
 
 echo 'int LLVMFuzzerTestOneInput (const unsigned char *b, unsigned long n) { return 0; }' >"$out/probe.c"
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -240,8 +240,9 @@
   sgr_call_action_t actions[SGR_CALL_ACTIONS_MAX];
   size_t count;
 
-  call->depth++;
-  count = sgr_call_plan_event (&call->plan, sgr_clock_monotonic_us (), event, actions);
+  if (call->depth++ == 0)
+    call->now_us = sgr_clock_monotonic_us ();
+  count = sgr_call_plan_event (&call->plan, call->now_us, event, actions);
   for (size_t i = 0; i < count && !call->is_finished; i++)
     {
       if (actions[i].kind == SGR_CALL_ACTION_START)
--- a/libsiskingrade/data_call_internal.h
+++ b/libsiskingrade/data_call_internal.h
@@ -12,6 +12,7 @@
  * struct sgr_data_call_t - one call of a caller
  * @req: request of h2o, NULL once h2o disposed of it
  * @streaming: attempt whose answer is passed on
+ * @now_us: time of the outermost event, so that the deadline does not pass between two nested ones
  * @depth: nested events; the call is freed at depth 0 only
  * @is_key_checked: the gate of the key refused the last attempt after it looked the key up
  */
@@ -28,6 +29,7 @@
   sgr_data_answer_t *answer;
   sgr_data_attempt_t *streaming;
   sgr_timer_t timer;
+  uint64_t now_us;
   unsigned depth;
   bool is_finished;
   bool is_key_checked;
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -8,6 +8,7 @@
 
 #include "data_call.h"
 #include "data_keys.h"
+#include "http1_server.h"
 #include "http_fields.h"
 #include "http_tls.h"
 #include "listener.h"
@@ -21,6 +22,7 @@
   h2o_context_t context;
   h2o_accept_ctx_t accept;
   SSL_CTX *tls;
+  sgr_http1_server_t *server;
   h2o_socket_t *listener;
   size_t requests;
 };
@@ -389,7 +391,10 @@
 
   if (err != NULL || (sock = h2o_evloop_socket_accept (listener)) == NULL)
     return;
-  h2o_accept (&http->accept, sock);
+  if (http->tls != NULL)
+    h2o_accept (&http->accept, sock);
+  else
+    sgr_http1_server_accept (http->server, sock);
 }
 
 static void
@@ -430,6 +435,11 @@
     }
   config_init (http);
   http->accept.ssl_ctx = http->tls;
+  http->server = sgr_http1_server_create (
+      &(sgr_http1_options_t){ .accept = &http->accept,
+                              .timers = task->timers,
+                              .body_max_bytes = task->settings->request_body_max_bytes,
+                              .head_max_bytes = SGR_HTTP_HEAD_MAX_BYTES });
   if (sgr_listener_open (task->loop, &at, on_accept, http, &http->listener) == SGR_OK)
     return http;
   sgr_address_format (&task->settings->callers, address, sizeof address);
@@ -448,6 +458,7 @@
   if (http->listener != NULL)
     h2o_socket_close (http->listener);
   http->listener = NULL;
+  sgr_http1_server_drain (http->server);
   h2o_context_request_shutdown (&http->context);
 }
 
@@ -462,7 +473,8 @@
 {
   if (http == NULL)
     return;
-  /* Connections that are still open end with the process; h2o has no call to close them all. */
+  sgr_http1_server_destroy (http->server);
+  /* Connections over TLS end with the process; h2o has no call to close them all. */
   if (http->listener != NULL)
     h2o_socket_close (http->listener);
   http->listener = NULL;
--- /dev/null
+++ b/libsiskingrade/http1_request.c
@@ -0,0 +1,374 @@
+#include "http1_conn.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "result.h"
+
+/* One request of a caller's connection: its head and body as http_parser reads them, and its answer
+   as h2o writes it. */
+
+#define STATUS_LINE_BYTES 64
+
+/* Takes a part of the answer; the generator keeps the bytes until it is asked to proceed. */
+static void
+on_send (h2o_ostream_t *ostream, h2o_req_t *req, h2o_iovec_t *vectors, size_t count,
+         h2o_send_state_t state)
+{
+  sgr_http1_request_t *request = H2O_STRUCT_FROM_MEMBER (sgr_http1_request_t, ostream, ostream);
+
+  request->output = h2o_mem_alloc_pool (&req->pool, (count + 1) * sizeof *vectors);
+  request->output_count = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (vectors[i].len > 0)
+        request->output[request->output_count++] = vectors[i];
+    }
+  request->output_state = state;
+  request->has_output = true;
+  if (request->conn->first == request)
+    sgr_http1_conn_flush (request->conn);
+}
+
+sgr_http1_request_t *
+sgr_http1_request_create (sgr_http1_conn_t *conn)
+{
+  sgr_http1_request_t *request = calloc (1, sizeof *request);
+
+  sgr_invariant (request != NULL);
+  request->conn = conn;
+  h2o_init_request (&request->req, &conn->super, NULL);
+  request->ostream.do_send = on_send;
+  request->req._ostr_top = &request->ostream;
+  return request;
+}
+
+void
+sgr_http1_request_destroy (sgr_http1_request_t *request)
+{
+  h2o_dispose_request (&request->req);
+  sgr_buffer_release (&request->text);
+  sgr_buffer_release (&request->body);
+  free (request);
+}
+
+static sgr_http1_conn_t *
+conn_of (const http_parser *parser)
+{
+  return parser->data;
+}
+
+/* Ends the parser's run with a status for the caller. */
+static int
+fail (const http_parser *parser, int status)
+{
+  conn_of (parser)->error_status = status;
+  return -1;
+}
+
+static int
+on_message_begin (http_parser *parser)
+{
+  sgr_http1_conn_t *conn = conn_of (parser);
+
+  conn->reading = sgr_http1_request_create (conn);
+  return 0;
+}
+
+static int
+text_add (http_parser *parser, const char *at, size_t length)
+{
+  sgr_http1_conn_t *conn = conn_of (parser);
+
+  if (conn->reading->text.length + length > conn->server->options.head_max_bytes)
+    return fail (parser, 431);
+  sgr_buffer_append (&conn->reading->text, at, length);
+  return 0;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t length)
+{
+  conn_of (parser)->reading->target_length += length;
+  return text_add (parser, at, length);
+}
+
+static int
+on_header_field (http_parser *parser, const char *at, size_t length)
+{
+  sgr_http1_request_t *request = conn_of (parser)->reading;
+
+  if (request->field_count == 0 || request->is_value)
+    {
+      if (request->field_count == SGR_HTTP1_FIELDS_MAX)
+        return fail (parser, 431);
+      request->fields[request->field_count++]
+          = (sgr_http1_field_t){ .name_at = request->text.length };
+      request->is_value = false;
+    }
+  request->fields[request->field_count - 1].name_length += length;
+  return text_add (parser, at, length);
+}
+
+static int
+on_header_value (http_parser *parser, const char *at, size_t length)
+{
+  sgr_http1_request_t *request = conn_of (parser)->reading;
+  sgr_http1_field_t *field = &request->fields[request->field_count - 1];
+
+  if (!request->is_value)
+    field->value_at = request->text.length;
+  request->is_value = true;
+  field->value_length += length;
+  return text_add (parser, at, length);
+}
+
+static bool
+is_field (const sgr_http1_request_t *request, const sgr_http1_field_t *field, const char *name)
+{
+  return field->name_length == strlen (name)
+         && strncasecmp ((const char *)request->text.bytes + field->name_at, name,
+                         field->name_length)
+                == 0;
+}
+
+static const sgr_http1_field_t *
+field_find (const sgr_http1_request_t *request, const char *name, size_t *count)
+{
+  const sgr_http1_field_t *found = NULL;
+
+  *count = 0;
+  for (size_t i = 0; i < request->field_count; i++)
+    {
+      if (!is_field (request, &request->fields[i], name))
+        continue;
+      found = &request->fields[i];
+      (*count)++;
+    }
+  return found;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  sgr_http1_conn_t *conn = conn_of (parser);
+  sgr_http1_request_t *request = conn->reading;
+  size_t hosts, expects;
+
+  field_find (request, "host", &hosts);
+  if (hosts > 1 || (hosts == 0 && parser->http_minor > 0) || request->text.bytes[0] != '/')
+    return fail (parser, 400);
+  if (parser->content_length != ULLONG_MAX
+      && parser->content_length > conn->server->options.body_max_bytes)
+    return fail (parser, 413);
+  field_find (request, "expect", &expects);
+  if (expects > 0 && (parser->content_length != 0 || (parser->flags & F_CHUNKED) != 0))
+    sgr_http1_conn_continue (conn);
+  /* No upgrade is offered; the request counts without it. */
+  parser->upgrade = 0;
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  sgr_http1_conn_t *conn = conn_of (parser);
+
+  if (conn->reading->body.length + length > conn->server->options.body_max_bytes)
+    return fail (parser, 413);
+  sgr_buffer_append (&conn->reading->body, at, length);
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  sgr_http1_conn_t *conn = conn_of (parser);
+
+  conn->complete = conn->reading;
+  conn->reading = NULL;
+  conn->complete->req.http1_is_persistent = http_should_keep_alive (parser) != 0;
+  conn->complete->req.version = parser->http_major << 8 | parser->http_minor;
+  conn->complete->req.input.method
+      = h2o_strdup (&conn->complete->req.pool, http_method_str (parser->method), SIZE_MAX);
+  if (!conn->complete->req.http1_is_persistent || conn->server->is_draining)
+    conn->is_last_read = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+const http_parser_settings sgr_http1_parser_settings = {
+  .on_message_begin = on_message_begin,
+  .on_url = on_url,
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+/* Whether the caller's Connection field names a field, which then concerns this connection only. */
+static bool
+is_hop_field (const sgr_http1_request_t *request, const sgr_http1_field_t *field)
+{
+  size_t count;
+  const sgr_http1_field_t *connection = field_find (request, "connection", &count);
+  const char *name = (const char *)request->text.bytes + field->name_at;
+  const char *at, *end;
+
+  if (connection == NULL)
+    return false;
+  at = (const char *)request->text.bytes + connection->value_at;
+  end = at + connection->value_length;
+  while (at < end)
+    {
+      const char *comma = memchr (at, ',', (size_t)(end - at));
+      const char *stop = comma != NULL ? comma : end;
+
+      while (at < stop && (*at == ' ' || *at == '\t'))
+        at++;
+      while (stop > at && (stop[-1] == ' ' || stop[-1] == '\t'))
+        stop--;
+      if ((size_t)(stop - at) == field->name_length
+          && strncasecmp (at, name, field->name_length) == 0)
+        return true;
+      at = comma != NULL ? comma + 1 : end;
+    }
+  return false;
+}
+
+/* Fields that h2o keeps apart from the list of header fields. */
+static bool
+is_kept_apart (const sgr_http1_request_t *request, const sgr_http1_field_t *field)
+{
+  static const char *const names[]
+      = { "host", "content-length", "transfer-encoding", "expect", "upgrade", "connection" };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    {
+      if (is_field (request, field, names[i]))
+        return true;
+    }
+  return is_hop_field (request, field);
+}
+
+static void
+fields_give (sgr_http1_request_t *request)
+{
+  const char *text = (const char *)request->text.bytes;
+  h2o_req_t *req = &request->req;
+
+  for (size_t i = 0; i < request->field_count; i++)
+    {
+      const sgr_http1_field_t *field = &request->fields[i];
+      h2o_iovec_t name, value;
+
+      if (is_field (request, field, "host"))
+        req->input.authority = h2o_strdup (&req->pool, text + field->value_at, field->value_length);
+      if (is_kept_apart (request, field))
+        continue;
+      name = h2o_strdup (&req->pool, text + field->name_at, field->name_length);
+      value = h2o_strdup (&req->pool, text + field->value_at, field->value_length);
+      h2o_strtolower (name.base, name.len);
+      h2o_add_header_by_str (&req->pool, &req->headers, name.base, name.len, 1, NULL, value.base,
+                             value.len);
+    }
+}
+
+void
+sgr_http1_request_start (sgr_http1_request_t *request)
+{
+  const char *text = (const char *)request->text.bytes;
+  const char *query = memchr (text, '?', request->target_length);
+  h2o_req_t *req = &request->req;
+
+  req->input.scheme = &H2O_URL_SCHEME_HTTP;
+  req->input.path = h2o_strdup (&req->pool, text, request->target_length);
+  req->input.query_at = query != NULL ? (size_t)(query - text) : SIZE_MAX;
+  req->entity = h2o_iovec_init (request->body.bytes, request->body.length);
+  fields_give (request);
+  h2o_process_request (req);
+}
+
+void
+sgr_http1_request_refuse (sgr_http1_request_t *request, int status)
+{
+  switch (status)
+    {
+    case 413:
+      request->refusal = "HTTP/1.1 413 Payload Too Large\r\nConnection: close\r\n"
+                         "Content-Length: 0\r\n\r\n";
+      break;
+    case 431:
+      request->refusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n"
+                         "Content-Length: 0\r\n\r\n";
+      break;
+    default:
+      request->refusal
+          = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+      break;
+    }
+  request->output_state = H2O_SEND_STATE_FINAL;
+  request->has_output = true;
+}
+
+static h2o_iovec_t
+head_write (h2o_req_t *req, bool closes)
+{
+  size_t room = STATUS_LINE_BYTES + strlen (req->res.reason) + 64;
+  h2o_iovec_t head;
+  char *at;
+
+  for (size_t i = 0; i < req->res.headers.size; i++)
+    room += req->res.headers.entries[i].name->len + req->res.headers.entries[i].value.len + 4;
+  head.base = at = h2o_mem_alloc_pool (&req->pool, room);
+  at += sprintf (at, "HTTP/1.1 %d %s\r\n", req->res.status, req->res.reason);
+  if (closes)
+    at += sprintf (at, "connection: close\r\n");
+  if (req->res.content_length != SIZE_MAX)
+    at += sprintf (at, "content-length: %zu\r\n", req->res.content_length);
+  for (size_t i = 0; i < req->res.headers.size; i++)
+    {
+      const h2o_header_t *header = &req->res.headers.entries[i];
+
+      memcpy (at, header->name->base, header->name->len);
+      at += header->name->len;
+      *at++ = ':';
+      *at++ = ' ';
+      memcpy (at, header->value.base, header->value.len);
+      at += header->value.len;
+      *at++ = '\r';
+      *at++ = '\n';
+    }
+  *at++ = '\r';
+  *at++ = '\n';
+  head.len = (size_t)(at - head.base);
+  return head;
+}
+
+h2o_iovec_t *
+sgr_http1_request_vectors (sgr_http1_request_t *request, bool closes, size_t *count)
+{
+  h2o_mem_pool_t *pool = &request->req.pool;
+  h2o_iovec_t *vectors;
+
+  if (request->refusal != NULL)
+    {
+      vectors = h2o_mem_alloc_pool (pool, sizeof *vectors);
+      vectors[0] = h2o_iovec_init (request->refusal, strlen (request->refusal));
+      *count = 1;
+      return vectors;
+    }
+  *count = request->output_count;
+  if (request->is_head_sent)
+    return request->output;
+  vectors = h2o_mem_alloc_pool (pool, (request->output_count + 1) * sizeof *vectors);
+  vectors[0] = head_write (&request->req, closes);
+  if (request->output_count > 0)
+    memcpy (vectors + 1, request->output, request->output_count * sizeof *vectors);
+  request->is_head_sent = true;
+  *count += 1;
+  return vectors;
+}
--- /dev/null
+++ b/tests/test_path_caller.c
@@ -0,0 +1,241 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "node_fixture.h"
+#include "types.h"
+
+/* Connections of callers: requests that are sent before the first is answered, requests that two
+   readers could understand differently, callers that leave, and a stop while requests run. */
+
+enum
+{
+  ENTRY,
+  GATE,
+};
+
+#define READ_MAX 65536
+#define STARTS "siskingrade_gate_starts_total"
+
+static sgr_fixture_t fixture;
+
+static sgr_fixture_node_t *
+node (int index)
+{
+  return &fixture.nodes[index];
+}
+
+static int
+start (void **state)
+{
+  sgr_fixture_init (&fixture);
+  fixture.limits = "  heartbeat_ms: 50\n  silence_ms: 300\n  leave_delay_ms: 300\n";
+  sgr_fixture_node_add (&fixture, "entry", NULL, false);
+  sgr_fixture_node_add (&fixture, "gate", "one", false);
+  return sgr_fixture_start (&fixture) ? 0 : -1;
+}
+
+static int
+stop (void **state)
+{
+  sgr_fixture_stop (&fixture);
+  return 0;
+}
+
+static void
+text_send (int fd, const char *text)
+{
+  assert_int_equal (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t)strlen (text));
+}
+
+/* Reads until the text holds a pattern so many times, or until the end of the connection. Returns
+   whether the connection ended. */
+static bool
+read_until (int fd, const char *pattern, int times, char *text)
+{
+  size_t length = strlen (text);
+
+  for (;;)
+    {
+      int found = 0;
+      ssize_t got;
+
+      for (const char *at = text; (at = strstr (at, pattern)) != NULL; at++)
+        found++;
+      if (found >= times)
+        return false;
+      got = recv (fd, text + length, READ_MAX - 1 - length, 0);
+      if (got <= 0)
+        return true;
+      length += (size_t)got;
+      text[length] = '\0';
+    }
+}
+
+static void
+request_write (char *text, size_t size, const char *id, const char *fields)
+{
+  size_t length = strlen (text);
+
+  snprintf (text + length, size - length,
+            "GET /bytes/10 HTTP/1.1\r\nHost: one\r\nSiskingrade-Service: one\r\n"
+            "X-Request-Id: %s\r\n%s\r\n",
+            id, fields);
+}
+
+/* Guards against requests of one connection that wait for each other, and against answers in
+   another order than the requests: the slow first one is answered first, the second has run before.
+ */
+static void
+test_pipelined_requests (void **state)
+{
+  static char text[READ_MAX];
+  char requests[2048] = "";
+  int fd = sgr_probe_connect (node (ENTRY)->callers);
+  const char *slow, *fast;
+
+  request_write (requests, sizeof requests, "pipe-slow", "X-Service-Us: 400000\r\n");
+  request_write (requests, sizeof requests, "pipe-fast", "");
+  text[0] = '\0';
+  text_send (fd, requests);
+  while (sgr_fixture_executions (node (GATE), "pipe-fast") == 0)
+    sgr_fixture_pause ();
+  assert_int_equal (recv (fd, text, 1, MSG_DONTWAIT | MSG_PEEK), -1);
+  read_until (fd, "HTTP/1.1 200", 2, text);
+  read_until (fd, "pipe-fast", 1, text);
+  slow = strstr (text, "pipe-slow");
+  fast = strstr (text, "pipe-fast");
+  assert_non_null (slow);
+  assert_non_null (fast);
+  assert_true (slow < fast);
+  close (fd);
+}
+
+/* Guards against request smuggling: a request whose end two readers could see at different places
+   is refused, its connection closes, and nothing behind it runs. */
+static void
+test_ambiguous_requests (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *text;
+    int status;
+  } cases[] = {
+    { "two lengths",
+      "POST / HTTP/1.1\r\nHost: one\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody", 400 },
+    { "length and chunks",
+      "POST / HTTP/1.1\r\nHost: one\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\n\r\n",
+      400 },
+    { "chunks that are not last",
+      "POST / HTTP/1.1\r\nHost: one\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n", 400 },
+    { "two hosts", "GET / HTTP/1.1\r\nHost: one\r\nHost: two\r\n\r\n", 400 },
+    { "no host", "GET / HTTP/1.1\r\nX-Other: one\r\n\r\n", 400 },
+    { "negative length", "POST / HTTP/1.1\r\nHost: one\r\nContent-Length: -1\r\n\r\n", 400 },
+    { "not HTTP", "this is no request\r\n\r\n", 400 },
+    { "other form of target", "GET http://one/ HTTP/1.1\r\nHost: one\r\n\r\n", 400 },
+    { "body above the limit", "POST / HTTP/1.1\r\nHost: one\r\nContent-Length: 99999999\r\n\r\n",
+      413 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      static char text[READ_MAX];
+      char request[2048], status[16], id[32];
+      int fd = sgr_probe_connect (node (ENTRY)->callers);
+
+      snprintf (id, sizeof id, "smuggled-%zu", i);
+      snprintf (request, sizeof request, "%s", cases[i].text);
+      request_write (request, sizeof request, id, "");
+      snprintf (status, sizeof status, "HTTP/1.1 %d ", cases[i].status);
+      text[0] = '\0';
+      text_send (fd, request);
+      if (!read_until (fd, "never found", 1, text))
+        fail_msg ("%s: the connection stays open", cases[i].name);
+      if (strncmp (text, status, strlen (status)) != 0 || strstr (text + 1, "HTTP/1.1") != NULL)
+        fail_msg ("%s: found \"%.60s\"", cases[i].name, text);
+      assert_int_equal (sgr_fixture_executions (node (GATE), id), 0);
+      close (fd);
+    }
+}
+
+/* Guards against work for callers that have gone: the entry notices while the request runs, also
+   with a second request of the same connection behind it. */
+static void
+test_caller_leaves (void **state)
+{
+  char requests[2048] = "";
+  int fd = sgr_probe_connect (node (ENTRY)->callers);
+  uint64_t starts = sgr_fixture_metric (node (GATE), STARTS);
+  uint64_t started_us = sgr_clock_monotonic_us ();
+
+  request_write (requests, sizeof requests, "leaves-1", "X-Service-Us: 20000000\r\n");
+  request_write (requests, sizeof requests, "leaves-2", "X-Service-Us: 20000000\r\n");
+  text_send (fd, requests);
+  while (sgr_fixture_metric (node (GATE), STARTS) < starts + 2
+         || sgr_fixture_metric (node (GATE), "siskingrade_gate_in_flight") < 2)
+    sgr_fixture_pause ();
+  close (fd);
+  while (sgr_fixture_metric (node (GATE), "siskingrade_gate_in_flight") > 0)
+    sgr_fixture_pause ();
+  /* The targets would have worked for twenty seconds. */
+  assert_true (sgr_clock_monotonic_us () < started_us + 10 * SGR_USEC_PER_SEC);
+}
+
+/* Guards against requests that are cut by a stop: those of an open connection are answered while
+   the node leaves, the last answer closes the connection, and a second signal changes nothing. */
+static void
+test_stop_with_open_connection (void **state)
+{
+  static char text[READ_MAX];
+  char requests[2048] = "";
+  int fd = sgr_probe_connect (node (ENTRY)->callers);
+  uint64_t starts = sgr_fixture_metric (node (GATE), STARTS);
+
+  text[0] = '\0';
+  request_write (requests, sizeof requests, "stop-1", "X-Service-Us: 600000\r\n");
+  request_write (requests, sizeof requests, "stop-2", "X-Service-Us: 700000\r\n");
+  text_send (fd, requests);
+  while (sgr_fixture_metric (node (GATE), STARTS) < starts + 2)
+    sgr_fixture_pause ();
+  kill (node (ENTRY)->pid, SIGTERM);
+  sgr_fixture_pause ();
+  requests[0] = '\0';
+  request_write (requests, sizeof requests, "stop-3", "");
+  text_send (fd, requests);
+  kill (node (ENTRY)->pid, SIGTERM);
+  assert_true (read_until (fd, "never found", 1, text));
+  for (int i = 1; i <= 3; i++)
+    {
+      char id[32];
+
+      snprintf (id, sizeof id, "stop-%d", i);
+      assert_non_null (strstr (text, id));
+      assert_int_equal (sgr_fixture_executions (node (GATE), id), 1);
+    }
+  assert_non_null (strstr (text, "connection: close"));
+  assert_int_equal (sgr_fixture_wait (&node (ENTRY)->pid, 20000), 0);
+  close (fd);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_pipelined_requests),
+    cmocka_unit_test (test_ambiguous_requests),
+    cmocka_unit_test (test_caller_leaves),
+    cmocka_unit_test (test_stop_with_open_connection),
+  };
+
+  return cmocka_run_group_tests (tests, start, stop);
+}
