Hold work while a target is slowed down, and ask for its load

How long work takes is decided when it starts, by the neighbours of its target at that moment. A gate now starts nothing while its target tells that work takes twice as long or more: an attempt that came for a faster target is refused and goes to another gate at no cost to any target; one that has no better choice waits in the queue.

Refusals by gates count apart from the attempts that targets may see (sends_max), so that a routed call may pass two refusing gates.

--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -1,6 +1,10 @@
 #include "balancer_internal.h"
 
 /* Time in which membership spreads the state of a target to all nodes. */
+/* A target whose work takes this many times as long as usual counts as slowed down. */
+#define SLOWED_COST 2.0
+/* Its neighbours change within this time. */
+#define SLOWED_HOLDS_US (150 * SGR_USEC_PER_MSEC)
 #define REPORTED_STATE_US (3 * SGR_USEC_PER_SEC)
 
 #include <stdlib.h>
@@ -440,6 +444,15 @@
   return entry != NULL && entry->health.is_ejected;
 }
 
+bool
+sgr_balancer_is_slowed (const sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target)
+{
+  const sgr_balancer_entry_t *entry = entry_of (b, target);
+
+  return entry != NULL && entry->estimate.reported_cost >= SLOWED_COST
+         && now_us < entry->estimate.reported_us + SLOWED_HOLDS_US;
+}
+
 uint32_t
 sgr_balancer_outstanding (const sgr_balancer_t *b, sgr_balancer_target_t target)
 {
--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -248,6 +248,10 @@
  */
 bool sgr_balancer_is_ejected (const sgr_balancer_t *b, sgr_balancer_target_t target);
 
+/** sgr_balancer_is_slowed() - whether a target reported just now that its work takes much longer */
+bool sgr_balancer_is_slowed (const sgr_balancer_t *b, uint64_t now_us,
+                             sgr_balancer_target_t target);
+
 /**
  * sgr_balancer_outstanding() - attempts of this node that are started and not finished
  */
--- a/libsiskingrade/call_plan.c
+++ b/libsiskingrade/call_plan.c
@@ -25,6 +25,7 @@
 sgr_call_options_init (sgr_call_options_t *options)
 {
   *options = (sgr_call_options_t){ .attempts_max = 3,
+                                   .sends_max = SGR_CALL_ATTEMPTS_MAX,
                                    .settle_us = SETTLE_US,
                                    .query_interval_us = QUERY_INTERVAL_US,
                                    .chain = { .retries = SGR_RETRY_CHAIN_RETRIES } };
@@ -154,6 +155,7 @@
     return true;
   return plan->last_reason == SGR_CALL_REASON_REFUSED
          && (plan->last_gate_reason == SGR_GATE_REASON_DRAINING
+             || plan->last_gate_reason == SGR_GATE_REASON_SLOW
              || plan->last_gate_reason == SGR_GATE_REASON_WRONG_BOOT
              || plan->last_gate_reason == SGR_GATE_REASON_NOT_READY);
 }
@@ -163,8 +165,10 @@
 {
   const sgr_call_plan_t *plan = turn->plan;
 
-  return plan->attempt_count < plan->options.attempts_max && plan->committed == NOT_COMMITTED
-         && !plan->deadline_passed && turn->now_us < plan->options.deadline_us;
+  return plan->attempt_count < plan->options.attempts_max
+         && plan->attempt_count - plan->refused_count < plan->options.sends_max
+         && plan->committed == NOT_COMMITTED && !plan->deadline_passed
+         && turn->now_us < plan->options.deadline_us;
 }
 
 static bool
@@ -338,6 +342,8 @@
       failure_record (plan, event);
       return;
     }
+  if (event->outcome == SGR_OUTCOME_NOT_RUN && event->reason == SGR_CALL_REASON_REFUSED)
+    plan->refused_count++;
   if (event->outcome == SGR_OUTCOME_COMPLETE && may_win)
     {
       attempt->state = SGR_CALL_ATTEMPT_COMPLETE;
--- a/libsiskingrade/call_plan.h
+++ b/libsiskingrade/call_plan.h
@@ -138,6 +138,7 @@
  * @keyed: it carries an idempotency key and is bound to one gate boot
  * @deadline_us: monotonic time by which the caller wants the answer
  * @attempts_max: attempts, the first included; cut to SGR_CALL_ATTEMPTS_MAX
+ * @sends_max: attempts that targets may see; one that a gate refused is not among them
  * @hedge_delay_us: time after which an idempotent call without a key is hedged, 0 for never
  * @settle_us: how long to wait after the deadline for the reply to a cancel
  * @query_interval_us: time between queries of one attempt
@@ -150,6 +151,7 @@
   bool keyed;
   uint64_t deadline_us;
   uint32_t attempts_max;
+  uint32_t sends_max;
   uint64_t hedge_delay_us;
   uint64_t settle_us;
   uint64_t query_interval_us;
@@ -180,6 +182,7 @@
 
 /**
  * struct sgr_call_plan_t - state of one call at its entry; read only for the driver
+ * @refused_count: attempts that gates refused, so that no target saw them
  * @timer_us: when SGR_CALL_EVENT_TIMER is due, SGR_TIMER_NEVER after the end
  * @finished: the FINISH action was given; later events give no actions
  */
@@ -188,6 +191,7 @@
   sgr_call_options_t options;
   sgr_call_attempt_t attempts[SGR_CALL_ATTEMPTS_MAX];
   uint32_t attempt_count;
+  uint32_t refused_count;
   uint32_t retries_made;
   uint32_t committed;
   bool deadline_passed;
--- a/libsiskingrade/config_policy.c
+++ b/libsiskingrade/config_policy.c
@@ -5,6 +5,7 @@
 
 #include "config_json.h"
 #include "config_resource.h"
+#include "http_fields.h"
 
 #define LIMIT_IN_FLIGHT_MAX 100000
 
@@ -26,6 +27,7 @@
   { "tenant_limit_default", offsetof (sgr_policy_t, tenant_limit_default), 0, LIMIT_IN_FLIGHT_MAX },
   { "probe_calls_per_s", offsetof (sgr_policy_t, probe_calls_per_s), 0, 10000 },
   { "probe_bytes_per_s", offsetof (sgr_policy_t, probe_bytes_per_s), 0, 100000000 },
+  { "load_calls_per_s", offsetof (sgr_policy_t, load_calls_per_s), 0, 200000 },
   { "targets_max", offsetof (sgr_policy_t, targets_max), 1, 100000 },
   { "slow_start_ms", offsetof (sgr_policy_t, slow_start_ms), 0, 3600000 },
   { "eject_percent", offsetof (sgr_policy_t, eject_percent), 0, 99 },
@@ -40,7 +42,8 @@
     = "found an unknown key, expected a policy field: idempotency, deadline_ms, slots_percent, "
       "queue_max, "
       "attempts_max, retry_percent, hedge_percentile, not_run_status, tenant_limits, "
-      "class_limits, tenant_limit_default, probe_calls_per_s, probe_bytes_per_s, targets_max, "
+      "class_limits, tenant_limit_default, probe_calls_per_s, probe_bytes_per_s, load_path, "
+      "load_calls_per_s, targets_max, "
       "slow_start_ms, eject_percent, key_store_per_s";
 
 sgr_result_t
@@ -98,6 +101,24 @@
   return SGR_OK;
 }
 
+static sgr_result_t
+read_load_path (const json_t *value, const char *place, sgr_policy_t *policy,
+                sgr_config_error_t *error)
+{
+  const char *text = json_string_value (value);
+  char found[80];
+
+  if (text != NULL && strlen (text) <= SGR_POLICY_PATH_MAX
+      && (text[0] == '\0' || sgr_http_is_path (text, strlen (text))))
+    {
+      strcpy (policy->load_path, text);
+      return SGR_OK;
+    }
+  return sgr_config_error_set (
+      error, SGR_ERR_INVALID, place, "found %s, expected a path of at most %d bytes",
+      sgr_config_json_found (value, found, sizeof found), SGR_POLICY_PATH_MAX);
+}
+
 static int
 compare_limits (const void *a, const void *b)
 {
@@ -184,6 +205,8 @@
     sgr_config_json_path (place, path, key);
     if (strcmp (key, "idempotency") == 0)
       result = sgr_config_idempotency_read (value, place, &policy->idempotency, error);
+    else if (strcmp (key, "load_path") == 0)
+      result = read_load_path (value, place, policy, error);
     else if (strcmp (key, "not_run_status") == 0)
       result = read_status (value, place, policy, error);
     else if (strcmp (key, "tenant_limits") == 0)
@@ -225,6 +248,7 @@
   for (uint32_t i = 0; i < policy->not_run_status_count; i++)
     json_array_append_new (status, json_integer (policy->not_run_status[i]));
   json_object_set_new (json, "not_run_status", status);
+  json_object_set_new (json, "load_path", json_string (policy->load_path));
   json_object_set_new (json, "idempotency",
                        json_string (sgr_config_idempotency_name (policy->idempotency)));
   json_object_set_new (json, "tenant_limits",
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -128,6 +128,11 @@
   sgr_data_link_attach (link, attempt);
   attempt->start_us = sgr_clock_monotonic_us ();
   attempt->is_balanced = true;
+  /* The first choice meant another state of the target if it is slowed down now; after a refusal it
+     is more likely that all are. */
+  attempt->may_wait
+      = action->attempt > 0
+        || sgr_balancer_is_slowed (call->service->balancer, attempt->start_us, attempt->target);
   sgr_balancer_attempt_start (call->service->balancer, attempt->start_us, attempt->target);
   event.kind = SGR_CALL_EVENT_SENT;
   sgr_data_call_event (call, &event);
@@ -317,7 +322,8 @@
   options.idempotent = request->is_idempotent;
   options.keyed = request->has_key;
   options.deadline_us = request->deadline_us;
-  options.attempts_max = request->attempts_max;
+  options.attempts_max = request->attempts_max + request->refusals_max;
+  options.sends_max = request->attempts_max;
   options.hedge_delay_us = hedge_delay_us (service);
   options.chain = request->chain;
   options.budget = &service->retries;
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -15,6 +15,7 @@
  * @target: handle for the balancer
  * @gate_boot: process life of the gate that it was sent to
  * @start_us: when it was sent, 0 if it was not
+ * @may_wait: its gate may hold it while the target is slowed down
  * @is_loss_due: the connection was lost and the attempt has not been told
  * @has_head: the head of the answer arrived
  * @status: HTTP status of the answer
@@ -35,6 +36,7 @@
   sgr_balancer_target_t target;
   sgr_boot_id_t gate_boot;
   uint64_t start_us;
+  bool may_wait;
   bool is_balanced;
   bool is_loss_due;
   bool has_head;
@@ -52,6 +54,7 @@
  * request of h2o
  * @class_name: class for limits and histograms; of a routed call the name of its route
  * @attempts_max: targets that the call may be sent to
+ * @refusals_max: attempts beside these that gates may refuse
  * @priority: rank under overload, 0 is served first
  */
 typedef struct
@@ -62,6 +65,7 @@
   bool is_idempotent;
   uint64_t deadline_us;
   uint32_t attempts_max;
+  uint32_t refusals_max;
   uint32_t priority;
   sgr_retry_chain_t chain;
   bool has_key;
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -222,6 +222,7 @@
         }
     }
   sgr_gate_target_update (gate->core, now_us, local->state, local->slots);
+  sgr_data_load_update (gate, now_us);
   tick_arm (gate, now_us);
 }
 
@@ -234,7 +235,8 @@
                               .deadline_us = now_us + call->remaining_us,
                               .tenant = call->tenant,
                               .class_name = call->class_name,
-                              .idempotent = call->idempotent };
+                              .idempotent = call->idempotent,
+                              .may_wait = call->may_wait };
   if (call->key == NULL)
     return;
   attempt->has_key = true;
@@ -365,6 +367,7 @@
   sgr_gate_run_t *run;
 
   attempt_fill (&attempt, call, &id, now_us);
+  sgr_data_load_wanted (gate, now_us);
   run = run_create (gate, call, &attempt);
   attempt.user = run;
   if (strcmp (call->service, gate->policy.service) == 0 && gate->client != NULL)
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -13,6 +13,8 @@
 #include "http_tls.h"
 #include "listener.h"
 
+/* A gate's refusal costs its target nothing, so that a routed call may go on to further gates. */
+#define ROUTE_REFUSALS_MAX 2
 #define KEYS_PATH "/.siskingrade/keys"
 
 struct sgr_data_http_t
@@ -192,6 +194,7 @@
   request->attempts_max = policy->attempts_max;
   if (route != NULL && route->attempts_max > 0)
     request->attempts_max = route->attempts_max;
+  request->refusals_max = route != NULL ? ROUTE_REFUSALS_MAX : 0;
   request->priority = route != NULL ? route->priority : 0;
   if (tenant.base != NULL && !name_copy (tenant, request->tenant))
     return "bad-tenant";
--- a/libsiskingrade/data_load.h
+++ b/libsiskingrade/data_load.h
@@ -16,6 +16,12 @@
  */
 void sgr_data_load_changed (sgr_data_gate_t *gate);
 
+/** sgr_data_load_update() - the target or the policy may have changed */
+void sgr_data_load_update (sgr_data_gate_t *gate, uint64_t now_us);
+
+/** sgr_data_load_wanted() - an attempt arrived, so that the load has to be known for some time */
+void sgr_data_load_wanted (sgr_data_gate_t *gate, uint64_t now_us);
+
 /** sgr_data_load_init(), sgr_data_load_stop() - begin and end with the gate */
 void sgr_data_load_init (sgr_data_gate_t *gate);
 void sgr_data_load_stop (sgr_data_gate_t *gate);
--- a/libsiskingrade/data_send.c
+++ b/libsiskingrade/data_send.c
@@ -180,6 +180,7 @@
   message.path = h2o_strdup (&req->pool, req->path.base, req->path.len).base;
   message.authority = h2o_strdup (&req->pool, req->authority.base, req->authority.len).base;
   message.priority = call->request.priority;
+  message.may_wait = attempt->may_wait;
   message.idempotent = call->request.is_idempotent;
   message.body_length = req->entity.len;
   message.credit = SGR_ANSWER_WINDOW_BYTES;
--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -193,8 +193,8 @@
          && (gate->state == SGR_TARGET_WARMING || gate->state == SGR_TARGET_SERVING);
 }
 
-static void
-dispatch (sgr_gate_t *gate, uint64_t now_us)
+void
+sgr_gate_dispatch (sgr_gate_t *gate, uint64_t now_us)
 {
   sgr_gate_queue_item_t *item;
 
@@ -202,7 +202,7 @@
     return;
   gate->dispatching = true;
   queue_expire (gate, now_us);
-  while (is_serving (gate)
+  while (is_serving (gate) && !sgr_gate_is_slowed (gate, now_us)
          && (item = sgr_gate_queue_pop (gate->queue, now_us, gate->limits,
                                         sgr_gate_estimate_us (gate, now_us)))
                 != NULL)
@@ -316,14 +316,18 @@
 }
 
 static sgr_gate_reason_t
-refusal_by_state (const sgr_gate_t *gate, uint64_t now_us, uint64_t deadline_us)
+refusal_by_state (const sgr_gate_t *gate, uint64_t now_us, const sgr_attempt_t *attempt)
 {
+  uint64_t deadline_us = attempt->deadline_us;
+
   if (gate->draining || gate->state == SGR_TARGET_DRAINING || gate->state == SGR_TARGET_LEFT)
     return SGR_GATE_REASON_DRAINING;
   if (gate->state == SGR_TARGET_NONE || sgr_gate_limits_slots (gate->limits) == 0)
     return SGR_GATE_REASON_NOT_READY;
   if (deadline_us <= now_us || deadline_us < now_us + sgr_gate_estimate_us (gate, now_us))
     return SGR_GATE_REASON_DEADLINE;
+  if (!attempt->may_wait && sgr_gate_is_slowed (gate, now_us))
+    return SGR_GATE_REASON_SLOW;
   return SGR_GATE_REASON_NONE;
 }
 
@@ -364,9 +368,9 @@
 
 /* During a dispatch the queue has older work for the slot. */
 static bool
-has_slot (const sgr_gate_t *gate, const sgr_gate_work_t *work)
+has_slot (const sgr_gate_t *gate, uint64_t now_us, const sgr_gate_work_t *work)
 {
-  return !gate->dispatching
+  return !gate->dispatching && !sgr_gate_is_slowed (gate, now_us)
          && sgr_gate_limits_check (gate->limits, work->item.tenant, work->item.class_number)
                 == SGR_LIMITS_FREE;
 }
@@ -377,7 +381,7 @@
 {
   sgr_gate_work_t *work = work_add (gate, attempt, record);
   sgr_gate_reason_t reason = SGR_GATE_REASON_NONE;
-  bool start = has_slot (gate, work);
+  bool start = has_slot (gate, now_us, work);
 
   if (attempt->has_key
       && sgr_ledger_key_add (gate->ledger, now_us, record, attempt->key, attempt->key_generation,
@@ -388,7 +392,7 @@
     {
       reason = refusal_by_queue (gate, now_us, &work->item);
       /* The callback for a dropped attempt may have given back a slot. */
-      start = reason == SGR_GATE_REASON_NONE && has_slot (gate, work);
+      start = reason == SGR_GATE_REASON_NONE && has_slot (gate, now_us, work);
     }
   if (reason != SGR_GATE_REASON_NONE)
     {
@@ -442,7 +446,7 @@
   record->idempotent = attempt->idempotent;
   if (attempt->has_key && decide_by_key (gate, now_us, attempt, record, decision))
     return;
-  reason = refusal_by_state (gate, now_us, attempt->deadline_us);
+  reason = refusal_by_state (gate, now_us, attempt);
   if (reason != SGR_GATE_REASON_NONE)
     refuse_recorded (gate, now_us, record, reason, SGR_OUTCOME_NOT_RUN, decision);
   else
@@ -483,7 +487,7 @@
                      finish->answer_length);
   sgr_gate_limits_release (gate->limits, work->item.tenant, work->item.class_number);
   work_free (gate, work);
-  dispatch (gate, now_us);
+  sgr_gate_dispatch (gate, now_us);
   return outcome;
 }
 
@@ -514,7 +518,7 @@
   gate->slots_percent = policy->slots_percent;
   sgr_gate_limits_policy_update (gate->limits, policy);
   slots_apply (gate);
-  dispatch (gate, now_us);
+  sgr_gate_dispatch (gate, now_us);
 }
 
 void
@@ -528,7 +532,7 @@
                     state == SGR_TARGET_DRAINING || state == SGR_TARGET_LEFT || gate->draining
                         ? SGR_GATE_REASON_DRAINING
                         : SGR_GATE_REASON_NOT_READY);
-  dispatch (gate, now_us);
+  sgr_gate_dispatch (gate, now_us);
 }
 
 void
@@ -544,7 +548,10 @@
   uint64_t ledger_us = sgr_ledger_tick (gate->ledger, now_us);
   uint64_t queue_us;
 
-  dispatch (gate, now_us);
+  sgr_gate_dispatch (gate, now_us);
   queue_us = queue_expire (gate, now_us);
+  if (sgr_gate_queue_count (gate->queue) > 0 && sgr_gate_is_slowed (gate, now_us)
+      && sgr_gate_cost_end_us (gate) < queue_us)
+    queue_us = sgr_gate_cost_end_us (gate);
   return ledger_us < queue_us ? ledger_us : queue_us;
 }
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -35,6 +35,8 @@
  * @SGR_GATE_REASON_KEY_INVALID: the key names a generation that this gate has not reached
  * @SGR_GATE_REASON_CANCELLED: cancelled while it waited
  * @SGR_GATE_REASON_ENTRY_LOST: the entry node went away while it waited
+ * @SGR_GATE_REASON_SLOW: neighbours slow the target down now, and the attempt does not wait for
+ * that to end; another target may be better
  */
 typedef enum
 {
@@ -52,9 +54,10 @@
   SGR_GATE_REASON_KEY_INVALID,
   SGR_GATE_REASON_CANCELLED,
   SGR_GATE_REASON_ENTRY_LOST,
+  SGR_GATE_REASON_SLOW,
 } sgr_gate_reason_t;
 
-#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_ENTRY_LOST + 1)
+#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_SLOW + 1)
 
 /**
  * struct sgr_attempt_t - one attempt as it reaches the gate
@@ -64,6 +67,7 @@
  * @tenant: name of the tenant, "" for none
  * @class_name: name of the class, "" for none
  * @idempotent: the request may run more than once
+ * @may_wait: it may wait while the target is slowed down
  * @has_key: the request carries an idempotency key
  * @key: hash of the key
  * @key_generation: generation of the key, from the issued key or from its record in the store
@@ -78,6 +82,7 @@
   const char *tenant;
   const char *class_name;
   bool idempotent;
+  bool may_wait;
   bool has_key;
   sgr_hash128_t key;
   uint64_t key_generation;
@@ -362,6 +367,12 @@
  */
 void sgr_gate_target_load_set (sgr_gate_t *gate, uint64_t now_us, const sgr_target_load_t *load);
 
+/**
+ * sgr_gate_is_slowed() - whether neighbours slow the target down so much that work which starts now
+ * ends later than work that waits
+ */
+bool sgr_gate_is_slowed (const sgr_gate_t *gate, uint64_t now_us);
+
 /** sgr_gate_load_report() - exact load now, age 0 */
 void sgr_gate_load_report (const sgr_gate_t *gate, sgr_load_report_t *report);
 
--- a/libsiskingrade/gate_internal.h
+++ b/libsiskingrade/gate_internal.h
@@ -81,6 +81,12 @@
 void sgr_gate_status_fill (const sgr_gate_t *gate, const sgr_ledger_attempt_t *attempt,
                            sgr_gate_status_t *status);
 
+/** sgr_gate_dispatch() - start queued work as far as slots, limits and target allow */
+void sgr_gate_dispatch (sgr_gate_t *gate, uint64_t now_us);
+
+/** sgr_gate_cost_end_us() - when the present cost says nothing any more */
+uint64_t sgr_gate_cost_end_us (const sgr_gate_t *gate);
+
 /** sgr_gate_estimate_us() - expected latency of work that starts now */
 uint64_t sgr_gate_estimate_us (const sgr_gate_t *gate, uint64_t now_us);
 
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -2,6 +2,7 @@
 #define SGR_GATE_RUN_H
 
 #include "data_gate.h"
+#include "probe_budget.h"
 #include "target_client.h"
 
 /* Bytes that a gate sends ahead of an entry, however much the entry allows; bounds the memory of
@@ -105,6 +106,13 @@
  * @told: load in the last report to all entries
  * @told_us: when it was sent
  * @tell: sends the next report when the shortest interval is over
+ * @load_budget: calls that ask the target for its load
+ * @ask: asks when what is known has become old
+ * @asking: the call that asks, NULL if there is none
+ * @asking_tokens: its handle in the budget
+ * @asked_us: when it was sent
+ * @load_us: when the target last told its load
+ * @call_us: when the last attempt arrived
  * @connect_failures: connections to the target that failed in a row
  */
 struct sgr_data_gate_t
@@ -125,6 +133,14 @@
   sgr_load_report_t told;
   uint64_t told_us;
   sgr_timer_t tell;
+  sgr_probe_budget_t load_budget;
+  sgr_timer_t ask;
+  sgr_target_request_t *asking;
+  uint32_t asking_tokens;
+  uint64_t asked_us;
+  uint64_t load_us;
+  uint64_t call_us;
+  sgr_counter_t *asks;
   sgr_counter_t *reports;
   sgr_counter_t *starts;
   sgr_counter_t *queued;
--- a/libsiskingrade/gate_status.c
+++ b/libsiskingrade/gate_status.c
@@ -1,5 +1,10 @@
 #include "gate_internal.h"
 
+/* Work that starts at this cost takes longer than the wait for its end and the work itself then. */
+#define SLOWED_PERCENT 200
+/* What a target tells of its cost says nothing after this time: its neighbours change faster. */
+#define COST_HOLDS_US (150 * SGR_USEC_PER_MSEC)
+
 static void
 status_settled (sgr_gate_status_t *status, sgr_outcome_t outcome, sgr_gate_reason_t reason)
 {
@@ -185,6 +190,20 @@
 {
   gate->cost_percent = load->cost_percent;
   gate->cost_us = now_us;
+  if (!sgr_gate_is_slowed (gate, now_us))
+    sgr_gate_dispatch (gate, now_us);
+}
+
+uint64_t
+sgr_gate_cost_end_us (const sgr_gate_t *gate)
+{
+  return gate->cost_us + COST_HOLDS_US;
+}
+
+bool
+sgr_gate_is_slowed (const sgr_gate_t *gate, uint64_t now_us)
+{
+  return gate->cost_percent >= SLOWED_PERCENT && now_us < sgr_gate_cost_end_us (gate);
 }
 
 void
@@ -233,6 +252,7 @@
     [SGR_GATE_REASON_KEY_INVALID] = "key-invalid",
     [SGR_GATE_REASON_CANCELLED] = "cancelled",
     [SGR_GATE_REASON_ENTRY_LOST] = "entry-lost",
+    [SGR_GATE_REASON_SLOW] = "slow",
   };
 
   return (unsigned)reason < SGR_GATE_REASON_COUNT ? names[reason] : "unknown";
--- a/libsiskingrade/peer.pb-c.c
+++ b/libsiskingrade/peer.pb-c.c
@@ -1228,7 +1228,7 @@
   (ProtobufCMessageInit) sgr__pb__idempotency_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__call__field_descriptors[15] =
+static const ProtobufCFieldDescriptor sgr__pb__call__field_descriptors[16] =
 {
   {
     "id",
@@ -1410,6 +1410,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "may_wait",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__Call, may_wait),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__pb__call__field_indices_by_name[] = {
   13,   /* field[13] = authority */
@@ -1421,6 +1433,7 @@
   0,   /* field[0] = id */
   9,   /* field[9] = idempotent */
   12,   /* field[12] = key */
+  15,   /* field[15] = may_wait */
   6,   /* field[6] = method */
   7,   /* field[7] = path */
   14,   /* field[14] = priority */
@@ -1431,7 +1444,7 @@
 static const ProtobufCIntRange sgr__pb__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor sgr__pb__call__descriptor =
 {
@@ -1441,7 +1454,7 @@
   "Sgr__Pb__Call",
   "sgr.pb",
   sizeof(Sgr__Pb__Call),
-  15,
+  16,
   sgr__pb__call__field_descriptors,
   sgr__pb__call__field_indices_by_name,
   1,  sgr__pb__call__number_ranges,
--- a/libsiskingrade/policy.h
+++ b/libsiskingrade/policy.h
@@ -5,6 +5,7 @@
 
 #define SGR_POLICY_LIMITS_MAX 32
 #define SGR_POLICY_STATUS_MAX 8
+#define SGR_POLICY_PATH_MAX 127
 
 /**
  * struct sgr_policy_limit_t - most requests in flight for one tenant or class at one gate
@@ -50,7 +51,9 @@
  * @tenant_limit_default: limit of a tenant that is not listed, 0 for none
  * @probe_calls_per_s: budget of active probes of the whole service, calls a second
  * @probe_bytes_per_s: budget of active probes of the whole service, bytes a second
- * @targets_max: most targets of the service; the divisor of the probe budget
+ * @load_path: path that a target answers at once with its load, empty for none
+ * @load_calls_per_s: budget of the whole service for calls to that path, calls a second
+ * @targets_max: most targets of the service; the divisor of the budgets
  * @slow_start_ms: ramp of a target that starts cold
  * @eject_percent: most targets of the service that may be ejected at a time
  * @key_store_per_s: callers' own idempotency keys that one node may bind in the store a second
@@ -74,6 +77,8 @@
   uint32_t tenant_limit_default;
   uint32_t probe_calls_per_s;
   uint32_t probe_bytes_per_s;
+  char load_path[SGR_POLICY_PATH_MAX + 1];
+  uint32_t load_calls_per_s;
   uint32_t targets_max;
   uint32_t slow_start_ms;
   uint32_t eject_percent;
