Learn whether a full target slows down

A gate now compares how long work of a class takes in a nearly full target and otherwise, both while neighbours do not slow it down, and limits itself only where that shows a loss.

--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -7,6 +7,8 @@
 /* Largest queue whatever the policy says; with the slots it bounds the records of admitted work. */
 #define QUEUE_CAPACITY 1024
 #define RETRY_AFTER_MAX_MS 1000
+/* Work that starts below this cost shows how long it usually takes. */
+#define CALM_PERCENT 120
 
 void
 sgr_gate_options_init (sgr_gate_options_t *options, sgr_boot_id_t boot)
@@ -53,6 +55,7 @@
   gate->limits = sgr_gate_limits_create (options->limits_model, policy);
   gate->queue = sgr_gate_queue_create (QUEUE_CAPACITY, options->newest_first);
   gate->ledger = sgr_ledger_create (options);
+  gate->classes = sgr_gate_classes_create ();
   queue_max_set (gate, policy);
   gate->slots_percent = policy->slots_percent;
   gate->work_count = options->slots_max + QUEUE_CAPACITY;
@@ -72,6 +75,7 @@
   sgr_gate_limits_destroy (gate->limits);
   sgr_gate_queue_destroy (gate->queue);
   sgr_ledger_destroy (gate->ledger);
+  sgr_gate_classes_destroy (gate->classes);
   free (gate->works);
   free (gate->work_free);
   free (gate);
@@ -119,6 +123,7 @@
   work->item.class_number = sgr_gate_limits_class_hold (gate->limits, attempt->class_name);
   work->item.deadline_us = attempt->deadline_us;
   work->item.owner = work;
+  work->class_known = sgr_gate_classes_find (gate->classes, attempt->class_name);
   record->work = work_handle (gate, work);
   return work;
 }
@@ -132,12 +137,20 @@
   gate->work_free[gate->work_free_count++] = (uint32_t)(work - gate->works);
 }
 
+static bool
+is_full (const sgr_gate_t *gate)
+{
+  return sgr_gate_limits_used (gate->limits) * 100 > gate->target_slots * SGR_GATE_FULL_PERCENT;
+}
+
 static void
 work_run (sgr_gate_t *gate, uint64_t now_us, sgr_gate_work_t *work)
 {
   sgr_gate_limits_take (gate->limits, work->item.tenant, work->item.class_number);
   work->phase = SGR_GATE_WORK_RUNNING;
   work->slot_us = now_us;
+  work->is_calm = gate->cost_percent == 0 || gate->cost_percent < CALM_PERCENT;
+  work->is_full = is_full (gate);
 }
 
 /* Settles first and tells afterwards, because the callback may call the gate. */
@@ -186,6 +199,21 @@
   return next_us;
 }
 
+/* At least one slot of a target that has any. */
+static void
+slots_apply (sgr_gate_t *gate, uint64_t now_us)
+{
+  uint32_t percent = gate->slots_percent;
+  uint32_t slots
+      = gate->target_slots < gate->options.slots_max ? gate->target_slots : gate->options.slots_max;
+  uint32_t used;
+
+  if (sgr_gate_classes_slows (gate->classes, now_us) && percent > SGR_GATE_FULL_PERCENT)
+    percent = SGR_GATE_FULL_PERCENT;
+  used = slots * percent / 100;
+  sgr_gate_limits_slots_set (gate->limits, used > 0 || slots == 0 ? used : 1);
+}
+
 static bool
 is_serving (const sgr_gate_t *gate)
 {
@@ -464,6 +492,18 @@
   return true;
 }
 
+static void
+work_learn (sgr_gate_t *gate, uint64_t now_us, const sgr_gate_work_t *work, uint64_t latency_us)
+{
+  sgr_gate_sample_t sample = { .duration_us = latency_us,
+                               .is_calm = work->is_calm,
+                               .is_full = work->is_full && is_full (gate) };
+
+  sgr_gate_latency_record (&gate->latency, now_us, latency_us);
+  if (sgr_gate_classes_record (gate->classes, now_us, work->class_known, &sample))
+    slots_apply (gate, now_us);
+}
+
 sgr_outcome_t
 sgr_gate_attempt_finish (sgr_gate_t *gate, sgr_gate_handle_t handle, uint64_t now_us,
                          const sgr_gate_finish_t *finish)
@@ -480,7 +520,7 @@
     outcome = SGR_OUTCOME_UNKNOWN;
   service_us = finish->latency_us > 0 ? finish->latency_us : now_us - work->slot_us;
   if (outcome == SGR_OUTCOME_COMPLETE && finish->latency_us > 0)
-    sgr_gate_latency_record (&gate->latency, now_us, finish->latency_us);
+    work_learn (gate, now_us, work, finish->latency_us);
   sgr_gate_queue_served (gate->queue, &work->item, service_us);
   sgr_ledger_settle (gate->ledger, now_us, work->attempt, outcome, SGR_GATE_REASON_NONE,
                      outcome == SGR_OUTCOME_COMPLETE ? finish->answer : NULL,
@@ -500,24 +540,13 @@
     sgr_gate_work_drop (gate, now_us, item->owner, reason);
 }
 
-/* At least one slot of a target that has any. */
-static void
-slots_apply (sgr_gate_t *gate)
-{
-  uint32_t slots
-      = gate->target_slots < gate->options.slots_max ? gate->target_slots : gate->options.slots_max;
-  uint32_t used = slots * gate->slots_percent / 100;
-
-  sgr_gate_limits_slots_set (gate->limits, used > 0 || slots == 0 ? used : 1);
-}
-
 void
 sgr_gate_policy_update (sgr_gate_t *gate, uint64_t now_us, const sgr_policy_t *policy)
 {
   queue_max_set (gate, policy);
   gate->slots_percent = policy->slots_percent;
   sgr_gate_limits_policy_update (gate->limits, policy);
-  slots_apply (gate);
+  slots_apply (gate, now_us);
   sgr_gate_dispatch (gate, now_us);
 }
 
@@ -526,7 +555,7 @@
 {
   gate->state = state;
   gate->target_slots = slots;
-  slots_apply (gate);
+  slots_apply (gate, now_us);
   if (!is_serving (gate) || slots == 0)
     queue_drop_all (gate, now_us,
                     state == SGR_TARGET_DRAINING || state == SGR_TARGET_LEFT || gate->draining
@@ -548,6 +577,7 @@
   uint64_t ledger_us = sgr_ledger_tick (gate->ledger, now_us);
   uint64_t queue_us;
 
+  slots_apply (gate, now_us);
   sgr_gate_dispatch (gate, now_us);
   queue_us = queue_expire (gate, now_us);
   if (sgr_gate_queue_count (gate->queue) > 0 && sgr_gate_is_slowed (gate, now_us)
--- a/libsiskingrade/gate_internal.h
+++ b/libsiskingrade/gate_internal.h
@@ -4,6 +4,7 @@
 /* Shared by gate.c and gate_status.c only. */
 
 #include "gate.h"
+#include "gate_classes.h"
 #include "gate_latency.h"
 #include "gate_ledger.h"
 #include "gate_queue.h"
@@ -30,6 +31,9 @@
  * @drop_reason: reason for the callback refuse
  * @attempt: its record in the ledger
  * @slot_us: when it got its slot
+ * @class_known: number of its class in sgr_gate_classes_t
+ * @is_calm: the target was not slowed down when it got its slot
+ * @is_full: nearly all slots were taken then
  * @user: pointer of the caller
  */
 typedef struct
@@ -42,6 +46,9 @@
   sgr_gate_reason_t drop_reason;
   sgr_ledger_attempt_t *attempt;
   uint64_t slot_us;
+  uint32_t class_known;
+  bool is_calm;
+  bool is_full;
   void *user;
 } sgr_gate_work_t;
 
@@ -60,6 +67,7 @@
   sgr_gate_latency_t latency;
   uint32_t cost_percent;
   uint64_t cost_us;
+  sgr_gate_classes_t *classes;
   sgr_gate_limits_t *limits;
   sgr_gate_queue_t *queue;
   sgr_ledger_t *ledger;
