Order a gate's queue by time left for an answer on time and by rank

The queue now starts work that can still be on time first, then by the rank of the route, then as before. Work that is too late waits for free slots; beyond one for each slot it is refused at once, with a time to come back, instead of at its deadline.

--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -53,6 +53,7 @@
  * struct sgr_data_call_request_t - what the HTTP side read of a call; texts live as long as the
  * request of h2o
  * @class_name: class for limits and histograms; of a routed call the name of its route
+ * @on_time_us: time by which an answer is on time, 0 if the call has no such time
  * @attempts_max: targets that the call may be sent to
  * @refusals_max: attempts beside these that gates may refuse
  * @priority: rank under overload, 0 is served first
@@ -64,6 +65,7 @@
   char class_name[SGR_NAME_MAX + 1];
   bool is_idempotent;
   uint64_t deadline_us;
+  uint64_t on_time_us;
   uint32_t attempts_max;
   uint32_t refusals_max;
   uint32_t priority;
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -236,7 +236,10 @@
                               .tenant = call->tenant,
                               .class_name = call->class_name,
                               .idempotent = call->idempotent,
-                              .may_wait = call->may_wait };
+                              .may_wait = call->may_wait,
+                              .priority = call->priority };
+  if (call->on_time_us > 0)
+    attempt->on_time_us = now_us + call->on_time_us;
   if (call->key == NULL)
     return;
   attempt->has_key = true;
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -194,6 +194,8 @@
   request->attempts_max = policy->attempts_max;
   if (route != NULL && route->attempts_max > 0)
     request->attempts_max = route->attempts_max;
+  if (route != NULL && route->target_latency_ms > 0)
+    request->on_time_us = sgr_clock_monotonic_us () + route->target_latency_ms * SGR_USEC_PER_MSEC;
   request->refusals_max = route != NULL ? ROUTE_REFUSALS_MAX : 0;
   request->priority = route != NULL ? route->priority : 0;
   if (tenant.base != NULL && !name_copy (tenant, request->tenant))
--- a/libsiskingrade/data_send.c
+++ b/libsiskingrade/data_send.c
@@ -173,6 +173,9 @@
   message.gate_boot = attempt->gate_boot;
   message.remaining_us
       = call->request.deadline_us > now_us ? call->request.deadline_us - now_us : 0;
+  /* A call that is late already is the last to be served, but not without a rank. */
+  if (call->request.on_time_us > 0)
+    message.on_time_us = call->request.on_time_us > now_us ? call->request.on_time_us - now_us : 1;
   message.service = call->request.service;
   message.tenant = call->request.tenant;
   message.class_name = call->request.class_name;
--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -111,6 +111,17 @@
   return work->phase != SGR_GATE_WORK_FREE && work->serial == handle >> 32 ? work : NULL;
 }
 
+/* Latest start of work whose answer is on time. */
+static uint64_t
+start_by_us (const sgr_gate_t *gate, const sgr_attempt_t *attempt, uint32_t class_known)
+{
+  uint64_t usual_us = sgr_gate_classes_usual_us (gate->classes, class_known);
+
+  if (attempt->on_time_us == 0)
+    return SGR_TIMER_NEVER;
+  return attempt->on_time_us > usual_us ? attempt->on_time_us - usual_us : 0;
+}
+
 static sgr_gate_work_t *
 work_add (sgr_gate_t *gate, const sgr_attempt_t *attempt, sgr_ledger_attempt_t *record)
 {
@@ -124,6 +135,8 @@
   work->item.deadline_us = attempt->deadline_us;
   work->item.owner = work;
   work->class_known = sgr_gate_classes_find (gate->classes, attempt->class_name);
+  work->item.priority = attempt->priority;
+  work->item.start_by_us = start_by_us (gate, attempt, work->class_known);
   record->work = work_handle (gate, work);
   return work;
 }
@@ -240,6 +253,9 @@
       work_run (gate, now_us, work);
       gate->callbacks.start (gate->ctx, work_handle (gate, work), now_us);
     }
+  while ((item = sgr_gate_queue_late (gate->queue, now_us, sgr_gate_limits_slots (gate->limits)))
+         != NULL)
+    sgr_gate_work_drop (gate, now_us, item->owner, SGR_GATE_REASON_QUEUE_FULL);
   gate->dispatching = false;
 }
 
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -64,6 +64,8 @@
  * @id: its name
  * @gate_boot: boot id of the gate that the entry means
  * @deadline_us: monotonic time of this host by which the answer is wanted
+ * @on_time_us: monotonic time of this host by which an answer is on time, 0 for none
+ * @priority: rank under overload, 0 is served first
  * @tenant: name of the tenant, "" for none
  * @class_name: name of the class, "" for none
  * @idempotent: the request may run more than once
@@ -79,6 +81,8 @@
   sgr_attempt_id_t id;
   sgr_boot_id_t gate_boot;
   uint64_t deadline_us;
+  uint64_t on_time_us;
+  uint32_t priority;
   const char *tenant;
   const char *class_name;
   bool idempotent;
--- a/libsiskingrade/gate_queue.c
+++ b/libsiskingrade/gate_queue.c
@@ -232,30 +232,65 @@
     flow->overloaded = true;
 }
 
+static bool
+is_late (const sgr_gate_queue_item_t *item, uint64_t now_us)
+{
+  return now_us > item->start_by_us;
+}
+
+/* The item that a flow would start next. */
+static sgr_gate_queue_item_t *
+flow_candidate (const sgr_gate_queue_t *queue, flow_t *flow, uint64_t now_us, uint64_t estimate_us)
+{
+  sgr_gate_queue_item_t *item;
+
+  flow_overload_update (queue, flow, now_us, estimate_us);
+  if (flow->overloaded)
+    return flow->newest;
+  for (item = flow->oldest; item != NULL; item = item->newer)
+    {
+      if (!is_late (item, now_us))
+        return item;
+    }
+  return flow->oldest;
+}
+
+/* Whether item @a goes before item @b. */
+static bool
+goes_before (const sgr_gate_queue_t *queue, const sgr_gate_queue_item_t *a,
+             const sgr_gate_queue_item_t *b, uint64_t now_us)
+{
+  const uint64_t *classes_us = queue->classes.served_us;
+  const uint64_t *tenants_us = queue->tenants.served_us;
+
+  if (is_late (a, now_us) != is_late (b, now_us))
+    return is_late (b, now_us);
+  if (a->priority != b->priority)
+    return a->priority < b->priority;
+  if (classes_us[a->class_number] != classes_us[b->class_number])
+    return classes_us[a->class_number] < classes_us[b->class_number];
+  return tenants_us[a->tenant] < tenants_us[b->tenant];
+}
+
 sgr_gate_queue_item_t *
 sgr_gate_queue_pop (sgr_gate_queue_t *queue, uint64_t now_us, const sgr_gate_limits_t *limits,
                     uint64_t estimate_us)
 {
-  flow_t *best = NULL;
-  sgr_gate_queue_item_t *item;
+  sgr_gate_queue_item_t *item = NULL;
 
   for (uint32_t i = 0; i < queue->active_count; i++)
     {
       flow_t *flow = &queue->flows[queue->active[i]];
-      uint64_t class_us = queue->classes.served_us[flow->class_number];
-      uint64_t tenant_us = queue->tenants.served_us[flow->tenant];
+      sgr_gate_queue_item_t *candidate;
 
       if (sgr_gate_limits_check (limits, flow->tenant, flow->class_number) != SGR_LIMITS_FREE)
         continue;
-      if (best == NULL || class_us < queue->classes.served_us[best->class_number]
-          || (class_us == queue->classes.served_us[best->class_number]
-              && tenant_us < queue->tenants.served_us[best->tenant]))
-        best = flow;
+      candidate = flow_candidate (queue, flow, now_us, estimate_us);
+      if (item == NULL || goes_before (queue, candidate, item, now_us))
+        item = candidate;
     }
-  if (best == NULL)
+  if (item == NULL)
     return NULL;
-  flow_overload_update (queue, best, now_us, estimate_us);
-  item = best->overloaded ? best->newest : best->oldest;
   queue->classes.floor_us = queue->classes.served_us[item->class_number];
   queue->tenants.floor_us = queue->tenants.served_us[item->tenant];
   /* At least one unit, so that the turns change even without an estimate. */
@@ -266,6 +301,23 @@
   return item;
 }
 
+sgr_gate_queue_item_t *
+sgr_gate_queue_late (const sgr_gate_queue_t *queue, uint64_t now_us, uint32_t kept)
+{
+  sgr_gate_queue_item_t *least = NULL;
+  uint32_t late = 0;
+
+  for (sgr_gate_queue_item_t *item = queue->oldest; item != NULL; item = item->arrival_newer)
+    {
+      if (!is_late (item, now_us))
+        continue;
+      late++;
+      if (least == NULL || item->deadline_us < least->deadline_us)
+        least = item;
+    }
+  return late > kept ? least : NULL;
+}
+
 static void
 share_correct (share_t *share, uint32_t number, uint64_t charged_us, uint64_t service_us)
 {
--- a/libsiskingrade/gate_queue.h
+++ b/libsiskingrade/gate_queue.h
@@ -10,6 +10,8 @@
  * @tenant: number of the tenant, see gate_limits.h
  * @class_number: number of the class
  * @deadline_us: time by which the answer is wanted
+ * @priority: rank, 0 is served first
+ * @start_by_us: time after which its answer cannot be on time any more, SGR_TIMER_NEVER for none
  * @queued_us: time of the push
  * @charged_us: service time that the fair order has charged so far
  * @owner: the owner's record
@@ -26,6 +28,8 @@
   uint32_t tenant;
   uint32_t class_number;
   uint64_t deadline_us;
+  uint32_t priority;
+  uint64_t start_by_us;
   uint64_t queued_us;
   uint64_t charged_us;
   void *owner;
@@ -39,9 +43,10 @@
 } sgr_gate_queue_item_t;
 
 /**
- * The queue keeps one flow for each pair of class and tenant. It serves the class, then the tenant,
- * that has had the least service time. Within a flow it serves the oldest item first, and the
- * newest first while the oldest one of the flow waits too long.
+ * The queue keeps one flow for each pair of class and tenant. Items that can still be on time go
+ * before those that cannot, then those of the better rank. Among equals it serves the class, then
+ * the tenant, that has had the least service time. Within a flow it serves the oldest item first,
+ * and the newest first while the oldest one of the flow waits too long.
  */
 typedef struct sgr_gate_queue_t sgr_gate_queue_t;
 
@@ -97,6 +102,18 @@
 sgr_gate_queue_item_t *sgr_gate_queue_victim (const sgr_gate_queue_t *queue, uint32_t tenant,
                                               uint32_t class_number);
 
+/**
+ * sgr_gate_queue_late() - item to drop because more wait than can be served beside the others
+ * @queue: the queue
+ * @now_us: the time
+ * @kept: items that may wait although they cannot be on time any more
+ *
+ * Return: of the items that are too late the one with the least time left, if there are more than
+ * @kept; else NULL.
+ */
+sgr_gate_queue_item_t *sgr_gate_queue_late (const sgr_gate_queue_t *queue, uint64_t now_us,
+                                            uint32_t kept);
+
 /** sgr_gate_queue_oldest() - item that has waited longest, NULL if the queue is empty */
 sgr_gate_queue_item_t *sgr_gate_queue_oldest (const sgr_gate_queue_t *queue);
 
--- a/libsiskingrade/peer.pb-c.c
+++ b/libsiskingrade/peer.pb-c.c
@@ -1228,7 +1228,7 @@
   (ProtobufCMessageInit) sgr__pb__idempotency_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__call__field_descriptors[16] =
+static const ProtobufCFieldDescriptor sgr__pb__call__field_descriptors[17] =
 {
   {
     "id",
@@ -1422,6 +1422,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "on_time_us",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__Call, on_time_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__pb__call__field_indices_by_name[] = {
   13,   /* field[13] = authority */
@@ -1435,6 +1447,7 @@
   12,   /* field[12] = key */
   15,   /* field[15] = may_wait */
   6,   /* field[6] = method */
+  16,   /* field[16] = on_time_us */
   7,   /* field[7] = path */
   14,   /* field[14] = priority */
   2,   /* field[2] = remaining_us */
@@ -1444,7 +1457,7 @@
 static const ProtobufCIntRange sgr__pb__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor sgr__pb__call__descriptor =
 {
@@ -1454,7 +1467,7 @@
   "Sgr__Pb__Call",
   "sgr.pb",
   sizeof(Sgr__Pb__Call),
-  16,
+  17,
   sgr__pb__call__field_descriptors,
   sgr__pb__call__field_indices_by_name,
   1,  sgr__pb__call__number_ranges,
--- a/libsiskingrade/peer.pb-c.h
+++ b/libsiskingrade/peer.pb-c.h
@@ -145,10 +145,14 @@
    * The gate may hold the request while its target is slowed down; else it refuses it at once.
    */
   protobuf_c_boolean may_wait;
+  /*
+   * Time until an answer is no longer on time, 0 if the call has no such time.
+   */
+  uint64_t on_time_us;
 };
 #define SGR__PB__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__call__descriptor) \
-    , NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Sgr__Pb__CallBody
--- a/tests/test_call_plan.c
+++ b/tests/test_call_plan.c
@@ -132,12 +132,12 @@
 static sgr_attempt_t
 attempt_of (uint64_t sequence, uint32_t number)
 {
-  return (sgr_attempt_t){ { 1, 1, sequence, number },
-                          BOOT,
-                          DEADLINE_US,
-                          "t",
-                          "",
-                          scene->options.idempotent,
+  return (sgr_attempt_t){ .id = { 1, 1, sequence, number },
+                          .gate_boot = BOOT,
+                          .deadline_us = DEADLINE_US,
+                          .tenant = "t",
+                          .class_name = "",
+                          .idempotent = scene->options.idempotent,
                           .has_key = scene->options.keyed && sequence < 100,
                           .key = { 1, 2 } };
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -74,7 +74,11 @@
 static sgr_attempt_t
 attempt_of (uint64_t sequence)
 {
-  return (sgr_attempt_t){ { ENTRY, 1, sequence, 0 }, BOOT, 1000 * SEC, "t", "" };
+  return (sgr_attempt_t){ .id = { ENTRY, 1, sequence, 0 },
+                          .gate_boot = BOOT,
+                          .deadline_us = 1000 * SEC,
+                          .tenant = "t",
+                          .class_name = "" };
 }
 
 static sgr_attempt_t
@@ -491,6 +495,103 @@
     }
 }
 
+/* Guards against urgent work that waits behind less urgent work, and against work that cannot be on
+   time any more in front of work that can. */
+static void
+test_rank_and_time_decide (void **state)
+{
+  /* Attempts in the order of their arrival, and the order in which they have to start. */
+  static const struct
+  {
+    uint32_t priority;
+    uint64_t on_time_us;
+  } waiting[] = { { 2, 500000 }, { 1, 500000 }, { 1, 1 }, { 0, 500000 }, { 2, 1 }, { 2, 0 } };
+  static const uint64_t order[] = { 3, 1, 0, 5, 2, 4 };
+  sgr_gate_handle_t running;
+  fixture_t f;
+
+  fixture_open (&f, 2, 16);
+  running = admit (&f, 10, attempt_of (100)).handle;
+  admit (&f, 10, attempt_of (101));
+  for (uint64_t i = 0; i < 6; i++)
+    {
+      sgr_attempt_t attempt = attempt_of (i);
+
+      attempt.priority = waiting[i].priority;
+      attempt.on_time_us = waiting[i].on_time_us;
+      /* Classes share no turns here, only the order of one flow each. */
+      attempt.class_name = (const char *const[]){ "a", "b", "c", "d", "e", "a" }[i];
+      attempt.user = (void *)(uintptr_t)(i + 1);
+      assert_int_equal (admit (&f, 10, attempt).kind, SGR_GATE_QUEUED);
+    }
+  for (size_t i = 0; i < 6; i++)
+    {
+      finish (&f, running, 20, SGR_OUTCOME_COMPLETE, NULL);
+      assert_int_equal (f.started_count, i + 1);
+      running = f.started[i];
+      assert_int_equal ((uintptr_t)sgr_gate_handle_user (f.gate, running), order[i] + 1);
+    }
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against a queue of work that is too late: beyond one for each slot it is refused at once,
+   that with the least time left first. */
+static void
+test_late_work_is_bounded (void **state)
+{
+  sgr_gate_handle_t running;
+  fixture_t f;
+
+  fixture_open (&f, 1, 16);
+  running = admit (&f, 10, attempt_of (100)).handle;
+  for (uint64_t i = 0; i < 4; i++)
+    {
+      sgr_attempt_t attempt = attempt_of (i);
+
+      attempt.on_time_us = 50;
+      attempt.deadline_us = (1000 - i) * SEC;
+      admit (&f, 10, attempt);
+    }
+  assert_int_equal (f.refused_count, 0);
+  sgr_gate_tick (f.gate, 100);
+  assert_int_equal (f.refused_count, 3);
+  assert_int_equal (f.refused_reason, SGR_GATE_REASON_QUEUE_FULL);
+  finish (&f, running, 200, SGR_OUTCOME_COMPLETE, NULL);
+  assert_int_equal (f.started_count, 1);
+  sgr_gate_destroy (f.gate);
+}
+
+/* Guards against work that starts while neighbours slow the target down, and against work that
+   waits for ever when the target tells nothing any more. */
+static void
+test_slowed_target (void **state)
+{
+  static const sgr_target_load_t slowed = { .slots = 4, .cost_percent = 500 };
+  static const sgr_target_load_t usual = { .slots = 4, .cost_percent = 100 };
+  sgr_attempt_t patient = attempt_of (1);
+  sgr_gate_decision_t decision;
+  fixture_t f;
+
+  patient.may_wait = true;
+  fixture_open (&f, 4, 16);
+  sgr_gate_target_load_set (f.gate, 10, &slowed);
+  decision = admit (&f, 20, attempt_of (2));
+  assert_int_equal (decision.kind, SGR_GATE_REFUSED);
+  assert_int_equal (decision.reason, SGR_GATE_REASON_SLOW);
+  assert_int_equal (decision.outcome, SGR_OUTCOME_NOT_RUN);
+  assert_int_equal (admit (&f, 20, patient).kind, SGR_GATE_QUEUED);
+  sgr_gate_target_load_set (f.gate, 30, &usual);
+  assert_int_equal (f.started_count, 1);
+  assert_int_equal (admit (&f, 40, attempt_of (3)).kind, SGR_GATE_START);
+  sgr_gate_target_load_set (f.gate, 50, &slowed);
+  patient.id.sequence = 4;
+  assert_int_equal (admit (&f, 60, patient).kind, SGR_GATE_QUEUED);
+  assert_true (sgr_gate_tick (f.gate, 70) < SEC);
+  sgr_gate_tick (f.gate, SEC);
+  assert_int_equal (f.started_count, 2);
+  sgr_gate_destroy (f.gate);
+}
+
 int
 main (void)
 {
@@ -503,7 +604,10 @@
                                       cmocka_unit_test (test_attempt_memory_is_bounded),
                                       cmocka_unit_test (test_queue_drops_what_cannot_finish),
                                       cmocka_unit_test (test_slots_and_drain),
-                                      cmocka_unit_test (test_tenants_are_fair) };
+                                      cmocka_unit_test (test_tenants_are_fair),
+                                      cmocka_unit_test (test_rank_and_time_decide),
+                                      cmocka_unit_test (test_late_work_is_bounded),
+                                      cmocka_unit_test (test_slowed_target) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
