Compare a target's cost with its own lowest recent one

A cold target tells twice the usual cost for three seconds, so that gates held all work after a mass restart. Slowed down now means twice the lowest cost of the last 300 to 600 ms.

--- a/libsiskingrade/gate_internal.h
+++ b/libsiskingrade/gate_internal.h
@@ -67,6 +67,8 @@
   sgr_gate_latency_t latency;
   uint32_t cost_percent;
   uint64_t cost_us;
+  uint32_t cost_low[2]; /* lowest in the present period and in the one before, 0 for none */
+  uint64_t cost_low_us; /* start of the present period */
   sgr_gate_classes_t *classes;
   sgr_gate_limits_t *limits;
   sgr_gate_queue_t *queue;
--- a/libsiskingrade/gate_status.c
+++ b/libsiskingrade/gate_status.c
@@ -1,7 +1,12 @@
 #include "gate_internal.h"
 
-/* Work that starts at this cost takes longer than the wait for its end and the work itself then. */
-#define SLOWED_PERCENT 200
+/* Work that starts at this many times the lowest recent cost takes longer than the wait for the end
+   of the slow time and the work itself then. */
+#define SLOWED_FACTOR 2
+#define COST_USUAL_PERCENT 100
+/* The lowest cost is that of one to two such periods: a target that is slow for longer, as a cold
+   one is, has to be used as it is. */
+#define COST_PERIOD_US (300 * SGR_USEC_PER_MSEC)
 /* What a target tells of its cost says nothing after this time: its neighbours change faster. */
 #define COST_HOLDS_US (150 * SGR_USEC_PER_MSEC)
 
@@ -190,6 +195,16 @@
 {
   gate->cost_percent = load->cost_percent;
   gate->cost_us = now_us;
+  if (now_us >= gate->cost_low_us + COST_PERIOD_US)
+    {
+      bool is_next = now_us < gate->cost_low_us + 2 * COST_PERIOD_US;
+
+      gate->cost_low[1] = is_next ? gate->cost_low[0] : 0;
+      gate->cost_low[0] = 0;
+      gate->cost_low_us = now_us;
+    }
+  if (gate->cost_low[0] == 0 || load->cost_percent < gate->cost_low[0])
+    gate->cost_low[0] = load->cost_percent;
   if (!sgr_gate_is_slowed (gate, now_us))
     sgr_gate_dispatch (gate, now_us);
 }
@@ -203,7 +218,14 @@
 bool
 sgr_gate_is_slowed (const sgr_gate_t *gate, uint64_t now_us)
 {
-  return gate->cost_percent >= SLOWED_PERCENT && now_us < sgr_gate_cost_end_us (gate);
+  uint32_t low = gate->cost_low[0];
+
+  if (gate->cost_low[1] != 0 && gate->cost_low[1] < low)
+    low = gate->cost_low[1];
+  /* Nothing to compare with: work usually takes as long as the target says. */
+  if (gate->cost_low[1] == 0 && low > COST_USUAL_PERCENT)
+    low = COST_USUAL_PERCENT;
+  return gate->cost_percent > SLOWED_FACTOR * low && now_us < sgr_gate_cost_end_us (gate);
 }
 
 void
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -592,6 +592,25 @@
   sgr_gate_destroy (f.gate);
 }
 
+/* Guards against a target that is slow for longer, as a cold one is, and gets no work for that
+ * time. */
+static void
+test_cold_target (void **state)
+{
+  static const sgr_target_load_t cold = { .slots = 4, .cost_percent = 300 };
+  static const sgr_target_load_t noisy = { .slots = 4, .cost_percent = 1500 };
+  uint64_t now_us = SEC;
+  fixture_t f;
+
+  fixture_open (&f, 4, 16);
+  for (; now_us < 2 * SEC; now_us += 20000)
+    sgr_gate_target_load_set (f.gate, now_us, &cold);
+  assert_false (sgr_gate_is_slowed (f.gate, now_us));
+  sgr_gate_target_load_set (f.gate, now_us, &noisy);
+  assert_true (sgr_gate_is_slowed (f.gate, now_us));
+  sgr_gate_destroy (f.gate);
+}
+
 int
 main (void)
 {
@@ -607,7 +626,8 @@
                                       cmocka_unit_test (test_tenants_are_fair),
                                       cmocka_unit_test (test_rank_and_time_decide),
                                       cmocka_unit_test (test_late_work_is_bounded),
-                                      cmocka_unit_test (test_slowed_target) };
+                                      cmocka_unit_test (test_slowed_target),
+                                      cmocka_unit_test (test_cold_target) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
