Weigh bytes between failure domains; log the decisions on requests

Bytes between zones are the largest price of downloads. The balancer adds to the cost of a target in another failure domain what keeping the bytes of the request and its usual answer within the domain is worth (far_us_per_kib, off by default). Against a fixed preference: a near target that is slowed down still loses to a far one.

Log lines go to standard output in batches and never wait for a reader: what it does not take is kept up to 256 KiB, then counted and dropped. A request is logged with one line for each attempt, refusal, run and answer, or with none: failures first, up to 20 a second and task, and one in 256 of the others by its id, so that all nodes log the same ones.

--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -341,6 +341,13 @@
 sgr_balancer_target_t
 sgr_balancer_pick (sgr_balancer_t *b, uint64_t now_us, const sgr_balancer_target_t *exclude,
                    size_t exclude_count)
+{
+  return sgr_balancer_pick_sized (b, now_us, exclude, exclude_count, 0);
+}
+
+sgr_balancer_target_t
+sgr_balancer_pick_sized (sgr_balancer_t *b, uint64_t now_us, const sgr_balancer_target_t *exclude,
+                         size_t exclude_count, uint64_t bytes)
 {
   bool is_baseline = b->options.policy != SGR_BALANCER_LOAD_LATENCY;
   sgr_balancer_target_t trial = SGR_BALANCER_TARGET_NONE;
@@ -372,7 +379,7 @@
   sgr_balancer_event (b, SGR_BALANCER_PICKED);
   if (is_baseline)
     return handle_of (b, sgr_balancer_baseline_choose (b, count));
-  return handle_of (b, sgr_balancer_choose (b, now_us, count, exclude_count > 0));
+  return handle_of (b, sgr_balancer_choose (b, now_us, count, exclude_count > 0, bytes));
 }
 
 void
@@ -444,6 +451,23 @@
   return entry != NULL && entry->health.is_ejected;
 }
 
+void
+sgr_balancer_report_get (const sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target,
+                         sgr_load_report_t *report)
+{
+  const sgr_balancer_entry_t *entry = entry_of (b, target);
+
+  *report = (sgr_load_report_t){ 0 };
+  if (entry == NULL || !entry->estimate.has_report)
+    return;
+  report->in_flight = (uint32_t)entry->estimate.reported_load;
+  report->slots = entry->info.slots;
+  report->cost_percent = (uint32_t)(entry->estimate.reported_cost * 100);
+  report->latency_us = (uint32_t)entry->estimate.reported_latency_us;
+  report->age_us = now_us - entry->estimate.reported_us;
+  report->state = entry->reported_state;
+}
+
 bool
 sgr_balancer_is_slowed (const sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target)
 {
--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -43,6 +43,7 @@
  * @slow_start_us: ramp of a target that starts cold, microseconds, 0 for none
  * @eject_percent: most targets that may be ejected at a time, 0 to 100; one target may always be
  *   ejected when there are two or more, unless this is 0, and the last one never is
+ * @far_us_per_kib: latency that it is worth to keep 1 KiB within the failure domain, microseconds
  */
 typedef struct
 {
@@ -50,6 +51,7 @@
   uint64_t seed;
   uint64_t slow_start_us;
   uint32_t eject_percent;
+  uint32_t far_us_per_kib;
 } sgr_balancer_options_t;
 
 /**
@@ -58,6 +60,7 @@
  * @failure_domain: failure domain of that node, zero-terminated
  * @slots: requests that the target may run at a time, at least 1
  * @link_rtt_us: round trip from this node to that gate, microseconds
+ * @is_far: bytes to and from that gate cross failure domains
  * @state: only warming and serving targets are chosen; warming ones only if none is serving
  * @join_us: when the target began to serve, on this node's clock; starts the slow start
  */
@@ -67,6 +70,7 @@
   char failure_domain[SGR_NAME_MAX + 1];
   uint32_t slots;
   uint32_t link_rtt_us;
+  bool is_far;
   sgr_target_state_t state;
   uint64_t join_us;
 } sgr_balancer_target_info_t;
@@ -208,6 +212,14 @@
                                          const sgr_balancer_target_t *exclude,
                                          size_t exclude_count);
 
+/**
+ * sgr_balancer_pick_sized() - as sgr_balancer_pick(), for an attempt whose size is known
+ * @bytes: bytes that request and answer are expected to have
+ */
+sgr_balancer_target_t sgr_balancer_pick_sized (sgr_balancer_t *b, uint64_t now_us,
+                                               const sgr_balancer_target_t *exclude,
+                                               size_t exclude_count, uint64_t bytes);
+
 /**
  * sgr_balancer_attempt_start() - count an attempt that is being sent
  * @b: the balancer
@@ -248,6 +260,16 @@
  */
 bool sgr_balancer_is_ejected (const sgr_balancer_t *b, sgr_balancer_target_t target);
 
+/**
+ * sgr_balancer_report_get() - the load report that a choice is made with
+ * @b: the balancer
+ * @now_us: the time
+ * @target: the handle
+ * @report: receives load, cost and age; all zero if none is held
+ */
+void sgr_balancer_report_get (const sgr_balancer_t *b, uint64_t now_us,
+                              sgr_balancer_target_t target, sgr_load_report_t *report);
+
 /** sgr_balancer_is_slowed() - whether a target reported just now that its work takes much longer */
 bool sgr_balancer_is_slowed (const sgr_balancer_t *b, uint64_t now_us,
                              sgr_balancer_target_t target);
--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -47,8 +47,10 @@
 }
 
 uint32_t
-sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_repeated)
+sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_repeated,
+                     uint64_t bytes)
 {
+  double far_us = (double)b->options.far_us_per_kib * (double)bytes / 1024;
   size_t drawn = draw (b, count);
   double best_cost[2] = { INFINITY, INFINITY };
   uint32_t best[2] = { 0, 0 };
@@ -61,6 +63,9 @@
       sgr_balancer_score_t score = sgr_balancer_score (b, &b->entries[place], now_us, is_repeated);
       double cost = score.cost_us * (1 + COST_JITTER * sgr_rng_unit (&b->rng));
 
+      if (b->entries[place].info.is_far)
+        cost += far_us;
+
       if (cost < best_cost[score.is_hot])
         {
           best_cost[score.is_hot] = cost;
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -162,7 +162,8 @@
 bool sgr_balancer_outlier_trial (sgr_balancer_entry_t *entry, uint64_t now_us);
 
 /* balancer_choose.c */
-uint32_t sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_repeated);
+uint32_t sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_repeated,
+                              uint64_t bytes);
 
 /* balancer_baseline.c */
 uint32_t sgr_balancer_baseline_choose (sgr_balancer_t *b, size_t count);
--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -54,6 +54,7 @@
   uint64_t snapshot_us;
   uint64_t started_us;
   sgr_timer_t stop_timer;
+  sgr_timer_t log_timer;
   bool is_stopping;
   bool is_drained;
   bool is_stopped;
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -29,6 +29,8 @@
 /* Time in which the leave announcement spreads despite loss. */
 #define LEAVE_SPREAD_US (2 * SGR_USEC_PER_SEC)
 
+/* Log lines are written in batches. */
+#define LOG_FLUSH_US (100 * SGR_USEC_PER_MSEC)
 /* A node that has met no other one by then serves what its own target can. */
 #define READY_ALONE_US (2 * SGR_USEC_PER_SEC)
 
@@ -151,6 +153,15 @@
   return has_config && has_members && !control->is_stopping;
 }
 
+static void
+on_log_timer (void *ctx, uint64_t now_us)
+{
+  sgr_control_t *control = ctx;
+
+  sgr_log_flush ();
+  sgr_timer_arm (control->timers, &control->log_timer, now_us + LOG_FLUSH_US);
+}
+
 static void
 on_stop_timer (void *ctx, uint64_t now_us)
 {
@@ -418,6 +429,7 @@
   control.mailbox = sgr_mailbox_create (control.loop, on_message, &control);
   control.started_us = sgr_clock_monotonic_us ();
   control.announce_timer = (sgr_timer_t){ .fire = sgr_control_announce_timer, .ctx = &control };
+  control.log_timer = (sgr_timer_t){ .fire = on_log_timer, .ctx = &control };
   control.snapshot_timer = (sgr_timer_t){ .fire = on_snapshot_timer, .ctx = &control };
   control.stop_timer = (sgr_timer_t){ .fire = on_stop_timer, .ctx = &control };
   if (open_all (&control, &errors) != SGR_OK)
@@ -429,11 +441,14 @@
     }
   sgr_log_info ("started", "region=%s failure_domain=%s", settings->region,
                 settings->failure_domain);
+  sgr_log_buffer (true);
+  sgr_timer_arm (control.timers, &control.log_timer, sgr_clock_monotonic_us ());
   sgr_control_snapshot_due (&control);
   sgr_task_loop_run (control.loop, control.timers, &control.is_stopped);
   sgr_data_task_stop (control.data);
   sgr_data_task_join (control.data);
   sgr_log_info ("stopped", "status=0");
+  sgr_log_buffer (false);
 
 out:
   sgr_control_http_destroy (control.http);
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -74,6 +74,13 @@
   sgr_data_send_cancel (attempt);
 }
 
+static uint64_t
+bytes_expected (const sgr_data_call_t *call)
+{
+  return call->req->entity.len
+         + sgr_data_service_answer_bytes (call->service, call->request.class_name);
+}
+
 /* Chooses the gate of an attempt: the key's, or a target outside those already tried. */
 static sgr_data_link_t *
 link_choose (sgr_data_call_t *call, sgr_data_attempt_t *attempt)
@@ -90,8 +97,8 @@
       attempt->target = sgr_balancer_target_find (call->service->balancer, node);
     }
   else
-    attempt->target
-        = sgr_data_service_pick (call->service, sgr_clock_monotonic_us (), excluded, count, &node);
+    attempt->target = sgr_data_service_pick (call->service, sgr_clock_monotonic_us (), excluded,
+                                             count, bytes_expected (call), &node);
   if (attempt->target == SGR_BALANCER_TARGET_NONE)
     return NULL;
   link = sgr_data_link_get (call->task->links, node);
@@ -128,6 +135,9 @@
   sgr_data_link_attach (link, attempt);
   attempt->start_us = sgr_clock_monotonic_us ();
   attempt->is_balanced = true;
+  attempt->node = event.target;
+  sgr_balancer_report_get (call->service->balancer, attempt->start_us, attempt->target,
+                           &attempt->load);
   /* The first choice meant another state of the target if it is slowed down now; after a refusal it
      is more likely that all are. */
   attempt->may_wait
@@ -221,12 +231,14 @@
 finish (sgr_data_call_t *call, const sgr_call_action_t *action)
 {
   call->is_finished = true;
+  sgr_data_call_log (call, action);
   sgr_timer_cancel (call->task->timers, &call->timer);
   if (call->req != NULL && action->outcome == SGR_OUTCOME_COMPLETE)
     {
       sgr_data_attempt_t *attempt = attempt_of (call, action->attempt);
 
       latency_record (call);
+      sgr_data_service_answer_record (call->service, call->request.class_name, attempt->received);
       if (call->answer == NULL)
         sgr_data_call_answer_start (call, attempt, (int64_t)attempt->received);
       sgr_data_answer_end (call->answer);
@@ -239,6 +251,29 @@
     detach (&call->attempts[i]);
 }
 
+/* Keeps the first end of an attempt for the log. */
+static void
+end_note (sgr_data_call_t *call, const sgr_call_event_t *event)
+{
+  sgr_data_attempt_t *attempt;
+
+  if (event->kind != SGR_CALL_EVENT_OUTCOME && event->kind != SGR_CALL_EVENT_CONNECTION_LOST
+      && event->kind != SGR_CALL_EVENT_QUERY_REPLY)
+    return;
+  attempt = attempt_of (call, event->attempt);
+  if (attempt->end_us != 0)
+    return;
+  attempt->end_us = call->now_us;
+  attempt->outcome = event->outcome;
+  attempt->reason = event->reason;
+  attempt->gate_reason = event->gate_reason;
+  if (event->kind == SGR_CALL_EVENT_CONNECTION_LOST)
+    {
+      attempt->outcome = SGR_OUTCOME_UNKNOWN;
+      attempt->reason = SGR_CALL_REASON_CONNECTION_LOST;
+    }
+}
+
 void
 sgr_data_call_event (sgr_data_call_t *call, const sgr_call_event_t *event)
 {
@@ -247,6 +282,7 @@
 
   if (call->depth++ == 0)
     call->now_us = sgr_clock_monotonic_us ();
+  end_note (call, event);
   count = sgr_call_plan_event (&call->plan, call->now_us, event, actions);
   for (size_t i = 0; i < count && !call->is_finished; i++)
     {
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -15,6 +15,12 @@
  * @target: handle for the balancer
  * @gate_boot: process life of the gate that it was sent to
  * @start_us: when it was sent, 0 if it was not
+ * @node: node of the gate
+ * @load: load report that the choice was made with
+ * @end_us: when its end was known, 0 before
+ * @outcome: what is known of it then
+ * @reason: why it gave no answer
+ * @gate_reason: why its gate refused it
  * @may_wait: its gate may hold it while the target is slowed down
  * @is_loss_due: the connection was lost and the attempt has not been told
  * @has_head: the head of the answer arrived
@@ -36,6 +42,12 @@
   sgr_balancer_target_t target;
   sgr_boot_id_t gate_boot;
   uint64_t start_us;
+  sgr_node_id_t node;
+  sgr_load_report_t load;
+  uint64_t end_us;
+  sgr_outcome_t outcome;
+  sgr_call_reason_t reason;
+  sgr_gate_reason_t gate_reason;
   bool may_wait;
   bool is_balanced;
   bool is_loss_due;
@@ -53,6 +65,7 @@
  * struct sgr_data_call_request_t - what the HTTP side read of a call; texts live as long as the
  * request of h2o
  * @class_name: class for limits and histograms; of a routed call the name of its route
+ * @request_id: id that the caller gave, empty if none
  * @on_time_us: time by which an answer is on time, 0 if the call has no such time
  * @attempts_max: targets that the call may be sent to
  * @refusals_max: attempts beside these that gates may refuse
@@ -63,6 +76,7 @@
   char service[SGR_NAME_MAX + 1];
   char tenant[SGR_NAME_MAX + 1];
   char class_name[SGR_NAME_MAX + 1];
+  char request_id[SGR_NAME_MAX + 1];
   bool is_idempotent;
   uint64_t deadline_us;
   uint64_t on_time_us;
--- a/libsiskingrade/data_call_internal.h
+++ b/libsiskingrade/data_call_internal.h
@@ -46,6 +46,9 @@
 void sgr_data_attempt_balance (sgr_data_attempt_t *attempt, sgr_outcome_t outcome, bool is_error,
                                const Sgr__Pb__LoadReport *message);
 
+/** sgr_data_call_log() - write the lines of a call that ends, data_call_log.c */
+void sgr_data_call_log (const sgr_data_call_t *call, const sgr_call_action_t *finish);
+
 /* Frames that an entry sends, data_send.c. */
 
 sgr_result_t sgr_data_send_call (sgr_data_attempt_t *attempt, const sgr_retry_chain_t *chain);
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -7,6 +7,7 @@
 #include "data_load.h"
 #include "gate_request.h"
 #include "gate_run.h"
+#include "log.h"
 
 /* Keyed requests run past their deadline for this long, so that a repeat can get the answer. */
 #define KEYED_GRACE_US (30ULL * SGR_USEC_PER_SEC)
@@ -101,6 +102,11 @@
                                  .reason = SGR_CALL_REASON_REFUSED,
                                  .gate_reason = reason };
 
+  if (sgr_call_log_takes (gate->task->call_log, now_us, run->request_id, true))
+    sgr_log_info ("gate-dropped", "id=%s attempt=%u reason=%s wait_ms=%lu left_ms=%ld",
+                  run->request_id, run->id.attempt, sgr_gate_reason_name (reason),
+                  sgr_ms_of (now_us - run->arrived_us),
+                  ((long)run->deadline_us - (long)now_us) / 1000);
   run->handle = 0;
   while (run->streaming != NULL || run->joined != NULL)
     {
@@ -319,6 +325,7 @@
   run->deadline_us = attempt->deadline_us;
   run->deadline = (sgr_timer_t){ .fire = on_deadline, .ctx = run };
   run->id = attempt->id;
+  run->arrived_us = sgr_clock_monotonic_us ();
   request_id_take (run, call);
   run->credit = call->credit < SGR_GATE_CREDIT_MAX_BYTES ? call->credit : SGR_GATE_CREDIT_MAX_BYTES;
   run->next = gate->first_run;
@@ -329,9 +336,30 @@
   return run;
 }
 
+static void
+refusal_log (sgr_data_gate_t *gate, uint64_t now_us, const sgr_data_channel_t *channel,
+             const sgr_gate_run_t *run, const sgr_gate_decision_t *decision)
+{
+  const sgr_member_t *entry = sgr_data_member_find (gate->task, channel->node);
+  sgr_load_report_t load;
+
+  if (!sgr_call_log_takes (gate->task->call_log, now_us, run->request_id, true))
+    return;
+  sgr_gate_load_report (gate->core, &load);
+  sgr_log_info ("gate-refused",
+                "id=%s entry=%s attempt=%u reason=%s outcome=%s running=%u queued=%u slots=%u "
+                "cost=%u cost_age_ms=%lu state=%s left_ms=%ld retry_after_ms=%u",
+                run->request_id, entry != NULL ? entry->name : "-", run->id.attempt,
+                sgr_gate_reason_name (decision->reason), sgr_outcome_name (decision->outcome),
+                load.in_flight, load.queued, load.slots, load.cost_percent,
+                sgr_ms_of (now_us - gate->load_us), sgr_target_state_name (load.state),
+                ((long)run->deadline_us - (long)now_us) / 1000, decision->retry_after_ms);
+}
+
 static void
 refuse_now (sgr_data_gate_t *gate, sgr_data_channel_t *channel, uint64_t now_us,
-            const sgr_attempt_t *attempt, const sgr_gate_decision_t *decision)
+            const sgr_gate_run_t *run, const sgr_attempt_t *attempt,
+            const sgr_gate_decision_t *decision)
 {
   sgr_gate_refusal_t refusal = { .reason = SGR_CALL_REASON_REFUSED,
                                  .gate_reason = decision->reason,
@@ -339,6 +367,7 @@
 
   if (decision->kind == SGR_GATE_CONFLICT)
     refusal.reason = SGR_CALL_REASON_KEY_CONFLICT;
+  refusal_log (gate, now_us, channel, run, decision);
   refusal.outcome = decision->kind == SGR_GATE_CONFLICT
                         ? decision->outcome
                         : refused_outcome (gate, now_us, attempt, decision->outcome);
@@ -388,11 +417,11 @@
       tick_arm (gate, now_us);
       return;
     }
-  sgr_data_gate_run_free (gate, run);
   if (decision.kind == SGR_GATE_DUPLICATE)
     duplicate_answer (gate, channel, call, &attempt, &decision.status);
   else
-    refuse_now (gate, channel, now_us, &attempt, &decision);
+    refuse_now (gate, channel, now_us, run, &attempt, &decision);
+  sgr_data_gate_run_free (gate, run);
   tick_arm (gate, now_us);
 }
 
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -11,6 +11,7 @@
 #include "http1_server.h"
 #include "http_fields.h"
 #include "http_tls.h"
+#include "log.h"
 #include "listener.h"
 
 /* A gate's refusal costs its target nothing, so that a routed call may go on to further gates. */
@@ -63,6 +64,36 @@
   return index < 0 ? h2o_iovec_init (NULL, 0) : req->headers.entries[index].value;
 }
 
+/* Reads the caller's id of a request; one that cannot be written to a log line counts as none. */
+static void
+request_id_read (const sgr_data_http_t *http, const h2o_req_t *req, char *id)
+{
+  h2o_iovec_t value = header_find (req, http->task->fields->request_id);
+
+  id[0] = '\0';
+  if (value.len <= SGR_NAME_MAX && sgr_http_is_token (value.base, value.len))
+    {
+      memcpy (id, value.base, value.len);
+      id[value.len] = '\0';
+    }
+}
+
+/* Refuses a request for which no call was made. */
+static void
+call_refuse (sgr_data_http_t *http, h2o_req_t *req, int status, const char *reason)
+{
+  const sgr_snapshot_t *snapshot = http->task->snapshot;
+  char id[SGR_NAME_MAX + 1];
+
+  request_id_read (http, req, id);
+  if (sgr_call_log_takes (http->task->call_log, sgr_clock_monotonic_us (), id, true))
+    sgr_log_info ("call-refused", "id=%s status=%d reason=%s host=%.*s path=%.*s revision=%lu", id,
+                  status, reason, (int)req->authority.len, req->authority.base, (int)req->path.len,
+                  req->path.base,
+                  snapshot != NULL ? (unsigned long)snapshot->config_revision : 0UL);
+  refuse (req, status, reason);
+}
+
 static bool
 name_copy (h2o_iovec_t value, char *name)
 {
@@ -253,7 +284,7 @@
 
   if (routes == NULL || http->task->snapshot->config_revision == 0)
     {
-      refuse (req, 503, "no-configuration");
+      call_refuse (http, req, 503, "no-configuration");
       return NULL;
     }
   if (sgr_route_table_count (routes) > 0)
@@ -263,7 +294,7 @@
 
       if (entry == NULL)
         {
-          refuse (req, 404, "no-route");
+          call_refuse (http, req, 404, "no-route");
           return NULL;
         }
       *route = sgr_route_entry_route (entry);
@@ -271,12 +302,12 @@
     }
   else if (!service_read (req, name))
     {
-      refuse (req, 400, "bad-service");
+      call_refuse (http, req, 400, "bad-service");
       return NULL;
     }
   service = sgr_data_service_find (http->task->services, name);
   if (service == NULL)
-    refuse (req, 404, "unknown-service");
+    call_refuse (http, req, 404, "unknown-service");
   return service;
 }
 
@@ -291,10 +322,11 @@
 
   if (service == NULL)
     return;
+  request_id_read (http, req, request.request_id);
   reason = request_read (http, req, &service->policy, route, &request);
   if (reason != NULL)
     {
-      refuse (req, 400, reason);
+      call_refuse (http, req, 400, reason);
       return;
     }
   if (!request.has_key || request.is_key_issued)
@@ -339,7 +371,7 @@
 
   if (!h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("POST")))
     {
-      refuse (req, 405, "expected-post");
+      call_refuse (http, req, 405, "expected-post");
       return;
     }
   if (req->query_at != SIZE_MAX)
@@ -348,7 +380,7 @@
       && name_copy (h2o_iovec_init (query.base + 8, query.len - 8), name))
     service = sgr_data_service_find (http->task->services, name);
   if (service == NULL)
-    refuse (req, 404, "unknown-service");
+    call_refuse (http, req, 404, "unknown-service");
   else
     sgr_data_keys_issue (http->task->keys, req, service, on_key_issued, req);
 }
@@ -371,16 +403,16 @@
   http->requests++;
   /* An answer to HTTP/1.0 may end with the connection, so that a cut one would look whole. */
   if (req->version < 0x101)
-    refuse (req, 505, "http-version");
+    call_refuse (http, req, 505, "http-version");
   else if (!head_is_valid (req))
-    refuse (req, 400, "bad-head");
+    call_refuse (http, req, 400, "bad-head");
   else if (http->task->is_draining)
     {
       req->http1_is_persistent = 0;
-      refuse (req, 503, "node-stopping");
+      call_refuse (http, req, 503, "node-stopping");
     }
   else if (http->task->calls >= http->task->settings->calls_max)
-    refuse (req, 503, "too-many-calls");
+    call_refuse (http, req, 503, "too-many-calls");
   else if (h2o_memis (req->path_normalized.base, req->path_normalized.len, H2O_STRLIT (KEYS_PATH)))
     key_issue (http, req);
   else
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -4,6 +4,7 @@
 #include <h2o.h>
 
 #include "balancer.h"
+#include "call_log.h"
 #include "call_plan.h"
 #include "counter.h"
 #include "data_task.h"
@@ -60,6 +61,7 @@
   sgr_data_keys_t *keys;
   sgr_id_map_t *attempts;
   sgr_peer_conn_env_t conn_env;
+  sgr_call_log_t *call_log;
   uint64_t next_sequence;
   size_t calls;
   bool is_draining;
--- a/libsiskingrade/data_keys.c
+++ b/libsiskingrade/data_keys.c
@@ -91,7 +91,7 @@
       job_finish (job, SGR_ERR_UNAVAILABLE, NULL);
       return;
     }
-  if (sgr_data_service_pick (job->service, now_us, NULL, 0, &node) != SGR_BALANCER_TARGET_NONE)
+  if (sgr_data_service_pick (job->service, now_us, NULL, 0, 0, &node) != SGR_BALANCER_TARGET_NONE)
     link = sgr_data_link_get (task->links, node);
   if (link == NULL || sgr_data_link_open (link) != SGR_OK
       || !sgr_data_link_gate (link, &boot, &generation))
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -11,6 +11,7 @@
 #define LINK_FAR_US 60000
 /* Pairs of tenant and class with a histogram of their own, for each service. */
 #define SERIES_MAX 64
+#define SIZE_GAIN (1.0 / 16)
 
 struct sgr_data_services_t
 {
@@ -32,8 +33,14 @@
 static void
 service_destroy (sgr_data_service_t *service)
 {
+  double *size;
+  size_t cursor = 0;
+
   sgr_balancer_destroy (service->balancer);
   sgr_id_map_destroy (service->series);
+  while ((size = sgr_id_map_next (service->sizes, &cursor)) != NULL)
+    free (size);
+  sgr_id_map_destroy (service->sizes);
   free (service);
 }
 
@@ -92,18 +99,20 @@
 }
 
 static sgr_balancer_options_t
-balancer_options (const sgr_policy_t *policy, uint64_t seed)
+balancer_options (const sgr_settings_t *settings, const sgr_policy_t *policy, uint64_t seed)
 {
   return (sgr_balancer_options_t){ .policy = SGR_BALANCER_LOAD_LATENCY,
                                    .seed = seed,
                                    .slow_start_us = policy->slow_start_ms * SGR_USEC_PER_MSEC,
-                                   .eject_percent = policy->eject_percent };
+                                   .eject_percent = policy->eject_percent,
+                                   .far_us_per_kib = (uint32_t)settings->far_us_per_kib };
 }
 
 static sgr_data_service_t *
 add (sgr_data_services_t *services, const sgr_policy_t *policy)
 {
-  sgr_balancer_options_t options = balancer_options (policy, sgr_rng_next (&services->task->rng));
+  sgr_balancer_options_t options
+      = balancer_options (services->task->settings, policy, sgr_rng_next (&services->task->rng));
   sgr_data_service_t *service = calloc (1, sizeof *service);
   bool is_found;
   size_t position = position_of (services, policy->service, &is_found);
@@ -112,6 +121,7 @@
   service->balancer = sgr_balancer_create (&options);
   sgr_invariant (service->balancer != NULL);
   service->series = sgr_id_map_create ();
+  service->sizes = sgr_id_map_create ();
   sgr_retry_budget_init (&service->retries, policy->retry_percent);
   services->list = realloc (services->list, (services->count + 1) * sizeof (sgr_data_service_t *));
   sgr_invariant (services->list != NULL);
@@ -132,7 +142,7 @@
     service = add (services, policy);
   service->policy = *policy;
   service->is_present = true;
-  options = balancer_options (policy, 0);
+  options = balancer_options (services->task->settings, policy, 0);
   sgr_balancer_options_set (service->balancer, &options);
   sgr_retry_budget_percent_set (&service->retries, policy->retry_percent);
 }
@@ -160,6 +170,7 @@
   if (service == NULL)
     return;
   memcpy (info.failure_domain, member->failure_domain, sizeof info.failure_domain);
+  info.is_far = strcmp (services->task->settings->failure_domain, member->failure_domain) != 0;
   info.link_rtt_us = link_rtt_us (services->task->settings, member);
   target = sgr_balancer_target_find (service->balancer, member->id);
   known = sgr_balancer_target_info (service->balancer, target);
@@ -209,7 +220,7 @@
 
 sgr_balancer_target_t
 sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us, const sgr_node_id_t *excluded,
-                       size_t count, sgr_node_id_t *node)
+                       size_t count, uint64_t bytes, sgr_node_id_t *node)
 {
   sgr_balancer_target_t exclude[SGR_CALL_ATTEMPTS_MAX];
   sgr_balancer_target_t target;
@@ -217,12 +228,38 @@
   sgr_invariant (count <= SGR_CALL_ATTEMPTS_MAX);
   for (size_t i = 0; i < count; i++)
     exclude[i] = sgr_balancer_target_find (service->balancer, excluded[i]);
-  target = sgr_balancer_pick (service->balancer, now_us, exclude, count);
+  target = sgr_balancer_pick_sized (service->balancer, now_us, exclude, count, bytes);
   if (target != SGR_BALANCER_TARGET_NONE)
     *node = sgr_balancer_target_info (service->balancer, target)->node;
   return target;
 }
 
+uint64_t
+sgr_data_service_answer_bytes (const sgr_data_service_t *service, const char *class_name)
+{
+  const double *size = sgr_id_map_get (service->sizes, XXH64 (class_name, strlen (class_name), 0));
+
+  return size != NULL ? (uint64_t)*size : 0;
+}
+
+void
+sgr_data_service_answer_record (sgr_data_service_t *service, const char *class_name, uint64_t bytes)
+{
+  uint64_t key = XXH64 (class_name, strlen (class_name), 0);
+  double *size = sgr_id_map_get (service->sizes, key);
+
+  if (size == NULL)
+    {
+      if (sgr_id_map_count (service->sizes) >= SERIES_MAX)
+        return;
+      size = malloc (sizeof *size);
+      sgr_invariant (size != NULL);
+      *size = (double)bytes;
+      sgr_id_map_put (service->sizes, key, size);
+    }
+  *size += SIZE_GAIN * ((double)bytes - *size);
+}
+
 static uint64_t
 series_key (const char *tenant, const char *class_name)
 {
--- a/libsiskingrade/data_service.h
+++ b/libsiskingrade/data_service.h
@@ -10,6 +10,7 @@
  * @retries: retry budget
  * @latency: latency of complete calls, for the delay of hedges
  * @series: latency histograms by hash of tenant and class
+ * @sizes: usual sizes of answers by hash of the class
  */
 struct sgr_data_service_t
 {
@@ -18,6 +19,7 @@
   sgr_retry_budget_t retries;
   sgr_histogram_t latency;
   sgr_id_map_t *series;
+  sgr_id_map_t *sizes;
   bool is_present;
 };
 
@@ -60,12 +62,22 @@
  * @now_us: the time
  * @excluded: nodes to leave out
  * @count: entries of @excluded
+ * @bytes: bytes that request and answer are expected to have
  * @node: receives the node
  *
  * Return: handle for the balancer, SGR_BALANCER_TARGET_NONE if there is no target.
  */
 sgr_balancer_target_t sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us,
                                              const sgr_node_id_t *excluded, size_t count,
-                                             sgr_node_id_t *node);
+                                             uint64_t bytes, sgr_node_id_t *node);
+
+/**
+ * sgr_data_service_answer_bytes() - usual size of the answers of a class, 0 if unknown
+ */
+uint64_t sgr_data_service_answer_bytes (const sgr_data_service_t *service, const char *class_name);
+
+/** sgr_data_service_answer_record() - learn from a whole answer */
+void sgr_data_service_answer_record (sgr_data_service_t *service, const char *class_name,
+                                     uint64_t bytes);
 
 #endif
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -200,6 +200,7 @@
   sgr_data_services_destroy (task->services);
   sgr_data_gate_destroy (task->gate);
   sgr_id_map_destroy (task->attempts);
+  sgr_call_log_destroy (task->call_log);
   sgr_snapshot_destroy (task->snapshot);
   sgr_route_table_destroy (task->routes);
   /* Closed connections are due at time 0 and freed by their timers. */
@@ -232,6 +233,7 @@
   task->metrics_timer = (sgr_timer_t){ .fire = on_metrics_timer, .ctx = task };
   sgr_rng_seed (&task->rng, boot);
   task->attempts = sgr_id_map_create ();
+  task->call_log = sgr_call_log_create ();
   task->mailbox = sgr_mailbox_create (task->loop, on_message, task);
   task->completed = sgr_metrics_counter (task->metrics, "siskingrade_gate_completed_total", "");
   conn_env_init (task);
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -5,6 +5,7 @@
 
 #include "data_load.h"
 #include "gate_request.h"
+#include "log.h"
 
 /* Connections to the target that may fail in a row before it counts as gone. */
 #define CONNECT_FAILURES_MAX 2
@@ -52,12 +53,35 @@
   return outcome;
 }
 
+/* One line for a run that has ended, before its slot is given back. */
+static void
+run_log (const sgr_gate_run_t *run, const char *reason, bool has_failed)
+{
+  const sgr_data_gate_t *gate = run->gate;
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  uint64_t started_us = run->started_us != 0 ? run->started_us : now_us;
+  sgr_load_report_t load;
+
+  if (!sgr_call_log_takes (gate->task->call_log, now_us, run->request_id, has_failed))
+    return;
+  sgr_gate_load_report (gate->core, &load);
+  sgr_log_info ("gate-ran",
+                "id=%s attempt=%u instance=%s reason=%s started=%s status=%d bytes=%lu wait_ms=%lu "
+                "run_ms=%lu running=%u queued=%u cost=%u left_ms=%ld",
+                run->request_id, run->id.attempt, gate->task->snapshot->local.instance, reason,
+                run->started_us != 0 ? "yes" : "no", run->status, run->received,
+                sgr_ms_of (started_us - run->arrived_us), sgr_ms_of (now_us - started_us),
+                load.in_flight, load.queued, load.cost_percent,
+                ((long)run->deadline_us - (long)now_us) / 1000);
+}
+
 /* The run ends without a whole answer. */
 static void
 end_without_answer (sgr_gate_run_t *run, sgr_outcome_t outcome, sgr_call_reason_t reason)
 {
   sgr_gate_refusal_t refusal = { .reason = reason };
 
+  run_log (run, sgr_call_reason_name (reason), true);
   refusal.outcome = finish_at_gate (run, outcome);
   run->request = NULL;
   refuse_all (run, &refusal);
@@ -125,6 +149,7 @@
       run->is_declared_not_run = true;
       return;
     }
+  run->status = status;
   sgr_gate_head_encode (&head, status, fields, count, body_length, run->is_head_method);
   run->has_head = true;
   if (run->streaming != NULL && !sgr_gate_head_send (run->streaming, head.bytes, head.length))
@@ -231,6 +256,7 @@
     }
   run->request = NULL;
   sgr_counter_add (run->gate->task->completed, 1);
+  run_log (run, "none", false);
   finish_at_gate (run, SGR_OUTCOME_COMPLETE);
   answer_joined (run);
   backlog_flush (run);
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -45,6 +45,9 @@
  * @message: head of the HTTP request without its end, until it is sent
  * @body: body of the HTTP request, until it is sent
  * @request: the request at the target, NULL while it waits or after its end
+ * @arrived_us: when the attempt arrived
+ * @started_us: when its first byte was sent to the target, 0 before
+ * @status: status of the target's answer, 0 before
  * @streaming: the first attempt, gets the answer as it arrives; NULL if its channel is gone
  * @joined: later attempts with the same key, get the recorded answer at the end
  * @backlog: bytes of the answer without credit yet
@@ -67,7 +70,9 @@
   sgr_buffer_t message;
   sgr_buffer_t body;
   sgr_target_request_t *request;
+  uint64_t arrived_us;
   uint64_t started_us;
+  int status;
   uint64_t deadline_us;
   sgr_timer_t deadline;
   sgr_gate_waiter_t *streaming;
--- a/libsiskingrade/log.h
+++ b/libsiskingrade/log.h
@@ -30,8 +30,26 @@
  */
 bool sgr_log_level_parse (const char *text, sgr_log_level_t *level);
 
+/** sgr_log_is_on() - whether lines of a level are written */
+bool sgr_log_is_on (sgr_log_level_t level);
+
+/**
+ * sgr_log_buffer() - keep lines until sgr_log_flush() instead of writing each at once
+ *
+ * A process that calls sgr_log_flush() regularly saves a system call a line.
+ */
+void sgr_log_buffer (bool on);
+
+/**
+ * sgr_log_flush() - write the lines that wait
+ *
+ * Nothing waits for a reader: what standard output does not take stays, up to 256 KiB; further
+ * lines are dropped, and their number is written when the reader is back.
+ */
+void sgr_log_flush (void);
+
 /**
- * sgr_log() - write one line "TIME LEVEL node=NODE event=EVENT key=value ..." to standard error
+ * sgr_log() - write one line "TIME LEVEL node=NODE event=EVENT key=value ..." to standard output
  * @level: severity
  * @event: name of the state change, words joined by hyphens
  * @format: printf format of the key=value pairs
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -232,6 +232,7 @@
                                       "drain_timeout_ms",
                                       "heartbeat_ms",
                                       "silence_ms",
+                                      "far_us_per_kib",
                                       "membership_bytes_per_s",
                                       NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "limits");
@@ -255,6 +256,8 @@
                         &settings->drain_timeout_ms);
   sgr_yaml_number_read (yaml, node, "heartbeat_ms", "limits", 10, 60000, &settings->heartbeat_ms);
   sgr_yaml_number_read (yaml, node, "silence_ms", "limits", 20, 600000, &settings->silence_ms);
+  sgr_yaml_number_read (yaml, node, "far_us_per_kib", "limits", 0, 1000000,
+                        &settings->far_us_per_kib);
   sgr_yaml_number_read (yaml, node, "membership_bytes_per_s", "limits", 500, 1000000,
                         &settings->membership_bytes_per_s);
   if (settings->silence_ms < 2 * settings->heartbeat_ms)
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -40,6 +40,7 @@
  * @drain_timeout_ms: longest wait for calls in flight at a planned stop
  * @heartbeat_ms: interval of pings on a connection between nodes
  * @silence_ms: a connection between nodes without any byte for this long is given up
+ * @far_us_per_kib: latency that it is worth to keep 1 KiB within the failure domain, microseconds
  * @membership_bytes_per_s: budget of membership messages
  */
 typedef struct
@@ -73,6 +74,7 @@
   uint64_t drain_timeout_ms;
   uint64_t heartbeat_ms;
   uint64_t silence_ms;
+  uint64_t far_us_per_kib;
   uint64_t membership_bytes_per_s;
 } sgr_settings_t;
 
--- a/libsiskingrade/types.h
+++ b/libsiskingrade/types.h
@@ -9,6 +9,13 @@
 #define SGR_USEC_PER_MSEC 1000ULL
 #define SGR_USEC_PER_SEC 1000000ULL
 
+/** sgr_ms_of() - whole milliseconds of a time in microseconds */
+static inline unsigned long
+sgr_ms_of (uint64_t us)
+{
+  return (unsigned long)(us / SGR_USEC_PER_MSEC);
+}
+
 typedef uint64_t sgr_node_id_t;
 typedef uint64_t sgr_boot_id_t;
 
--- a/tests/test_data_service.c
+++ b/tests/test_data_service.c
@@ -62,7 +62,7 @@
   sgr_node_id_t node = 0;
 
   return found != NULL
-         && sgr_data_service_pick (found, 2, NULL, 0, &node) != SGR_BALANCER_TARGET_NONE;
+         && sgr_data_service_pick (found, 2, NULL, 0, 0, &node) != SGR_BALANCER_TARGET_NONE;
 }
 
 /* Guards against calls to a target that left the service, and against a target that returns and is
