--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -49,6 +49,7 @@
 {
   *options = (sgr_config_sync_options_t){
     .start_delay_ms = 2000,
+    .readers = 2,
     .watch_ms = 55000,
     .backoff_min_ms = 250,
     .backoff_max_ms = 15000,
@@ -102,13 +103,13 @@
 }
 
 bool
-sgr_config_sync_elects (sgr_node_id_t self, const char *failure_domain, const sgr_member_t *members,
-                        size_t count)
+sgr_config_sync_elects (sgr_node_id_t self, const char *failure_domain, uint32_t readers,
+                        const sgr_member_t *members, size_t count)
 {
   uint64_t own = rendezvous_score (self, failure_domain);
-  int ahead = 0;
+  uint32_t ahead = 0;
 
-  for (size_t i = 0; i < count && ahead < SGR_CONFIG_SYNC_READERS; i++)
+  for (size_t i = 0; i < count && ahead < readers; i++)
     {
       uint64_t score;
 
@@ -118,15 +119,15 @@
       score = rendezvous_score (members[i].id, failure_domain);
       ahead += score > own || (score == own && members[i].id > self);
     }
-  return ahead < SGR_CONFIG_SYNC_READERS;
+  return ahead < readers;
 }
 
 void
 sgr_config_sync_members (sgr_config_sync_t *sync, uint64_t now_us, const sgr_member_t *members,
                          size_t count)
 {
-  bool reader
-      = sgr_config_sync_elects (sync->options.self, sync->options.failure_domain, members, count);
+  bool reader = sgr_config_sync_elects (sync->options.self, sync->options.failure_domain,
+                                        sync->options.readers, members, count);
 
   if (reader && !sync->reader)
     {
--- a/libsiskingrade/config_sync.h
+++ b/libsiskingrade/config_sync.h
@@ -4,9 +4,6 @@
 #include "member.h"
 #include "rng.h"
 
-/* Readers of the store per failure domain: two, so that one may fail unnoticed. */
-#define SGR_CONFIG_SYNC_READERS 2
-
 typedef struct sgr_config_sync_t sgr_config_sync_t;
 
 /**
@@ -16,6 +13,7 @@
  * @seed: seed of the jitter
  * @start_delay_ms: wait before the first store call, so that a fleet that starts does not read the
  *                  store before its members know each other; a random half is added
+ * @readers: nodes of a failure domain that read the store; with two, one may fail unnoticed
  * @watch_ms: longest wait of one watch
  * @backoff_min_ms: first wait after a failed call
  * @backoff_max_ms: longest wait after failed calls
@@ -28,6 +26,7 @@
   char failure_domain[SGR_NAME_MAX + 1];
   uint64_t seed;
   uint32_t start_delay_ms;
+  uint32_t readers;
   uint32_t watch_ms;
   uint32_t backoff_min_ms;
   uint32_t backoff_max_ms;
@@ -119,10 +118,11 @@
  * sgr_config_sync_elects() - whether a node is among the readers of its failure domain
  * @self: the node
  * @failure_domain: its failure domain
+ * @readers: readers of a failure domain
  * @members: all members
  * @count: number of members
  */
-bool sgr_config_sync_elects (sgr_node_id_t self, const char *failure_domain,
+bool sgr_config_sync_elects (sgr_node_id_t self, const char *failure_domain, uint32_t readers,
                              const sgr_member_t *members, size_t count);
 
 bool sgr_config_sync_is_reader (const sgr_config_sync_t *sync);
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -14,6 +14,8 @@
 #include "log.h"
 #include "listener.h"
 
+/* A node that starts or stops, or has too many calls, is worth another try after this time. */
+#define REFUSED_RETRY_MS 200
 /* A gate's refusal costs its target nothing, so that a routed call may go on to further gates. */
 #define ROUTE_REFUSALS_MAX 2
 #define KEYS_PATH "/.siskingrade/keys"
@@ -46,16 +48,25 @@
 } pending_t;
 
 static void
-refuse (h2o_req_t *req, int status, const char *reason)
+error_refuse (h2o_req_t *req, int status, const char *reason, uint32_t retry_after_ms,
+              bool has_retry_fractions)
 {
   sgr_data_error_t error = { .status = status,
                              .outcome = SGR_OUTCOME_NOT_RUN,
                              .reason = reason,
-                             .is_repeat_safe = status == 503 };
+                             .is_repeat_safe = status == 503,
+                             .retry_after_ms = retry_after_ms,
+                             .has_retry_fractions = has_retry_fractions };
 
   sgr_data_error_send (req, &error);
 }
 
+static void
+refuse (h2o_req_t *req, int status, const char *reason)
+{
+  error_refuse (req, status, reason, 0, false);
+}
+
 static h2o_iovec_t
 header_find (const h2o_req_t *req, const char *name)
 {
@@ -91,7 +102,8 @@
                   status, reason, (int)req->authority.len, req->authority.base, (int)req->path.len,
                   req->path.base,
                   snapshot != NULL ? (unsigned long)snapshot->config_revision : 0UL);
-  refuse (req, status, reason);
+  error_refuse (req, status, reason, status == 503 ? REFUSED_RETRY_MS : 0,
+                http->task->fields->has_retry_fractions);
 }
 
 static bool
--- a/libsiskingrade/http_fetch.c
+++ b/libsiskingrade/http_fetch.c
@@ -1,5 +1,7 @@
 #include "http_fetch.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +12,10 @@
 #include "buffer.h"
 #include "result.h"
 
+/* A silent peer is asked after this time and given up after so many questions without an answer. */
+#define KEEPALIVE_S 1
+#define KEEPALIVE_COUNT 2
+
 struct sgr_http_fetcher_t
 {
   h2o_timeout_t timeout;
@@ -157,6 +163,26 @@
   return on_body;
 }
 
+/* A connection that went silent for good ends before the long wait of a watch does. */
+static void
+keepalive_set (int fd)
+{
+  static const struct
+  {
+    int option;
+    int value;
+  } options[] = { { TCP_KEEPIDLE, KEEPALIVE_S },
+                  { TCP_KEEPINTVL, KEEPALIVE_S },
+                  { TCP_KEEPCNT, KEEPALIVE_COUNT },
+                  { TCP_USER_TIMEOUT, KEEPALIVE_S * (KEEPALIVE_COUNT + 1) * 1000 } };
+  int on = 1;
+
+  /* Without the options the reply's own timeout still ends the request. */
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  for (size_t i = 0; i < sizeof options / sizeof options[0]; i++)
+    setsockopt (fd, IPPROTO_TCP, options[i].option, &options[i].value, sizeof options[i].value);
+}
+
 static h2o_http1client_head_cb
 on_connect (h2o_http1client_t *client, const char *error, h2o_iovec_t **bufs, size_t *count,
             int *method_is_head)
@@ -168,6 +194,7 @@
       fetch_end (fetch, "no connection");
       return NULL;
     }
+  keepalive_set (h2o_socket_get_fd (client->sock));
   fetch->reply.sent = true;
   fetch->request_vec = h2o_iovec_init ((const char *)fetch->request.bytes, fetch->request.length);
   *bufs = &fetch->request_vec;
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -19,6 +19,7 @@
     .calls_max = 10000,
     .announce_ttl_ms = 3000,
     .store_delay_ms = 2000,
+    .store_readers = 2,
     .store_watch_ms = 55000,
     .leave_delay_ms = 0,
     .drain_timeout_ms = 60000,
@@ -227,6 +228,7 @@
                                       "calls_max",
                                       "announce_ttl_ms",
                                       "store_delay_ms",
+                                      "store_readers",
                                       "store_watch_ms",
                                       "leave_delay_ms",
                                       "drain_timeout_ms",
@@ -248,6 +250,7 @@
                         &settings->announce_ttl_ms);
   sgr_yaml_number_read (yaml, node, "store_delay_ms", "limits", 0, 60000,
                         &settings->store_delay_ms);
+  sgr_yaml_number_read (yaml, node, "store_readers", "limits", 1, 1000, &settings->store_readers);
   sgr_yaml_number_read (yaml, node, "store_watch_ms", "limits", 100, 60000,
                         &settings->store_watch_ms);
   sgr_yaml_number_read (yaml, node, "leave_delay_ms", "limits", 0, 60000,
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -35,6 +35,7 @@
  * @calls_max: calls open at this node at a time
  * @announce_ttl_ms: an announcement that is not renewed for this long is dropped
  * @store_delay_ms: wait before the first call to the store, a random half is added
+ * @store_readers: nodes of a failure domain that read the configuration from the store
  * @store_watch_ms: longest wait of one watch of the store
  * @leave_delay_ms: time between a stop signal and the first refusal of a caller's request
  * @drain_timeout_ms: longest wait for calls in flight at a planned stop
@@ -69,6 +70,7 @@
   uint64_t calls_max;
   uint64_t announce_ttl_ms;
   uint64_t store_delay_ms;
+  uint64_t store_readers;
   uint64_t store_watch_ms;
   uint64_t leave_delay_ms;
   uint64_t drain_timeout_ms;
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -36,7 +36,7 @@
 
   for (size_t i = 0; i < MEMBERS; i++)
     if (members[i].status == SGR_MEMBER_ALIVE && strcmp (members[i].failure_domain, domain) == 0
-        && sgr_config_sync_elects (members[i].id, domain, members, MEMBERS))
+        && sgr_config_sync_elects (members[i].id, domain, 2, members, MEMBERS))
       {
         *first = i;
         count++;
@@ -100,7 +100,7 @@
   assert_false (next (sync, 5 * SEC, SGR_CONFIG_SYNC_WATCH));
   sgr_config_sync_destroy (sync);
   for (size_t i = 0; i < MEMBERS; i += 15)
-    if (!sgr_config_sync_elects (members[i].id, "fd-0", members, MEMBERS))
+    if (!sgr_config_sync_elects (members[i].id, "fd-0", 2, members, MEMBERS))
       {
         sync = make (i);
         /* Alone it reads; with all members known it stops its watch. */
--- /dev/null
+++ b/tests/test_platform_input.c
@@ -0,0 +1,206 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "config_state.h"
+#include "platform.h"
+
+/* What the platform's operator and backends send: good input is translated whole, bad input is
+   refused with its place and changes nothing. */
+
+#define DOCUMENT(version, resources)                                                               \
+  "{\"version\":\"" version "\",\"baseVersion\":\"00000001\",\"resources\":[" resources "]}"
+#define SERVICE                                                                                    \
+  "{\"resourceType\":\"services\",\"metadata\":{\"name\":\"s\"},"                                  \
+  "\"spec\":{\"healthPath\":\"/healthz\",\"maxConnections\":240}}"
+#define ROUTE(spec)                                                                                \
+  "{\"resourceType\":\"routes\",\"metadata\":{\"name\":\"r\"},\"spec\":{" spec "}}"
+#define SPEC(kind)                                                                                 \
+  "\"host\":\"a.example\",\"prefix\":\"/x/\",\"routeKind\":\"" kind "\",\"timeout\":\"1.5s\","     \
+  "\"targetLatency\":\"300ms\",\"priority\":2,\"maxAttempts\":2"
+
+static sgr_config_state_t *
+state_create (void)
+{
+  sgr_config_owners_t owners = { 0 };
+  sgr_config_state_t *state = sgr_config_state_create (&owners, 4);
+
+  sgr_config_state_source_set (state, sgr_platform_adapter.config);
+  return state;
+}
+
+static sgr_result_t
+offer (sgr_config_state_t *state, const char *text, sgr_config_error_t *error)
+{
+  return sgr_config_state_offer (state, text, strlen (text), error);
+}
+
+/* Guards against a document that is read in part, and against an older one that comes back. */
+static void
+test_documents (void **unused)
+{
+  sgr_config_state_t *state = state_create ();
+  sgr_config_error_t error = { SGR_OK };
+  const sgr_route_t *routes;
+  size_t count;
+
+  assert_int_equal (
+      offer (
+          state,
+          DOCUMENT ("0000000c", SERVICE
+                    "," ROUTE (SPEC ("unsafe") ","
+                                               "\"trafficSplit\":[{\"service\":\"s\",\"weight\":9}"
+                                               "]") ",{\"resourceType\":\"limits\",\"metadata\":{},"
+                                                    "\"spec\":{\"idleTimeout\":\"15000ms\"}}"),
+          &error),
+      SGR_OK);
+  assert_int_equal (sgr_config_state_revision (state), 12);
+  routes = sgr_config_state_routes (state, &count);
+  assert_int_equal (count, 1);
+  assert_int_equal (routes[0].timeout_ms, 1500);
+  assert_int_equal (routes[0].target_latency_ms, 300);
+  assert_int_equal (routes[0].attempts_max, 2);
+  assert_int_equal (routes[0].idempotency, SGR_IDEMPOTENCY_NEVER);
+  assert_int_equal (routes[0].parts[0].weight, 9);
+  assert_string_equal (sgr_config_state_policy (state, "s")->load_path, "/healthz");
+  assert_int_equal (offer (state, DOCUMENT ("0000000b", SERVICE), &error), SGR_ERR_CONFLICT);
+  assert_int_equal (offer (state, DOCUMENT ("0000000c", SERVICE), &error), SGR_ERR_CONFLICT);
+  assert_int_equal (sgr_config_state_revision (state), 12);
+  assert_int_equal (
+      offer (state,
+             DOCUMENT ("0000000d", SERVICE "," ROUTE (SPEC ("safe") ","
+                                                                    "\"service\":\"s\"")),
+             &error),
+      SGR_OK);
+  routes = sgr_config_state_routes (state, &count);
+  assert_int_equal (routes[0].idempotency, SGR_IDEMPOTENCY_ALWAYS);
+  sgr_config_state_destroy (state);
+}
+
+static void
+test_bad_documents (void **unused)
+{
+  static const char *const cases[] = {
+    "",
+    "[]",
+    "{}",
+    "not json",
+    "{\"version\":\"0000000c\"}",
+    "{\"version\":\"0000000c\",\"resources\":{}}",
+    DOCUMENT ("c", SERVICE),
+    DOCUMENT ("00000000", SERVICE),
+    DOCUMENT ("0000000g", SERVICE),
+    DOCUMENT ("0000000c", "1"),
+    DOCUMENT ("0000000c", "{\"resourceType\":\"routes\"}"),
+    DOCUMENT ("0000000c", "{\"resourceType\":7,\"spec\":{}}"),
+    DOCUMENT ("0000000c", "{\"resourceType\":\"services\",\"metadata\":{},\"spec\":{}}"),
+    DOCUMENT ("0000000c", ROUTE (SPEC ("safe") ",\"service\":\"s\"")),
+    DOCUMENT ("0000000c", SERVICE "," ROUTE (SPEC ("safe"))),
+    DOCUMENT ("0000000c", SERVICE "," ROUTE ("\"prefix\":\"/x/\",\"service\":\"s\"")),
+    DOCUMENT ("0000000c", SERVICE "," ROUTE ("\"host\":\"a\",\"prefix\":\"x\",\"service\":\"s\"")),
+    DOCUMENT ("0000000c", SERVICE "," ROUTE ("\"host\":\"a\",\"prefix\":\"/x/\",\"service\":\"s\","
+                                             "\"timeout\":1000")),
+    DOCUMENT ("0000000c", SERVICE "," ROUTE ("\"host\":\"a\",\"prefix\":\"/x/\",\"service\":\"s\","
+                                             "\"timeout\":\"fast\"")),
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_config_state_t *state = state_create ();
+      sgr_config_error_t error = { SGR_OK };
+
+      assert_int_equal (offer (state, DOCUMENT ("00000002", SERVICE), &error), SGR_OK);
+      if (offer (state, cases[i], &error) != SGR_ERR_INVALID || error.message[0] == '\0')
+        fail_msg ("%s: taken, or without a reason", cases[i]);
+      assert_int_equal (sgr_config_state_revision (state), 2);
+      sgr_config_state_destroy (state);
+    }
+}
+
+#define BEAT(info, status)                                                                         \
+  "{\"address\":\"10.1.0.9:8080\",\"born\":1700000000123,\"info\":{" info "},\"status\":{" status  \
+  "}}"
+#define INFO "\"service\":\"s\",\"version\":\"v1\",\"zone\":\"a\",\"slots\":12"
+#define STATUS "\"state\":\"ready\",\"sequence\":4,\"cold\":\"0ms\""
+
+static void
+test_heartbeats (void **unused)
+{
+  static const struct
+  {
+    const char *text;
+    const char *path;
+  } bad[] = {
+    { NULL, "" },
+    { "", "" },
+    { "[1]", "address" },
+    { "{\"address\":\"10.1.0.9\"}", "address" },
+    { BEAT ("", STATUS), "info.service" },
+    { BEAT ("\"service\":\"a b\",\"slots\":12", STATUS), "info.service" },
+    { BEAT ("\"service\":\"s\",\"slots\":\"12\"", STATUS), "info.slots" },
+    { BEAT ("\"service\":\"s\",\"slots\":0", STATUS), "info.slots" },
+    { BEAT (INFO, "\"state\":\"sleeping\",\"sequence\":4"), "status.state" },
+    { BEAT (INFO, "\"state\":3,\"sequence\":4"), "status.state" },
+    { BEAT (INFO, "\"state\":\"ready\""), "status.sequence" },
+    { BEAT (INFO, "\"state\":\"ready\",\"sequence\":-1"), "status.sequence" },
+  };
+  sgr_config_error_t error = { SGR_OK };
+  sgr_announcement_t got;
+  const char *good = BEAT (INFO, STATUS);
+
+  assert_int_equal (sgr_platform_heartbeat_read ("i-1", good, strlen (good), &got, &error), SGR_OK);
+  assert_string_equal (got.local.service, "s");
+  assert_string_equal (got.local.instance, "i-1");
+  assert_int_equal (got.local.slots, 12);
+  assert_int_equal (got.local.state, SGR_TARGET_SERVING);
+  assert_int_equal (got.started_ms, 1700000000123);
+  assert_int_equal (got.sequence, 4);
+  assert_int_equal (sgr_platform_heartbeat_read ("i 1", good, strlen (good), &got, &error),
+                    SGR_ERR_INVALID);
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      size_t length = bad[i].text != NULL ? strlen (bad[i].text) : 0;
+
+      if (sgr_platform_heartbeat_read ("i-1", bad[i].text, length, &got, &error) != SGR_ERR_INVALID
+          || strcmp (error.path, bad[i].path) != 0)
+        fail_msg ("%s: path \"%s\", expected \"%s\"", bad[i].text, error.path, bad[i].path);
+    }
+}
+
+static void
+test_durations (void **unused)
+{
+  static const struct
+  {
+    const char *text;
+    int64_t ms;
+  } cases[] = { { "1500ms", 1500 }, { "2.5s", 2500 }, { "0ms", 0 },   { "0.0004s", 0 },
+                { NULL, -1 },       { "", -1 },       { "5", -1 },    { "ms", -1 },
+                { "-1ms", -1 },     { "1 ms", -1 },   { "1m", -1 },   { "nans", -1 },
+                { "1e99s", -1 },    { "1msx", -1 },   { " 1ms", -1 }, { "5000000000ms", -1 } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      uint32_t ms = 7;
+      bool is_read = sgr_platform_duration_read (cases[i].text, &ms);
+
+      if (is_read != (cases[i].ms >= 0) || (is_read && ms != cases[i].ms))
+        fail_msg ("%s: %s, %u ms", cases[i].text, is_read ? "read" : "refused", ms);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_documents),
+    cmocka_unit_test (test_bad_documents),
+    cmocka_unit_test (test_heartbeats),
+    cmocka_unit_test (test_durations),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,194 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "config_resource.h"
+
+/* Routes of callers' requests, from the configuration to the service of a call. */
+
+static sgr_route_t
+route_of (const char *name, const char *host, const char *prefix)
+{
+  sgr_route_t route = { .part_count = 1 };
+
+  snprintf (route.name, sizeof route.name, "%s", name);
+  snprintf (route.host, sizeof route.host, "%s", host);
+  snprintf (route.prefix, sizeof route.prefix, "%s", prefix);
+  snprintf (route.parts[0].service, sizeof route.parts[0].service, "%s", name);
+  route.parts[0].weight = 1;
+  return route;
+}
+
+/* Guards against a request that goes to a shorter prefix, to another host, or by its query. */
+static void
+test_longest_prefix (void **state)
+{
+  static const struct
+  {
+    const char *host;
+    const char *path;
+    const char *route;
+  } cases[] = {
+    { "a.example", "/x/1", "short" },      { "a.example", "/x/y/1", "long" },
+    { "A.Example:8080", "/x/y/", "long" }, { "a.example", "/x", NULL },
+    { "a.example", "/xy/1", NULL },        { "b.example", "/x/1", "other" },
+    { "c.example", "/x/1", NULL },         { "", "/x/1", NULL },
+    { "a.example", "/q?/x/1", NULL },      { "a.example", "/x/?a=/x/y/", "short" },
+  };
+  sgr_route_t routes[]
+      = { route_of ("short", "a.example", "/x/"), route_of ("other", "b.example", "/"),
+          route_of ("long", "a.example", "/x/y/") };
+  sgr_route_table_t *table;
+  sgr_rng_t rng;
+
+  sgr_rng_seed (&rng, 1);
+  table = sgr_route_table_create (routes, 3, NULL, &rng);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_route_entry_t *entry = sgr_route_table_find (table, cases[i].host, strlen (cases[i].host),
+                                                       cases[i].path, strlen (cases[i].path));
+      const char *name = entry != NULL ? sgr_route_entry_route (entry)->name : NULL;
+
+      if ((name == NULL) != (cases[i].route == NULL)
+          || (name != NULL && strcmp (name, cases[i].route) != 0))
+        fail_msg ("%s%s: found %s, expected %s", cases[i].host, cases[i].path,
+                  name != NULL ? name : "none", cases[i].route != NULL ? cases[i].route : "none");
+    }
+  sgr_route_table_destroy (table);
+}
+
+/* Guards against a split that drifts from its weights, in the short run or over a reload. */
+static void
+test_split_is_exact (void **state)
+{
+  static const uint32_t weights[] = { 90, 10, 0, 25 };
+  sgr_route_t route = route_of ("split", "a.example", "/");
+  uint64_t counts[4] = { 0 }, sum = 125;
+  sgr_route_table_t *table = NULL;
+  sgr_rng_t rng;
+
+  route.part_count = 4;
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      snprintf (route.parts[i].service, sizeof route.parts[i].service, "s%u", i);
+      route.parts[i].weight = weights[i];
+    }
+  sgr_rng_seed (&rng, 7);
+  for (uint64_t call = 1; call <= 2000; call++)
+    {
+      const sgr_route_part_t *part;
+
+      if (call % 333 == 1)
+        {
+          sgr_route_table_t *next = sgr_route_table_create (&route, 1, table, &rng);
+
+          sgr_route_table_destroy (table);
+          table = next;
+        }
+      part = sgr_route_entry_part (sgr_route_table_find (table, "a.example", 9, "/", 1));
+      counts[part->service[1] - '0']++;
+      for (uint32_t i = 0; i < 4; i++)
+        {
+          double share = (double)call * weights[i] / (double)sum;
+
+          assert_true ((double)counts[i] > share - 2 && (double)counts[i] < share + 2);
+        }
+    }
+  assert_int_equal (counts[2], 0);
+  sgr_route_table_destroy (table);
+}
+
+#define POLICY "\"policies\":[{\"name\":\"p\"}],\"services\":[{\"name\":\"s\",\"policy\":\"p\"}]"
+#define ROUTE(fields) "{" POLICY ",\"routes\":[{" fields "}]}"
+#define GOOD                                                                                       \
+  "\"name\":\"r\",\"host\":\"a.example\",\"prefix\":\"/x/\","                                      \
+  "\"services\":[{\"service\":\"s\",\"weight\":1}]"
+
+/* Guards against a configuration that is taken although a route cannot be served, and against
+   messages that do not tell where it is wrong. */
+static void
+test_bad_routes (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    const char *path;
+  } cases[] = {
+    { "{" POLICY ",\"routes\":{}}", "routes" },
+    { ROUTE ("\"name\":\"r\""), "routes[0]" },
+    { ROUTE ("\"name\":\"r\",\"host\":\"A.example\",\"prefix\":\"/x/\",\"services\":[]"),
+      "routes[0].host" },
+    { ROUTE ("\"name\":\"r\",\"host\":\"a.example\",\"prefix\":\"/x\",\"services\":[]"),
+      "routes[0].prefix" },
+    { ROUTE ("\"name\":\"r\",\"host\":\"a.example\",\"prefix\":\"/x/\",\"services\":[]"),
+      "routes[0].services" },
+    { ROUTE ("\"name\":\"r\",\"host\":\"a.example\",\"prefix\":\"/x/\","
+             "\"services\":[{\"service\":\"s\",\"weight\":0}]"),
+      "routes[0].services" },
+    { ROUTE ("\"name\":\"r\",\"host\":\"a.example\",\"prefix\":\"/x/\","
+             "\"services\":[{\"service\":\"t\",\"weight\":1}]"),
+      "routes[0]" },
+    { ROUTE (GOOD ",\"timeout_ms\":-1"), "routes[0].timeout_ms" },
+    { ROUTE (GOOD ",\"priority\":\"high\""), "routes[0].priority" },
+    { ROUTE (GOOD ",\"idempotency\":\"sometimes\""), "routes[0].idempotency" },
+    { ROUTE (GOOD ",\"unknown\":1"), "routes[0]" },
+    { ROUTE (GOOD "},{" GOOD), "routes[1].name" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_config_error_t error = { SGR_OK };
+      json_t *json = sgr_config_json_load (cases[i].text, strlen (cases[i].text), &error);
+      sgr_config_content_t *content = NULL;
+
+      assert_non_null (json);
+      if (sgr_config_content_parse (json, "", &content, &error) != SGR_ERR_INVALID
+          || strncmp (error.path, cases[i].path, strlen (cases[i].path)) != 0)
+        fail_msg ("%s: path \"%s\", expected \"%s\"", cases[i].text, error.path, cases[i].path);
+      json_decref (json);
+    }
+}
+
+/* Guards against a normal form or an edit that loses a route. */
+static void
+test_routes_survive_edits (void **state)
+{
+  static const char text[] = ROUTE (GOOD);
+  sgr_config_error_t error = { SGR_OK };
+  json_t *json = sgr_config_json_load (text, strlen (text), &error);
+  json_t *normal = sgr_config_content_normalize (json);
+  sgr_config_content_t *before, *after, *copy;
+  json_t *edit;
+
+  assert_int_equal (sgr_config_content_parse (normal, "", &after, &error), SGR_OK);
+  assert_int_equal (after->route_count, 1);
+  assert_string_equal (after->routes[0].parts[0].service, "s");
+  json_object_del (normal, "routes");
+  assert_int_equal (sgr_config_content_parse (normal, "", &before, &error), SGR_OK);
+  edit = sgr_config_content_diff (before, after);
+  assert_int_equal (sgr_config_content_apply (before, edit, &copy, &error), SGR_OK);
+  assert_true (sgr_config_digest_equal (&copy->digest, &after->digest));
+  sgr_config_content_destroy (before);
+  sgr_config_content_destroy (after);
+  sgr_config_content_destroy (copy);
+  json_decref (edit);
+  json_decref (normal);
+  json_decref (json);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_longest_prefix),
+    cmocka_unit_test (test_split_is_exact),
+    cmocka_unit_test (test_bad_routes),
+    cmocka_unit_test (test_routes_survive_edits),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
