Tell callers of calls that did not run so, also at the deadline

A call that no target saw by its deadline was answered 504, which promises nothing, so that callers could not repeat transfers.

--- a/cli/siskingradectl.c
+++ b/cli/siskingradectl.c
@@ -6,7 +6,8 @@
 #include "ctl_command.h"
 #include "version.h"
 
-#define ARGUMENTS_MAX 4
+/* Command and arguments; "explain" takes a log file of each node. */
+#define ARGUMENTS_MAX 256
 #define TIMEOUT_MS 10000
 
 const char *argp_program_version = "siskingradectl " SGR_VERSION;
@@ -23,6 +24,7 @@
       "  list services | changes | nodes | targets\n"
       "  watch                 print changes as they take effect\n"
       "  status                revision in force by failure domain, and what lags\n"
+      "  explain ID LOG...     print the log lines of one request from the logs of all nodes\n"
       "  keygen PREFIX         write an Ed25519 key pair to PREFIX.key (mode 0600) and PREFIX.pub\n"
       "\n"
       "Exit status: 0 done; 1 refused (conflict, not found); 64 usage; 69 no node or store\n"
--- a/libsiskingrade/ctl_command.c
+++ b/libsiskingrade/ctl_command.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "config_resource.h"
+#include "ctl_explain.h"
 #include "ctl_keys.h"
 
 int
@@ -282,6 +283,18 @@
   return result == SGR_OK ? SGR_CTL_EXIT_OK : sgr_ctl_fail (err, &error);
 }
 
+static int
+run_explain (const sgr_ctl_options_t *options, FILE *out, FILE *err)
+{
+  sgr_config_error_t error = { SGR_OK };
+
+  if (sgr_ctl_explain (options->arguments[1], options->arguments + 2, options->argument_count - 2,
+                       out, &error)
+      == SGR_OK)
+    return SGR_CTL_EXIT_OK;
+  return sgr_ctl_fail (err, &error);
+}
+
 static int
 run_keygen (const sgr_ctl_options_t *options, FILE *out, FILE *err)
 {
@@ -319,6 +332,8 @@
   int status;
 
   sgr_invariant (sodium_init () >= 0);
+  if (strcmp (command, "explain") == 0 && options->argument_count >= 3)
+    return run_explain (options, out, err);
   if (strcmp (command, "keygen") == 0 && options->argument_count == 2)
     return run_keygen (options, out, err);
   for (size_t i = 0; i < sizeof commands / sizeof commands[0]; i++)
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -155,13 +155,10 @@
 {
   if (finish->reason == SGR_CALL_REASON_KEY_CONFLICT)
     return 422;
-  if (finish->reason == SGR_CALL_REASON_DEADLINE
-      || (finish->reason == SGR_CALL_REASON_REFUSED
-          && finish->gate_reason == SGR_GATE_REASON_DEADLINE))
-    return 504;
+  /* Not run, whatever the reason: the caller may repeat the request as it is. */
   if (finish->outcome == SGR_OUTCOME_NOT_RUN)
     return 503;
-  return 502;
+  return finish->reason == SGR_CALL_REASON_DEADLINE ? 504 : 502;
 }
 
 static void
--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -259,8 +259,8 @@
   gate->dispatching = false;
 }
 
-static uint32_t
-retry_after_ms (const sgr_gate_t *gate, uint64_t now_us)
+uint32_t
+sgr_gate_retry_after_ms (const sgr_gate_t *gate, uint64_t now_us)
 {
   uint32_t slots = sgr_gate_limits_slots (gate->limits);
   uint64_t wait_us = sgr_gate_estimate_us (gate, now_us) * (sgr_gate_queue_count (gate->queue) + 1)
@@ -284,7 +284,7 @@
     case SGR_GATE_REASON_DEADLINE:
     case SGR_GATE_REASON_TENANT_LIMIT:
     case SGR_GATE_REASON_CLASS_LIMIT:
-      decision->retry_after_ms = retry_after_ms (gate, now_us);
+      decision->retry_after_ms = sgr_gate_retry_after_ms (gate, now_us);
       break;
     case SGR_GATE_REASON_LEDGER_FULL:
       decision->retry_after_ms = RETRY_AFTER_MAX_MS;
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -377,6 +377,9 @@
  */
 bool sgr_gate_is_slowed (const sgr_gate_t *gate, uint64_t now_us);
 
+/** sgr_gate_retry_after_ms() - when work that is refused now has a chance, milliseconds */
+uint32_t sgr_gate_retry_after_ms (const sgr_gate_t *gate, uint64_t now_us);
+
 /** sgr_gate_load_report() - exact load now, age 0 */
 void sgr_gate_load_report (const sgr_gate_t *gate, sgr_load_report_t *report);
 
