Refuse work that cannot be on time any more at once

Late work earns a tenth and took slots and callers' time from work that could be on time. The queue now refuses an item as soon as less than 1.75 times the usual time of its class is left, with a time to come back, and the order by rank alone remains. Reports of load may follow each other after 10 ms, six targets are compared instead of three, and a reported cost fades in 1 s: it was forgotten before the next report came.

--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -5,7 +5,7 @@
 
 /* Targets that are compared in one choice; fewer than all, so that nodes with equal reports do not
    all choose the same target. */
-#define COMPARED_MAX 3
+#define COMPARED_MAX 6
 /* A hot target is chosen over one with a free slot only if that costs this many times as much. */
 #define HOT_PENALTY 2.0
 /* Random part of a cost, against equal choices by many nodes. */
--- a/libsiskingrade/balancer_estimate.c
+++ b/libsiskingrade/balancer_estimate.c
@@ -17,7 +17,7 @@
 #define SERVICE_WEIGHT 0.1
 #define LOAD_GAIN (1.0 / 32)
 /* Neighbours of a target change the time that its work takes within this time. */
-#define COST_FADE_US 1e5
+#define COST_FADE_US 1e6
 #define RAMP_FLOOR 0.1
 /* An error costs the caller this many average latencies. */
 #define ERROR_COST 20.0
--- a/libsiskingrade/ctl_explain.h
+++ b/libsiskingrade/ctl_explain.h
@@ -13,8 +13,8 @@
  * @out: receives the lines
  * @error: receives the reason of a failure
  *
- * Return: SGR_OK; SGR_ERR_NOT_FOUND if no file has a line of the request; SGR_ERR_INVALID if a file cannot
- * be read.
+ * Return: SGR_OK; SGR_ERR_NOT_FOUND if no file has a line of the request; SGR_ERR_INVALID if a file
+ * cannot be read.
  */
 sgr_result_t sgr_ctl_explain (const char *id, char **files, size_t count, FILE *out,
                               sgr_config_error_t *error);
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -102,7 +102,8 @@
                                  .reason = SGR_CALL_REASON_REFUSED,
                                  .gate_reason = reason };
 
-  if (reason == SGR_GATE_REASON_QUEUE_FULL || reason == SGR_GATE_REASON_DEADLINE)
+  if (reason == SGR_GATE_REASON_QUEUE_FULL || reason == SGR_GATE_REASON_DEADLINE
+      || reason == SGR_GATE_REASON_LATE)
     refusal.retry_after_ms = sgr_gate_retry_after_ms (gate->core, now_us);
   if (sgr_call_log_takes (gate->task->call_log, now_us, run->request_id, true))
     sgr_log_info ("gate-dropped", "id=%s attempt=%u reason=%s wait_ms=%lu left_ms=%ld",
--- a/libsiskingrade/data_load.c
+++ b/libsiskingrade/data_load.c
@@ -6,7 +6,7 @@
 #include "data_service.h"
 
 /* Shortest time between two reports; together with the connections it bounds their traffic. */
-#define REPORT_INTERVAL_US (20 * SGR_USEC_PER_MSEC)
+#define REPORT_INTERVAL_US (10 * SGR_USEC_PER_MSEC)
 /* A change of the load by one part in so many of the slots is reported. */
 #define LOAD_STEP_DIVISOR 4
 /* A change of the time that work takes by this much, in percent of the lower figure, is reported.
--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -7,6 +7,9 @@
 /* Largest queue whatever the policy says; with the slots it bounds the records of admitted work. */
 #define QUEUE_CAPACITY 1024
 #define RETRY_AFTER_MAX_MS 1000
+/* Work that waits is given up when less than this share of its usual time is left for an answer on
+   time: its time varies, and the answer has a way back. */
+#define START_MARGIN_PERCENT 175
 /* Work that starts below this cost shows how long it usually takes. */
 #define CALM_PERCENT 120
 
@@ -116,10 +119,11 @@
 start_by_us (const sgr_gate_t *gate, const sgr_attempt_t *attempt, uint32_t class_known)
 {
   uint64_t usual_us = sgr_gate_classes_usual_us (gate->classes, class_known);
+  uint64_t needed_us = usual_us * START_MARGIN_PERCENT / 100;
 
   if (attempt->on_time_us == 0)
     return SGR_TIMER_NEVER;
-  return attempt->on_time_us > usual_us ? attempt->on_time_us - usual_us : 0;
+  return attempt->on_time_us > needed_us ? attempt->on_time_us - needed_us : 0;
 }
 
 static sgr_gate_work_t *
@@ -193,6 +197,19 @@
   work_drop_tell (gate, now_us, work);
 }
 
+/* Refuses work that cannot be on time any more, so that the caller learns of it at once and other
+   work gets the slots. Returns when the next one becomes late. */
+static uint64_t
+queue_drop_late (sgr_gate_t *gate, uint64_t now_us)
+{
+  sgr_gate_queue_item_t *item;
+  uint64_t next_us;
+
+  while ((item = sgr_gate_queue_late (gate->queue, now_us, &next_us)) != NULL)
+    sgr_gate_work_drop (gate, now_us, item->owner, SGR_GATE_REASON_LATE);
+  return next_us;
+}
+
 static uint64_t
 queue_expire (sgr_gate_t *gate, uint64_t now_us)
 {
@@ -243,6 +260,7 @@
     return;
   gate->dispatching = true;
   queue_expire (gate, now_us);
+  queue_drop_late (gate, now_us);
   while (is_serving (gate) && !sgr_gate_is_slowed (gate, now_us)
          && (item = sgr_gate_queue_pop (gate->queue, now_us, gate->limits,
                                         sgr_gate_estimate_us (gate, now_us)))
@@ -253,9 +271,6 @@
       work_run (gate, now_us, work);
       gate->callbacks.start (gate->ctx, work_handle (gate, work), now_us);
     }
-  while ((item = sgr_gate_queue_late (gate->queue, now_us, sgr_gate_limits_slots (gate->limits)))
-         != NULL)
-    sgr_gate_work_drop (gate, now_us, item->owner, SGR_GATE_REASON_QUEUE_FULL);
   gate->dispatching = false;
 }
 
@@ -282,6 +297,7 @@
     {
     case SGR_GATE_REASON_QUEUE_FULL:
     case SGR_GATE_REASON_DEADLINE:
+    case SGR_GATE_REASON_LATE:
     case SGR_GATE_REASON_TENANT_LIMIT:
     case SGR_GATE_REASON_CLASS_LIMIT:
       decision->retry_after_ms = sgr_gate_retry_after_ms (gate, now_us);
@@ -591,11 +607,14 @@
 sgr_gate_tick (sgr_gate_t *gate, uint64_t now_us)
 {
   uint64_t ledger_us = sgr_ledger_tick (gate->ledger, now_us);
-  uint64_t queue_us;
+  uint64_t queue_us, late_us;
 
   slots_apply (gate, now_us);
   sgr_gate_dispatch (gate, now_us);
   queue_us = queue_expire (gate, now_us);
+  late_us = queue_drop_late (gate, now_us);
+  if (late_us < queue_us)
+    queue_us = late_us + 1;
   if (sgr_gate_queue_count (gate->queue) > 0 && sgr_gate_is_slowed (gate, now_us)
       && sgr_gate_cost_end_us (gate) < queue_us)
     queue_us = sgr_gate_cost_end_us (gate);
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -37,6 +37,7 @@
  * @SGR_GATE_REASON_ENTRY_LOST: the entry node went away while it waited
  * @SGR_GATE_REASON_SLOW: neighbours slow the target down now, and the attempt does not wait for
  * that to end; another target may be better
+ * @SGR_GATE_REASON_LATE: its answer cannot be on time any more
  */
 typedef enum
 {
@@ -55,9 +56,10 @@
   SGR_GATE_REASON_CANCELLED,
   SGR_GATE_REASON_ENTRY_LOST,
   SGR_GATE_REASON_SLOW,
+  SGR_GATE_REASON_LATE,
 } sgr_gate_reason_t;
 
-#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_SLOW + 1)
+#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_LATE + 1)
 
 /**
  * struct sgr_attempt_t - one attempt as it reaches the gate
--- a/libsiskingrade/gate_queue.c
+++ b/libsiskingrade/gate_queue.c
@@ -232,39 +232,22 @@
     flow->overloaded = true;
 }
 
-static bool
-is_late (const sgr_gate_queue_item_t *item, uint64_t now_us)
-{
-  return now_us > item->start_by_us;
-}
-
 /* The item that a flow would start next. */
 static sgr_gate_queue_item_t *
 flow_candidate (const sgr_gate_queue_t *queue, flow_t *flow, uint64_t now_us, uint64_t estimate_us)
 {
-  sgr_gate_queue_item_t *item;
-
   flow_overload_update (queue, flow, now_us, estimate_us);
-  if (flow->overloaded)
-    return flow->newest;
-  for (item = flow->oldest; item != NULL; item = item->newer)
-    {
-      if (!is_late (item, now_us))
-        return item;
-    }
-  return flow->oldest;
+  return flow->overloaded ? flow->newest : flow->oldest;
 }
 
 /* Whether item @a goes before item @b. */
 static bool
 goes_before (const sgr_gate_queue_t *queue, const sgr_gate_queue_item_t *a,
-             const sgr_gate_queue_item_t *b, uint64_t now_us)
+             const sgr_gate_queue_item_t *b)
 {
   const uint64_t *classes_us = queue->classes.served_us;
   const uint64_t *tenants_us = queue->tenants.served_us;
 
-  if (is_late (a, now_us) != is_late (b, now_us))
-    return is_late (b, now_us);
   if (a->priority != b->priority)
     return a->priority < b->priority;
   if (classes_us[a->class_number] != classes_us[b->class_number])
@@ -286,7 +269,7 @@
       if (sgr_gate_limits_check (limits, flow->tenant, flow->class_number) != SGR_LIMITS_FREE)
         continue;
       candidate = flow_candidate (queue, flow, now_us, estimate_us);
-      if (item == NULL || goes_before (queue, candidate, item, now_us))
+      if (item == NULL || goes_before (queue, candidate, item))
         item = candidate;
     }
   if (item == NULL)
@@ -302,20 +285,17 @@
 }
 
 sgr_gate_queue_item_t *
-sgr_gate_queue_late (const sgr_gate_queue_t *queue, uint64_t now_us, uint32_t kept)
+sgr_gate_queue_late (const sgr_gate_queue_t *queue, uint64_t now_us, uint64_t *next_us)
 {
-  sgr_gate_queue_item_t *least = NULL;
-  uint32_t late = 0;
-
+  *next_us = SGR_TIMER_NEVER;
   for (sgr_gate_queue_item_t *item = queue->oldest; item != NULL; item = item->arrival_newer)
     {
-      if (!is_late (item, now_us))
-        continue;
-      late++;
-      if (least == NULL || item->deadline_us < least->deadline_us)
-        least = item;
+      if (now_us > item->start_by_us)
+        return item;
+      if (item->start_by_us < *next_us)
+        *next_us = item->start_by_us;
     }
-  return late > kept ? least : NULL;
+  return NULL;
 }
 
 static void
--- a/libsiskingrade/gate_queue.h
+++ b/libsiskingrade/gate_queue.h
@@ -43,10 +43,10 @@
 } sgr_gate_queue_item_t;
 
 /**
- * The queue keeps one flow for each pair of class and tenant. Items that can still be on time go
- * before those that cannot, then those of the better rank. Among equals it serves the class, then
- * the tenant, that has had the least service time. Within a flow it serves the oldest item first,
- * and the newest first while the oldest one of the flow waits too long.
+ * The queue keeps one flow for each pair of class and tenant. Items of the better rank go first;
+ * among equals it serves the class, then the tenant, that has had the least service time. Within a
+ * flow it serves the oldest item first, and the newest first while the oldest one of the flow waits
+ * too long.
  */
 typedef struct sgr_gate_queue_t sgr_gate_queue_t;
 
@@ -103,16 +103,15 @@
                                               uint32_t class_number);
 
 /**
- * sgr_gate_queue_late() - item to drop because more wait than can be served beside the others
+ * sgr_gate_queue_late() - an item whose answer cannot be on time any more
  * @queue: the queue
  * @now_us: the time
- * @kept: items that may wait although they cannot be on time any more
+ * @next_us: receives when the next item becomes late, SGR_TIMER_NEVER for none; only if none is now
  *
- * Return: of the items that are too late the one with the least time left, if there are more than
- * @kept; else NULL.
+ * Return: the item, NULL if there is none.
  */
 sgr_gate_queue_item_t *sgr_gate_queue_late (const sgr_gate_queue_t *queue, uint64_t now_us,
-                                            uint32_t kept);
+                                            uint64_t *next_us);
 
 /** sgr_gate_queue_oldest() - item that has waited longest, NULL if the queue is empty */
 sgr_gate_queue_item_t *sgr_gate_queue_oldest (const sgr_gate_queue_t *queue);
--- a/libsiskingrade/gate_status.c
+++ b/libsiskingrade/gate_status.c
@@ -275,6 +275,7 @@
     [SGR_GATE_REASON_CANCELLED] = "cancelled",
     [SGR_GATE_REASON_ENTRY_LOST] = "entry-lost",
     [SGR_GATE_REASON_SLOW] = "slow",
+    [SGR_GATE_REASON_LATE] = "late",
   };
 
   return (unsigned)reason < SGR_GATE_REASON_COUNT ? names[reason] : "unknown";
