Split the gate's target connection from its admission

gate.c had grown past its duty; the part that speaks to the target and takes in its state is a file of its own.

--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -4,8 +4,6 @@
 
 #include "gate_internal.h"
 
-/* Largest queue whatever the policy says; with the slots it bounds the records of admitted work. */
-#define QUEUE_CAPACITY 1024
 #define RETRY_AFTER_MAX_MS 1000
 /* Work that waits is given up when less than this share of its usual time is left for an answer on
    time: its time varies, and the answer has a way back. */
@@ -32,12 +30,6 @@
   };
 }
 
-static void
-queue_max_set (sgr_gate_t *gate, const sgr_policy_t *policy)
-{
-  gate->queue_max = policy->queue_max < QUEUE_CAPACITY ? policy->queue_max : QUEUE_CAPACITY;
-}
-
 sgr_gate_t *
 sgr_gate_create (const sgr_gate_options_t *options, const sgr_policy_t *policy,
                  const sgr_gate_callbacks_t *callbacks, void *ctx)
@@ -45,7 +37,7 @@
   sgr_gate_t *gate;
 
   if (options->slots_max == 0 || options->keys_max == 0 || options->peers_max == 0
-      || options->attempts_max <= options->slots_max + QUEUE_CAPACITY
+      || options->attempts_max <= options->slots_max + SGR_GATE_QUEUE_CAPACITY
       || options->key_generation_us == 0
       || options->key_retention_us < 2 * options->key_generation_us
       || options->answer_length_max > options->answer_bytes_max)
@@ -56,12 +48,12 @@
   gate->callbacks = *callbacks;
   gate->ctx = ctx;
   gate->limits = sgr_gate_limits_create (options->limits_model, policy);
-  gate->queue = sgr_gate_queue_create (QUEUE_CAPACITY, options->newest_first);
+  gate->queue = sgr_gate_queue_create (SGR_GATE_QUEUE_CAPACITY, options->newest_first);
   gate->ledger = sgr_ledger_create (options);
   gate->classes = sgr_gate_classes_create ();
-  queue_max_set (gate, policy);
+  sgr_gate_queue_max_set (gate, policy);
   gate->slots_percent = policy->slots_percent;
-  gate->work_count = options->slots_max + QUEUE_CAPACITY;
+  gate->work_count = options->slots_max + SGR_GATE_QUEUE_CAPACITY;
   gate->works = calloc (gate->work_count, sizeof *gate->works);
   gate->work_free = calloc (gate->work_count, sizeof *gate->work_free);
   sgr_invariant (gate->works != NULL && gate->work_free != NULL);
@@ -229,23 +221,8 @@
   return next_us;
 }
 
-/* At least one slot of a target that has any. */
-static void
-slots_apply (sgr_gate_t *gate, uint64_t now_us)
-{
-  uint32_t percent = gate->slots_percent;
-  uint32_t slots
-      = gate->target_slots < gate->options.slots_max ? gate->target_slots : gate->options.slots_max;
-  uint32_t used;
-
-  if (sgr_gate_classes_slows (gate->classes, now_us) && percent > SGR_GATE_FULL_PERCENT)
-    percent = SGR_GATE_FULL_PERCENT;
-  used = slots * percent / 100;
-  sgr_gate_limits_slots_set (gate->limits, used > 0 || slots == 0 ? used : 1);
-}
-
-static bool
-is_serving (const sgr_gate_t *gate)
+bool
+sgr_gate_is_serving (const sgr_gate_t *gate)
 {
   return !gate->draining
          && (gate->state == SGR_TARGET_WARMING || gate->state == SGR_TARGET_SERVING);
@@ -261,7 +238,7 @@
   gate->dispatching = true;
   queue_expire (gate, now_us);
   queue_drop_late (gate, now_us);
-  while (is_serving (gate) && !sgr_gate_is_slowed (gate, now_us)
+  while (sgr_gate_is_serving (gate) && !sgr_gate_is_slowed (gate, now_us)
          && (item = sgr_gate_queue_pop (gate->queue, now_us, gate->limits,
                                         sgr_gate_estimate_us (gate, now_us)))
                 != NULL)
@@ -533,7 +510,7 @@
 
   sgr_gate_latency_record (&gate->latency, now_us, latency_us);
   if (sgr_gate_classes_record (gate->classes, now_us, work->class_known, &sample))
-    slots_apply (gate, now_us);
+    sgr_gate_slots_apply (gate, now_us);
 }
 
 sgr_outcome_t
@@ -563,53 +540,13 @@
   return outcome;
 }
 
-static void
-queue_drop_all (sgr_gate_t *gate, uint64_t now_us, sgr_gate_reason_t reason)
-{
-  sgr_gate_queue_item_t *item;
-
-  while ((item = sgr_gate_queue_oldest (gate->queue)) != NULL)
-    sgr_gate_work_drop (gate, now_us, item->owner, reason);
-}
-
-void
-sgr_gate_policy_update (sgr_gate_t *gate, uint64_t now_us, const sgr_policy_t *policy)
-{
-  queue_max_set (gate, policy);
-  gate->slots_percent = policy->slots_percent;
-  sgr_gate_limits_policy_update (gate->limits, policy);
-  slots_apply (gate, now_us);
-  sgr_gate_dispatch (gate, now_us);
-}
-
-void
-sgr_gate_target_update (sgr_gate_t *gate, uint64_t now_us, sgr_target_state_t state, uint32_t slots)
-{
-  gate->state = state;
-  gate->target_slots = slots;
-  slots_apply (gate, now_us);
-  if (!is_serving (gate) || slots == 0)
-    queue_drop_all (gate, now_us,
-                    state == SGR_TARGET_DRAINING || state == SGR_TARGET_LEFT || gate->draining
-                        ? SGR_GATE_REASON_DRAINING
-                        : SGR_GATE_REASON_NOT_READY);
-  sgr_gate_dispatch (gate, now_us);
-}
-
-void
-sgr_gate_drain_begin (sgr_gate_t *gate, uint64_t now_us)
-{
-  gate->draining = true;
-  queue_drop_all (gate, now_us, SGR_GATE_REASON_DRAINING);
-}
-
 uint64_t
 sgr_gate_tick (sgr_gate_t *gate, uint64_t now_us)
 {
   uint64_t ledger_us = sgr_ledger_tick (gate->ledger, now_us);
   uint64_t queue_us, late_us;
 
-  slots_apply (gate, now_us);
+  sgr_gate_slots_apply (gate, now_us);
   sgr_gate_dispatch (gate, now_us);
   queue_us = queue_expire (gate, now_us);
   late_us = queue_drop_late (gate, now_us);
--- a/libsiskingrade/gate_internal.h
+++ b/libsiskingrade/gate_internal.h
@@ -1,7 +1,7 @@
 #ifndef SGR_GATE_INTERNAL_H
 #define SGR_GATE_INTERNAL_H
 
-/* Shared by gate.c and gate_status.c only. */
+/* Shared by gate.c, gate_status.c and gate_target.c only. */
 
 #include "gate.h"
 #include "gate_classes.h"
@@ -80,6 +80,18 @@
   uint64_t refused[SGR_GATE_REASON_COUNT];
 };
 
+/* Largest queue whatever the policy says; with the slots it bounds the records of admitted work. */
+#define SGR_GATE_QUEUE_CAPACITY 1024
+
+/** sgr_gate_queue_max_set() - take the length of the queue over from the policy */
+void sgr_gate_queue_max_set (sgr_gate_t *gate, const sgr_policy_t *policy);
+
+/** sgr_gate_slots_apply() - slots in use by the target, the policy and what was learned */
+void sgr_gate_slots_apply (sgr_gate_t *gate, uint64_t now_us);
+
+/** sgr_gate_is_serving() - whether the target takes work */
+bool sgr_gate_is_serving (const sgr_gate_t *gate);
+
 /** sgr_gate_work_find() - record of a handle, NULL if the handle has ended */
 sgr_gate_work_t *sgr_gate_work_find (const sgr_gate_t *gate, sgr_gate_handle_t handle);
 
--- /dev/null
+++ b/libsiskingrade/gate_target.c
@@ -0,0 +1,65 @@
+#include "gate_internal.h"
+
+/* What the policy and the registration of the target allow the gate: slots, queue, and an end. */
+
+void
+sgr_gate_queue_max_set (sgr_gate_t *gate, const sgr_policy_t *policy)
+{
+  gate->queue_max
+      = policy->queue_max < SGR_GATE_QUEUE_CAPACITY ? policy->queue_max : SGR_GATE_QUEUE_CAPACITY;
+}
+
+/* At least one slot of a target that has any. */
+void
+sgr_gate_slots_apply (sgr_gate_t *gate, uint64_t now_us)
+{
+  uint32_t percent = gate->slots_percent;
+  uint32_t slots
+      = gate->target_slots < gate->options.slots_max ? gate->target_slots : gate->options.slots_max;
+  uint32_t used;
+
+  if (sgr_gate_classes_slows (gate->classes, now_us) && percent > SGR_GATE_FULL_PERCENT)
+    percent = SGR_GATE_FULL_PERCENT;
+  used = slots * percent / 100;
+  sgr_gate_limits_slots_set (gate->limits, used > 0 || slots == 0 ? used : 1);
+}
+
+static void
+queue_drop_all (sgr_gate_t *gate, uint64_t now_us, sgr_gate_reason_t reason)
+{
+  sgr_gate_queue_item_t *item;
+
+  while ((item = sgr_gate_queue_oldest (gate->queue)) != NULL)
+    sgr_gate_work_drop (gate, now_us, item->owner, reason);
+}
+
+void
+sgr_gate_policy_update (sgr_gate_t *gate, uint64_t now_us, const sgr_policy_t *policy)
+{
+  sgr_gate_queue_max_set (gate, policy);
+  gate->slots_percent = policy->slots_percent;
+  sgr_gate_limits_policy_update (gate->limits, policy);
+  sgr_gate_slots_apply (gate, now_us);
+  sgr_gate_dispatch (gate, now_us);
+}
+
+void
+sgr_gate_target_update (sgr_gate_t *gate, uint64_t now_us, sgr_target_state_t state, uint32_t slots)
+{
+  gate->state = state;
+  gate->target_slots = slots;
+  sgr_gate_slots_apply (gate, now_us);
+  if (!sgr_gate_is_serving (gate) || slots == 0)
+    queue_drop_all (gate, now_us,
+                    state == SGR_TARGET_DRAINING || state == SGR_TARGET_LEFT || gate->draining
+                        ? SGR_GATE_REASON_DRAINING
+                        : SGR_GATE_REASON_NOT_READY);
+  sgr_gate_dispatch (gate, now_us);
+}
+
+void
+sgr_gate_drain_begin (sgr_gate_t *gate, uint64_t now_us)
+{
+  gate->draining = true;
+  queue_drop_all (gate, now_us, SGR_GATE_REASON_DRAINING);
+}
