Fuzz the platform's input

The documents of the configuration source and the announcements of targets come from outside; a driver feeds both with a corpus of valid ones.

--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -8,9 +8,9 @@
 runs=${FUZZ_RUNS:-200000}
 out=build-fuzz
 mkdir -p "$out"
-flags="-std=gnu11 -O1 -g -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Ilibsiskingrade -pthread"
+flags="-std=gnu11 -O1 -g -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Ilibsiskingrade -Iplatform -pthread"
 libs="-lh2o-evloop -lhttp_parser -lssl -lcrypto -lprotobuf-c -lcyaml -lyaml -ljansson -lxxhash -lsodium -lm"
-library=$(ls libsiskingrade/*.c)
+library=$(ls libsiskingrade/*.c platform/*.c | grep -v platform/main.c)
 
 echo 'int LLVMFuzzerTestOneInput (const unsigned char *b, unsigned long n) { return 0; }' >"$out/probe.c"
 if [ "${FUZZ_MODE:-}" != driver ] && command -v clang >/dev/null \
@@ -20,7 +20,7 @@
   mode=driver
 fi
 echo "fuzz: $mode"
-for target in frame settings; do
+for target in frame settings platform; do
   if [ "$mode" = libfuzzer ]; then
     # shellcheck disable=SC2086
     clang $flags -fsanitize=fuzzer,address "fuzz/fuzz_$target.c" $library -o "$out/fuzz_$target" $libs
