Satisfy the linter on the adapter and the new data path

A reload no longer compares whole settings: padding made the answer unreliable, so the line names the one setting that changes.

--- a/libsiskingrade/config_policy.c
+++ b/libsiskingrade/config_policy.c
@@ -111,7 +111,7 @@
   if (text != NULL && strlen (text) <= SGR_POLICY_PATH_MAX
       && (text[0] == '\0' || sgr_http_is_path (text, strlen (text))))
     {
-      strcpy (policy->load_path, text);
+      memcpy (policy->load_path, text, strlen (text) + 1);
       return SGR_OK;
     }
   return sgr_config_error_set (
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -201,12 +201,8 @@
 
   if (sgr_settings_load (&settings, control->settings_path, &errors) == SGR_OK)
     {
-      bool is_same;
-
       sgr_log_setup (control->settings->name, settings.log_level);
-      settings.log_level = control->settings->log_level;
-      is_same = memcmp (&settings, control->settings, sizeof settings) == 0;
-      sgr_log_info ("settings-reloaded", "restart_needed=%s", is_same ? "no" : "yes");
+      sgr_log_info ("settings-reloaded", "in_force=log.level");
     }
   else
     {
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -311,7 +311,7 @@
     {
       if (strcasecmp (call->headers[i]->name, name) == 0
           && strlen (call->headers[i]->value) < sizeof run->request_id)
-        strcpy (run->request_id, call->headers[i]->value);
+        memcpy (run->request_id, call->headers[i]->value, strlen (call->headers[i]->value) + 1);
     }
 }
 
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -82,7 +82,7 @@
   h2o_iovec_t value = header_find (req, http->task->fields->request_id);
 
   id[0] = '\0';
-  if (value.len <= SGR_NAME_MAX && sgr_http_is_token (value.base, value.len))
+  if (value.base != NULL && value.len <= SGR_NAME_MAX && sgr_http_is_token (value.base, value.len))
     {
       memcpy (id, value.base, value.len);
       id[value.len] = '\0';
@@ -233,7 +233,8 @@
   h2o_iovec_t retries = header_find (req, "siskingrade-retry-budget");
 
   strcpy (request->tenant, "default");
-  strcpy (request->class_name, route != NULL ? route->name : "default");
+  snprintf (request->class_name, sizeof request->class_name, "%s",
+            route != NULL ? route->name : "default");
   request->attempts_max = policy->attempts_max;
   if (route != NULL && route->attempts_max > 0)
     request->attempts_max = route->attempts_max;
@@ -310,7 +311,7 @@
           return NULL;
         }
       *route = sgr_route_entry_route (entry);
-      strcpy (name, sgr_route_entry_part (entry)->service);
+      snprintf (name, SGR_NAME_MAX + 1, "%s", sgr_route_entry_part (entry)->service);
     }
   else if (!service_read (req, name))
     {
--- a/libsiskingrade/gate_classes.c
+++ b/libsiskingrade/gate_classes.c
@@ -103,10 +103,11 @@
 {
   uint32_t used = ring->count < SAMPLES ? ring->count : SAMPLES;
   uint32_t sorted[SAMPLES];
+  uint32_t at = used / QUANTILE_DIVISOR;
 
   memcpy (sorted, ring->durations_us, used * sizeof sorted[0]);
   qsort (sorted, used, sizeof sorted[0], compare);
-  return sorted[used / QUANTILE_DIVISOR];
+  return sorted[at];
 }
 
 static void
--- a/libsiskingrade/log.c
+++ b/libsiskingrade/log.c
@@ -123,11 +123,13 @@
 add (sgr_log_level_t level, const char *event, const char *format, ...)
 {
   char line[LINE_MAX_BYTES];
+  size_t length;
   va_list args;
 
   va_start (args, format);
-  waiting_add (line, line_format (line, sizeof line, level, event, format, args));
+  length = line_format (line, sizeof line, level, event, format, args);
   va_end (args);
+  waiting_add (line, length);
 }
 
 void
