--- a/libsiskingrade/store.h
+++ b/libsiskingrade/store.h
@@ -80,7 +80,8 @@
  * @list: read the keys that begin with a prefix, at most about 500 of them
  * @swap: write a key if it has version @expected, 0 for a key that does not exist,
  *        SGR_STORE_ANY_VERSION for any; a NULL value removes the key
- * @lease: take or renew a lease for a holder; a @ttl_ms of 0 gives it up
+ * @lease: take or renew a lease for a holder; a @ttl_ms of 0 gives it up; NULL if the client offers
+ *         none
  * @watch: read a key as soon as its version is above @after, at the latest after @wait_ms
  * @cancel: drop a pending call, its callback does not run
  * @calls: calls sent since the start, a watch counted as one
