Let a burst of connections wait in the accept queue

Callers that all come back at once opened more connections than the queue of 1,024 holds; the rest waited a second for their repeated opening. The queue now asks for 4,096, which the kernel bounds by somaxconn.

test_listener opens 1,517 connections to a listener that accepts none: it failed before the change (a connection not open after 10 s), and passed 4 of 4 after it.

--- a/libsiskingrade/listener.c
+++ b/libsiskingrade/listener.c
@@ -5,7 +5,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BACKLOG 1024
+/* Connections that wait to be accepted: the kernel's own default bound, above the 1,517 that
+   callers of one host open at once when they all come back. */
+#define BACKLOG 4096
 
 sgr_result_t
 sgr_listener_open (h2o_loop_t *loop, sgr_address_t *address, h2o_socket_cb on_accept, void *data,
