Test the reload of settings on a running node

A reload that ends the node, or takes over a broken file, fails the test. The behaviour was in place before the test; the test was not seen failing.

--- a/tests/test_path_caller.c
+++ b/tests/test_path_caller.c
@@ -23,6 +23,8 @@
 };
 
 #define READ_MAX 65536
+/* Looks at a log before its event counts as missing, with a pause of the fixture between two. */
+#define EVENT_POLLS 1000
 #define STARTS "siskingrade_gate_starts_total"
 
 static sgr_fixture_t fixture;
@@ -276,6 +278,68 @@
   close (fd);
 }
 
+/* Waits until the log of a node holds so many lines of an event. */
+static bool
+event_await (const sgr_fixture_node_t *of, const char *event, int times)
+{
+  static char log[1024 * 1024];
+  char path[192];
+
+  snprintf (path, sizeof path, "%s/%s.log", fixture.folder, of->name);
+  for (int i = 0; i < EVENT_POLLS; i++)
+    {
+      FILE *file = fopen (path, "r");
+      int seen = 0;
+
+      assert_non_null (file);
+      log[fread (log, 1, sizeof log - 1, file)] = '\0';
+      fclose (file);
+      for (const char *at = log; (at = strstr (at, event)) != NULL; at++)
+        seen++;
+      if (seen >= times)
+        return true;
+      sgr_fixture_pause ();
+    }
+  return false;
+}
+
+static void
+settings_write (const char *path, const char *text)
+{
+  FILE *file = fopen (path, "w");
+
+  assert_non_null (file);
+  assert_true (fputs (text, file) >= 0);
+  assert_int_equal (fclose (file), 0);
+}
+
+/* Guards against a reload that ends the node, and against one that takes over a broken file. */
+static void
+test_reload (void **state)
+{
+  static char settings[65536];
+  char path[192];
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/%s.yaml", fixture.folder, node (ENTRY)->name);
+  file = fopen (path, "r");
+  assert_non_null (file);
+  settings[fread (settings, 1, sizeof settings - 1, file)] = '\0';
+  fclose (file);
+
+  kill (node (ENTRY)->pid, SIGHUP);
+  assert_true (event_await (node (ENTRY), "event=settings-reloaded", 1));
+  assert_true (sgr_fixture_ready (node (ENTRY), "one"));
+  settings_write (path, "node: [\n");
+  kill (node (ENTRY)->pid, SIGHUP);
+  assert_true (event_await (node (ENTRY), "event=settings-refused", 1));
+  assert_true (sgr_fixture_ready (node (ENTRY), "one"));
+  settings_write (path, settings);
+  kill (node (ENTRY)->pid, SIGHUP);
+  assert_true (event_await (node (ENTRY), "event=settings-reloaded", 2));
+  assert_true (sgr_fixture_ready (node (ENTRY), "one"));
+}
+
 int
 main (void)
 {
@@ -284,6 +348,7 @@
     cmocka_unit_test (test_ambiguous_requests),
     cmocka_unit_test (test_caller_leaves),
     cmocka_unit_test (test_cut_chunks),
+    cmocka_unit_test (test_reload),
     cmocka_unit_test (test_stop_with_open_connection),
   };
 
