Wait in the fixture until every node knows all targets

Cause of the red test_path_shed:test_shed_writes and of the two red tests of test_path_own_key: the fixture was ready when one target of a service served. An entry that did not know the second target yet had nowhere to send a shed write (503, not-run), and a key bound to a gate that the second entry did not know yet was answered as unknown (key-gate-unreachable). Both answers are true.

A gauge of the serving targets that an entry knows, siskingrade_targets, tells when a node is complete; operators see it on the metrics address, too.

--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -314,9 +314,30 @@
                               sgr_balancer_target_find (service->balancer, node), &report);
 }
 
+/* Targets of each service that may be chosen by what membership says. */
+static void
+targets_gauge_set (const sgr_data_services_t *services, sgr_metrics_t *metrics)
+{
+  const sgr_snapshot_t *snapshot = services->task->snapshot;
+
+  for (size_t i = 0; i < services->count; i++)
+    {
+      const char *service = services->list[i]->policy.service;
+      char labels[SGR_NAME_MAX + 16];
+      uint64_t serving = 0;
+
+      for (size_t j = 0; snapshot != NULL && j < snapshot->member_count; j++)
+        serving += snapshot->members[j].target_state == SGR_TARGET_SERVING
+                   && strcmp (snapshot->members[j].service, service) == 0;
+      snprintf (labels, sizeof labels, "service=\"%s\"", service);
+      sgr_counter_set (sgr_metrics_counter (metrics, "siskingrade_targets", labels), serving);
+    }
+}
+
 void
 sgr_data_services_metrics_set (const sgr_data_services_t *services, sgr_metrics_t *metrics)
 {
+  targets_gauge_set (services, metrics);
   for (int reason = 0; reason < SGR_BALANCER_REASON_COUNT; reason++)
     {
       uint64_t sum = 0;
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -263,6 +263,32 @@
   return false;
 }
 
+/* One target that serves is not enough: calls may need another one, or its gate. */
+static bool
+targets_await (const sgr_fixture_t *fixture, const sgr_fixture_node_t *entry, const char *service)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + READY_US;
+  uint64_t expected = 0;
+  uint64_t known;
+  char metric[128];
+
+  for (size_t i = 0; i < fixture->count; i++)
+    expected
+        += fixture->nodes[i].service != NULL && strcmp (fixture->nodes[i].service, service) == 0;
+  snprintf (metric, sizeof metric, "siskingrade_targets{service=\"%s\"}", service);
+  while ((known = sgr_fixture_metric (entry, metric)) != expected)
+    {
+      if (sgr_clock_monotonic_us () >= end_us)
+        {
+          fprintf (stderr, "%s knows %llu of %llu targets of %s\n", entry->name,
+                   (unsigned long long)known, (unsigned long long)expected, service);
+          return false;
+        }
+      sgr_fixture_pause ();
+    }
+  return true;
+}
+
 bool
 sgr_fixture_await (const sgr_fixture_t *fixture)
 {
@@ -270,8 +296,11 @@
     {
       for (size_t j = 0; j < fixture->count; j++)
         {
-          if (fixture->nodes[j].service == NULL
-              || sgr_fixture_ready (&fixture->nodes[i], fixture->nodes[j].service))
+          const sgr_fixture_node_t *entry = &fixture->nodes[i];
+          const char *service = fixture->nodes[j].service;
+
+          if (service == NULL
+              || (targets_await (fixture, entry, service) && sgr_fixture_ready (entry, service)))
             continue;
           logs_print (fixture);
           return false;
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -80,7 +80,7 @@
 /** sgr_fixture_begin() - start all processes and set the configuration */
 bool sgr_fixture_begin (sgr_fixture_t *fixture);
 
-/** sgr_fixture_await() - wait until every node serves every service */
+/** sgr_fixture_await() - wait until every node serves every service and knows all its targets */
 bool sgr_fixture_await (const sgr_fixture_t *fixture);
 
 /** sgr_fixture_start() - start all and wait until every node serves every service */
