Open the sockets of the data task in its own thread

Cause: the data task made its event loop, mailbox and listeners in the main thread and used them in its own. h2o takes the buffer of a socket from a pool of the thread that made the socket, and that pool has no lock. Each message to the data task therefore returned a buffer to the pool of the control task, while the control task used it.

Seen: in 1 of 16 runs of test_path_restart beside 8 busy processes the entry ended with "malloc(): unsorted double linked list corrupted".

Change: sgr_data_task_start() makes the thread and waits until it has opened its sockets; the thread also closes them.

Ruled out: the metric registry, which has a lock for its list.

--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -1,5 +1,6 @@
 #include "data_task.h"
 
+#include <semaphore.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -146,15 +147,6 @@
     }
 }
 
-static void *
-run (void *argument)
-{
-  sgr_data_task_t *task = argument;
-
-  sgr_task_loop_run (task->loop, task->timers, &task->is_stopped);
-  return NULL;
-}
-
 static void
 load_fill (void *ctx, Sgr__Pb__LoadReport *load)
 {
@@ -190,8 +182,42 @@
     }
 }
 
+/**
+ * struct opening_t - a start, until the new thread has opened its sockets
+ * @task: the task
+ * @errors: receives the reason of a failure
+ * @is_open: whether the task runs
+ * @is_decided: posted when @is_open is set
+ */
+typedef struct
+{
+  sgr_data_task_t *task;
+  sgr_buffer_t *errors;
+  bool is_open;
+  sem_t is_decided;
+} opening_t;
+
+/* Sockets and whatever else h2o keeps memory for belong to the thread that makes them: their
+   buffers come from and return to a pool of that thread, which has no lock. */
+static bool
+data_task_open (sgr_data_task_t *task, sgr_buffer_t *errors)
+{
+  task->loop = h2o_evloop_create ();
+  task->mailbox = sgr_mailbox_create (task->loop, on_message, task);
+  conn_env_init (task);
+  task->gate = sgr_data_gate_create (task);
+  task->services = sgr_data_services_create (task);
+  task->keys = sgr_data_keys_create (task);
+  task->links = sgr_data_links_create (task);
+  task->peers = sgr_data_peers_create (task, errors);
+  if (task->peers != NULL)
+    task->http = sgr_data_http_create (task, errors);
+  sgr_timer_arm (task->timers, &task->metrics_timer, sgr_clock_monotonic_us ());
+  return task->http != NULL;
+}
+
 static void
-task_free (sgr_data_task_t *task)
+data_task_close (sgr_data_task_t *task)
 {
   sgr_data_http_destroy (task->http);
   sgr_data_links_destroy (task->links);
@@ -199,17 +225,57 @@
   sgr_data_keys_destroy (task->keys);
   sgr_data_services_destroy (task->services);
   sgr_data_gate_destroy (task->gate);
+  /* Closed connections are due at time 0 and freed by their timers. */
+  sgr_timer_heap_run (task->timers, 0);
+}
+
+static void *
+run (void *argument)
+{
+  opening_t *opening = argument;
+  sgr_data_task_t *task = opening->task;
+  bool is_open = data_task_open (task, opening->errors);
+
+  opening->is_open = is_open;
+  sem_post (&opening->is_decided); /* @opening is gone from here on */
+  if (is_open)
+    sgr_task_loop_run (task->loop, task->timers, &task->is_stopped);
+  data_task_close (task);
+  return NULL;
+}
+
+static void
+task_free (sgr_data_task_t *task)
+{
   sgr_id_map_destroy (task->attempts);
   sgr_call_log_destroy (task->call_log);
   sgr_snapshot_destroy (task->snapshot);
   sgr_route_table_destroy (task->routes);
-  /* Closed connections are due at time 0 and freed by their timers. */
-  sgr_timer_heap_run (task->timers, 0);
   sgr_timer_heap_destroy (task->timers);
   sgr_metrics_destroy (task->metrics);
   free (task);
 }
 
+static bool
+thread_start (sgr_data_task_t *task, sgr_buffer_t *errors)
+{
+  opening_t opening = { .task = task, .errors = errors };
+
+  sem_init (&opening.is_decided, 0, 0);
+  if (pthread_create (&task->thread, NULL, run, &opening) != 0)
+    {
+      sgr_buffer_printf (errors, "cannot start a thread\n");
+      sem_destroy (&opening.is_decided);
+      return false;
+    }
+  while (sem_wait (&opening.is_decided) != 0)
+    ; /* interrupted by a signal */
+  if (!opening.is_open)
+    pthread_join (task->thread, NULL);
+  sem_destroy (&opening.is_decided);
+  return opening.is_open;
+}
+
 sgr_data_task_t *
 sgr_data_task_start (const sgr_settings_t *settings, const sgr_call_fields_t *fields,
                      sgr_boot_id_t boot, const sgr_data_task_events_t *events, void *ctx,
@@ -225,7 +291,6 @@
   task->events = *events;
   task->events_ctx = ctx;
   task->next_sequence = 1;
-  task->loop = h2o_evloop_create ();
   task->timers = sgr_timer_heap_create ();
   task->metrics = sgr_metrics_create ();
   task->leave_timer = (sgr_timer_t){ .fire = on_leave_timer, .ctx = task };
@@ -234,23 +299,11 @@
   sgr_rng_seed (&task->rng, boot);
   task->attempts = sgr_id_map_create ();
   task->call_log = sgr_call_log_create ();
-  task->mailbox = sgr_mailbox_create (task->loop, on_message, task);
   task->completed = sgr_metrics_counter (task->metrics, "siskingrade_gate_completed_total", "");
-  conn_env_init (task);
-  task->gate = sgr_data_gate_create (task);
-  task->services = sgr_data_services_create (task);
-  task->keys = sgr_data_keys_create (task);
-  task->links = sgr_data_links_create (task);
-  task->peers = sgr_data_peers_create (task, errors);
-  if (task->peers != NULL)
-    task->http = sgr_data_http_create (task, errors);
-  sgr_timer_arm (task->timers, &task->metrics_timer, sgr_clock_monotonic_us ());
-  if (task->http == NULL || pthread_create (&task->thread, NULL, run, task) != 0)
-    {
-      task_free (task);
-      return NULL;
-    }
-  return task;
+  if (thread_start (task, errors))
+    return task;
+  task_free (task);
+  return NULL;
 }
 
 void
