Spread new lives and states of targets at once; order lives by milliseconds

Cause: the lives of a node were ordered by the second of their start and then by a random id, so that of two lives within a second half were taken for old, until the node heard of it and claimed a later start. Seen as an entry without target right after a restart (a run of test_path_restart that hung beside 12 busy processes), as the node that restarted is dropped and comes back.

Looking for it showed a slower fault: a target that comes up, or a new life, was a routine update. Those travel on probes only, one a second, and each copy that is heard counts as a transmission, so that some nodes learned of it by the state transfer, seconds later.

Change: the start is in milliseconds; updates of this kind have an urgency of their own: rounds of their own while bytes are left, and all their transmissions.

The two changes are one commit, because with milliseconds alone the slow tail fails the case "back at the same address".

Tests: "several lives within a second" fails with seconds, test_target_comes_up fails when copies count as transmissions.

--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -301,6 +301,16 @@
   return SGR_OK;
 }
 
+/* Two lives of one node may begin within a second. */
+static uint64_t
+wall_clock_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
 static sgr_result_t
 membership_open (sgr_control_t *control, sgr_buffer_t *errors)
 {
@@ -314,7 +324,7 @@
   memcpy (options.self.failure_domain, settings->failure_domain,
           sizeof options.self.failure_domain);
   options.self.boot = control->boot;
-  options.self.boot_time_s = (uint64_t)time (NULL);
+  options.self.boot_time_ms = wall_clock_ms ();
   options.self.data_address = settings->advertised_peers;
   options.self.control_address = settings->control;
   options.seed = control->boot;
--- a/libsiskingrade/member.h
+++ b/libsiskingrade/member.h
@@ -14,11 +14,15 @@
   SGR_MEMBER_LEFT,
 } sgr_member_status_t;
 
+/* Above any time of a start that is taken from another node; leaves room to go above an accepted
+ * one. */
+#define SGR_BOOT_TIME_MAX_MS (UINT64_C (1) << 48)
+
 /**
  * struct sgr_member_t - one node and its target, as membership spreads it
  * @id: hash of @name
  * @boot: random number of the process life; the gate's boot id
- * @boot_time_s: wall clock second of the start; orders the lives of one node
+ * @boot_time_ms: wall clock of the start, milliseconds since 1970; orders the lives of one node
  * @incarnation: counter within one life; a higher one goes before a lower one
  * @status: state of the node
  * @name: name of the node, unique in the fleet
@@ -35,7 +39,7 @@
 {
   sgr_node_id_t id;
   sgr_boot_id_t boot;
-  uint64_t boot_time_s;
+  uint64_t boot_time_ms;
   uint64_t incarnation;
   sgr_member_status_t status;
   char name[SGR_NAME_MAX + 1];
--- a/libsiskingrade/membership.c
+++ b/libsiskingrade/membership.c
@@ -35,7 +35,7 @@
       || self->control_address.ip == 0 || self->control_address.port == 0
       || self->data_address.ip == 0 || self->data_address.port == 0)
     return false;
-  if (self->boot == 0 || self->boot_time_s == 0 || self->boot_time_s >= UINT32_MAX)
+  if (self->boot == 0 || self->boot_time_ms == 0 || self->boot_time_ms >= SGR_BOOT_TIME_MAX_MS)
     return false;
   if ((self->region[0] != '\0'
        && !sgr_membership_name_is_valid (self->region, strnlen (self->region, SGR_NAME_MAX + 1)))
@@ -84,7 +84,7 @@
   sgr_membership_table_describe (&m->table, m->self, self);
   entry = sgr_membership_entry (m, m->self);
   entry->boot = self->boot;
-  entry->boot_time_s = (uint32_t)self->boot_time_s;
+  entry->boot_time_ms = self->boot_time_ms;
   entry->incarnation = 1;
   entry->status = SGR_MEMBER_ALIVE;
   entry->target_state = (uint8_t)self->target_state;
@@ -347,6 +347,7 @@
   bool leaving
       = update->target_state == SGR_TARGET_DRAINING || update->target_state == SGR_TARGET_LEFT;
   sgr_member_t member;
+  sgr_membership_urgency_t urgency = SGR_MEMBERSHIP_ROUTINE;
   bool moved;
 
   if (m->left)
@@ -362,12 +363,15 @@
   memcpy (member.service, update->service, length + 1);
   if (moved && !sgr_membership_table_describe (&m->table, m->self, &member))
     return SGR_ERR_LIMIT;
+  if (leaving)
+    urgency = SGR_MEMBERSHIP_LEAVING;
+  else if (moved || update->target_state != member.target_state)
+    urgency = SGR_MEMBERSHIP_RISING;
   self->target_state = (uint8_t)update->target_state;
   self->slots = update->slots;
   self->incarnation++;
   sgr_membership_table_refresh (&m->table, m->self, &m->rng);
-  sgr_membership_spread (m, now_us, m->self,
-                         leaving ? SGR_MEMBERSHIP_LEAVING : SGR_MEMBERSHIP_ROUTINE, moved);
+  sgr_membership_spread (m, now_us, m->self, urgency, moved);
   return SGR_OK;
 }
 
--- a/libsiskingrade/membership.h
+++ b/libsiskingrade/membership.h
@@ -16,7 +16,7 @@
 
 /**
  * struct sgr_membership_options_t - settings of one node; see sgr_membership_options_init()
- * @self: the own record; @name, both addresses, @boot and @boot_time_s are required, @id,
+ * @self: the own record; @name, both addresses, @boot and @boot_time_ms are required, @id,
  *        @incarnation and @status are ignored
  * @seed: seed of all random choices; differs between nodes
  * @budget_bytes_per_s: bytes a second, sent and received together, IP and UDP headers included
--- a/libsiskingrade/membership.pb-c.c
+++ b/libsiskingrade/membership.pb-c.c
@@ -124,12 +124,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "boot_time_s",
+    "boot_time_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Sgr__MembershipRecord, boot_time_s),
+    offsetof(Sgr__MembershipRecord, boot_time_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -318,7 +318,7 @@
 };
 static const unsigned sgr__membership_record__field_indices_by_name[] = {
   1,   /* field[1] = boot */
-  2,   /* field[2] = boot_time_s */
+  2,   /* field[2] = boot_time_ms */
   17,   /* field[17] = config_revision */
   14,   /* field[14] = control_port */
   16,   /* field[16] = data_ip */
--- a/libsiskingrade/membership.pb-c.h
+++ b/libsiskingrade/membership.pb-c.h
@@ -36,7 +36,7 @@
    */
   uint64_t id;
   uint64_t boot;
-  uint64_t boot_time_s;
+  uint64_t boot_time_ms;
   uint64_t incarnation;
   /*
    * status in bits 0 to 1, target state in bits 2 to 4
--- a/libsiskingrade/membership_codec.c
+++ b/libsiskingrade/membership_codec.c
@@ -79,7 +79,7 @@
     return false;
   sgr__membership_record__init (record);
   record->boot = entry->boot;
-  record->boot_time_s = entry->boot_time_s;
+  record->boot_time_ms = entry->boot_time_ms;
   record->incarnation = entry->incarnation;
   record->state = (uint32_t)entry->status | ((uint32_t)entry->target_state << 2);
   record->slots = entry->slots;
@@ -234,7 +234,7 @@
   sgr_member_t *member = &record->member;
 
   member->boot = from->boot;
-  member->boot_time_s = from->boot_time_s;
+  member->boot_time_ms = from->boot_time_ms;
   member->incarnation = from->incarnation;
   member->status = (sgr_member_status_t)(from->state & 3);
   member->target_state = (sgr_target_state_t)(from->state >> 2);
@@ -247,7 +247,7 @@
   record->suspected_by = from->suspected_by;
   record->descriptor_hash = from->descriptor_hash;
   /* Bounds leave room to go one above any accepted value when a node refutes. */
-  if (from->boot_time_s >= UINT32_MAX || from->incarnation > INCARNATION_MAX
+  if (from->boot_time_ms >= SGR_BOOT_TIME_MAX_MS || from->incarnation > INCARNATION_MAX
       || from->state >> 2 > SGR_TARGET_LEFT)
     return false;
   if (!record->full)
--- a/libsiskingrade/membership_probe.c
+++ b/libsiskingrade/membership_probe.c
@@ -298,8 +298,9 @@
 {
   if (m->queue.count[SGR_MEMBERSHIP_LEAVING] > 0 || m->revision_sends > 0)
     return true;
-  /* Health updates travel on probes too; they get rounds of their own while bytes are left over. */
-  return m->queue.count[SGR_MEMBERSHIP_HEALTH] > 0 && m->sync.missing_groups == 0
+  /* These updates travel on probes too; they get rounds of their own while bytes are left over. */
+  return m->queue.count[SGR_MEMBERSHIP_HEALTH] + m->queue.count[SGR_MEMBERSHIP_RISING] > 0
+         && m->sync.missing_groups == 0
          && m->budget.tokens[SGR_MEMBERSHIP_UPDATES]
                 > m->budget.capacity[SGR_MEMBERSHIP_UPDATES] / 2;
 }
@@ -310,7 +311,9 @@
   if (now_us < m->gossip_due_us)
     return;
   m->gossip_due_us = UINT64_MAX;
-  if (m->queue.count[SGR_MEMBERSHIP_LEAVING] + m->queue.count[SGR_MEMBERSHIP_HEALTH] > 0
+  if (m->queue.count[SGR_MEMBERSHIP_LEAVING] + m->queue.count[SGR_MEMBERSHIP_HEALTH]
+              + m->queue.count[SGR_MEMBERSHIP_RISING]
+          > 0
       || m->revision_sends > 0)
     m->gossip_due_us = now_us + m->options.gossip_period_ms * SGR_USEC_PER_MSEC;
   for (uint32_t i = 0; i < m->options.gossip_fanout && gossip_wanted (m); i++)
--- a/libsiskingrade/membership_queue.h
+++ b/libsiskingrade/membership_queue.h
@@ -9,12 +9,14 @@
  * enum sgr_membership_urgency_t - order of updates in the queue
  * @SGR_MEMBERSHIP_LEAVING: a target drains or leaves, or a node leaves
  * @SGR_MEMBERSHIP_HEALTH: suspicions, refutations and deaths
+ * @SGR_MEMBERSHIP_RISING: new lives of nodes and new states of targets that stay
  * @SGR_MEMBERSHIP_ROUTINE: all others
  */
 typedef enum
 {
   SGR_MEMBERSHIP_LEAVING = 0,
   SGR_MEMBERSHIP_HEALTH,
+  SGR_MEMBERSHIP_RISING,
   SGR_MEMBERSHIP_ROUTINE,
   SGR_MEMBERSHIP_URGENCIES,
 } sgr_membership_urgency_t;
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -26,19 +26,27 @@
   return sgr_membership_writer_add_record (writer, &m->table, handle, full, now_us, by, limit);
 }
 
+/* Callers of a target depend on these, and the state transfer that repairs a miss takes seconds. So
+   they keep all their transmissions also when others are heard to spread them. */
+static bool
+must_reach_all (sgr_membership_urgency_t urgency)
+{
+  return urgency == SGR_MEMBERSHIP_LEAVING || urgency == SGR_MEMBERSHIP_RISING;
+}
+
 static uint32_t
 sends_of (const sgr_membership_t *m, const sgr_membership_entry_t *entry)
 {
   sgr_membership_urgency_t urgency = sgr_membership_queue_urgency (entry);
   /* A receiver is missed with probability exp(-sends); 4 log10 N leaves well under one of 2,600. */
-  uint32_t factor = urgency == SGR_MEMBERSHIP_LEAVING ? 4 : 3;
+  uint32_t factor = must_reach_all (urgency) ? 4 : 3;
   uint32_t sends = factor * (uint32_t)ceil (log10 (m->table.ring_count + 1.0));
   uint32_t queued = m->queue.count[urgency];
 
   /* When many nodes start at once, the state transfer is the cheaper way to spread them; when many
      fail at once, every node finds most of them itself. Refutations keep all their sends. */
   if (queued > QUEUED_MAX
-      && (urgency == SGR_MEMBERSHIP_ROUTINE
+      && (urgency == SGR_MEMBERSHIP_ROUTINE || urgency == SGR_MEMBERSHIP_RISING
           || (urgency == SGR_MEMBERSHIP_HEALTH && entry->status != SGR_MEMBER_ALIVE)))
     sends = sends * QUEUED_MAX / queued + 1;
   return sends > SGR_MEMBERSHIP_SENDS_MAX ? SGR_MEMBERSHIP_SENDS_MAX : sends;
@@ -49,8 +57,7 @@
 {
   const sgr_membership_entry_t *entry = sgr_membership_entry (m, handle);
 
-  /* Urgent updates keep all their transmissions, since they must reach every node by gossip. */
-  if (entry->queue_list != 0 && sgr_membership_queue_urgency (entry) != SGR_MEMBERSHIP_LEAVING)
+  if (entry->queue_list != 0 && !must_reach_all (sgr_membership_queue_urgency (entry)))
     sgr_membership_queue_count_send (&m->queue, &m->table, handle, sends_of (m, entry));
 }
 
--- a/libsiskingrade/membership_table.c
+++ b/libsiskingrade/membership_table.c
@@ -328,7 +328,7 @@
 
   member->id = entry->id;
   member->boot = entry->boot;
-  member->boot_time_s = entry->boot_time_s;
+  member->boot_time_ms = entry->boot_time_ms;
   member->incarnation = entry->incarnation;
   member->status = (sgr_member_status_t)entry->status;
   memcpy (member->name, name, strlen (name) + 1);
--- a/libsiskingrade/membership_table.h
+++ b/libsiskingrade/membership_table.h
@@ -32,8 +32,8 @@
   uint64_t incarnation;
   uint64_t config_revision;
   uint64_t since_us;
+  uint64_t boot_time_ms;
   char *name;
-  uint32_t boot_time_s;
   uint32_t next;
   uint32_t address_next;
   uint32_t queue_next;
--- a/libsiskingrade/membership_update.c
+++ b/libsiskingrade/membership_update.c
@@ -35,7 +35,7 @@
 static int
 record_compare (const sgr_member_t *member, const sgr_membership_entry_t *entry)
 {
-  int life = life_compare (member->boot_time_s, member->boot, entry->boot_time_s, entry->boot);
+  int life = life_compare (member->boot_time_ms, member->boot, entry->boot_time_ms, entry->boot);
 
   if (life != 0)
     return life;
@@ -50,7 +50,7 @@
 {
   sgr_membership_entry_t *self = sgr_membership_entry (m, m->self);
   const sgr_member_t *member = &record->member;
-  bool same_life = member->boot == self->boot && member->boot_time_s == self->boot_time_s;
+  bool same_life = member->boot == self->boot && member->boot_time_ms == self->boot_time_ms;
 
   if (record_compare (member, self) <= 0)
     {
@@ -72,7 +72,7 @@
         return SGR_MEMBERSHIP_MERGE_IGNORED;
       m->conflict_us = now_us;
       m->counters.conflicts++;
-      self->boot_time_s = (uint32_t)member->boot_time_s + 1;
+      self->boot_time_ms = member->boot_time_ms + 1;
     }
   m->self_corrects = true;
   sgr_membership_table_refresh (&m->table, m->self, &m->rng);
@@ -93,7 +93,7 @@
   if (other == SGR_MEMBERSHIP_NONE)
     return;
   rival = sgr_membership_entry (m, other);
-  if (life_compare (rival->boot_time_s, rival->boot, entry->boot_time_s, entry->boot) > 0)
+  if (life_compare (rival->boot_time_ms, rival->boot, entry->boot_time_ms, entry->boot) > 0)
     sgr_membership_depart (m, now_us, handle, SGR_MEMBER_DEAD, true);
   else if (other == m->self)
     m->counters.conflicts++;
@@ -103,7 +103,7 @@
 
 static sgr_membership_urgency_t
 urgency_of (const sgr_member_t *member, sgr_member_status_t old_status,
-            sgr_target_state_t old_state)
+            sgr_target_state_t old_state, bool new_life)
 {
   bool leaving
       = member->target_state == SGR_TARGET_DRAINING || member->target_state == SGR_TARGET_LEFT;
@@ -112,6 +112,8 @@
     return SGR_MEMBERSHIP_LEAVING;
   if (member->status != SGR_MEMBER_ALIVE || old_status != SGR_MEMBER_ALIVE)
     return SGR_MEMBERSHIP_HEALTH;
+  if (new_life || member->target_state != old_state)
+    return SGR_MEMBERSHIP_RISING;
   return SGR_MEMBERSHIP_ROUTINE;
 }
 
@@ -126,7 +128,7 @@
   if (entry->boot != member->boot || entry->config_revision < member->config_revision)
     entry->config_revision = member->config_revision;
   entry->boot = member->boot;
-  entry->boot_time_s = (uint32_t)member->boot_time_s;
+  entry->boot_time_ms = member->boot_time_ms;
   entry->incarnation = member->incarnation;
   entry->status = (uint8_t)member->status;
   entry->target_state = (uint8_t)member->target_state;
@@ -145,7 +147,7 @@
   bool new_life = entry->boot != member->boot;
   sgr_membership_urgency_t urgency
       = urgency_of (member, known ? old_status : SGR_MEMBER_ALIVE,
-                    known ? (sgr_target_state_t)entry->target_state : SGR_TARGET_NONE);
+                    known ? (sgr_target_state_t)entry->target_state : SGR_TARGET_NONE, new_life);
 
   fields_set (m, now_us, handle, record);
   sgr_membership_table_refresh (&m->table, handle, &m->rng);
--- a/tests/membership_sim.h
+++ b/tests/membership_sim.h
@@ -207,7 +207,7 @@
   self->control_address = (sgr_address_t){ SIM_IP + index, SIM_PORT };
   self->data_address = (sgr_address_t){ SIM_IP + index, SIM_PORT + 1 };
   self->boot = sgr_rng_next (&sim->rng) | 1;
-  self->boot_time_s = sim->epoch_s + sim->now_us / SIM_S;
+  self->boot_time_ms = sim->epoch_s * 1000 + sim->now_us / SIM_MS;
   self->target_state = SGR_TARGET_SERVING;
   self->slots = 16;
   options.seed = sgr_rng_next (&sim->rng);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -84,7 +84,7 @@
   assert_true (sgr_membership_table_describe (&table, 0, member));
   entry = &table.entries[0];
   entry->boot = member->boot;
-  entry->boot_time_s = (uint32_t)member->boot_time_s;
+  entry->boot_time_ms = member->boot_time_ms;
   entry->incarnation = member->incarnation;
   entry->status = (uint8_t)member->status;
   entry->target_state = (uint8_t)member->target_state;
@@ -228,6 +228,49 @@
   assert_int_equal (sim_complete_count (sim), NODES);
 }
 
+/* Guards against a life that is taken for an old one because the life before began in the same
+   second. */
+static void
+case_quick_restarts (sim_t *sim)
+{
+  for (int life = 0; life < 8; life++)
+    {
+      sim_stop (sim, 4);
+      sim_run (sim, 5 * SIM_MS);
+      sim_start (sim, 4, NULL);
+      sim_run (sim, 95 * SIM_MS);
+    }
+  sim_run (sim, 3 * SIM_S);
+  assert_seen (sim, 4, SGR_MEMBER_ALIVE, SGR_TARGET_SERVING);
+  assert_int_equal (sgr_membership_counters (sim->nodes[4].membership)->conflicts, 0);
+}
+
+/* Guards against a target that is up and gets no calls, because others learn of it only by the
+   transfer of state, seconds later. */
+static void
+test_target_comes_up (void **state)
+{
+  for (uint64_t seed = 21; seed <= 30; seed++)
+    {
+      sim_t *sim = sim_joined (seed);
+
+      update (sim, 12, SGR_TARGET_NONE, 0);
+      sim_run (sim, 2 * SIM_S);
+      assert_seen (sim, 12, SGR_MEMBER_ALIVE, SGR_TARGET_NONE);
+      update (sim, 12, SGR_TARGET_SERVING, 0);
+      sim_run (sim, 2 * SIM_S);
+      assert_seen (sim, 12, SGR_MEMBER_ALIVE, SGR_TARGET_SERVING);
+      sim_stop (sim, 4);
+      sim_run (sim, 300 * SIM_MS);
+      sim_start (sim, 4, NULL);
+      sim_run (sim, 3 * SIM_S);
+      assert_seen (sim, 4, SGR_MEMBER_ALIVE, SGR_TARGET_SERVING);
+      for (uint32_t i = 0; i < NODES; i++)
+        assert_int_equal (view (sim, i, 4).boot, view (sim, 4, 4).boot);
+      sim_done (sim);
+    }
+}
+
 /* Fetches a new configuration at once, as the control task does over TCP. */
 static void
 fetch_revision (sim_t *sim, sim_node_t *node, const sgr_member_t *member)
@@ -381,6 +424,7 @@
     { "region split and healed", case_split, 4 },
     { "back at the same address with nothing", case_reborn, 5 },
     { "clock set back between lives", case_clock_back, 6 },
+    { "several lives within a second", case_quick_restarts, 13 },
     { "drain, leave and revision known in seconds", case_drain, 7 },
     { "refuted suspicion and death", case_refute, 8 },
     { "old messages after departure and rejoin", case_old_messages, 9 },
@@ -456,7 +500,7 @@
 
   sgr_membership_options_init (&good);
   good.self = (sgr_member_t){
-    .name = "a", .boot = 1, .boot_time_s = 1, .control_address = { 1, 1 }, .data_address = { 1, 2 }
+    .name = "a", .boot = 1, .boot_time_ms = 1, .control_address = { 1, 1 }, .data_address = { 1, 2 }
   };
   for (int i = 0; i < 8; i++)
     {
@@ -510,6 +554,7 @@
     cmocka_unit_test (test_same_seed_same_run),
     cmocka_unit_test (test_mass_start),
     cmocka_unit_test (test_fault_cases),
+    cmocka_unit_test (test_target_comes_up),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_membership_codec.c
+++ b/tests/test_membership_codec.c
@@ -29,7 +29,7 @@
   sgr_membership_options_init (&options);
   options.seed = ip;
   options.self = (sgr_member_t){ .boot = ip,
-                                 .boot_time_s = 100,
+                                 .boot_time_ms = 100,
                                  .region = "r",
                                  .failure_domain = "d",
                                  .service = "s",
@@ -68,7 +68,7 @@
   parts->datagram.fingerprints = parts->datagram.digests = parts->numbers;
   parts->record.name = (ProtobufCBinaryData){ 4, (uint8_t *)"host" };
   parts->record.boot = 5;
-  parts->record.boot_time_s = 50;
+  parts->record.boot_time_ms = 50;
   parts->record.incarnation = 1;
   parts->record.region = parts->record.failure_domain = parts->record.service = 1;
   parts->record.ip = 0x0a000005;
@@ -106,7 +106,7 @@
       record->ip = 0;
       break;
     case 7:
-      record->boot_time_s = UINT32_MAX;
+      record->boot_time_ms = SGR_BOOT_TIME_MAX_MS;
       break;
     case 8:
       record->incarnation = UINT64_MAX;
--- a/tests/test_membership_io.c
+++ b/tests/test_membership_io.c
@@ -24,7 +24,7 @@
   options.probe_timeout_ms = 20;
   snprintf (options.self.name, sizeof options.self.name, "%s", name);
   options.self.boot = seed;
-  options.self.boot_time_s = 100;
+  options.self.boot_time_ms = 100;
   options.self.control_address = (sgr_address_t){ LOOPBACK, 0 };
   options.self.data_address = (sgr_address_t){ LOOPBACK, 1 };
   return options;
