Ask a second peer for a configuration when the first is slow; serve metrics on an address of their own

Cause: a node that heard of a higher revision asked one peer and waited up to 2 s for it, as long as a change may take in all.

Change: after 300 ms another peer is asked, too, with two calls open at most; news of a revision goes to the fetch directly, and a new configuration to the data task at once. config-news and config-fetch-failed tell in the log who had it and why it was not had. gate-dropped no longer prints a negative wait.

test_sync_silent_peer fails before.

--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -28,6 +28,7 @@
   uint64_t watch_after;
   uint64_t watch_end_us;
   uint64_t fetch_end_us;
+  sgr_node_id_t fetch_peer;
   uint64_t fetch_revision;
   uint64_t heard_us;
 } node_t;
@@ -125,7 +126,7 @@
     {
       node->fetch_end_us = SGR_TIMER_NEVER;
       node_take (fleet, node, node->fetch_revision);
-      sgr_config_sync_fetch_done (node->sync, fleet->now_us, true);
+      sgr_config_sync_fetch_done (node->sync, fleet->now_us, node->fetch_peer, true);
     }
   if (!node->watching)
     return;
@@ -161,6 +162,7 @@
         break;
       case SGR_CONFIG_SYNC_FETCH:
         node->fetch_end_us = fleet->now_us + FETCH_US;
+        node->fetch_peer = action.peer;
         node->fetch_revision = action.revision;
         break;
       case SGR_CONFIG_SYNC_WATCH_CANCEL:
--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -20,6 +20,14 @@
   void *ctx;
 } delay_t;
 
+/** struct fetch_t - an open fetch from a peer, @call is NULL for none */
+typedef struct
+{
+  sgr_config_io_t *io;
+  sgr_node_id_t peer;
+  sgr_http_fetch_t *call;
+} fetch_t;
+
 struct sgr_config_io_t
 {
   h2o_loop_t *loop;
@@ -30,8 +38,9 @@
   sgr_config_sync_t *sync;
   sgr_config_commit_t *commit;
   sgr_http_fetcher_t *fetcher;
-  sgr_http_fetch_t *fetch;
+  fetch_t fetches[SGR_CONFIG_SYNC_FETCHES_MAX];
   bool fetch_full;
+  uint64_t news_revision; /* highest that a peer was heard to have */
   sgr_store_call_t *watch;
   char watch_key[SGR_STORE_KEY_MAX + 1];
   uint64_t next_us;
@@ -98,11 +107,15 @@
 static void
 on_fetch (void *ctx, const sgr_http_fetch_reply_t *reply)
 {
-  sgr_config_io_t *io = ctx;
+  fetch_t *fetch = ctx;
+  sgr_config_io_t *io = fetch->io;
   bool step = reply->got[0][0] == '1', ok = reply->error == NULL && reply->status == 200;
 
-  io->fetch = NULL;
+  fetch->call = NULL;
   io->stats.fetch_bytes += reply->length;
+  if (!ok)
+    sgr_log_warn ("config-fetch-failed", "reason=\"%s\" status=%d",
+                  reply->error != NULL ? reply->error : "unexpected status", reply->status);
   if (ok)
     {
       sgr_result_t result = offer (io, reply->body, reply->length, step, NULL);
@@ -111,7 +124,7 @@
       /* A step that does not lead to the approved content is replaced by the whole record. */
       io->fetch_full = step && !ok;
     }
-  sgr_config_sync_fetch_done (io->sync, sgr_clock_monotonic_us (), ok);
+  sgr_config_sync_fetch_done (io->sync, sgr_clock_monotonic_us (), fetch->peer, ok);
   run_actions (io);
 }
 
@@ -120,15 +133,20 @@
 {
   sgr_http_fetch_request_t request = { .address = action->address, .method = "GET" };
   uint64_t revision = sgr_config_state_revision (io->state);
+  fetch_t *fetch = &io->fetches[0];
   char path[64];
 
+  while (fetch->call != NULL)
+    fetch++;
+
   if (revision > 0 && !io->fetch_full)
     snprintf (path, sizeof path, "/v1/config/raw?from=%llu", (unsigned long long)revision);
   else
     snprintf (path, sizeof path, "/v1/config/raw");
   request.path = path;
   request.want[0] = "config-step";
-  io->fetch = sgr_http_fetch_start (io->fetcher, &request, on_fetch, io);
+  fetch->peer = action->peer;
+  fetch->call = sgr_http_fetch_start (io->fetcher, &request, on_fetch, fetch);
 }
 
 static void
@@ -252,6 +270,8 @@
     snprintf (io->watch_key, sizeof io->watch_key, "%s", options->source->key);
   else
     sgr_config_commit_current_key (options->owners.deployment, io->watch_key, sizeof io->watch_key);
+  for (size_t i = 0; i < SGR_CONFIG_SYNC_FETCHES_MAX; i++)
+    io->fetches[i].io = io;
   h2o_timeout_init (loop, &io->tick, TICK_MS);
   io->tick_entry.cb = on_tick;
   h2o_timeout_link (loop, &io->tick, &io->tick_entry);
@@ -281,6 +301,30 @@
   free (io);
 }
 
+/* Logs the first word of a revision above the one in force, and who had it. */
+static void
+news_log (sgr_config_io_t *io, const sgr_member_t *member)
+{
+  uint64_t in_force = sgr_config_state_revision (io->state);
+
+  if (member->config_revision <= in_force || member->config_revision <= io->news_revision)
+    return;
+  io->news_revision = member->config_revision;
+  sgr_log_info ("config-news", "revision=%lu peer=%s in_force=%lu", io->news_revision, member->name,
+                in_force);
+}
+
+void
+sgr_config_io_member_changed (sgr_config_io_t *io, const sgr_member_t *member)
+{
+  if (member->status != SGR_MEMBER_ALIVE || member->config_revision == 0)
+    return;
+  news_log (io, member);
+  sgr_config_sync_peer_revision (io->sync, sgr_clock_monotonic_us (), member->id,
+                                 &member->control_address, member->config_revision);
+  run_actions (io);
+}
+
 void
 sgr_config_io_members_update (sgr_config_io_t *io, const sgr_member_t *members, size_t count)
 {
--- a/libsiskingrade/config_io.h
+++ b/libsiskingrade/config_io.h
@@ -59,6 +59,9 @@
 /** sgr_config_io_destroy() - cancels pending calls; destroy the HTTP context of the API first */
 void sgr_config_io_destroy (sgr_config_io_t *io);
 
+/** sgr_config_io_member_changed() - news of one member; a revision above the own one is fetched */
+void sgr_config_io_member_changed (sgr_config_io_t *io, const sgr_member_t *member);
+
 /** sgr_config_io_members_update() - replace the members; their revisions are learned too */
 void sgr_config_io_members_update (sgr_config_io_t *io, const sgr_member_t *members, size_t count);
 
--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -24,21 +24,27 @@
   uint32_t failures;
 } peer_t;
 
+/** struct fetch_t - an open fetch; @node is 0 for none */
+typedef struct
+{
+  sgr_node_id_t node;
+  uint64_t revision;
+  uint64_t start_us;
+} fetch_t;
+
 struct sgr_config_sync_t
 {
   sgr_config_sync_options_t options;
   sgr_rng_t rng;
   bool reader;
   bool watching;
-  bool fetching;
   uint64_t version;
   uint64_t watch_start_us;
   uint64_t watch_due_us;
   uint32_t watch_failures;
   uint64_t revision;
   uint64_t fetch_due_us;
-  sgr_node_id_t fetch_node;
-  uint64_t fetch_revision;
+  fetch_t fetches[SGR_CONFIG_SYNC_FETCHES_MAX];
   peer_t peers[PEERS_MAX];
   size_t peer_count;
   sgr_config_sync_stats_t stats;
@@ -54,6 +60,9 @@
     .backoff_min_ms = 250,
     .backoff_max_ms = 15000,
     .fetch_spread_ms = 50,
+    /* Above the usual answer of a peer, below what a silent one may take of the time for a change.
+     */
+    .fetch_hedge_ms = 300,
   };
 }
 
@@ -168,11 +177,38 @@
   return worst;
 }
 
+static fetch_t *
+fetch_find (sgr_config_sync_t *sync, sgr_node_id_t node)
+{
+  for (size_t i = 0; i < SGR_CONFIG_SYNC_FETCHES_MAX; i++)
+    if (sync->fetches[i].node == node)
+      return &sync->fetches[i];
+  return NULL;
+}
+
+/* Open fetches, and when the last of them began. */
+static size_t
+fetch_count (const sgr_config_sync_t *sync, uint64_t *start_us)
+{
+  size_t count = 0;
+
+  *start_us = 0;
+  for (size_t i = 0; i < SGR_CONFIG_SYNC_FETCHES_MAX; i++)
+    if (sync->fetches[i].node != 0)
+      {
+        count++;
+        if (sync->fetches[i].start_us > *start_us)
+          *start_us = sync->fetches[i].start_us;
+      }
+  return count;
+}
+
 void
 sgr_config_sync_peer_revision (sgr_config_sync_t *sync, uint64_t now_us, sgr_node_id_t peer,
                                const sgr_address_t *address, uint64_t revision)
 {
-  bool idle = sync->peer_count == 0 && !sync->fetching;
+  uint64_t start_us;
+  bool idle = sync->peer_count == 0 && fetch_count (sync, &start_us) == 0;
   peer_t *slot;
 
   if (revision <= sync->revision || peer == sync->options.self)
@@ -234,15 +270,19 @@
 }
 
 void
-sgr_config_sync_fetch_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok)
+sgr_config_sync_fetch_done (sgr_config_sync_t *sync, uint64_t now_us, sgr_node_id_t node, bool ok)
 {
-  sync->fetching = false;
+  fetch_t *fetch = fetch_find (sync, node);
+  uint64_t revision = fetch != NULL ? fetch->revision : 0;
+
+  if (fetch != NULL)
+    *fetch = (fetch_t){ 0 };
   sync->fetch_due_us = now_us;
-  if (ok && sync->revision >= sync->fetch_revision)
+  if (ok && sync->revision >= revision)
     return;
   sync->stats.fetch_failures++;
   for (size_t i = 0; i < sync->peer_count; i++)
-    if (sync->peers[i].node == sync->fetch_node)
+    if (sync->peers[i].node == node)
       {
         sync->peers[i].failures++;
         sync->peers[i].retry_us = now_us + backoff_us (sync, sync->peers[i].failures);
@@ -260,6 +300,8 @@
     {
       const peer_t *peer = &sync->peers[i];
 
+      if (fetch_find (sync, peer->node) != NULL)
+        continue;
       if (peer->retry_us > now_us)
         {
           if (peer->retry_us < *next_us)
@@ -280,22 +322,25 @@
 next_fetch (sgr_config_sync_t *sync, uint64_t now_us, sgr_config_sync_action_t *action,
             uint64_t *next_us)
 {
+  uint64_t due_us;
+  size_t open = fetch_count (sync, &due_us);
   const peer_t *peer;
 
-  if (sync->fetching || sync->peer_count == 0)
+  if (open == SGR_CONFIG_SYNC_FETCHES_MAX || sync->peer_count == 0)
     return false;
-  if (sync->fetch_due_us > now_us)
+  due_us
+      = open > 0 ? due_us + sync->options.fetch_hedge_ms * SGR_USEC_PER_MSEC : sync->fetch_due_us;
+  if (due_us > now_us)
     {
-      if (sync->fetch_due_us < *next_us)
-        *next_us = sync->fetch_due_us;
+      if (due_us < *next_us)
+        *next_us = due_us;
       return false;
     }
   peer = pick_peer (sync, now_us, next_us);
   if (peer == NULL)
     return false;
-  sync->fetching = true;
-  sync->fetch_node = peer->node;
-  sync->fetch_revision = peer->revision;
+  *fetch_find (sync, 0)
+      = (fetch_t){ .node = peer->node, .revision = peer->revision, .start_us = now_us };
   sync->stats.fetches++;
   *action = (sgr_config_sync_action_t){ .kind = SGR_CONFIG_SYNC_FETCH,
                                         .peer = peer->node,
--- a/libsiskingrade/config_sync.h
+++ b/libsiskingrade/config_sync.h
@@ -4,6 +4,9 @@
 #include "member.h"
 #include "rng.h"
 
+/* Fetches that may be open at a time: the second begins when the first is slow. */
+#define SGR_CONFIG_SYNC_FETCHES_MAX 2
+
 typedef struct sgr_config_sync_t sgr_config_sync_t;
 
 /**
@@ -19,6 +22,7 @@
  * @backoff_max_ms: longest wait after failed calls
  * @fetch_spread_ms: random wait before a fetch, so that a node that has just taken a revision is
  *                   not asked by the whole fleet at the same moment
+ * @fetch_hedge_ms: when a peer has not answered by then, another one is asked, too
  */
 typedef struct
 {
@@ -31,6 +35,7 @@
   uint32_t backoff_min_ms;
   uint32_t backoff_max_ms;
   uint32_t fetch_spread_ms;
+  uint32_t fetch_hedge_ms;
 } sgr_config_sync_options_t;
 
 typedef enum
@@ -102,8 +107,13 @@
 void sgr_config_sync_store_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok,
                                  uint64_t version, uint64_t retry_after_ms);
 
-/** sgr_config_sync_fetch_done() - a FETCH has ended; a record that was refused counts as failed */
-void sgr_config_sync_fetch_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok);
+/**
+ * sgr_config_sync_fetch_done() - a FETCH has ended
+ * @peer: the node that was asked
+ * @ok: whether it answered; a record that was refused counts as failed
+ */
+void sgr_config_sync_fetch_done (sgr_config_sync_t *sync, uint64_t now_us, sgr_node_id_t peer,
+                                 bool ok);
 
 /**
  * sgr_config_sync_next() - the next action that is due
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -19,7 +19,8 @@
   sgr_control_config_t *config = ctx;
 
   sgr_control_self_update (config->control);
-  sgr_control_snapshot_due (config->control);
+  /* Changes are few and have a bound of seconds from end to end. */
+  sgr_control_snapshot_now (config->control);
   sgr_config_api_notify (config->api);
 }
 
@@ -88,6 +89,12 @@
   return config->store;
 }
 
+void
+sgr_control_config_member_changed (sgr_control_config_t *config, const sgr_member_t *member)
+{
+  sgr_config_io_member_changed (config->io, member);
+}
+
 void
 sgr_control_config_members (sgr_control_config_t *config, const sgr_member_t *members, size_t count)
 {
--- a/libsiskingrade/control_config.h
+++ b/libsiskingrade/control_config.h
@@ -18,6 +18,9 @@
 sgr_store_t *sgr_control_config_store (const sgr_control_config_t *config);
 
 /** sgr_control_config_members() - the members changed */
+/** sgr_control_config_member_changed() - news of one member, before the next snapshot */
+void sgr_control_config_member_changed (sgr_control_config_t *config, const sgr_member_t *member);
+
 void sgr_control_config_members (sgr_control_config_t *config, const sgr_member_t *members,
                                  size_t count);
 
--- a/libsiskingrade/control_http.c
+++ b/libsiskingrade/control_http.c
@@ -16,10 +16,12 @@
   PLACE_CONTROL,
   PLACE_READY,
   PLACE_TARGETS,
+  PLACE_METRICS,
   PLACE_COUNT,
 } place_t;
 
-static const char *const place_names[] = { "listen.control", "listen.ready", "listen.targets" };
+static const char *const place_names[]
+    = { "listen.control", "listen.ready", "listen.targets", "listen.metrics" };
 
 struct sgr_control_http_t
 {
@@ -161,15 +163,21 @@
     http->control->adapter->targets_setup (http->control, host);
 }
 
+static void
+metrics_setup (void *ctx, h2o_hostconf_t *host)
+{
+  path_add (ctx, host, "/metrics", on_metrics);
+}
+
 sgr_control_http_t *
 sgr_control_http_create (sgr_control_t *control, void (*setup) (void *ctx, h2o_hostconf_t *host),
                          void *ctx, sgr_buffer_t *errors)
 {
   static void (*const setups[]) (void *, h2o_hostconf_t *)
-      = { control_setup, ready_setup, targets_setup };
+      = { control_setup, ready_setup, targets_setup, metrics_setup };
   sgr_control_http_t *http = calloc (1, sizeof *http);
-  sgr_address_t places[]
-      = { control->settings->control, control->settings->ready, control->settings->targets };
+  sgr_address_t places[] = { control->settings->control, control->settings->ready,
+                             control->settings->targets, control->settings->metrics };
 
   sgr_invariant (http != NULL);
   http->control = control;
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -135,12 +135,15 @@
 static void
 on_member_changed (void *ctx, const sgr_member_t *member)
 {
+  sgr_control_t *control = ctx;
   static const char *const names[] = { "alive", "suspect", "dead", "left" };
 
   sgr_log_debug ("member-changed", "member=%s status=%s service=%s target=%s", member->name,
                  names[member->status], member->service,
                  sgr_target_state_name (member->target_state));
-  sgr_control_snapshot_due (ctx);
+  if (control->config != NULL)
+    sgr_control_config_member_changed (control->config, member);
+  sgr_control_snapshot_due (control);
 }
 
 bool
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -108,7 +108,8 @@
   if (sgr_call_log_takes (gate->task->call_log, now_us, run->request_id, true))
     sgr_log_info ("gate-dropped", "id=%s attempt=%u reason=%s wait_ms=%lu left_ms=%ld",
                   run->request_id, run->id.attempt, sgr_gate_reason_name (reason),
-                  sgr_ms_of (now_us - run->arrived_us),
+                  /* The time of a turn may lie before an arrival within it. */
+                  sgr_ms_of (now_us > run->arrived_us ? now_us - run->arrived_us : 0),
                   ((long)run->deadline_us - (long)now_us) / 1000);
   run->handle = 0;
   while (run->streaming != NULL || run->joined != NULL)
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -54,7 +54,7 @@
 static void
 read_listen (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
-  static const char *const keys[] = { "callers", "peers", "control", "ready", "targets", NULL };
+  static const char *const keys[] = { "callers", "peers", "control", "ready", "targets", "metrics", NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "listen");
 
   if (!sgr_yaml_mapping_check (yaml, node, "listen", keys))
@@ -64,6 +64,7 @@
       || !sgr_yaml_address_read (yaml, node, "control", "listen", true, &settings->control))
     return;
   sgr_yaml_address_read (yaml, node, "ready", "listen", false, &settings->ready);
+  sgr_yaml_address_read (yaml, node, "metrics", "listen", false, &settings->metrics);
   sgr_yaml_address_read (yaml, node, "targets", "listen", false, &settings->targets);
   if (same_address (&settings->callers, &settings->peers))
     sgr_yaml_error (yaml, sgr_yaml_get (yaml, node, "peers"), "listen.peers",
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -21,6 +21,7 @@
  * @advertised_peers: address of @peers as other nodes reach it, @peers unless set
  * @control: where control messages, announcements and the resource API arrive
  * @ready: where readiness is asked for, port 0 for the control address only
+ * @metrics: where metrics are served besides the control address, port 0 for nowhere else
  * @targets: where targets announce themselves, port 0 for the control address only
  * @store: the platform's key-value service, port 0 for none
  * @contacts: control addresses of some other nodes
@@ -56,6 +57,7 @@
   sgr_address_t advertised_peers;
   sgr_address_t control;
   sgr_address_t ready;
+  sgr_address_t metrics;
   sgr_address_t targets;
   sgr_address_t store;
   sgr_address_t contacts[SGR_SETTINGS_CONTACTS_MAX];
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -176,18 +176,52 @@
       assert_true (done);
       if (action.peer == 102)
         break;
-      sgr_config_sync_fetch_done (sync, now_us, false);
+      sgr_config_sync_fetch_done (sync, now_us, action.peer, false);
     }
   assert_int_equal (action.peer, 102);
   assert_true (now_us < 2 * SEC);
   sgr_config_sync_in_force (sync, now_us, 7);
-  sgr_config_sync_fetch_done (sync, now_us, true);
+  sgr_config_sync_fetch_done (sync, now_us, action.peer, true);
   /* A revision that is in force already is not fetched. */
   sgr_config_sync_peer_revision (sync, now_us, 103, &members[3].control_address, 7);
   assert_false (next (sync, now_us, SGR_CONFIG_SYNC_FETCH));
   sgr_config_sync_destroy (sync);
 }
 
+/* Guards against a peer that takes the call and stays silent, as one that is frozen does: waiting
+   for it uses up the time in which a change has to be in force. */
+static void
+test_sync_silent_peer (void **state)
+{
+  sgr_config_sync_t *sync = make (0);
+  sgr_config_sync_action_t action;
+  uint64_t now_us = SEC, next_us, asked_us;
+  sgr_node_id_t silent;
+
+  sgr_config_sync_peer_revision (sync, now_us, 101, &members[1].control_address, 7);
+  assert_false (next (sync, now_us, SGR_CONFIG_SYNC_WATCH));
+  while (!sgr_config_sync_next (sync, now_us, &action, &next_us) && next_us < 2 * SEC)
+    now_us = next_us;
+  assert_int_equal (action.kind, SGR_CONFIG_SYNC_FETCH);
+  silent = action.peer;
+  asked_us = now_us;
+  /* Without another peer it is waited for. */
+  assert_false (next (sync, now_us + SEC / 4, SGR_CONFIG_SYNC_FETCH));
+  sgr_config_sync_peer_revision (sync, now_us, 102, &members[2].control_address, 7);
+  while (!sgr_config_sync_next (sync, now_us, &action, &next_us) && next_us < 60 * SEC)
+    now_us = next_us;
+  assert_int_equal (action.kind, SGR_CONFIG_SYNC_FETCH);
+  assert_int_not_equal (action.peer, silent);
+  assert_true (now_us - asked_us <= SEC / 2);
+  /* No third one, however many peers have it. */
+  sgr_config_sync_peer_revision (sync, now_us, 103, &members[3].control_address, 7);
+  assert_false (next (sync, now_us + 10 * SEC, SGR_CONFIG_SYNC_FETCH));
+  sgr_config_sync_in_force (sync, now_us, 7);
+  sgr_config_sync_fetch_done (sync, now_us, action.peer, true);
+  sgr_config_sync_fetch_done (sync, now_us, silent, false);
+  sgr_config_sync_destroy (sync);
+}
+
 int
 main (void)
 {
@@ -196,6 +230,7 @@
     cmocka_unit_test (test_sync_role_follows_members),
     cmocka_unit_test (test_sync_backoff_table),
     cmocka_unit_test (test_sync_fetch_from_another_peer),
+    cmocka_unit_test (test_sync_silent_peer),
   };
 
   return cmocka_run_group_tests (tests, setup, NULL);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -393,6 +393,36 @@
 }
 
 /* Guards against tombstones that stay for ever or wander between nodes. */
+/* Guards against a new configuration that waits behind other updates, because those have used up the
+   bytes. */
+static void
+test_revision_beside_many_updates (void **state)
+{
+  for (uint64_t seed = 41; seed <= 45; seed++)
+    {
+      sim_t *sim = sim_joined (seed);
+
+      sim->changed = fetch_revision;
+      for (int round = 0; round < 30; round++)
+        {
+          for (uint32_t i = 0; i < NODES; i++)
+            update (sim, i, round % 2 == 0 ? SGR_TARGET_NONE : SGR_TARGET_SERVING, 0);
+          if (round == 20)
+            update (sim, 3, SGR_TARGET_SERVING, 77);
+          sim_run (sim, 100 * SIM_MS);
+        }
+      sim_run (sim, SIM_S);
+      for (uint32_t i = 0; i < NODES; i++)
+        {
+          sgr_member_t self;
+
+          sgr_membership_self_get (sim->nodes[i].membership, &self);
+          assert_int_equal (self.config_revision, 77);
+        }
+      sim_done (sim);
+    }
+}
+
 static void
 case_tombstones (sim_t *sim)
 {
@@ -555,6 +585,7 @@
     cmocka_unit_test (test_mass_start),
     cmocka_unit_test (test_fault_cases),
     cmocka_unit_test (test_target_comes_up),
+    cmocka_unit_test (test_revision_beside_many_updates),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
