Space load reports by the number of entries

Cause: a gate reports changes of its load to every entry, at least 10 ms apart, so that the frames of a fleet grow with the square of its nodes.

Change: the interval grows by 0.5 ms an entry: at most 2,000 frames a second.

--- a/libsiskingrade/data_load.c
+++ b/libsiskingrade/data_load.c
@@ -5,8 +5,10 @@
 #include "data_peer.h"
 #include "data_service.h"
 
-/* Shortest time between two reports; together with the connections it bounds their traffic. */
+/* Shortest time between two reports, and its growth with each connection: no more than 2,000 frames
+   a second, however many entries there are. */
 #define REPORT_INTERVAL_US (10 * SGR_USEC_PER_MSEC)
+#define REPORT_ENTRY_US 500
 /* A change of the load by one part in so many of the slots is reported. */
 #define LOAD_STEP_DIVISOR 4
 /* A change of the time that work takes by this much, in percent of the lower figure, is reported.
@@ -46,6 +48,13 @@
   return difference (now->cost_percent, told->cost_percent) * 100 > lower * COST_STEP_PERCENT;
 }
 
+static uint64_t
+report_due_us (const sgr_data_gate_t *gate)
+{
+  return gate->told_us + REPORT_INTERVAL_US
+         + sgr_data_peers_count (gate->task->peers) * REPORT_ENTRY_US;
+}
+
 static void
 report_send (sgr_data_gate_t *gate, const sgr_load_report_t *report, uint64_t now_us)
 {
@@ -73,10 +82,10 @@
   sgr_gate_load_report (gate->core, &report);
   if (!has_news (&report, &gate->told))
     return;
-  if (now_us >= gate->told_us + REPORT_INTERVAL_US)
+  if (now_us >= report_due_us (gate))
     report_send (gate, &report, now_us);
   else
-    sgr_timer_arm (gate->task->timers, &gate->tell, gate->told_us + REPORT_INTERVAL_US);
+    sgr_timer_arm (gate->task->timers, &gate->tell, report_due_us (gate));
 }
 
 static void
--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -31,6 +31,7 @@
   sgr_data_task_t *task;
   h2o_socket_t *listener;
   peer_t *first;
+  size_t count;
   lost_t *lost;
 };
 
@@ -69,6 +70,7 @@
   while (*place != peer)
     place = &(*place)->next;
   *place = peer->next;
+  peer->peers->count--;
 }
 
 static void
@@ -172,6 +174,7 @@
       = sgr_data_calls_create (peers->task->gate, peers->task->settings->request_body_max_bytes);
   peer->next = peers->first;
   peers->first = peer;
+  peers->count++;
   peer->conn = sgr_peer_conn_accept (&peers->task->conn_env, sock, &handlers, peer);
 }
 
@@ -202,6 +205,12 @@
     }
 }
 
+size_t
+sgr_data_peers_count (const sgr_data_peers_t *peers)
+{
+  return peers->count;
+}
+
 void
 sgr_data_peers_destroy (sgr_data_peers_t *peers)
 {
--- a/libsiskingrade/data_peer.h
+++ b/libsiskingrade/data_peer.h
@@ -7,6 +7,9 @@
 sgr_data_peers_t *sgr_data_peers_create (sgr_data_task_t *task, sgr_buffer_t *errors);
 void sgr_data_peers_destroy (sgr_data_peers_t *peers);
 
+/** sgr_data_peers_count() - connections of entry nodes */
+size_t sgr_data_peers_count (const sgr_data_peers_t *peers);
+
 /** sgr_data_peers_send() - send a frame to every entry node with a connection */
 void sgr_data_peers_send (sgr_data_peers_t *peers, const Sgr__Pb__PeerFrame *frame);
 
