--- a/libsiskingrade/daemon.c
+++ b/libsiskingrade/daemon.c
@@ -1,6 +1,7 @@
 #include "daemon.h"
 
 #include <argp.h>
+#include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -62,7 +63,13 @@
   static sgr_settings_t settings;
   options_t options = { 0 };
   sgr_buffer_t errors = { 0 };
+  sigset_t reload;
 
+  /* A reload that is asked for while the settings are read waits until the node takes signals;
+     without this it would end the process. */
+  sigemptyset (&reload);
+  sigaddset (&reload, SIGHUP);
+  sigprocmask (SIG_BLOCK, &reload, NULL);
   argp_parse (&argp, argc, argv, 0, NULL, &options);
   if (sodium_init () < 0)
     {
--- a/tests/path_check.c
+++ b/tests/path_check.c
@@ -12,11 +12,11 @@
 int
 sgr_path_send (sgr_path_call_t *call)
 {
-  static unsigned next;
+  static _Atomic unsigned next; /* callers may run in several threads */
+  unsigned number = next++;
 
   /* The first letter decides the pattern of the body, so neighbours differ in it. */
-  snprintf (call->id, sizeof call->id, "%c-%u", 'a' + next % 26, next);
-  next++;
+  snprintf (call->id, sizeof call->id, "%c-%u", 'a' + number % 26, number);
   snprintf (call->head, sizeof call->head,
             "Siskingrade-Service: %s\r\nSiskingrade-Deadline-Ms: %d\r\nX-Request-Id: %s\r\n%s",
             call->service, call->deadline_ms > 0 ? call->deadline_ms : 5000, call->id,
--- a/tests/test_path_caller.c
+++ b/tests/test_path_caller.c
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -5,7 +6,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -313,20 +317,86 @@
   assert_int_equal (fclose (file), 0);
 }
 
-/* Guards against a reload that ends the node, and against one that takes over a broken file. */
-static void
-test_reload (void **state)
+static size_t
+settings_read (const sgr_fixture_node_t *of, char *text, size_t size)
 {
-  static char settings[65536];
   char path[192];
   FILE *file;
+  size_t length;
 
-  snprintf (path, sizeof path, "%s/%s.yaml", fixture.folder, node (ENTRY)->name);
+  snprintf (path, sizeof path, "%s/%s.yaml", fixture.folder, of->name);
   file = fopen (path, "r");
   assert_non_null (file);
-  settings[fread (settings, 1, sizeof settings - 1, file)] = '\0';
+  length = fread (text, 1, size - 1, file);
+  text[length] = '\0';
   fclose (file);
+  return length;
+}
+
+/* Writes to a FIFO as soon as the process reads it; fails the test if the process ends before. */
+static void
+fifo_write (const char *path, pid_t pid, const char *text, size_t length)
+{
+  int fd;
 
+  while ((fd = open (path, O_WRONLY | O_NONBLOCK | O_CLOEXEC)) < 0)
+    {
+      int status;
+
+      if (waitpid (pid, &status, WNOHANG) == pid)
+        fail_msg ("the node ended, by signal %d", WIFSIGNALED (status) ? WTERMSIG (status) : 0);
+      sgr_fixture_pause ();
+    }
+  assert_int_equal (write (fd, text, length), length);
+  close (fd);
+}
+
+/* Guards against a reload that ends a node which is still reading its settings. */
+static void
+test_reload_during_start (void **state)
+{
+  static char settings[65536];
+  size_t length = settings_read (node (ENTRY), settings, sizeof settings);
+  const char *build = getenv ("SGR_BUILD");
+  char program[128], path[192];
+  int fd = -1;
+  pid_t pid;
+
+  sgr_fixture_kill (&node (ENTRY)->pid);
+  snprintf (program, sizeof program, "%s/siskingraded", build != NULL ? build : "build");
+  snprintf (path, sizeof path, "%s/settings.fifo", fixture.folder);
+  assert_int_equal (mkfifo (path, 0600), 0);
+  pid = fork ();
+  assert_true (pid >= 0);
+  if (pid == 0)
+    {
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      execl (program, program, path, (char *)NULL);
+      _exit (127);
+    }
+  /* The node waits for its settings. */
+  while ((fd = open (path, O_WRONLY | O_NONBLOCK | O_CLOEXEC)) < 0)
+    sgr_fixture_pause ();
+  kill (pid, SIGHUP);
+  assert_int_equal (write (fd, settings, length), length);
+  close (fd);
+  fifo_write (path, pid, settings, length);
+  assert_true (sgr_fixture_ready (node (ENTRY), "one"));
+  sgr_fixture_kill (&pid);
+  unlink (path);
+  sgr_fixture_node_start (&fixture, node (ENTRY));
+  assert_true (sgr_fixture_ready (node (ENTRY), "one"));
+}
+
+/* Guards against a reload that ends the node, and against one that takes over a broken file. */
+static void
+test_reload (void **state)
+{
+  static char settings[65536];
+  char path[192];
+
+  settings_read (node (ENTRY), settings, sizeof settings);
+  snprintf (path, sizeof path, "%s/%s.yaml", fixture.folder, node (ENTRY)->name);
   kill (node (ENTRY)->pid, SIGHUP);
   assert_true (event_await (node (ENTRY), "event=settings-reloaded", 1));
   assert_true (sgr_fixture_ready (node (ENTRY), "one"));
@@ -349,6 +419,7 @@
     cmocka_unit_test (test_caller_leaves),
     cmocka_unit_test (test_cut_chunks),
     cmocka_unit_test (test_reload),
+    cmocka_unit_test (test_reload_during_start),
     cmocka_unit_test (test_stop_with_open_connection),
   };
 
