Let the test of a reload during the start wait for the first reading

The second text reached the FIFO while the node still read the first one. With the change before taken out the test fails with "the node ended, by signal 1".

--- a/tests/test_path_caller.c
+++ b/tests/test_path_caller.c
@@ -333,20 +333,27 @@
   return length;
 }
 
-/* Writes to a FIFO as soon as the process reads it; fails the test if the process ends before. */
 static void
-fifo_write (const char *path, pid_t pid, const char *text, size_t length)
+pause_unless_ended (pid_t pid)
+{
+  int status;
+
+  if (waitpid (pid, &status, WNOHANG) == pid)
+    fail_msg ("the node ended, by signal %d", WIFSIGNALED (status) ? WTERMSIG (status) : 0);
+  sgr_fixture_pause ();
+}
+
+/* Waits for the process to read the FIFO, asks it to reload if @is_reload, and gives it the text.
+ */
+static void
+fifo_write (const char *path, pid_t pid, bool is_reload, const char *text, size_t length)
 {
   int fd;
 
   while ((fd = open (path, O_WRONLY | O_NONBLOCK | O_CLOEXEC)) < 0)
-    {
-      int status;
-
-      if (waitpid (pid, &status, WNOHANG) == pid)
-        fail_msg ("the node ended, by signal %d", WIFSIGNALED (status) ? WTERMSIG (status) : 0);
-      sgr_fixture_pause ();
-    }
+    pause_unless_ended (pid);
+  if (is_reload)
+    kill (pid, SIGHUP);
   assert_int_equal (write (fd, text, length), length);
   close (fd);
 }
@@ -359,8 +366,8 @@
   size_t length = settings_read (node (ENTRY), settings, sizeof settings);
   const char *build = getenv ("SGR_BUILD");
   char program[128], path[192];
-  int fd = -1;
   pid_t pid;
+  int fd;
 
   sgr_fixture_kill (&node (ENTRY)->pid);
   snprintf (program, sizeof program, "%s/siskingraded", build != NULL ? build : "build");
@@ -374,13 +381,12 @@
       execl (program, program, path, (char *)NULL);
       _exit (127);
     }
-  /* The node waits for its settings. */
-  while ((fd = open (path, O_WRONLY | O_NONBLOCK | O_CLOEXEC)) < 0)
-    sgr_fixture_pause ();
-  kill (pid, SIGHUP);
-  assert_int_equal (write (fd, settings, length), length);
+  fifo_write (path, pid, true, settings, length);
+  /* It has read them when it takes calls; then it reads them again. */
+  while ((fd = sgr_probe_connect (node (ENTRY)->callers)) < 0)
+    pause_unless_ended (pid);
   close (fd);
-  fifo_write (path, pid, settings, length);
+  fifo_write (path, pid, false, settings, length);
   assert_true (sgr_fixture_ready (node (ENTRY), "one"));
   sgr_fixture_kill (&pid);
   unlink (path);
