Log the loss and the return of peers and of the store

On-call engineers saw the loss of another node only by the attempts that failed, and the loss of the store not at all. peer-lost and store-lost are written once for each loss, peer-regained and store-regained when it ends, with the time between. test_losses_are_logged fails without them.

--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -41,6 +41,7 @@
   fetch_t fetches[SGR_CONFIG_SYNC_FETCHES_MAX];
   bool fetch_full;
   uint64_t news_revision; /* highest that a peer was heard to have */
+  uint64_t store_lost_us; /* since when the store does not answer, 0 while it does */
   sgr_store_call_t *watch;
   char watch_key[SGR_STORE_KEY_MAX + 1];
   uint64_t next_us;
@@ -91,12 +92,32 @@
   return result;
 }
 
+/* Logs when the store is lost and when it is back. */
+static void
+store_note (sgr_config_io_t *io, bool is_available, const char *reason)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+
+  if (is_available && io->store_lost_us != 0)
+    {
+      sgr_log_info ("store-regained", "after_ms=%lu", sgr_ms_of (now_us - io->store_lost_us));
+      io->store_lost_us = 0;
+    }
+  else if (!is_available && io->store_lost_us == 0)
+    {
+      sgr_log_warn ("store-lost", "reason=\"%s\" config_revision=%lu",
+                    reason != NULL ? reason : "not known", sgr_config_state_revision (io->state));
+      io->store_lost_us = now_us;
+    }
+}
+
 static void
 on_watch (void *ctx, const sgr_store_reply_t *reply)
 {
   sgr_config_io_t *io = ctx;
 
   io->watch = NULL;
+  store_note (io, reply->outcome == SGR_STORE_OK, reply->reason);
   if (reply->outcome == SGR_STORE_OK && reply->value != NULL)
     offer (io, reply->value, reply->length, false, NULL);
   sgr_config_sync_store_done (io->sync, sgr_clock_monotonic_us (), reply->outcome == SGR_STORE_OK,
--- a/libsiskingrade/data_link.c
+++ b/libsiskingrade/data_link.c
@@ -4,6 +4,7 @@
 
 #include "data_call.h"
 #include "data_peer.h"
+#include "log.h"
 
 /* A connection that carried no attempt for this long is closed. */
 #define IDLE_CLOSE_US (60ULL * SGR_USEC_PER_SEC)
@@ -20,6 +21,7 @@
   sgr_data_attempt_t *attempts;
   size_t waiting;
   sgr_timer_t idle;
+  uint64_t lost_us; /* since when there is no connection that carries calls, 0 if none was missed */
 };
 
 /* Frames within this process are packed and delivered from a timer, so that neither side is called
@@ -216,6 +218,25 @@
   return link != NULL ? link : link_add (links, node);
 }
 
+static const char *
+peer_name (const sgr_data_link_t *link)
+{
+  const sgr_member_t *member = sgr_data_member_find (link->links->task, link->node);
+
+  return member != NULL ? member->name : "-";
+}
+
+/* One line when a peer is lost and one when it is back, however often it is tried in between. */
+static void
+loss_log (sgr_data_link_t *link, sgr_peer_close_t reason)
+{
+  if (link->lost_us != 0)
+    return;
+  link->lost_us = sgr_clock_monotonic_us ();
+  sgr_log_warn ("peer-lost", "peer=%s reason=%s open_attempts=%zu", peer_name (link),
+                sgr_peer_close_name (reason), link->waiting);
+}
+
 static sgr_result_t
 on_ready (void *ctx, sgr_peer_conn_t *conn)
 {
@@ -227,6 +248,10 @@
   link->boot = sgr_peer_conn_boot (conn);
   link->generation = sgr_peer_conn_generation (conn);
   link->has_generation = true;
+  if (link->lost_us != 0)
+    sgr_log_info ("peer-regained", "peer=%s after_ms=%lu", peer_name (link),
+                  sgr_ms_of (sgr_clock_monotonic_us () - link->lost_us));
+  link->lost_us = 0;
   return SGR_OK;
 }
 
@@ -250,6 +275,7 @@
   sgr_data_attempt_t *attempt;
 
   link->conn = NULL;
+  loss_log (link, reason);
   for (attempt = link->attempts; attempt != NULL; attempt = attempt->link_next)
     attempt->is_loss_due = true;
   /* One loss may end a call and with it other attempts of the list, so each turn starts anew. */
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -18,6 +18,8 @@
 #include "timer_heap.h"
 
 #define READY_US (20ULL * 1000 * 1000)
+/* Looks at a log before its event counts as missing, with a pause between two. */
+#define EVENT_POLLS 1000
 /* Below the range from which the kernel takes ports of outgoing connections. */
 #define PORT_FIRST 15000U
 #define PORT_COUNT 16000U
@@ -428,3 +430,28 @@
   sgr_probe_release (&answer);
   return sum;
 }
+
+bool
+sgr_fixture_event_await (const sgr_fixture_t *fixture, const sgr_fixture_node_t *node,
+                         const char *event, int times)
+{
+  static char log[1024 * 1024];
+  char path[192];
+
+  snprintf (path, sizeof path, "%s/%s.log", fixture->folder, node->name);
+  for (int i = 0; i < EVENT_POLLS; i++)
+    {
+      FILE *file = fopen (path, "r");
+      int seen = 0;
+
+      sgr_invariant (file != NULL);
+      log[fread (log, 1, sizeof log - 1, file)] = '\0';
+      fclose (file);
+      for (const char *at = log; (at = strstr (at, event)) != NULL; at++)
+        seen++;
+      if (seen >= times)
+        return true;
+      sgr_fixture_pause ();
+    }
+  return false;
+}
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -125,4 +125,16 @@
 /** sgr_fixture_port() - a port that is free now */
 uint16_t sgr_fixture_port (void);
 
+/**
+ * sgr_fixture_event_await() - wait until a node's log holds an event
+ * @fixture: the fixture
+ * @node: the node
+ * @event: text such as "event=peer-lost"
+ * @times: how often it has to be there
+ *
+ * Return: false if it is not there after some seconds.
+ */
+bool sgr_fixture_event_await (const sgr_fixture_t *fixture, const sgr_fixture_node_t *node,
+                              const char *event, int times);
+
 #endif
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -393,8 +393,8 @@
 }
 
 /* Guards against tombstones that stay for ever or wander between nodes. */
-/* Guards against a new configuration that waits behind other updates, because those have used up the
-   bytes. */
+/* Guards against a new configuration that waits behind other updates, because those have used up
+   the bytes. */
 static void
 test_revision_beside_many_updates (void **state)
 {
--- a/tests/test_path_caller.c
+++ b/tests/test_path_caller.c
@@ -27,8 +27,6 @@
 };
 
 #define READ_MAX 65536
-/* Looks at a log before its event counts as missing, with a pause of the fixture between two. */
-#define EVENT_POLLS 1000
 #define STARTS "siskingrade_gate_starts_total"
 
 static sgr_fixture_t fixture;
@@ -282,31 +280,6 @@
   close (fd);
 }
 
-/* Waits until the log of a node holds so many lines of an event. */
-static bool
-event_await (const sgr_fixture_node_t *of, const char *event, int times)
-{
-  static char log[1024 * 1024];
-  char path[192];
-
-  snprintf (path, sizeof path, "%s/%s.log", fixture.folder, of->name);
-  for (int i = 0; i < EVENT_POLLS; i++)
-    {
-      FILE *file = fopen (path, "r");
-      int seen = 0;
-
-      assert_non_null (file);
-      log[fread (log, 1, sizeof log - 1, file)] = '\0';
-      fclose (file);
-      for (const char *at = log; (at = strstr (at, event)) != NULL; at++)
-        seen++;
-      if (seen >= times)
-        return true;
-      sgr_fixture_pause ();
-    }
-  return false;
-}
-
 static void
 settings_write (const char *path, const char *text)
 {
@@ -404,15 +377,15 @@
   settings_read (node (ENTRY), settings, sizeof settings);
   snprintf (path, sizeof path, "%s/%s.yaml", fixture.folder, node (ENTRY)->name);
   kill (node (ENTRY)->pid, SIGHUP);
-  assert_true (event_await (node (ENTRY), "event=settings-reloaded", 1));
+  assert_true (sgr_fixture_event_await (&fixture, node (ENTRY), "event=settings-reloaded", 1));
   assert_true (sgr_fixture_ready (node (ENTRY), "one"));
   settings_write (path, "node: [\n");
   kill (node (ENTRY)->pid, SIGHUP);
-  assert_true (event_await (node (ENTRY), "event=settings-refused", 1));
+  assert_true (sgr_fixture_event_await (&fixture, node (ENTRY), "event=settings-refused", 1));
   assert_true (sgr_fixture_ready (node (ENTRY), "one"));
   settings_write (path, settings);
   kill (node (ENTRY)->pid, SIGHUP);
-  assert_true (event_await (node (ENTRY), "event=settings-reloaded", 2));
+  assert_true (sgr_fixture_event_await (&fixture, node (ENTRY), "event=settings-reloaded", 2));
   assert_true (sgr_fixture_ready (node (ENTRY), "one"));
 }
 
--- a/tests/test_path_restart.c
+++ b/tests/test_path_restart.c
@@ -136,6 +136,25 @@
   assert_true (sgr_fixture_ready (node (OTHER), "one"));
 }
 
+/* Guards against a dependency whose loss or return an operator cannot see in the log. */
+static void
+test_losses_are_logged (void **state)
+{
+  int reader = ENTRY;
+
+  sgr_fixture_kill (&node (GATE)->pid);
+  assert_true (sgr_fixture_event_await (&fixture, node (ENTRY), "event=peer-lost peer=gate", 1));
+  sgr_fixture_node_start (&fixture, node (GATE));
+  assert_true (sgr_fixture_ready (node (ENTRY), "one"));
+  assert_true (sgr_fixture_ready (node (OTHER), "one"));
+  assert_true (
+      sgr_fixture_event_await (&fixture, node (ENTRY), "event=peer-regained peer=gate", 1));
+  while (sgr_fixture_metric (node (reader), "siskingrade_config_reader") == 0)
+    reader = (reader + 1) % 3;
+  sgr_fixture_kill (&fixture.store_pid);
+  assert_true (sgr_fixture_event_await (&fixture, node (reader), "event=store-lost", 1));
+}
+
 static void
 key_issue (char *field, size_t size)
 {
@@ -282,9 +301,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_gate_restarts), cmocka_unit_test (test_gate_is_down),
-    cmocka_unit_test (test_entry_dies),    cmocka_unit_test (test_entry_dies_then_gate),
-    cmocka_unit_test (test_planned_stop),  cmocka_unit_test (test_stop_during_start),
+    cmocka_unit_test (test_gate_restarts),     cmocka_unit_test (test_gate_is_down),
+    cmocka_unit_test (test_entry_dies),        cmocka_unit_test (test_entry_dies_then_gate),
+    cmocka_unit_test (test_planned_stop),      cmocka_unit_test (test_losses_are_logged),
+    cmocka_unit_test (test_stop_during_start),
   };
 
   return cmocka_run_group_tests (tests, start, stop);
