--- a/libsiskingrade/http1_conn.c
+++ b/libsiskingrade/http1_conn.c
@@ -45,17 +45,22 @@
   free (conn);
 }
 
+static void
+first_remove (sgr_http1_conn_t *conn)
+{
+  sgr_http1_request_t *request = conn->first;
+
+  conn->first = request->next;
+  conn->open--;
+  sgr_http1_request_destroy (request);
+}
+
 void
 sgr_http1_conn_close (sgr_http1_conn_t *conn)
 {
   h2o_socket_close (conn->sock);
   while (conn->first != NULL)
-    {
-      sgr_http1_request_t *request = conn->first;
-
-      conn->first = request->next;
-      sgr_http1_request_destroy (request);
-    }
+    first_remove (conn);
   if (conn->reading != NULL)
     sgr_http1_request_destroy (conn->reading);
   if (conn->complete != NULL)
@@ -144,19 +149,12 @@
 
   if (!is_last)
     is_last = request->refusal == NULL && !request->req.http1_is_persistent;
-  conn->first = request->next;
-  conn->open--;
-  sgr_http1_request_destroy (request);
+  first_remove (conn);
   if (is_last)
     {
       /* Requests behind an answer that closes the connection count as not read by the caller. */
       while (conn->first != NULL)
-        {
-          request = conn->first;
-          conn->first = request->next;
-          conn->open--;
-          sgr_http1_request_destroy (request);
-        }
+        first_remove (conn);
       conn->is_last_read = true;
       linger (conn);
       return;
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -431,6 +431,19 @@
   return sum;
 }
 
+void
+sgr_fixture_store_fault (const sgr_fixture_t *fixture, const char *query)
+{
+  char path[96];
+  sgr_probe_request_t request = { .port = fixture->store, .path = path };
+  sgr_probe_answer_t answer;
+
+  snprintf (path, sizeof path, "/admin?%s", query);
+  sgr_probe_call (&request, &answer);
+  sgr_invariant (answer.status == 200);
+  sgr_probe_release (&answer);
+}
+
 bool
 sgr_fixture_event_await (const sgr_fixture_t *fixture, const sgr_fixture_node_t *node,
                          const char *event, int times)
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -125,6 +125,9 @@
 /** sgr_fixture_port() - a port that is free now */
 uint16_t sgr_fixture_port (void);
 
+/** sgr_fixture_store_fault() - set faults of the store, such as "outage=1" */
+void sgr_fixture_store_fault (const sgr_fixture_t *fixture, const char *query);
+
 /**
  * sgr_fixture_event_await() - wait until a node's log holds an event
  * @fixture: the fixture
--- a/tests/test_path_own_key.c
+++ b/tests/test_path_own_key.c
@@ -46,19 +46,6 @@
   return 0;
 }
 
-static void
-store_fault (const char *query)
-{
-  char path[64];
-  sgr_probe_request_t request = { .port = fixture.store, .path = path };
-  sgr_probe_answer_t answer;
-
-  snprintf (path, sizeof path, "/admin?%s", query);
-  sgr_probe_call (&request, &answer);
-  assert_int_equal (answer.status, 200);
-  sgr_probe_release (&answer);
-}
-
 static unsigned
 executions (const char *id)
 {
@@ -140,9 +127,9 @@
 
       snprintf (key, sizeof key, "fault-%zu", i);
       print_message ("%s\n", row->name);
-      store_fault (row->fault);
+      sgr_fixture_store_fault (&fixture, row->fault);
       assert_int_equal (call_with_key (ENTRY, key, "a", row->status, row->outcome), row->runs);
-      store_fault ("outage=0&lose_reply=0&drop_write=0&slow_ms=0");
+      sgr_fixture_store_fault (&fixture, "outage=0&lose_reply=0&drop_write=0&slow_ms=0");
       assert_int_equal (call_with_key (OTHER, key, "a", row->repeat_status, row->repeat_outcome),
                         row->repeat_runs);
     }
@@ -154,9 +141,9 @@
 test_store_down_at_repeat (void **state)
 {
   assert_int_equal (call_with_key (ENTRY, "later", "a", 200, "complete"), 1);
-  store_fault ("outage=1");
+  sgr_fixture_store_fault (&fixture, "outage=1");
   assert_int_equal (call_with_key (OTHER, "later", "a", 503, "unknown"), 0);
-  store_fault ("outage=0");
+  sgr_fixture_store_fault (&fixture, "outage=0");
   assert_int_equal (call_with_key (OTHER, "later", "a", 200, "complete"), 0);
 }
 
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -125,19 +125,6 @@
   return NULL;
 }
 
-static void
-store_fault (const char *query)
-{
-  char path[64];
-  sgr_probe_request_t request = { .port = soak.fixture.store, .path = path };
-  sgr_probe_answer_t answer;
-
-  snprintf (path, sizeof path, "/admin?%s", query);
-  sgr_probe_call (&request, &answer);
-  assert_int_equal (answer.status, 200);
-  sgr_probe_release (&answer);
-}
-
 static void
 node_restart (sgr_fixture_node_t *node)
 {
@@ -194,13 +181,13 @@
       sgr_relay_refuse (node->relay, 1);
       break;
     case FAULT_STORE_DOWN:
-      store_fault ("outage=1");
+      sgr_fixture_store_fault (&soak.fixture, "outage=1");
       break;
     case FAULT_STORE_SLOW:
-      store_fault ("slow_ms=400");
+      sgr_fixture_store_fault (&soak.fixture, "slow_ms=400");
       break;
     default:
-      store_fault ("lose_reply=2");
+      sgr_fixture_store_fault (&soak.fixture, "lose_reply=2");
       break;
     }
 }
@@ -232,7 +219,7 @@
     case FAULT_STORE_DOWN:
     case FAULT_STORE_SLOW:
     case FAULT_STORE_LOST:
-      store_fault ("outage=0&slow_ms=0&lose_reply=0");
+      sgr_fixture_store_fault (&soak.fixture, "outage=0&slow_ms=0&lose_reply=0");
       break;
     default:
       break;
