Believe a gate that reports its target as up before membership does

Cause: a node that restarts says first that it has no target and then that it has one. Membership may bring the first to an entry after the gate has told the second in its load report; the entry then refused calls with no-target for up to some hundred milliseconds.

Change: a report of "serving" that is less than 3 s old goes before a member state of "none"; a report of anything else, and the states draining and left, hold as before.

test_reported_serving_is_believed fails before.

--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -207,6 +207,14 @@
   return SGR_OK;
 }
 
+/* A node that restarts says first that it has no target and then that it has one; membership may
+   bring the first after its gate has told the second itself. */
+static bool
+is_behind (sgr_target_state_t reported, sgr_target_state_t member)
+{
+  return reported == SGR_TARGET_SERVING && member == SGR_TARGET_NONE;
+}
+
 sgr_result_t
 sgr_balancer_target_update (sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target,
                             const sgr_balancer_target_info_t *info)
@@ -219,7 +227,7 @@
     return SGR_ERR_INVALID;
   if (info->join_us > entry->info.join_us)
     entry_restart (entry, info);
-  if (info->state != entry->info.state)
+  if (info->state != entry->info.state && !is_behind (entry->reported_state, info->state))
     entry->reported_state = SGR_TARGET_NONE;
   entry->info = *info;
   return SGR_OK;
@@ -280,11 +288,13 @@
     }
 }
 
-/* State of a target for new work: a gate that reports draining is believed before membership. */
+/* State of a target for new work: a gate that reports draining, or that its target is up, is
+   believed before membership. */
 static sgr_target_state_t
 state_of (const sgr_balancer_entry_t *entry)
 {
-  if (entry->reported_state == SGR_TARGET_DRAINING || entry->reported_state == SGR_TARGET_LEFT)
+  if (entry->reported_state == SGR_TARGET_DRAINING || entry->reported_state == SGR_TARGET_LEFT
+      || is_behind (entry->reported_state, entry->info.state))
     return entry->reported_state;
   return entry->info.state;
 }
--- a/tests/test_balancer.c
+++ b/tests/test_balancer.c
@@ -63,7 +63,12 @@
 static sgr_load_report_t
 report_make (uint32_t in_flight, uint32_t queued, uint64_t age_us)
 {
-  return (sgr_load_report_t){ in_flight, queued, SLOTS, 20 * MS, age_us, SGR_TARGET_SERVING };
+  return (sgr_load_report_t){ .in_flight = in_flight,
+                              .queued = queued,
+                              .slots = SLOTS,
+                              .latency_us = 20 * MS,
+                              .age_us = age_us,
+                              .state = SGR_TARGET_SERVING };
 }
 
 static void
@@ -225,6 +230,34 @@
   sgr_balancer_destroy (f.b);
 }
 
+/* Guards against a target that is up and gets no calls for a time: membership brings the state of
+   its start after its gate has reported that it serves. A report that it does not is believed. */
+static void
+test_reported_serving_is_believed (void **state)
+{
+  fixture_t f = fixture_make (&plain, 1);
+  sgr_load_report_t report = report_make (1, 0, 100);
+  sgr_balancer_target_info_t info = info_make (1);
+
+  sgr_balancer_report_update (f.b, f.now_us, f.targets[0], &report);
+  info.state = SGR_TARGET_NONE;
+  sgr_balancer_target_update (f.b, f.now_us, f.targets[0], &info);
+  assert_int_equal (sgr_balancer_pick (f.b, f.now_us, NULL, 0), f.targets[0]);
+  report.state = SGR_TARGET_NONE;
+  sgr_balancer_report_update (f.b, f.now_us, f.targets[0], &report);
+  assert_int_equal (sgr_balancer_pick (f.b, f.now_us, NULL, 0), SGR_BALANCER_TARGET_NONE);
+  report.state = SGR_TARGET_SERVING;
+  sgr_balancer_report_update (f.b, f.now_us, f.targets[0], &report);
+  assert_int_equal (sgr_balancer_pick (f.b, f.now_us, NULL, 0), f.targets[0]);
+  f.now_us += 4 * SGR_USEC_PER_SEC;
+  assert_int_equal (sgr_balancer_pick (f.b, f.now_us, NULL, 0), SGR_BALANCER_TARGET_NONE);
+  info.state = SGR_TARGET_DRAINING;
+  sgr_balancer_report_update (f.b, f.now_us, f.targets[0], &report);
+  sgr_balancer_target_update (f.b, f.now_us, f.targets[0], &info);
+  assert_int_equal (sgr_balancer_pick (f.b, f.now_us, NULL, 0), SGR_BALANCER_TARGET_NONE);
+  sgr_balancer_destroy (f.b);
+}
+
 /* Guards against fast errors that look like an idle, fast target, also where it is not ejected. */
 static void
 test_fail_fast_target_draws_little (void **state)
@@ -494,7 +527,9 @@
       sgr_load_report_t report = report_make (SLOTS, 2, 100);
 
       if (target == f.targets[0])
-        report = (sgr_load_report_t){ 0, 0, SLOTS, 500, 100, SGR_TARGET_SERVING };
+        report = (sgr_load_report_t){
+          .slots = SLOTS, .latency_us = 500, .age_us = 100, .state = SGR_TARGET_SERVING
+        };
       if (i >= 1000)
         counts[index_of (&f, target)]++;
       attempt_run (&f, target, 24 * MS, false, &report);
@@ -588,6 +623,7 @@
     cmocka_unit_test (test_eligibility_table),
     cmocka_unit_test (test_reported_draining_is_believed),
     cmocka_unit_test (test_reported_left_expires),
+    cmocka_unit_test (test_reported_serving_is_believed),
     cmocka_unit_test (test_fail_fast_target_draws_little),
     cmocka_unit_test (test_ejection_cap_table),
     cmocka_unit_test (test_half_open_trials),
