Keep a common start of many nodes within its bytes

Cause: since lives and states of targets spread at once, each member that is heard of for the first time did so, too.

Change: only known members have the urgency, and from eight such updates in the queue on further ones of others are routine.

--- a/libsiskingrade/membership_update.c
+++ b/libsiskingrade/membership_update.c
@@ -3,6 +3,9 @@
 /* Two processes with one name would outbid each other without end; once a second is enough. */
 #define CONFLICT_PERIOD_US SGR_USEC_PER_SEC
 
+/* Updates of nodes and targets that come up, from which on further ones are routine. */
+#define RISING_MAX 8
+
 void
 sgr_membership_want (sgr_membership_t *m, sgr_node_id_t id)
 {
@@ -17,6 +20,10 @@
 sgr_membership_spread (sgr_membership_t *m, uint64_t now_us, uint32_t handle,
                        sgr_membership_urgency_t urgency, bool full)
 {
+  /* When many nodes start at once, the state transfer is the cheaper way to spread them. */
+  if (urgency == SGR_MEMBERSHIP_RISING && handle != m->self
+      && m->queue.count[SGR_MEMBERSHIP_RISING] >= RISING_MAX)
+    urgency = SGR_MEMBERSHIP_ROUTINE;
   sgr_membership_queue_put (&m->queue, &m->table, handle, urgency, full);
   if (urgency != SGR_MEMBERSHIP_ROUTINE && m->gossip_due_us == UINT64_MAX)
     m->gossip_due_us = now_us;
@@ -145,9 +152,9 @@
   sgr_member_status_t old_status = (sgr_member_status_t)entry->status;
   bool was_live = sgr_membership_entry_is_live (entry);
   bool new_life = entry->boot != member->boot;
-  sgr_membership_urgency_t urgency
-      = urgency_of (member, known ? old_status : SGR_MEMBER_ALIVE,
-                    known ? (sgr_target_state_t)entry->target_state : SGR_TARGET_NONE, new_life);
+  sgr_membership_urgency_t urgency = urgency_of (
+      member, known ? old_status : SGR_MEMBER_ALIVE,
+      known ? (sgr_target_state_t)entry->target_state : member->target_state, known && new_life);
 
   fields_set (m, now_us, handle, record);
   sgr_membership_table_refresh (&m->table, handle, &m->rng);
