--- a/libsiskingrade/data_service.h
+++ b/libsiskingrade/data_service.h
@@ -50,7 +50,8 @@
 void sgr_data_services_report (sgr_data_services_t *services, sgr_node_id_t node,
                                const Sgr__Pb__LoadReport *message);
 
-/** sgr_data_services_metrics_set() - events of all balancers together, serving targets by service */
+/** sgr_data_services_metrics_set() - events of all balancers together, serving targets by service
+ */
 void sgr_data_services_metrics_set (const sgr_data_services_t *services, sgr_metrics_t *metrics);
 
 /** sgr_data_service_find() - service by name, NULL if the configuration has none */
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -54,7 +54,8 @@
 static void
 read_listen (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
-  static const char *const keys[] = { "callers", "peers", "control", "ready", "targets", "metrics", NULL };
+  static const char *const keys[]
+      = { "callers", "peers", "control", "ready", "targets", "metrics", NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "listen");
 
   if (!sgr_yaml_mapping_check (yaml, node, "listen", keys))
