Refuse answers without a length again

A target that ends closes its connections in order, so that the check of the reason cannot tell its answer from a whole one.

Not tried: asking the target after the close whether it still lives.

--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -32,14 +32,12 @@
   h2o_iovec_t vector;
   bool is_head;
   bool is_chunked;
-  bool ends_with_close;
   bool is_started;
   bool is_in_callback;
   bool is_cancelled;
   h2o_socket_cb paused_read;
-  h2o_socket_cb head_read;    /* h2o's own callbacks, which head_check(), */
-  h2o_socket_cb head_written; /* on_written() and */
-  h2o_socket_cb body_read;    /* body_check() stand in front of */
+  h2o_socket_cb head_read;    /* h2o's own callbacks, which head_check() and */
+  h2o_socket_cb head_written; /* on_written() stand in front of */
   h2o_timeout_entry_t guard;
 };
 
@@ -156,45 +154,8 @@
   return count;
 }
 
-static sgr_target_request_t *
-request_of (h2o_socket_t *sock)
-{
-  return ((h2o_http1client_t *)sock->data)->data;
-}
-
-/* h2o takes any end of the connection as the end of such a body; only an orderly close is one. */
-static void
-body_check (h2o_socket_t *sock, const char *err)
-{
-  sgr_target_request_t *request = request_of (sock);
-
-  if (err != NULL && err != h2o_socket_error_closed)
-    {
-      h2o_http1client_cancel (request->http);
-      finish (request, "connection lost before the end of the body");
-      return;
-    }
-  request->body_read (sock, err);
-}
-
-/* Runs after h2o has begun to read the body and before any further event of the socket. */
-static void
-on_body_guard (h2o_timeout_entry_t *entry)
-{
-  sgr_target_request_t *request = H2O_STRUCT_FROM_MEMBER (sgr_target_request_t, guard, entry);
-  h2o_socket_t *sock = request->http->sock;
-
-  if (request->paused_read != NULL)
-    {
-      request->body_read = request->paused_read;
-      request->paused_read = body_check;
-      return;
-    }
-  request->body_read = sock->_cb.read;
-  sock->_cb.read = body_check;
-}
-
-/* Finds how the body is framed. */
+/* Finds how the body is framed. A body that ends with the connection cannot be told from a
+   truncated one, so it is refused. */
 static bool
 body_length_find (sgr_target_request_t *request, int status, const sgr_http_field_t *fields,
                   size_t count, int64_t *length)
@@ -216,9 +177,8 @@
         is_chunked = true;
     }
   request->is_chunked = is_chunked;
-  request->ends_with_close = !is_chunked && *length < 0;
   /* With both, two readers may disagree on where the body ends. */
-  return !(is_chunked && *length >= 0);
+  return is_chunked != (*length >= 0);
 }
 
 static h2o_http1client_body_cb
@@ -239,7 +199,7 @@
   count = fields_convert (headers, header_count, fields);
   if (!body_length_find (request, status, fields, count, &length) && !is_end)
     {
-      finish (request, "answer with two lengths");
+      finish (request, "answer without a length");
       return NULL;
     }
   request->is_in_callback = true;
@@ -255,14 +215,15 @@
       request_free (request);
       return NULL;
     }
-  if (request->ends_with_close)
-    {
-      request->guard.cb = on_body_guard;
-      h2o_timeout_link (request->client->ctx.loop, &request->client->at_once, &request->guard);
-    }
   return on_body;
 }
 
+static sgr_target_request_t *
+request_of (h2o_socket_t *sock)
+{
+  return ((h2o_http1client_t *)sock->data)->data;
+}
+
 static void
 head_check (h2o_socket_t *sock, const char *err)
 {
