Do not dispose of the pool's timer twice when a target client is destroyed

Cause: h2o_socketpool_dispose() disposes of the timer itself, so that the second call followed a cleared list and the node crashed when its target had announced another address or connection limit. Test: test_target_client, which crashed before.

--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -93,8 +93,6 @@
   if (client == NULL)
     return;
   sgr_invariant (client->open_requests == 0);
-  h2o_timeout_unlink (&client->pool._interval_cb.entry);
-  h2o_timeout_dispose (client->ctx.loop, &client->pool._interval_cb.timeout);
   h2o_socketpool_dispose (&client->pool);
   h2o_timeout_dispose (client->ctx.loop, &client->io_timeout);
   h2o_timeout_dispose (client->ctx.loop, &client->immediate_timeout);
