--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -323,7 +323,8 @@
   sgr_call_event_t event = { .kind = SGR_CALL_EVENT_CANCEL };
 
   call->req = NULL;
-  call->event_depth++;
+  if (call->event_depth++ == 0)
+    call->now_us = sgr_clock_monotonic_us ();
   if (!call->is_finished)
     sgr_data_call_event (call, &event);
   call->event_depth--;
