Wait for the close of the target's connection in test_answers

Cause, traced by the order of events: the target ends each connection after one answer without announcing it. Under load the next request reached the kept connection before that close, and its outcome was truly unknown. Each answer is checked as before; the next request starts after the close.

--- a/tests/test_path_target.c
+++ b/tests/test_path_target.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <pthread.h>
+#include <semaphore.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -92,6 +93,8 @@
 static sgr_fixture_t fixture;
 static int listener;
 static const answer_case_t *current_case;
+/* Posted when the target has answered and ended its side of the connection. */
+static sem_t answered;
 
 static void
 bytes_send (int fd, const char *bytes, size_t length)
@@ -138,6 +141,7 @@
           bytes_send (fd, (const char *)text.bytes, text.length);
           /* close() with unread data would reset the connection, and the answer could be lost. */
           shutdown (fd, SHUT_WR);
+          sem_post (&answered);
           while (recv (fd, input, sizeof input, 0) > 0)
             ;
         }
@@ -159,6 +163,7 @@
   int on = 1;
 
   current_case = &cases[0];
+  sem_init (&answered, 0, 0);
   sgr_fixture_init (&fixture);
   fixture.limits = "  announce_ttl_ms: 60000\n";
   sgr_fixture_node_add (&fixture, "entry", NULL, false);
@@ -212,7 +217,9 @@
 }
 
 /* Guards against a node that forwards an ambiguous or truncated answer as if it were whole, or
-   alters a valid answer. Each answer is requested through both nodes. */
+   alters a valid answer. Each answer is requested through both nodes. The target ends each
+   connection after one answer without announcing it; a request that meets this close is truly
+   unknown, so the next request waits for it. */
 static void
 test_answers (void **state)
 {
@@ -227,8 +234,11 @@
                   .fields = "Siskingrade-Service: one\r\nSiskingrade-Idempotent: no\r\n" };
           sgr_probe_answer_t answer;
 
+          while (sem_trywait (&answered) == 0)
+            ;
           current_case = &cases[i];
           sgr_probe_call (&request, &answer);
+          sem_wait (&answered);
           answer_check (current_case, &answer);
           sgr_probe_release (&answer);
         }
