Keep a restarted node's service and address until its target announces itself

The record of a new boot names no service until the target has announced itself, so that the entry could neither query its open attempts there nor use a target that the gate reported as serving, until the next record arrived up to 250 ms later, or with a lost datagram seconds later. Tests: test_restarted_node_has_no_service_yet, and test_gate_restarts_without_target (504 before, 502 now).

--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -92,11 +92,11 @@
   snapshot->config_revision = sgr_config_state_revision (state);
   snapshot->local = control->announce.local;
   snapshot->local.state = sgr_control_target_state (control);
-  for (size_t i = 0; i < control->member_count; i++)
-    {
-      if (control->members[i].service[0] != '\0')
-        snapshot->members[snapshot->member_count++] = control->members[i];
-    }
+  /* Nodes without a target are included: a gate that has restarted is queried for open attempts
+     before its target has announced itself again. */
+  if (control->member_count > 0)
+    memcpy (snapshot->members, control->members, control->member_count * sizeof *snapshot->members);
+  snapshot->member_count = control->member_count;
   for (size_t i = 0; i < policies; i++)
     snapshot->policies[snapshot->policy_count++] = *sgr_config_state_service_at (state, i);
   if (route_count > 0)
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -192,6 +192,25 @@
   sgr_balancer_target_add (service->balancer, now_us, &info, &target);
 }
 
+/* Keeps the service of nodes that restarted and have not announced a target yet. The load reports
+   of such a node may already show that its target serves, before its announcement spreads. */
+static void
+restarted_services_keep (sgr_data_services_t *services, const sgr_snapshot_t *previous)
+{
+  const sgr_snapshot_t *snapshot = services->task->snapshot;
+
+  for (size_t i = 0, j = 0; previous != NULL && i < snapshot->member_count; i++)
+    {
+      sgr_member_t *member = &snapshot->members[i];
+
+      while (j < previous->member_count && previous->members[j].id < member->id)
+        j++;
+      if (j < previous->member_count && previous->members[j].id == member->id
+          && member->service[0] == '\0')
+        memcpy (member->service, previous->members[j].service, sizeof member->service);
+    }
+}
+
 /* Removes targets of the previous snapshot that are no longer members of their service. */
 static void
 departed_targets_remove (sgr_data_services_t *services, const sgr_snapshot_t *previous)
@@ -219,6 +238,7 @@
     services->list[i]->is_present = false;
   for (size_t i = 0; i < snapshot->policy_count; i++)
     policy_apply (services, &snapshot->policies[i]);
+  restarted_services_keep (services, previous);
   departed_targets_remove (services, previous);
   for (size_t i = 0; i < snapshot->member_count; i++)
     member_apply (services, &snapshot->members[i], now_us);
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -33,7 +33,8 @@
  * sent; the control task does not access it any more.
  *
  * @local: the local target
- * @members: nodes that have a target and are alive or suspect, this node included
+ * @members: nodes that are alive or suspect, this node included; the service of a node without a
+ *   target is empty
  * @member_count: entries of @members
  * @config_revision: revision of the configuration, 0 if none is known
  * @policies: policies of the services in the configuration
--- a/tests/test_data_service.c
+++ b/tests/test_data_service.c
@@ -63,7 +63,8 @@
   sgr_node_id_t node = 0;
 
   return found != NULL
-         && sgr_data_service_pick (found, 2, NULL, 0, 0, &node) != SGR_BALANCER_TARGET_NONE;
+         && sgr_data_service_pick (found, sgr_clock_monotonic_us (), NULL, 0, 0, &node)
+                != SGR_BALANCER_TARGET_NONE;
 }
 
 /* Guards against calls to a target that is no longer in the service, and against a target that
@@ -88,6 +89,56 @@
   fixture_stop (&fixture);
 }
 
+/* Applies a snapshot in which the member has restarted and not announced a target. */
+static void
+restart_apply (fixture_t *fixture)
+{
+  sgr_snapshot_t *old = fixture->task.snapshot;
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (1, 1, 0);
+
+  sgr_policy_init (&snapshot->policies[0], "a");
+  snapshot->policy_count = 1;
+  snapshot->members[0] = (sgr_member_t){ .id = 7, .boot = 2, .target_state = SGR_TARGET_NONE };
+  snapshot->member_count = 1;
+  fixture->task.snapshot = snapshot;
+  sgr_data_services_update (fixture->task.services, old, sgr_clock_monotonic_us ());
+  sgr_snapshot_destroy (old);
+}
+
+/* Guards against a service without a target after a restart of the gate's node: the record of the
+   new boot, which names no service yet, arrives after a load report that shows the target as
+   serving, or before it. */
+static void
+test_restarted_node_has_no_service_yet (void **state)
+{
+  Sgr__Pb__LoadReport report = SGR__PB__LOAD_REPORT__INIT;
+  fixture_t fixture;
+
+  report.slots = 4;
+  for (int is_report_first = 0; is_report_first <= 1; is_report_first++)
+    {
+      fixture_start (&fixture);
+      fixture_snapshot_apply (&fixture, "a", "a");
+      report.state = SGR_TARGET_SERVING;
+      if (is_report_first)
+        sgr_data_services_load_report_apply (fixture.task.services, 7, &report);
+      restart_apply (&fixture);
+      if (!is_report_first)
+        {
+          assert_false (has_target (&fixture, "a"));
+          sgr_data_services_load_report_apply (fixture.task.services, 7, &report);
+        }
+      assert_true (has_target (&fixture, "a"));
+      /* A second snapshot without news keeps the target. */
+      restart_apply (&fixture);
+      assert_true (has_target (&fixture, "a"));
+      report.state = SGR_TARGET_LEFT;
+      sgr_data_services_load_report_apply (fixture.task.services, 7, &report);
+      assert_false (has_target (&fixture, "a"));
+      fixture_stop (&fixture);
+    }
+}
+
 /* Guards against memory that grows with the tenant names that callers choose: 64 pairs of tenant
    and class have a histogram each, all others share one. */
 static void
@@ -125,6 +176,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_target_changes_service),
+    cmocka_unit_test (test_restarted_node_has_no_service_yet),
     cmocka_unit_test (test_latency_histograms_are_limited),
   };
 
--- a/tests/test_path_faults.c
+++ b/tests/test_path_faults.c
@@ -505,14 +505,55 @@
                         0);
 }
 
+/* Guards against an open attempt whose outcome is asked for only at the deadline, because its gate
+   has restarted and has no target yet. The restarted gate cannot be reached before the entry knows
+   that the target is gone. */
+static void
+test_gate_restarts_without_target (void **state)
+{
+  sgr_path_call_t call = { .entry = node (ENTRY),
+                           .service = "one",
+                           .method = "POST",
+                           .path = "/",
+                           .body = "body",
+                           .fields = "X-Service-Us: 3000000\r\n" };
+  uint64_t starts = sgr_fixture_metric (node (GATE), STARTS_METRIC);
+  sgr_probe_answer_t answer;
+  char outcome[32] = "";
+  int fd = sgr_path_call_send (&call);
+
+  while (sgr_fixture_metric (node (GATE), STARTS_METRIC) == starts)
+    sgr_fixture_poll_sleep ();
+  sgr_relay_refuse_set (node (GATE)->relay, 1);
+  sgr_fixture_process_kill (&node (GATE)->pid);
+  sgr_fixture_process_kill (&node (GATE)->target_pid);
+  sgr_fixture_node_start (&fixture, node (GATE));
+  while (sgr_fixture_metric (node (ENTRY), "siskingrade_targets{service=\"one\"}") > 0)
+    sgr_fixture_poll_sleep ();
+  sgr_relay_refuse_set (node (GATE)->relay, 0);
+  sgr_path_answer_receive (fd, &call, &answer);
+  sgr_probe_field (&answer, "siskingrade-outcome", outcome, sizeof outcome);
+  assert_int_equal (answer.status, 502);
+  assert_string_equal (outcome, "unknown");
+  sgr_probe_release (&answer);
+  sgr_fixture_target_start (&fixture, node (GATE));
+  assert_true (sgr_fixture_service_await (node (ENTRY), "one"));
+  assert_true (sgr_fixture_service_await (node (OTHER_ENTRY), "one"));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_target_faults),        cmocka_unit_test (test_link_faults),
-    cmocka_unit_test (test_late_frames),          cmocka_unit_test (test_key_repeats),
-    cmocka_unit_test (test_key_after_link_fault), cmocka_unit_test (test_caller_disconnects),
-    cmocka_unit_test (test_target_drains),        cmocka_unit_test (test_cut_over_http2),
+    cmocka_unit_test (test_target_faults),
+    cmocka_unit_test (test_link_faults),
+    cmocka_unit_test (test_late_frames),
+    cmocka_unit_test (test_key_repeats),
+    cmocka_unit_test (test_key_after_link_fault),
+    cmocka_unit_test (test_caller_disconnects),
+    cmocka_unit_test (test_target_drains),
+    cmocka_unit_test (test_cut_over_http2),
+    cmocka_unit_test (test_gate_restarts_without_target),
   };
 
   return cmocka_run_group_tests (tests, group_setup, group_teardown);
