Deliver queued answers before a stopping node closes its connections

Cause of the red test_planned_stop: the drain counted a request as ended when its answer was queued, not when it was sent. The process ended 5 ms later, with unsent bytes or with unread input, which resets the connection; the entry then saw the answer cut. Change: after the last call the gate finishes each connection: what is queued is sent, the sending side is shut down, and the other node closes. Connections of callers are waited for in the same way. From SIGTERM on, an answer behind which no request waits closes its connection; idle connections wait 300 ms for a request in transit before they close; connections in the accept queue are served. The drained line names the calls that were cut by the timeout.

--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -237,9 +237,9 @@
 }
 
 static void
-drain_complete (sgr_control_t *control)
+drain_complete (sgr_control_t *control, size_t open_calls)
 {
-  sgr_log_info ("drained", "calls=0");
+  sgr_log_info ("drained", "calls=%zu", open_calls);
   control->is_drained = true;
   stop_if_drained (control);
 }
@@ -260,15 +260,20 @@
         sgr_control_target_changed (control);
       break;
     case MESSAGE_DRAINED:
-      drain_complete (control);
+      drain_complete (control, *(size_t *)message);
+      free (message);
       break;
     }
 }
 
 static void
-on_drained (void *ctx)
+on_drained (void *ctx, size_t open_calls)
 {
-  sgr_mailbox_send (((sgr_control_t *)ctx)->mailbox, MESSAGE_DRAINED, NULL);
+  size_t *message = malloc (sizeof *message);
+
+  sgr_invariant (message != NULL);
+  *message = open_calls;
+  sgr_mailbox_send (((sgr_control_t *)ctx)->mailbox, MESSAGE_DRAINED, message);
 }
 
 static void
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -202,6 +202,8 @@
   sgr_data_load_stop (gate);
   sgr_gate_destroy (gate->core);
   sgr_id_map_destroy (gate->waiters);
+  if (gate->client != NULL)
+    client_retire (gate);
   retired_clients_purge (gate);
   free (gate->retired);
   free (gate);
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -456,18 +456,26 @@
   return 0;
 }
 
-static void
-on_accept (h2o_socket_t *listener, const char *err)
+/* Accepts one connection; returns false if none is waiting. */
+static bool
+connection_accept (sgr_data_http_t *http)
 {
-  sgr_data_http_t *http = listener->data;
-  h2o_socket_t *sock;
+  h2o_socket_t *sock = h2o_evloop_socket_accept (http->listener);
 
-  if (err != NULL || (sock = h2o_evloop_socket_accept (listener)) == NULL)
-    return;
+  if (sock == NULL)
+    return false;
   if (http->tls != NULL)
     h2o_accept (&http->accept, sock);
   else
     sgr_http1_server_accept (http->server, sock);
+  return true;
+}
+
+static void
+on_accept (h2o_socket_t *listener, const char *err)
+{
+  if (err == NULL)
+    connection_accept (listener->data);
 }
 
 static void
@@ -526,16 +534,33 @@
   return NULL;
 }
 
+void
+sgr_data_http_leave (sgr_data_http_t *http)
+{
+  sgr_http1_server_leave (http->server);
+}
+
 void
 sgr_data_http_drain (sgr_data_http_t *http)
 {
   if (http->listener != NULL)
-    h2o_socket_close (http->listener);
+    {
+      /* Closing the listener resets connections that are established but not accepted yet. */
+      while (connection_accept (http))
+        ;
+      h2o_socket_close (http->listener);
+    }
   http->listener = NULL;
   sgr_http1_server_drain (http->server);
   h2o_context_request_shutdown (&http->context);
 }
 
+size_t
+sgr_data_http_connection_count (const sgr_data_http_t *http)
+{
+  return sgr_http1_server_connection_count (http->server);
+}
+
 size_t
 sgr_data_http_request_count (const sgr_data_http_t *http)
 {
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -42,6 +42,7 @@
  * @next_sequence: sequence number of the next call
  * @calls: number of open calls of callers
  * @is_draining: new requests of callers are refused
+ * @is_finishing: all calls have ended after a drain; connections deliver their last bytes and close
  * @is_stopped: the event loop has to end
  * @had_snapshot: at least one snapshot was applied
  * @leave_timer: sets @is_draining leave_delay_ms after the drain was requested
@@ -81,6 +82,7 @@
   uint64_t next_sequence;
   size_t calls;
   bool is_draining;
+  bool is_finishing;
   bool is_stopped;
   bool had_snapshot;
   sgr_timer_t leave_timer;
--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -213,6 +213,18 @@
     }
 }
 
+void
+sgr_data_peers_finish (sgr_data_peers_t *peers)
+{
+  peer_t *next;
+
+  for (peer_t *peer = peers->first; peer != NULL; peer = next)
+    {
+      next = peer->next;
+      sgr_peer_conn_finish (peer->conn);
+    }
+}
+
 size_t
 sgr_data_peers_count (const sgr_data_peers_t *peers)
 {
--- a/libsiskingrade/data_peer.h
+++ b/libsiskingrade/data_peer.h
@@ -10,6 +10,9 @@
 /** sgr_data_peers_count() - number of these connections */
 size_t sgr_data_peers_count (const sgr_data_peers_t *peers);
 
+/** sgr_data_peers_finish() - deliver what is queued on these connections, then end them */
+void sgr_data_peers_finish (sgr_data_peers_t *peers);
+
 /** sgr_data_peers_send() - send a frame to each entry node whose connection is ready */
 void sgr_data_peers_send (sgr_data_peers_t *peers, const Sgr__Pb__PeerFrame *frame);
 
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -92,13 +92,26 @@
   sgr_timer_arm (task->timers, &task->metrics_timer, now_us + METRICS_INTERVAL_US);
 }
 
+/* Whether the connections that may still deliver answers are closed. */
+static bool
+are_connections_closed (const sgr_data_task_t *task)
+{
+  return sgr_data_peers_count (task->peers) == 0
+         && sgr_data_http_connection_count (task->http) == 0;
+}
+
 static void
 on_drain_timer (void *ctx, uint64_t now_us)
 {
   sgr_data_task_t *task = ctx;
 
-  if (is_idle (task) || now_us >= task->drain_deadline_us)
-    task->events.drained (task->events_ctx);
+  if (!task->is_finishing && is_idle (task))
+    {
+      task->is_finishing = true;
+      sgr_data_peers_finish (task->peers);
+    }
+  if ((task->is_finishing && are_connections_closed (task)) || now_us >= task->drain_deadline_us)
+    task->events.drained (task->events_ctx, task->is_finishing ? 0 : task->calls);
   else
     sgr_timer_arm (task->timers, &task->drain_timer, now_us + DRAIN_POLL_INTERVAL_US);
 }
@@ -123,6 +136,7 @@
     return;
   task->drain_deadline_us = now_us + task->settings->drain_timeout_ms * SGR_USEC_PER_MSEC;
   sgr_data_gate_drain (task->gate, now_us);
+  sgr_data_http_leave (task->http);
   sgr_timer_arm (task->timers, &task->leave_timer,
                  now_us + task->settings->leave_delay_ms * SGR_USEC_PER_MSEC);
 }
--- a/libsiskingrade/data_task.h
+++ b/libsiskingrade/data_task.h
@@ -41,7 +41,8 @@
 
 /**
  * struct sgr_data_task_events_t - callbacks of the data task
- * @drained: after sgr_data_task_drain(), all calls have ended or drain_timeout_ms has passed
+ * @drained: after sgr_data_task_drain(), all calls have ended and their answers are delivered, or
+ * drain_timeout_ms has passed; @open_calls calls of callers are then cut
  * @key_bind: bind a caller's own key and reply with sgr_data_task_key_bind_reply_send(); the
  * receiver owns @bind
  * @target_unreachable: connections to the local target failed repeatedly
@@ -51,7 +52,7 @@
  */
 typedef struct
 {
-  void (*drained) (void *ctx);
+  void (*drained) (void *ctx, size_t open_calls);
   void (*key_bind) (void *ctx, sgr_data_key_bind_request_t *bind);
   void (*target_unreachable) (void *ctx);
 } sgr_data_task_events_t;
--- a/libsiskingrade/http1_conn.c
+++ b/libsiskingrade/http1_conn.c
@@ -20,6 +20,8 @@
 /* Closing a socket with unread input resets the connection, which can destroy an answer in transit.
    Input is therefore read and discarded for this long before the close. */
 #define LINGER_TIMEOUT_US (1 * SGR_USEC_PER_SEC)
+/* Time for which an idle connection of a node that stops waits for a request in transit. */
+#define DRAIN_IDLE_TIMEOUT_US (300 * SGR_USEC_PER_MSEC)
 
 /* First bytes of HTTP/2's connection preface. */
 static const char http2_preface_start[] = "PRI ";
@@ -78,6 +80,8 @@
 
   if (conn->is_lingering)
     wait_us = LINGER_TIMEOUT_US;
+  else if (conn->server->is_draining && conn->open_count == 0 && conn->reading == NULL)
+    wait_us = DRAIN_IDLE_TIMEOUT_US;
   else if (conn->is_writing || conn->reading != NULL)
     wait_us = STALL_TIMEOUT_US;
   else if (conn->open_count > 0)
@@ -88,12 +92,6 @@
   sgr_timer_arm (timers_of (conn), &conn->timeout, sgr_clock_monotonic_us () + wait_us);
 }
 
-static void
-on_timeout (void *ctx, uint64_t now_us)
-{
-  sgr_http1_conn_close (ctx);
-}
-
 /* Shuts down the sending side and starts to discard input. */
 static void
 linger (sgr_http1_conn_t *conn)
@@ -103,6 +101,18 @@
   timeout_arm (conn);
 }
 
+static void
+on_timeout (void *ctx, uint64_t now_us)
+{
+  sgr_http1_conn_t *conn = ctx;
+
+  if (!conn->is_lingering && conn->server->is_draining && conn->open_count == 0
+      && conn->reading == NULL)
+    linger (conn);
+  else
+    sgr_http1_conn_close (conn);
+}
+
 static void
 request_add (sgr_http1_conn_t *conn, sgr_http1_request_t *request)
 {
@@ -225,6 +235,9 @@
 
   if (request == NULL || !request->has_output || conn->is_writing)
     return;
+  if (conn->server->is_leaving && !request->is_head_sent && request->next == NULL
+      && conn->reading == NULL && conn->sock->input->size == 0)
+    conn->is_last_request_read = true;
   closes_connection = (conn->is_last_request_read && request->next == NULL)
                       || (request->error_text == NULL && !request->req.http1_is_persistent);
   vectors = sgr_http1_request_output (request, closes_connection, &count);
@@ -375,12 +388,6 @@
 void
 sgr_http1_conn_drain (sgr_http1_conn_t *conn)
 {
-  if (conn->is_last_request_read)
-    return;
-  /* A request that has arrived in part is read to its end; its answer closes the connection. */
-  if (conn->reading != NULL)
-    return;
-  conn->is_last_request_read = true;
-  if (conn->open_count == 0)
-    linger (conn);
+  if (!conn->is_last_request_read && conn->open_count == 0 && conn->reading == NULL)
+    timeout_arm (conn);
 }
--- a/libsiskingrade/http1_conn.h
+++ b/libsiskingrade/http1_conn.h
@@ -110,12 +110,14 @@
  * struct sgr_http1_server_t - all HTTP/1.1 connections of callers
  * @options: settings
  * @first: first connection of the list
- * @is_draining: no connection reads further requests
+ * @is_leaving: each connection closes after an answer behind which no request waits
+ * @is_draining: idle connections close soon
  */
 struct sgr_http1_server_t
 {
   sgr_http1_options_t options;
   sgr_http1_conn_t *first;
+  bool is_leaving;
   bool is_draining;
 };
 
@@ -123,10 +125,7 @@
 void sgr_http1_conn_create (sgr_http1_server_t *server, h2o_socket_t *sock,
                             struct timeval connected_at);
 void sgr_http1_conn_close (sgr_http1_conn_t *conn);
-/**
- * sgr_http1_conn_drain() - answer the requests that have begun to arrive, then close
- * @conn: the connection, which closes at once if there are no such requests
- */
+/** sgr_http1_conn_drain() - close an idle connection unless a request arrives within a moment */
 void sgr_http1_conn_drain (sgr_http1_conn_t *conn);
 /** sgr_http1_conn_flush() - write the waiting output of the oldest request, if no write runs */
 void sgr_http1_conn_flush (sgr_http1_conn_t *conn);
--- a/libsiskingrade/http1_server.c
+++ b/libsiskingrade/http1_server.c
@@ -22,11 +22,28 @@
                          *h2o_get_timestamp (server->options.accept->ctx, NULL, NULL));
 }
 
+void
+sgr_http1_server_leave (sgr_http1_server_t *server)
+{
+  server->is_leaving = true;
+}
+
+size_t
+sgr_http1_server_connection_count (const sgr_http1_server_t *server)
+{
+  size_t count = 0;
+
+  for (const sgr_http1_conn_t *conn = server->first; conn != NULL; conn = conn->next)
+    count++;
+  return count;
+}
+
 void
 sgr_http1_server_drain (sgr_http1_server_t *server)
 {
   sgr_http1_conn_t *next;
 
+  sgr_http1_server_leave (server);
   server->is_draining = true;
   for (sgr_http1_conn_t *conn = server->first; conn != NULL; conn = next)
     {
--- a/libsiskingrade/http1_server.h
+++ b/libsiskingrade/http1_server.h
@@ -35,12 +35,24 @@
 void sgr_http1_server_accept (sgr_http1_server_t *server, h2o_socket_t *sock);
 
 /**
- * sgr_http1_server_drain() - read no further requests
+ * sgr_http1_server_leave() - close each connection after an answer behind which no request waits
  *
- * Each connection answers the requests that have begun to arrive, and closes after the last answer.
+ * An idle connection stays open, and closes after its next request.
+ */
+void sgr_http1_server_leave (sgr_http1_server_t *server);
+
+/**
+ * sgr_http1_server_drain() - as sgr_http1_server_leave(), and close idle connections soon
+ *
+ * An idle connection waits a moment for a request that its caller may have sent already, because
+ * the caller could not tell whether a request that meets a close was run.
  */
 void sgr_http1_server_drain (sgr_http1_server_t *server);
 
+/** sgr_http1_server_connection_count() - open connections, those that only discard input included
+ */
+size_t sgr_http1_server_connection_count (const sgr_http1_server_t *server);
+
 /** sgr_http1_server_destroy() - close all connections at once and free the server; NULL is allowed
  */
 void sgr_http1_server_destroy (sgr_http1_server_t *server);
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* Maximum size of the bulk frames in one write. It bounds the time that an urgent frame waits for a
    write in progress. A single larger frame is sent nevertheless. */
@@ -17,6 +18,8 @@
  * @sock: socket, NULL after the close
  * @is_connected: the TCP connection is established
  * @is_ready: the other node's Hello arrived
+ * @is_finishing: no frame is accepted any more; the sending side is shut down once all queued
+ *                frames are written
  * @is_closed: closed; a timer frees the connection
  * @remote_node: node id from the other node's Hello
  * @remote_boot: boot id from the other node's Hello
@@ -40,6 +43,7 @@
   h2o_socket_t *sock;
   bool is_connected;
   bool is_ready;
+  bool is_finishing;
   bool is_closed;
   sgr_node_id_t remote_node;
   sgr_boot_id_t remote_boot;
@@ -167,7 +171,11 @@
   sgr_buffer_append (&conn->writing, conn->bulk.bytes, bulk_length);
   sgr_buffer_consume (&conn->bulk, bulk_length);
   if (conn->writing.length == 0)
-    return;
+    {
+      if (conn->is_finishing)
+        shutdown (h2o_socket_get_fd (conn->sock), SHUT_WR);
+      return;
+    }
   vector = h2o_iovec_init (conn->writing.bytes, conn->writing.length);
   h2o_socket_write (conn->sock, &vector, 1, on_written);
 }
@@ -179,7 +187,7 @@
   sgr_buffer_t *queue = priority == SGR_PEER_BULK ? &conn->bulk : &conn->urgent;
   sgr_result_t result;
 
-  if (conn->is_closed)
+  if (conn->is_closed || conn->is_finishing)
     return SGR_ERR_UNAVAILABLE;
   result = sgr_frame_append (queue, frame);
   if (result != SGR_OK)
@@ -188,6 +196,16 @@
   return SGR_OK;
 }
 
+void
+sgr_peer_conn_finish (sgr_peer_conn_t *conn)
+{
+  if (conn->is_closed || conn->is_finishing)
+    return;
+  conn->is_finishing = true;
+  sgr_timer_cancel (conn->env->timers, &conn->heartbeat);
+  flush_queues (conn);
+}
+
 static void
 send_hello (sgr_peer_conn_t *conn)
 {
@@ -273,7 +291,7 @@
   bool was_idle = conn->waiting_attempts == 0;
 
   conn->waiting_attempts = count;
-  if (conn->is_closed || !was_idle || count == 0)
+  if (conn->is_closed || conn->is_finishing || !was_idle || count == 0)
     return;
   if (!conn->is_ping_unanswered)
     conn->silent_since_us = sgr_clock_monotonic_us ();
@@ -358,6 +376,11 @@
     }
   sgr_counter_add (conn->env->bytes_in, sock->bytes_read);
   sock->bytes_read = 0;
+  if (conn->is_finishing)
+    {
+      h2o_buffer_consume (&sock->input, sock->input->size);
+      return;
+    }
   conn->silent_since_us = sgr_clock_monotonic_us ();
   conn->is_ping_unanswered = false;
   input_decode (conn);
--- a/libsiskingrade/peer_conn.h
+++ b/libsiskingrade/peer_conn.h
@@ -134,6 +134,16 @@
  */
 void sgr_peer_conn_waiting_set (sgr_peer_conn_t *conn, size_t count);
 
+/**
+ * sgr_peer_conn_finish() - send what is queued, then end the sending side
+ * @conn: the connection
+ *
+ * Received frames are discarded from now on. The callback closed follows when the other node has
+ * closed its side. Closing the socket at once instead would reset the connection if input is
+ * unread, and the other node could lose the end of an answer.
+ */
+void sgr_peer_conn_finish (sgr_peer_conn_t *conn);
+
 /** sgr_peer_conn_close() - close and free a connection without a callback */
 void sgr_peer_conn_close (sgr_peer_conn_t *conn);
 
--- a/tests/test_data_task.c
+++ b/tests/test_data_task.c
@@ -1,8 +1,15 @@
+#include <arpa/inet.h>
+#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -11,23 +18,40 @@
 #include "http_listener.h"
 #include "http_probe.h"
 #include "node_fixture.h"
+#include "scripted_peer.h"
+#include "types.h"
 
 /* Tests of starting and stopping the thread of the data task. */
 
 #define REQUEST_COUNT 5
+/* Larger than what the kernel buffers of one connection. */
+#define LARGE_ANSWER_BYTES (24U * 1024 * 1024)
+/* Credit that the simulated entry grants at a time; the gate accepts no more. */
+#define CREDIT_BYTES (1024U * 1024)
+/* After this time the simulated entry reads the answer even if the task has not drained. */
+#define READ_DELAY_US (300 * SGR_USEC_PER_MSEC)
+#define EVENT_TIMEOUT_US (20 * SGR_USEC_PER_SEC)
+
+static atomic_int drained_count;
 
 static void
 on_event (void *ctx)
 {
 }
 
+static void
+on_drained (void *ctx, size_t open_calls)
+{
+  atomic_fetch_add (&drained_count, 1);
+}
+
 static void
 on_key_bind (void *ctx, sgr_data_key_bind_request_t *bind)
 {
 }
 
 static const sgr_data_task_events_t events
-    = { .drained = on_event, .key_bind = on_key_bind, .target_unreachable = on_event };
+    = { .drained = on_drained, .key_bind = on_key_bind, .target_unreachable = on_event };
 
 static void
 settings_make (sgr_settings_t *settings)
@@ -96,12 +120,199 @@
   sgr_buffer_release (&errors);
 }
 
+/* Target that answers one request with LARGE_ANSWER_BYTES. */
+static void *
+large_target_run (void *argument)
+{
+  int listener = *(int *)argument;
+  int fd = accept (listener, NULL, NULL);
+  static char text[64 * 1024];
+  char head[128];
+  int length = snprintf (head, sizeof head, "HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n",
+                         LARGE_ANSWER_BYTES);
+
+  assert_true (recv (fd, text, sizeof text, 0) > 0);
+  memset (text, 'z', sizeof text);
+  assert_int_equal (send (fd, head, (size_t)length, MSG_NOSIGNAL), length);
+  for (size_t sent = 0; sent < LARGE_ANSWER_BYTES; sent += sizeof text)
+    {
+      for (size_t done = 0; done < sizeof text;)
+        {
+          ssize_t part = send (fd, text + done, sizeof text - done, MSG_NOSIGNAL);
+
+          assert_true (part > 0);
+          done += (size_t)part;
+        }
+    }
+  close (fd);
+  return NULL;
+}
+
+static sgr_address_t
+target_listen (int *listener)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t size = sizeof address;
+
+  *listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  assert_int_equal (bind (*listener, (struct sockaddr *)&address, sizeof address), 0);
+  assert_int_equal (listen (*listener, 4), 0);
+  assert_int_equal (getsockname (*listener, (struct sockaddr *)&address, &size), 0);
+  return (sgr_address_t){ .ip = INADDR_LOOPBACK, .port = ntohs (address.sin_port) };
+}
+
+/* A snapshot with a local target of the service "one". */
+static sgr_snapshot_t *
+target_snapshot_create (const sgr_address_t *target)
+{
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (0, 1, 0);
+
+  snapshot->local = (sgr_local_target_t){
+    .service = "one", .address = *target, .state = SGR_TARGET_SERVING, .slots = 4
+  };
+  snapshot->config_revision = 1;
+  sgr_policy_init (&snapshot->policies[0], "one");
+  snapshot->policy_count = 1;
+  return snapshot;
+}
+
+/* Connects to the gate as an entry, with a small receive buffer, and reads the gate's Hello. */
+static int
+entry_connect (const sgr_settings_t *settings, sgr_buffer_t *input, uint64_t *gate_boot)
+{
+  struct timeval timeout = { .tv_sec = 10 };
+  int fd = sgr_probe_connect (settings->peers.port);
+  sgr_buffer_t out = { 0 };
+  Sgr__Pb__PeerFrame *hello;
+
+  assert_true (fd >= 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  sgr_scripted_hello_append (&out, SGR_FRAME_VERSION, SGR_SCRIPTED_NODE, true);
+  assert_int_equal (send (fd, out.bytes, out.length, MSG_NOSIGNAL), (ssize_t)out.length);
+  sgr_buffer_release (&out);
+  hello = sgr_scripted_frame_read (fd, input);
+  assert_non_null (hello);
+  *gate_boot = hello->hello->boot;
+  sgr_frame_free (hello);
+  return fd;
+}
+
+/* Grants credit until the target's answer has arrived at the gate completely. Reads nothing, so
+   that most of the answer waits in the gate. */
+static void
+answer_await_unread (const sgr_data_task_t *task, int fd)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + EVENT_TIMEOUT_US;
+  sgr_buffer_t out = { 0 };
+
+  sgr_scripted_credit_append (&out, 1, CREDIT_BYTES);
+  while (sgr_counter_get (sgr_data_task_completed_counter (task)) == 0)
+    {
+      assert_true (sgr_clock_monotonic_us () < end_us);
+      send (fd, out.bytes, out.length, MSG_NOSIGNAL | MSG_DONTWAIT);
+      sgr_fixture_poll_sleep ();
+    }
+  sgr_buffer_release (&out);
+}
+
+/* Reads frames until the end of the answer or of the connection. Returns the body bytes of a whole
+   answer, 0 if it was cut. */
+static size_t
+answer_length_read (int fd, sgr_buffer_t *input)
+{
+  Sgr__Pb__PeerFrame *frame;
+  size_t length = 0;
+  bool is_whole = false;
+
+  while (!is_whole && (frame = sgr_scripted_frame_read (fd, input)) != NULL)
+    {
+      if (frame->body_case == SGR__PB__PEER_FRAME__BODY_ANSWER_CHUNK)
+        length += frame->answer_chunk->data.len;
+      is_whole = frame->body_case == SGR__PB__PEER_FRAME__BODY_ANSWER_END;
+      sgr_frame_free (frame);
+    }
+  return is_whole ? length : 0;
+}
+
+/** struct late_reader_t - entry that reads its answer only after the gate was told to stop */
+typedef struct
+{
+  int fd;
+  sgr_buffer_t input;
+  size_t length;
+} late_reader_t;
+
+/* Grants credit without reading, so that the gate queues the whole answer; reads it afterwards. */
+static void *
+late_reader_run (void *argument)
+{
+  late_reader_t *reader = argument;
+  uint64_t end_us = sgr_clock_monotonic_us () + READ_DELAY_US;
+  sgr_buffer_t out = { 0 };
+
+  sgr_scripted_credit_append (&out, 1, CREDIT_BYTES);
+  while (atomic_load (&drained_count) == 0 && sgr_clock_monotonic_us () < end_us)
+    {
+      send (reader->fd, out.bytes, out.length, MSG_NOSIGNAL | MSG_DONTWAIT);
+      sgr_fixture_poll_sleep ();
+    }
+  sgr_buffer_release (&out);
+  reader->length = answer_length_read (reader->fd, &reader->input);
+  close (reader->fd);
+  return NULL;
+}
+
+/* Guards against a planned stop that cuts an answer: the gate has queued the whole answer, but the
+   entry has not read it yet, when the gate closes its connections. */
+static void
+test_stop_delivers_queued_answer (void **state)
+{
+  late_reader_t reader = { 0 };
+  sgr_buffer_t errors = { 0 };
+  sgr_buffer_t out = { 0 };
+  sgr_settings_t settings;
+  sgr_data_task_t *task;
+  sgr_address_t target;
+  pthread_t target_thread, reader_thread;
+  uint64_t gate_boot;
+  int listener;
+
+  atomic_store (&drained_count, 0);
+  target = target_listen (&listener);
+  assert_int_equal (pthread_create (&target_thread, NULL, large_target_run, &listener), 0);
+  settings_make (&settings);
+  task = sgr_data_task_start (&settings, &sgr_call_fields_default, 1, &events, NULL, &errors);
+  assert_non_null (task);
+  sgr_data_task_snapshot_send (task, target_snapshot_create (&target));
+  reader.fd = entry_connect (&settings, &reader.input, &gate_boot);
+  sgr_scripted_call_append (&out, &(sgr_scripted_call_t){ .sequence = 1,
+                                                          .gate_boot = gate_boot,
+                                                          .remaining_us = EVENT_TIMEOUT_US });
+  assert_int_equal (send (reader.fd, out.bytes, out.length, MSG_NOSIGNAL), (ssize_t)out.length);
+  answer_await_unread (task, reader.fd);
+  sgr_data_task_drain (task);
+  assert_int_equal (pthread_create (&reader_thread, NULL, late_reader_run, &reader), 0);
+  while (atomic_load (&drained_count) == 0)
+    sgr_fixture_poll_sleep ();
+  sgr_data_task_stop (task);
+  sgr_data_task_join (task);
+  pthread_join (reader_thread, NULL);
+  pthread_join (target_thread, NULL);
+  close (listener);
+  sgr_buffer_release (&reader.input);
+  sgr_buffer_release (&errors);
+  sgr_buffer_release (&out);
+  assert_int_equal (reader.length, LARGE_ANSWER_BYTES);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_buffers_stay_in_their_thread),
     cmocka_unit_test (test_port_is_taken),
+    cmocka_unit_test (test_stop_delivers_queued_answer),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_path_peer.c
+++ b/tests/test_path_peer.c
@@ -16,6 +16,7 @@
 #include "node_fixture.h"
 #include "path_check.h"
 #include "rng.h"
+#include "scripted_peer.h"
 #include "timer_heap.h"
 
 /* A peer that violates the protocol. The node closes the connection of this peer and counts the
@@ -29,10 +30,6 @@
   OTHER_NODE,
 };
 
-/* Identity of the peer that the test simulates, different from those of the nodes. */
-#define PEER_NODE 77
-#define PEER_BOOT 78
-
 static sgr_fixture_t fixture;
 
 static int
@@ -52,22 +49,6 @@
   return 0;
 }
 
-static void
-hello_append (sgr_buffer_t *out, uint32_t version, uint64_t node, bool with_load)
-{
-  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
-  Sgr__Pb__Hello hello = SGR__PB__HELLO__INIT;
-  Sgr__Pb__LoadReport load = SGR__PB__LOAD_REPORT__INIT;
-
-  hello.version = version;
-  hello.node = node;
-  hello.boot = PEER_BOOT;
-  hello.load = with_load ? &load : NULL;
-  frame.body_case = SGR__PB__PEER_FRAME__BODY_HELLO;
-  frame.hello = &hello;
-  sgr_frame_append (out, &frame);
-}
-
 static void
 ping_append (sgr_buffer_t *out)
 {
@@ -79,61 +60,14 @@
   sgr_frame_append (out, &frame);
 }
 
-/** struct call_t - content of a Call frame; call_append() replaces 0 and NULL by valid defaults */
-typedef struct
-{
-  uint64_t node;
-  uint64_t sequence;
-  uint32_t attempt;
-  uint64_t gate_boot;
-  uint64_t remaining_us;
-  uint64_t body_length;
-  const char *method;
-  const char *path;
-  const char *header_name;
-  const char *header_value;
-} call_t;
-
-static void
-call_append (sgr_buffer_t *out, const call_t *call)
-{
-  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
-  Sgr__Pb__Call message = SGR__PB__CALL__INIT;
-  Sgr__Pb__Header header = SGR__PB__HEADER__INIT;
-  Sgr__Pb__Header *headers[] = { &header };
-  Sgr__Pb__AttemptId id;
-  sgr_attempt_id_t attempt = { .node = call->node != 0 ? call->node : PEER_NODE,
-                               .boot = PEER_BOOT,
-                               .sequence = call->sequence,
-                               .attempt = call->attempt };
-
-  sgr_frame_attempt_id_set (&id, &attempt);
-  header.name = (char *)(call->header_name != NULL ? call->header_name : "x-request-id");
-  header.value = (char *)(call->header_value != NULL ? call->header_value : "peer");
-  message.id = &id;
-  message.gate_boot = call->gate_boot;
-  message.remaining_us = call->remaining_us != 0 ? call->remaining_us : 1000000;
-  message.service = "one";
-  message.tenant = "t";
-  message.class_name = "c";
-  message.method = (char *)(call->method != NULL ? call->method : "POST");
-  message.path = (char *)(call->path != NULL ? call->path : "/");
-  message.headers = headers;
-  message.n_headers = 1;
-  message.body_length = call->body_length;
-  message.credit = UINT32_MAX;
-  frame.body_case = SGR__PB__PEER_FRAME__BODY_CALL;
-  frame.call = &message;
-  sgr_frame_append (out, &frame);
-}
-
 static void
 body_append (sgr_buffer_t *out, uint64_t sequence, uint64_t offset, size_t length)
 {
   Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
   Sgr__Pb__CallBody body = SGR__PB__CALL_BODY__INIT;
   Sgr__Pb__AttemptId id;
-  sgr_attempt_id_t attempt = { .node = PEER_NODE, .boot = PEER_BOOT, .sequence = sequence };
+  sgr_attempt_id_t attempt
+      = { .node = SGR_SCRIPTED_NODE, .boot = SGR_SCRIPTED_BOOT, .sequence = sequence };
   uint8_t data[100] = { 0 };
 
   sgr_frame_attempt_id_set (&id, &attempt);
@@ -152,7 +86,8 @@
   Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
   Sgr__Pb__Query query = SGR__PB__QUERY__INIT;
   Sgr__Pb__AttemptId id;
-  sgr_attempt_id_t attempt = { .node = PEER_NODE, .boot = PEER_BOOT, .sequence = sequence };
+  sgr_attempt_id_t attempt
+      = { .node = SGR_SCRIPTED_NODE, .boot = SGR_SCRIPTED_BOOT, .sequence = sequence };
 
   sgr_frame_attempt_id_set (&id, &attempt);
   query.id = &id;
@@ -168,7 +103,8 @@
   Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
   Sgr__Pb__AnswerEnd end = SGR__PB__ANSWER_END__INIT;
   Sgr__Pb__AttemptId id;
-  sgr_attempt_id_t attempt = { .node = PEER_NODE, .boot = PEER_BOOT, .sequence = 1 };
+  sgr_attempt_id_t attempt
+      = { .node = SGR_SCRIPTED_NODE, .boot = SGR_SCRIPTED_BOOT, .sequence = 1 };
 
   sgr_frame_attempt_id_set (&id, &attempt);
   end.id = &id;
@@ -190,29 +126,6 @@
   return fd;
 }
 
-/* Reads the next frame. Returns NULL if the connection ended or the receive timeout passed. */
-static Sgr__Pb__PeerFrame *
-frame_read (int fd, sgr_buffer_t *input)
-{
-  for (;;)
-    {
-      Sgr__Pb__PeerFrame *frame;
-      size_t consumed;
-      ssize_t received;
-
-      assert_int_equal (sgr_frame_decode (input->bytes, input->length, &frame, &consumed), SGR_OK);
-      if (frame != NULL)
-        {
-          sgr_buffer_consume (input, consumed);
-          return frame;
-        }
-      received = recv (fd, sgr_buffer_reserve (input, 65536), 65536, 0);
-      if (received <= 0)
-        return NULL;
-      input->length += (size_t)received;
-    }
-}
-
 enum
 {
   CASE_PING_FIRST,
@@ -237,7 +150,7 @@
   CASE_COUNT,
 };
 
-static const call_t bad_calls[CASE_COUNT] = {
+static const sgr_scripted_call_t bad_calls[CASE_COUNT] = {
   [CASE_ID_OF_OTHER_NODE] = { .node = 5, .sequence = 1 },
   [CASE_BAD_HEADER_NAME] = { .sequence = 2, .header_name = "a b" },
   [CASE_BAD_HEADER_VALUE] = { .sequence = 3, .header_value = "a\r\nx: y" },
@@ -259,20 +172,21 @@
     ping_append (out);
   else if (case_index == CASE_WRONG_VERSION || case_index == CASE_NODE_ZERO
            || case_index == CASE_NO_LOAD)
-    hello_append (out, case_index == CASE_WRONG_VERSION ? 99 : SGR_FRAME_VERSION,
-                  case_index == CASE_NODE_ZERO ? 0 : PEER_NODE, case_index != CASE_NO_LOAD);
+    sgr_scripted_hello_append (out, case_index == CASE_WRONG_VERSION ? 99 : SGR_FRAME_VERSION,
+                               case_index == CASE_NODE_ZERO ? 0 : SGR_SCRIPTED_NODE,
+                               case_index != CASE_NO_LOAD);
   else
-    hello_append (out, SGR_FRAME_VERSION, PEER_NODE, true);
+    sgr_scripted_hello_append (out, SGR_FRAME_VERSION, SGR_SCRIPTED_NODE, true);
   if (case_index == CASE_HELLO_TWICE)
-    hello_append (out, SGR_FRAME_VERSION, PEER_NODE, true);
+    sgr_scripted_hello_append (out, SGR_FRAME_VERSION, SGR_SCRIPTED_NODE, true);
   if (case_index >= CASE_ID_OF_OTHER_NODE && case_index <= CASE_CALL_TWICE)
-    call_append (out, &bad_calls[case_index]);
+    sgr_scripted_call_append (out, &bad_calls[case_index]);
   if (case_index == CASE_BODY_OFFSET)
     body_append (out, 9, 10, 20); /* offset 10, although no byte was sent before */
   if (case_index == CASE_BODY_PAST_LENGTH)
     body_append (out, 10, 0, 60); /* 60 bytes of a body with a length of 50 */
   if (case_index == CASE_CALL_TWICE)
-    call_append (out, &bad_calls[case_index]);
+    sgr_scripted_call_append (out, &bad_calls[case_index]);
   if (case_index == CASE_ANSWER_TO_GATE)
     answer_end_append (out); /* only a gate may send this frame */
   if (case_index == CASE_FRAME_OVERSIZED)
@@ -301,7 +215,7 @@
 
       case_frames_append (case_index, &out);
       assert_int_equal (send (fd, out.bytes, out.length, MSG_NOSIGNAL), (ssize_t)out.length);
-      while ((frame = frame_read (fd, &input)) != NULL)
+      while ((frame = sgr_scripted_frame_read (fd, &input)) != NULL)
         {
           if (frame->body_case != SGR__PB__PEER_FRAME__BODY_HELLO)
             fail_msg ("case %d: unexpected frame of type %d", case_index, frame->body_case);
@@ -330,9 +244,10 @@
       int fd = peer_connect ();
       size_t from;
 
-      hello_append (&out, SGR_FRAME_VERSION, PEER_NODE, true);
+      sgr_scripted_hello_append (&out, SGR_FRAME_VERSION, SGR_SCRIPTED_NODE, true);
       from = out.length;
-      call_append (&out, &(call_t){ .sequence = 1000 + (uint64_t)i, .gate_boot = 1 });
+      sgr_scripted_call_append (
+          &out, &(sgr_scripted_call_t){ .sequence = 1000 + (uint64_t)i, .gate_boot = 1 });
       for (int j = 0; j < 1 + i % 8; j++)
         out.bytes[from + sgr_rng_next (&rng) % (out.length - from)] = (uint8_t)sgr_rng_next (&rng);
       send (fd, out.bytes, out.length, MSG_NOSIGNAL);
@@ -354,30 +269,32 @@
   int fd = peer_connect ();
   uint64_t boot;
 
-  frame = frame_read (fd, &input);
+  frame = sgr_scripted_frame_read (fd, &input);
   assert_non_null (frame);
   assert_int_equal (frame->body_case, SGR__PB__PEER_FRAME__BODY_HELLO);
   boot = frame->hello->boot;
   sgr_frame_free (frame);
-  hello_append (&out, SGR_FRAME_VERSION, PEER_NODE, true);
+  sgr_scripted_hello_append (&out, SGR_FRAME_VERSION, SGR_SCRIPTED_NODE, true);
   query_append (&out, 5000, boot);
   query_append (&out, 5001, boot + 1);
-  call_append (&out, &(call_t){ .sequence = 5000, .gate_boot = boot });
-  call_append (&out, &(call_t){ .sequence = 5002, .gate_boot = boot, .header_value = "peer-runs" });
+  sgr_scripted_call_append (&out, &(sgr_scripted_call_t){ .sequence = 5000, .gate_boot = boot });
+  sgr_scripted_call_append (
+      &out,
+      &(sgr_scripted_call_t){ .sequence = 5002, .gate_boot = boot, .header_value = "peer-runs" });
   assert_int_equal (send (fd, out.bytes, out.length, MSG_NOSIGNAL), (ssize_t)out.length);
-  frame = frame_read (fd, &input);
+  frame = sgr_scripted_frame_read (fd, &input);
   assert_int_equal (frame->query_reply->phase, SGR_GATE_PHASE_SETTLED);
   assert_int_equal (frame->query_reply->outcome, SGR_OUTCOME_NOT_RUN);
   sgr_frame_free (frame);
-  frame = frame_read (fd, &input);
+  frame = sgr_scripted_frame_read (fd, &input);
   assert_int_equal (frame->query_reply->outcome, SGR_OUTCOME_UNKNOWN);
   sgr_frame_free (frame);
-  frame = frame_read (fd, &input);
+  frame = sgr_scripted_frame_read (fd, &input);
   assert_int_equal (frame->body_case, SGR__PB__PEER_FRAME__BODY_REFUSAL);
   assert_int_equal (frame->refusal->outcome, SGR_OUTCOME_NOT_RUN);
   assert_int_equal (frame->refusal->gate_reason, SGR_GATE_REASON_TOMBSTONE);
   sgr_frame_free (frame);
-  frame = frame_read (fd, &input);
+  frame = sgr_scripted_frame_read (fd, &input);
   assert_int_equal (frame->body_case, SGR__PB__PEER_FRAME__BODY_ANSWER_HEAD);
   sgr_frame_free (frame);
   close (fd);
