Keep calls in their failure domain while a target there has room

Cause: a choice compared six random targets of all failure domains. With 140 targets in six domains about one of the six was near, so that most calls left their domain, and an entry kept connections to, and got load reports from, nearly all gates. Change: a sample holds up to six near targets and three of a small set of far ones that rendezvous hashing fixes for each node (balancer_sample.c). Bytes of frames for other domains are counted by kind (siskingrade_peer_far_bytes_total).

--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -49,6 +49,8 @@
  * @far_us_per_kib: cost that is added to the latency of a target in another failure domain, in
  *   microseconds per KiB of request and answer; a higher cost keeps more bytes within the failure
  *   domain
+ * @far_set_seed: decides which targets of other failure domains this node uses; must differ between
+ *   nodes, so that their choices spread evenly, and stay the same for one node
  */
 typedef struct
 {
@@ -57,6 +59,7 @@
   uint64_t slow_start_us;
   uint32_t eject_percent;
   uint32_t far_us_per_kib;
+  uint64_t far_set_seed;
 } sgr_balancer_options_t;
 
 /**
--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -3,32 +3,12 @@
 #include <math.h>
 #include <string.h>
 
-/* Most targets that one choice compares: a random sample, so that nodes with the same reports do
-   not all choose the same target. */
-#define CANDIDATE_SAMPLE_MAX 6
 /* A hot target is chosen over one with a free slot only if its cost times this factor is lower. */
 #define HOT_COST_FACTOR 2.0
 /* Each cost is increased by a random share of it, at most this one, so that nodes with the same
    reports do not all choose the same target. */
 #define COST_JITTER_SHARE_MAX 0.05
 
-/* Moves a random sample of the candidates to the front of the array; returns the sample's size. */
-static size_t
-sample_draw (sgr_balancer_t *b, size_t count)
-{
-  size_t sample_count = count < CANDIDATE_SAMPLE_MAX ? count : CANDIDATE_SAMPLE_MAX;
-
-  for (size_t i = 0; i < sample_count && sample_count < count; i++)
-    {
-      size_t j = i + sgr_rng_below (&b->rng, count - i);
-      uint32_t index = b->candidates[j];
-
-      b->candidates[j] = b->candidates[i];
-      b->candidates[i] = index;
-    }
-  return sample_count;
-}
-
 /* Counts the choice if a candidate in another failure domain has a shorter round-trip time. */
 static void
 far_pick_record (sgr_balancer_t *b, size_t count, uint32_t chosen)
@@ -53,7 +33,7 @@
                      uint64_t bytes)
 {
   double far_charge_us = (double)b->options.far_us_per_kib * (double)bytes / 1024;
-  size_t sample_count = sample_draw (b, count);
+  size_t sample_count = sgr_balancer_sample_draw (b, count);
   /* Index 0: the best target with a free slot, index 1: the best hot target. */
   double best_cost[2] = { INFINITY, INFINITY };
   uint32_t best[2] = { 0, 0 };
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -150,6 +150,17 @@
   bool is_in_slow_start;
 } sgr_balancer_score_t;
 
+/* balancer_sample.c */
+
+/**
+ * sgr_balancer_sample_draw() - choose the candidates that one choice compares
+ * @b: the balancer; the sample is moved to the front of its candidates
+ * @count: number of candidates
+ *
+ * Return: size of the sample.
+ */
+size_t sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count);
+
 /* balancer_estimate.c */
 void sgr_balancer_estimate_init (sgr_balancer_estimate_t *estimate);
 void sgr_balancer_estimate_attempt_start (sgr_balancer_entry_t *entry, uint64_t now_us);
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -108,4 +108,7 @@
 /** sgr_data_member_find() - find a member of the current snapshot by node id, NULL if absent */
 const sgr_member_t *sgr_data_member_find (const sgr_data_task_t *task, sgr_node_id_t node);
 
+/** sgr_data_member_is_far() - whether a member is in another failure domain than this node */
+bool sgr_data_member_is_far (const sgr_data_task_t *task, const sgr_member_t *member);
+
 #endif
--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -55,7 +55,10 @@
 on_ready (void *ctx, sgr_peer_conn_t *conn)
 {
   peer_t *peer = ctx;
+  const sgr_member_t *member = sgr_data_member_find (peer->peers->task, sgr_peer_conn_node (conn));
 
+  sgr_peer_conn_far_set (conn,
+                         member != NULL && sgr_data_member_is_far (peer->peers->task, member));
   peer->channel.node = sgr_peer_conn_node (conn);
   peer->channel.boot = sgr_peer_conn_boot (conn);
   return SGR_OK;
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -102,20 +102,21 @@
 }
 
 static sgr_balancer_options_t
-balancer_options (const sgr_settings_t *settings, const sgr_policy_t *policy, uint64_t seed)
+balancer_options (const sgr_data_task_t *task, const sgr_policy_t *policy, uint64_t seed)
 {
   return (sgr_balancer_options_t){ .policy = SGR_BALANCER_LOAD_LATENCY,
                                    .seed = seed,
                                    .slow_start_us = policy->slow_start_ms * SGR_USEC_PER_MSEC,
                                    .eject_percent = policy->eject_percent,
-                                   .far_us_per_kib = (uint32_t)settings->far_us_per_kib };
+                                   .far_us_per_kib = (uint32_t)task->settings->far_us_per_kib,
+                                   .far_set_seed = task->node };
 }
 
 static sgr_data_service_t *
 service_add (sgr_data_services_t *services, const sgr_policy_t *policy)
 {
   sgr_balancer_options_t options
-      = balancer_options (services->task->settings, policy, sgr_rng_next (&services->task->rng));
+      = balancer_options (services->task, policy, sgr_rng_next (&services->task->rng));
   sgr_data_service_t *service = calloc (1, sizeof *service);
   bool is_found;
   size_t position = service_position (services, policy->service, &is_found);
@@ -145,7 +146,7 @@
     service = service_add (services, policy);
   service->policy = *policy;
   service->is_present = true;
-  options = balancer_options (services->task->settings, policy, 0);
+  options = balancer_options (services->task, policy, 0);
   sgr_balancer_options_set (service->balancer, &options);
   sgr_retry_budget_percent_set (&service->retry_budget, policy->retry_percent);
 }
@@ -173,7 +174,7 @@
   if (service == NULL)
     return;
   memcpy (info.failure_domain, member->failure_domain, sizeof info.failure_domain);
-  info.is_far = strcmp (services->task->settings->failure_domain, member->failure_domain) != 0;
+  info.is_far = sgr_data_member_is_far (services->task, member);
   info.link_rtt_us = link_rtt_initial_us (services->task->settings, member);
   target = sgr_balancer_target_find (service->balancer, member->id);
   known = sgr_balancer_target_info (service->balancer, target);
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -50,6 +50,12 @@
   return NULL;
 }
 
+bool
+sgr_data_member_is_far (const sgr_data_task_t *task, const sgr_member_t *member)
+{
+  return strcmp (task->settings->failure_domain, member->failure_domain) != 0;
+}
+
 static void
 routes_rebuild (sgr_data_task_t *task)
 {
@@ -190,6 +196,15 @@
       = sgr_metrics_counter (task->metrics, "siskingrade_peer_bytes_total", "direction=\"in\"");
   env->bytes_out
       = sgr_metrics_counter (task->metrics, "siskingrade_peer_bytes_total", "direction=\"out\"");
+  for (int i = 0; i < SGR_PEER_TRAFFIC_COUNT; i++)
+    {
+      char labels[64];
+
+      snprintf (labels, sizeof labels, "kind=\"%s\"",
+                sgr_peer_traffic_name ((sgr_peer_traffic_t)i));
+      env->far_bytes_out[i]
+          = sgr_metrics_counter (task->metrics, "siskingrade_peer_far_bytes_total", labels);
+    }
   for (int i = 0; i < SGR_PEER_CLOSE_COUNT; i++)
     {
       char labels[64];
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -18,6 +18,7 @@
  * @sock: socket, NULL after the close
  * @is_connected: the TCP connection is established
  * @is_ready: the other node's Hello arrived
+ * @is_far: the other node is in another failure domain
  * @is_finishing: no frame is accepted any more; the sending side is shut down once all queued
  *                frames are written
  * @is_closed: closed; a timer frees the connection
@@ -43,6 +44,7 @@
   h2o_socket_t *sock;
   bool is_connected;
   bool is_ready;
+  bool is_far;
   bool is_finishing;
   bool is_closed;
   sgr_node_id_t remote_node;
@@ -69,6 +71,34 @@
   return reason < SGR_PEER_CLOSE_COUNT ? names[reason] : "unknown";
 }
 
+const char *
+sgr_peer_traffic_name (sgr_peer_traffic_t traffic)
+{
+  static const char *const names[SGR_PEER_TRAFFIC_COUNT] = { "call", "answer", "load", "control" };
+
+  return traffic < SGR_PEER_TRAFFIC_COUNT ? names[traffic] : "unknown";
+}
+
+static sgr_peer_traffic_t
+frame_traffic (const Sgr__Pb__PeerFrame *frame)
+{
+  switch (frame->body_case)
+    {
+    case SGR__PB__PEER_FRAME__BODY_CALL:
+    case SGR__PB__PEER_FRAME__BODY_CALL_BODY:
+      return SGR_PEER_TRAFFIC_CALL;
+    case SGR__PB__PEER_FRAME__BODY_ANSWER_HEAD:
+    case SGR__PB__PEER_FRAME__BODY_ANSWER_CHUNK:
+    case SGR__PB__PEER_FRAME__BODY_ANSWER_END:
+    case SGR__PB__PEER_FRAME__BODY_REFUSAL:
+      return SGR_PEER_TRAFFIC_ANSWER;
+    case SGR__PB__PEER_FRAME__BODY_LOAD:
+      return SGR_PEER_TRAFFIC_LOAD;
+    default:
+      return SGR_PEER_TRAFFIC_CONTROL;
+    }
+}
+
 static void
 conn_free (sgr_peer_conn_t *conn)
 {
@@ -185,6 +215,7 @@
                     sgr_peer_priority_t priority)
 {
   sgr_buffer_t *queue = priority == SGR_PEER_BULK ? &conn->bulk : &conn->urgent;
+  size_t length = queue->length;
   sgr_result_t result;
 
   if (conn->is_closed || conn->is_finishing)
@@ -192,10 +223,18 @@
   result = sgr_frame_append (queue, frame);
   if (result != SGR_OK)
     return result;
+  if (conn->is_far)
+    sgr_counter_add (conn->env->far_bytes_out[frame_traffic (frame)], queue->length - length);
   flush_queues (conn);
   return SGR_OK;
 }
 
+void
+sgr_peer_conn_far_set (sgr_peer_conn_t *conn, bool is_far)
+{
+  conn->is_far = is_far;
+}
+
 void
 sgr_peer_conn_finish (sgr_peer_conn_t *conn)
 {
--- a/libsiskingrade/peer_conn.h
+++ b/libsiskingrade/peer_conn.h
@@ -45,6 +45,23 @@
   SGR_PEER_BULK,
 } sgr_peer_priority_t;
 
+/**
+ * enum sgr_peer_traffic_t - kinds of frames by which sent bytes are counted
+ * @SGR_PEER_TRAFFIC_CALL: requests and their bodies
+ * @SGR_PEER_TRAFFIC_ANSWER: answers and refusals
+ * @SGR_PEER_TRAFFIC_LOAD: load reports without an answer
+ * @SGR_PEER_TRAFFIC_CONTROL: all other frames
+ * @SGR_PEER_TRAFFIC_COUNT: number of kinds
+ */
+typedef enum
+{
+  SGR_PEER_TRAFFIC_CALL = 0,
+  SGR_PEER_TRAFFIC_ANSWER,
+  SGR_PEER_TRAFFIC_LOAD,
+  SGR_PEER_TRAFFIC_CONTROL,
+  SGR_PEER_TRAFFIC_COUNT,
+} sgr_peer_traffic_t;
+
 /**
  * struct sgr_peer_conn_env_t - what all connections of one task share
  * @loop: event loop
@@ -60,6 +77,7 @@
  * @closed: counters by sgr_peer_close_t of connections that the owner did not close itself
  * @bytes_in: counter of received bytes
  * @bytes_out: counter of sent bytes
+ * @far_bytes_out: counters by sgr_peer_traffic_t of the bytes of frames for other failure domains
  */
 typedef struct
 {
@@ -75,6 +93,7 @@
   sgr_counter_t *closed[SGR_PEER_CLOSE_COUNT];
   sgr_counter_t *bytes_in;
   sgr_counter_t *bytes_out;
+  sgr_counter_t *far_bytes_out[SGR_PEER_TRAFFIC_COUNT];
 } sgr_peer_conn_env_t;
 
 /**
@@ -147,6 +166,12 @@
 /** sgr_peer_conn_close() - close and free a connection without a callback */
 void sgr_peer_conn_close (sgr_peer_conn_t *conn);
 
+/** sgr_peer_conn_far_set() - set whether the other node is in another failure domain */
+void sgr_peer_conn_far_set (sgr_peer_conn_t *conn, bool is_far);
+
+/** sgr_peer_traffic_name() - name of a kind of traffic in metrics, a static string */
+const char *sgr_peer_traffic_name (sgr_peer_traffic_t traffic);
+
 /** sgr_peer_conn_is_ready() - whether the other node's Hello arrived */
 bool sgr_peer_conn_is_ready (const sgr_peer_conn_t *conn);
 
