Retry by a share of the requests in a window, and spend none on gates' refusals

Cause: the budget grew with successes, so that it was empty while most requests failed, and saved up to 20 retries a node. A refusal by a gate as late or full took from it although no target saw the request. Idempotent calls that a target answered with an error were never retried. Change: retry_budget counts requests and retries of the last 10 s; each entry keeps its share. Refusals as full or late go on without it. An error answer to an idempotent call is retried within a third of the share, since the repeated request repeats its own calls; the caller gets the error if nothing better comes. A slowed gate may queue from the third attempt on.

--- a/libsiskingrade/call_plan.c
+++ b/libsiskingrade/call_plan.c
@@ -36,6 +36,7 @@
 sgr_call_plan_init (sgr_call_plan_t *plan, const sgr_call_options_t *options)
 {
   *plan = (sgr_call_plan_t){ .options = *options,
+                             .error_attempt = ATTEMPT_NONE,
                              .committed_attempt = ATTEMPT_NONE,
                              .hedge_due_us = SGR_TIMER_NEVER,
                              .retry_due_us = SGR_TIMER_NEVER,
@@ -123,6 +124,13 @@
   sgr_call_plan_t *plan = step->plan;
   sgr_call_action_t *action;
 
+  /* The target's own error tells the caller more than the failure of a later attempt. */
+  if (plan->error_attempt != ATTEMPT_NONE && plan->committed_attempt == ATTEMPT_NONE
+      && reason != SGR_CALL_REASON_CANCELLED)
+    {
+      finish_complete (step, plan->error_attempt);
+      return;
+    }
   other_attempts_cancel (step, ATTEMPT_NONE);
   action = action_add (step, SGR_CALL_ACTION_FINISH, 0);
   action->outcome = attempt_state_count (plan, SGR_CALL_ATTEMPT_NOT_RUN) == plan->attempt_count
@@ -154,18 +162,28 @@
   plan->retry_due_us = SGR_TIMER_NEVER;
 }
 
-/* Whether a retry of the last failed attempt needs no token: that attempt put no load on its
-   target, and the reason for its failure does not apply to other targets. */
+/* Whether a retry of the last failed attempt needs no token: the gate refused that attempt before
+   it reached the target, and the reason concerns this target only. The limits of tenants and
+   classes are the same at all gates, so a retry would circumvent them. */
 static bool
 is_retry_without_token (const sgr_call_plan_t *plan)
 {
   if (plan->last_reason == SGR_CALL_REASON_NO_TARGET)
     return true;
-  return plan->last_reason == SGR_CALL_REASON_REFUSED
-         && (plan->last_gate_reason == SGR_GATE_REASON_DRAINING
-             || plan->last_gate_reason == SGR_GATE_REASON_SLOW
-             || plan->last_gate_reason == SGR_GATE_REASON_WRONG_BOOT
-             || plan->last_gate_reason == SGR_GATE_REASON_NOT_READY);
+  if (plan->last_reason != SGR_CALL_REASON_REFUSED)
+    return false;
+  switch (plan->last_gate_reason)
+    {
+    case SGR_GATE_REASON_DRAINING:
+    case SGR_GATE_REASON_SLOW:
+    case SGR_GATE_REASON_WRONG_BOOT:
+    case SGR_GATE_REASON_NOT_READY:
+    case SGR_GATE_REASON_QUEUE_FULL:
+    case SGR_GATE_REASON_LATE:
+      return true;
+    default:
+      return false;
+    }
 }
 
 /* Whether the limits of the call and its deadline allow another attempt. */
@@ -182,11 +200,14 @@
 
 /* Takes the token of a retry or hedge; false if the call chain or the budget has none left. */
 static bool
-retry_admit (sgr_call_plan_t *plan, sgr_retry_downstream_t downstream)
+retry_admit (const plan_step_t *step, sgr_retry_downstream_t downstream, sgr_retry_kind_t kind)
 {
+  sgr_call_plan_t *plan = step->plan;
+
   if (!sgr_retry_chain_allows (plan->options.chain, plan->retries_made, downstream))
     return false;
-  if (plan->options.budget != NULL && !sgr_retry_budget_take (plan->options.budget))
+  if (plan->options.budget != NULL
+      && !sgr_retry_budget_take (plan->options.budget, step->now_us, kind))
     return false;
   plan->retries_made++;
   return true;
@@ -197,6 +218,7 @@
 retry_schedule (plan_step_t *step)
 {
   sgr_call_plan_t *plan = step->plan;
+  bool is_error_answer = plan->last_reason == SGR_CALL_REASON_NONE;
   uint64_t delay_us = 0;
 
   if (!is_attempt_allowed (step))
@@ -213,7 +235,9 @@
       if (step->now_us + delay_us >= plan->options.deadline_us)
         return false;
     }
-  if (!is_retry_without_token (plan) && !retry_admit (plan, plan->last_retried_downstream))
+  if (!is_retry_without_token (plan)
+      && !retry_admit (step, plan->last_retried_downstream,
+                       is_error_answer ? SGR_RETRY_ERROR_ANSWER : SGR_RETRY_NOT_RUN))
     return false;
   if (delay_us > 0)
     plan->retry_due_us = step->now_us + delay_us;
@@ -233,7 +257,7 @@
   if (!is_repeatable (plan) || !is_attempt_allowed (step)
       || attempt_state_count (plan, SGR_CALL_ATTEMPT_SENT) == 0)
     return;
-  if (retry_admit (plan, SGR_RETRY_DOWNSTREAM_UNSPECIFIED))
+  if (retry_admit (step, SGR_RETRY_DOWNSTREAM_UNSPECIFIED, SGR_RETRY_NOT_RUN))
     attempt_start (step, true);
 }
 
@@ -368,9 +392,13 @@
   if (event->outcome == SGR_OUTCOME_COMPLETE && may_complete)
     {
       attempt->state = SGR_CALL_ATTEMPT_COMPLETE;
-      if (!event->error_status && plan->options.budget != NULL)
-        sgr_retry_budget_success_record (plan->options.budget);
-      finish_complete (step, event->attempt);
+      if (event->error_status && is_repeatable (plan) && plan->committed_attempt == ATTEMPT_NONE)
+        {
+          plan->error_attempt = event->attempt;
+          failure_record (plan, event);
+        }
+      else
+        finish_complete (step, event->attempt);
       return;
     }
   /* If a part of the answer was passed to the caller, the request ran, whatever is reported. */
@@ -504,6 +532,8 @@
   switch (event->kind)
     {
     case SGR_CALL_EVENT_BEGIN:
+      if (plan->options.budget != NULL)
+        sgr_retry_budget_request_record (plan->options.budget, now_us);
       if (plan->attempt_count == 0 && now_us < plan->options.deadline_us)
         attempt_start (&step, false);
       break;
--- a/libsiskingrade/call_plan.h
+++ b/libsiskingrade/call_plan.h
@@ -86,8 +86,8 @@
  * @retry_after_ms: OUTCOME: time after which a retry may succeed, milliseconds; 0 if unknown
  * @retried_downstream: OUTCOME: whether a node downstream has already applied its retry limits
  * @phase: QUERY_REPLY: state of the attempt at its gate
- * @error_status: OUTCOME with COMPLETE: the answer has a 5xx status, so the retry budget gains no
- * tokens
+ * @error_status: OUTCOME with COMPLETE: the answer has a 5xx status, so an idempotent call may be
+ * retried; the caller gets this answer if no later attempt gives a better one
  */
 typedef struct
 {
@@ -230,6 +230,8 @@
  * @attempt_count: number of elements in use in @attempts
  * @refused_count: number of attempts that gates refused; these attempts did not reach a target
  * @retries_made: retries and hedges so far that count against @options.chain and the retry budget
+ * @error_attempt: index of the last attempt with a whole answer of a 5xx status that was not passed
+ * to the caller, UINT32_MAX if there is none
  * @committed_attempt: index of the attempt of which a part of the answer was passed to the caller,
  * UINT32_MAX if there is none; no other attempt may answer the call any more
  * @deadline_passed: the deadline has passed and all open attempts were cancelled
@@ -251,6 +253,7 @@
   uint32_t attempt_count;
   uint32_t refused_count;
   uint32_t retries_made;
+  uint32_t error_attempt;
   uint32_t committed_attempt;
   bool deadline_passed;
   bool finished;
--- a/libsiskingrade/data_attempt.c
+++ b/libsiskingrade/data_attempt.c
@@ -226,6 +226,9 @@
   sgr_call_event_t event
       = { .kind = SGR_CALL_EVENT_CONNECTION_LOST, .attempt = attempt->id.attempt };
 
+  /* A whole answer with an error status is kept while the call is retried. */
+  if (attempt->call->plan.attempts[attempt->id.attempt].state == SGR_CALL_ATTEMPT_COMPLETE)
+    return;
   attempt->was_connection_lost = true;
   sgr_data_attempt_balancer_finish (attempt, SGR_OUTCOME_UNKNOWN, true, NULL);
   if (attempt->call->streaming != attempt && attempt->has_head)
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -7,6 +7,8 @@
 #include "data_link.h"
 #include "http_fields.h"
 
+/* Index of the first attempt that the gate of a slowed target may queue in any case. */
+#define MAY_WAIT_FROM_ATTEMPT 2
 /* Latency samples needed for hedging; the percentile of fewer samples is unreliable. */
 #define HEDGE_SAMPLES_MIN 100
 
@@ -141,12 +143,12 @@
   attempt->node = event.target;
   sgr_balancer_report_get (call->service->balancer, attempt->start_us, attempt->target,
                            &attempt->load);
-  /* The gate of a slowed target may queue the first attempt only if the balancer knew that the
+  /* The gate of a slowed target may queue an early attempt only if the balancer knew that the
      target is slowed. Otherwise the choice was based on an outdated load report, and the gate
      refuses the attempt at once, so that another target can be tried. Later attempts may always be
-     queued, because after a refusal it is more likely that all targets are slowed. */
+     queued, because after refusals it is more likely that all targets are slowed. */
   attempt->may_wait
-      = action->attempt > 0
+      = action->attempt >= MAY_WAIT_FROM_ATTEMPT
         || sgr_balancer_is_slowed (call->service->balancer, attempt->start_us, attempt->target);
   sgr_balancer_attempt_start (call->service->balancer, attempt->start_us, attempt->target);
   event.kind = SGR_CALL_EVENT_SENT;
--- a/libsiskingrade/policy.h
+++ b/libsiskingrade/policy.h
@@ -41,7 +41,7 @@
  *   they are nearly full complete more requests if fewer run at a time
  * @queue_max: most requests that wait in the queue of a gate
  * @attempts_max: most attempts of one call, the first included
- * @retry_percent: retries and hedges allowed per 100 successful calls
+ * @retry_percent: retries and hedges allowed per 100 requests, in a window of 10 s
  * @hedge_percentile: latency percentile after which an idempotent call is hedged, 0 for never
  * @not_run_status: HTTP statuses by which a target reports that it did not run the request
  * @not_run_status_count: used entries of @not_run_status
--- a/libsiskingrade/retry_budget.c
+++ b/libsiskingrade/retry_budget.c
@@ -2,12 +2,11 @@
 
 #include <string.h>
 
-/* One token, in thousandths. */
-#define TOKEN_MILLI 1000
-/* Tokens in a new bucket, so that a service with few calls can retry before its first success. */
-#define TOKENS_AT_START 3
-/* Size of the bucket, which limits how many retries a burst of failures can cause at once. */
-#define TOKENS_MAX 20
+/* Retries in a window that an entry may make beyond its share, so that an entry with few requests
+   can retry as well. */
+#define EXTRA_RETRIES 1
+/* Retries after an error answer may use the budget divided by this number. */
+#define ERROR_ANSWER_DIVISOR 3
 /* Maximum number of digits in the headers Siskingrade-Depth and Siskingrade-Retry-Budget. It is
    enough for the largest valid values, and such a number cannot overflow. */
 #define HEADER_DIGITS_MAX 4
@@ -15,30 +14,59 @@
 void
 sgr_retry_budget_percent_set (sgr_retry_budget_t *budget, uint32_t retry_percent)
 {
-  budget->tokens_per_success_milli = retry_percent * (TOKEN_MILLI / 100);
+  budget->retry_percent = retry_percent;
 }
 
 void
 sgr_retry_budget_init (sgr_retry_budget_t *budget, uint32_t retry_percent)
 {
-  sgr_retry_budget_percent_set (budget, retry_percent);
-  budget->tokens_milli = retry_percent == 0 ? 0 : TOKENS_AT_START * TOKEN_MILLI;
+  *budget = (sgr_retry_budget_t){ .retry_percent = retry_percent };
+}
+
+/* Clears the parts that have left the window. Returns the index of the newest part. */
+static size_t
+window_advance (sgr_retry_budget_t *budget, uint64_t now_us)
+{
+  uint64_t part = now_us / SGR_RETRY_WINDOW_PART_US;
+
+  if (part >= budget->part + SGR_RETRY_WINDOW_PARTS)
+    budget->part = part - SGR_RETRY_WINDOW_PARTS;
+  while (budget->part < part)
+    {
+      budget->part++;
+      budget->requests[budget->part % SGR_RETRY_WINDOW_PARTS] = 0;
+      budget->retries[budget->part % SGR_RETRY_WINDOW_PARTS] = 0;
+    }
+  return budget->part % SGR_RETRY_WINDOW_PARTS;
 }
 
 void
-sgr_retry_budget_success_record (sgr_retry_budget_t *budget)
+sgr_retry_budget_request_record (sgr_retry_budget_t *budget, uint64_t now_us)
 {
-  budget->tokens_milli += budget->tokens_per_success_milli;
-  if (budget->tokens_milli > TOKENS_MAX * TOKEN_MILLI)
-    budget->tokens_milli = TOKENS_MAX * TOKEN_MILLI;
+  budget->requests[window_advance (budget, now_us)]++;
 }
 
 bool
-sgr_retry_budget_take (sgr_retry_budget_t *budget)
+sgr_retry_budget_take (sgr_retry_budget_t *budget, uint64_t now_us, sgr_retry_kind_t kind)
 {
-  if (budget->tokens_milli < TOKEN_MILLI)
+  size_t newest = window_advance (budget, now_us);
+  uint64_t requests = 0;
+  uint64_t retries = 0;
+  uint64_t allowed_percent;
+
+  for (size_t i = 0; i < SGR_RETRY_WINDOW_PARTS; i++)
+    {
+      requests += budget->requests[i];
+      retries += budget->retries[i];
+    }
+  allowed_percent = requests * budget->retry_percent;
+  if (kind == SGR_RETRY_ERROR_ANSWER)
+    allowed_percent /= ERROR_ANSWER_DIVISOR;
+  else if (budget->retry_percent > 0)
+    allowed_percent += EXTRA_RETRIES * 100;
+  if ((retries + 1) * 100 > allowed_percent)
     return false;
-  budget->tokens_milli -= TOKEN_MILLI;
+  budget->retries[newest]++;
   return true;
 }
 
--- a/libsiskingrade/retry_budget.h
+++ b/libsiskingrade/retry_budget.h
@@ -12,37 +12,61 @@
    make together. */
 #define SGR_RETRY_CHAIN_RETRIES_MAX 2
 
+/* Parts of the sliding window of a retry budget, and the length of one part. */
+#define SGR_RETRY_WINDOW_PARTS 10
+#define SGR_RETRY_WINDOW_PART_US (1000U * 1000)
+
 /**
- * struct sgr_retry_budget_t - token bucket that limits the retries of one service at one entry
- * @tokens_milli: tokens in the bucket, in thousandths; a retry or hedge takes one whole token
- * @tokens_per_success_milli: tokens added for each successful call, in thousandths
+ * struct sgr_retry_budget_t - limits the retries of one service at one entry to a share of its
+ * requests in a sliding window
+ * @retry_percent: retries and hedges per 100 requests in the window; 0 allows none
+ * @part: number of the newest part of the window since the start of the clock
+ * @requests: requests in each part; part N is stored at N modulo SGR_RETRY_WINDOW_PARTS
+ * @retries: retries and hedges in each part
+ *
+ * Each entry keeps its own share, so that the sum over all entries stays within the share of all
+ * requests without a coordinator. In addition, each entry may make one retry in a window.
  */
 typedef struct
 {
-  uint32_t tokens_milli;
-  uint32_t tokens_per_success_milli;
+  uint32_t retry_percent;
+  uint64_t part;
+  uint32_t requests[SGR_RETRY_WINDOW_PARTS];
+  uint32_t retries[SGR_RETRY_WINDOW_PARTS];
 } sgr_retry_budget_t;
 
 /**
- * sgr_retry_budget_init() - set up a bucket with a few tokens, so that a service with few calls can
- * retry as well
- * @budget: the bucket
- * @retry_percent: retries and hedges per 100 successful calls; 0 allows none
+ * sgr_retry_budget_init() - set up a budget without requests
+ * @budget: the budget
+ * @retry_percent: retries and hedges per 100 requests in the window; 0 allows none
  */
 void sgr_retry_budget_init (sgr_retry_budget_t *budget, uint32_t retry_percent);
 
-/** sgr_retry_budget_percent_set() - change retry_percent; tokens in the bucket stay */
+/** sgr_retry_budget_percent_set() - change retry_percent; the counts of the window stay */
 void sgr_retry_budget_percent_set (sgr_retry_budget_t *budget, uint32_t retry_percent);
 
-/** sgr_retry_budget_success_record() - add the tokens of one successful call */
-void sgr_retry_budget_success_record (sgr_retry_budget_t *budget);
+/** sgr_retry_budget_request_record() - count a request, whatever becomes of it */
+void sgr_retry_budget_request_record (sgr_retry_budget_t *budget, uint64_t now_us);
+
+/**
+ * enum sgr_retry_kind_t - what a retry repeats
+ * @SGR_RETRY_NOT_RUN: a request that a target or a connection failed, or a hedge; may use the whole
+ * budget
+ * @SGR_RETRY_ERROR_ANSWER: a request that a target ran to an error; may use a third of the budget.
+ * Running it again repeats the calls that it makes, so that such retries multiply downstream
+ */
+typedef enum
+{
+  SGR_RETRY_NOT_RUN = 0,
+  SGR_RETRY_ERROR_ANSWER,
+} sgr_retry_kind_t;
 
 /**
- * sgr_retry_budget_take() - take the token of one retry or hedge
+ * sgr_retry_budget_take() - count a retry or hedge if the budget allows it
  *
- * Return: true if a token was taken, false if the bucket holds less than one.
+ * Return: whether it may be made.
  */
-bool sgr_retry_budget_take (sgr_retry_budget_t *budget);
+bool sgr_retry_budget_take (sgr_retry_budget_t *budget, uint64_t now_us, sgr_retry_kind_t kind);
 
 /**
  * enum sgr_retry_downstream_t - whether a node downstream has already applied its retry limits to a
--- a/tests/test_call_plan.c
+++ b/tests/test_call_plan.c
@@ -515,12 +515,112 @@
   assert_true (driver.plan.timer_us == SGR_TIMER_NEVER);
 }
 
+/* Guards against an idempotent call that fails although another target would answer it, against a
+   second run of a call that is not idempotent, and against an own error in place of the target's.
+ */
+static void
+test_error_answers (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool idempotent;
+    uint32_t requests;
+    sgr_retry_downstream_t downstream;
+    sgr_outcome_t second;
+    bool second_error;
+    uint32_t starts;
+    uint32_t answer;
+  } cases[] = {
+    { "answered by the second target", true, 1000, 0, SGR_OUTCOME_COMPLETE, false, 2, 1 },
+    { "errors at both targets", true, 1000, 0, SGR_OUTCOME_COMPLETE, true, 2, 1 },
+    { "second target fails", true, 1000, 0, SGR_OUTCOME_UNKNOWN, false, 2, 0 },
+    { "second target does not run it", true, 1000, 0, SGR_OUTCOME_NOT_RUN, false, 2, 0 },
+    { "not idempotent", false, 1000, 0, SGR_OUTCOME_COMPLETE, false, 1, 0 },
+    { "budget is used up", true, 0, 0, SGR_OUTCOME_COMPLETE, false, 1, 0 },
+    { "retried downstream", true, 1000, SGR_RETRY_DOWNSTREAM_YES, SGR_OUTCOME_COMPLETE, false, 1,
+      0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_call_event_t event = { .kind = SGR_CALL_EVENT_OUTCOME,
+                                 .outcome = SGR_OUTCOME_COMPLETE,
+                                 .error_status = true,
+                                 .retried_downstream = cases[i].downstream };
+      sgr_retry_budget_t budget;
+      sgr_call_options_t options;
+      driver_t driver;
+
+      sgr_retry_budget_init (&budget, 10);
+      for (uint32_t n = 0; n < cases[i].requests; n++)
+        sgr_retry_budget_request_record (&budget, 0);
+      sgr_call_options_init (&options);
+      options.deadline_us = DEADLINE_US;
+      options.attempts_max = 2;
+      options.idempotent = cases[i].idempotent;
+      options.budget = &budget;
+      driver_start (&driver, &options);
+      driver_event (&driver, MS, event);
+      if (driver.finishes == 0)
+        driver_event (&driver, 2 * MS,
+                      (sgr_call_event_t){ .kind = SGR_CALL_EVENT_OUTCOME,
+                                          .attempt = 1,
+                                          .outcome = cases[i].second,
+                                          .reason = cases[i].second == SGR_OUTCOME_COMPLETE
+                                                        ? SGR_CALL_REASON_NONE
+                                                        : SGR_CALL_REASON_TARGET_NOT_RUN,
+                                          .error_status = cases[i].second_error });
+      if (driver.finishes != 1 || driver.finish.outcome != SGR_OUTCOME_COMPLETE
+          || driver.starts != cases[i].starts || driver.finish.attempt != cases[i].answer)
+        fail_msg ("%s: %u attempts, answer of attempt %u", cases[i].name, driver.starts,
+                  driver.finish.attempt);
+    }
+}
+
+/* Guards against a call that is refused although another target has room: a refusal by a gate put
+   no load on its target, so the next attempt needs no budget. Limits of tenants and classes hold at
+   all targets, and only the budget allows another attempt after them. */
+static void
+test_refusals_need_no_budget (void **state)
+{
+  static const struct
+  {
+    sgr_gate_reason_t reason;
+    uint32_t starts;
+  } cases[] = {
+    { SGR_GATE_REASON_QUEUE_FULL, 2 },   { SGR_GATE_REASON_LATE, 2 },
+    { SGR_GATE_REASON_SLOW, 2 },         { SGR_GATE_REASON_DRAINING, 2 },
+    { SGR_GATE_REASON_TENANT_LIMIT, 1 }, { SGR_GATE_REASON_CLASS_LIMIT, 1 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_retry_budget_t budget;
+      sgr_call_options_t options;
+      driver_t driver;
+
+      sgr_retry_budget_init (&budget, 0);
+      sgr_call_options_init (&options);
+      options.deadline_us = DEADLINE_US;
+      options.budget = &budget;
+      driver_start (&driver, &options);
+      driver_event (&driver, MS,
+                    (sgr_call_event_t){ .kind = SGR_CALL_EVENT_OUTCOME,
+                                        .outcome = SGR_OUTCOME_NOT_RUN,
+                                        .reason = SGR_CALL_REASON_REFUSED,
+                                        .gate_reason = cases[i].reason });
+      assert_int_equal (driver.starts, cases[i].starts);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_fault_table), cmocka_unit_test (test_hedge_table),
-          cmocka_unit_test (test_retry_rules) };
+          cmocka_unit_test (test_retry_rules), cmocka_unit_test (test_error_answers),
+          cmocka_unit_test (test_refusals_need_no_budget) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
