Bound the memory of an answer whose bytes do not end

Cause: neither the head of a target's answer nor the number of its interim answers was limited, and h2o reads a socket until it is empty: 16 MB in 0.4 s from a target that sends without end. Change: the head must be complete within 64 KiB, interim answers included; connections to the target have a receive buffer of 128 KiB.

--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "result.h"
 #include "target_head.h"
@@ -13,6 +14,11 @@
 /* Time after which an unused connection is closed. It is below the usual keep-alive timeouts of
    servers, so that the target rarely closes a connection that a request is about to use. */
 #define POOL_IDLE_MS 2000
+/* Bytes that are read before the head of an answer, interim answers included, must be complete. */
+#define HEAD_MAX_BYTES (64U * 1024)
+/* Receive buffer of a connection to the target. h2o reads until the socket is empty, so that its
+   memory for a fast sender is a multiple of this size. */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
 /* Header fields of an answer; further ones are ignored. */
 #define ANSWER_FIELDS_MAX 100
 
@@ -39,6 +45,7 @@
  * @is_in_callback: a callback runs
  * @is_cancelled: cancelled within a callback; the request is freed when the callback has returned
  * @paused_read_cb: read callback of the socket while reading is paused, else NULL
+ * @head_bytes: bytes received before the head was complete
  * @h2o_read_cb: h2o's read callback, which on_head_read() calls
  * @h2o_write_cb: h2o's write callback, which on_written() calls
  * @hook_entry: timeout that installs on_head_read() or on_written() in place of h2o's callback
@@ -57,6 +64,7 @@
   bool is_in_callback;
   bool is_cancelled;
   h2o_socket_cb paused_read_cb;
+  size_t head_bytes;
   h2o_socket_cb h2o_read_cb;
   h2o_socket_cb h2o_write_cb;
   h2o_timeout_entry_t hook_entry;
@@ -246,18 +254,25 @@
   return ((h2o_http1client_t *)sock->data)->data;
 }
 
-/* Checks the head of the answer before h2o parses it. */
+/* Checks the head of the answer before h2o parses it. h2o limits neither the size of a head nor the
+   number of interim answers. */
 static void
 on_head_read (h2o_socket_t *sock, const char *err)
 {
   sgr_target_request_t *request = request_of (sock);
+  const char *reason = NULL;
 
-  if (err == NULL && !sgr_target_head_is_valid (sock->input->bytes, sock->input->size))
+  if (err == NULL && request->head_bytes > HEAD_MAX_BYTES)
+    reason = "head of the answer is too long";
+  else if (err == NULL && !sgr_target_head_is_valid (sock->input->bytes, sock->input->size))
+    reason = "malformed head of the answer";
+  if (reason != NULL)
     {
       h2o_http1client_cancel (request->http);
-      request_finish (request, "malformed head of the answer");
+      request_finish (request, reason);
       return;
     }
+  request->head_bytes += sock->bytes_read;
   request->h2o_read_cb (sock, err);
 }
 
@@ -302,6 +317,7 @@
             int *method_is_head)
 {
   sgr_target_request_t *request = http->data;
+  int buffer_bytes = RECEIVE_BUFFER_BYTES;
   bool may_start;
 
   if (errstr != NULL)
@@ -323,6 +339,9 @@
       return NULL;
     }
   request->is_started = true;
+  /* A failure only means that the connection may use more memory. */
+  setsockopt (h2o_socket_get_fd (http->sock), SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+              sizeof buffer_bytes);
   request->hook_entry.cb = on_hook_install;
   h2o_timeout_link (request->client->ctx.loop, &request->client->immediate_timeout,
                     &request->hook_entry);
