Read the configuration once at the start, and watch it only as a reader

Change: the first read may be stale, since the watch goes on from its revision; the watch after it waits until the node knows the members, and only readers open it.

--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -57,6 +57,7 @@
  * @version: version of the watched key in the last answer of the store
  * @watch_start_us: start of the last watch
  * @watch_due_us: earliest start of the next watch
+ * @settled_us: earliest start of the second watch
  * @watch_failures: watches that have failed in a row
  * @revision: revision in force at this node
  * @fetch_due_us: earliest start of the next fetch while none is open
@@ -70,6 +71,7 @@
   uint64_t version;
   uint64_t watch_start_us;
   uint64_t watch_due_us;
+  uint64_t settled_us;
   uint32_t watch_failures;
   uint64_t revision;
   uint64_t fetch_due_us;
@@ -83,6 +85,7 @@
 sgr_config_sync_options_init (sgr_config_sync_options_t *options)
 {
   *options = (sgr_config_sync_options_t){
+    .settle_ms = 2500,
     .start_delay_ms = 2000,
     .readers = 2,
     .watch_ms = 55000,
@@ -115,6 +118,8 @@
   sync->reader = true;
   sync->watch_due_us = now_us + options->start_delay_ms * SGR_USEC_PER_MSEC
                        + jitter_us (sync, options->start_delay_ms / 2);
+  sync->settled_us
+      = now_us + options->settle_ms * SGR_USEC_PER_MSEC + jitter_us (sync, options->settle_ms / 2);
   return sync;
 }
 
@@ -294,7 +299,7 @@
   if (is_new_version || (ok && now_us - sync->watch_start_us >= min_duration_us))
     {
       sync->watch_failures = 0;
-      sync->watch_due_us = now_us;
+      sync->watch_due_us = now_us > sync->settled_us ? now_us : sync->settled_us;
       return;
     }
   sync->stats.store_failures++;
--- a/libsiskingrade/config_sync.h
+++ b/libsiskingrade/config_sync.h
@@ -22,6 +22,8 @@
  * @self: this node
  * @failure_domain: failure domain of this node
  * @seed: seed of the jitter
+ * @settle_ms: after a first version was read, the next watch waits until this time after the start;
+ *   by then the node knows the members and whether it is a reader
  * @start_delay_ms: delay before the first store call, plus a random part of up to half of it. It
  *                  gives nodes that start at the same time the chance to discover each other, so
  *                  that not all of them read the store.
@@ -40,6 +42,7 @@
   sgr_node_id_t self;
   char failure_domain[SGR_NAME_MAX + 1];
   uint64_t seed;
+  uint32_t settle_ms;
   uint32_t start_delay_ms;
   uint32_t readers;
   uint32_t watch_ms;
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -92,6 +92,31 @@
   return sgr_config_sync_next (sync, now_us, &action, &next_us) && action.kind == kind;
 }
 
+/* Load pattern: a whole fleet starts. Guards against a watch of each node that will not be a
+   reader, and against a reader that reads a new version late after its start. */
+static void
+test_watch_waits_until_members_are_known (void **state)
+{
+  sgr_config_sync_options_t options;
+  sgr_config_sync_t *sync;
+  uint64_t now_us = 20 * SGR_USEC_PER_MSEC * 2;
+
+  setup (state);
+  sgr_config_sync_options_init (&options);
+  options.self = members[0].id;
+  options.start_delay_ms = 20;
+  sync = sgr_config_sync_create (&options, 0);
+  assert_true (next_action_is (sync, now_us, SGR_CONFIG_SYNC_WATCH));
+  sgr_config_sync_watch_done (sync, now_us, true, 5, 0);
+  assert_false (
+      next_action_is (sync, options.settle_ms * SGR_USEC_PER_MSEC - 1, SGR_CONFIG_SYNC_WATCH));
+  now_us = 2 * options.settle_ms * SGR_USEC_PER_MSEC;
+  assert_true (next_action_is (sync, now_us, SGR_CONFIG_SYNC_WATCH));
+  sgr_config_sync_watch_done (sync, now_us, true, 6, 0);
+  assert_true (next_action_is (sync, now_us, SGR_CONFIG_SYNC_WATCH));
+  sgr_config_sync_destroy (sync);
+}
+
 /* Guards against a node that is not a reader but calls the store, or keeps its watch open. */
 static void
 test_sync_role_follows_members (void **state)
@@ -236,6 +261,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_sync_two_readers_per_domain),
+    cmocka_unit_test (test_watch_waits_until_members_are_known),
     cmocka_unit_test (test_sync_role_follows_members),
     cmocka_unit_test (test_sync_backoff_table),
     cmocka_unit_test (test_sync_fetch_from_another_peer),
