--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -8,6 +8,8 @@
 /* Maximum age of a load report that shows a target as slowed. Other work on the target's host
    changes within this time. */
 #define SLOWED_MAX_AGE_US (150 * SGR_USEC_PER_MSEC)
+/* Usual wait for the end of a slowdown: half of the time within which other work changes. */
+#define SLOWDOWN_WAIT_US (SLOWED_MAX_AGE_US / 2)
 /* Age at which a target state from a load report is discarded. By then the membership protocol has
    distributed the state of the target to all nodes. */
 #define REPORTED_STATE_MAX_AGE_US (3 * SGR_USEC_PER_SEC)
@@ -404,6 +406,28 @@
   return handle_of (b, sgr_balancer_choose (b, now_us, count, exclude_count > 0, bytes));
 }
 
+bool
+sgr_balancer_should_wait (const sgr_balancer_t *b, sgr_balancer_target_t target,
+                          const sgr_balancer_target_t *exclude, size_t exclude_count,
+                          uint64_t bytes)
+{
+  const sgr_balancer_entry_t *chosen = entry_find (b, target);
+
+  if (chosen == NULL || chosen->info.is_far
+      || (double)b->options.far_us_per_kib * (double)bytes / 1024 < SLOWDOWN_WAIT_US)
+    return false;
+  for (size_t i = 0; i < b->target_count; i++)
+    {
+      uint32_t index = b->used_indexes[i];
+      const sgr_balancer_entry_t *entry = &b->entries[index];
+
+      if (entry != chosen && !entry->info.is_far && effective_state (entry) == SGR_TARGET_SERVING
+          && !entry->health.is_ejected && !is_excluded (b, index, exclude, exclude_count))
+        return false;
+    }
+  return true;
+}
+
 void
 sgr_balancer_attempt_start (sgr_balancer_t *b, uint64_t now_us, sgr_balancer_target_t target)
 {
--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -247,6 +247,21 @@
                                                const sgr_balancer_target_t *exclude,
                                                size_t exclude_count, uint64_t bytes);
 
+/**
+ * sgr_balancer_should_wait() - whether an attempt should wait for a slowed target
+ * @b: the balancer
+ * @target: the chosen target
+ * @exclude: targets that the call has tried
+ * @exclude_count: entries of @exclude
+ * @bytes: expected size of request and answer together
+ *
+ * Return: true if the target is the last one of the own failure domain that the call has not tried,
+ * and sending @bytes to another domain costs more than the usual wait for the end of a slowdown.
+ */
+bool sgr_balancer_should_wait (const sgr_balancer_t *b, sgr_balancer_target_t target,
+                               const sgr_balancer_target_t *exclude, size_t exclude_count,
+                               uint64_t bytes);
+
 /**
  * sgr_balancer_attempt_start() - record an attempt that is being sent
  * @b: the balancer
--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -85,7 +85,7 @@
 sgr_config_sync_options_init (sgr_config_sync_options_t *options)
 {
   *options = (sgr_config_sync_options_t){
-    .settle_ms = 2500,
+    .settle_ms = 1000,
     .start_delay_ms = 2000,
     .readers = 2,
     .watch_ms = 55000,
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -102,8 +102,9 @@
       attempt->target = sgr_balancer_target_find (call->service->balancer, node);
     }
   else
-    attempt->target = sgr_data_service_pick (call->service, sgr_clock_monotonic_us (), excluded,
-                                             count, call_bytes_expected (call), &node);
+    attempt->target
+        = sgr_data_service_pick (call->service, sgr_clock_monotonic_us (), excluded, count,
+                                 call_bytes_expected (call), &node, &attempt->may_wait);
   if (attempt->target == SGR_BALANCER_TARGET_NONE)
     return NULL;
   link = sgr_data_link_get (call->task->links, node);
@@ -148,7 +149,7 @@
      refuses the attempt at once, so that another target can be tried. Later attempts may always be
      queued, because after refusals it is more likely that all targets are slowed. */
   attempt->may_wait
-      = action->attempt >= MAY_WAIT_FROM_ATTEMPT
+      = attempt->may_wait || action->attempt >= MAY_WAIT_FROM_ATTEMPT
         || sgr_balancer_is_slowed (call->service->balancer, attempt->start_us, attempt->target);
   sgr_balancer_attempt_start (call->service->balancer, attempt->start_us, attempt->target);
   event.kind = SGR_CALL_EVENT_SENT;
--- a/libsiskingrade/data_keys.c
+++ b/libsiskingrade/data_keys.c
@@ -107,7 +107,7 @@
       key_request_finish (request, SGR_ERR_UNAVAILABLE, NULL);
       return;
     }
-  if (sgr_data_service_pick (request->service, now_us, NULL, 0, 0, &node)
+  if (sgr_data_service_pick (request->service, now_us, NULL, 0, 0, &node, NULL)
       != SGR_BALANCER_TARGET_NONE)
     link = sgr_data_link_get (task->links, node);
   if (link == NULL || sgr_data_link_open (link) != SGR_OK
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -247,7 +247,7 @@
 
 sgr_balancer_target_t
 sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us, const sgr_node_id_t *excluded,
-                       size_t count, uint64_t bytes, sgr_node_id_t *node)
+                       size_t count, uint64_t bytes, sgr_node_id_t *node, bool *should_wait)
 {
   sgr_balancer_target_t excluded_targets[SGR_CALL_ATTEMPTS_MAX];
   sgr_balancer_target_t target;
@@ -258,6 +258,9 @@
   target = sgr_balancer_pick_sized (service->balancer, now_us, excluded_targets, count, bytes);
   if (target != SGR_BALANCER_TARGET_NONE)
     *node = sgr_balancer_target_info (service->balancer, target)->node;
+  if (should_wait != NULL)
+    *should_wait
+        = sgr_balancer_should_wait (service->balancer, target, excluded_targets, count, bytes);
   return target;
 }
 
--- a/tests/test_balancer_sample.c
+++ b/tests/test_balancer_sample.c
@@ -336,12 +336,54 @@
   sgr_balancer_destroy (b);
 }
 
+/* Load pattern: downloads of a service with one target in each domain, which is slowed for moments.
+   Guards against large answers that cross domains because the near target refuses a request that
+   could wait for the end of the slowdown, and against waiting where another near target is left. */
+static void
+test_large_answers_wait_nearby (void **state)
+{
+  static const struct
+  {
+    uint32_t near_count;
+    uint32_t chosen;
+    bool is_other_tried;
+    uint64_t bytes;
+    bool should_wait;
+  } cases[] = {
+    { 1, 0, false, 64 * 1024, true },  { 1, 0, false, 512, false },
+    { 2, 0, false, 64 * 1024, false }, { 2, 0, true, 64 * 1024, true },
+    { 1, 1, false, 64 * 1024, false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_balancer_options_t options = { .seed = 1, .far_us_per_kib = FAR_US_PER_KIB };
+      sgr_balancer_t *b = sgr_balancer_create (&options);
+      sgr_balancer_target_t targets[3];
+
+      for (uint32_t t = 0; t < 3; t++)
+        {
+          sgr_balancer_target_info_t info = { .node = t + 1,
+                                              .slots = SLOTS,
+                                              .is_far = t >= cases[i].near_count,
+                                              .state = SGR_TARGET_SERVING };
+
+          sgr_balancer_target_add (b, 0, &info, &targets[t]);
+        }
+      assert_int_equal (sgr_balancer_should_wait (b, targets[cases[i].chosen], &targets[1],
+                                                  cases[i].is_other_tried ? 1 : 0, cases[i].bytes),
+                        cases[i].should_wait);
+      sgr_balancer_destroy (b);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_stay_in_their_domain),
                                       cmocka_unit_test (test_far_targets_are_few_and_even),
-                                      cmocka_unit_test (test_most_targets_are_far) };
+                                      cmocka_unit_test (test_most_targets_are_far),
+                                      cmocka_unit_test (test_large_answers_wait_nearby) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_data_service.c
+++ b/tests/test_data_service.c
@@ -63,7 +63,7 @@
   sgr_node_id_t node = 0;
 
   return found != NULL
-         && sgr_data_service_pick (found, sgr_clock_monotonic_us (), NULL, 0, 0, &node)
+         && sgr_data_service_pick (found, sgr_clock_monotonic_us (), NULL, 0, 0, &node, NULL)
                 != SGR_BALANCER_TARGET_NONE;
 }
 
