Compare stored records by what was signed, not by the order of approvals

If the second owner had signed first, the node took each read of the record for stale, and the next change could not be completed there. Test: test_commit_after_second_owner_signed_first, which ended as unavailable.

--- a/libsiskingrade/config_approve.c
+++ b/libsiskingrade/config_approve.c
@@ -41,15 +41,23 @@
 
 /* Whether the value read from the store differs from the record in force at this node. This node
    must not replace such a value. Either the value is stale, and a compare-and-swap with its version
-   would fail; or the value is a record that this node could not verify. */
+   would fail; or the value is a record that this node could not verify. Two texts of one record may
+   list the approvals in different orders, so the signed statements are compared. */
 static bool
 stored_value_differs (const operation_t *op, const sgr_config_record_t *in_force,
                       const sgr_store_reply_t *reply)
 {
-  if (in_force == NULL)
-    return reply->value != NULL;
-  return reply->length != in_force->text.length
-         || memcmp (reply->value, in_force->text.bytes, reply->length) != 0;
+  sgr_config_record_t *stored;
+  bool differs;
+
+  if (in_force == NULL || reply->value == NULL)
+    return in_force != NULL || reply->value != NULL;
+  if (sgr_config_record_verify (&op->commit->owners, reply->value, reply->length, &stored, NULL)
+      != SGR_OK)
+    return true;
+  differs = !sgr_config_digest_equal (&stored->digest, &in_force->digest);
+  sgr_config_record_destroy (stored);
+  return differs;
 }
 
 static void
--- a/tests/test_config_commit.c
+++ b/tests/test_config_commit.c
@@ -7,7 +7,9 @@
 
 #include <cmocka.h>
 
+#include "config_chain.h"
 #include "config_commit.h"
+#include "config_json.h"
 #include "config_state.h"
 #include "config_support.h"
 #include "fake_store.h"
@@ -381,11 +383,55 @@
   assert_true (in_force > 100);
 }
 
+/* Guards against a change that can never be completed: the second owner signed the change before it
+   first, and the node at which the next one is approved learned the record from a peer, with the
+   approvals in the order of the owners. */
+static void
+test_commit_after_second_owner_signed_first (void **state)
+{
+  const sgr_config_record_t *stored;
+  sgr_config_change_t *change;
+  json_t *json;
+  char *text;
+  sim_t sim;
+
+  sim_start (&sim, 3);
+  change = support_change (&sim.keys, NULL, "c1", support_content (2, 100));
+  sim_propose (&sim, 0, change, &sim.results[0]);
+  sim_run (&sim);
+  sim_approve (&sim, 0, change, 1, 1, &sim.results[1]);
+  sim_run (&sim);
+  sim_approve (&sim, 0, change, 0, 0, &sim.results[2]);
+  sim_run (&sim);
+  assert_int_equal (sim.results[2], SGR_OK);
+  sgr_config_change_destroy (change);
+  stored = record_in_force (&sim.nodes[0]);
+  json = sgr_config_record_metadata_write (sim.keys.owners.deployment, stored);
+  json_object_set (json, "content", stored->content->json);
+  text = sgr_config_json_canonical (json);
+  offer_record (&sim.nodes[1], text, strlen (text));
+  assert_int_equal (sim.nodes[1].revision, 1);
+  free (text);
+  json_decref (json);
+  change = support_change (&sim.keys, stored, "c2", support_edit (200));
+  sim_propose (&sim, 1, change, &sim.results[3]);
+  sim_run (&sim);
+  sim_approve (&sim, 1, change, 0, 0, &sim.results[4]);
+  sim_run (&sim);
+  sim_approve (&sim, 1, change, 1, 1, &sim.results[5]);
+  sim_run (&sim);
+  assert_int_equal (sim.results[5], SGR_OK);
+  assert_int_equal (sim.nodes[1].revision, 2);
+  sgr_config_change_destroy (change);
+  sim_stop (&sim);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_commit_fault_table),
+    cmocka_unit_test (test_commit_after_second_owner_signed_first),
     cmocka_unit_test (test_commit_refused_approvals),
     cmocka_unit_test (test_commit_races),
     cmocka_unit_test (test_commit_property),
