Report an unreadable file of an owner as invalid input

Cause: a missing owners, key or change file ended siskingradectl with 75, which means that the outcome of a sent change is unknown. Test: test_ctl_missing_files, 75 before, 78 now.

--- a/libsiskingrade/ctl_change.c
+++ b/libsiskingrade/ctl_change.c
@@ -23,6 +23,15 @@
   sgr_config_record_t *base;
 } signer_t;
 
+/* Reports an unreadable local file as invalid input: SGR_ERR_IO would mean an unknown outcome. */
+static sgr_result_t
+local_file_result (sgr_result_t result, sgr_config_error_t *error)
+{
+  if (error->result == SGR_ERR_IO)
+    error->result = SGR_ERR_INVALID;
+  return result == SGR_ERR_IO ? SGR_ERR_INVALID : result;
+}
+
 static sgr_result_t
 signer_load (const sgr_ctl_options_t *options, signer_t *signer, sgr_config_error_t *error)
 {
@@ -34,7 +43,7 @@
   result = sgr_ctl_owners_load (options->owners_file, &signer->owners, error);
   if (result == SGR_OK)
     result = sgr_ctl_keys_load_secret (options->key_file, signer->secret_key, error);
-  return result;
+  return local_file_result (result, error);
 }
 
 static void
@@ -92,7 +101,7 @@
 
   *body = NULL;
   if (sgr_ctl_yaml_read (file, yaml, error) != SGR_OK)
-    return SGR_ERR_INVALID;
+    return local_file_result (SGR_ERR_INVALID, error);
   deployment = json_string_value (json_object_get (yaml->json, "deployment"));
   if (deployment == NULL || strcmp (deployment, signer->owners.deployment) != 0)
     return sgr_config_error_set (error, SGR_ERR_INVALID, "deployment",
--- a/tests/test_config_ctl.c
+++ b/tests/test_config_ctl.c
@@ -195,6 +195,27 @@
   rig_store_faults_set (&rig, "outage=0");
 }
 
+/* Guards against the exit status for an unknown outcome, after which an operator would look for a
+   change that was never sent, when a local file cannot be read. */
+static void
+test_ctl_missing_files (void **state)
+{
+  const char *owner = rig.keys.owners.owner[0].name;
+  char path[128], out[4096];
+
+  rig_file_write (&rig, "any.yaml", initial_config_yaml, path, sizeof path);
+  assert_int_equal (rig_ctl_run (&rig, out, sizeof out,
+                                 ARGS ("--owners", "/no/owners.yaml", "--owner", owner, "--key",
+                                       key_file[0], "create", path)),
+                    78);
+  assert_int_equal (rig_ctl_run (&rig, out, sizeof out,
+                                 ARGS ("--owners", owners_file, "--owner", owner, "--key",
+                                       "/no/file.key", "create", path)),
+                    78);
+  assert_int_equal (ctl_run_as_owner (out, sizeof out, 0, "propose", "/no/change.yaml", "any"), 78);
+  assert_non_null (strstr (out, "/no/change.yaml"));
+}
+
 int
 main (void)
 {
@@ -202,6 +223,7 @@
     cmocka_unit_test (test_ctl_create_approve_propose),
     cmocka_unit_test (test_ctl_bad_file_table),
     cmocka_unit_test (test_ctl_exit_status_table),
+    cmocka_unit_test (test_ctl_missing_files),
   };
 
   return cmocka_run_group_tests (tests, setup, teardown);
