Read every Connection field of a caller's request

Cause: only the last of several fields was read, so that a field which an earlier one names reached the target. Test: test_two_connection_fields, which failed before.

--- a/libsiskingrade/http1_request.c
+++ b/libsiskingrade/http1_request.c
@@ -221,19 +221,14 @@
   .on_message_complete = on_message_complete,
 };
 
-/* Whether the last Connection field names a field, which makes that field hop-by-hop. */
+/* Whether the value of a Connection field names a field, which makes that field hop-by-hop. */
 static bool
-is_named_in_connection (const sgr_http1_request_t *request, const sgr_http1_field_t *field)
+connection_names (const sgr_http1_request_t *request, const sgr_http1_field_t *connection,
+                  const char *name, size_t name_length)
 {
-  size_t count;
-  const sgr_http1_field_t *connection = field_find (request, "connection", &count);
-  const char *name = (const char *)request->head_text.bytes + field->name_offset;
-  const char *at, *end;
+  const char *at = (const char *)request->head_text.bytes + connection->value_offset;
+  const char *end = at + connection->value_length;
 
-  if (connection == NULL)
-    return false;
-  at = (const char *)request->head_text.bytes + connection->value_offset;
-  end = at + connection->value_length;
   while (at < end)
     {
       const char *comma = memchr (at, ',', (size_t)(end - at));
@@ -243,14 +238,25 @@
         at++;
       while (stop > at && (stop[-1] == ' ' || stop[-1] == '\t'))
         stop--;
-      if ((size_t)(stop - at) == field->name_length
-          && strncasecmp (at, name, field->name_length) == 0)
+      if ((size_t)(stop - at) == name_length && strncasecmp (at, name, name_length) == 0)
         return true;
       at = comma != NULL ? comma + 1 : end;
     }
   return false;
 }
 
+static bool
+is_named_in_connection (const sgr_http1_request_t *request, const sgr_http1_field_t *field)
+{
+  const char *name = (const char *)request->head_text.bytes + field->name_offset;
+
+  for (size_t i = 0; i < request->field_count; i++)
+    if (field_has_name (request, &request->fields[i], "connection")
+        && connection_names (request, &request->fields[i], name, field->name_length))
+      return true;
+  return false;
+}
+
 /* Whether a field is left out of the list of header fields that h2o gets: h2o keeps it elsewhere,
    or it is hop-by-hop. */
 static bool
--- a/tests/test_path_caller.c
+++ b/tests/test_path_caller.c
@@ -399,6 +399,25 @@
   assert_true (sgr_fixture_service_await (node (ENTRY), "one"));
 }
 
+/* Guards against a hop-by-hop field that reaches the target, because only the last of several
+   Connection fields is read. The field that it names makes the target cut its answer. */
+static void
+test_two_connection_fields (void **state)
+{
+  sgr_probe_request_t request = { .port = node (ENTRY)->callers,
+                                  .path = "/bytes/2000000",
+                                  .fields = "Siskingrade-Service: one\r\nX-Request-Id: hop\r\n"
+                                            "Connection: X-Fault\r\nX-Fault: cut\r\n"
+                                            "Connection: keep-alive\r\n" };
+  sgr_probe_answer_t answer;
+
+  sgr_probe_call (&request, &answer);
+  assert_int_equal (answer.end, SGR_PROBE_WHOLE);
+  assert_int_equal (answer.status, 200);
+  assert_int_equal (answer.length, 2000000);
+  sgr_probe_release (&answer);
+}
+
 int
 main (void)
 {
@@ -407,6 +426,7 @@
     cmocka_unit_test (test_ambiguous_requests),
     cmocka_unit_test (test_caller_leaves),
     cmocka_unit_test (test_cut_chunks),
+    cmocka_unit_test (test_two_connection_fields),
     cmocka_unit_test (test_reload),
     cmocka_unit_test (test_reload_during_start),
     cmocka_unit_test (test_stop_with_open_connection),
