End a planned stop although peers are silent, reconnect, or callers go on sending

A silenced connection had no limit any more, nodes whose connection had been finished connected again, and a caller that goes on sending prolonged the wait for its close with each byte (traced with a debugger: connections accepted after the others were finished). Change: a finished connection ends after silence_ms without progress; the gate accepts no connection once it finishes; input does not prolong the wait, and a request that arrives in part gets one second.

--- a/libsiskingrade/balancer_sample.c
+++ b/libsiskingrade/balancer_sample.c
@@ -58,7 +58,7 @@
 static size_t
 far_set_select (sgr_balancer_t *b, size_t start, size_t count)
 {
-  uint64_t ranks[FAR_SET_MAX];
+  uint64_t ranks[FAR_SET_MAX] = { 0 };
   size_t size = 0;
 
   if (count <= FAR_SET_MAX)
--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -221,6 +221,9 @@
 {
   peer_t *next;
 
+  if (peers->listener != NULL)
+    h2o_socket_close (peers->listener);
+  peers->listener = NULL;
   for (peer_t *peer = peers->first; peer != NULL; peer = next)
     {
       next = peer->next;
@@ -242,7 +245,8 @@
 
   if (peers == NULL)
     return;
-  h2o_socket_close (peers->listener);
+  if (peers->listener != NULL)
+    h2o_socket_close (peers->listener);
   for (lost_entry_t *lost = peers->lost; lost != NULL; lost = lost_next)
     {
       lost_next = lost->next;
--- a/libsiskingrade/data_peer.h
+++ b/libsiskingrade/data_peer.h
@@ -10,7 +10,8 @@
 /** sgr_data_peers_count() - number of these connections */
 size_t sgr_data_peers_count (const sgr_data_peers_t *peers);
 
-/** sgr_data_peers_finish() - deliver what is queued on these connections, then end them */
+/** sgr_data_peers_finish() - accept no more of these connections; deliver what is queued on them,
+ * then end them */
 void sgr_data_peers_finish (sgr_data_peers_t *peers);
 
 /** sgr_data_peers_send() - send a frame to each entry node whose connection is ready */
--- a/libsiskingrade/http1_conn.c
+++ b/libsiskingrade/http1_conn.c
@@ -80,8 +80,8 @@
 
   if (conn->is_lingering)
     wait_us = LINGER_TIMEOUT_US;
-  else if (conn->server->is_draining && conn->open_count == 0 && conn->reading == NULL)
-    wait_us = DRAIN_IDLE_TIMEOUT_US;
+  else if (conn->server->is_draining && conn->open_count == 0)
+    wait_us = conn->reading != NULL ? LINGER_TIMEOUT_US : DRAIN_IDLE_TIMEOUT_US;
   else if (conn->is_writing || conn->reading != NULL)
     wait_us = STALL_TIMEOUT_US;
   else if (conn->open_count > 0)
@@ -289,7 +289,9 @@
     h2o_buffer_consume (&sock->input, sock->input->size);
   else if (conn->open_count >= OPEN_REQUESTS_MAX)
     h2o_socket_read_stop (sock);
-  timeout_arm (conn);
+  /* Bytes that a caller goes on sending do not prolong the wait for its close. */
+  if (!conn->is_lingering)
+    timeout_arm (conn);
 }
 
 /* Hands the connection over to h2o if the first bytes are those of HTTP/2. Returns true if it did;
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -149,6 +149,15 @@
   conn->handlers->closed (conn->ctx, conn, reason);
 }
 
+/* Gives the other node, while this side finishes, another silence_us to read or to close. */
+static void
+progress_record (sgr_peer_conn_t *conn)
+{
+  conn->silent_since_us = sgr_clock_monotonic_us ();
+  sgr_timer_arm (conn->env->timers, &conn->heartbeat,
+                 conn->silent_since_us + conn->env->silence_us);
+}
+
 static void
 on_written (h2o_socket_t *sock, const char *err)
 {
@@ -159,9 +168,13 @@
   sgr_counter_add (conn->env->bytes_out, conn->writing.length);
   conn->writing.length = 0;
   if (err != NULL)
-    conn_fail (conn, SGR_PEER_CLOSE_REMOTE);
-  else
-    flush_queues (conn);
+    {
+      conn_fail (conn, SGR_PEER_CLOSE_REMOTE);
+      return;
+    }
+  if (conn->is_finishing)
+    progress_record (conn);
+  flush_queues (conn);
 }
 
 /* Returns the length of the frames at the front of the bulk queue that fit into one write, at least
@@ -241,7 +254,7 @@
   if (conn->is_closed || conn->is_finishing)
     return;
   conn->is_finishing = true;
-  sgr_timer_cancel (conn->env->timers, &conn->heartbeat);
+  progress_record (conn);
   flush_queues (conn);
 }
 
@@ -302,6 +315,11 @@
 {
   sgr_peer_conn_t *conn = ctx;
 
+  if (conn->is_finishing)
+    {
+      conn_fail (conn, SGR_PEER_CLOSE_SILENT);
+      return;
+    }
   /* A timer that fires this late shows that this process was paused. Unread input may wait in the
      socket, so the other node does not count as silent. */
   if (now_us > conn->heartbeat_due_us + conn->env->heartbeat_us)
@@ -418,6 +436,7 @@
   if (conn->is_finishing)
     {
       h2o_buffer_consume (&sock->input, sock->input->size);
+      progress_record (conn);
       return;
     }
   conn->silent_since_us = sgr_clock_monotonic_us ();
