--- a/libsiskingrade/peer_conn.h
+++ b/libsiskingrade/peer_conn.h
@@ -158,8 +158,9 @@
  * @conn: the connection
  *
  * Received frames are discarded from now on. The callback closed follows when the other node has
- * closed its side, or has neither read nor sent a byte for silence_us. Closing the socket at once instead would reset the connection if input is
- * unread, and the other node could lose the end of an answer.
+ * closed its side, or has neither read nor sent a byte for silence_us. Closing the socket at once
+ * instead would reset the connection if input is unread, and the other node could lose the end of
+ * an answer.
  */
 void sgr_peer_conn_finish (sgr_peer_conn_t *conn);
 
