--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -9,7 +9,7 @@
    changes within this time. */
 #define SLOWED_MAX_AGE_US (150 * SGR_USEC_PER_MSEC)
 /* Usual wait for the end of a slowdown: half of the time within which other work changes. */
-#define SLOWDOWN_WAIT_US (SLOWED_MAX_AGE_US / 2)
+#define SLOWDOWN_WAIT_US 75e3
 /* Age at which a target state from a load report is discarded. By then the membership protocol has
    distributed the state of the target to all nodes. */
 #define REPORTED_STATE_MAX_AGE_US (3 * SGR_USEC_PER_SEC)
--- a/tests/test_balancer_sample.c
+++ b/tests/test_balancer_sample.c
@@ -186,7 +186,7 @@
       for (uint32_t domain = 0; domain < DOMAINS; domain++)
         {
           double slots = pattern->load[domain] * TARGETS_PER_DOMAIN_MAX * SLOTS;
-          double arrivals = slots * (MS / 4) / REQUEST_US;
+          double arrivals = slots * MS / 4 / REQUEST_US;
 
           if (sgr_rng_uniform (&model->rng) < arrivals)
             request_send (model, now_us, domain);
@@ -344,15 +344,15 @@
 {
   static const struct
   {
+    uint64_t bytes;
     uint32_t near_count;
     uint32_t chosen;
     bool is_other_tried;
-    uint64_t bytes;
     bool should_wait;
   } cases[] = {
-    { 1, 0, false, 64 * 1024, true },  { 1, 0, false, 512, false },
-    { 2, 0, false, 64 * 1024, false }, { 2, 0, true, 64 * 1024, true },
-    { 1, 1, false, 64 * 1024, false },
+    { 64 * 1024, 1, 0, false, true },  { 512, 1, 0, false, false },
+    { 64 * 1024, 2, 0, false, false }, { 64 * 1024, 2, 0, true, true },
+    { 64 * 1024, 1, 1, false, false },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
--- a/tests/test_call_plan.c
+++ b/tests/test_call_plan.c
@@ -524,22 +524,22 @@
   static const struct
   {
     const char *name;
-    bool idempotent;
     uint32_t requests;
     sgr_retry_downstream_t downstream;
     sgr_outcome_t second;
-    bool second_error;
     uint32_t starts;
     uint32_t answer;
+    bool idempotent;
+    bool second_error;
   } cases[] = {
-    { "answered by the second target", true, 1000, 0, SGR_OUTCOME_COMPLETE, false, 2, 1 },
-    { "errors at both targets", true, 1000, 0, SGR_OUTCOME_COMPLETE, true, 2, 1 },
-    { "second target fails", true, 1000, 0, SGR_OUTCOME_UNKNOWN, false, 2, 0 },
-    { "second target does not run it", true, 1000, 0, SGR_OUTCOME_NOT_RUN, false, 2, 0 },
-    { "not idempotent", false, 1000, 0, SGR_OUTCOME_COMPLETE, false, 1, 0 },
-    { "budget is used up", true, 0, 0, SGR_OUTCOME_COMPLETE, false, 1, 0 },
-    { "retried downstream", true, 1000, SGR_RETRY_DOWNSTREAM_YES, SGR_OUTCOME_COMPLETE, false, 1,
-      0 },
+    { "answered by the second target", 1000, 0, SGR_OUTCOME_COMPLETE, 2, 1, true, false },
+    { "errors at both targets", 1000, 0, SGR_OUTCOME_COMPLETE, 2, 1, true, true },
+    { "second target fails", 1000, 0, SGR_OUTCOME_UNKNOWN, 2, 0, true, false },
+    { "second target does not run it", 1000, 0, SGR_OUTCOME_NOT_RUN, 2, 0, true, false },
+    { "not idempotent", 1000, 0, SGR_OUTCOME_COMPLETE, 1, 0, false, false },
+    { "budget is used up", 0, 0, SGR_OUTCOME_COMPLETE, 1, 0, true, false },
+    { "retried downstream", 1000, SGR_RETRY_DOWNSTREAM_YES, SGR_OUTCOME_COMPLETE, 1, 0, true,
+      false },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
