--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -29,8 +29,8 @@
  * @bulk: encoded frames of the bulk queue
  * @writing: bytes of the write in progress, empty if there is none
  * @waiting_attempts: attempts that wait for the other node
- * @heartbeat: timer of the pings and of the silence check, also while the connection finishes; after
- *             the close, frees the connection
+ * @heartbeat: timer of the pings and of the silence check, also while the connection finishes;
+ * after the close, frees the connection
  * @heartbeat_due_us: time for which @heartbeat is set
  * @silent_since_us: start of the silence that is measured: the last received byte, the first ping
  *                   on an idle connection, the first waiting attempt, or the end of a pause of this
