Wait for every close of the target in test_answers, that of the setup too

The caller's next request was given a connection that the target was about to close. The former wait counted the closes of single requests and left out the last request of the group setup, so that its close could still be under way. Each request now waits until the target has no answer open.

--- a/tests/test_path_target.c
+++ b/tests/test_path_target.c
@@ -1,8 +1,8 @@
 #include <arpa/inet.h>
 #include <pthread.h>
-#include <semaphore.h>
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -93,8 +93,8 @@
 static sgr_fixture_t fixture;
 static int listener;
 static const answer_case_t *current_case;
-/* Posted when the target has answered and ended its side of the connection. */
-static sem_t answered;
+/* Connections on which the target has begun to answer and not ended its side yet. */
+static atomic_int open_answers;
 
 static void
 bytes_send (int fd, const char *bytes, size_t length)
@@ -138,10 +138,11 @@
                   current_case->filler_bytes);
           text.length += current_case->filler_bytes;
           sgr_buffer_append (&text, current_case->tail, strlen (current_case->tail));
+          atomic_fetch_add (&open_answers, 1);
           bytes_send (fd, (const char *)text.bytes, text.length);
           /* close() with unread data would reset the connection, and the answer could be lost. */
           shutdown (fd, SHUT_WR);
-          sem_post (&answered);
+          atomic_fetch_sub (&open_answers, 1);
           while (recv (fd, input, sizeof input, 0) > 0)
             ;
         }
@@ -163,7 +164,6 @@
   int on = 1;
 
   current_case = &cases[0];
-  sem_init (&answered, 0, 0);
   sgr_fixture_init (&fixture);
   fixture.limits = "  announce_ttl_ms: 60000\n";
   sgr_fixture_node_add (&fixture, "entry", NULL, false);
@@ -234,11 +234,10 @@
                   .fields = "Siskingrade-Service: one\r\nSiskingrade-Idempotent: no\r\n" };
           sgr_probe_answer_t answer;
 
-          while (sem_trywait (&answered) == 0)
-            ;
+          while (atomic_load (&open_answers) > 0)
+            sgr_fixture_poll_sleep ();
           current_case = &cases[i];
           sgr_probe_call (&request, &answer);
-          sem_wait (&answered);
           answer_check (current_case, &answer);
           sgr_probe_release (&answer);
         }
