--- a/libsiskingrade/balancer_sample.c
+++ b/libsiskingrade/balancer_sample.c
@@ -5,8 +5,8 @@
 /* Chooses the targets that one choice compares. The targets of the own failure domain come first,
    so that calls leave it only for want of room, also where most targets are elsewhere. Targets of
    other failure domains come from a small set that differs between nodes and changes only with the
-   membership: with any number of targets, a node keeps connections to, and gets load reports from,
-   few of them. */
+   membership, ejections and the targets already tried: with any number of targets, a node keeps
+   connections to, and gets load reports from, few of them. */
 
 /* Most targets of the own failure domain in a sample. A random sample keeps nodes with the same
    load reports from all choosing the same target. */
--- a/libsiskingrade/call_plan.c
+++ b/libsiskingrade/call_plan.c
@@ -237,7 +237,7 @@
     }
   if (!is_retry_without_token (plan)
       && !retry_admit (step, plan->last_retried_downstream,
-                       is_error_answer ? SGR_RETRY_ERROR_ANSWER : SGR_RETRY_NOT_RUN))
+                       is_error_answer ? SGR_RETRY_ERROR_ANSWER : SGR_RETRY_FAILED_ATTEMPT))
     return false;
   if (delay_us > 0)
     plan->retry_due_us = step->now_us + delay_us;
@@ -257,7 +257,7 @@
   if (!is_repeatable (plan) || !is_attempt_allowed (step)
       || attempt_state_count (plan, SGR_CALL_ATTEMPT_SENT) == 0)
     return;
-  if (retry_admit (step, SGR_RETRY_DOWNSTREAM_UNSPECIFIED, SGR_RETRY_NOT_RUN))
+  if (retry_admit (step, SGR_RETRY_DOWNSTREAM_UNSPECIFIED, SGR_RETRY_FAILED_ATTEMPT))
     attempt_start (step, true);
 }
 
--- a/libsiskingrade/retry_budget.c
+++ b/libsiskingrade/retry_budget.c
@@ -52,19 +52,19 @@
   size_t newest = window_advance (budget, now_us);
   uint64_t requests = 0;
   uint64_t retries = 0;
-  uint64_t allowed_percent;
+  uint64_t allowed_hundredths;
 
   for (size_t i = 0; i < SGR_RETRY_WINDOW_PARTS; i++)
     {
       requests += budget->requests[i];
       retries += budget->retries[i];
     }
-  allowed_percent = requests * budget->retry_percent;
+  allowed_hundredths = requests * budget->retry_percent;
   if (kind == SGR_RETRY_ERROR_ANSWER)
-    allowed_percent /= ERROR_ANSWER_DIVISOR;
+    allowed_hundredths /= ERROR_ANSWER_DIVISOR;
   else if (budget->retry_percent > 0)
-    allowed_percent += EXTRA_RETRIES * 100;
-  if ((retries + 1) * 100 > allowed_percent)
+    allowed_hundredths += EXTRA_RETRIES * 100;
+  if ((retries + 1) * 100 > allowed_hundredths)
     return false;
   budget->retries[newest]++;
   return true;
--- a/libsiskingrade/retry_budget.h
+++ b/libsiskingrade/retry_budget.h
@@ -50,14 +50,14 @@
 
 /**
  * enum sgr_retry_kind_t - what a retry repeats
- * @SGR_RETRY_NOT_RUN: a request that a target or a connection failed, or a hedge; may use the whole
- * budget
+ * @SGR_RETRY_FAILED_ATTEMPT: a request that a target or a connection failed, or a hedge; may use
+ * the whole budget
  * @SGR_RETRY_ERROR_ANSWER: a request that a target ran to an error; may use a third of the budget.
  * Running it again repeats the calls that it makes, so that such retries multiply downstream
  */
 typedef enum
 {
-  SGR_RETRY_NOT_RUN = 0,
+  SGR_RETRY_FAILED_ATTEMPT = 0,
   SGR_RETRY_ERROR_ANSWER,
 } sgr_retry_kind_t;
 
--- a/tests/test_retry_budget.c
+++ b/tests/test_retry_budget.c
@@ -54,7 +54,7 @@
             sgr_retry_budget_request_record (&budget, SEC);
           assert_int_equal (
               retries_take_all (&budget, SEC,
-                                is_error ? SGR_RETRY_ERROR_ANSWER : SGR_RETRY_NOT_RUN),
+                                is_error ? SGR_RETRY_ERROR_ANSWER : SGR_RETRY_FAILED_ATTEMPT),
               is_error ? cases[i].error_retries : cases[i].retries);
         }
     }
@@ -69,10 +69,10 @@
   sgr_retry_budget_init (&budget, 10);
   for (int n = 0; n < 1000; n++)
     sgr_retry_budget_request_record (&budget, 5 * SEC);
-  assert_int_equal (retries_take_all (&budget, 14 * SEC, SGR_RETRY_NOT_RUN), 101);
-  assert_int_equal (retries_take_all (&budget, 15 * SEC, SGR_RETRY_NOT_RUN), 0);
-  assert_int_equal (retries_take_all (&budget, 24 * SEC, SGR_RETRY_NOT_RUN), 1);
-  assert_int_equal (retries_take_all (&budget, 1000 * SEC, SGR_RETRY_NOT_RUN), 1);
+  assert_int_equal (retries_take_all (&budget, 14 * SEC, SGR_RETRY_FAILED_ATTEMPT), 101);
+  assert_int_equal (retries_take_all (&budget, 15 * SEC, SGR_RETRY_FAILED_ATTEMPT), 0);
+  assert_int_equal (retries_take_all (&budget, 24 * SEC, SGR_RETRY_FAILED_ATTEMPT), 1);
+  assert_int_equal (retries_take_all (&budget, 1000 * SEC, SGR_RETRY_FAILED_ATTEMPT), 1);
 }
 
 /* Load pattern: 65 entries with very unequal, bursty load; the targets reject a share of the
@@ -104,7 +104,7 @@
             sgr_retry_budget_request_record (&budgets[node], ms * 1000);
             requests[ms / 1000]++;
             if (sgr_rng_below (&rng, 100) < (uint64_t)reject_percent
-                && sgr_retry_budget_take (&budgets[node], ms * 1000, SGR_RETRY_NOT_RUN))
+                && sgr_retry_budget_take (&budgets[node], ms * 1000, SGR_RETRY_FAILED_ATTEMPT))
               retries[ms / 1000]++;
           }
       for (int second = 0; second + 10 <= MODEL_SECONDS; second++)
