Count refused requests by status and reason, malformed ones too

The reports of wrong 4xx answers could not be matched to a cause: the answers 400, 413 and 431 of the HTTP parser were neither logged nor counted, and the line of a refused request did not tell whether the node had heard of a newer configuration than its own.

siskingrade_requests_refused_total counts by status and reason, siskingrade_config_newest_revision is the highest revision known, and call-refused names it. test_ambiguous_requests checks that each malformed request is counted.

--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -81,6 +81,18 @@
   qsort (control->members, control->member_count, sizeof *control->members, member_order);
 }
 
+/* Highest revision of the configuration that this node or a member has in force. */
+static uint64_t
+newest_revision (const sgr_control_t *control)
+{
+  uint64_t newest = sgr_config_state_revision (sgr_control_config_state (control->config));
+
+  for (size_t i = 0; i < control->member_count; i++)
+    if (control->members[i].config_revision > newest)
+      newest = control->members[i].config_revision;
+  return newest;
+}
+
 static sgr_snapshot_t *
 snapshot_build (const sgr_control_t *control)
 {
@@ -97,6 +109,7 @@
   if (control->member_count > 0)
     memcpy (snapshot->members, control->members, control->member_count * sizeof *snapshot->members);
   snapshot->member_count = control->member_count;
+  snapshot->newest_revision = newest_revision (control);
   for (size_t i = 0; i < policies; i++)
     snapshot->policies[snapshot->policy_count++] = *sgr_config_state_service_at (state, i);
   if (route_count > 0)
@@ -373,6 +386,10 @@
   sgr_metrics_print (sgr_data_task_metrics (control->data), text);
   sgr_metrics_print (control->metrics, text);
   sgr_control_config_metrics_print (control->config, text);
+  sgr_buffer_printf (text,
+                     "# TYPE siskingrade_config_newest_revision gauge\n"
+                     "siskingrade_config_newest_revision %lu\n",
+                     newest_revision (control));
   sgr_buffer_printf (text, "# TYPE siskingrade_members gauge\nsiskingrade_members %zu\n",
                      sgr_membership_size (membership_of (control)));
   membership_counter_print (text, "messages_sent_total", counters->messages_sent);
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -8,15 +8,13 @@
 
 #include "data_call.h"
 #include "data_keys.h"
+#include "data_refuse.h"
 #include "http1_server.h"
 #include "http_fields.h"
 #include "http_tls.h"
 #include "log.h"
 #include "listener.h"
 
-/* Retry-After of a request that is refused because the node has no configuration yet, is stopping,
-   or has too many open calls. */
-#define UNAVAILABLE_RETRY_AFTER_MS 200
 /* Retry-After of a call that is refused because its idempotency key, which the caller chose, cannot
    be bound to a gate. */
 #define KEY_BIND_RETRY_AFTER_MS 1000
@@ -60,28 +58,6 @@
   sgr_data_call_request_t request;
 } pending_bind_t;
 
-/* Sends an error answer with the outcome not-run. */
-static void
-not_run_error_send (h2o_req_t *req, int status, const char *reason, uint32_t retry_after_ms,
-                    bool has_retry_fractions)
-{
-  sgr_data_error_t error = { .status = status,
-                             .outcome = SGR_OUTCOME_NOT_RUN,
-                             .reason = reason,
-                             .is_repeat_safe = status == 503,
-                             .retry_after_ms = retry_after_ms,
-                             .has_retry_fractions = has_retry_fractions };
-
-  sgr_data_error_send (req, &error);
-}
-
-/* Refuses a request without a log line. */
-static void
-request_refuse_unlogged (h2o_req_t *req, int status, const char *reason)
-{
-  not_run_error_send (req, status, reason, 0, false);
-}
-
 static h2o_iovec_t
 header_find (const h2o_req_t *req, const char *name)
 {
@@ -90,38 +66,6 @@
   return index < 0 ? h2o_iovec_init (NULL, 0) : req->headers.entries[index].value;
 }
 
-/* Reads the request id that the caller sent. An id that is too long or is not a token cannot be
-   written to a log line and is ignored. */
-static void
-request_id_read (const sgr_data_http_t *http, const h2o_req_t *req, char *id)
-{
-  h2o_iovec_t value = header_find (req, http->task->fields->request_id);
-
-  id[0] = '\0';
-  if (value.base != NULL && value.len <= SGR_NAME_MAX && sgr_http_is_token (value.base, value.len))
-    {
-      memcpy (id, value.base, value.len);
-      id[value.len] = '\0';
-    }
-}
-
-/* Refuses and logs a request before a call is created for it. */
-static void
-request_refuse (sgr_data_http_t *http, h2o_req_t *req, int status, const char *reason)
-{
-  const sgr_snapshot_t *snapshot = http->task->snapshot;
-  char id[SGR_NAME_MAX + 1];
-
-  request_id_read (http, req, id);
-  if (sgr_call_log_should_log (http->task->call_log, sgr_clock_monotonic_us (), id, true))
-    sgr_log_info ("call-refused", "id=%s status=%d reason=%s host=%.*s path=%.*s revision=%lu", id,
-                  status, reason, (int)req->authority.len, req->authority.base, (int)req->path.len,
-                  req->path.base,
-                  snapshot != NULL ? (unsigned long)snapshot->config_revision : 0UL);
-  not_run_error_send (req, status, reason, status == 503 ? UNAVAILABLE_RETRY_AFTER_MS : 0,
-                      http->task->fields->has_retry_fractions);
-}
-
 static bool
 name_copy (h2o_iovec_t value, char *name)
 {
@@ -318,7 +262,7 @@
 
   if (routes == NULL || http->task->snapshot->config_revision == 0)
     {
-      request_refuse (http, req, 503, "no-configuration");
+      sgr_data_request_refuse (http->task, req, 503, "no-configuration");
       return NULL;
     }
   if (sgr_route_table_count (routes) > 0)
@@ -328,7 +272,7 @@
 
       if (entry == NULL)
         {
-          request_refuse (http, req, 404, "no-route");
+          sgr_data_request_refuse (http->task, req, 404, "no-route");
           return NULL;
         }
       *route = sgr_route_entry_route (entry);
@@ -336,12 +280,12 @@
     }
   else if (!service_name_read (req, name))
     {
-      request_refuse (http, req, 400, "bad-service");
+      sgr_data_request_refuse (http->task, req, 400, "bad-service");
       return NULL;
     }
   service = sgr_data_service_find (http->task->services, name);
   if (service == NULL)
-    request_refuse (http, req, 404, "unknown-service");
+    sgr_data_request_refuse (http->task, req, 404, "unknown-service");
   return service;
 }
 
@@ -356,11 +300,11 @@
 
   if (service == NULL)
     return;
-  request_id_read (http, req, request.request_id);
+  sgr_data_request_id_read (http->task, req, request.request_id);
   reason = call_request_read (http, req, &service->policy, route, &request);
   if (reason != NULL)
     {
-      request_refuse (http, req, 400, reason);
+      sgr_data_request_refuse (http->task, req, 400, reason);
       return;
     }
   if (!request.has_key || request.is_key_issued)
@@ -382,7 +326,10 @@
 
   if (result != SGR_OK)
     {
-      request_refuse_unlogged (req, 503, "no-target");
+      sgr_data_error_send (req, &(sgr_data_error_t){ .status = 503,
+                                                     .outcome = SGR_OUTCOME_NOT_RUN,
+                                                     .reason = "no-target",
+                                                     .is_repeat_safe = true });
       return;
     }
   sgr_issued_key_format (key, text);
@@ -405,7 +352,7 @@
 
   if (!h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("POST")))
     {
-      request_refuse (http, req, 405, "expected-post");
+      sgr_data_request_refuse (http->task, req, 405, "expected-post");
       return;
     }
   if (req->query_at != SIZE_MAX)
@@ -414,7 +361,7 @@
       && name_copy (h2o_iovec_init (query.base + 8, query.len - 8), name))
     service = sgr_data_service_find (http->task->services, name);
   if (service == NULL)
-    request_refuse (http, req, 404, "unknown-service");
+    sgr_data_request_refuse (http->task, req, 404, "unknown-service");
   else
     sgr_data_keys_issue (http->task->keys, req, service, on_key_issued, req);
 }
@@ -439,16 +386,16 @@
   /* The end of an answer to HTTP/1.0 may be marked only by the close of the connection, so the
      caller could not tell a truncated answer from a complete one. */
   if (req->version < HTTP_VERSION_1_1)
-    request_refuse (http, req, 505, "http-version");
+    sgr_data_request_refuse (http->task, req, 505, "http-version");
   else if (!head_is_valid (req))
-    request_refuse (http, req, 400, "bad-head");
+    sgr_data_request_refuse (http->task, req, 400, "bad-head");
   else if (http->task->is_draining)
     {
       req->http1_is_persistent = 0;
-      request_refuse (http, req, 503, "node-stopping");
+      sgr_data_request_refuse (http->task, req, 503, "node-stopping");
     }
   else if (http->task->calls >= http->task->settings->calls_max)
-    request_refuse (http, req, 503, "too-many-calls");
+    sgr_data_request_refuse (http->task, req, 503, "too-many-calls");
   else if (h2o_memis (req->path_normalized.base, req->path_normalized.len, H2O_STRLIT (KEYS_PATH)))
     key_issue (http, req);
   else
@@ -499,6 +446,12 @@
   http->accept.hosts = http->config.hosts;
 }
 
+static void
+on_malformed (void *ctx, int status)
+{
+  sgr_data_malformed_count (ctx, status);
+}
+
 sgr_data_http_t *
 sgr_data_http_create (sgr_data_task_t *task, sgr_buffer_t *errors)
 {
@@ -521,7 +474,9 @@
       &(sgr_http1_options_t){ .accept = &http->accept,
                               .timers = task->timers,
                               .body_max_bytes = task->settings->request_body_max_bytes,
-                              .head_max_bytes = SGR_HTTP_HEAD_MAX_BYTES });
+                              .head_max_bytes = SGR_HTTP_HEAD_MAX_BYTES,
+                              .rejected = on_malformed,
+                              .ctx = task });
   if (sgr_listener_open (task->loop, &listen_address, on_accept, http, &http->listener) == SGR_OK)
     return http;
   sgr_address_format (&task->settings->callers, address, sizeof address);
--- /dev/null
+++ b/libsiskingrade/data_refuse.c
@@ -0,0 +1,71 @@
+#include "data_refuse.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "data_call.h"
+#include "http_fields.h"
+#include "log.h"
+
+/* Retry-After of a request that is refused because the node has no configuration yet, is stopping,
+   or has too many open calls. */
+#define UNAVAILABLE_RETRY_AFTER_MS 200
+#define LABELS_BYTES 96
+
+void
+sgr_data_request_id_read (const sgr_data_task_t *task, const h2o_req_t *req, char *id)
+{
+  const char *name = task->fields->request_id;
+  ssize_t index = h2o_find_header_by_str (&req->headers, name, strlen (name), -1);
+  h2o_iovec_t value = index < 0 ? h2o_iovec_init (NULL, 0) : req->headers.entries[index].value;
+
+  id[0] = '\0';
+  if (value.base != NULL && value.len <= SGR_NAME_MAX && sgr_http_is_token (value.base, value.len))
+    {
+      memcpy (id, value.base, value.len);
+      id[value.len] = '\0';
+    }
+}
+
+static void
+refusal_count (sgr_data_task_t *task, int status, const char *reason)
+{
+  char labels[LABELS_BYTES];
+
+  snprintf (labels, sizeof labels, "status=\"%d\",reason=\"%s\"", status, reason);
+  sgr_counter_add (
+      sgr_metrics_counter (task->metrics, "siskingrade_requests_refused_total", labels), 1);
+}
+
+void
+sgr_data_request_refuse (sgr_data_task_t *task, h2o_req_t *req, int status, const char *reason)
+{
+  const sgr_snapshot_t *snapshot = task->snapshot;
+  bool is_unavailable = status == 503;
+  sgr_data_error_t error = { .status = status,
+                             .outcome = SGR_OUTCOME_NOT_RUN,
+                             .reason = reason,
+                             .is_repeat_safe = is_unavailable,
+                             .retry_after_ms = is_unavailable ? UNAVAILABLE_RETRY_AFTER_MS : 0,
+                             .has_retry_fractions = task->fields->has_retry_fractions };
+  char id[SGR_NAME_MAX + 1];
+
+  refusal_count (task, status, reason);
+  sgr_data_request_id_read (task, req, id);
+  if (sgr_call_log_should_log (task->call_log, sgr_clock_monotonic_us (), id, true))
+    sgr_log_info ("call-refused",
+                  "id=%s status=%d reason=%s host=%.*s path=%.*s revision=%lu newest_revision=%lu",
+                  id, status, reason, (int)req->authority.len, req->authority.base,
+                  (int)req->path.len, req->path.base,
+                  snapshot != NULL ? snapshot->config_revision : 0UL,
+                  snapshot != NULL ? snapshot->newest_revision : 0UL);
+  sgr_data_error_send (req, &error);
+}
+
+void
+sgr_data_malformed_count (sgr_data_task_t *task, int status)
+{
+  refusal_count (task, status, "malformed");
+  if (sgr_call_log_should_log (task->call_log, sgr_clock_monotonic_us (), "", true))
+    sgr_log_info ("call-refused", "id= status=%d reason=malformed", status);
+}
--- a/libsiskingrade/http1_conn.c
+++ b/libsiskingrade/http1_conn.c
@@ -137,6 +137,8 @@
   conn->is_last_request_read = true;
   sgr_http1_request_set_error (request, status);
   request_add (conn, request);
+  if (conn->server->options.rejected != NULL)
+    conn->server->options.rejected (conn->server->options.ctx, status);
   sgr_http1_conn_flush (conn);
 }
 
--- a/libsiskingrade/http1_server.h
+++ b/libsiskingrade/http1_server.h
@@ -19,6 +19,9 @@
  * @body_max_bytes: largest request body; a larger one is answered with 413
  * @head_max_bytes: largest total of request URL, field names and field values; a larger one is
  *                  answered with 431
+ * @rejected: called with the status of the answer when a malformed or too large request is answered
+ *            without being passed on; may be NULL
+ * @ctx: passed to @rejected
  */
 typedef struct
 {
@@ -26,6 +29,8 @@
   sgr_timer_heap_t *timers;
   size_t body_max_bytes;
   size_t head_max_bytes;
+  void (*rejected) (void *ctx, int status);
+  void *ctx;
 } sgr_http1_options_t;
 
 /** sgr_http1_server_create() - create a server without connections; copies @options */
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -37,6 +37,7 @@
  *   target is empty
  * @member_count: entries of @members
  * @config_revision: revision of the configuration, 0 if none is known
+ * @newest_revision: highest revision that this node or one of @members has in force
  * @policies: policies of the services in the configuration
  * @policy_count: entries of @policies
  * @routes: routes of the configuration
@@ -48,6 +49,7 @@
   sgr_member_t *members;
   size_t member_count;
   uint64_t config_revision;
+  uint64_t newest_revision;
   sgr_policy_t *policies;
   size_t policy_count;
   sgr_route_t *routes;
--- a/tests/test_path_caller.c
+++ b/tests/test_path_caller.c
@@ -29,6 +29,7 @@
 
 #define READ_BYTES_MAX 65536
 #define STARTS_METRIC "siskingrade_gate_starts_total"
+#define REFUSED_4XX_METRIC "siskingrade_requests_refused_total{status=\"4"
 
 static sgr_fixture_t fixture;
 
@@ -153,6 +154,7 @@
     { "body exceeds the limit", "POST / HTTP/1.1\r\nHost: one\r\nContent-Length: 99999999\r\n\r\n",
       413 },
   };
+  uint64_t counted = sgr_fixture_metric (node (ENTRY), REFUSED_4XX_METRIC);
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
@@ -173,6 +175,9 @@
       assert_int_equal (sgr_fixture_executions (node (GATE), id), 0);
       close (fd);
     }
+  /* Guards against refusals that an operator cannot see. */
+  assert_int_equal (sgr_fixture_metric (node (ENTRY), REFUSED_4XX_METRIC),
+                    counted + sizeof cases / sizeof cases[0]);
 }
 
 /* Guards against requests that keep running after their caller disconnected. The entry detects the
