Answer 503 for an unknown route while a newer configuration is known

Callers saw: proper requests on a route that a change had added were ended with 404, which they do not repeat.

Cause: a node that has an older configuration than the acknowledged one answers 404 for what it does not know, although it may have heard already that a newer configuration exists. A final answer was given from knowledge that the node itself knew to be incomplete.

A request for an unknown route or service is answered 503 with Retry-After, outcome not-run, while it is above the revision in force.

test_no_404_while_behind failed before: "unknown route, a peer has a newer one: no answer with status 503".

--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -109,7 +109,7 @@
   if (control->member_count > 0)
     memcpy (snapshot->members, control->members, control->member_count * sizeof *snapshot->members);
   snapshot->member_count = control->member_count;
-  snapshot->newest_revision = newest_revision (control);
+  snapshot->newest_revision = control->newest_revision;
   for (size_t i = 0; i < policies; i++)
     snapshot->policies[snapshot->policy_count++] = *sgr_config_state_service_at (state, i);
   if (route_count > 0)
@@ -125,6 +125,7 @@
 
   control->snapshot_sent_us = now_us;
   members_refresh (control);
+  control->newest_revision = newest_revision (control);
   sgr_control_config_members_update (control->config, control->members, control->member_count);
   sgr_control_probe_update (control->probe,
                             sgr_config_state_policy (sgr_control_config_state (control->config),
@@ -161,7 +162,12 @@
                  sgr_target_state_name (member->target_state));
   if (control->config != NULL)
     sgr_control_config_member_changed (control->config, member);
-  sgr_control_snapshot_schedule (control);
+  /* The data task must know at once that its configuration is not the newest any more. */
+  if (control->data != NULL && member->status <= SGR_MEMBER_SUSPECT
+      && member->config_revision > control->newest_revision)
+    sgr_control_snapshot_now (control);
+  else
+    sgr_control_snapshot_schedule (control);
 }
 
 bool
@@ -389,7 +395,7 @@
   sgr_buffer_printf (text,
                      "# TYPE siskingrade_config_newest_revision gauge\n"
                      "siskingrade_config_newest_revision %lu\n",
-                     newest_revision (control));
+                     control->newest_revision);
   sgr_buffer_printf (text, "# TYPE siskingrade_members gauge\nsiskingrade_members %zu\n",
                      sgr_membership_size (membership_of (control)));
   membership_counter_print (text, "messages_sent_total", counters->messages_sent);
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -251,6 +251,20 @@
                    result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
 }
 
+/* Refuses a request for a route or service that the configuration in force does not have. If a
+   newer configuration is known, it may have it, so the caller is asked to come back: after a 404 it
+   would not. */
+static void
+unknown_refuse (sgr_data_http_t *http, h2o_req_t *req, const char *reason)
+{
+  const sgr_snapshot_t *snapshot = http->task->snapshot;
+
+  if (snapshot != NULL && snapshot->newest_revision > snapshot->config_revision)
+    sgr_data_request_refuse (http->task, req, 503, "configuration-behind");
+  else
+    sgr_data_request_refuse (http->task, req, 404, reason);
+}
+
 /* Finds the service of a call. With routes, it is the service that is next in the traffic split of
    the matching route; without routes, the caller names it. If there is no such service, refuses the
    request and returns NULL. */
@@ -272,7 +286,7 @@
 
       if (entry == NULL)
         {
-          sgr_data_request_refuse (http->task, req, 404, "no-route");
+          unknown_refuse (http, req, "no-route");
           return NULL;
         }
       *route = sgr_route_entry_route (entry);
@@ -285,7 +299,7 @@
     }
   service = sgr_data_service_find (http->task->services, name);
   if (service == NULL)
-    sgr_data_request_refuse (http->task, req, 404, "unknown-service");
+    unknown_refuse (http, req, "unknown-service");
   return service;
 }
 
@@ -361,7 +375,7 @@
       && name_copy (h2o_iovec_init (query.base + 8, query.len - 8), name))
     service = sgr_data_service_find (http->task->services, name);
   if (service == NULL)
-    sgr_data_request_refuse (http->task, req, 404, "unknown-service");
+    unknown_refuse (http, req, "unknown-service");
   else
     sgr_data_keys_issue (http->task->keys, req, service, on_key_issued, req);
 }
--- a/libsiskingrade/data_refuse.c
+++ b/libsiskingrade/data_refuse.c
@@ -7,8 +7,8 @@
 #include "http_fields.h"
 #include "log.h"
 
-/* Retry-After of a request that is refused because the node has no configuration yet, is stopping,
-   or has too many open calls. */
+/* Retry-After of a request that is refused because the node has no configuration yet or an old one,
+   is stopping, or has too many open calls. */
 #define UNAVAILABLE_RETRY_AFTER_MS 200
 #define LABELS_BYTES 96
 
--- a/tests/test_data_task.c
+++ b/tests/test_data_task.c
@@ -21,7 +21,7 @@
 #include "scripted_peer.h"
 #include "types.h"
 
-/* Tests of starting and stopping the thread of the data task. */
+/* Tests of starting and stopping the thread of the data task, and of requests that it refuses. */
 
 #define REQUEST_COUNT 5
 /* Larger than what the kernel buffers of one connection. */
@@ -306,6 +306,76 @@
   assert_int_equal (reader.length, LARGE_ANSWER_BYTES);
 }
 
+/* Sends requests until one is answered with @status, because the task applies a snapshot some time
+   after it was sent. Only an answer with 503 may say when to come back. */
+static bool
+status_await (uint16_t port, int status)
+{
+  sgr_probe_request_t request = { .port = port, .path = "/added/" };
+  uint64_t end_us = sgr_clock_monotonic_us () + EVENT_TIMEOUT_US;
+  int found;
+
+  do
+    {
+      sgr_probe_answer_t answer;
+      char retry_after[16];
+
+      sgr_probe_call (&request, &answer);
+      found = answer.status;
+      assert_int_equal (sgr_probe_field (&answer, "Retry-After", retry_after, sizeof retry_after),
+                        found == 503);
+      sgr_probe_release (&answer);
+      sgr_fixture_poll_sleep ();
+    }
+  while (found != status && sgr_clock_monotonic_us () < end_us);
+  return found == status;
+}
+
+/* Guards against a final answer from incomplete knowledge: a node that knows of a newer
+   configuration than its own answered 404 for a route or service that the newer one may have, and
+   callers do not repeat a request after 404. */
+static void
+test_no_404_while_behind (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    size_t routes;
+    uint64_t newest_revision;
+    int status;
+  } cases[] = {
+    { "unknown route, configuration is the newest", 1, 5, 404 },
+    { "unknown route, a peer has a newer one", 1, 6, 503 },
+    { "unknown service, configuration is the newest", 0, 5, 404 },
+    { "unknown service, a peer has a newer one", 0, 6, 503 },
+  };
+  sgr_buffer_t errors = { 0 };
+  sgr_settings_t settings;
+  sgr_data_task_t *task;
+
+  settings_make (&settings);
+  task = sgr_data_task_start (&settings, &sgr_call_fields_default, 1, &events, NULL, &errors);
+  assert_non_null (task);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_snapshot_t *snapshot = sgr_snapshot_create (0, 0, cases[i].routes);
+
+      snapshot->config_revision = 5;
+      snapshot->newest_revision = cases[i].newest_revision;
+      snapshot->route_count = cases[i].routes;
+      if (cases[i].routes > 0)
+        snapshot->routes[0] = (sgr_route_t){
+          .host = "other.example", .prefix = "/", .parts = { { "one", 1 } }, .part_count = 1
+        };
+      sgr_data_task_snapshot_send (task, snapshot);
+      if (!status_await (settings.callers.port, cases[i].status))
+        fail_msg ("%s: no answer with status %d", cases[i].name, cases[i].status);
+    }
+  sgr_data_task_stop (task);
+  sgr_data_task_join (task);
+  sgr_buffer_release (&errors);
+}
+
 int
 main (void)
 {
@@ -313,6 +383,7 @@
     cmocka_unit_test (test_buffers_stay_in_their_thread),
     cmocka_unit_test (test_port_is_taken),
     cmocka_unit_test (test_stop_delivers_queued_answer),
+    cmocka_unit_test (test_no_404_while_behind),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
