--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -69,6 +69,21 @@
   options->fetch_timeout_ms = 2000;
 }
 
+/* Logs the record that was put in force. @length and @took_us are its size as received and the time
+   from its arrival, which a large one takes on a slow processor. */
+static void
+in_force_log (const sgr_config_io_t *io, size_t length, uint64_t took_us)
+{
+  const sgr_config_record_t *record = sgr_config_state_record (io->state);
+  size_t route_count;
+
+  sgr_config_state_routes (io->state, &route_count);
+  sgr_log_info (
+      "config-in-force", "revision=%lu change=%s services=%zu routes=%zu bytes=%zu took_ms=%lu",
+      record->statement.revision, record->statement.id, sgr_config_state_service_count (io->state),
+      route_count, length, sgr_ms_of (took_us));
+}
+
 /* Offers a record or a step to the state, and counts and logs the result. A conflict,
    SGR_ERR_CONFLICT, is neither counted nor logged: it means that the revision is not higher, that
    the record does not descend from the one in force, or that the step starts from another
@@ -78,6 +93,7 @@
               sgr_config_error_t *error)
 {
   sgr_config_error_t offer_error = { SGR_OK };
+  uint64_t start_us = sgr_clock_monotonic_us ();
   sgr_result_t result = is_step
                             ? sgr_config_state_offer_step (io->state, text, length, &offer_error)
                             : sgr_config_state_offer (io->state, text, length, &offer_error);
@@ -89,9 +105,7 @@
     {
       io->stats.records_applied++;
       io->stats.steps_applied += is_step;
-      sgr_log_info ("config-in-force", "revision=%llu change=%s services=%zu",
-                    (unsigned long long)revision, sgr_config_state_record (io->state)->statement.id,
-                    sgr_config_state_service_count (io->state));
+      in_force_log (io, length, sgr_clock_monotonic_us () - start_us);
       sgr_config_sync_revision_set (io->sync, sgr_clock_monotonic_us (), revision);
       if (io->callbacks.config_changed != NULL)
         io->callbacks.config_changed (io->ctx, io->state);
