Notice within seconds that the store does not answer the readers' watches

Callers saw: after the store had been silent for a moment, a change that it acknowledged was in force nowhere for half a minute: the former routes were used (CONFIG) and a request on an added route met 404 (DENIED).

Cause: a store that is silent takes connections and requests but answers none, nor later. A watch sent in that time looks like one without news until its timeout of 32 s, and keepalive sees a live connection. A reader sent its next watch although the last one had failed, and after a change all readers send one at the same time, so that one moment of silence can take all of them.

Change: after a watch that failed, the client reads the key before it watches again; such a call has a timeout of one second. The watch after an answer with a new version or after a failure lasts 1.5 to 3 s, chosen at random, and is given up 2 s later; only one that was answered is followed by a long one. The same for the own store, whose client waited for up to 65 s.

On the code before: test_watch_reads_key_after_failure: "unexpected request: GET /siskingrade/kv-watch"; test_sync_watch_is_short_until_answered: "0, new version: next watch of 55000 ms".

--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -55,6 +55,9 @@
  * @reader: whether this node is a reader; true until other members are known
  * @watching: whether a watch is open
  * @version: version of the watched key in the last answer of the store
+ * @is_confirmed: the last watch ended without a new version after its whole duration, so the next
+ *                one may be long
+ * @watch_wait_ms: longest duration of the last watch
  * @watch_start_us: start of the last watch
  * @watch_due_us: earliest start of the next watch
  * @settled_us: earliest start of the second watch
@@ -69,6 +72,8 @@
   bool reader;
   bool watching;
   uint64_t version;
+  bool is_confirmed;
+  uint32_t watch_wait_ms;
   uint64_t watch_start_us;
   uint64_t watch_due_us;
   uint64_t settled_us;
@@ -89,6 +94,7 @@
     .start_delay_ms = 2000,
     .readers = 2,
     .watch_ms = 55000,
+    .watch_confirm_ms = 3000,
     .backoff_min_ms = 250,
     .backoff_max_ms = 15000,
     .fetch_spread_ms = 50,
@@ -287,16 +293,17 @@
 sgr_config_sync_watch_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok, uint64_t version,
                             uint64_t retry_after_ms)
 {
-  uint64_t min_duration_us
-      = sync->options.watch_ms * SGR_USEC_PER_MSEC / WATCH_MIN_DURATION_DIVISOR;
+  uint64_t min_duration_us = sync->watch_wait_ms * SGR_USEC_PER_MSEC / WATCH_MIN_DURATION_DIVISOR;
   bool is_new_version = ok && version > sync->version;
+  bool is_whole = ok && now_us - sync->watch_start_us >= min_duration_us;
 
   sync->watching = false;
   /* A lower version than the known one comes from a stale read, or from a store that was restored
      to an earlier state; the next watch starts from that version. */
   if (ok)
     sync->version = version;
-  if (is_new_version || (ok && now_us - sync->watch_start_us >= min_duration_us))
+  sync->is_confirmed = is_whole && !is_new_version;
+  if (is_new_version || is_whole)
     {
       sync->watch_failures = 0;
       sync->watch_due_us = now_us > sync->settled_us ? now_us : sync->settled_us;
@@ -395,6 +402,17 @@
   return true;
 }
 
+/* Longest duration of the next watch. */
+static uint32_t
+watch_duration_ms (sgr_config_sync_t *sync)
+{
+  uint32_t confirm_ms = sync->options.watch_confirm_ms;
+
+  if (sync->is_confirmed || confirm_ms >= sync->options.watch_ms)
+    return sync->options.watch_ms;
+  return confirm_ms - (uint32_t)sgr_rng_below (&sync->rng, confirm_ms / 2 + 1);
+}
+
 bool
 sgr_config_sync_next (sgr_config_sync_t *sync, uint64_t now_us, sgr_config_sync_action_t *action,
                       uint64_t *next_us)
@@ -414,10 +432,11 @@
         {
           sync->watching = true;
           sync->watch_start_us = now_us;
+          sync->watch_wait_ms = watch_duration_ms (sync);
           sync->stats.store_calls++;
           action->kind = SGR_CONFIG_SYNC_WATCH;
           action->after_version = sync->version;
-          action->wait_ms = sync->options.watch_ms;
+          action->wait_ms = sync->watch_wait_ms;
           return true;
         }
       *next_us = sync->watch_due_us;
--- a/libsiskingrade/store_http.c
+++ b/libsiskingrade/store_http.c
@@ -14,6 +14,8 @@
 /* Longest wait of a watch. It bounds the time until the client detects that a silent connection has
    failed. */
 #define WATCH_WAIT_MAX_MS 60000
+/* Longest wait of a watch that is to notice soon that the store does not answer. */
+#define SHORT_WATCH_MS 3000
 /* The store replies within milliseconds, so that a reply that takes this long counts as lost. */
 #define STORE_TIMEOUT_MS 1000
 /* Longest body of a reply; a longer list cannot be read. */
@@ -42,6 +44,7 @@
   sgr_store_http_options_t options;
   sgr_http_fetcher_t *call_fetcher;
   sgr_http_fetcher_t *watch_fetcher;
+  sgr_http_fetcher_t *short_watch_fetcher;
   sgr_store_call_t *pending;
 } store_http_t;
 
@@ -174,8 +177,8 @@
 }
 
 static sgr_store_call_t *
-call_start (store_http_t *http, call_kind_t kind, sgr_http_fetch_request_t *request,
-            sgr_store_cb_t cb, void *ctx)
+call_start (store_http_t *http, sgr_http_fetcher_t *fetcher, call_kind_t kind,
+            sgr_http_fetch_request_t *request, sgr_store_cb_t cb, void *ctx)
 {
   sgr_store_call_t *call = calloc (1, sizeof *call);
 
@@ -192,8 +195,7 @@
   call->next = http->pending;
   http->pending = call;
   http->store.calls++;
-  call->fetch = sgr_http_fetch_start (kind == CALL_WATCH ? http->watch_fetcher : http->call_fetcher,
-                                      request, on_fetched, call);
+  call->fetch = sgr_http_fetch_start (fetcher, request, on_fetched, call);
   return call;
 }
 
@@ -211,24 +213,26 @@
 static sgr_store_call_t *
 http_get (sgr_store_t *store, const char *key, sgr_store_cb_t cb, void *ctx)
 {
+  store_http_t *http = (store_http_t *)store;
   char path[SGR_STORE_KEY_MAX + 32];
 
   if (!key_valid (key))
     return NULL;
   snprintf (path, sizeof path, "/v1/kv/%s", key);
-  return call_start ((store_http_t *)store, CALL_GET,
+  return call_start (http, http->call_fetcher, CALL_GET,
                      &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
 }
 
 static sgr_store_call_t *
 http_list (sgr_store_t *store, const char *prefix, sgr_store_cb_t cb, void *ctx)
 {
+  store_http_t *http = (store_http_t *)store;
   char path[SGR_STORE_KEY_MAX + 32];
 
   if (!key_valid (prefix))
     return NULL;
   snprintf (path, sizeof path, "/v1/kv?prefix=%s", prefix);
-  return call_start ((store_http_t *)store, CALL_LIST,
+  return call_start (http, http->call_fetcher, CALL_LIST,
                      &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
 }
 
@@ -236,6 +240,7 @@
 http_swap (sgr_store_t *store, const char *key, uint64_t expected, const void *value, size_t length,
            sgr_store_cb_t cb, void *ctx)
 {
+  store_http_t *http = (store_http_t *)store;
   char path[SGR_STORE_KEY_MAX + 32], headers[64];
   sgr_http_fetch_request_t request = { .path = path, .headers = headers };
 
@@ -249,19 +254,20 @@
   request.method = value != NULL ? "PUT" : "DELETE";
   request.body = value;
   request.length = length;
-  return call_start ((store_http_t *)store, CALL_WRITE, &request, cb, ctx);
+  return call_start (http, http->call_fetcher, CALL_WRITE, &request, cb, ctx);
 }
 
 static sgr_store_call_t *
 http_lease (sgr_store_t *store, const char *name, const char *holder, uint32_t ttl_ms,
             sgr_store_cb_t cb, void *ctx)
 {
+  store_http_t *http = (store_http_t *)store;
   char path[2 * SGR_STORE_KEY_MAX + 64];
 
   if (!key_valid (name) || !key_valid (holder))
     return NULL;
   snprintf (path, sizeof path, "/v1/leases/%s?holder=%s&ttl_ms=%u", name, holder, ttl_ms);
-  return call_start ((store_http_t *)store, CALL_WRITE,
+  return call_start (http, http->call_fetcher, CALL_WRITE,
                      &(sgr_http_fetch_request_t){ .method = "PUT", .path = path }, cb, ctx);
 }
 
@@ -269,6 +275,9 @@
 http_watch (sgr_store_t *store, const char *key, uint64_t after, uint32_t wait_ms,
             sgr_store_cb_t cb, void *ctx)
 {
+  store_http_t *http = (store_http_t *)store;
+  sgr_http_fetcher_t *fetcher
+      = wait_ms <= SHORT_WATCH_MS ? http->short_watch_fetcher : http->watch_fetcher;
   char path[SGR_STORE_KEY_MAX + 96];
 
   if (!key_valid (key))
@@ -277,7 +286,7 @@
     wait_ms = WATCH_WAIT_MAX_MS;
   snprintf (path, sizeof path, "/v1/kv/%s?after=%llu&wait_ms=%u", key, (unsigned long long)after,
             wait_ms);
-  return call_start ((store_http_t *)store, CALL_WATCH,
+  return call_start (http, fetcher, CALL_WATCH,
                      &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
 }
 
@@ -305,6 +314,8 @@
   http->call_fetcher = sgr_http_fetcher_create (loop, options->timeout_ms, REPLY_MAX_BYTES);
   http->watch_fetcher
       = sgr_http_fetcher_create (loop, WATCH_WAIT_MAX_MS + WATCH_GRACE_MS, REPLY_MAX_BYTES);
+  http->short_watch_fetcher
+      = sgr_http_fetcher_create (loop, SHORT_WATCH_MS + WATCH_GRACE_MS, REPLY_MAX_BYTES);
   return &http->store;
 }
 
@@ -331,5 +342,6 @@
     }
   sgr_http_fetcher_destroy (http->call_fetcher);
   sgr_http_fetcher_destroy (http->watch_fetcher);
+  sgr_http_fetcher_destroy (http->short_watch_fetcher);
   free (http);
 }
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -117,6 +117,49 @@
   sgr_config_sync_destroy (sync);
 }
 
+/* Guards against readers that all wait in a watch which a silent store has accepted but does not
+   answer, until the longest duration of a watch ends. A watch is long only after one that the store
+   has answered without a new version. */
+static void
+test_sync_watch_is_short_until_answered (void **state)
+{
+  static const struct
+  {
+    const char *end; /* how the watch before ended */
+    bool ok;
+    uint64_t version;
+    bool is_whole; /* it ended after its whole duration */
+    bool is_next_long;
+  } cases[] = {
+    { "new version", true, 5, false, false },
+    { "no new version", true, 5, true, true },
+    { "again", true, 5, true, true },
+    { "new version after a long watch", true, 6, true, false },
+    { "no new version", true, 6, true, true },
+    { "failed", false, 0, false, false },
+    { "no new version", true, 6, true, true },
+  };
+  sgr_config_sync_t *sync = sync_create (0);
+  sgr_config_sync_options_t options;
+  sgr_config_sync_action_t action;
+  uint64_t now_us = 10 * SECOND_US, next_us;
+
+  sgr_config_sync_options_init (&options);
+  assert_true (sgr_config_sync_next (sync, now_us, &action, &next_us));
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      if (cases[i].is_whole)
+        now_us += action.wait_ms * SGR_USEC_PER_MSEC;
+      sgr_config_sync_watch_done (sync, now_us, cases[i].ok, cases[i].version, 0);
+      while (!sgr_config_sync_next (sync, now_us, &action, &next_us))
+        now_us = next_us;
+      assert_int_equal (action.kind, SGR_CONFIG_SYNC_WATCH);
+      if ((action.wait_ms > options.watch_confirm_ms) != cases[i].is_next_long)
+        fail_msg ("%zu, %s: next watch of %u ms", i, cases[i].end, action.wait_ms);
+    }
+  sgr_config_sync_destroy (sync);
+}
+
 /* Guards against a node that is not a reader but calls the store, or keeps its watch open. */
 static void
 test_sync_role_follows_members (void **state)
@@ -262,6 +305,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_sync_two_readers_per_domain),
     cmocka_unit_test (test_watch_waits_until_members_are_known),
+    cmocka_unit_test (test_sync_watch_is_short_until_answered),
     cmocka_unit_test (test_sync_role_follows_members),
     cmocka_unit_test (test_sync_backoff_table),
     cmocka_unit_test (test_sync_fetch_from_another_peer),
--- a/tests/test_platform_store.c
+++ b/tests/test_platform_store.c
@@ -571,6 +571,49 @@
     }
 }
 
+/* Guards against readers that send watch after watch to a store which takes them without an answer,
+   and so miss a change that it has acknowledged: after a watch that failed, the next one reads the
+   key first. */
+static void
+test_watch_reads_key_after_failure (void **state)
+{
+  static const store_case_t script
+      = { .name = "watch after a failed one",
+          .kind = WATCH,
+          .expected = 7,
+          .exchanges = { { "kv-range", REPLY, 200, "{\"items\":[" ITEM "}],\"currentRev\":9}" },
+                         { "kv-watch", CLOSE_WITHOUT_REPLY },
+                         { "kv-range", REPLY, 200,
+                           "{\"items\":[{\"key\":\"some/key\",\"value\":\"aGVsbG8=\","
+                           "\"rev\":11}],\"currentRev\":11}" } } };
+  sgr_settings_t settings = { 0 };
+  server_t server = { .test_case = &script };
+  h2o_loop_t *loop = h2o_evloop_create ();
+  reported_t reported[2] = { 0 };
+  pthread_t thread;
+  sgr_store_t *store;
+
+  server.listener = listener_open (&settings.store);
+  assert_int_equal (pthread_create (&thread, NULL, server_run, &server), 0);
+  store = sgr_platform_store_create (loop, &settings);
+  for (size_t i = 0; i < 2; i++)
+    {
+      call_start (store, &script, &reported[i]);
+      while (!reported[i].is_done)
+        h2o_evloop_run (loop, 10000);
+    }
+  sgr_platform_store_destroy (store);
+  loop_destroy (loop);
+  shutdown (server.listener, SHUT_RDWR);
+  pthread_join (thread, NULL);
+  close (server.listener);
+  if (server.has_unexpected_request)
+    fail_msg ("unexpected request: %s", server.request);
+  assert_int_equal (reported[0].outcome, SGR_STORE_UNAVAILABLE);
+  assert_int_equal (reported[1].outcome, SGR_STORE_OK);
+  assert_int_equal (reported[1].version, 11);
+}
+
 /* Guards against a callback that runs twice, or after its call was cancelled or its client
    destroyed. */
 static void
@@ -600,6 +643,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_outcomes),
     cmocka_unit_test (test_nothing_listens),
+    cmocka_unit_test (test_watch_reads_key_after_failure),
     cmocka_unit_test (test_cancel),
   };
 
