Report the generation of the store, and log when it was restored

A store that returns from an older copy assigns the same versions again, and nothing told this apart from a store that was down for a moment: both gave store-lost and store-regained. The replies of the store now carry its generation through store.h; a version is a pair of generation and number. The node logs store-restored with both generations and the revision in force, and the gauge siskingrade_store_generation shows the highest generation seen. The comparison of versions is unchanged.

test_config_sync, test_store_http, test_platform_store and test_config_io pass.

--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -177,13 +177,14 @@
     {
       node->is_watching = false;
       node_revision_apply (fleet, node, fleet->store_version);
-      sgr_config_sync_watch_done (node->sync, fleet->now_us, true, fleet->store_version, 0);
+      sgr_config_sync_watch_done (node->sync, fleet->now_us, true,
+                                  (sgr_store_version_t){ 0, fleet->store_version }, 0);
     }
   else if (fleet->is_store_down || node->watch_end_us <= fleet->now_us)
     {
       node->is_watching = false;
       sgr_config_sync_watch_done (node->sync, fleet->now_us, !fleet->is_store_down,
-                                  node->watch_after_version, 0);
+                                  (sgr_store_version_t){ 0, node->watch_after_version }, 0);
     }
 }
 
@@ -200,7 +201,7 @@
       {
       case SGR_CONFIG_SYNC_WATCH:
         node->is_watching = true;
-        node->watch_after_version = action.after_version;
+        node->watch_after_version = action.after.number;
         node->watch_end_us = fleet->now_us + action.wait_ms * SGR_USEC_PER_MSEC;
         break;
       case SGR_CONFIG_SYNC_FETCH:
--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -49,6 +49,7 @@
   bool is_next_fetch_full;        /* the next fetch requests a complete record, not a step */
   uint64_t highest_peer_revision; /* highest revision of a peer that was logged */
   uint64_t store_lost_us;         /* time of the first failed watch after the last answer, or 0 */
+  uint64_t store_generation;      /* generation of the store after the last watch */
   sgr_store_call_t *watch;
   char watch_key[SGR_STORE_KEY_MAX + 1];
   uint64_t next_action_us;
@@ -138,6 +139,20 @@
     }
 }
 
+/* Logs when the store was restored to an earlier state. */
+static void
+store_generation_update (sgr_config_io_t *io)
+{
+  uint64_t generation = io->options.store->generation;
+
+  if (generation == io->store_generation)
+    return;
+  if (io->store_generation != 0)
+    sgr_log_warn ("store-restored", "generation=%lu former=%lu config_revision=%lu", generation,
+                  io->store_generation, sgr_config_state_revision (io->state));
+  io->store_generation = generation;
+}
+
 static void
 on_watch_done (void *ctx, const sgr_store_reply_t *reply)
 {
@@ -145,10 +160,12 @@
 
   io->watch = NULL;
   store_availability_update (io, reply->outcome == SGR_STORE_OK, reply->reason);
+  store_generation_update (io);
   if (reply->outcome == SGR_STORE_OK && reply->value != NULL)
     config_offer (io, reply->value, reply->length, false, NULL);
   sgr_config_sync_watch_done (io->sync, sgr_clock_monotonic_us (), reply->outcome == SGR_STORE_OK,
-                              reply->version, reply->retry_after_ms);
+                              (sgr_store_version_t){ reply->generation, reply->version },
+                              reply->retry_after_ms);
   run_actions (io);
 }
 
@@ -205,12 +222,13 @@
 start_watch (sgr_config_io_t *io, const sgr_config_sync_action_t *action)
 {
   if (io->options.store != NULL)
-    io->watch = io->options.store->watch (io->options.store, io->watch_key, action->after_version,
+    io->watch = io->options.store->watch (io->options.store, io->watch_key, action->after,
                                           action->wait_ms, on_watch_done, io);
   /* io->watch is NULL if there is no store or the store refused the call. on_watch_done() does not
      run in these cases, so the failure is reported here. */
   if (io->watch == NULL)
-    sgr_config_sync_watch_done (io->sync, sgr_clock_monotonic_us (), false, 0, 0);
+    sgr_config_sync_watch_done (io->sync, sgr_clock_monotonic_us (), false,
+                                (sgr_store_version_t){ 0 }, 0);
 }
 
 /* Runs all actions of the synchronisation that are due. */
--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -71,7 +71,7 @@
   sgr_rng_t rng;
   bool reader;
   bool watching;
-  uint64_t version;
+  sgr_store_version_t version;
   bool is_confirmed;
   uint32_t watch_wait_ms;
   uint64_t watch_start_us;
@@ -290,11 +290,11 @@
 }
 
 void
-sgr_config_sync_watch_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok, uint64_t version,
-                            uint64_t retry_after_ms)
+sgr_config_sync_watch_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok,
+                            sgr_store_version_t version, uint64_t retry_after_ms)
 {
   uint64_t min_duration_us = sync->watch_wait_ms * SGR_USEC_PER_MSEC / WATCH_MIN_DURATION_DIVISOR;
-  bool is_new_version = ok && version > sync->version;
+  bool is_new_version = ok && version.number > sync->version.number;
   bool is_whole = ok && now_us - sync->watch_start_us >= min_duration_us;
 
   sync->watching = false;
@@ -435,7 +435,7 @@
           sync->watch_wait_ms = watch_duration_ms (sync);
           sync->stats.store_calls++;
           action->kind = SGR_CONFIG_SYNC_WATCH;
-          action->after_version = sync->version;
+          action->after = sync->version;
           action->wait_ms = sync->watch_wait_ms;
           return true;
         }
--- a/libsiskingrade/config_sync.h
+++ b/libsiskingrade/config_sync.h
@@ -67,7 +67,7 @@
 /**
  * struct sgr_config_sync_action_t - what the caller has to do next
  * @kind: watch the store, cancel the watch, or fetch the record of a peer
- * @after_version: for WATCH, the last known version of the key; the watch ends at a higher one
+ * @after: for WATCH, the last known version of the key; the watch ends at a newer one
  * @wait_ms: for WATCH, longest duration
  * @peer: for FETCH, the node to fetch from
  * @address: for FETCH, control address of the node
@@ -76,7 +76,7 @@
 typedef struct
 {
   sgr_config_sync_action_kind_t kind;
-  uint64_t after_version;
+  sgr_store_version_t after;
   uint32_t wait_ms;
   sgr_node_id_t peer;
   sgr_address_t address;
@@ -143,13 +143,13 @@
  * @sync: the synchronisation
  * @now_us: monotonic time
  * @ok: whether the store answered, with or without a new version
- * @version: version of the key, 0 if the key does not exist
+ * @version: version of the key; its number is 0 if the key does not exist
  * @retry_after_ms: shortest delay before the next call that the store requested, 0 for none
  *
  * If the record of the answer was put in force, call sgr_config_sync_revision_set() first.
  */
 void sgr_config_sync_watch_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok,
-                                 uint64_t version, uint64_t retry_after_ms);
+                                 sgr_store_version_t version, uint64_t retry_after_ms);
 
 /**
  * sgr_config_sync_fetch_done() - report the end of a FETCH
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -126,6 +126,7 @@
     { "config_fetch_failures_total", "counter", sync->fetch_failures },
     { "store_watch_calls_total", "counter", sync->store_calls },
     { "store_failures_total", "counter", sync->store_failures },
+    { "store_generation", "gauge", config->store != NULL ? config->store->generation : 0 },
     { "store_calls_total", "counter", config->store != NULL ? config->store->calls : 0 },
   };
 
--- a/libsiskingrade/http_fetch.h
+++ b/libsiskingrade/http_fetch.h
@@ -6,7 +6,7 @@
 #include "types.h"
 
 /* Header fields of a reply that one request may keep. */
-#define SGR_HTTP_FETCH_HEADERS_MAX 3
+#define SGR_HTTP_FETCH_HEADERS_MAX 4
 /* Size of the value of a kept header field, terminating zero included; a longer value is
    truncated. */
 #define SGR_HTTP_FETCH_VALUE_BYTES 64
--- a/libsiskingrade/store.h
+++ b/libsiskingrade/store.h
@@ -45,6 +45,7 @@
 /**
  * struct sgr_store_reply_t - result of a call to the store
  * @outcome: what is known about its effect
+ * @generation: generation that @version belongs to, 0 if the store does not tell it
  * @version: version of the key after the call, 0 if it does not exist or is not known; of a
  *           lease, its fencing token
  * @value: value that was read, NULL if there is none; valid only during the callback
@@ -57,6 +58,7 @@
 typedef struct
 {
   sgr_store_outcome_t outcome;
+  uint64_t generation;
   uint64_t version;
   const uint8_t *value;
   size_t length;
@@ -89,10 +91,13 @@
  *        for an unconditional write; a NULL value removes the key
  * @lease: acquire or renew a lease for a holder; a @ttl_ms of 0 releases it; the pointer is NULL if
  *         the client has no leases
- * @watch: wait until the version of a key is higher than @after and read it; ends without a value
- *         after @wait_ms or the client's longest wait, whichever is shorter
+ * @watch: wait until the version of a key is higher than @after and read it; ends after @wait_ms or
+ *         the client's longest wait, whichever is shorter, without a value and with @after as the
+ *         version
  * @cancel: cancel and free a pending call; its callback does not run
  * @calls: number of calls sent since the client was created; a watch counts as one call
+ * @generation: highest generation of the store in any reply so far, 0 if none told it; it rises
+ *              each time the store is restored to an earlier state, which loses acknowledged writes
  */
 struct sgr_store_t
 {
@@ -102,10 +107,11 @@
                              const void *value, size_t length, sgr_store_cb_t cb, void *ctx);
   sgr_store_call_t *(*lease) (sgr_store_t *store, const char *name, const char *holder,
                               uint32_t ttl_ms, sgr_store_cb_t cb, void *ctx);
-  sgr_store_call_t *(*watch) (sgr_store_t *store, const char *key, uint64_t after, uint32_t wait_ms,
-                              sgr_store_cb_t cb, void *ctx);
+  sgr_store_call_t *(*watch) (sgr_store_t *store, const char *key, sgr_store_version_t after,
+                              uint32_t wait_ms, sgr_store_cb_t cb, void *ctx);
   void (*cancel) (sgr_store_t *store, sgr_store_call_t *call);
   uint64_t calls;
+  uint64_t generation;
 };
 
 #endif
--- a/libsiskingrade/store_http.c
+++ b/libsiskingrade/store_http.c
@@ -28,6 +28,7 @@
   FIELD_VERSION,
   FIELD_UNCHANGED, /* present if a watch ended without a change of the key */
   FIELD_RETRY_AFTER_MS,
+  FIELD_GENERATION, /* absent from the replies of a store that does not tell it */
 };
 
 typedef enum
@@ -166,6 +167,9 @@
     {
       reply_status_apply (call, fetched, &reply);
       reply.version = strtoull (fetched->got[FIELD_VERSION], NULL, 10);
+      reply.generation = strtoull (fetched->got[FIELD_GENERATION], NULL, 10);
+      if (reply.generation > call->client->store.generation)
+        call->client->store.generation = reply.generation;
       reply.retry_after_ms = strtoull (fetched->got[FIELD_RETRY_AFTER_MS], NULL, 10);
     }
   /* A call is valid only until its callback starts, see sgr_store_call_t. */
@@ -188,6 +192,7 @@
   request->want[FIELD_VERSION] = "store-version";
   request->want[FIELD_UNCHANGED] = "store-no-news";
   request->want[FIELD_RETRY_AFTER_MS] = "store-retry-after-ms";
+  request->want[FIELD_GENERATION] = "store-generation";
   call->client = http;
   call->kind = kind;
   call->cb = cb;
@@ -272,7 +277,7 @@
 }
 
 static sgr_store_call_t *
-http_watch (sgr_store_t *store, const char *key, uint64_t after, uint32_t wait_ms,
+http_watch (sgr_store_t *store, const char *key, sgr_store_version_t after, uint32_t wait_ms,
             sgr_store_cb_t cb, void *ctx)
 {
   store_http_t *http = (store_http_t *)store;
@@ -284,8 +289,8 @@
     return NULL;
   if (wait_ms > WATCH_WAIT_MAX_MS)
     wait_ms = WATCH_WAIT_MAX_MS;
-  snprintf (path, sizeof path, "/v1/kv/%s?after=%llu&wait_ms=%u", key, (unsigned long long)after,
-            wait_ms);
+  snprintf (path, sizeof path, "/v1/kv/%s?after=%llu&wait_ms=%u", key,
+            (unsigned long long)after.number, wait_ms);
   return call_start (http, fetcher, CALL_WATCH,
                      &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
 }
--- a/libsiskingrade/types.h
+++ b/libsiskingrade/types.h
@@ -18,6 +18,20 @@
   return (unsigned long)(us / SGR_USEC_PER_MSEC);
 }
 
+/**
+ * struct sgr_store_version_t - version of a key in the store
+ * @generation: generation of the store that assigned @number, 0 if the store does not tell it
+ * @number: version within that generation, 0 for a key that does not exist
+ *
+ * A store that is restored to an earlier state starts a new generation and assigns the same
+ * numbers again. Numbers of different generations must not be compared.
+ */
+typedef struct
+{
+  uint64_t generation;
+  uint64_t number;
+} sgr_store_version_t;
+
 /** sgr_node_id_t - identifies a node, see sgr_node_id_of() */
 typedef uint64_t sgr_node_id_t;
 
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -107,12 +107,12 @@
   options.start_delay_ms = 20;
   sync = sgr_config_sync_create (&options, 0);
   assert_true (next_action_is (sync, now_us, SGR_CONFIG_SYNC_WATCH));
-  sgr_config_sync_watch_done (sync, now_us, true, 5, 0);
+  sgr_config_sync_watch_done (sync, now_us, true, (sgr_store_version_t){ 0, 5 }, 0);
   assert_false (
       next_action_is (sync, options.settle_ms * SGR_USEC_PER_MSEC - 1, SGR_CONFIG_SYNC_WATCH));
   now_us = 2 * options.settle_ms * SGR_USEC_PER_MSEC;
   assert_true (next_action_is (sync, now_us, SGR_CONFIG_SYNC_WATCH));
-  sgr_config_sync_watch_done (sync, now_us, true, 6, 0);
+  sgr_config_sync_watch_done (sync, now_us, true, (sgr_store_version_t){ 0, 6 }, 0);
   assert_true (next_action_is (sync, now_us, SGR_CONFIG_SYNC_WATCH));
   sgr_config_sync_destroy (sync);
 }
@@ -150,7 +150,8 @@
     {
       if (cases[i].is_whole)
         now_us += action.wait_ms * SGR_USEC_PER_MSEC;
-      sgr_config_sync_watch_done (sync, now_us, cases[i].ok, cases[i].version, 0);
+      sgr_config_sync_watch_done (sync, now_us, cases[i].ok,
+                                  (sgr_store_version_t){ 0, cases[i].version }, 0);
       while (!sgr_config_sync_next (sync, now_us, &action, &next_us))
         now_us = next_us;
       assert_int_equal (action.kind, SGR_CONFIG_SYNC_WATCH);
@@ -218,7 +219,8 @@
           while (sgr_config_sync_next (sync, now_us, &action, &next_us))
             {
               calls++;
-              sgr_config_sync_watch_done (sync, now_us + 1000, cases[i].ok, cases[i].version,
+              sgr_config_sync_watch_done (sync, now_us + 1000, cases[i].ok,
+                                          (sgr_store_version_t){ 0, cases[i].version },
                                           cases[i].retry_after_ms);
             }
           assert_true (next_us > now_us);
--- a/tests/test_platform_store.c
+++ b/tests/test_platform_store.c
@@ -491,7 +491,8 @@
       call = store->swap (store, KEY, test_case->expected, NULL, 0, on_reply, reported);
       break;
     case WATCH:
-      call = store->watch (store, KEY, test_case->expected, 50, on_reply, reported);
+      call = store->watch (store, KEY, (sgr_store_version_t){ 0, test_case->expected }, 50,
+                           on_reply, reported);
       break;
     }
   assert_non_null (call);
@@ -626,7 +627,7 @@
   reported_t reported[3] = { 0 };
   sgr_store_call_t *first = store->get (store, KEY, on_reply, &reported[0]);
 
-  store->watch (store, KEY, 0, 50, on_reply, &reported[1]);
+  store->watch (store, KEY, (sgr_store_version_t){ 0 }, 50, on_reply, &reported[1]);
   store->swap (store, KEY, 0, "x", 1, on_reply, &reported[2]);
   store->cancel (store, first);
   h2o_evloop_run (loop, 10);
--- a/tests/test_store_http.c
+++ b/tests/test_store_http.c
@@ -179,16 +179,19 @@
   reply_copy_t watch = { 0 }, unchanged = { 0 };
   uint64_t version = swap ("w", 0, "one").version;
 
-  assert_non_null (store->watch (store, "w", version, 10000, on_reply, &watch));
+  assert_non_null (
+      store->watch (store, "w", (sgr_store_version_t){ 0, version }, 10000, on_reply, &watch));
   version = swap ("w", version, "two").version;
   assert_int_equal (reply_wait (&watch).version, version);
   assert_string_equal (watch.value, "two");
-  assert_non_null (store->watch (store, "w", version, 50, on_reply, &unchanged));
+  assert_non_null (
+      store->watch (store, "w", (sgr_store_version_t){ 0, version }, 50, on_reply, &unchanged));
   reply_wait (&unchanged);
   assert_int_equal (unchanged.outcome, SGR_STORE_OK);
   assert_false (unchanged.exists);
   assert_int_equal (unchanged.version, version);
-  store->cancel (store, store->watch (store, "w", version, 10000, on_reply, &unchanged));
+  store->cancel (store, store->watch (store, "w", (sgr_store_version_t){ 0, version }, 10000,
+                                      on_reply, &unchanged));
 }
 
 /* Guards against two holders that both write: a holder that was paused while its lease expired gets
