--- a/tests/test_platform_store.c
+++ b/tests/test_platform_store.c
@@ -1,18 +1,15 @@
-#include <arpa/inet.h>
-#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cmocka.h>
 
-#include "buffer.h"
 #include "platform.h"
+#include "scripted_store.h"
 #include "settings.h"
 
 /* Client of the platform's store against a server with scripted replies: the outcome that the
@@ -22,16 +19,6 @@
 #define ANY_VERSION SGR_STORE_ANY_VERSION
 #define KEY "some/key"
 
-/* How the server reacts to a request. */
-typedef enum
-{
-  REPLY,               /* sends the whole reply */
-  RESET_UNREAD,        /* resets the connection without reading the request */
-  CLOSE_WITHOUT_REPLY, /* reads the request and closes the connection */
-  TRUNCATED_REPLY,     /* closes the connection before the end of the reply */
-  NO_REPLY,            /* sends nothing and keeps the connection open */
-} reaction_t;
-
 typedef enum
 {
   GET,
@@ -41,22 +28,13 @@
   WATCH,
 } kind_t;
 
-/* One request to the server: text that it must contain, and the reply. */
-typedef struct
-{
-  const char *request_part;
-  reaction_t reaction;
-  int status;
-  const char *body;
-} exchange_t;
-
 typedef struct
 {
   const char *name;
   kind_t kind;
   sgr_store_outcome_t outcome;
   uint64_t expected; /* for a swap, the expected version; for a watch, the known version */
-  exchange_t exchanges[EXCHANGES_MAX];
+  scripted_exchange_t exchanges[EXCHANGES_MAX];
   uint64_t version; /* version, value and number of items that the client has to report */
   const char *value;
   size_t items;
@@ -345,88 +323,6 @@
     0 },
 };
 
-typedef struct
-{
-  const store_case_t *test_case;
-  int listener;
-  bool has_unexpected_request;
-  char request[4096];
-} server_t;
-
-/* Reads a request with its body into a buffer of @size bytes. Returns its length. */
-static size_t
-request_read (int fd, char *text, size_t size)
-{
-  const char *body;
-  const char *length_header;
-  size_t length = 0;
-
-  for (;;)
-    {
-      ssize_t received = recv (fd, text + length, size - 1 - length, 0);
-
-      if (received <= 0)
-        return length;
-      length += (size_t)received;
-      text[length] = '\0';
-      body = strstr (text, "\r\n\r\n");
-      length_header = strstr (text, "Content-Length: ");
-      if (body != NULL && length_header != NULL
-          && strlen (body + 4) >= strtoul (length_header + strlen ("Content-Length: "), NULL, 10))
-        return length;
-    }
-}
-
-static void
-reply_send (int fd, const exchange_t *exchange)
-{
-  char text[2048];
-  int length = snprintf (text, sizeof text, "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s",
-                         exchange->status, strlen (exchange->body), exchange->body);
-
-  send (fd, text, (size_t)(exchange->reaction == TRUNCATED_REPLY ? length - 2 : length),
-        MSG_NOSIGNAL);
-}
-
-/* Thread of the server: accepts one connection for each exchange, until one differs from the
-   script. The script ends at the first exchange that is all zero. */
-static void *
-server_run (void *argument)
-{
-  server_t *server = argument;
-
-  for (size_t i = 0; i < EXCHANGES_MAX; i++)
-    {
-      const exchange_t *exchange = &server->test_case->exchanges[i];
-      struct linger reset = { .l_onoff = 1 };
-      char ignored[256];
-      int fd;
-
-      if (exchange->status == 0 && exchange->reaction == REPLY)
-        return NULL;
-      fd = accept4 (server->listener, NULL, NULL, SOCK_CLOEXEC);
-      if (fd < 0)
-        return NULL;
-      if (exchange->reaction == RESET_UNREAD)
-        setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-      else
-        {
-          request_read (fd, server->request, sizeof server->request);
-          if (strstr (server->request, exchange->request_part) == NULL)
-            server->has_unexpected_request = true;
-        }
-      if (exchange->reaction == REPLY || exchange->reaction == TRUNCATED_REPLY)
-        reply_send (fd, exchange);
-      /* Waits until the client closes the connection. */
-      while (exchange->reaction == NO_REPLY && recv (fd, ignored, sizeof ignored, 0) > 0)
-        ;
-      close (fd);
-      if (server->has_unexpected_request)
-        return NULL;
-    }
-  return NULL;
-}
-
 /* What the client has reported of a call. */
 typedef struct
 {
@@ -456,21 +352,6 @@
     assert_non_null (reply->reason);
 }
 
-static int
-listener_open (sgr_address_t *address)
-{
-  struct sockaddr_in socket_address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t length = sizeof socket_address;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-  assert_int_equal (bind (fd, (struct sockaddr *)&socket_address, sizeof socket_address), 0);
-  assert_int_equal (listen (fd, 4), 0);
-  assert_int_equal (getsockname (fd, (struct sockaddr *)&socket_address, &length), 0);
-  *address = (sgr_address_t){ INADDR_LOOPBACK, ntohs (socket_address.sin_port) };
-  return fd;
-}
-
 static void
 call_start (sgr_store_t *store, const store_case_t *test_case, reported_t *reported)
 {
@@ -510,23 +391,19 @@
 case_run (const store_case_t *test_case)
 {
   sgr_settings_t settings = { 0 };
-  server_t server = { .test_case = test_case };
+  scripted_store_t server;
   h2o_loop_t *loop = h2o_evloop_create ();
   reported_t reported = { 0 };
-  pthread_t thread;
   sgr_store_t *store;
 
-  server.listener = listener_open (&settings.store);
-  assert_int_equal (pthread_create (&thread, NULL, server_run, &server), 0);
+  scripted_store_start (&server, test_case->exchanges, EXCHANGES_MAX, &settings.store);
   store = sgr_platform_store_create (loop, &settings);
   call_start (store, test_case, &reported);
   while (!reported.is_done)
     h2o_evloop_run (loop, 10000);
   sgr_platform_store_destroy (store);
   loop_destroy (loop);
-  shutdown (server.listener, SHUT_RDWR);
-  pthread_join (thread, NULL);
-  close (server.listener);
+  scripted_store_stop (&server);
   if (server.has_unexpected_request)
     fail_msg ("%s: unexpected request: %s", test_case->name, server.request);
   if (reported.outcome != test_case->outcome || reported.version != test_case->version
@@ -561,7 +438,7 @@
       sgr_store_t *store;
       reported_t reported = { 0 };
 
-      close (listener_open (&settings.store));
+      close (scripted_store_listen (&settings.store));
       store = sgr_platform_store_create (loop, &settings);
       call_start (store, &test_case, &reported);
       while (!reported.is_done)
@@ -588,14 +465,12 @@
                            "{\"items\":[{\"key\":\"some/key\",\"value\":\"aGVsbG8=\","
                            "\"rev\":11}],\"currentRev\":11}" } } };
   sgr_settings_t settings = { 0 };
-  server_t server = { .test_case = &script };
+  scripted_store_t server;
   h2o_loop_t *loop = h2o_evloop_create ();
   reported_t reported[2] = { 0 };
-  pthread_t thread;
   sgr_store_t *store;
 
-  server.listener = listener_open (&settings.store);
-  assert_int_equal (pthread_create (&thread, NULL, server_run, &server), 0);
+  scripted_store_start (&server, script.exchanges, EXCHANGES_MAX, &settings.store);
   store = sgr_platform_store_create (loop, &settings);
   for (size_t i = 0; i < 2; i++)
     {
@@ -605,9 +480,7 @@
     }
   sgr_platform_store_destroy (store);
   loop_destroy (loop);
-  shutdown (server.listener, SHUT_RDWR);
-  pthread_join (thread, NULL);
-  close (server.listener);
+  scripted_store_stop (&server);
   if (server.has_unexpected_request)
     fail_msg ("unexpected request: %s", server.request);
   assert_int_equal (reported[0].outcome, SGR_STORE_UNAVAILABLE);
@@ -622,7 +495,7 @@
 {
   sgr_settings_t settings = { 0 };
   h2o_loop_t *loop = h2o_evloop_create ();
-  int listener = listener_open (&settings.store);
+  int listener = scripted_store_listen (&settings.store);
   sgr_store_t *store = sgr_platform_store_create (loop, &settings);
   reported_t reported[3] = { 0 };
   sgr_store_call_t *first = store->get (store, KEY, on_reply, &reported[0]);
