Compare versions of the store only within one of its generations

What callers saw: after the store had come back from a copy some seconds old, a change of a route that the store acknowledged later did not take effect. The former route stayed in use until the end, and an added route got 404.

Cause: a version was compared across two histories of its counter. The restored store assigns lower versions again. A watch dropped every event whose version was not above the one known from before the restore. Besides, a watch that continued from a revision which the store had given out again got no 410 and missed what lay between, and a reply that was sent before the restore counted as news.

A version is now a pair of generation and number. A reply of a former generation counts as lost.

--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -294,12 +294,12 @@
                             sgr_store_version_t version, uint64_t retry_after_ms)
 {
   uint64_t min_duration_us = sync->watch_wait_ms * SGR_USEC_PER_MSEC / WATCH_MIN_DURATION_DIVISOR;
-  bool is_new_version = ok && version.number > sync->version.number;
+  bool is_new_version = ok && sgr_store_version_is_newer (version, sync->version);
   bool is_whole = ok && now_us - sync->watch_start_us >= min_duration_us;
 
   sync->watching = false;
-  /* A lower version than the known one comes from a stale read, or from a store that was restored
-     to an earlier state; the next watch starts from that version. */
+  /* A lower version of the same generation comes from a stale read; the next watch starts from that
+     version. */
   if (ok)
     sync->version = version;
   sync->is_confirmed = is_whole && !is_new_version;
--- a/libsiskingrade/store.h
+++ b/libsiskingrade/store.h
@@ -91,7 +91,7 @@
  *        for an unconditional write; a NULL value removes the key
  * @lease: acquire or renew a lease for a holder; a @ttl_ms of 0 releases it; the pointer is NULL if
  *         the client has no leases
- * @watch: wait until the version of a key is higher than @after and read it; ends after @wait_ms or
+ * @watch: wait until the version of a key is newer than @after and read it; ends after @wait_ms or
  *         the client's longest wait, whichever is shorter, without a value and with @after as the
  *         version
  * @cancel: cancel and free a pending call; its callback does not run
@@ -114,4 +114,23 @@
   uint64_t generation;
 };
 
+/**
+ * sgr_store_generation_update() - record the generation that a reply tells; used by clients
+ * @store: the store
+ * @generation: generation of the reply, 0 if it tells none; then set to the highest one seen
+ *
+ * Return: false if the reply is of an earlier generation. It was sent before the store was restored
+ * and does not describe the present state; a write that it acknowledges may be lost.
+ */
+static inline bool
+sgr_store_generation_update (sgr_store_t *store, uint64_t *generation)
+{
+  if (*generation == 0)
+    *generation = store->generation;
+  if (*generation < store->generation)
+    return false;
+  store->generation = *generation;
+  return true;
+}
+
 #endif
--- a/libsiskingrade/store_http.c
+++ b/libsiskingrade/store_http.c
@@ -165,11 +165,15 @@
     }
   else
     {
-      reply_status_apply (call, fetched, &reply);
       reply.version = strtoull (fetched->got[FIELD_VERSION], NULL, 10);
       reply.generation = strtoull (fetched->got[FIELD_GENERATION], NULL, 10);
-      if (reply.generation > call->client->store.generation)
-        call->client->store.generation = reply.generation;
+      if (sgr_store_generation_update (&call->client->store, &reply.generation))
+        reply_status_apply (call, fetched, &reply);
+      else
+        {
+          reply.outcome = call->kind == CALL_WRITE ? SGR_STORE_UNKNOWN : SGR_STORE_UNAVAILABLE;
+          reply.reason = "the store was restored";
+        }
       reply.retry_after_ms = strtoull (fetched->got[FIELD_RETRY_AFTER_MS], NULL, 10);
     }
   /* A call is valid only until its callback starts, see sgr_store_call_t. */
@@ -283,14 +287,14 @@
   store_http_t *http = (store_http_t *)store;
   sgr_http_fetcher_t *fetcher
       = wait_ms <= SHORT_WATCH_MS ? http->short_watch_fetcher : http->watch_fetcher;
-  char path[SGR_STORE_KEY_MAX + 96];
+  char path[SGR_STORE_KEY_MAX + 128];
 
   if (!key_valid (key))
     return NULL;
   if (wait_ms > WATCH_WAIT_MAX_MS)
     wait_ms = WATCH_WAIT_MAX_MS;
-  snprintf (path, sizeof path, "/v1/kv/%s?after=%llu&wait_ms=%u", key,
-            (unsigned long long)after.number, wait_ms);
+  snprintf (path, sizeof path, "/v1/kv/%s?after=%llu&generation=%llu&wait_ms=%u", key,
+            (unsigned long long)after.number, (unsigned long long)after.generation, wait_ms);
   return call_start (http, fetcher, CALL_WATCH,
                      &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
 }
--- a/libsiskingrade/types.h
+++ b/libsiskingrade/types.h
@@ -32,6 +32,14 @@
   uint64_t number;
 } sgr_store_version_t;
 
+/** sgr_store_version_is_newer() - whether a key got a version after it had a former one */
+static inline bool
+sgr_store_version_is_newer (sgr_store_version_t version, sgr_store_version_t former)
+{
+  return version.generation > former.generation
+         || (version.generation == former.generation && version.number > former.number);
+}
+
 /** sgr_node_id_t - identifies a node, see sgr_node_id_of() */
 typedef uint64_t sgr_node_id_t;
 
--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -61,6 +61,7 @@
  * @req: the request, NULL after it was disposed of, for example because its connection closed
  * @key: name of the key of a watch, path of a slow request
  * @after_version: a watch ends with the first version of its key above this one
+ * @generation: generation of the store when the request came
  * @due_us: time of the reply, UINT64_MAX for never
  * @kind: reason of the delay
  */
@@ -71,6 +72,7 @@
   h2o_req_t *req;
   char *key;
   uint64_t after_version;
+  uint64_t generation;
   uint64_t due_us;
   waiter_kind_t kind;
 } waiter_t;
@@ -78,6 +80,8 @@
 /**
  * struct server_t - the stand-in
  * @state: keys and leases
+ * @snapshot: copy of @state that can be restored
+ * @generation: 1, and one more for each time that @snapshot was restored
  * @faults: injected faults
  * @reads: rate limit of reads
  * @writes: rate limit of writes, which include leases
@@ -87,6 +91,8 @@
 typedef struct
 {
   store_state_t state;
+  store_state_t snapshot;
+  uint64_t generation;
   faults_t faults;
   store_bucket_t reads;
   store_bucket_t writes;
@@ -110,15 +116,25 @@
 static const char *const count_names[]
     = { "gets", "writes", "watches", "leases", "refused", "pending" };
 
-static server_t server;
+static server_t server = { .generation = 1 };
 static volatile sig_atomic_t stopped;
 
+/* Adds a header field with a number to a reply. */
+static void
+number_header_add (h2o_req_t *req, const char *name, uint64_t value)
+{
+  char text[24];
+
+  snprintf (text, sizeof text, "%llu", (unsigned long long)value);
+  h2o_add_header_by_str (&req->pool, &req->res.headers, name, strlen (name), 0, NULL,
+                         h2o_strdup (&req->pool, text, SIZE_MAX).base, strlen (text));
+}
+
 /* Replies to a read or a watch. The reply to a watch that ends without a newer value has no body.
  */
 static void
 send_value (h2o_req_t *req, const store_key_t *key, bool has_newer_value)
 {
-  char version_text[24];
   bool exists = store_key_version (key) != 0, is_stale = false;
   const sgr_buffer_t *value = exists ? &key->value : NULL;
   uint64_t version = store_key_version (key);
@@ -130,10 +146,8 @@
       version = key->previous_version;
       is_stale = true;
     }
-  snprintf (version_text, sizeof version_text, "%llu", (unsigned long long)version);
-  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("store-version"), 0, NULL,
-                         h2o_strdup (&req->pool, version_text, SIZE_MAX).base,
-                         strlen (version_text));
+  number_header_add (req, "store-version", version);
+  number_header_add (req, "store-generation", server.generation);
   if (!has_newer_value)
     h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("store-no-news"), 0, NULL,
                            H2O_STRLIT ("1"));
@@ -149,12 +163,8 @@
 static void
 send_status (h2o_req_t *req, int status, uint64_t version, const char *reason)
 {
-  char version_text[24];
-
-  snprintf (version_text, sizeof version_text, "%llu", (unsigned long long)version);
-  h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("store-version"), 0, NULL,
-                         h2o_strdup (&req->pool, version_text, SIZE_MAX).base,
-                         strlen (version_text));
+  number_header_add (req, "store-version", version);
+  number_header_add (req, "store-generation", server.generation);
   if (status == 429)
     h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("store-retry-after-ms"), 0,
                            NULL, H2O_STRLIT ("1000"));
@@ -184,6 +194,7 @@
   waiter->req = req;
   waiter->key = strdup (key);
   waiter->after_version = after_version;
+  waiter->generation = server.generation;
   waiter->due_us = wait_ms == UINT64_MAX ? UINT64_MAX
                                          : sgr_clock_monotonic_us () + wait_ms * SGR_USEC_PER_MSEC;
   waiter->kind = kind;
@@ -216,7 +227,7 @@
 }
 
 /* Replies to the requests that are due, to watches whose key has a newer version, and to all
-   watches during an outage. */
+   watches during an outage or after the snapshot was restored. */
 static void
 waiters_run (void)
 {
@@ -229,8 +240,9 @@
       bool is_watch = waiter->kind == WAIT_WATCH;
       bool has_newer_value
           = is_watch
-            && store_key_version (store_key_find (&server.state, waiter->key, false))
-                   > waiter->after_version;
+            && (waiter->generation != server.generation
+                || store_key_version (store_key_find (&server.state, waiter->key, false))
+                       > waiter->after_version);
 
       remaining = waiter->next;
       if (waiter->req == NULL || has_newer_value || waiter->due_us <= now_us
@@ -248,7 +260,7 @@
 handle_read (h2o_req_t *req, const char *name)
 {
   store_key_t *key = store_key_find (&server.state, name, false);
-  uint64_t after_version, wait_ms;
+  uint64_t after_version, generation, wait_ms;
 
   if (!sgr_http_query_u64 (req, "after", &after_version))
     {
@@ -259,7 +271,9 @@
   server.counts[COUNT_WATCH]++;
   if (!sgr_http_query_u64 (req, "wait_ms", &wait_ms) || wait_ms > WAIT_MAX_MS)
     wait_ms = WAIT_MAX_MS;
-  if (store_key_version (key) > after_version)
+  if (!sgr_http_query_u64 (req, "generation", &generation) || generation == 0)
+    generation = server.generation;
+  if (generation != server.generation || store_key_version (key) > after_version)
     send_value (req, key, true);
   else
     waiter_add (req, name, after_version, wait_ms, WAIT_WATCH);
@@ -284,6 +298,7 @@
                                                 (json_int_t)key->version, "value",
                                                 (const char *)key->value.bytes, key->value.length));
     }
+  number_header_add (req, "store-generation", server.generation);
   sgr_http_reply_json (req, 200, json_pack ("{s:o}", "items", list));
 }
 
@@ -429,6 +444,13 @@
   if (sgr_http_query_u64 (req, "lapse_leases", &value) && value != 0)
     for (size_t i = 0; i < server.state.lease_count; i++)
       server.state.leases[i].expires_us = 0;
+  if (sgr_http_query_u64 (req, "snapshot", &value) && value != 0)
+    store_state_copy (&server.snapshot, &server.state);
+  if (sgr_http_query_u64 (req, "restore", &value) && value != 0)
+    {
+      store_state_copy (&server.state, &server.snapshot);
+      server.generation++;
+    }
   server.counts[COUNT_PENDING] = 0;
   for (const waiter_t *waiter = server.waiters; waiter != NULL; waiter = waiter->next)
     server.counts[COUNT_PENDING] += waiter->kind == WAIT_WATCH;
--- a/standins/store_state.c
+++ b/standins/store_state.c
@@ -66,6 +66,34 @@
   return lease;
 }
 
+static void
+key_copy (store_key_t *to, const store_key_t *from)
+{
+  *to = *from;
+  to->name = strdup (from->name);
+  to->value = to->previous_value = (sgr_buffer_t){ 0 };
+  sgr_buffer_append (&to->value, from->value.bytes, from->value.length);
+  sgr_buffer_append (&to->previous_value, from->previous_value.bytes, from->previous_value.length);
+}
+
+void
+store_state_copy (store_state_t *to, const store_state_t *from)
+{
+  for (size_t i = 0; i < to->key_count; i++)
+    {
+      free (to->keys[i].name);
+      sgr_buffer_release (&to->keys[i].value);
+      sgr_buffer_release (&to->keys[i].previous_value);
+    }
+  memset (to, 0, sizeof *to);
+  for (size_t i = 0; i < from->key_count; i++)
+    key_copy (&to->keys[i], &from->keys[i]);
+  to->key_count = from->key_count;
+  to->last_version = from->last_version;
+  memcpy (to->leases, from->leases, sizeof to->leases);
+  to->lease_count = from->lease_count;
+}
+
 bool
 store_bucket_consume (store_bucket_t *bucket, uint64_t now_us)
 {
--- a/standins/store_state.h
+++ b/standins/store_state.h
@@ -106,6 +106,9 @@
 store_lease_t *store_lease_acquire (store_state_t *state, const char *name, const char *holder,
                                     uint64_t ttl_us, uint64_t now_us);
 
+/** store_state_copy() - replace a state, zeroed at first, by a copy of another one */
+void store_state_copy (store_state_t *to, const store_state_t *from);
+
 /** store_bucket_consume() - refill a bucket and consume one token; false if there is none */
 bool store_bucket_consume (store_bucket_t *bucket, uint64_t now_us);
 
--- a/tests/scripted_store.c
+++ b/tests/scripted_store.c
@@ -37,8 +37,9 @@
 reply_send (int fd, const scripted_exchange_t *exchange)
 {
   char text[2048];
-  int length = snprintf (text, sizeof text, "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s",
-                         exchange->status, strlen (exchange->body), exchange->body);
+  int length = snprintf (text, sizeof text, "HTTP/1.1 %d X\r\n%sContent-Length: %zu\r\n\r\n%s",
+                         exchange->status, exchange->headers != NULL ? exchange->headers : "",
+                         strlen (exchange->body), exchange->body);
 
   send (fd, text, (size_t)(exchange->reaction == TRUNCATED_REPLY ? length - 2 : length),
         MSG_NOSIGNAL);
@@ -70,13 +71,17 @@
           request_read (fd, server->request, sizeof server->request);
           if (strstr (server->request, exchange->request_part) == NULL)
             server->has_unexpected_request = true;
+          server->request_count++;
         }
       if (exchange->reaction == REPLY || exchange->reaction == TRUNCATED_REPLY)
         reply_send (fd, exchange);
       /* Waits until the client closes the connection. */
       while (exchange->reaction == NO_REPLY && recv (fd, ignored, sizeof ignored, 0) > 0)
         ;
-      close (fd);
+      if (exchange->reaction == HOLD)
+        server->held[server->held_count++] = fd;
+      else
+        close (fd);
       if (server->has_unexpected_request)
         return NULL;
     }
@@ -113,4 +118,6 @@
   shutdown (server->listener, SHUT_RDWR);
   pthread_join (server->thread, NULL);
   close (server->listener);
+  for (size_t i = 0; i < server->held_count; i++)
+    close (server->held[i]);
 }
--- a/tests/scripted_store.h
+++ b/tests/scripted_store.h
@@ -5,6 +5,9 @@
 
 #include "types.h"
 
+/* Most connections that a script can hold. */
+#define SCRIPTED_STORE_HELD_MAX 4
+
 /* How the server reacts to a request. */
 typedef enum
 {
@@ -12,7 +15,8 @@
   RESET_UNREAD,        /* resets the connection without reading the request */
   CLOSE_WITHOUT_REPLY, /* reads the request and closes the connection */
   TRUNCATED_REPLY,     /* closes the connection before the end of the reply */
-  NO_REPLY,            /* sends nothing and keeps the connection open */
+  NO_REPLY,            /* sends nothing and waits until the client closes the connection */
+  HOLD, /* sends nothing, keeps the connection open and goes on with the next exchange */
 } scripted_reaction_t;
 
 /**
@@ -21,6 +25,7 @@
  * @reaction: how the server reacts
  * @status: HTTP status of the reply
  * @body: body of the reply
+ * @headers: additional header fields of the reply, each ended by CR LF, or NULL
  */
 typedef struct
 {
@@ -28,6 +33,7 @@
   scripted_reaction_t reaction;
   int status;
   const char *body;
+  const char *headers;
 } scripted_exchange_t;
 
 /**
@@ -37,7 +43,10 @@
  * @listener: listening socket
  * @thread: thread of the server
  * @has_unexpected_request: whether a request differed from the script, which ends the server
+ * @request_count: requests that were read so far
  * @request: the last request
+ * @held: connections that are kept open until the server is stopped
+ * @held_count: entries of @held
  */
 typedef struct
 {
@@ -46,7 +55,10 @@
   int listener;
   pthread_t thread;
   bool has_unexpected_request;
+  _Atomic size_t request_count;
   char request[4096];
+  int held[SCRIPTED_STORE_HELD_MAX];
+  size_t held_count;
 } scripted_store_t;
 
 /** scripted_store_listen() - open a listening socket on a free port; @address receives its address
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -232,6 +232,31 @@
     }
 }
 
+/* Guards against a reader that takes the lower versions of a restored store for stale reads, and so
+   delays its next watch or waits for a version that the store assigns much later. */
+static void
+test_sync_after_restore_watches_lower_version_at_once (void **state)
+{
+  static const sgr_store_version_t versions[] = { { 1, 30 }, { 2, 10 }, { 2, 11 }, { 3, 11 } };
+  sgr_config_sync_t *sync = sync_create (0);
+  sgr_config_sync_action_t action;
+  uint64_t now_us = 10 * SECOND_US, next_us;
+
+  for (size_t i = 0; i < sizeof versions / sizeof versions[0]; i++)
+    {
+      assert_true (next_action_is (sync, now_us, SGR_CONFIG_SYNC_WATCH));
+      sgr_config_sync_watch_done (sync, now_us, true, versions[i], 0);
+    }
+  assert_int_equal (sgr_config_sync_stats (sync)->store_failures, 0);
+  assert_true (sgr_config_sync_next (sync, now_us, &action, &next_us));
+  assert_true (action.after.generation == 3 && action.after.number == 11);
+  /* A lower version of the same generation is a stale read. */
+  sgr_config_sync_watch_done (sync, now_us, true, (sgr_store_version_t){ 3, 5 }, 0);
+  assert_int_equal (sgr_config_sync_stats (sync)->store_failures, 1);
+  assert_false (next_action_is (sync, now_us, SGR_CONFIG_SYNC_WATCH));
+  sgr_config_sync_destroy (sync);
+}
+
 /* Guards against a peer that claims a revision which it does not have, and so prevents fetches from
    other peers. */
 static void
@@ -310,6 +335,7 @@
     cmocka_unit_test (test_sync_watch_is_short_until_answered),
     cmocka_unit_test (test_sync_role_follows_members),
     cmocka_unit_test (test_sync_backoff_table),
+    cmocka_unit_test (test_sync_after_restore_watches_lower_version_at_once),
     cmocka_unit_test (test_sync_fetch_from_another_peer),
     cmocka_unit_test (test_sync_silent_peer),
   };
--- a/tests/test_store_http.c
+++ b/tests/test_store_http.c
@@ -17,6 +17,7 @@
 {
   bool done;
   sgr_store_outcome_t outcome;
+  uint64_t generation;
   uint64_t version;
   size_t length;
   char value[32];
@@ -49,6 +50,7 @@
 
   got->done = true;
   got->outcome = reply->outcome;
+  got->generation = reply->generation;
   got->version = reply->version;
   got->exists = reply->value != NULL;
   got->length = reply->length;
@@ -194,6 +196,31 @@
                                       on_reply, &unchanged));
 }
 
+/* Guards against a watch that waits for a version of a store that was restored: the store assigns
+   lower versions now, so the watch would miss the next changes. */
+static void
+test_store_watch_after_restore (void **state)
+{
+  uint64_t version = swap ("r", 0, "one").version;
+  reply_copy_t watch = { 0 }, next = { 0 };
+  sgr_store_version_t known;
+
+  rig_store_faults_set (&rig, "snapshot=1");
+  version = swap ("r", version, "two").version;
+  known = (sgr_store_version_t){ store->generation, version };
+  assert_non_null (store->watch (store, "r", known, 10000, on_reply, &watch));
+  rig_store_faults_set (&rig, "restore=1");
+  reply_wait (&watch);
+  assert_int_equal (watch.generation, known.generation + 1);
+  assert_int_equal (store->generation, known.generation + 1);
+  assert_true (watch.version < version);
+  assert_string_equal (watch.value, "one");
+  /* A watch that starts after the restore with a version from before. */
+  assert_int_equal (swap ("r", watch.version, "three").version, version);
+  assert_non_null (store->watch (store, "r", known, 10000, on_reply, &next));
+  assert_string_equal (reply_wait (&next).value, "three");
+}
+
 /* Guards against two holders that both write: a holder that was paused while its lease expired gets
    a conflict for a write with an old version and for the renewal of its lease. */
 static void
@@ -216,9 +243,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_store_swap_contract), cmocka_unit_test (test_store_large_value),
-    cmocka_unit_test (test_store_fault_table),   cmocka_unit_test (test_store_watch),
-    cmocka_unit_test (test_store_lapsed_lease),
+    cmocka_unit_test (test_store_swap_contract),       cmocka_unit_test (test_store_large_value),
+    cmocka_unit_test (test_store_fault_table),         cmocka_unit_test (test_store_watch),
+    cmocka_unit_test (test_store_watch_after_restore), cmocka_unit_test (test_store_lapsed_lease),
   };
 
   return cmocka_run_group_tests (tests, setup, teardown);
