Write a node's address again after the store was restored

A node writes its address to the store once, at its start. If the store is restored to a state from before that, the address is gone. A node that starts later does not find the others through the store, unless some of their addresses were in the copy.

A node that notices a new generation of the store now writes its address again, after a delay of up to 2 s that depends on its name, and reads the list of nodes once more. The configuration I/O compares the generation at each tick and reports a new one, so that no further call is made to notice it. A node that registers while the store is restored notices by the reply to its list. Nodes that call the store rarely, as those that are no readers, may notice late or never; each failure domain has readers, by which new nodes find the others.

--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -49,7 +49,7 @@
   bool is_next_fetch_full;        /* the next fetch requests a complete record, not a step */
   uint64_t highest_peer_revision; /* highest revision of a peer that was logged */
   uint64_t store_lost_us;         /* time of the first failed watch after the last answer, or 0 */
-  uint64_t store_generation;      /* generation of the store after the last watch */
+  uint64_t store_generation;      /* generation of the store at the last tick */
   sgr_store_call_t *watch;
   char watch_key[SGR_STORE_KEY_MAX + 1];
   uint64_t next_action_us;
@@ -139,18 +139,20 @@
     }
 }
 
-/* Logs when the store was restored to an earlier state. */
+/* Logs and reports when the store was restored to an earlier state. */
 static void
 store_generation_update (sgr_config_io_t *io)
 {
   uint64_t generation = io->options.store->generation;
+  uint64_t former = io->store_generation;
 
-  if (generation == io->store_generation)
-    return;
-  if (io->store_generation != 0)
-    sgr_log_warn ("store-restored", "generation=%lu former=%lu config_revision=%lu", generation,
-                  io->store_generation, sgr_config_state_revision (io->state));
   io->store_generation = generation;
+  if (generation == former || former == 0)
+    return;
+  sgr_log_warn ("store-restored", "generation=%lu former=%lu config_revision=%lu", generation,
+                former, sgr_config_state_revision (io->state));
+  if (io->callbacks.store_restored != NULL)
+    io->callbacks.store_restored (io->ctx);
 }
 
 static void
@@ -160,7 +162,6 @@
 
   io->watch = NULL;
   store_availability_update (io, reply->outcome == SGR_STORE_OK, reply->reason);
-  store_generation_update (io);
   if (reply->outcome == SGR_STORE_OK && reply->value != NULL)
     config_offer (io, reply->value, reply->length, false, NULL);
   sgr_config_sync_watch_done (io->sync, sgr_clock_monotonic_us (), reply->outcome == SGR_STORE_OK,
@@ -286,6 +287,8 @@
 
   h2o_timeout_link (io->loop, &io->tick, &io->tick_entry);
   delayed_calls_run (io, now_us);
+  if (io->options.store != NULL)
+    store_generation_update (io);
   if (now_us >= io->next_action_us)
     run_actions (io);
 }
--- a/libsiskingrade/config_io.h
+++ b/libsiskingrade/config_io.h
@@ -44,10 +44,13 @@
  * struct sgr_config_io_callbacks_t - notifications to the control task
  * @config_changed: a higher revision is in force, which the control task announces to the peers and
  *                  passes to the data threads in a new snapshot; may be NULL
+ * @store_restored: the store was restored to an earlier state, which may lack what this node wrote;
+ *                  may be NULL
  */
 typedef struct
 {
   void (*config_changed) (void *ctx, const sgr_config_state_t *state);
+  void (*store_restored) (void *ctx);
 } sgr_config_io_callbacks_t;
 
 /**
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "config_api.h"
+#include "control_contacts.h"
 
 struct sgr_control_config_t
 {
@@ -25,6 +26,14 @@
   sgr_config_api_notify (config->api);
 }
 
+static void
+on_store_restored (void *ctx)
+{
+  sgr_control_config_t *config = ctx;
+
+  sgr_control_contacts_renew (config->control->contacts);
+}
+
 static size_t
 members_list (void *ctx, const sgr_member_t **members)
 {
@@ -37,7 +46,8 @@
 sgr_control_config_t *
 sgr_control_config_create (sgr_control_t *control, h2o_hostconf_t *host)
 {
-  static const sgr_config_io_callbacks_t callbacks = { .config_changed = on_config_changed };
+  static const sgr_config_io_callbacks_t callbacks
+      = { .config_changed = on_config_changed, .store_restored = on_store_restored };
   const sgr_settings_t *settings = control->settings;
   sgr_control_config_t *config = calloc (1, sizeof *config);
   sgr_config_io_options_t options;
--- a/libsiskingrade/control_contacts.c
+++ b/libsiskingrade/control_contacts.c
@@ -13,6 +13,8 @@
 /* Interval at which the list of nodes is read until it names another node; others may register
    later. */
 #define LIST_INTERVAL_US (2 * SGR_USEC_PER_SEC)
+/* Longest delay before the address is written again after the store was restored. */
+#define RENEWAL_DELAY_MAX_US (2 * SGR_USEC_PER_SEC)
 /* Size of the text "IP:PORT" with its terminating zero, rounded up. */
 #define ADDRESS_TEXT_BYTES 32
 
@@ -29,6 +31,8 @@
   sgr_store_t *store;
   sgr_store_call_t *call;
   step_t step;
+  uint64_t generation; /* generation of the store that has the node's address, 0 if it tells none */
+  bool has_found;      /* whether the store has named another node */
   char prefix[SGR_NAME_MAX + 16];  /* "nodes/DEPLOYMENT/" */
   char key[2 * SGR_NAME_MAX + 16]; /* "nodes/DEPLOYMENT/NAME" */
   char address[ADDRESS_TEXT_BYTES];
@@ -82,6 +86,8 @@
   return added;
 }
 
+static void step_run (sgr_control_contacts_t *contacts);
+
 static void
 on_listed (void *ctx, const sgr_store_reply_t *reply)
 {
@@ -96,15 +102,20 @@
     }
   added = contacts_add (contacts, reply);
   sgr_log_info ("contacts-read", "contacts=%zu", added);
-  if (added > 0)
+  contacts->has_found = contacts->has_found || added > 0;
+  if (reply->generation != contacts->generation)
+    {
+      /* The store was restored after the address was written. */
+      contacts->step = STEP_REGISTER;
+      step_run (contacts);
+    }
+  else if (contacts->has_found)
     contacts->step = STEP_DONE;
   else
     sgr_timer_arm (contacts->control->timers, &contacts->timer,
                    sgr_clock_monotonic_us () + LIST_INTERVAL_US);
 }
 
-static void step_run (sgr_control_contacts_t *contacts);
-
 static void
 on_registered (void *ctx, const sgr_store_reply_t *reply)
 {
@@ -116,6 +127,7 @@
       retry_schedule (contacts, "register", reply);
       return;
     }
+  contacts->generation = reply->generation;
   contacts->step = STEP_LIST;
   contacts->retry_us = RETRY_MIN_US;
   step_run (contacts);
@@ -163,6 +175,19 @@
   return contacts;
 }
 
+void
+sgr_control_contacts_renew (sgr_control_contacts_t *contacts)
+{
+  /* The reply to a pending step tells the generation, too. */
+  if (contacts == NULL || contacts->call != NULL
+      || contacts->generation == contacts->store->generation)
+    return;
+  contacts->step = STEP_REGISTER;
+  sgr_timer_arm (contacts->control->timers, &contacts->timer,
+                 sgr_clock_monotonic_us ()
+                     + sgr_node_id_of (contacts->control->settings->name) % RENEWAL_DELAY_MAX_US);
+}
+
 void
 sgr_control_contacts_destroy (sgr_control_contacts_t *contacts)
 {
--- a/libsiskingrade/control_contacts.h
+++ b/libsiskingrade/control_contacts.h
@@ -12,11 +12,21 @@
  * Writes the node's control address under the key "nodes/DEPLOYMENT/NAME" and then reads the
  * addresses of the other nodes. If two nodes start at the same time, the one that writes later
  * finds the other. Once the node has found others, membership alone keeps them connected and the
- * store is not read again. A step that fails is retried.
+ * store is not read again, unless the store was restored. A step that fails is retried.
  *
  * Return: the object, NULL without a store.
  */
 sgr_control_contacts_t *sgr_control_contacts_create (sgr_control_t *control, sgr_store_t *store);
+
+/**
+ * sgr_control_contacts_renew() - write the node's address again, after the store was restored
+ * @contacts: the object, NULL for none
+ *
+ * The restored store may lack the address, and those that other nodes wrote, so the nodes are read
+ * once more, too. Starts after a delay that depends on the node's name, since many nodes notice the
+ * restore at once.
+ */
+void sgr_control_contacts_renew (sgr_control_contacts_t *contacts);
 void sgr_control_contacts_destroy (sgr_control_contacts_t *contacts);
 
 #endif
