Let two readers of a failure domain watch briefly after a change

Each reader made one call more for each change since its first watch after it is short. One reader whose watch is answered suffices: it gossips the revision, and the others fetch it.

--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -16,6 +16,9 @@
 /* Highest value of the counter of failed watches in a row. The delay after a failure reaches its
    maximum at a much lower count. */
 #define WATCH_FAILURES_MAX 32
+/* Readers of a failure domain whose watches are short until they are answered. The others keep an
+   unanswered watch for its longest duration and get changes from peers meanwhile. */
+#define CONFIRMING_READERS 2
 /* Delay of the next watch after a node became a reader or stopped being one. A new reader waits for
    a random time of up to this value. A node that is no longer a reader and has cancelled its watch
    waits at least this long, should it become a reader again. */
@@ -53,6 +56,7 @@
 
 /*
  * @reader: whether this node is a reader; true until other members are known
+ * @is_confirming: whether this node is one of CONFIRMING_READERS
  * @watching: whether a watch is open
  * @version: version of the watched key in the last answer of the store
  * @is_confirmed: the last watch ended without a new version after its whole duration, so the next
@@ -70,6 +74,7 @@
   sgr_config_sync_options_t options;
   sgr_rng_t rng;
   bool reader;
+  bool is_confirming;
   bool watching;
   sgr_store_version_t version;
   bool is_confirmed;
@@ -122,6 +127,7 @@
   sync->options = *options;
   sgr_rng_seed (&sync->rng, options->seed ^ options->self);
   sync->reader = true;
+  sync->is_confirming = true;
   sync->watch_due_us = now_us + options->start_delay_ms * SGR_USEC_PER_MSEC
                        + jitter_us (sync, options->start_delay_ms / 2);
   sync->settled_us
@@ -190,6 +196,8 @@
         sync->watch_due_us = due_us;
     }
   sync->reader = reader;
+  sync->is_confirming = sgr_config_sync_is_elected_reader (
+      sync->options.self, sync->options.failure_domain, CONFIRMING_READERS, members, count);
   for (size_t i = 0; i < count; i++)
     if (members[i].id != sync->options.self && members[i].status == SGR_MEMBER_ALIVE
         && members[i].config_revision > sync->revision)
@@ -408,7 +416,7 @@
 {
   uint32_t confirm_ms = sync->options.watch_confirm_ms;
 
-  if (sync->is_confirmed || confirm_ms >= sync->options.watch_ms)
+  if (sync->is_confirmed || !sync->is_confirming || confirm_ms >= sync->options.watch_ms)
     return sync->options.watch_ms;
   return confirm_ms - (uint32_t)sgr_rng_below (&sync->rng, confirm_ms / 2 + 1);
 }
