Bound the delay between watches of a store that fails by a setting

Cause: the delay between watches doubles up to 15 s, so that all readers may wait when the store is back.

test_good_settings failed before: the key is unknown. test_sync_retry_after_long_outage bounds the delay; its option existed before.

--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -21,6 +21,7 @@
     .store_delay_ms = 2000,
     .store_readers = 2,
     .store_watch_ms = 55000,
+    .store_retry_max_ms = 15000,
     .leave_delay_ms = 0,
     .drain_timeout_ms = 60000,
     .heartbeat_ms = 250,
@@ -225,20 +226,12 @@
 static void
 read_limits (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
-  static const char *const keys[] = { "request_body_max_bytes",
-                                      "answer_buffer_bytes",
-                                      "calls_max",
-                                      "announce_ttl_ms",
-                                      "store_delay_ms",
-                                      "store_readers",
-                                      "store_watch_ms",
-                                      "leave_delay_ms",
-                                      "drain_timeout_ms",
-                                      "heartbeat_ms",
-                                      "silence_ms",
-                                      "far_us_per_kib",
-                                      "membership_bytes_per_s",
-                                      NULL };
+  static const char *const keys[]
+      = { "request_body_max_bytes", "answer_buffer_bytes",    "calls_max",
+          "announce_ttl_ms",        "store_delay_ms",         "store_readers",
+          "store_watch_ms",         "store_retry_max_ms",     "leave_delay_ms",
+          "drain_timeout_ms",       "heartbeat_ms",           "silence_ms",
+          "far_us_per_kib",         "membership_bytes_per_s", NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "limits");
 
   if (node == 0 || !sgr_yaml_mapping_check (yaml, node, "limits", keys))
@@ -255,6 +248,8 @@
   sgr_yaml_number_read (yaml, node, "store_readers", "limits", 1, 1000, &settings->store_readers);
   sgr_yaml_number_read (yaml, node, "store_watch_ms", "limits", 100, 60000,
                         &settings->store_watch_ms);
+  sgr_yaml_number_read (yaml, node, "store_retry_max_ms", "limits", 250, 60000,
+                        &settings->store_retry_max_ms);
   sgr_yaml_number_read (yaml, node, "leave_delay_ms", "limits", 0, 60000,
                         &settings->leave_delay_ms);
   sgr_yaml_number_read (yaml, node, "drain_timeout_ms", "limits", 0, 3600000,
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -41,6 +41,7 @@
  * @store_readers: number of readers in a failure domain, the nodes that watch the configuration
  *                 in the store
  * @store_watch_ms: longest wait of one watch of the store, in milliseconds
+ * @store_retry_max_ms: longest delay between watches of a store that fails, in milliseconds
  * @leave_delay_ms: time in milliseconds from a stop signal until the node refuses callers' requests
  * @drain_timeout_ms: longest wait in milliseconds for calls in flight during a graceful shutdown
  * @heartbeat_ms: interval of pings on a connection between nodes, in milliseconds
@@ -79,6 +80,7 @@
   uint64_t store_delay_ms;
   uint64_t store_readers;
   uint64_t store_watch_ms;
+  uint64_t store_retry_max_ms;
   uint64_t leave_delay_ms;
   uint64_t drain_timeout_ms;
   uint64_t heartbeat_ms;
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -117,6 +117,38 @@
   sgr_config_sync_destroy (sync);
 }
 
+/* Load pattern: all readers of a fleet watch again after a change. Guards against a short watch of
+   each of them, which would cost the store a call each; two in a failure domain are enough. */
+static void
+test_sync_two_short_watches_per_domain (void **state)
+{
+  size_t short_count = 0, reader_count = 0;
+
+  setup (state);
+  for (size_t i = 0; i < MEMBER_COUNT; i += FAILURE_DOMAINS)
+    {
+      sgr_config_sync_options_t options;
+      sgr_config_sync_action_t action;
+      sgr_config_sync_t *sync;
+      uint64_t next_us;
+
+      sgr_config_sync_options_init (&options);
+      options.self = members[i].id;
+      options.readers = 10;
+      strcpy (options.failure_domain, members[i].failure_domain);
+      sync = sgr_config_sync_create (&options, 0);
+      sgr_config_sync_members_update (sync, 0, members, MEMBER_COUNT);
+      if (sgr_config_sync_next (sync, 10 * SECOND_US, &action, &next_us))
+        {
+          reader_count++;
+          short_count += action.wait_ms <= options.watch_confirm_ms;
+        }
+      sgr_config_sync_destroy (sync);
+    }
+  assert_int_equal (reader_count, 10);
+  assert_int_equal (short_count, 2);
+}
+
 /* Guards against readers that all wait in a watch which a silent store has accepted but does not
    answer, until the longest duration of a watch ends. A watch is long only after one that the store
    has answered without a new version. */
@@ -257,6 +289,36 @@
   sgr_config_sync_destroy (sync);
 }
 
+/* Guards against a reader that waits longer after an outage than a change may take to be in force:
+   however long the store has failed, the next watch comes within the longest delay. */
+static void
+test_sync_retry_after_long_outage (void **state)
+{
+  enum
+  {
+    RETRY_MAX_MS = 2000
+  };
+  sgr_config_sync_options_t options;
+  sgr_config_sync_action_t action;
+  sgr_config_sync_t *sync;
+  uint64_t now_us = 10 * SECOND_US, next_us, failed_us = now_us;
+
+  sgr_config_sync_options_init (&options);
+  options.self = members[0].id;
+  options.backoff_max_ms = RETRY_MAX_MS;
+  sync = sgr_config_sync_create (&options, 0);
+  while (now_us < 100 * SECOND_US)
+    if (sgr_config_sync_next (sync, now_us, &action, &next_us))
+      {
+        assert_true (now_us - failed_us <= RETRY_MAX_MS * SGR_USEC_PER_MSEC);
+        failed_us = now_us;
+        sgr_config_sync_watch_done (sync, now_us, false, (sgr_store_version_t){ 0, 0 }, 0);
+      }
+    else
+      now_us = next_us;
+  sgr_config_sync_destroy (sync);
+}
+
 /* Guards against a peer that claims a revision which it does not have, and so prevents fetches from
    other peers. */
 static void
@@ -333,8 +395,10 @@
     cmocka_unit_test (test_sync_two_readers_per_domain),
     cmocka_unit_test (test_watch_waits_until_members_are_known),
     cmocka_unit_test (test_sync_watch_is_short_until_answered),
+    cmocka_unit_test (test_sync_two_short_watches_per_domain),
     cmocka_unit_test (test_sync_role_follows_members),
     cmocka_unit_test (test_sync_backoff_table),
+    cmocka_unit_test (test_sync_retry_after_long_outage),
     cmocka_unit_test (test_sync_after_restore_watches_lower_version_at_once),
     cmocka_unit_test (test_sync_fetch_from_another_peer),
     cmocka_unit_test (test_sync_silent_peer),
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -127,9 +127,10 @@
 static void
 test_good_settings (void **state)
 {
-  static const char text[] = NODE LISTEN OWNERS
-      "contacts: [127.0.0.1:4]\nstore: 127.0.0.1:5\nlog: {level: debug}\n"
-      "advertise: {peers: 127.0.0.1:9}\nlimits: {heartbeat_ms: 10, silence_ms: 20}\n";
+  static const char text[]
+      = NODE LISTEN OWNERS "contacts: [127.0.0.1:4]\nstore: 127.0.0.1:5\nlog: {level: debug}\n"
+                           "advertise: {peers: 127.0.0.1:9}\nlimits: {heartbeat_ms: 10, "
+                           "silence_ms: 20, store_retry_max_ms: 2000}\n";
   sgr_settings_t settings;
   sgr_buffer_t errors = { 0 };
 
@@ -140,6 +141,7 @@
   assert_int_equal (settings.store.port, 5);
   assert_int_equal (settings.advertised_peers.port, 9);
   assert_int_equal (settings.silence_ms, 20);
+  assert_int_equal (settings.store_retry_max_ms, 2000);
   assert_int_equal (
       sgr_settings_parse (&settings, "f", NODE LISTEN OWNERS, strlen (NODE LISTEN OWNERS), &errors),
       SGR_OK);
