--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -43,6 +43,7 @@
  * @snapshot_revision: revision of the configuration in the last snapshot
  * @newest_revision: highest revision of the configuration that this node or one of @members has in
  *   force
+ * @newest_seen_us: when @newest_revision rose last
  * @signals: socket that receives the signals
  * @announce: registration of the local target
  * @announce_timer: fires when the registration expires
@@ -77,6 +78,7 @@
   size_t member_count;
   uint64_t snapshot_revision;
   uint64_t newest_revision;
+  uint64_t newest_seen_us;
   h2o_socket_t *signals;
   sgr_announce_state_t announce;
   sgr_timer_t announce_timer;
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -81,16 +81,18 @@
   qsort (control->members, control->member_count, sizeof *control->members, member_order);
 }
 
-/* Highest revision of the configuration that this node or a member has in force. */
-static uint64_t
-newest_revision (const sgr_control_t *control)
+/* Determines the highest revision of the configuration that this node or a member has in force. */
+static void
+newest_revision_update (sgr_control_t *control, uint64_t now_us)
 {
   uint64_t newest = sgr_config_state_revision (sgr_control_config_state (control->config));
 
   for (size_t i = 0; i < control->member_count; i++)
     if (control->members[i].config_revision > newest)
       newest = control->members[i].config_revision;
-  return newest;
+  if (newest > control->newest_revision)
+    control->newest_seen_us = now_us;
+  control->newest_revision = newest;
 }
 
 static sgr_snapshot_t *
@@ -116,6 +118,7 @@
     memcpy (snapshot->members, control->members, control->member_count * sizeof *snapshot->members);
   snapshot->member_count = control->member_count;
   snapshot->newest_revision = control->newest_revision;
+  snapshot->newest_seen_us = control->newest_seen_us;
   for (size_t i = 0; i < policies; i++)
     snapshot->policies[snapshot->policy_count++] = *sgr_config_state_service_at (state, i);
   if (route_count > 0)
@@ -131,7 +134,7 @@
 
   control->snapshot_sent_us = now_us;
   members_refresh (control);
-  control->newest_revision = newest_revision (control);
+  newest_revision_update (control, now_us);
   sgr_control_config_members_update (control->config, control->members, control->member_count);
   sgr_control_probe_update (control->probe,
                             sgr_config_state_policy (sgr_control_config_state (control->config),
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -18,6 +18,8 @@
 /* Retry-After of a call that is refused because its idempotency key, which the caller chose, cannot
    be bound to a gate. */
 #define KEY_BIND_RETRY_AFTER_MS 1000
+/* Time for which the knowledge of a newer configuration turns 404 into 503. */
+#define BEHIND_MAX_US (15 * SGR_USEC_PER_SEC)
 /* Maximum number of attempts that a routed call may make in addition to attempts_max because gates
    refused earlier attempts. A refused attempt costs its target nothing, so the call may go on to
    another gate. */
@@ -253,13 +255,15 @@
 
 /* Refuses a request for a route or service that the configuration in force does not have. If a
    newer configuration is known, it may have it, so the caller is asked to come back: after a 404 it
-   would not. */
+   would not. A node that has not got the newer one for a long time may never get it, for instance
+   because it cannot read it. */
 static void
 unknown_refuse (sgr_data_http_t *http, h2o_req_t *req, const char *reason)
 {
   const sgr_snapshot_t *snapshot = http->task->snapshot;
 
-  if (snapshot != NULL && snapshot->newest_revision > snapshot->config_revision)
+  if (snapshot != NULL && snapshot->newest_revision > snapshot->config_revision
+      && sgr_clock_monotonic_us () < snapshot->newest_seen_us + BEHIND_MAX_US)
     sgr_data_request_refuse (http->task, req, 503, "configuration-behind");
   else
     sgr_data_request_refuse (http->task, req, 404, reason);
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -38,6 +38,7 @@
  * @member_count: entries of @members
  * @config_revision: revision of the configuration, 0 if none is known
  * @newest_revision: highest revision that this node or one of @members has in force
+ * @newest_seen_us: monotonic time at which this node heard of @newest_revision first
  * @policies: policies of the services in the configuration
  * @policy_count: entries of @policies
  * @routes: routes of the configuration; empty if the snapshot before had the same revision
@@ -50,6 +51,7 @@
   size_t member_count;
   uint64_t config_revision;
   uint64_t newest_revision;
+  uint64_t newest_seen_us;
   sgr_policy_t *policies;
   size_t policy_count;
   sgr_route_t *routes;
--- a/tests/test_data_task.c
+++ b/tests/test_data_task.c
@@ -306,48 +306,55 @@
   assert_int_equal (reader.length, LARGE_ANSWER_BYTES);
 }
 
-/* Sends requests until one is answered with @status, because the task applies a snapshot some time
-   after it was sent. Only an answer with 503 may say when to come back. */
+/* Sends requests until one is answered with @status and @reason, because the task applies a
+   snapshot some time after it was sent. Only an answer with 503 may say when to come back. */
 static bool
-status_await (uint16_t port, int status)
+refusal_await (uint16_t port, int status, const char *reason)
 {
   sgr_probe_request_t request = { .port = port, .path = "/added/" };
   uint64_t end_us = sgr_clock_monotonic_us () + EVENT_TIMEOUT_US;
-  int found;
+  bool is_found;
 
   do
     {
       sgr_probe_answer_t answer;
-      char retry_after[16];
+      char text[32];
 
       sgr_probe_call (&request, &answer);
-      found = answer.status;
-      assert_int_equal (sgr_probe_field (&answer, "Retry-After", retry_after, sizeof retry_after),
-                        found == 503);
+      assert_int_equal (sgr_probe_field (&answer, "Retry-After", text, sizeof text),
+                        answer.status == 503);
+      sgr_probe_field (&answer, "Siskingrade-Reason", text, sizeof text);
+      is_found = answer.status == status && strcmp (text, reason) == 0;
       sgr_probe_release (&answer);
       sgr_fixture_poll_sleep ();
     }
-  while (found != status && sgr_clock_monotonic_us () < end_us);
-  return found == status;
+  while (!is_found && sgr_clock_monotonic_us () < end_us);
+  return is_found;
 }
 
 /* Guards against a final answer from incomplete knowledge: a node that knows of a newer
    configuration than its own answered 404 for a route or service that the newer one may have, and
-   callers do not repeat a request after 404. */
+   callers do not repeat a request after 404. After a long time the node answers 404 again. */
 static void
 test_no_404_while_behind (void **state)
 {
   static const struct
   {
     const char *name;
-    size_t routes;
-    uint64_t newest_revision;
+    bool has_routes;
+    uint64_t newer_by;       /* revisions by which a peer is ahead */
+    uint64_t seen_before_us; /* time since the node heard of it */
     int status;
+    const char *reason;
   } cases[] = {
-    { "unknown route, configuration is the newest", 1, 5, 404 },
-    { "unknown route, a peer has a newer one", 1, 6, 503 },
-    { "unknown service, configuration is the newest", 0, 5, 404 },
-    { "unknown service, a peer has a newer one", 0, 6, 503 },
+    { "unknown route", true, 0, 0, 404, "no-route" },
+    { "unknown route, a peer is ahead", true, 1, 0, 503, "configuration-behind" },
+    { "unknown route, a peer has been ahead for long", true, 1, 60 * SGR_USEC_PER_SEC, 404,
+      "no-route" },
+    { "unknown service", false, 0, 0, 404, "unknown-service" },
+    { "unknown service, a peer is ahead", false, 1, 0, 503, "configuration-behind" },
+    { "unknown service, a peer has been ahead for long", false, 1, 60 * SGR_USEC_PER_SEC, 404,
+      "unknown-service" },
   };
   sgr_buffer_t errors = { 0 };
   sgr_settings_t settings;
@@ -358,18 +365,20 @@
   assert_non_null (task);
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
-      sgr_snapshot_t *snapshot = sgr_snapshot_create (0, 0, cases[i].routes);
-
-      snapshot->config_revision = 5;
-      snapshot->newest_revision = cases[i].newest_revision;
-      snapshot->route_count = cases[i].routes;
-      if (cases[i].routes > 0)
+      sgr_snapshot_t *snapshot = sgr_snapshot_create (0, 0, cases[i].has_routes);
+
+      /* The task reads routes only from a snapshot with another revision. */
+      snapshot->config_revision = 10 * (i + 1);
+      snapshot->newest_revision = snapshot->config_revision + cases[i].newer_by;
+      snapshot->newest_seen_us = sgr_clock_monotonic_us () - cases[i].seen_before_us;
+      snapshot->route_count = cases[i].has_routes;
+      if (cases[i].has_routes)
         snapshot->routes[0] = (sgr_route_t){
           .host = "other.example", .prefix = "/", .parts = { { "one", 1 } }, .part_count = 1
         };
       sgr_data_task_snapshot_send (task, snapshot);
-      if (!status_await (settings.callers.port, cases[i].status))
-        fail_msg ("%s: no answer with status %d", cases[i].name, cases[i].status);
+      if (!refusal_await (settings.callers.port, cases[i].status, cases[i].reason))
+        fail_msg ("%s: no answer %d %s", cases[i].name, cases[i].status, cases[i].reason);
     }
   sgr_data_task_stop (task);
   sgr_data_task_join (task);
