--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -11,6 +11,9 @@
 /* Period of the timer that runs delayed calls and actions of the synchronisation that are due. Each
    of them runs up to one period late, so a new revision may take effect that much later. */
 #define TICK_MS 20
+/* Largest record or document of a peer. Documents of a source are limited by the store that they
+   come from, which may take more than ours. */
+#define FETCH_MAX_BYTES (2 * SGR_CONFIG_VALUE_MAX_BYTES)
 
 /**
  * struct delayed_call_t - a function that sgr_config_commit_t wants to be called after a delay
@@ -336,8 +339,7 @@
   io->ctx = ctx;
   io->state = sgr_config_state_create (&options->owners, options->history_max);
   io->sync = sgr_config_sync_create (&options->sync, sgr_clock_monotonic_us ());
-  io->fetcher
-      = sgr_http_fetcher_create (loop, options->fetch_timeout_ms, SGR_CONFIG_VALUE_MAX_BYTES);
+  io->fetcher = sgr_http_fetcher_create (loop, options->fetch_timeout_ms, FETCH_MAX_BYTES);
   if (options->source != NULL)
     sgr_config_state_source_set (io->state, options->source);
   if (options->store != NULL && options->source == NULL)
