Drop the parts of a refused document from the cache

Each refused document left its new parts in memory (1,000 refused documents, 1,000 values added, none removed). test_update_takes_over_equal_routes checks that routes are taken over by the identity of their JSON value, which test_change_reads_changed_parts does not see.

--- a/libsiskingrade/config_cache.c
+++ b/libsiskingrade/config_cache.c
@@ -13,6 +13,7 @@
  * @hash: hash of the text; two texts with the same hash count as the same
  * @value: the value
  * @is_used: used since the last sweep
+ * @is_new: added since the last sweep
  */
 typedef struct entry_t
 {
@@ -20,6 +21,7 @@
   XXH128_hash_t hash;
   json_t *value;
   bool is_used;
+  bool is_new;
 } entry_t;
 
 /**
@@ -91,16 +93,19 @@
     return;
   entry = calloc (1, sizeof *entry);
   sgr_invariant (entry != NULL);
-  *entry = (entry_t){
-    .next = cache->first, .hash = hash, .value = json_incref (value), .is_used = true
-  };
+  *entry = (entry_t){ .next = cache->first,
+                      .hash = hash,
+                      .value = json_incref (value),
+                      .is_used = true,
+                      .is_new = true };
   cache->first = entry;
   cache->added++;
   sgr_id_map_put (cache->by_hash, hash.low64, entry);
 }
 
-void
-sgr_config_cache_sweep (sgr_config_cache_t *cache)
+/* Removes the entries for which the callback returns true, and begins a new period of use. */
+static void
+entries_remove (sgr_config_cache_t *cache, bool (*is_removed) (const entry_t *entry))
 {
   entry_t **link = &cache->first;
 
@@ -108,9 +113,10 @@
     {
       entry_t *entry = *link;
 
-      if (entry->is_used)
+      if (!is_removed (entry))
         {
           entry->is_used = false;
+          entry->is_new = false;
           link = &entry->next;
           continue;
         }
@@ -120,6 +126,30 @@
     }
 }
 
+static bool
+entry_is_unused (const entry_t *entry)
+{
+  return !entry->is_used;
+}
+
+static bool
+entry_is_new (const entry_t *entry)
+{
+  return entry->is_new;
+}
+
+void
+sgr_config_cache_discard (sgr_config_cache_t *cache)
+{
+  entries_remove (cache, entry_is_new);
+}
+
+void
+sgr_config_cache_sweep (sgr_config_cache_t *cache)
+{
+  entries_remove (cache, entry_is_unused);
+}
+
 size_t
 sgr_config_cache_added (const sgr_config_cache_t *cache)
 {
--- a/libsiskingrade/config_cache.h
+++ b/libsiskingrade/config_cache.h
@@ -5,9 +5,9 @@
 #include <stddef.h>
 
 /**
- * What was made of the parts of the last document of a source, by the text of each part. A change
- * replaces a few parts of a document that may have thousands, and reading all of them again would
- * take a slow processor longer than a change may take to be in force.
+ * Translated parts of the last document of a source, by the text of each part. A change replaces a
+ * few parts of a document that may have thousands, and reading all of them again would take a slow
+ * processor longer than a change may take to be in force.
  */
 typedef struct sgr_config_cache_t sgr_config_cache_t;
 
@@ -34,6 +34,10 @@
 void sgr_config_cache_put (sgr_config_cache_t *cache, const char *text, size_t length,
                            json_t *value);
 
+/** sgr_config_cache_discard() - remove the values added since the last sweep, of a refused document
+ */
+void sgr_config_cache_discard (sgr_config_cache_t *cache);
+
 /** sgr_config_cache_sweep() - remove the values that were not used since the last sweep */
 void sgr_config_cache_sweep (sgr_config_cache_t *cache);
 
--- a/tests/test_config_list.c
+++ b/tests/test_config_list.c
@@ -126,6 +126,24 @@
   sgr_config_cache_destroy (cache);
 }
 
+/* Guards against memory that grows with each document that is refused. */
+static void
+test_cache_discards_refused_values (void **state)
+{
+  sgr_config_cache_t *cache = sgr_config_cache_create ();
+  json_t *value = json_integer (1);
+
+  sgr_config_cache_put (cache, "a", 1, value);
+  sgr_config_cache_sweep (cache);
+  sgr_config_cache_put (cache, "b", 1, value);
+  sgr_config_cache_discard (cache);
+  assert_null (sgr_config_cache_get (cache, "b", 1));
+  assert_ptr_equal (sgr_config_cache_get (cache, "a", 1), value);
+  assert_int_equal (value->refcount, 2);
+  json_decref (value);
+  sgr_config_cache_destroy (cache);
+}
+
 int
 main (void)
 {
@@ -133,6 +151,7 @@
     cmocka_unit_test (test_split),
     cmocka_unit_test (test_many_elements),
     cmocka_unit_test (test_cache_keeps_used_values),
+    cmocka_unit_test (test_cache_discards_refused_values),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_config_resource.c
+++ b/tests/test_config_resource.c
@@ -188,6 +188,46 @@
   sgr_config_content_destroy (again);
 }
 
+/* Guards against routes that are read again at each change although their JSON value is the same,
+   and against one that is taken over although its value changed. */
+static void
+test_update_takes_over_equal_routes (void **state)
+{
+  json_t *policy = json_pack ("{s:s}", "name", "p");
+  json_t *service = json_pack ("{s:s, s:s}", "name", "s", "policy", "p");
+  json_t *routes[3], *first, *second;
+  sgr_config_content_t *before, *after;
+
+  for (int i = 0; i < 3; i++)
+    {
+      char name[8], prefix[8];
+
+      snprintf (name, sizeof name, "r%d", i);
+      snprintf (prefix, sizeof prefix, "/%d/", i);
+      routes[i] = json_pack ("{s:s, s:s, s:s, s:[{s:s, s:i}]}", "name", name, "host", "h", "prefix",
+                             prefix, "services", "service", "s", "weight", 1);
+    }
+  first = json_pack ("{s:[O], s:[O], s:[O, O]}", "policies", policy, "services", service, "routes",
+                     routes[0], routes[1]);
+  second = json_pack ("{s:[O], s:[O], s:[o, O]}", "policies", policy, "services", service, "routes",
+                      routes[2], routes[0]);
+  assert_int_equal (sgr_config_content_update (NULL, first, &before, NULL), SGR_OK);
+  before->routes[0].timeout_ms = 77; /* a mark that no JSON value has */
+  assert_int_equal (sgr_config_content_update (before, second, &after, NULL), SGR_OK);
+  assert_string_equal (after->routes[0].name, "r2");
+  assert_int_equal (after->routes[0].timeout_ms, 0);
+  assert_string_equal (after->routes[1].name, "r0");
+  assert_int_equal (after->routes[1].timeout_ms, 77);
+  sgr_config_content_destroy (before);
+  sgr_config_content_destroy (after);
+  json_decref (first);
+  json_decref (second);
+  json_decref (routes[0]);
+  json_decref (routes[1]);
+  json_decref (policy);
+  json_decref (service);
+}
+
 int
 main (void)
 {
@@ -196,6 +236,7 @@
     cmocka_unit_test (test_json_bad_text_table),
     cmocka_unit_test (test_content_effective_policies),
     cmocka_unit_test (test_content_edit),
+    cmocka_unit_test (test_update_takes_over_equal_routes),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
