Add a failing test: no change after a restored store lost the record

A change is in force at all nodes, and the store is restored to a state from before it. The second approval of the next change then gets 503 after about 10 s: read_current_done() finds a stored record that differs from the one in force, takes it for a stale read and retries until nothing is left. No node writes the record in force to the store again, so that no change can be approved any more.

--- a/tests/test_config_io.c
+++ b/tests/test_config_io.c
@@ -161,6 +161,23 @@
   sgr_config_change_destroy (change);
 }
 
+/* Guards against a configuration that cannot be changed any more after the store was restored to a
+   state without the record in force: the nodes have a higher revision than the store. */
+static void
+test_io_change_after_restored_store_lost_the_record (void **state)
+{
+  change_deadline ("c1", 100);
+  rig_store_faults_set (&rig, "snapshot=1");
+  change_deadline ("c2", 200);
+  rig_store_faults_set (&rig, "restore=1");
+  change_deadline ("c3", 300);
+  for (int node = 0; node < 6; node++)
+    {
+      assert_int_equal (node_deadline_ms (node), 300);
+      assert_false (rig.nodes[node].has_revision_decreased);
+    }
+}
+
 /* Guards against invalid requests that are accepted or rejected without a reason; valid ones are in
    the table, too. */
 static void
@@ -237,6 +254,8 @@
     cmocka_unit_test_setup_teardown (test_io_restart_empty_while_store_is_down, setup, teardown),
     cmocka_unit_test_setup_teardown (test_io_store_fault_table, setup, teardown),
     cmocka_unit_test_setup_teardown (test_io_store_down, setup, teardown),
+    cmocka_unit_test_setup_teardown (test_io_change_after_restored_store_lost_the_record, setup,
+                                     teardown),
     cmocka_unit_test_setup_teardown (test_api_bad_request_table, setup, teardown),
     cmocka_unit_test_setup_teardown (test_api_watch, setup, teardown),
   };
