Add a failing test: a restored store loses the binding of a caller's key

The binding of a key to its gate is acknowledged, and the request runs. The store is restored to a state without the binding. A repeat through another node binds the key to another gate, where the request runs a second time.

--- a/tests/test_path_own_key.c
+++ b/tests/test_path_own_key.c
@@ -9,6 +9,7 @@
 
 #include "node_fixture.h"
 #include "path_check.h"
+#include "types.h"
 
 /* Idempotency keys that callers choose themselves. The store binds each key to one gate; here the
    store fails. */
@@ -166,6 +167,40 @@
   assert_int_equal (call_with_key (OTHER_ENTRY, "later", "a", 200, "complete"), 0);
 }
 
+/* Guards against a second execution of a request after the store was restored to a state without
+   the binding of its key. The gate that ran it first is draining, so that a new binding would name
+   the other one. */
+static void
+test_repeat_after_restored_store_lost_the_binding (void **state)
+{
+  sgr_path_call_t call = { .entry = node (OTHER_ENTRY),
+                           .service = "one",
+                           .method = "POST",
+                           .path = "/",
+                           .fields = "Idempotency-Key: lost\r\n",
+                           .body = "a" };
+  uint64_t end_us = sgr_clock_monotonic_us () + 10 * SGR_USEC_PER_SEC;
+  uint64_t starts;
+  sgr_probe_answer_t answer;
+  int gate;
+
+  sgr_fixture_store_faults_set (&fixture, "snapshot=1");
+  starts = sgr_fixture_metric (node (GATE_1), "siskingrade_gate_starts_total");
+  assert_int_equal (call_with_key (ENTRY, "lost", "a", 200, "complete"), 1);
+  gate = sgr_fixture_metric (node (GATE_1), "siskingrade_gate_starts_total") > starts ? GATE_1
+                                                                                      : GATE_2;
+  sgr_fixture_store_faults_set (&fixture, "restore=1");
+  sgr_fixture_target_mode_set (node (gate), "drain");
+  while (sgr_fixture_metric (node (OTHER_ENTRY), "siskingrade_targets") > 1)
+    {
+      assert_true (sgr_clock_monotonic_us () < end_us);
+      sgr_fixture_poll_sleep ();
+    }
+  sgr_path_answer_receive (sgr_path_call_send (&call), &call, &answer);
+  sgr_probe_release (&answer);
+  assert_int_equal (executions (call.id), 0);
+}
+
 int
 main (void)
 {
@@ -174,6 +209,7 @@
     cmocka_unit_test (test_other_request_same_key),
     cmocka_unit_test (test_store_faults),
     cmocka_unit_test (test_store_down_at_repeat),
+    cmocka_unit_test (test_repeat_after_restored_store_lost_the_binding),
   };
 
   return cmocka_run_group_tests (tests, group_setup, group_teardown);
