Count a fetch of the configuration as slow by its progress

What callers saw: on hosts with slow links, a change took effect late.

Cause: a node started a second fetch, from another peer, when the first had been open for 300 ms. A document of 394 KB takes 315 ms and more on a link of 10 Mbit/s, so the second fetch always started. Both shared the node's own link and loaded the links of the peers, and each became slower.

A fetch now counts as slow if no byte of its answer has arrived for 300 ms, or if it has been open for one second. http_fetch reports the head and each part of the body to an optional callback of the request, and config_io passes this on. The other users of http_fetch set no callback. The bound for a silent peer is as before, and test_sync_silent_peer is unchanged.

--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -173,6 +173,14 @@
   run_actions (io);
 }
 
+static void
+on_fetch_progress (void *ctx)
+{
+  const peer_fetch_t *fetch = ctx;
+
+  sgr_config_sync_fetch_progress (fetch->io->sync, sgr_clock_monotonic_us (), fetch->peer);
+}
+
 static void
 on_fetch_done (void *ctx, const sgr_http_fetch_reply_t *reply)
 {
@@ -218,6 +226,7 @@
     snprintf (path, sizeof path, "/v1/config/raw");
   request.path = path;
   request.want[0] = "config-step";
+  request.progress = on_fetch_progress;
   fetch->peer = action->peer;
   fetch->call = sgr_http_fetch_start (io->fetcher, &request, on_fetch_done, fetch);
 }
--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -46,12 +46,14 @@
  * @node: peer that the record is fetched from, 0 for an unused element
  * @revision: revision that the peer claims
  * @start_us: time at which the fetch started
+ * @active_us: time at which the last byte of the answer arrived, or the start before the first one
  */
 typedef struct
 {
   sgr_node_id_t node;
   uint64_t revision;
   uint64_t start_us;
+  uint64_t active_us;
 } fetch_t;
 
 /*
@@ -103,10 +105,11 @@
     .backoff_min_ms = 250,
     .backoff_max_ms = 15000,
     .fetch_spread_ms = 50,
-    /* A second fetch starts after this time. It is longer than a peer usually takes to answer. It
-       is also short, so that an unresponsive peer delays a change by only a small part of the time
-       within which the change has to be in force. */
+    /* A second fetch starts after this time without a byte. It is longer than a peer usually takes
+       to answer. It is also short, so that an unresponsive peer delays a change by only a small
+       part of the time within which the change has to be in force. */
     .fetch_hedge_ms = 300,
+    .fetch_long_ms = 1000,
   };
 }
 
@@ -240,20 +243,27 @@
   return NULL;
 }
 
-/* Number of open fetches; @start_us receives the start of the latest one, 0 for none. */
+/* Number of open fetches; @slow_us receives the time from which all of them count as slow, 0 for
+   none. */
 static size_t
-open_fetch_count (const sgr_config_sync_t *sync, uint64_t *start_us)
+open_fetch_count (const sgr_config_sync_t *sync, uint64_t *slow_us)
 {
   size_t count = 0;
 
-  *start_us = 0;
+  *slow_us = 0;
   for (size_t i = 0; i < SGR_CONFIG_SYNC_FETCHES_MAX; i++)
-    if (sync->fetches[i].node != 0)
-      {
-        count++;
-        if (sync->fetches[i].start_us > *start_us)
-          *start_us = sync->fetches[i].start_us;
-      }
+    {
+      const fetch_t *fetch = &sync->fetches[i];
+      uint64_t silent_us = fetch->active_us + sync->options.fetch_hedge_ms * SGR_USEC_PER_MSEC;
+      uint64_t long_us = fetch->start_us + sync->options.fetch_long_ms * SGR_USEC_PER_MSEC;
+      uint64_t due_us = silent_us < long_us ? silent_us : long_us;
+
+      if (fetch->node == 0)
+        continue;
+      count++;
+      if (due_us > *slow_us)
+        *slow_us = due_us;
+    }
   return count;
 }
 
@@ -261,8 +271,8 @@
 sgr_config_sync_peer_revision_update (sgr_config_sync_t *sync, uint64_t now_us, sgr_node_id_t peer,
                                       const sgr_address_t *address, uint64_t revision)
 {
-  uint64_t start_us;
-  bool is_idle = sync->peer_count == 0 && open_fetch_count (sync, &start_us) == 0;
+  uint64_t slow_us;
+  bool is_idle = sync->peer_count == 0 && open_fetch_count (sync, &slow_us) == 0;
   peer_t *element;
 
   if (revision <= sync->revision || peer == sync->options.self)
@@ -326,6 +336,15 @@
         = now_us + retry_after_ms * SGR_USEC_PER_MSEC + jitter_us (sync, retry_after_ms / 2);
 }
 
+void
+sgr_config_sync_fetch_progress (sgr_config_sync_t *sync, uint64_t now_us, sgr_node_id_t peer)
+{
+  fetch_t *fetch = fetch_find (sync, peer);
+
+  if (fetch != NULL)
+    fetch->active_us = now_us;
+}
+
 void
 sgr_config_sync_fetch_done (sgr_config_sync_t *sync, uint64_t now_us, sgr_node_id_t peer, bool ok)
 {
@@ -387,8 +406,8 @@
 
   if (open_count == SGR_CONFIG_SYNC_FETCHES_MAX || sync->peer_count == 0)
     return false;
-  due_us = open_count > 0 ? due_us + sync->options.fetch_hedge_ms * SGR_USEC_PER_MSEC
-                          : sync->fetch_due_us;
+  if (open_count == 0)
+    due_us = sync->fetch_due_us;
   if (due_us > now_us)
     {
       if (due_us < *next_us)
@@ -400,8 +419,9 @@
     return false;
   /* At least one element is unused, because fewer fetches than SGR_CONFIG_SYNC_FETCHES_MAX are
      open. Unused elements have node 0. */
-  *fetch_find (sync, 0)
-      = (fetch_t){ .node = peer->node, .revision = peer->revision, .start_us = now_us };
+  *fetch_find (sync, 0) = (fetch_t){
+    .node = peer->node, .revision = peer->revision, .start_us = now_us, .active_us = now_us
+  };
   sync->stats.fetches++;
   *action = (sgr_config_sync_action_t){ .kind = SGR_CONFIG_SYNC_FETCH,
                                         .peer = peer->node,
--- a/libsiskingrade/config_sync.h
+++ b/libsiskingrade/config_sync.h
@@ -38,8 +38,11 @@
  * @backoff_max_ms: longest delay after repeated failures
  * @fetch_spread_ms: upper bound of the random delay before a fetch, so that the node which is the
  *                   first to have a revision in force is not queried by all others at once
- * @fetch_hedge_ms: duration after which a fetch counts as slow and a second one from another peer
- *                  starts
+ * @fetch_hedge_ms: duration without a byte of the answer, since the start of a fetch or since the
+ *                  last byte, after which the fetch counts as slow and a second one from another
+ *                  peer starts
+ * @fetch_long_ms: duration after which a fetch counts as slow although bytes arrive: the peer may
+ *                 send too slowly, or a newer revision may wait
  */
 typedef struct
 {
@@ -55,6 +58,7 @@
   uint32_t backoff_max_ms;
   uint32_t fetch_spread_ms;
   uint32_t fetch_hedge_ms;
+  uint32_t fetch_long_ms;
 } sgr_config_sync_options_t;
 
 typedef enum
@@ -152,6 +156,14 @@
 void sgr_config_sync_watch_done (sgr_config_sync_t *sync, uint64_t now_us, bool ok,
                                  sgr_store_version_t version, uint64_t retry_after_ms);
 
+/**
+ * sgr_config_sync_fetch_progress() - report that bytes of the answer to a FETCH have arrived
+ * @sync: the synchronisation
+ * @now_us: monotonic time
+ * @peer: the node that the record is fetched from; ignored if no fetch from it is open
+ */
+void sgr_config_sync_fetch_progress (sgr_config_sync_t *sync, uint64_t now_us, sgr_node_id_t peer);
+
 /**
  * sgr_config_sync_fetch_done() - report the end of a FETCH
  * @sync: the synchronisation
--- a/libsiskingrade/http_fetch.c
+++ b/libsiskingrade/http_fetch.c
@@ -38,6 +38,7 @@
   h2o_http1client_t *client;
   h2o_timeout_entry_t start_entry;
   sgr_http_fetch_cb_t cb;
+  sgr_http_fetch_progress_cb_t progress;
   void *ctx;
   sgr_address_t address;
   sgr_buffer_t request;
@@ -110,6 +111,13 @@
   fetch_release (fetch);
 }
 
+static void
+progress_report (sgr_http_fetch_t *fetch)
+{
+  if (fetch->progress != NULL)
+    fetch->progress (fetch->ctx);
+}
+
 static int
 on_body (h2o_http1client_t *client, const char *error)
 {
@@ -129,6 +137,7 @@
     {
       sgr_buffer_append (&fetch->body, client->sock->input->bytes, client->sock->input->size);
       h2o_buffer_consume (&client->sock->input, client->sock->input->size);
+      progress_report (fetch);
     }
   if (error == h2o_http1client_error_is_eos)
     {
@@ -169,6 +178,7 @@
       fetch_end (fetch, NULL);
       return NULL;
     }
+  progress_report (fetch);
   return on_body;
 }
 
@@ -239,6 +249,7 @@
   sgr_invariant (fetch != NULL);
   fetch->fetcher = fetcher;
   fetch->cb = cb;
+  fetch->progress = request->progress;
   fetch->ctx = ctx;
   fetch->address = request->address;
   memcpy (fetch->want, request->want, sizeof fetch->want);
--- a/libsiskingrade/http_fetch.h
+++ b/libsiskingrade/http_fetch.h
@@ -14,6 +14,9 @@
 typedef struct sgr_http_fetcher_t sgr_http_fetcher_t;
 typedef struct sgr_http_fetch_t sgr_http_fetch_t;
 
+/** sgr_http_fetch_progress_cb_t - reports that bytes of a reply have arrived */
+typedef void (*sgr_http_fetch_progress_cb_t) (void *ctx);
+
 /**
  * struct sgr_http_fetch_request_t - one request
  * @address: address of the server
@@ -24,6 +27,8 @@
  * @length: length of @body in bytes
  * @want: names of the header fields of the reply to keep, unused entries NULL; the names must stay
  *        valid until the request ends
+ * @progress: called when the head of the reply has arrived, and for each part of the body, with the
+ *            context of sgr_http_fetch_start(); must not cancel the request; may be NULL
  */
 typedef struct
 {
@@ -34,6 +39,7 @@
   const void *body;
   size_t length;
   const char *want[SGR_HTTP_FETCH_HEADERS_MAX];
+  sgr_http_fetch_progress_cb_t progress;
 } sgr_http_fetch_request_t;
 
 /**
@@ -79,7 +85,7 @@
  * @request: the request, copied except for the names in @want
  * @cb: callback, called exactly once and after this function has returned, unless the request is
  *      cancelled
- * @ctx: passed to @cb
+ * @ctx: passed to @cb and to the progress callback of @request
  *
  * Return: the pending request, valid until @cb is called.
  */
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -135,7 +135,7 @@
       sgr_config_sync_options_init (&options);
       options.self = members[i].id;
       options.readers = 10;
-      strcpy (options.failure_domain, members[i].failure_domain);
+      memcpy (options.failure_domain, members[i].failure_domain, SGR_NAME_MAX + 1);
       sync = sgr_config_sync_create (&options, 0);
       sgr_config_sync_members_update (sync, 0, members, MEMBER_COUNT);
       if (sgr_config_sync_next (sync, 10 * SECOND_US, &action, &next_us))
@@ -158,18 +158,18 @@
   static const struct
   {
     const char *end; /* how the watch before ended */
-    bool ok;
     uint64_t version;
+    bool ok;
     bool is_whole; /* it ended after its whole duration */
     bool is_next_long;
   } cases[] = {
-    { "new version", true, 5, false, false },
-    { "no new version", true, 5, true, true },
-    { "again", true, 5, true, true },
-    { "new version after a long watch", true, 6, true, false },
-    { "no new version", true, 6, true, true },
-    { "failed", false, 0, false, false },
-    { "no new version", true, 6, true, true },
+    { "new version", 5, true, false, false },
+    { "no new version", 5, true, true, true },
+    { "again", 5, true, true, true },
+    { "new version after a long watch", 6, true, true, false },
+    { "no new version", 6, true, true, true },
+    { "failed", 0, false, false, false },
+    { "no new version", 6, true, true, true },
   };
   sgr_config_sync_t *sync = sync_create (0);
   sgr_config_sync_options_t options;
@@ -388,6 +388,51 @@
   sgr_config_sync_destroy (sync);
 }
 
+/* Guards against a second fetch that only takes a share of a slow link from a first one which is
+   still receiving a large record, and against a peer whose answer arrives byte by byte. */
+static void
+test_sync_fetch_with_progress (void **state)
+{
+  static const struct
+  {
+    uint64_t progress_ms; /* time of the last progress, which comes every 100 ms until then */
+    uint64_t second_ms;   /* time at which a second fetch starts */
+  } cases[] = {
+    { 0, 300 },
+    { 100, 400 },
+    { 600, 900 },
+    { 1000, 1000 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_config_sync_t *sync = sync_create (0);
+      sgr_config_sync_action_t action;
+      uint64_t start_us = 11 * SECOND_US, next_us, second_us;
+      sgr_node_id_t first;
+
+      /* The watch stays open, so each further action is a fetch. */
+      assert_true (next_action_is (sync, start_us - SECOND_US, SGR_CONFIG_SYNC_WATCH));
+      sgr_config_sync_peer_revision_update (sync, start_us - SECOND_US, 101,
+                                            &members[1].control_address, 7);
+      sgr_config_sync_peer_revision_update (sync, start_us - SECOND_US, 102,
+                                            &members[2].control_address, 7);
+      assert_true (sgr_config_sync_next (sync, start_us, &action, &next_us));
+      first = action.peer;
+      for (uint64_t ms = 100; ms <= cases[i].progress_ms; ms += 100)
+        sgr_config_sync_fetch_progress (sync, start_us + ms * SGR_USEC_PER_MSEC, first);
+      second_us = start_us + cases[i].second_ms * SGR_USEC_PER_MSEC;
+      /* A peer without an open fetch delays nothing. */
+      sgr_config_sync_fetch_progress (sync, second_us, 103);
+      assert_false (sgr_config_sync_next (sync, second_us - 1, &action, &next_us));
+      assert_int_equal (next_us, second_us);
+      assert_true (sgr_config_sync_next (sync, second_us, &action, &next_us));
+      assert_int_equal (action.kind, SGR_CONFIG_SYNC_FETCH);
+      assert_int_not_equal (action.peer, first);
+      sgr_config_sync_destroy (sync);
+    }
+}
+
 int
 main (void)
 {
@@ -402,6 +447,7 @@
     cmocka_unit_test (test_sync_after_restore_watches_lower_version_at_once),
     cmocka_unit_test (test_sync_fetch_from_another_peer),
     cmocka_unit_test (test_sync_silent_peer),
+    cmocka_unit_test (test_sync_fetch_with_progress),
   };
 
   return cmocka_run_group_tests (tests, setup, NULL);
