--- a/tests/test_data_task.c
+++ b/tests/test_data_task.c
@@ -341,20 +341,20 @@
   static const struct
   {
     const char *name;
-    bool has_routes;
     uint64_t newer_by;       /* revisions by which a peer is ahead */
     uint64_t seen_before_us; /* time since the node heard of it */
-    int status;
     const char *reason;
+    int status;
+    bool has_routes;
   } cases[] = {
-    { "unknown route", true, 0, 0, 404, "no-route" },
-    { "unknown route, a peer is ahead", true, 1, 0, 503, "configuration-behind" },
-    { "unknown route, a peer has been ahead for long", true, 1, 60 * SGR_USEC_PER_SEC, 404,
-      "no-route" },
-    { "unknown service", false, 0, 0, 404, "unknown-service" },
-    { "unknown service, a peer is ahead", false, 1, 0, 503, "configuration-behind" },
-    { "unknown service, a peer has been ahead for long", false, 1, 60 * SGR_USEC_PER_SEC, 404,
-      "unknown-service" },
+    { "unknown route", 0, 0, "no-route", 404, true },
+    { "unknown route, a peer is ahead", 1, 0, "configuration-behind", 503, true },
+    { "unknown route, a peer has been ahead for long", 1, 60 * SGR_USEC_PER_SEC, "no-route", 404,
+      true },
+    { "unknown service", 0, 0, "unknown-service", 404, false },
+    { "unknown service, a peer is ahead", 1, 0, "configuration-behind", 503, false },
+    { "unknown service, a peer has been ahead for long", 1, 60 * SGR_USEC_PER_SEC,
+      "unknown-service", 404, false },
   };
   sgr_buffer_t errors = { 0 };
   sgr_settings_t settings;
