--- a/libsiskingrade/config_source.h
+++ b/libsiskingrade/config_source.h
@@ -9,11 +9,10 @@
 /**
  * struct sgr_config_source_t - format of a configuration that another system writes to the store
  * @key: key of the store under which the other system keeps its newest complete document
- * @read: parses a document; @cache holds what was made of the parts of earlier documents, and the
- *        parts of this one are left in it; @revision receives its revision, above 0, and @content
- * receives an object for sgr_config_content_update(), owned by the caller; parts that did not
- * change are the same JSON values as before. Returns SGR_OK, or SGR_ERR_INVALID with @error set for
- * a document that cannot be parsed.
+ * @read: parses a document. @cache holds the translated parts of the last document and receives
+ *   those of this one; parts that did not change stay the same JSON values. @revision receives the
+ *   revision, above 0, and @content an object for sgr_config_content_update(), owned by the caller.
+ *   Returns SGR_OK, or SGR_ERR_INVALID with @error set for a document that cannot be parsed.
  *
  * Without a source, two co-owners approve each configuration through the HTTP API, and nodes verify
  * their signatures. With a source, the document under @key needs no further approval, the API is
--- a/libsiskingrade/config_state.h
+++ b/libsiskingrade/config_state.h
@@ -28,8 +28,7 @@
  */
 void sgr_config_state_source_set (sgr_config_state_t *state, const sgr_config_source_t *source);
 
-/** sgr_config_state_parts_read() - parts of documents that were read because they were new or
- * changed */
+/** sgr_config_state_parts_read() - parts of documents that were new or changed, since the start */
 size_t sgr_config_state_parts_read (const sgr_config_state_t *state);
 
 void sgr_config_state_destroy (sgr_config_state_t *state);
--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "store.h"
 #include "timer_heap.h"
 
 /* Peers with a higher revision that a node keeps: enough to replace one that does not answer. */
@@ -101,7 +102,7 @@
     .start_delay_ms = 2000,
     .readers = 2,
     .watch_ms = 55000,
-    .watch_confirm_ms = 3000,
+    .watch_confirm_ms = SGR_STORE_SHORT_WATCH_MS,
     .backoff_min_ms = 250,
     .backoff_max_ms = 15000,
     .fetch_spread_ms = 50,
--- a/libsiskingrade/config_sync.h
+++ b/libsiskingrade/config_sync.h
@@ -30,10 +30,9 @@
  * @readers: nodes of a failure domain that watch the store; with two, the failure of one has no
  *           effect
  * @watch_ms: longest duration of one watch
- * @watch_confirm_ms: longest duration of the first watch after an answer with a new version or
- * after a failed one, at the readers that the others rely on; half of it is random. Nothing but its
- *   answer shows that the store has taken a watch, and all readers start one at the same time after
- *   a change.
+ * @watch_confirm_ms: longest duration of the first watch after a new version or a failed watch, at
+ *   the two readers that confirm that the store answers; half of it is random. Only its answer
+ *   shows that the store has taken a watch, and after a change all readers send one at once.
  * @backoff_min_ms: delay after the first failed call
  * @backoff_max_ms: longest delay after repeated failures
  * @fetch_spread_ms: upper bound of the random delay before a fetch, so that the node which is the
--- a/libsiskingrade/store.h
+++ b/libsiskingrade/store.h
@@ -7,6 +7,9 @@
 /* Longest value and longest key in bytes. */
 #define SGR_STORE_VALUE_MAX 1000000
 #define SGR_STORE_KEY_MAX 255
+/* Longest wait of a short watch, milliseconds. A client gives up a longer one much later if the
+   store does not answer it. */
+#define SGR_STORE_SHORT_WATCH_MS 3000
 /* Expected version with which a swap writes regardless of the key's version. */
 #define SGR_STORE_ANY_VERSION UINT64_MAX
 
--- a/libsiskingrade/store_http.c
+++ b/libsiskingrade/store_http.c
@@ -14,8 +14,6 @@
 /* Longest wait of a watch. It bounds the time until the client detects that a silent connection has
    failed. */
 #define WATCH_WAIT_MAX_MS 60000
-/* Longest wait of a watch that is to notice soon that the store does not answer. */
-#define SHORT_WATCH_MS 3000
 /* The store replies within milliseconds, so that a reply that takes this long counts as lost. */
 #define STORE_TIMEOUT_MS 1000
 /* Longest body of a reply; a longer list cannot be read. */
@@ -286,7 +284,7 @@
 {
   store_http_t *http = (store_http_t *)store;
   sgr_http_fetcher_t *fetcher
-      = wait_ms <= SHORT_WATCH_MS ? http->short_watch_fetcher : http->watch_fetcher;
+      = wait_ms <= SGR_STORE_SHORT_WATCH_MS ? http->short_watch_fetcher : http->watch_fetcher;
   char path[SGR_STORE_KEY_MAX + 128];
 
   if (!key_valid (key))
@@ -324,7 +322,7 @@
   http->watch_fetcher
       = sgr_http_fetcher_create (loop, WATCH_WAIT_MAX_MS + WATCH_GRACE_MS, REPLY_MAX_BYTES);
   http->short_watch_fetcher
-      = sgr_http_fetcher_create (loop, SHORT_WATCH_MS + WATCH_GRACE_MS, REPLY_MAX_BYTES);
+      = sgr_http_fetcher_create (loop, SGR_STORE_SHORT_WATCH_MS + WATCH_GRACE_MS, REPLY_MAX_BYTES);
   return &http->store;
 }
 
