Add a failing test: a target that started after the clock was set back

Found by reading while the causes of the late configurations were looked for elsewhere: i-1 (start 1,000,000) expires, then i-2 (start 997,000) announces itself, gets SGR_OK and is not registered.

--- a/tests/test_announce.c
+++ b/tests/test_announce.c
@@ -115,11 +115,35 @@
   assert_false (sgr_announce_leave (&announce));
 }
 
+/* Guards against a target that is acknowledged and never used: it started after the clock of its
+   host was set back, and the target before it has expired. */
+static void
+test_start_after_clock_was_set_back (void **state)
+{
+  sgr_announce_state_t announce = { 0 };
+  char error[ERROR_SIZE];
+  bool is_changed;
+
+  assert_int_equal (announce_put (&announce, 1,
+                                  "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,"
+                                  "\"instance\":\"i-1\",\"started_ms\":1000000,\"sequence\":9}",
+                                  error, &is_changed),
+                    SGR_OK);
+  assert_true (sgr_announce_expire (&announce, 2 + TTL_US));
+  assert_int_equal (announce_put (&announce, 3 + TTL_US,
+                                  "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,"
+                                  "\"instance\":\"i-2\",\"started_ms\":997000,\"sequence\":3}",
+                                  error, &is_changed),
+                    SGR_OK);
+  assert_string_equal (announce.local.instance, "i-2");
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_bad_bodies), cmocka_unit_test (test_registration_lifecycle) };
+      = { cmocka_unit_test (test_bad_bodies), cmocka_unit_test (test_registration_lifecycle),
+          cmocka_unit_test (test_start_after_clock_was_set_back) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
