Release the event loops of test_target_client

make check-asan failed in that program only: the test never destroyed the event loops that it creates (11 of them, 1,760 bytes).

--- a/tests/test_target_client.c
+++ b/tests/test_target_client.c
@@ -197,6 +197,7 @@
       assert_true (sgr_target_client_is_idle (client));
       sgr_target_client_destroy (client);
       h2o_evloop_run (loop, 0);
+      h2o_evloop_destroy (loop);
       /* The target ends only when its connection is closed. */
       pthread_join (thread, NULL);
       close (target.listener);
@@ -223,6 +224,7 @@
     }
   /* The timers of a destroyed client must not be in the loop any more. */
   h2o_evloop_run (loop, 0);
+  h2o_evloop_destroy (loop);
 }
 
 int
