Review: stand-ins use free ports

Cause: the stand-ins checked one fixed port only. Change: the ports are drawn and checked before the nodes start.

--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -21,13 +21,20 @@
 
 #define PROGRAM "target/siskingraded-platform"
 #define TEMPLATE "deploy/node.yaml.in"
-#define STORE_PORT 8309
+#define STORE_PORT (rig_port_base + 9)
+#define INTERNAL_PORT_FIRST (rig_port_base + 20)
+#define INTERNAL_PORT_LAST (rig_port_base + 35)
+/* The port of the metrics, which the settings template names. */
+#define METRICS_PORT 9464
+/* Addresses and ports that are tried until all ports are free. */
+#define NETWORK_TRIES 100
 #define BEAT_MS 1500
 #define RIG_SLOTS 16
 #define TEXT_MAX 65536
 
 rig_node_t rig_nodes[RIG_NODES_MAX];
 int rig_node_count;
+int rig_port_base;
 bool rig_trouble = true;
 volatile bool rig_is_stopping;
 
@@ -707,8 +714,10 @@
   text_replace (text, sizeof text, "{{region}}", "region");
   text_replace (text, sizeof text, "{{zone}}", node->zone);
   text_replace (text, sizeof text, "{{ip}}", node->ip);
-  text_replace (text, sizeof text, "{{internalPorts.0}}", "7620");
-  text_replace (text, sizeof text, "{{internalPorts.1}}", "7635");
+  snprintf (value, sizeof value, "%d", INTERNAL_PORT_FIRST);
+  text_replace (text, sizeof text, "{{internalPorts.0}}", value);
+  snprintf (value, sizeof value, "%d", INTERNAL_PORT_LAST);
+  text_replace (text, sizeof text, "{{internalPorts.1}}", value);
   snprintf (value, sizeof value, "%s:%d", node->ip, RIG_OUTBOUND);
   text_replace (text, sizeof text, "{{listen.outbound}}", value);
   snprintf (value, sizeof value, "%s:%d", node->ip, RIG_READY);
@@ -1078,18 +1087,28 @@
 
 /* Start and end of a case. */
 
+/* Chooses a network and ports; returns whether the ports are free there. */
 static bool
-network_is_free (void)
+network_choose (void)
 {
+  const int ports[] = { 1, 2, 4, 6, 9, 20, 35 };
+  bool is_free = true;
   char ip[32];
-  int fd;
 
+  snprintf (network, sizeof network, "127.%d.%d.", 10 + (int)(rig_random () * 240),
+            1 + (int)(rig_random () * 250));
   snprintf (ip, sizeof ip, "%s250", network);
-  fd = listen_at (ip, STORE_PORT);
-  if (fd < 0)
-    return false;
-  close (fd);
-  return true;
+  rig_port_base = 10000 + 50 * (int)(rig_random () * 400);
+  for (size_t i = 0; i <= sizeof ports / sizeof ports[0]; i++)
+    {
+      bool is_last = i == sizeof ports / sizeof ports[0];
+      int fd = listen_at (ip, is_last ? METRICS_PORT : rig_port_base + ports[i]);
+
+      is_free = is_free && fd >= 0;
+      if (fd >= 0)
+        close (fd);
+    }
+  return is_free;
 }
 
 void
@@ -1109,11 +1128,10 @@
       exit (2);
     }
   snprintf (folder, sizeof folder, "%s", template);
-  do
-    snprintf (network, sizeof network, "127.%d.%d.", 10 + (int)(rig_random () * 240),
-              1 + (int)(rig_random () * 250));
-  while (!network_is_free ());
-  rig_record ("begin trouble=%d network=%s", rig_trouble, network);
+  for (int tries = 0; !network_choose (); tries++)
+    if (tries == NETWORK_TRIES)
+      exit (rig_end (2));
+  rig_record ("begin trouble=%d network=%s port_base=%d", rig_trouble, network, rig_port_base);
 }
 
 int
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -169,9 +169,12 @@
 bool rig_request_send (rig_conn_t *conn, const char *method, const char *path, const char *id,
                        int deadline_ms, const void *body, size_t length);
 
-#define RIG_OUTBOUND 8304
-#define RIG_READY 8302
-#define RIG_CONTROL 8306
-#define RIG_APP 8301
+/* Ports, the same on all nodes of a run. */
+extern int rig_port_base;
+
+#define RIG_APP (rig_port_base + 1)
+#define RIG_READY (rig_port_base + 2)
+#define RIG_OUTBOUND (rig_port_base + 4)
+#define RIG_CONTROL (rig_port_base + 6)
 
 #endif
