Compare answers with request ids of any length

A gate kept the id of a request in 64 bytes and ignored a longer one, and a request without an id accepted every answer. The check was silently off for some input. Other members of that class on the path: an empty id, a request without an id, a repeated id field (only the last one counted), blanks around an id, a second id field in the answer, and the query of the load, which shares the connections of the calls and took any answer. Change: request_ids.c keeps all ids of a request at full length and compares every id of the answer. Where targets copy ids, an answer with an id does not belong to a request without one; a load query that meets one closes the connection.

--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -33,6 +33,7 @@
 sgr_data_gate_run_free (sgr_data_gate_t *gate, sgr_gate_run_t *run)
 {
   sgr_timer_cancel (gate->task->timers, &run->deadline);
+  sgr_request_ids_release (&run->request_ids);
   sgr_buffer_release (&run->message);
   sgr_buffer_release (&run->body);
   sgr_buffer_release (&run->backlog);
@@ -114,9 +115,11 @@
   if (reason == SGR_GATE_REASON_QUEUE_FULL || reason == SGR_GATE_REASON_DEADLINE
       || reason == SGR_GATE_REASON_LATE)
     refusal.retry_after_ms = sgr_gate_retry_after_ms (gate->core, now_us);
-  if (sgr_call_log_should_log (gate->task->call_log, now_us, run->request_id, true))
+  if (sgr_call_log_should_log (gate->task->call_log, now_us,
+                               sgr_request_ids_log_name (&run->request_ids), true))
     sgr_log_info ("gate-dropped", "id=%s attempt=%u reason=%s wait_ms=%lu left_ms=%ld",
-                  run->request_id, run->id.attempt, sgr_gate_reason_name (reason),
+                  sgr_request_ids_log_name (&run->request_ids), run->id.attempt,
+                  sgr_gate_reason_name (reason),
                   /* @now_us is the time at which the iteration of the event loop started. A request
                      that arrived within the iteration has a later time of arrival. */
                   sgr_ms_of (now_us > run->arrived_us ? now_us - run->arrived_us : 0),
@@ -319,17 +322,16 @@
   sgr_gate_refusal_send (gate, channel, &attempt->id, &refusal);
 }
 
-/* Copies the request id from the header fields of the call; an id that is too long is ignored. */
+/* Copies the request ids from the header fields of the call. */
 static void
-request_id_copy (sgr_gate_run_t *run, const Sgr__Pb__Call *call)
+request_ids_copy (sgr_gate_run_t *run, const Sgr__Pb__Call *call)
 {
   const char *name = run->gate->task->fields->request_id;
 
   for (size_t i = 0; i < call->n_headers; i++)
     {
-      if (strcasecmp (call->headers[i]->name, name) == 0
-          && strlen (call->headers[i]->value) < sizeof run->request_id)
-        memcpy (run->request_id, call->headers[i]->value, strlen (call->headers[i]->value) + 1);
+      if (strcasecmp (call->headers[i]->name, name) == 0)
+        sgr_request_ids_add (&run->request_ids, call->headers[i]->value);
     }
 }
 
@@ -347,7 +349,7 @@
   run->deadline = (sgr_timer_t){ .fire = on_deadline, .ctx = run };
   run->id = attempt->id;
   run->arrived_us = sgr_clock_monotonic_us ();
-  request_id_copy (run, call);
+  request_ids_copy (run, call);
   run->credit = call->credit < SGR_GATE_CREDIT_MAX_BYTES ? call->credit : SGR_GATE_CREDIT_MAX_BYTES;
   run->next = gate->first_run;
   if (run->next != NULL)
@@ -364,17 +366,19 @@
   const sgr_member_t *entry = sgr_data_member_find (gate->task, channel->node);
   sgr_load_report_t load;
 
-  if (!sgr_call_log_should_log (gate->task->call_log, now_us, run->request_id, true))
+  if (!sgr_call_log_should_log (gate->task->call_log, now_us,
+                                sgr_request_ids_log_name (&run->request_ids), true))
     return;
   sgr_gate_load_report (gate->core, &load);
   sgr_log_info ("gate-refused",
                 "id=%s entry=%s attempt=%u reason=%s outcome=%s running=%u queued=%u slots=%u "
                 "cost=%u cost_age_ms=%lu state=%s left_ms=%ld retry_after_ms=%u",
-                run->request_id, entry != NULL ? entry->name : "-", run->id.attempt,
-                sgr_gate_reason_name (decision->reason), sgr_outcome_name (decision->outcome),
-                load.in_flight, load.queued, load.slots, load.cost_percent,
-                sgr_ms_of (now_us - gate->load_received_us), sgr_target_state_name (load.state),
-                ((long)run->deadline_us - (long)now_us) / 1000, decision->retry_after_ms);
+                sgr_request_ids_log_name (&run->request_ids), entry != NULL ? entry->name : "-",
+                run->id.attempt, sgr_gate_reason_name (decision->reason),
+                sgr_outcome_name (decision->outcome), load.in_flight, load.queued, load.slots,
+                load.cost_percent, sgr_ms_of (now_us - gate->load_received_us),
+                sgr_target_state_name (load.state), ((long)run->deadline_us - (long)now_us) / 1000,
+                decision->retry_after_ms);
 }
 
 static void
--- a/libsiskingrade/data_load.c
+++ b/libsiskingrade/data_load.c
@@ -130,9 +130,18 @@
 on_query_head (void *ctx, int status, const sgr_http_field_t *fields, size_t count,
                int64_t body_length)
 {
+  static const sgr_request_ids_t no_ids;
   sgr_data_gate_t *gate = ctx;
   const char *name = gate->task->fields->load;
 
+  if (!sgr_request_ids_match (&no_ids, gate->task->fields, fields, count))
+    {
+      /* Closes the connection, because the answer to the query would be taken for one to the next
+         request on it. */
+      sgr_target_request_cancel (gate->load_query);
+      load_query_end (gate);
+      return;
+    }
   for (size_t i = 0; i < count; i++)
     {
       if (h2o_lcstris (fields[i].name, fields[i].name_length, name, strlen (name)))
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -66,16 +66,17 @@
   uint64_t started_us = run->started_us != 0 ? run->started_us : now_us;
   sgr_load_report_t load;
 
-  if (!sgr_call_log_should_log (gate->task->call_log, now_us, run->request_id, has_failed))
+  if (!sgr_call_log_should_log (gate->task->call_log, now_us,
+                                sgr_request_ids_log_name (&run->request_ids), has_failed))
     return;
   sgr_gate_load_report (gate->core, &load);
   sgr_log_info ("gate-ran",
                 "id=%s attempt=%u instance=%s reason=%s started=%s status=%d bytes=%lu wait_ms=%lu "
                 "run_ms=%lu running=%u queued=%u cost=%u left_ms=%ld",
-                run->request_id, run->id.attempt, gate->task->snapshot->local.instance, reason,
-                run->started_us != 0 ? "yes" : "no", run->status, run->received,
-                sgr_ms_of (started_us - run->arrived_us), sgr_ms_of (now_us - started_us),
-                load.in_flight, load.queued, load.cost_percent,
+                sgr_request_ids_log_name (&run->request_ids), run->id.attempt,
+                gate->task->snapshot->local.instance, reason, run->started_us != 0 ? "yes" : "no",
+                run->status, run->received, sgr_ms_of (started_us - run->arrived_us),
+                sgr_ms_of (now_us - started_us), load.in_flight, load.queued, load.cost_percent,
                 ((long)run->deadline_us - (long)now_us) / 1000);
 }
 
@@ -116,26 +117,6 @@
   return NULL;
 }
 
-/* Returns whether an answer belongs to the request of a run, by the request id that the answer
-   repeats. If the target answers late or twice, the next request on the connection gets an answer
-   to another request. If targets repeat request ids, an answer with an encoded body also counts as
-   one to another request, because requests are assumed not to accept a content encoding. */
-static bool
-is_answer_to_run (const sgr_gate_run_t *run, const sgr_http_field_t *fields, size_t count)
-{
-  const sgr_call_fields_t *names = run->gate->task->fields;
-  const sgr_http_field_t *id = field_find (fields, count, names->request_id);
-
-  if (run->request_id[0] == '\0')
-    return true;
-  if (id == NULL)
-    return !names->is_request_id_echoed;
-  if (names->is_request_id_echoed && field_find (fields, count, "content-encoding") != NULL)
-    return false;
-  return id->value_length == strlen (run->request_id)
-         && memcmp (id->value, run->request_id, id->value_length) == 0;
-}
-
 static void
 on_answer_head (void *ctx, int status, const sgr_http_field_t *fields, size_t count,
                 int64_t body_length)
@@ -144,7 +125,7 @@
   sgr_buffer_t head = { 0 };
 
   sgr_data_load_field_apply (run->gate, field_find (fields, count, run->gate->task->fields->load));
-  if (!is_answer_to_run (run, fields, count))
+  if (!sgr_request_ids_match (&run->request_ids, run->gate->task->fields, fields, count))
     {
       /* The abort closes the connection, because later answers on it may belong to other requests,
          too. */
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -3,6 +3,7 @@
 
 #include "data_gate.h"
 #include "probe_budget.h"
+#include "request_ids.h"
 #include "target_client.h"
 
 /* Most bytes of one answer that may be sent but not yet consumed by the entry. The limit holds for
@@ -45,7 +46,7 @@
  * @idempotent: the request may run again, so it may be aborted
  * @keyed: the request carries an idempotency key, so its answer is recorded
  * @is_head_method: the method of the request is HEAD
- * @request_id: id of the request from its header field, empty if it has none
+ * @request_ids: ids of the request from its header fields
  * @message: head of the HTTP request without its last lines, until the request is sent
  * @body: body of the HTTP request, until the request is sent
  * @request: the request at the target, NULL before it is sent and after it has ended
@@ -76,7 +77,7 @@
   bool idempotent;
   bool keyed;
   bool is_head_method;
-  char request_id[SGR_NAME_MAX + 1];
+  sgr_request_ids_t request_ids;
   sgr_buffer_t message;
   sgr_buffer_t body;
   sgr_target_request_t *request;
--- a/tests/test_path_target.c
+++ b/tests/test_path_target.c
@@ -216,38 +216,66 @@
               answer->head != NULL ? answer->head : "no head");
 }
 
+/* Requests the answer of a case through both nodes. The target ends each connection after one
+   answer without announcing it; a request that meets this close is truly unknown, so the next
+   request waits for it. @extra_fields are further header fields of the request. */
+static void
+case_check (const answer_case_t *expected, const char *extra_fields)
+{
+  char fields[512];
+
+  snprintf (fields, sizeof fields, "Siskingrade-Service: one\r\nSiskingrade-Idempotent: no\r\n%s",
+            extra_fields);
+  for (size_t i = 0; i < 2; i++)
+    {
+      sgr_probe_request_t request = {
+        .port = fixture.nodes[i].callers, .method = expected->method, .path = "/", .fields = fields
+      };
+      sgr_probe_answer_t answer;
+
+      while (atomic_load (&open_answers) > 0)
+        sgr_fixture_poll_sleep ();
+      current_case = expected;
+      sgr_probe_call (&request, &answer);
+      answer_check (current_case, &answer);
+      sgr_probe_release (&answer);
+    }
+}
+
 /* Guards against a node that forwards an ambiguous or truncated answer as if it were whole, or
-   alters a valid answer. Each answer is requested through both nodes. The target ends each
-   connection after one answer without announcing it; a request that meets this close is truly
-   unknown, so the next request waits for it. */
+   alters a valid answer. */
 static void
 test_answers (void **state)
 {
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
-    {
-      for (size_t j = 0; j < 2; j++)
-        {
-          sgr_probe_request_t request
-              = { .port = fixture.nodes[j].callers,
-                  .method = cases[i].method,
-                  .path = "/",
-                  .fields = "Siskingrade-Service: one\r\nSiskingrade-Idempotent: no\r\n" };
-          sgr_probe_answer_t answer;
-
-          while (atomic_load (&open_answers) > 0)
-            sgr_fixture_poll_sleep ();
-          current_case = &cases[i];
-          sgr_probe_call (&request, &answer);
-          answer_check (current_case, &answer);
-          sgr_probe_release (&answer);
-        }
-    }
+    case_check (&cases[i], "");
+}
+
+#define ID_64 "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+/* Guards against a node that forwards an answer to another request because the id of the request
+   is long, as after a second, late answer on a connection of the target. */
+static void
+test_long_request_id (void **state)
+{
+  static const answer_case_t id_cases[] = {
+    { "long id", "GET",
+      "HTTP/1.1 200 OK\r\nSiskingrade-Request-Id: " ID_64 "0\r\nContent-Length: 3\r\n\r\nabc", 0,
+      "", SGR_PROBE_WHOLE, 200, "content-length: 3", 3 },
+    { "other long id", "GET",
+      "HTTP/1.1 200 OK\r\nSiskingrade-Request-Id: " ID_64 "1\r\nContent-Length: 3\r\n\r\nabc", 0,
+      "", SGR_PROBE_WHOLE, 502, "siskingrade-outcome: unknown", 0 },
+  };
+
+  for (size_t i = 0; i < sizeof id_cases / sizeof id_cases[0]; i++)
+    case_check (&id_cases[i], "Siskingrade-Request-Id: " ID_64 "0\r\n");
 }
 
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_answers) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_answers), cmocka_unit_test (test_long_request_id) };
 
   return cmocka_run_group_tests (tests, group_setup, group_teardown);
 }
