Keep departures of targets in the store

The acknowledgement promises that the target gets no new work, but only the memory of the process kept it; a started node took any announcement for news. The same holds for an acknowledged drain. Other members of the class, a promise that lives only in memory: a leave of an instance that is not registered and gives no start was acknowledged and not recorded; a second leave replaced the record of the first; a drain was forgotten when the registration expired. Change: the last eight departures stand under departures/DEPLOYMENT/NAME in the store. A drain or leave is acknowledged once the store has it, or after 0.6 s. A started node keeps an announcement until it has read the record; if the store is silent, a second announcement a second later counts. Writes are conditional, so that a late one of a former process loses.

--- a/libsiskingrade/announce.c
+++ b/libsiskingrade/announce.c
@@ -175,19 +175,13 @@
   return announcement->started_ms != 0 && announcement->started_ms > announce->started_ms;
 }
 
-static bool
-is_from_departed_instance (const sgr_announce_state_t *announce,
-                           const sgr_announcement_t *announcement)
-{
-  return announcement->local.instance[0] != '\0'
-         && strcmp (announce->departed_instance, announcement->local.instance) == 0
-         && announcement->started_ms <= announce->departed_started_ms;
-}
-
 static bool
 is_outdated (const sgr_announce_state_t *announce, const sgr_announcement_t *announcement)
 {
-  if (is_from_departed_instance (announce, announcement))
+  const sgr_departure_t *departure = sgr_departures_find (
+      &announce->departures, announcement->local.instance, announcement->started_ms);
+
+  if (departure != NULL && departure->has_left)
     return true;
   if (announcement->started_ms == 0)
     return false;
@@ -204,6 +198,16 @@
          && a->address.port == b->address.port && strcmp (a->instance, b->instance) == 0;
 }
 
+static void
+departure_add (sgr_announce_state_t *announce, const char *instance, uint64_t started_ms,
+               bool has_left)
+{
+  sgr_departure_t departure = { .started_ms = started_ms, .has_left = has_left };
+
+  snprintf (departure.instance, sizeof departure.instance, "%s", instance);
+  sgr_departures_add (&announce->departures, &departure);
+}
+
 sgr_result_t
 sgr_announce_apply (sgr_announce_state_t *announce, uint64_t now_us, uint64_t ttl_us,
                     const sgr_announcement_t *announcement, bool *is_changed)
@@ -221,6 +225,11 @@
       && is_same_target (&announce->local, &local) && local.instance[0] != '\0'
       && !is_newer_instance (announce, announcement))
     local.state = SGR_TARGET_DRAINING;
+  if (sgr_departures_find (&announce->departures, local.instance, announcement->started_ms) != NULL)
+    local.state = SGR_TARGET_DRAINING;
+  /* Without a start, a later instance of the name could not be told from the one that drains. */
+  else if (local.state == SGR_TARGET_DRAINING && announcement->started_ms != 0)
+    departure_add (announce, local.instance, announcement->started_ms, false);
   *is_changed = !has_same_fields (&announce->local, &local);
   announce->local = local;
   announce->started_ms = announcement->started_ms;
@@ -230,29 +239,36 @@
 }
 
 sgr_result_t
-sgr_announce_json_apply (sgr_announce_state_t *announce, uint64_t now_us, uint64_t ttl_us,
-                         const char *body, size_t length, sgr_buffer_t *error, bool *is_changed)
+sgr_announcement_read (sgr_announcement_t *announcement, const char *body, size_t length,
+                       sgr_buffer_t *error)
 {
-  sgr_announcement_t announcement = { 0 };
   json_error_t problem;
   json_t *object = json_loadb (body != NULL ? body : "", length, JSON_REJECT_DUPLICATES, &problem);
   sgr_result_t result = SGR_ERR_INVALID;
 
-  *is_changed = false;
+  *announcement = (sgr_announcement_t){ 0 };
   if (!json_is_object (object))
     sgr_buffer_printf (error, "body: expected a JSON object");
-  else if (read_target (object, &announcement.local, error)
-           && read_ordering_fields (object, &announcement, error))
+  else if (read_target (object, &announcement->local, error)
+           && read_ordering_fields (object, announcement, error))
     result = SGR_OK;
   json_decref (object);
-  if (result != SGR_OK)
-    return result;
-  result = sgr_announce_apply (announce, now_us, ttl_us, &announcement, is_changed);
-  if (result == SGR_ERR_CONFLICT)
-    sgr_buffer_printf (error, "target: another target is registered at this node");
   return result;
 }
 
+bool
+sgr_announce_departures_merge (sgr_announce_state_t *announce, const sgr_departures_t *departures)
+{
+  sgr_local_target_t *local = &announce->local;
+
+  sgr_departures_merge (&announce->departures, departures);
+  if (local->service[0] == '\0' || local->state == SGR_TARGET_DRAINING
+      || sgr_departures_find (&announce->departures, local->instance, announce->started_ms) == NULL)
+    return false;
+  local->state = SGR_TARGET_DRAINING;
+  return true;
+}
+
 bool
 sgr_announce_drop (sgr_announce_state_t *announce)
 {
@@ -263,31 +279,26 @@
   return was_registered;
 }
 
-static void
-departed_set (sgr_announce_state_t *announce, const char *instance, uint64_t started_ms)
-{
-  snprintf (announce->departed_instance, sizeof announce->departed_instance, "%s", instance);
-  announce->departed_started_ms = started_ms;
-}
-
 bool
 sgr_announce_leave (sgr_announce_state_t *announce)
 {
-  departed_set (announce, announce->local.instance, announce->started_ms);
+  departure_add (announce, announce->local.instance, announce->started_ms, true);
   return sgr_announce_drop (announce);
 }
 
 bool
 sgr_announce_instance_leave (sgr_announce_state_t *announce, const char *instance,
-                             uint64_t started_ms)
+                             uint64_t started_ms, uint64_t now_ms)
 {
   bool is_registered
       = announce->local.service[0] != '\0' && strcmp (announce->local.instance, instance) == 0;
 
   if (is_registered && (started_ms == 0 || started_ms >= announce->started_ms))
-    return sgr_announce_leave (announce);
-  if (started_ms != 0)
-    departed_set (announce, instance, started_ms);
+    {
+      departure_add (announce, instance, started_ms != 0 ? started_ms : announce->started_ms, true);
+      return sgr_announce_drop (announce);
+    }
+  departure_add (announce, instance, started_ms != 0 ? started_ms : now_ms, true);
   return false;
 }
 
--- a/libsiskingrade/announce.h
+++ b/libsiskingrade/announce.h
@@ -2,6 +2,7 @@
 #define SGR_ANNOUNCE_H
 
 #include "buffer.h"
+#include "departures.h"
 #include "snapshot.h"
 
 /**
@@ -25,8 +26,8 @@
  *            published state is then SGR_TARGET_LEFT instead of SGR_TARGET_NONE
  * @started_ms: start of the instance that was registered last, 0 if not given
  * @sequence: counter of the last announcement that was applied, 0 if not given
- * @departed_instance: instance that left last; later announcements of it are ignored
- * @departed_started_ms: start of the instance that left last
+ * @departures: instances that drain or have left; they get no new work, whatever late announcements
+ *              of them say
  */
 typedef struct
 {
@@ -35,8 +36,7 @@
   bool has_left;
   uint64_t started_ms;
   uint64_t sequence;
-  char departed_instance[SGR_NAME_MAX + 1];
-  uint64_t departed_started_ms;
+  sgr_departures_t departures;
 } sgr_announce_state_t;
 
 /**
@@ -49,9 +49,8 @@
  *
  * Ignores an outdated announcement: one of an instance that started before the instance that was
  * registered last, one whose sequence number is given and does not exceed that of the last
- * announcement of the same instance, and one of an instance that has left. A registered
- * instance that has a name and is draining stays draining until an announcement gives a later
- * start.
+ * announcement of the same instance, and one of an instance that has left. An instance that has a
+ * name and is draining stays draining until an announcement gives a later start.
  *
  * Return: SGR_OK, also for an ignored announcement; SGR_ERR_CONFLICT if another target is
  * registered and the announcement does not give a later start.
@@ -60,21 +59,25 @@
                                  const sgr_announcement_t *announcement, bool *is_changed);
 
 /**
- * sgr_announce_json_apply() - parse an announcement and apply it as sgr_announce_apply() does
- * @announce: the registration
- * @now_us: monotonic time
- * @ttl_us: time until the registration expires, in microseconds
+ * sgr_announcement_read() - parse an announcement
+ * @announcement: receives the announcement; not valid after an error
  * @body: JSON object with "service", "address", "slots", and optionally "connections", "state",
- *        "probe_path", "instance", "started_ms" and "sequence"
+ *        "probe_path", "instance", "started_ms" and "sequence"; NULL stands for an empty body
  * @length: bytes of @body
  * @error: receives the reason, without a terminating zero, if the result is not SGR_OK
- * @is_changed: receives whether anything but the time of expiry changed
  *
- * Return: SGR_OK; SGR_ERR_INVALID for an invalid body; SGR_ERR_CONFLICT as sgr_announce_apply().
+ * Return: SGR_OK or SGR_ERR_INVALID.
+ */
+sgr_result_t sgr_announcement_read (sgr_announcement_t *announcement, const char *body,
+                                    size_t length, sgr_buffer_t *error);
+
+/**
+ * sgr_announce_departures_merge() - add departures that were recorded before the node started
+ *
+ * Return: true if the registered target is one of them; it drains from then on.
  */
-sgr_result_t sgr_announce_json_apply (sgr_announce_state_t *announce, uint64_t now_us,
-                                      uint64_t ttl_us, const char *body, size_t length,
-                                      sgr_buffer_t *error, bool *is_changed);
+bool sgr_announce_departures_merge (sgr_announce_state_t *announce,
+                                    const sgr_departures_t *departures);
 
 /**
  * sgr_announce_leave() - remove the registration and ignore later announcements of its instance
@@ -88,14 +91,16 @@
  * @announce: the registration
  * @instance: name of the instance
  * @started_ms: start of the instance as Unix time in milliseconds, 0 if unknown
+ * @now_ms: Unix time in milliseconds
  *
- * The registration of another instance, or of one with the same name and a later start, stays. With
- * a known start, later announcements of the instance are ignored even if it was not registered.
+ * The registration of another instance, or of one with the same name and a later start, stays.
+ * Later announcements of the instance are ignored even if it was not registered; if its start is
+ * then unknown, those of all instances of that name that started until now are.
  *
  * Return: true if the instance was registered.
  */
 bool sgr_announce_instance_leave (sgr_announce_state_t *announce, const char *instance,
-                                  uint64_t started_ms);
+                                  uint64_t started_ms, uint64_t now_ms);
 
 /**
  * sgr_announce_drop() - remove the registration; the next announcement registers the target again
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -5,6 +5,7 @@
 
 #include "config_api.h"
 #include "control_contacts.h"
+#include "control_departures.h"
 
 struct sgr_control_config_t
 {
@@ -32,6 +33,7 @@
   sgr_control_config_t *config = ctx;
 
   sgr_control_contacts_renew (config->control->contacts);
+  sgr_control_departures_renew (config->control->departures);
 }
 
 static size_t
--- /dev/null
+++ b/libsiskingrade/control_departures.c
@@ -0,0 +1,356 @@
+#include "control_departures.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+/* First and longest delay before a failed call to the store is retried; the delay doubles with each
+   failure. */
+#define RETRY_MIN_US (100 * SGR_USEC_PER_MSEC)
+#define RETRY_MAX_US (2 * SGR_USEC_PER_SEC)
+/* Longest time for which an answer waits for the store. */
+#define REPLY_DELAY_MAX_US (600 * SGR_USEC_PER_MSEC)
+/* Announcements that were delayed together arrive within this time. */
+#define CONFIRM_INTERVAL_MIN_US (1 * SGR_USEC_PER_SEC)
+
+/**
+ * struct waiting_reply_t - a request whose answer waits until the departures are stored
+ * @next: next entry of the list
+ * @ref: pointer to this structure, in the memory pool of the request
+ * @req: the request, NULL after its connection was closed
+ * @reply: sends the answer
+ * @due_us: when the answer is sent in any case
+ */
+typedef struct waiting_reply_t
+{
+  struct waiting_reply_t *next;
+  struct waiting_reply_t **ref;
+  h2o_req_t *req;
+  void (*reply) (sgr_control_t *control, h2o_req_t *req);
+  uint64_t due_us;
+} waiting_reply_t;
+
+/**
+ * struct sgr_control_departures_t - the departures of the local target in the store
+ * @control: the control task
+ * @store: the store, NULL for none
+ * @key: key of the record
+ * @call: the pending call, NULL for none
+ * @is_known: the record was read since the start
+ * @is_version_known: @version is that of the record; not after a write that failed
+ * @version: version of the record, 0 if it does not exist
+ * @stored: departures in the record
+ * @written: departures that the pending call writes
+ * @kept: announcement that waits until the record is known; its service is empty if there is none
+ * @kept_us: when the first announcement of the instance in @kept arrived
+ * @replies: answers that wait until the departures are stored
+ * @retry_timer: fires when the next call is due
+ * @retry_us: delay before the next retry
+ * @reply_timer: fires when the first of @replies has waited long enough
+ */
+struct sgr_control_departures_t
+{
+  sgr_control_t *control;
+  sgr_store_t *store;
+  char key[2 * SGR_NAME_MAX + 16];
+  sgr_store_call_t *call;
+  bool is_known;
+  bool is_version_known;
+  uint64_t version;
+  sgr_departures_t stored;
+  sgr_departures_t written;
+  sgr_announcement_t kept;
+  uint64_t kept_us;
+  waiting_reply_t *replies;
+  sgr_timer_t retry_timer;
+  uint64_t retry_us;
+  sgr_timer_t reply_timer;
+};
+
+static bool
+is_stored (const sgr_control_departures_t *departures)
+{
+  return departures->store == NULL
+         || sgr_departures_are_in (&departures->control->announce.departures, &departures->stored);
+}
+
+/* Runs when h2o disposes of the memory pool of a request. */
+static void
+on_request_disposed (void *ref)
+{
+  waiting_reply_t *waiting = *(waiting_reply_t **)ref;
+
+  if (waiting != NULL)
+    waiting->req = NULL;
+}
+
+/* Sends the answers that are due: all if the departures are stored, else those that have waited
+   long enough. */
+static void
+replies_send (sgr_control_departures_t *departures, uint64_t now_us)
+{
+  bool is_all = is_stored (departures);
+  waiting_reply_t **link = &departures->replies;
+  uint64_t next_us = SGR_TIMER_NEVER;
+
+  while (*link != NULL)
+    {
+      waiting_reply_t *waiting = *link;
+
+      if (!is_all && now_us < waiting->due_us)
+        {
+          if (waiting->due_us < next_us)
+            next_us = waiting->due_us;
+          link = &waiting->next;
+          continue;
+        }
+      *link = waiting->next;
+      if (!is_all)
+        sgr_log_warn ("departure-not-stored", "key=%s", departures->key);
+      if (waiting->req != NULL)
+        {
+          *waiting->ref = NULL;
+          waiting->reply (departures->control, waiting->req);
+        }
+      free (waiting);
+    }
+  sgr_timer_cancel (departures->control->timers, &departures->reply_timer);
+  if (next_us != SGR_TIMER_NEVER)
+    sgr_timer_arm (departures->control->timers, &departures->reply_timer, next_us);
+}
+
+static void
+on_reply_timer (void *ctx, uint64_t now_us)
+{
+  replies_send (ctx, now_us);
+}
+
+static void step_run (sgr_control_departures_t *departures);
+
+static void
+retry_schedule (sgr_control_departures_t *departures, const char *action,
+                const sgr_store_reply_t *reply)
+{
+  sgr_log_warn ("departures-failed", "action=%s reason=\"%s\" retry_ms=%lu", action,
+                reply != NULL && reply->reason != NULL ? reply->reason : "not sent",
+                (unsigned long)(departures->retry_us / SGR_USEC_PER_MSEC));
+  /* A write that failed may still take effect, so the record is read first. */
+  departures->is_version_known = false;
+  sgr_timer_arm (departures->control->timers, &departures->retry_timer,
+                 sgr_clock_monotonic_us () + departures->retry_us);
+  departures->retry_us *= 2;
+  if (departures->retry_us > RETRY_MAX_US)
+    departures->retry_us = RETRY_MAX_US;
+}
+
+/* Applies the announcement that waited for the record. */
+static void
+kept_apply (sgr_control_departures_t *departures)
+{
+  sgr_announcement_t announcement = departures->kept;
+  sgr_result_t result;
+
+  departures->kept = (sgr_announcement_t){ 0 };
+  if (announcement.local.service[0] == '\0' || departures->control->is_stopping)
+    return;
+  result = sgr_control_target_announce (departures->control, &announcement);
+  if (result != SGR_OK)
+    sgr_log_warn ("announcement-refused", "instance=%s reason=%s", announcement.local.instance,
+                  sgr_result_name (result));
+}
+
+static void
+on_read (void *ctx, const sgr_store_reply_t *reply)
+{
+  sgr_control_departures_t *departures = ctx;
+  sgr_control_t *control = departures->control;
+
+  departures->call = NULL;
+  /* A value that the client cannot decode has a version: another writer has replaced the record. */
+  if (reply->outcome != SGR_STORE_OK && reply->version == 0)
+    {
+      retry_schedule (departures, "read", reply);
+      return;
+    }
+  departures->version = reply->version;
+  departures->stored = (sgr_departures_t){ 0 };
+  if (reply->version != 0
+      && sgr_departures_read (&departures->stored, reply->value, reply->length) != SGR_OK)
+    sgr_log_warn ("departures-refused", "key=%s reason=\"not a list of departures\"",
+                  departures->key);
+  departures->retry_us = RETRY_MIN_US;
+  departures->is_version_known = true;
+  departures->is_known = true;
+  if (sgr_announce_departures_merge (&control->announce, &departures->stored))
+    sgr_control_target_changed (control);
+  kept_apply (departures);
+  step_run (departures);
+  replies_send (departures, sgr_clock_monotonic_us ());
+}
+
+static void
+on_written (void *ctx, const sgr_store_reply_t *reply)
+{
+  sgr_control_departures_t *departures = ctx;
+
+  departures->call = NULL;
+  if (reply->outcome != SGR_STORE_OK)
+    {
+      retry_schedule (departures, "write", reply);
+      return;
+    }
+  departures->version = reply->version;
+  departures->stored = departures->written;
+  sgr_log_info ("departures-stored", "count=%zu", departures->stored.count);
+  departures->retry_us = RETRY_MIN_US;
+  step_run (departures);
+  replies_send (departures, sgr_clock_monotonic_us ());
+}
+
+static void
+record_write (sgr_control_departures_t *departures)
+{
+  char *text;
+
+  departures->written = departures->control->announce.departures;
+  text = sgr_departures_write (&departures->written);
+  departures->call
+      = departures->store->swap (departures->store, departures->key, departures->version, text,
+                                 strlen (text), on_written, departures);
+  free (text);
+}
+
+/* Starts the next call to the store if one is due. The record is written on condition that it has
+   the version that was read, so that a late write of a former process does not replace it. */
+static void
+step_run (sgr_control_departures_t *departures)
+{
+  if (departures->store == NULL || departures->call != NULL || departures->retry_timer.position != 0
+      || (departures->is_known && is_stored (departures)))
+    return;
+  if (departures->is_version_known)
+    record_write (departures);
+  else
+    departures->call
+        = departures->store->get (departures->store, departures->key, on_read, departures);
+  if (departures->call == NULL)
+    retry_schedule (departures, "send", NULL);
+}
+
+static void
+on_retry_timer (void *ctx, uint64_t now_us)
+{
+  step_run (ctx);
+}
+
+sgr_control_departures_t *
+sgr_control_departures_create (sgr_control_t *control, sgr_store_t *store)
+{
+  sgr_control_departures_t *departures = calloc (1, sizeof *departures);
+
+  sgr_invariant (departures != NULL);
+  departures->control = control;
+  departures->store = store;
+  departures->is_known = store == NULL;
+  departures->retry_us = RETRY_MIN_US;
+  departures->retry_timer = (sgr_timer_t){ .fire = on_retry_timer, .ctx = departures };
+  departures->reply_timer = (sgr_timer_t){ .fire = on_reply_timer, .ctx = departures };
+  snprintf (departures->key, sizeof departures->key, "departures/%s/%s",
+            control->settings->deployment, control->settings->name);
+  step_run (departures);
+  return departures;
+}
+
+/* Whether an announcement shows that the instance of the kept one still runs. */
+static bool
+is_confirmed (const sgr_control_departures_t *departures, const sgr_announcement_t *announcement,
+              uint64_t now_us)
+{
+  const sgr_announcement_t *kept = &departures->kept;
+
+  return kept->local.service[0] != '\0' && kept->started_ms == announcement->started_ms
+         && strcmp (kept->local.instance, announcement->local.instance) == 0
+         && (announcement->sequence > kept->sequence || announcement->sequence == 0)
+         && now_us >= departures->kept_us + CONFIRM_INTERVAL_MIN_US;
+}
+
+bool
+sgr_control_departures_may_register (sgr_control_departures_t *departures,
+                                     const sgr_announcement_t *announcement)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  const sgr_announcement_t *kept = &departures->kept;
+  bool is_registered = departures->control->announce.local.service[0] != '\0';
+
+  if (departures->is_known || is_registered || announcement->local.state == SGR_TARGET_DRAINING)
+    return true;
+  if (is_confirmed (departures, announcement, now_us))
+    {
+      departures->kept = (sgr_announcement_t){ 0 };
+      return true;
+    }
+  if (kept->local.service[0] == '\0' || announcement->started_ms > kept->started_ms
+      || strcmp (kept->local.instance, announcement->local.instance) != 0)
+    departures->kept_us = now_us;
+  else if (announcement->started_ms < kept->started_ms
+           || (announcement->sequence != 0 && announcement->sequence <= kept->sequence))
+    return false;
+  departures->kept = *announcement;
+  return false;
+}
+
+void
+sgr_control_departures_reply (sgr_control_departures_t *departures, h2o_req_t *req,
+                              void (*reply) (sgr_control_t *control, h2o_req_t *req))
+{
+  waiting_reply_t *waiting;
+
+  if (is_stored (departures))
+    {
+      reply (departures->control, req);
+      return;
+    }
+  waiting = calloc (1, sizeof *waiting);
+  sgr_invariant (waiting != NULL);
+  waiting->ref = h2o_mem_alloc_shared (&req->pool, sizeof *waiting->ref, on_request_disposed);
+  *waiting->ref = waiting;
+  waiting->req = req;
+  waiting->reply = reply;
+  waiting->due_us = sgr_clock_monotonic_us () + REPLY_DELAY_MAX_US;
+  waiting->next = departures->replies;
+  departures->replies = waiting;
+  if (departures->reply_timer.position == 0)
+    sgr_timer_arm (departures->control->timers, &departures->reply_timer, waiting->due_us);
+  step_run (departures);
+}
+
+void
+sgr_control_departures_renew (sgr_control_departures_t *departures)
+{
+  departures->stored = (sgr_departures_t){ 0 };
+  departures->is_version_known = false;
+  step_run (departures);
+}
+
+void
+sgr_control_departures_destroy (sgr_control_departures_t *departures)
+{
+  if (departures == NULL)
+    return;
+  if (departures->call != NULL)
+    departures->store->cancel (departures->store, departures->call);
+  sgr_timer_cancel (departures->control->timers, &departures->retry_timer);
+  sgr_timer_cancel (departures->control->timers, &departures->reply_timer);
+  while (departures->replies != NULL)
+    {
+      waiting_reply_t *waiting = departures->replies;
+
+      departures->replies = waiting->next;
+      if (waiting->req != NULL)
+        *waiting->ref = NULL;
+      free (waiting);
+    }
+  free (departures);
+}
--- /dev/null
+++ b/libsiskingrade/control_departures.h
@@ -0,0 +1,50 @@
+#ifndef SGR_CONTROL_DEPARTURES_H
+#define SGR_CONTROL_DEPARTURES_H
+
+#include "control_internal.h"
+#include "store.h"
+
+/**
+ * Keeps the departures of the local target in the store, because a node has no disk and a late
+ * announcement may arrive after it was killed and started again. The record has the key
+ * "departures/DEPLOYMENT/NAME". Without a store, departures last as long as the process.
+ */
+
+/** sgr_control_departures_create() - read the record of the node; @store is NULL for none */
+sgr_control_departures_t *sgr_control_departures_create (sgr_control_t *control,
+                                                         sgr_store_t *store);
+
+/**
+ * sgr_control_departures_may_register() - whether an announcement may register a target
+ * @departures: the object
+ * @announcement: the announcement
+ *
+ * Until the record has been read, an announcement may be of an instance that has departed. It is
+ * kept then and applied once the record is known. If the store does not answer, a second, later
+ * announcement of the instance shows that it still runs.
+ *
+ * Return: false if the announcement was kept.
+ */
+bool sgr_control_departures_may_register (sgr_control_departures_t *departures,
+                                          const sgr_announcement_t *announcement);
+
+/**
+ * sgr_control_departures_reply() - answer a request once all departures are in the store
+ * @departures: the object
+ * @req: the request
+ * @reply: sends the answer
+ *
+ * If the store does not take the record in time, the answer is sent without it and the write is
+ * repeated: a target waits a second for its acknowledgement, and one that gets none stops without
+ * it.
+ */
+void sgr_control_departures_reply (sgr_control_departures_t *departures, h2o_req_t *req,
+                                   void (*reply) (sgr_control_t *control, h2o_req_t *req));
+
+/** sgr_control_departures_renew() - write the record again, after the store was restored */
+void sgr_control_departures_renew (sgr_control_departures_t *departures);
+
+/** sgr_control_departures_destroy() - free the object; requests that wait get no answer */
+void sgr_control_departures_destroy (sgr_control_departures_t *departures);
+
+#endif
--- a/libsiskingrade/control_http.c
+++ b/libsiskingrade/control_http.c
@@ -68,29 +68,49 @@
   return 0;
 }
 
+static void
+target_put_reply (sgr_control_t *control, h2o_req_t *req)
+{
+  sgr_buffer_t body = { 0 };
+
+  sgr_buffer_printf (&body, "{\"node\":\"%s\",\"ttl_ms\":%lu}\n", control->settings->name,
+                     control->settings->announce_ttl_ms);
+  response_send (req, 200, "application/json", body.bytes, body.length);
+  sgr_buffer_release (&body);
+}
+
 static void
 target_put (sgr_control_t *control, h2o_req_t *req)
 {
-  uint64_t now_us = sgr_clock_monotonic_us ();
-  uint64_t ttl_ms = control->settings->announce_ttl_ms;
+  sgr_announcement_t announcement;
   sgr_buffer_t error = { 0 };
-  sgr_buffer_t body = { 0 };
-  bool is_changed;
   sgr_result_t result
-      = sgr_announce_json_apply (&control->announce, now_us, ttl_ms * SGR_USEC_PER_MSEC,
-                                 req->entity.base, req->entity.len, &error, &is_changed);
+      = sgr_announcement_read (&announcement, req->entity.base, req->entity.len, &error);
 
-  if (result != SGR_OK)
+  if (result == SGR_OK)
+    {
+      result = sgr_control_target_announce (control, &announcement);
+      if (result == SGR_ERR_CONFLICT)
+        sgr_buffer_printf (&error, "target: another target is registered at this node");
+      else if (result != SGR_OK)
+        sgr_buffer_printf (&error, "target: %s", sgr_result_name (result));
+    }
+  if (result == SGR_OK && announcement.local.state == SGR_TARGET_DRAINING)
+    sgr_control_target_reply (control, req, target_put_reply);
+  else if (result == SGR_OK)
+    target_put_reply (control, req);
+  else
     {
       sgr_buffer_append (&error, "", 1);
       error_send (req, result == SGR_ERR_CONFLICT ? 409 : 400, (const char *)error.bytes);
-      sgr_buffer_release (&error);
-      return;
     }
-  sgr_control_announce_renewed (control, is_changed);
-  sgr_buffer_printf (&body, "{\"node\":\"%s\",\"ttl_ms\":%lu}\n", control->settings->name, ttl_ms);
-  response_send (req, 200, "application/json", body.bytes, body.length);
-  sgr_buffer_release (&body);
+  sgr_buffer_release (&error);
+}
+
+static void
+target_delete_reply (sgr_control_t *control, h2o_req_t *req)
+{
+  response_send (req, 200, "application/json", "{}\n", 3);
 }
 
 static int
@@ -106,7 +126,7 @@
     {
       if (sgr_announce_leave (&control->announce))
         sgr_control_target_changed (control);
-      response_send (req, 200, "application/json", "{}\n", 3);
+      sgr_control_target_reply (control, req, target_delete_reply);
     }
   else
     error_send (req, 405, "expected PUT or DELETE");
--- a/libsiskingrade/control_target.c
+++ b/libsiskingrade/control_target.c
@@ -1,4 +1,5 @@
 #include "control_config.h"
+#include "control_departures.h"
 #include "control_internal.h"
 #include "control_probe.h"
 #include "log.h"
@@ -75,6 +76,8 @@
 
   if (control->is_stopping)
     return SGR_ERR_UNAVAILABLE;
+  if (!sgr_control_departures_may_register (control->departures, announcement))
+    return SGR_OK;
   result = sgr_announce_apply (&control->announce, sgr_clock_monotonic_us (), ttl_us, announcement,
                                &is_changed);
   if (result == SGR_OK)
@@ -85,6 +88,13 @@
 void
 sgr_control_target_leave (sgr_control_t *control, const char *instance, uint64_t started_ms)
 {
-  if (sgr_announce_instance_leave (&control->announce, instance, started_ms))
+  if (sgr_announce_instance_leave (&control->announce, instance, started_ms, sgr_clock_wall_ms ()))
     sgr_control_target_changed (control);
 }
+
+void
+sgr_control_target_reply (sgr_control_t *control, h2o_req_t *req,
+                          void (*reply) (sgr_control_t *control, h2o_req_t *req))
+{
+  sgr_control_departures_reply (control->departures, req, reply);
+}
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -13,6 +13,7 @@
 
 #include "control_config.h"
 #include "control_contacts.h"
+#include "control_departures.h"
 #include "control_http.h"
 #include "control_internal.h"
 #include "control_keys.h"
@@ -344,17 +345,6 @@
   return SGR_OK;
 }
 
-/* Unix time in milliseconds. Whole seconds would not order two boots of one node that begin within
-   the same second. */
-static uint64_t
-wall_clock_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_REALTIME, &now);
-  return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
-
 static sgr_result_t
 membership_open (sgr_control_t *control, sgr_buffer_t *errors)
 {
@@ -368,7 +358,8 @@
   memcpy (options.self.failure_domain, settings->failure_domain,
           sizeof options.self.failure_domain);
   options.self.boot = control->boot;
-  options.self.boot_time_ms = wall_clock_ms ();
+  /* Whole seconds would not order two boots of one node that begin within the same second. */
+  options.self.boot_time_ms = sgr_clock_wall_ms ();
   options.self.data_address = settings->advertised_peers;
   options.self.control_address = settings->control;
   options.seed = control->boot;
@@ -446,6 +437,8 @@
   control->keys = sgr_control_keys_create (control, sgr_control_config_store (control->config));
   control->contacts
       = sgr_control_contacts_create (control, sgr_control_config_store (control->config));
+  control->departures
+      = sgr_control_departures_create (control, sgr_control_config_store (control->config));
   control->data = sgr_data_task_start (control->settings, control->adapter->fields, control->boot,
                                        &data_events, control, errors);
   if (control->data == NULL)
@@ -509,6 +502,7 @@
 out:
   sgr_control_http_destroy (control.http);
   sgr_control_probe_destroy (control.probe);
+  sgr_control_departures_destroy (control.departures);
   sgr_control_contacts_destroy (control.contacts);
   sgr_control_keys_destroy (control.keys);
   sgr_control_config_destroy (control.config);
--- a/libsiskingrade/control_task.h
+++ b/libsiskingrade/control_task.h
@@ -67,8 +67,9 @@
 /**
  * sgr_control_target_announce() - register the local target or renew its registration
  *
- * Return: SGR_OK, also for an outdated announcement, which is ignored; SGR_ERR_CONFLICT if another
- * target is registered; SGR_ERR_UNAVAILABLE if the node is stopping.
+ * Return: SGR_OK, also for an outdated announcement, which is ignored, and for one that is kept
+ * until the departures are known; SGR_ERR_CONFLICT if another target is registered;
+ * SGR_ERR_UNAVAILABLE if the node is stopping.
  */
 sgr_result_t sgr_control_target_announce (sgr_control_t *control,
                                           const sgr_announcement_t *announcement);
@@ -81,4 +82,16 @@
  */
 void sgr_control_target_leave (sgr_control_t *control, const char *instance, uint64_t started_ms);
 
+/**
+ * sgr_control_target_reply() - acknowledge that the local target drains or has left
+ * @control: the control task
+ * @req: the request of the target
+ * @reply: sends the answer
+ *
+ * The answer is sent once the store has what it promises: that an instance which drains or has left
+ * gets no new work, also after the node was killed. See sgr_control_departures_reply().
+ */
+void sgr_control_target_reply (sgr_control_t *control, h2o_req_t *req,
+                               void (*reply) (sgr_control_t *control, h2o_req_t *req));
+
 #endif
--- a/libsiskingrade/types.c
+++ b/libsiskingrade/types.c
@@ -89,3 +89,12 @@
   clock_gettime (CLOCK_MONOTONIC, &now);
   return (uint64_t)now.tv_sec * SGR_USEC_PER_SEC + (uint64_t)now.tv_nsec / 1000;
 }
+
+uint64_t
+sgr_clock_wall_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
--- a/libsiskingrade/types.h
+++ b/libsiskingrade/types.h
@@ -167,4 +167,7 @@
  */
 uint64_t sgr_clock_monotonic_us (void);
 
+/** sgr_clock_wall_ms() - read the wall clock, in milliseconds since 1970 */
+uint64_t sgr_clock_wall_ms (void);
+
 #endif
--- a/tests/test_announce.c
+++ b/tests/test_announce.c
@@ -1,6 +1,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -19,9 +20,12 @@
               bool *is_changed)
 {
   sgr_buffer_t text = { 0 };
-  sgr_result_t result
-      = sgr_announce_json_apply (announce, now_us, TTL_US, body, strlen (body), &text, is_changed);
+  sgr_announcement_t announcement;
+  sgr_result_t result = sgr_announcement_read (&announcement, body, strlen (body), &text);
 
+  *is_changed = false;
+  if (result == SGR_OK)
+    result = sgr_announce_apply (announce, now_us, TTL_US, &announcement, is_changed);
   sgr_buffer_append (&text, "", 1);
   strncpy (error, (const char *)text.bytes, ERROR_SIZE - 1);
   error[ERROR_SIZE - 1] = '\0';
@@ -138,12 +142,86 @@
   assert_string_equal (announce.local.instance, "i-2");
 }
 
+static sgr_result_t
+instance_announce (sgr_announce_state_t *announce, uint64_t now_us, const char *instance,
+                   const char *state, unsigned started_ms, unsigned sequence)
+{
+  char body[256], error[ERROR_SIZE];
+  bool is_changed;
+
+  snprintf (body, sizeof body,
+            "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"instance\":\"%s\","
+            "\"state\":\"%s\",\"started_ms\":%u,\"sequence\":%u}",
+            instance, state, started_ms, sequence);
+  return announce_put (announce, now_us, body, error, &is_changed);
+}
+
+/* Guards against a target that serves again because of a late announcement: it has left, and
+   another instance that was never registered has left after it. */
+static void
+test_two_leave (void **state)
+{
+  sgr_announce_state_t announce = { 0 };
+
+  instance_announce (&announce, 1, "i-1", "serving", 1000, 1);
+  assert_true (sgr_announce_instance_leave (&announce, "i-1", 1000, 5000));
+  assert_false (sgr_announce_instance_leave (&announce, "i-0", 900, 5000));
+  assert_int_equal (instance_announce (&announce, 2, "i-1", "serving", 1000, 2), SGR_OK);
+  assert_int_equal (announce.local.service[0], '\0');
+}
+
+/* Guards against an acknowledged leave that is forgotten because the instance was not registered
+   and gave no start. */
+static void
+test_leave_without_start (void **state)
+{
+  sgr_announce_state_t announce = { 0 };
+
+  assert_false (sgr_announce_instance_leave (&announce, "i-1", 0, 5000));
+  instance_announce (&announce, 1, "i-1", "serving", 4000, 9);
+  assert_int_equal (announce.local.service[0], '\0');
+  instance_announce (&announce, 1, "i-1", "serving", 6000, 1);
+  assert_string_equal (announce.local.service, "a");
+}
+
+/* Guards against a target that serves again after its drain: its registration has expired, and a
+   later announcement says that it serves. */
+static void
+test_drain_outlasts_registration (void **state)
+{
+  sgr_announce_state_t announce = { 0 };
+
+  instance_announce (&announce, 1, "i-1", "serving", 1000, 1);
+  instance_announce (&announce, 1, "i-1", "draining", 1000, 2);
+  assert_true (sgr_announce_expire (&announce, 1 + TTL_US));
+  instance_announce (&announce, 2 + TTL_US, "i-1", "serving", 1000, 3);
+  assert_int_equal (announce.local.state, SGR_TARGET_DRAINING);
+}
+
+/* Guards against a registered target that goes on serving when the store tells that it drains. */
+static void
+test_departures_merge (void **state)
+{
+  sgr_announce_state_t announce = { 0 };
+  sgr_departures_t departures
+      = { .items = { { .instance = "i-1", .started_ms = 1000 } }, .count = 1 };
+
+  instance_announce (&announce, 1, "i-1", "serving", 1000, 1);
+  assert_true (sgr_announce_departures_merge (&announce, &departures));
+  assert_int_equal (announce.local.state, SGR_TARGET_DRAINING);
+  assert_false (sgr_announce_departures_merge (&announce, &departures));
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_bad_bodies), cmocka_unit_test (test_registration_lifecycle),
-          cmocka_unit_test (test_start_after_clock_was_set_back) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_bad_bodies),
+                                      cmocka_unit_test (test_registration_lifecycle),
+                                      cmocka_unit_test (test_start_after_clock_was_set_back),
+                                      cmocka_unit_test (test_two_leave),
+                                      cmocka_unit_test (test_leave_without_start),
+                                      cmocka_unit_test (test_drain_outlasts_registration),
+                                      cmocka_unit_test (test_departures_merge) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_platform_store_restored.c
+++ b/tests/test_platform_store_restored.c
@@ -92,8 +92,8 @@
       { WATCH, { 2, 7 }, SGR_STORE_UNAVAILABLE, { 0, 0 }, false },
       { WATCH, { 2, 7 }, SGR_STORE_OK, { 2, 11 }, true } } },
   { "a late read or write of the former generation does not count as done",
-    { { "kv-key", REPLY, 200, ITEM (7), SECOND },
-      { "kv-key", REPLY, 200, ITEM (25), FIRST },
+    { { "kv-range", REPLY, 200, "{\"items\":[" ITEM (7) "]}", SECOND },
+      { "kv-range", REPLY, 200, "{\"items\":[" ITEM (25) "]}", FIRST },
       { "kv-txn", REPLY, 200, "{\"rev\":26}", FIRST } },
     { { GET, { 0, 0 }, SGR_STORE_OK, { 2, 7 }, true },
       { GET, { 0, 0 }, SGR_STORE_UNAVAILABLE, { 0, 0 }, false },
@@ -215,7 +215,7 @@
   static const scripted_exchange_t exchanges[]
       = { { KEY_READ, REPLY, 200, "{\"items\":[" ITEM (20) "],\"currentRev\":30}", FIRST },
           { WATCH_AFTER (30), HOLD, 0, NULL, NULL },
-          { "kv-key", REPLY, 404, "{}", SECOND },
+          { "kv-range", REPLY, 200, "{\"items\":[]}", SECOND },
           { KEY_READ, REPLY, 200, "{\"items\":[" ITEM (7) "],\"currentRev\":9}", SECOND } };
   static const step_t first = { WATCH, { 0, 0 } }, second = { WATCH, { 1, 20 } }, get = { GET };
   sgr_settings_t settings = { 0 };
