Check and limit the heads of all answers that a node reads

Callers could see: a node that ends by itself, with the requests of other callers, when a faulty server sends bytes that are no answer. Cause: the checks of the target client (size of a head, h2o's assertions on Content-Length and Transfer-Encoding) were off for some input: they looked at the first head only, and h2o parses the head after an interim answer without another read; and http_fetch, which probes targets and talks to the store and to other nodes, had none. Change: the check is http_head_guard.c, used by both clients, and goes on after an interim answer. A fetch ends after 100 reads that bring no byte of the body, and its receive buffer is bounded like that of a target.

--- a/libsiskingrade/http_fetch.c
+++ b/libsiskingrade/http_fetch.c
@@ -10,6 +10,7 @@
 #include <h2o/http1client.h>
 
 #include "buffer.h"
+#include "http_head_guard.h"
 #include "result.h"
 
 /* TCP keepalive: idle time before the first probe, and time between probes, in seconds. */
@@ -19,6 +20,12 @@
 /* Time after which the kernel closes a connection on which sent bytes are not acknowledged. */
 #define USER_TIMEOUT_MS (KEEPALIVE_S * (KEEPALIVE_PROBES + 1) * 1000)
 
+/* Receive buffer of a connection. h2o reads until the socket is empty, so that its memory for a
+   fast sender is a multiple of this size. */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
+/* Reads in a row that bring no byte of the body, after which an answer counts as one that does not
+   end: an extension of a chunk, or trailers. */
+#define EMPTY_READS_MAX 100
 /* Size of the text of an address, see sgr_address_format(). */
 #define ADDRESS_TEXT_BYTES 24
 
@@ -33,6 +40,7 @@
 
 struct sgr_http_fetch_t
 {
+  sgr_http_head_guard_t head_guard; /* the first member */
   sgr_http_fetch_t *next;
   sgr_http_fetcher_t *fetcher;
   h2o_http1client_t *client;
@@ -44,6 +52,7 @@
   sgr_buffer_t request;
   h2o_iovec_t request_vec;
   sgr_buffer_t body;
+  unsigned empty_reads; /* reads of the body in a row that brought no byte of it */
   const char *want[SGR_HTTP_FETCH_HEADERS_MAX];
   sgr_http_fetch_reply_t reply;
 };
@@ -73,6 +82,7 @@
   *link = fetch->next;
   if (h2o_timeout_is_linked (&fetch->start_entry))
     h2o_timeout_unlink (&fetch->start_entry);
+  sgr_http_head_guard_stop (&fetch->head_guard);
   sgr_buffer_release (&fetch->request);
   sgr_buffer_release (&fetch->body);
   free (fetch);
@@ -133,6 +143,14 @@
       fetch_end (fetch, "the reply is too large");
       return -1;
     }
+  if (error == NULL && client->sock->input->size == 0)
+    {
+      if (++fetch->empty_reads < EMPTY_READS_MAX)
+        return 0;
+      fetch_end (fetch, "the body of the reply does not end");
+      return -1;
+    }
+  fetch->empty_reads = 0;
   if (client->sock->input->size > 0)
     {
       sgr_buffer_append (&fetch->body, client->sock->input->bytes, client->sock->input->size);
@@ -203,19 +221,34 @@
     setsockopt (fd, IPPROTO_TCP, options[i].option, &options[i].value, sizeof options[i].value);
 }
 
+static void
+on_head_rejected (sgr_http_head_guard_t *guard, const char *reason)
+{
+  sgr_http_fetch_t *fetch = (sgr_http_fetch_t *)guard;
+
+  h2o_http1client_cancel (fetch->client);
+  fetch_end (fetch, reason);
+}
+
 static h2o_http1client_head_cb
 on_connect (h2o_http1client_t *client, const char *error, h2o_iovec_t **bufs, size_t *count,
             int *method_is_head)
 {
   sgr_http_fetch_t *fetch = client->data;
+  int buffer_bytes = RECEIVE_BUFFER_BYTES;
 
   if (error != NULL)
     {
       fetch_end (fetch, "no connection");
       return NULL;
     }
+  /* A failure only means that the connection may use more memory. */
+  setsockopt (h2o_socket_get_fd (client->sock), SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+              sizeof buffer_bytes);
   keepalive_set (h2o_socket_get_fd (client->sock));
   fetch->reply.sent = true;
+  sgr_http_head_guard_start (&fetch->head_guard, client, &fetch->fetcher->immediate_timeout,
+                             on_head_rejected);
   fetch->request_vec = h2o_iovec_init ((const char *)fetch->request.bytes, fetch->request.length);
   *bufs = &fetch->request_vec;
   *count = 1;
--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -5,8 +5,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http_head_guard.h"
 #include "result.h"
-#include "target_head.h"
 
 /* h2o's I/O timeout. It is longer than any deadline, because the gate cancels each request at the
    request's deadline. */
@@ -14,8 +14,6 @@
 /* Time after which an unused connection is closed. It is below the usual keep-alive timeouts of
    servers, so that the target rarely closes a connection that a request is about to use. */
 #define POOL_IDLE_MS 2000
-/* Bytes that are read before the head of an answer, interim answers included, must be complete. */
-#define HEAD_MAX_BYTES (64U * 1024)
 /* Receive buffer of a connection to the target. h2o reads until the socket is empty, so that its
    memory for a fast sender is a multiple of this size. */
 #define RECEIVE_BUFFER_BYTES (128 * 1024)
@@ -33,6 +31,7 @@
 
 /**
  * struct sgr_target_request_t - a request to the target
+ * @head_guard: checks the head of the answer; the first member
  * @client: client of the request
  * @http: h2o's client for this request
  * @handlers: callbacks
@@ -45,13 +44,10 @@
  * @is_in_callback: a callback runs
  * @is_cancelled: cancelled within a callback; the request is freed when the callback has returned
  * @paused_read_cb: read callback of the socket while reading is paused, else NULL
- * @head_bytes: bytes received before the head was complete
- * @h2o_read_cb: h2o's read callback, which on_head_read() calls
- * @h2o_write_cb: h2o's write callback, which on_written() calls
- * @hook_entry: timeout that installs on_head_read() or on_written() in place of h2o's callback
  */
 struct sgr_target_request_t
 {
+  sgr_http_head_guard_t head_guard;
   sgr_target_client_t *client;
   h2o_http1client_t *http;
   const sgr_target_handlers_t *handlers;
@@ -64,10 +60,6 @@
   bool is_in_callback;
   bool is_cancelled;
   h2o_socket_cb paused_read_cb;
-  size_t head_bytes;
-  h2o_socket_cb h2o_read_cb;
-  h2o_socket_cb h2o_write_cb;
-  h2o_timeout_entry_t hook_entry;
 };
 
 sgr_target_client_t *
@@ -110,7 +102,7 @@
 static void
 request_free (sgr_target_request_t *request)
 {
-  h2o_timeout_unlink (&request->hook_entry);
+  sgr_http_head_guard_stop (&request->head_guard);
   request->client->open_requests--;
   free (request->message);
   free (request);
@@ -248,68 +240,13 @@
   return on_body;
 }
 
-static sgr_target_request_t *
-request_of (h2o_socket_t *sock)
-{
-  return ((h2o_http1client_t *)sock->data)->data;
-}
-
-/* Checks the head of the answer before h2o parses it. h2o limits neither the size of a head nor the
-   number of interim answers. */
-static void
-on_head_read (h2o_socket_t *sock, const char *err)
-{
-  sgr_target_request_t *request = request_of (sock);
-  const char *reason = NULL;
-
-  if (err == NULL && request->head_bytes > HEAD_MAX_BYTES)
-    reason = "head of the answer is too long";
-  else if (err == NULL && !sgr_target_head_is_valid (sock->input->bytes, sock->input->size))
-    reason = "malformed head of the answer";
-  if (reason != NULL)
-    {
-      h2o_http1client_cancel (request->http);
-      request_finish (request, reason);
-      return;
-    }
-  request->head_bytes += sock->bytes_read;
-  request->h2o_read_cb (sock, err);
-}
-
-/* Replaces h2o's read callback by on_head_read(). */
 static void
-read_hook_install (sgr_target_request_t *request, h2o_socket_t *sock)
+on_head_rejected (sgr_http_head_guard_t *guard, const char *reason)
 {
-  request->h2o_read_cb = sock->_cb.read;
-  sock->_cb.read = on_head_read;
-}
+  sgr_target_request_t *request = (sgr_target_request_t *)guard;
 
-/* Lets h2o handle the end of the write, then replaces the read callback that h2o has set. */
-static void
-on_written (h2o_socket_t *sock, const char *err)
-{
-  sgr_target_request_t *request = request_of (sock);
-
-  request->h2o_write_cb (sock, err);
-  if (err == NULL)
-    read_hook_install (request, sock);
-}
-
-/* Timeout callback that runs after h2o has begun to write the request and before any event of the
-   socket. Installs on_head_read() if h2o already waits for the answer, else on_written(). */
-static void
-on_hook_install (h2o_timeout_entry_t *entry)
-{
-  sgr_target_request_t *request = H2O_STRUCT_FROM_MEMBER (sgr_target_request_t, hook_entry, entry);
-  h2o_socket_t *sock = request->http->sock;
-
-  if (sock->_cb.read != NULL)
-    read_hook_install (request, sock);
-  else
-    {
-      request->h2o_write_cb = sock->_cb.write;
-      sock->_cb.write = on_written;
-    }
+  h2o_http1client_cancel (request->http);
+  request_finish (request, reason);
 }
 
 static h2o_http1client_head_cb
@@ -342,9 +279,8 @@
   /* A failure only means that the connection may use more memory. */
   setsockopt (h2o_socket_get_fd (http->sock), SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
               sizeof buffer_bytes);
-  request->hook_entry.cb = on_hook_install;
-  h2o_timeout_link (request->client->ctx.loop, &request->client->immediate_timeout,
-                    &request->hook_entry);
+  sgr_http_head_guard_start (&request->head_guard, http, &request->client->immediate_timeout,
+                             on_head_rejected);
   *vectors = &request->vector;
   *count = 1;
   *method_is_head = request->is_head;
--- a/tests/test_http_fields.c
+++ b/tests/test_http_fields.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 
 #include "http_fields.h"
-#include "target_head.h"
+#include "http_head_guard.h"
 
 /* Guards against texts that change the structure of an HTTP message when they are written into one,
    such as a field value with a line end. */
@@ -136,7 +136,7 @@
 /* h2o 2.2.5 aborts the process on some malformed heads of answers. The check must reject these
    heads before h2o parses them. */
 static void
-test_target_heads (void **state)
+test_answer_heads (void **state)
 {
   static const struct
   {
@@ -160,11 +160,14 @@
     { "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n", false },
     { "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n", false },
     { "HTTP/1.1 200 OK\r\nX-Content-Length: x\r\n", true },
+    /* h2o parses the head after an interim answer without another read. */
+    { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", false },
+    { "HTTP/1.1 103 Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", true },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
-      if (sgr_target_head_is_valid (cases[i].text, strlen (cases[i].text)) != cases[i].valid)
+      if (sgr_http_head_is_valid (cases[i].text, strlen (cases[i].text)) != cases[i].valid)
         fail_msg ("%s", cases[i].text);
     }
 }
@@ -177,7 +180,7 @@
     cmocka_unit_test (test_numbers),
     cmocka_unit_test (test_forwarded),
     cmocka_unit_test (test_idempotent_methods),
-    cmocka_unit_test (test_target_heads),
+    cmocka_unit_test (test_answer_heads),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
