Answer calls that arrive during a stop before the process ends

Callers could see: a call taken in a planned stop, passed on, and cut without an answer when the drain ended, also one that may not be repeated. Cause: the deadline of a call that arrives within leave_delay_ms was not limited by the end of the drain. Ruled out: calls after leave_delay_ms get 503 and are not passed on; a request with a body counts when it is complete; gates refuse at once. Change: the deadline of such a call ends 0.2 s before the drain does. It goes to the gate and to the target, which refuse what they cannot do until then: the caller gets 503 not-run, or 504. Evidence: test_path_stop:test_late_call_gets_answer fails on (the connection ends without an answer) and passes now.

--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -18,6 +18,9 @@
 /* Retry-After of a call that is refused because its idempotency key, which the caller chose, cannot
    be bound to a gate. */
 #define KEY_BIND_RETRY_AFTER_MS 1000
+/* Time for the answers to calls that reach the end of a stop: cancels, their replies, and the write
+   to the caller. */
+#define STOP_ANSWER_US (200 * SGR_USEC_PER_MSEC)
 /* Time for which the knowledge of a newer configuration turns 404 into 503. */
 #define BEHIND_MAX_US (15 * SGR_USEC_PER_SEC)
 /* Maximum number of attempts that a routed call may make in addition to attempts_max because gates
@@ -135,6 +138,15 @@
   return true;
 }
 
+/* Moves the deadline of a call that arrives while the node stops to before the end of the process,
+   so that the caller gets an answer also if the call takes longer. */
+static void
+deadline_limit_by_stop (const sgr_data_task_t *task, uint64_t *deadline_us)
+{
+  if (task->drain_deadline_us != 0 && *deadline_us > task->drain_deadline_us - STOP_ANSWER_US)
+    *deadline_us = task->drain_deadline_us - STOP_ANSWER_US;
+}
+
 static bool
 key_read (const h2o_req_t *req, sgr_data_call_request_t *request)
 {
@@ -215,6 +227,7 @@
     return "bad-idempotent";
   if (!deadline_read (req, http->task->fields->deadline, policy, route, &request->deadline_us))
     return "bad-deadline";
+  deadline_limit_by_stop (http->task, &request->deadline_us);
   if (sgr_retry_chain_parse (depth.base, depth.len, retries.base, retries.len, &request->chain)
       != SGR_OK)
     return "bad-chain";
