--- a/tests/test_platform_input.c
+++ b/tests/test_platform_input.c
@@ -131,6 +131,9 @@
 #define INFO "\"service\":\"s\",\"version\":\"v1\",\"zone\":\"a\",\"slots\":12"
 #define STATUS "\"state\":\"ready\",\"sequence\":4,\"cold\":\"0ms\""
 
+#define WITH_BORN(born)                                                                            \
+  "{\"address\":\"10.1.0.9:8080\"," born "\"info\":{" INFO "},\"status\":{" STATUS "}}"
+
 /* Guards against an invalid heartbeat that is accepted, and against an error with a wrong path. */
 static void
 test_heartbeats (void **unused)
@@ -152,6 +155,17 @@
     { HEARTBEAT (INFO, "\"state\":3,\"sequence\":4"), "status.state" },
     { HEARTBEAT (INFO, "\"state\":\"ready\""), "status.sequence" },
     { HEARTBEAT (INFO, "\"state\":\"ready\",\"sequence\":-1"), "status.sequence" },
+    { HEARTBEAT (INFO, "\"state\":\"ready\",\"sequence\":1e999"), "" },
+    { HEARTBEAT (INFO, "\"state\":\"ready\",\"sequence\":99999999999999999999"), "" },
+    { HEARTBEAT (INFO, "\"state\":[[[[[[[[{}]]]]]]]],\"sequence\":4"), "status.state" },
+    { "{\"address\":\"10.1.0.9:65536\"}", "address" },
+    { "{\"address\":\"10.1.0.9:0\"}", "address" },
+    { "{\"address\":\"10.1.0.9:99999999999999999999\"}", "address" },
+    { WITH_BORN (""), "born" },
+    { WITH_BORN ("\"born\":\"1700000000123\","), "born" },
+    { WITH_BORN ("\"born\":0,"), "born" },
+    { WITH_BORN ("\"born\":-1,"), "born" },
+    { WITH_BORN ("\"born\":1.5,"), "born" },
   };
   sgr_config_error_t error = { SGR_OK };
   sgr_announcement_t announcement;
