Apply a leave to an announcement that waits for the departures

Callers could see: requests at a target whose leave was acknowledged: its announcement had been kept, because the started node did not know the departures yet, and was applied after the leave. Cause: DELETE /v1/target looked at the registered target only. A leave on the platform names its instance and was not concerned. Change: a leave without a name takes the kept announcement. Evidence: found by test_soak_departure, which is new: seeded series of drains, leaves, late announcements, kills and outages of the store. test_path_departure:test_leave_of_kept_announcement.

--- a/libsiskingrade/control_departures.c
+++ b/libsiskingrade/control_departures.c
@@ -145,15 +145,23 @@
     departures->retry_us = RETRY_MAX_US;
 }
 
+bool
+sgr_control_departures_kept_take (sgr_control_departures_t *departures, sgr_announcement_t *kept)
+{
+  *kept = departures->kept;
+  departures->kept = (sgr_announcement_t){ 0 };
+  return kept->local.service[0] != '\0';
+}
+
 /* Applies the announcement that waited for the record. */
 static void
 kept_apply (sgr_control_departures_t *departures)
 {
-  sgr_announcement_t announcement = departures->kept;
+  sgr_announcement_t announcement;
   sgr_result_t result;
 
-  departures->kept = (sgr_announcement_t){ 0 };
-  if (announcement.local.service[0] == '\0' || departures->control->is_stopping)
+  if (!sgr_control_departures_kept_take (departures, &announcement)
+      || departures->control->is_stopping)
     return;
   result = sgr_control_target_announce (departures->control, &announcement);
   if (result != SGR_OK)
--- a/libsiskingrade/control_departures.h
+++ b/libsiskingrade/control_departures.h
@@ -28,6 +28,16 @@
 bool sgr_control_departures_may_register (sgr_control_departures_t *departures,
                                           const sgr_announcement_t *announcement);
 
+/**
+ * sgr_control_departures_kept_take() - drop the announcement that waits for the record
+ * @departures: the object
+ * @kept: receives the announcement
+ *
+ * Return: false if there is none.
+ */
+bool sgr_control_departures_kept_take (sgr_control_departures_t *departures,
+                                       sgr_announcement_t *kept);
+
 /**
  * sgr_control_departures_reply() - answer a request once all departures are in the store
  * @departures: the object
--- a/libsiskingrade/control_http.c
+++ b/libsiskingrade/control_http.c
@@ -124,8 +124,7 @@
     target_put (control, req);
   else if (h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("DELETE")))
     {
-      if (sgr_announce_leave (&control->announce))
-        sgr_control_target_changed (control);
+      sgr_control_target_leave (control, NULL, 0);
       sgr_control_target_reply (control, req, target_delete_reply);
     }
   else
--- a/tests/test_path_departure.c
+++ b/tests/test_path_departure.c
@@ -177,6 +177,20 @@
   no_target_check (SPREAD_US);
 }
 
+/* Guards against a target that gets work although its leave was acknowledged: its announcement was
+   kept, because the store did not tell the departures, and is applied after the leave. */
+static void
+test_leave_of_kept_announcement (void **state)
+{
+  sgr_fixture_store_faults_set (&fixture, "outage=1");
+  gate_restart ();
+  announce ("serving", 1000000, 1);
+  assert_int_equal (target_call ("DELETE", ""), 200);
+  sgr_fixture_store_faults_set (&fixture, "outage=0");
+  assert_true (sgr_fixture_event_await (&fixture, gate, "event=departures-stored", 1));
+  no_target_check (SPREAD_US);
+}
+
 int
 main (void)
 {
@@ -185,6 +199,7 @@
     cmocka_unit_test_setup_teardown (test_late_announcement_after_drain, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_restart_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_without_store, test_setup, test_teardown),
+    cmocka_unit_test_setup_teardown (test_leave_of_kept_announcement, test_setup, test_teardown),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/tests/test_soak_departure.c
@@ -0,0 +1,310 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "node_fixture.h"
+#include "rng.h"
+#include "types.h"
+
+/*
+ * Random series, generated from a seed, of announcements, drains, leaves and late announcements of
+ * a target, kills of its node and outages of the store. A target whose drain or leave was
+ * acknowledged must get no work, and one that runs must get some.
+ *
+ * To run other seeds: SGR_SOAK_SEEDS=FIRST:COUNT build/tests/test_soak_departure
+ */
+
+#define STEPS 20
+/* Longest time that a step waits for a condition. */
+#define WAIT_MAX_US (10 * SGR_USEC_PER_SEC)
+/* Time for which each step checks that a departed target gets no work. */
+#define CHECK_US (300 * SGR_USEC_PER_MSEC)
+/* Time between two announcements of a running target. */
+#define INTERVAL_US (400 * SGR_USEC_PER_MSEC)
+#define FIRST_START_MS 1000000
+
+typedef enum
+{
+  STEP_ANNOUNCE,
+  STEP_DRAIN,
+  STEP_LEAVE,
+  STEP_LATE,
+  STEP_KILL,
+  STEP_STORE,
+  STEP_COUNT,
+} step_t;
+
+/**
+ * struct soak_t - state of one run
+ * @fixture: the deployment
+ * @entry: node that tells which targets get work
+ * @gate: node of the target
+ * @seed: seed of the run
+ * @step: number of the step
+ * @started_ms: start of the last instance
+ * @sequence: last sequence number of that instance
+ * @has_departed: the drain or leave of that instance was acknowledged
+ * @is_store_down: the store is in an outage
+ * @is_at_risk: the departure is not in the store yet, so that it is lost if the node is killed
+ */
+typedef struct
+{
+  sgr_fixture_t fixture;
+  sgr_fixture_node_t *entry;
+  sgr_fixture_node_t *gate;
+  uint64_t seed;
+  int step;
+  unsigned long started_ms;
+  unsigned sequence;
+  bool has_departed;
+  bool is_store_down;
+  bool is_at_risk;
+} soak_t;
+
+static uint64_t
+targets_serving (const soak_t *soak)
+{
+  return sgr_fixture_metric (soak->entry, "siskingrade_targets{service=\"one\"");
+}
+
+static void
+target_call (const soak_t *soak, const char *method, const char *body)
+{
+  sgr_probe_request_t request = { .port = soak->gate->control,
+                                  .method = method,
+                                  .path = "/v1/target",
+                                  .body = body,
+                                  .body_length = strlen (body) };
+  uint64_t end_us = sgr_clock_monotonic_us () + WAIT_MAX_US;
+  int status = 0;
+
+  /* The node may still be starting. */
+  while (status == 0)
+    {
+      sgr_probe_answer_t answer;
+
+      sgr_probe_call (&request, &answer);
+      status = answer.status;
+      sgr_probe_release (&answer);
+      if (status == 0 && sgr_clock_monotonic_us () > end_us)
+        fail_msg ("seed %lu, step %d: no answer", soak->seed, soak->step);
+    }
+  if (status != 200)
+    fail_msg ("seed %lu, step %d: %s, status %d", soak->seed, soak->step, method, status);
+}
+
+static void
+announce (const soak_t *soak, const char *state, unsigned sequence)
+{
+  char body[256];
+
+  snprintf (body, sizeof body,
+            "{\"service\":\"one\",\"address\":\"127.0.0.1:%u\",\"slots\":4,\"state\":\"%s\","
+            "\"instance\":\"i-1\",\"started_ms\":%lu,\"sequence\":%u}",
+            soak->gate->target, state, soak->started_ms, sequence);
+  target_call (soak, "PUT", body);
+}
+
+/* Announces the target until it gets work. */
+static void
+run_check (soak_t *soak)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + WAIT_MAX_US, next_us = 0;
+
+  while (targets_serving (soak) != 1)
+    {
+      uint64_t now_us = sgr_clock_monotonic_us ();
+
+      if (now_us > end_us)
+        fail_msg ("seed %lu, step %d: the target gets no work", soak->seed, soak->step);
+      if (now_us >= next_us)
+        {
+          announce (soak, "serving", ++soak->sequence);
+          next_us = now_us + INTERVAL_US;
+        }
+      sgr_fixture_poll_sleep ();
+    }
+}
+
+/* Checks that the departed target gets no work, once the entry knows of the departure. */
+static void
+departed_check (const soak_t *soak)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  uint64_t end_us = now_us + WAIT_MAX_US;
+
+  while (targets_serving (soak) != 0 && sgr_clock_monotonic_us () < end_us)
+    sgr_fixture_poll_sleep ();
+  end_us = sgr_clock_monotonic_us () + CHECK_US;
+  while (sgr_clock_monotonic_us () < end_us)
+    {
+      if (targets_serving (soak) != 0)
+        fail_msg ("seed %lu, step %d: the departed target gets work", soak->seed, soak->step);
+      sgr_fixture_poll_sleep ();
+    }
+}
+
+/* Starts a further instance of the target if the last one has departed. */
+static void
+instance_start (soak_t *soak)
+{
+  if (!soak->has_departed)
+    return;
+  soak->started_ms += 1000;
+  soak->sequence = 0;
+  soak->has_departed = false;
+  soak->is_at_risk = false;
+}
+
+static void
+depart (soak_t *soak, step_t step)
+{
+  if (soak->has_departed)
+    return;
+  run_check (soak);
+  if (step == STEP_DRAIN)
+    announce (soak, "draining", ++soak->sequence);
+  else
+    target_call (soak, "DELETE", "");
+  soak->has_departed = true;
+  soak->is_at_risk = soak->is_store_down;
+}
+
+/* Waits until the record of departures has the last instance. */
+static void
+record_await (soak_t *soak)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + WAIT_MAX_US;
+  sgr_probe_request_t request = { .port = soak->fixture.store_port,
+                                  .method = "GET",
+                                  .path = "/v1/kv/departures/test/gate" };
+  char text[48];
+
+  snprintf (text, sizeof text, "\"started_ms\":%lu,", soak->started_ms);
+  while (soak->is_at_risk)
+    {
+      sgr_probe_answer_t answer;
+
+      sgr_probe_call (&request, &answer);
+      soak->is_at_risk = answer.body == NULL || strstr (answer.body, text) == NULL;
+      sgr_probe_release (&answer);
+      if (soak->is_at_risk && sgr_clock_monotonic_us () > end_us)
+        fail_msg ("seed %lu, step %d: the departure is not stored", soak->seed, soak->step);
+    }
+}
+
+static void
+store_toggle (soak_t *soak)
+{
+  soak->is_store_down = !soak->is_store_down;
+  sgr_fixture_store_faults_set (&soak->fixture, soak->is_store_down ? "outage=1" : "outage=0");
+  if (!soak->is_store_down)
+    record_await (soak);
+}
+
+/* Restarts the node of the target, and waits until the entry knows of it. */
+static void
+gate_restart (soak_t *soak)
+{
+  uint64_t end_us;
+
+  /* A departure that the store does not have is lost with the process, as documented. */
+  if (soak->is_at_risk)
+    instance_start (soak);
+  sgr_fixture_process_kill (&soak->gate->pid);
+  sgr_fixture_node_start (&soak->fixture, soak->gate);
+  end_us = sgr_clock_monotonic_us () + WAIT_MAX_US;
+  while (targets_serving (soak) != 0)
+    {
+      if (sgr_clock_monotonic_us () > end_us)
+        fail_msg ("seed %lu, step %d: the entry does not notice the restart", soak->seed,
+                  soak->step);
+      sgr_fixture_poll_sleep ();
+    }
+}
+
+static void
+step_run (soak_t *soak, step_t step, sgr_rng_t *rng)
+{
+  switch (step)
+    {
+    case STEP_ANNOUNCE:
+      instance_start (soak);
+      break;
+    case STEP_DRAIN:
+    case STEP_LEAVE:
+      depart (soak, step);
+      break;
+    case STEP_LATE:
+      /* Below or above the last number: both were sent before the departure. */
+      if (soak->has_departed)
+        announce (soak, "serving", soak->sequence + (unsigned)sgr_rng_below (rng, 3));
+      break;
+    case STEP_KILL:
+      gate_restart (soak);
+      break;
+    case STEP_STORE:
+      store_toggle (soak);
+      break;
+    case STEP_COUNT:
+      break;
+    }
+}
+
+static void
+soak_run (uint64_t seed)
+{
+  static soak_t soak;
+  sgr_rng_t rng;
+
+  soak = (soak_t){ .seed = seed, .started_ms = FIRST_START_MS };
+  sgr_rng_seed (&rng, seed);
+  sgr_fixture_init (&soak.fixture);
+  soak.fixture.limits = "  announce_ttl_ms: 60000\n";
+  soak.fixture.has_external_targets = true;
+  soak.entry = sgr_fixture_node_add (&soak.fixture, "entry", NULL, false);
+  soak.gate = sgr_fixture_node_add (&soak.fixture, "gate", "one", false);
+  assert_true (sgr_fixture_processes_start (&soak.fixture));
+  run_check (&soak);
+  for (soak.step = 1; soak.step <= STEPS; soak.step++)
+    {
+      step_run (&soak, (step_t)sgr_rng_below (&rng, STEP_COUNT), &rng);
+      /* Between kills, work may go to a target that runs, but never to one that has departed. */
+      if (soak.has_departed)
+        departed_check (&soak);
+      else if (sgr_rng_below (&rng, 2) == 0)
+        run_check (&soak);
+    }
+  if (soak.is_store_down)
+    store_toggle (&soak);
+  instance_start (&soak);
+  run_check (&soak);
+  sgr_fixture_stop (&soak.fixture);
+}
+
+/* Guards against a departure that is forgotten, or a running target that is taken for a departed
+   one, when kills of the node, outages of the store and late announcements overlap. */
+static void
+test_departures (void **state)
+{
+  const char *text = getenv ("SGR_SOAK_SEEDS");
+  unsigned long first = 1, count = 2;
+
+  if (text != NULL && sscanf (text, "%lu:%lu", &first, &count) != 2)
+    fail_msg ("SGR_SOAK_SEEDS: expected FIRST:COUNT");
+  for (unsigned long seed = first; seed < first + count; seed++)
+    soak_run (seed);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_departures) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
