Known red: two late announcements while the store is silent

Cause: while the store does not tell the departures, a second announcement stands for a target that runs; two late ones do the same. Waiting for as long as announcements may be late would close this and keep all targets of restarted nodes out of use for 6 s in place of 1.5 s whenever the store is silent; not taken. Change: a test that shows it, listed.

--- a/tests/test_path_departure.c
+++ b/tests/test_path_departure.c
@@ -161,6 +161,26 @@
   targets_await (1);
 }
 
+/* Guards against a target that has left and gets work again: the store does not tell the departures
+   to its restarted node, and two announcements from before the leave arrive late. */
+static void
+test_two_late_announcements_without_store (void **state)
+{
+  uint64_t end_us;
+
+  announce ("serving", 1000000, 1);
+  targets_await (1);
+  assert_int_equal (target_call ("DELETE", ""), 200);
+  sgr_fixture_store_faults_set (&fixture, "outage=1");
+  gate_restart ();
+  announce ("serving", 1000000, 2);
+  end_us = sgr_clock_monotonic_us () + CONFIRM_US;
+  while (sgr_clock_monotonic_us () < end_us)
+    sgr_fixture_poll_sleep ();
+  announce ("serving", 1000000, 3);
+  no_target_check (SPREAD_US);
+}
+
 /* Guards against a departure that is lost because the store was away when it was acknowledged. */
 static void
 test_leave_without_store (void **state)
@@ -198,6 +218,8 @@
     cmocka_unit_test_setup_teardown (test_late_announcement_after_leave, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_late_announcement_after_drain, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_restart_without_store, test_setup, test_teardown),
+    cmocka_unit_test_setup_teardown (test_two_late_announcements_without_store, test_setup,
+                                     test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_of_kept_announcement, test_setup, test_teardown),
   };
