--- a/libsiskingrade/announce.c
+++ b/libsiskingrade/announce.c
@@ -198,6 +198,21 @@
          && a->address.port == b->address.port && strcmp (a->instance, b->instance) == 0;
 }
 
+/* Whether an instance has announced before that it drains, which is final. One without a start is
+   known to drain only as long as it is registered. */
+static bool
+is_draining (const sgr_announce_state_t *announce, const sgr_announcement_t *announcement)
+{
+  const sgr_local_target_t *local = &announcement->local;
+
+  if (sgr_departures_find (&announce->departures, local->instance, announcement->started_ms)
+      != NULL)
+    return true;
+  return announce->local.service[0] != '\0' && announce->local.state == SGR_TARGET_DRAINING
+         && is_same_target (&announce->local, local) && local->instance[0] != '\0'
+         && !is_newer_instance (announce, announcement);
+}
+
 static void
 departure_add (sgr_announce_state_t *announce, const char *instance, uint64_t started_ms,
                bool has_left)
@@ -221,14 +236,10 @@
   if (is_registered && !is_same_target (&announce->local, &local)
       && !is_newer_instance (announce, announcement))
     return SGR_ERR_CONFLICT;
-  if (is_registered && announce->local.state == SGR_TARGET_DRAINING
-      && is_same_target (&announce->local, &local) && local.instance[0] != '\0'
-      && !is_newer_instance (announce, announcement))
-    local.state = SGR_TARGET_DRAINING;
-  if (sgr_departures_find (&announce->departures, local.instance, announcement->started_ms) != NULL)
+  if (is_draining (announce, announcement))
     local.state = SGR_TARGET_DRAINING;
   /* Without a start, a later instance of the name could not be told from the one that drains. */
-  else if (local.state == SGR_TARGET_DRAINING && announcement->started_ms != 0)
+  if (local.state == SGR_TARGET_DRAINING && announcement->started_ms != 0)
     departure_add (announce, local.instance, announcement->started_ms, false);
   *is_changed = !has_same_fields (&announce->local, &local);
   announce->local = local;
--- a/libsiskingrade/control_departures.c
+++ b/libsiskingrade/control_departures.c
@@ -12,7 +12,8 @@
 #define RETRY_MAX_US (2 * SGR_USEC_PER_SEC)
 /* Longest time for which an answer waits for the store. */
 #define REPLY_DELAY_MAX_US (600 * SGR_USEC_PER_MSEC)
-/* Announcements that were delayed together arrive within this time. */
+/* Two announcements of an instance that arrive at least this far apart show that it still runs,
+   while the store does not tell the departures. Late ones mostly arrive together. */
 #define CONFIRM_INTERVAL_MIN_US (1 * SGR_USEC_PER_SEC)
 
 /**
@@ -20,7 +21,7 @@
  * @next: next entry of the list
  * @ref: pointer to this structure, in the memory pool of the request
  * @req: the request, NULL after its connection was closed
- * @reply: sends the answer
+ * @send: sends the answer
  * @due_us: when the answer is sent in any case
  */
 typedef struct waiting_reply_t
@@ -28,7 +29,7 @@
   struct waiting_reply_t *next;
   struct waiting_reply_t **ref;
   h2o_req_t *req;
-  void (*reply) (sgr_control_t *control, h2o_req_t *req);
+  sgr_control_acknowledge_cb_t send;
   uint64_t due_us;
 } waiting_reply_t;
 
@@ -91,7 +92,7 @@
 static void
 replies_send (sgr_control_departures_t *departures, uint64_t now_us)
 {
-  bool is_all = is_stored (departures);
+  bool is_all_due = is_stored (departures);
   waiting_reply_t **link = &departures->replies;
   uint64_t next_us = SGR_TIMER_NEVER;
 
@@ -99,7 +100,7 @@
     {
       waiting_reply_t *waiting = *link;
 
-      if (!is_all && now_us < waiting->due_us)
+      if (!is_all_due && now_us < waiting->due_us)
         {
           if (waiting->due_us < next_us)
             next_us = waiting->due_us;
@@ -107,12 +108,12 @@
           continue;
         }
       *link = waiting->next;
-      if (!is_all)
+      if (!is_all_due)
         sgr_log_warn ("departure-not-stored", "key=%s", departures->key);
       if (waiting->req != NULL)
         {
           *waiting->ref = NULL;
-          waiting->reply (departures->control, waiting->req);
+          waiting->send (departures->control, waiting->req);
         }
       free (waiting);
     }
@@ -311,13 +312,13 @@
 
 void
 sgr_control_departures_reply (sgr_control_departures_t *departures, h2o_req_t *req,
-                              void (*reply) (sgr_control_t *control, h2o_req_t *req))
+                              sgr_control_acknowledge_cb_t send)
 {
   waiting_reply_t *waiting;
 
   if (is_stored (departures))
     {
-      reply (departures->control, req);
+      send (departures->control, req);
       return;
     }
   waiting = calloc (1, sizeof *waiting);
@@ -325,7 +326,7 @@
   waiting->ref = h2o_mem_alloc_shared (&req->pool, sizeof *waiting->ref, on_request_disposed);
   *waiting->ref = waiting;
   waiting->req = req;
-  waiting->reply = reply;
+  waiting->send = send;
   waiting->due_us = sgr_clock_monotonic_us () + REPLY_DELAY_MAX_US;
   waiting->next = departures->replies;
   departures->replies = waiting;
--- a/libsiskingrade/control_http.c
+++ b/libsiskingrade/control_http.c
@@ -95,10 +95,8 @@
       else if (result != SGR_OK)
         sgr_buffer_printf (&error, "target: %s", sgr_result_name (result));
     }
-  if (result == SGR_OK && announcement.local.state == SGR_TARGET_DRAINING)
-    sgr_control_target_reply (control, req, target_put_reply);
-  else if (result == SGR_OK)
-    target_put_reply (control, req);
+  if (result == SGR_OK)
+    sgr_control_announcement_acknowledge (control, &announcement, req, target_put_reply);
   else
     {
       sgr_buffer_append (&error, "", 1);
@@ -125,7 +123,7 @@
   else if (h2o_memis (req->method.base, req->method.len, H2O_STRLIT ("DELETE")))
     {
       sgr_control_target_leave (control, NULL, 0);
-      sgr_control_target_reply (control, req, target_delete_reply);
+      sgr_control_leave_acknowledge (control, req, target_delete_reply);
     }
   else
     error_send (req, 405, "expected PUT or DELETE");
--- a/libsiskingrade/control_target.c
+++ b/libsiskingrade/control_target.c
@@ -104,8 +104,19 @@
 }
 
 void
-sgr_control_target_reply (sgr_control_t *control, h2o_req_t *req,
-                          void (*reply) (sgr_control_t *control, h2o_req_t *req))
+sgr_control_leave_acknowledge (sgr_control_t *control, h2o_req_t *req,
+                               sgr_control_acknowledge_cb_t send)
 {
-  sgr_control_departures_reply (control->departures, req, reply);
+  sgr_control_departures_reply (control->departures, req, send);
+}
+
+void
+sgr_control_announcement_acknowledge (sgr_control_t *control,
+                                      const sgr_announcement_t *announcement, h2o_req_t *req,
+                                      sgr_control_acknowledge_cb_t send)
+{
+  if (announcement->local.state == SGR_TARGET_DRAINING)
+    sgr_control_departures_reply (control->departures, req, send);
+  else
+    send (control, req);
 }
--- a/libsiskingrade/control_task.h
+++ b/libsiskingrade/control_task.h
@@ -82,16 +82,32 @@
  */
 void sgr_control_target_leave (sgr_control_t *control, const char *instance, uint64_t started_ms);
 
+/** typedef sgr_control_acknowledge_cb_t - sends the answer to a request of the local target */
+typedef void (*sgr_control_acknowledge_cb_t) (sgr_control_t *control, h2o_req_t *req);
+
+/**
+ * sgr_control_leave_acknowledge() - acknowledge that an instance has left
+ * @control: the control task
+ * @req: the request of the target
+ * @send: sends the answer
+ *
+ * The answer is sent once the store has what it promises: that the instance gets no new work, also
+ * after the node was killed. See sgr_control_departures_reply().
+ */
+void sgr_control_leave_acknowledge (sgr_control_t *control, h2o_req_t *req,
+                                    sgr_control_acknowledge_cb_t send);
+
 /**
- * sgr_control_target_reply() - acknowledge that the local target drains or has left
+ * sgr_control_announcement_acknowledge() - acknowledge an announcement that was accepted
  * @control: the control task
+ * @announcement: the announcement
  * @req: the request of the target
- * @reply: sends the answer
+ * @send: sends the answer
  *
- * The answer is sent once the store has what it promises: that an instance which drains or has left
- * gets no new work, also after the node was killed. See sgr_control_departures_reply().
+ * That of an instance that drains is answered like a leave, any other at once.
  */
-void sgr_control_target_reply (sgr_control_t *control, h2o_req_t *req,
-                               void (*reply) (sgr_control_t *control, h2o_req_t *req));
+void sgr_control_announcement_acknowledge (sgr_control_t *control,
+                                           const sgr_announcement_t *announcement, h2o_req_t *req,
+                                           sgr_control_acknowledge_cb_t send);
 
 #endif
--- a/libsiskingrade/http_fetch.c
+++ b/libsiskingrade/http_fetch.c
@@ -23,8 +23,8 @@
 /* Receive buffer of a connection. h2o reads until the socket is empty, so that its memory for a
    fast sender is a multiple of this size. */
 #define RECEIVE_BUFFER_BYTES (128 * 1024)
-/* Reads in a row that bring no byte of the body, after which an answer counts as one that does not
-   end: an extension of a chunk, or trailers. */
+/* A reply whose body brings no byte in so many reads in a row counts as one that does not end. Each
+   read may bring a part of a long chunk extension, or trailers. */
 #define EMPTY_READS_MAX 100
 /* Size of the text of an address, see sgr_address_format(). */
 #define ADDRESS_TEXT_BYTES 24
@@ -40,7 +40,7 @@
 
 struct sgr_http_fetch_t
 {
-  sgr_http_head_guard_t head_guard; /* the first member */
+  sgr_http_head_guard_t head_guard; /* first, see sgr_http_head_guard_t */
   sgr_http_fetch_t *next;
   sgr_http_fetcher_t *fetcher;
   h2o_http1client_t *client;
--- a/tests/test_path_departure.c
+++ b/tests/test_path_departure.c
@@ -134,7 +134,8 @@
   targets_await (1);
 }
 
-/* Guards against the same after an acknowledged drain. */
+/* Guards against a target that gets new work although its drain was acknowledged: its node was
+   killed and started again, and an announcement from before the drain arrives late. */
 static void
 test_late_announcement_after_drain (void **state)
 {
