Read the departures only beside a target older than the node

Cause: each node read its record at its start. While the store was silent, such targets also had to announce themselves twice before they got work. Change: an announcement waits for the record only if its instance started before the node did. The departures' soak starts its instances now, so that both kinds occur. Evidence: test_path_departure:test_young_target_without_store fails on the commit before and passes now; the other tests of the program as before.

--- a/libsiskingrade/control_departures.c
+++ b/libsiskingrade/control_departures.c
@@ -39,6 +39,7 @@
  * @store: the store, NULL for none
  * @key: key of the record
  * @call: the pending call, NULL for none
+ * @created_ms: Unix time of the creation in milliseconds
  * @is_known: the record was read since the start
  * @is_version_known: @version is that of the record; not after a write that failed
  * @version: version of the record, 0 if it does not exist
@@ -57,6 +58,7 @@
   sgr_store_t *store;
   char key[2 * SGR_NAME_MAX + 16];
   sgr_store_call_t *call;
+  uint64_t created_ms;
   bool is_known;
   bool is_version_known;
   uint64_t version;
@@ -218,6 +220,13 @@
   replies_send (departures, sgr_clock_monotonic_us ());
 }
 
+/* Whether an announcement waits for the record. */
+static bool
+is_read_due (const sgr_control_departures_t *departures)
+{
+  return !departures->is_known && departures->kept.local.service[0] != '\0';
+}
+
 static void
 record_write (sgr_control_departures_t *departures)
 {
@@ -231,13 +240,14 @@
   free (text);
 }
 
-/* Starts the next call to the store if one is due. The record is written on condition that it has
-   the version that was read, so that a late write of a former process does not replace it. */
+/* Starts the next call to the store if one is due: to read the record for an announcement that
+   waits, or to store departures. The record is written on condition that it has the version that
+   was read, so that a late write of a former process does not replace it. */
 static void
 step_run (sgr_control_departures_t *departures)
 {
   if (departures->store == NULL || departures->call != NULL || departures->retry_timer.position != 0
-      || (departures->is_known && is_stored (departures)))
+      || (is_stored (departures) && !is_read_due (departures)))
     return;
   if (departures->is_version_known)
     record_write (departures);
@@ -262,16 +272,27 @@
   sgr_invariant (departures != NULL);
   departures->control = control;
   departures->store = store;
+  departures->created_ms = sgr_clock_wall_ms ();
   departures->is_known = store == NULL;
   departures->retry_us = RETRY_MIN_US;
   departures->retry_timer = (sgr_timer_t){ .fire = on_retry_timer, .ctx = departures };
   departures->reply_timer = (sgr_timer_t){ .fire = on_reply_timer, .ctx = departures };
   snprintf (departures->key, sizeof departures->key, "departures/%s/%s",
             control->settings->deployment, control->settings->name);
-  step_run (departures);
   return departures;
 }
 
+/* Whether a former process of the node may have acknowledged that an instance drains or has left.
+   It ended before an instance started that is younger than this process, and the record names
+   instances only. */
+static bool
+may_have_departed (const sgr_control_departures_t *departures,
+                   const sgr_announcement_t *announcement)
+{
+  return announcement->local.instance[0] != '\0'
+         && announcement->started_ms <= departures->created_ms;
+}
+
 /* Whether an announcement shows that the instance of the kept one still runs. */
 static bool
 is_confirmed (const sgr_control_departures_t *departures, const sgr_announcement_t *announcement,
@@ -293,7 +314,8 @@
   const sgr_announcement_t *kept = &departures->kept;
   bool is_registered = departures->control->announce.local.service[0] != '\0';
 
-  if (departures->is_known || is_registered || announcement->local.state == SGR_TARGET_DRAINING)
+  if (departures->is_known || is_registered || announcement->local.state == SGR_TARGET_DRAINING
+      || !may_have_departed (departures, announcement))
     return true;
   if (is_confirmed (departures, announcement, now_us))
     {
@@ -307,6 +329,7 @@
            || (announcement->sequence != 0 && announcement->sequence <= kept->sequence))
     return false;
   departures->kept = *announcement;
+  step_run (departures);
   return false;
 }
 
--- a/libsiskingrade/control_departures.h
+++ b/libsiskingrade/control_departures.h
@@ -10,7 +10,7 @@
  * "departures/DEPLOYMENT/NAME". Without a store, departures last as long as the process.
  */
 
-/** sgr_control_departures_create() - read the record of the node; @store is NULL for none */
+/** sgr_control_departures_create() - create the object; @store is NULL for none */
 sgr_control_departures_t *sgr_control_departures_create (sgr_control_t *control,
                                                          sgr_store_t *store);
 
@@ -19,9 +19,9 @@
  * @departures: the object
  * @announcement: the announcement
  *
- * Until the record has been read, an announcement may be of an instance that has departed. It is
- * kept then and applied once the record is known. If the store does not answer, a second, later
- * announcement of the instance shows that it still runs.
+ * An instance that started before the node may have departed. Its announcement is kept, and applied
+ * once the record has been read. If the store does not answer, a second, later announcement of the
+ * instance shows that it still runs. A younger instance does not need the record.
  *
  * Return: false if the announcement was kept.
  */
--- a/tests/test_path_departure.c
+++ b/tests/test_path_departure.c
@@ -162,6 +162,18 @@
   targets_await (1);
 }
 
+/* Guards against a target that gets no work because the store does not tell the departures,
+   although it started after its node, so that none of them can be its own. */
+static void
+test_young_target_without_store (void **state)
+{
+  sgr_fixture_store_faults_set (&fixture, "outage=1");
+  gate_restart ();
+  assert_true (sgr_fixture_event_await (&fixture, gate, "event=started", 2));
+  announce ("serving", sgr_clock_wall_ms (), 1);
+  targets_await (1);
+}
+
 /* Guards against a target that has left and gets work again: the store does not tell the departures
    to its restarted node, and two announcements from before the leave arrive late. */
 static void
@@ -221,6 +233,7 @@
     cmocka_unit_test_setup_teardown (test_restart_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_two_late_announcements_without_store, test_setup,
                                      test_teardown),
+    cmocka_unit_test_setup_teardown (test_young_target_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_of_kept_announcement, test_setup, test_teardown),
   };
--- a/tests/test_soak_departure.c
+++ b/tests/test_soak_departure.c
@@ -26,7 +26,6 @@
 #define CHECK_US (300 * SGR_USEC_PER_MSEC)
 /* Time between two announcements of a running target. */
 #define INTERVAL_US (400 * SGR_USEC_PER_MSEC)
-#define FIRST_START_MS 1000000
 
 typedef enum
 {
@@ -155,7 +154,7 @@
 {
   if (!soak->has_departed)
     return;
-  soak->started_ms += 1000;
+  soak->started_ms = sgr_clock_wall_ms ();
   soak->sequence = 0;
   soak->has_departed = false;
   soak->is_at_risk = false;
@@ -262,7 +261,7 @@
   static soak_t soak;
   sgr_rng_t rng;
 
-  soak = (soak_t){ .seed = seed, .started_ms = FIRST_START_MS };
+  soak = (soak_t){ .seed = seed, .started_ms = sgr_clock_wall_ms () };
   sgr_rng_seed (&rng, seed);
   sgr_fixture_init (&soak.fixture);
   soak.fixture.limits = "  announce_ttl_ms: 60000\n";
