Remove the registered target at a leave without an instance

Cause: a leave that names no instance removed a waiting announcement of a former instance and left the registered target in place. Change: such a leave removes the registered target and the waiting one.

--- a/libsiskingrade/control_target.c
+++ b/libsiskingrade/control_target.c
@@ -88,17 +88,19 @@
 void
 sgr_control_target_leave (sgr_control_t *control, const char *instance, uint64_t started_ms)
 {
+  uint64_t now_ms = sgr_clock_wall_ms ();
   sgr_announcement_t kept;
   bool is_changed;
 
   if (instance != NULL)
-    is_changed = sgr_announce_instance_leave (&control->announce, instance, started_ms,
-                                              sgr_clock_wall_ms ());
-  else if (sgr_control_departures_kept_take (control->departures, &kept))
-    is_changed = sgr_announce_instance_leave (&control->announce, kept.local.instance,
-                                              kept.started_ms, sgr_clock_wall_ms ());
+    is_changed = sgr_announce_instance_leave (&control->announce, instance, started_ms, now_ms);
   else
-    is_changed = sgr_announce_leave (&control->announce);
+    {
+      is_changed = sgr_announce_leave (&control->announce);
+      if (sgr_control_departures_kept_take (control->departures, &kept))
+        sgr_announce_instance_leave (&control->announce, kept.local.instance, kept.started_ms,
+                                     now_ms);
+    }
   if (is_changed)
     sgr_control_target_changed (control);
 }
--- a/libsiskingrade/control_task.h
+++ b/libsiskingrade/control_task.h
@@ -77,7 +77,7 @@
 /**
  * sgr_control_target_leave() - remove an instance of the local target permanently
  * @control: the control task
- * @instance: name of the instance, NULL for the one that announced itself last
+ * @instance: name of the instance, NULL for each one that has announced itself and not left
  * @started_ms: start of the instance as Unix time in milliseconds, 0 if unknown
  */
 void sgr_control_target_leave (sgr_control_t *control, const char *instance, uint64_t started_ms);
--- a/tests/test_path_departure.c
+++ b/tests/test_path_departure.c
@@ -224,6 +224,24 @@
   no_target_check (SPREAD_US);
 }
 
+/* Guards against a leave that removes a waiting announcement of a former instance in place of the
+   registered target. */
+static void
+test_leave_beside_kept_announcement (void **state)
+{
+  sgr_fixture_store_faults_set (&fixture, "outage=1");
+  gate_restart ();
+  assert_true (sgr_fixture_event_await (&fixture, gate, "event=started", 2));
+  announce ("serving", 1000000, 1);
+  announce ("serving", sgr_clock_wall_ms (), 1);
+  targets_await (1);
+  assert_int_equal (target_call ("DELETE", ""), 200);
+  targets_await (0);
+  sgr_fixture_store_faults_set (&fixture, "outage=0");
+  assert_true (sgr_fixture_event_await (&fixture, gate, "event=departures-stored", 1));
+  no_target_check (SPREAD_US);
+}
+
 int
 main (void)
 {
@@ -236,6 +254,8 @@
     cmocka_unit_test_setup_teardown (test_young_target_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_of_kept_announcement, test_setup, test_teardown),
+    cmocka_unit_test_setup_teardown (test_leave_beside_kept_announcement, test_setup,
+                                     test_teardown),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
