--- a/libsiskingrade/call_fields.c
+++ b/libsiskingrade/call_fields.c
@@ -17,6 +17,7 @@
   .caller_service = "siskingrade-caller-service",
   .not_run = "siskingrade-not-run",
   .load = "siskingrade-load",
+  .authorization = "authorization",
 };
 
 static bool
--- a/libsiskingrade/call_fields.h
+++ b/libsiskingrade/call_fields.h
@@ -16,6 +16,12 @@
  *                  began
  * @not_run: in an answer, present if the target did not run the request
  * @load: in an answer, load of the target, see sgr_target_load_parse()
+ * @authorization: in a request, the key of the caller's client account; never passed on if the
+ *                 configuration has accounts
+ * @tenant: in a request to a target, name of the client account that the key belongs to; NULL if
+ *          targets do not get it
+ * @cold: in the answer of a target to a load query, milliseconds for which it stays cold; NULL if
+ *        targets do not tell it
  * @is_request_id_echoed: every target copies the request id into its answers, so that an answer
  * without the id belongs to another request
  * @has_retry_fractions: Retry-After fields may contain fractions of a second
@@ -28,6 +34,9 @@
   const char *caller_service;
   const char *not_run;
   const char *load;
+  const char *authorization;
+  const char *tenant;
+  const char *cold;
   bool is_request_id_echoed;
   bool has_retry_fractions;
 } sgr_call_fields_t;
--- a/libsiskingrade/peer.pb-c.c
+++ b/libsiskingrade/peer.pb-c.c
@@ -682,6 +682,186 @@
   assert(message->base.descriptor == &sgr__pb__query_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sgr__pb__quota_use__init
+                     (Sgr__Pb__QuotaUse         *message)
+{
+  static const Sgr__Pb__QuotaUse init_value = SGR__PB__QUOTA_USE__INIT;
+  *message = init_value;
+}
+size_t sgr__pb__quota_use__get_packed_size
+                     (const Sgr__Pb__QuotaUse *message)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sgr__pb__quota_use__pack
+                     (const Sgr__Pb__QuotaUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sgr__pb__quota_use__pack_to_buffer
+                     (const Sgr__Pb__QuotaUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sgr__Pb__QuotaUse *
+       sgr__pb__quota_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sgr__Pb__QuotaUse *)
+     protobuf_c_message_unpack (&sgr__pb__quota_use__descriptor,
+                                allocator, len, data);
+}
+void   sgr__pb__quota_use__free_unpacked
+                     (Sgr__Pb__QuotaUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sgr__pb__quota_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sgr__pb__quota_request__init
+                     (Sgr__Pb__QuotaRequest         *message)
+{
+  static const Sgr__Pb__QuotaRequest init_value = SGR__PB__QUOTA_REQUEST__INIT;
+  *message = init_value;
+}
+size_t sgr__pb__quota_request__get_packed_size
+                     (const Sgr__Pb__QuotaRequest *message)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sgr__pb__quota_request__pack
+                     (const Sgr__Pb__QuotaRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sgr__pb__quota_request__pack_to_buffer
+                     (const Sgr__Pb__QuotaRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sgr__Pb__QuotaRequest *
+       sgr__pb__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sgr__Pb__QuotaRequest *)
+     protobuf_c_message_unpack (&sgr__pb__quota_request__descriptor,
+                                allocator, len, data);
+}
+void   sgr__pb__quota_request__free_unpacked
+                     (Sgr__Pb__QuotaRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sgr__pb__quota_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sgr__pb__quota_grant__init
+                     (Sgr__Pb__QuotaGrant         *message)
+{
+  static const Sgr__Pb__QuotaGrant init_value = SGR__PB__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t sgr__pb__quota_grant__get_packed_size
+                     (const Sgr__Pb__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sgr__pb__quota_grant__pack
+                     (const Sgr__Pb__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sgr__pb__quota_grant__pack_to_buffer
+                     (const Sgr__Pb__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sgr__Pb__QuotaGrant *
+       sgr__pb__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sgr__Pb__QuotaGrant *)
+     protobuf_c_message_unpack (&sgr__pb__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   sgr__pb__quota_grant__free_unpacked
+                     (Sgr__Pb__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sgr__pb__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sgr__pb__quota_reply__init
+                     (Sgr__Pb__QuotaReply         *message)
+{
+  static const Sgr__Pb__QuotaReply init_value = SGR__PB__QUOTA_REPLY__INIT;
+  *message = init_value;
+}
+size_t sgr__pb__quota_reply__get_packed_size
+                     (const Sgr__Pb__QuotaReply *message)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sgr__pb__quota_reply__pack
+                     (const Sgr__Pb__QuotaReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sgr__pb__quota_reply__pack_to_buffer
+                     (const Sgr__Pb__QuotaReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sgr__pb__quota_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sgr__Pb__QuotaReply *
+       sgr__pb__quota_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sgr__Pb__QuotaReply *)
+     protobuf_c_message_unpack (&sgr__pb__quota_reply__descriptor,
+                                allocator, len, data);
+}
+void   sgr__pb__quota_reply__free_unpacked
+                     (Sgr__Pb__QuotaReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sgr__pb__quota_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sgr__pb__ping__init
                      (Sgr__Pb__Ping         *message)
 {
@@ -945,7 +1125,7 @@
   (ProtobufCMessageInit) sgr__pb__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__load_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sgr__pb__load_report__field_descriptors[8] =
 {
   {
     "in_flight",
@@ -1031,8 +1211,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_calls_per_s",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__LoadReport, cold_calls_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__pb__load_report__field_indices_by_name[] = {
+  7,   /* field[7] = cold_calls_per_s */
   6,   /* field[6] = cost_percent */
   0,   /* field[0] = in_flight */
   5,   /* field[5] = key_generation */
@@ -1044,7 +1237,7 @@
 static const ProtobufCIntRange sgr__pb__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor sgr__pb__load_report__descriptor =
 {
@@ -1054,7 +1247,7 @@
   "Sgr__Pb__LoadReport",
   "sgr.pb",
   sizeof(Sgr__Pb__LoadReport),
-  7,
+  8,
   sgr__pb__load_report__field_descriptors,
   sgr__pb__load_report__field_indices_by_name,
   1,  sgr__pb__load_report__number_ranges,
@@ -2076,6 +2269,327 @@
   (ProtobufCMessageInit) sgr__pb__query_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sgr__pb__quota_use__field_descriptors[4] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaUse, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaUse, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaUse, spent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaUse, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sgr__pb__quota_use__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = held */
+  2,   /* field[2] = spent */
+  3,   /* field[3] = wanted */
+};
+static const ProtobufCIntRange sgr__pb__quota_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sgr__pb__quota_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sgr.pb.QuotaUse",
+  "QuotaUse",
+  "Sgr__Pb__QuotaUse",
+  "sgr.pb",
+  sizeof(Sgr__Pb__QuotaUse),
+  4,
+  sgr__pb__quota_use__field_descriptors,
+  sgr__pb__quota_use__field_indices_by_name,
+  1,  sgr__pb__quota_use__number_ranges,
+  (ProtobufCMessageInit) sgr__pb__quota_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sgr__pb__quota_request__field_descriptors[4] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaRequest, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lender_time_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaRequest, lender_time_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lender_boot",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaRequest, lender_boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uses",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sgr__Pb__QuotaRequest, n_uses),
+    offsetof(Sgr__Pb__QuotaRequest, uses),
+    &sgr__pb__quota_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sgr__pb__quota_request__field_indices_by_name[] = {
+  2,   /* field[2] = lender_boot */
+  1,   /* field[1] = lender_time_us */
+  0,   /* field[0] = sequence */
+  3,   /* field[3] = uses */
+};
+static const ProtobufCIntRange sgr__pb__quota_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sgr__pb__quota_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sgr.pb.QuotaRequest",
+  "QuotaRequest",
+  "Sgr__Pb__QuotaRequest",
+  "sgr.pb",
+  sizeof(Sgr__Pb__QuotaRequest),
+  4,
+  sgr__pb__quota_request__field_descriptors,
+  sgr__pb__quota_request__field_indices_by_name,
+  1,  sgr__pb__quota_request__number_ranges,
+  (ProtobufCMessageInit) sgr__pb__quota_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sgr__pb__quota_grant__field_descriptors[3] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaGrant, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaGrant, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaGrant, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sgr__pb__quota_grant__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  2,   /* field[2] = retry_after_ms */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange sgr__pb__quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sgr__pb__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sgr.pb.QuotaGrant",
+  "QuotaGrant",
+  "Sgr__Pb__QuotaGrant",
+  "sgr.pb",
+  sizeof(Sgr__Pb__QuotaGrant),
+  3,
+  sgr__pb__quota_grant__field_descriptors,
+  sgr__pb__quota_grant__field_indices_by_name,
+  1,  sgr__pb__quota_grant__number_ranges,
+  (ProtobufCMessageInit) sgr__pb__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sgr__pb__quota_reply__field_descriptors[6] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaReply, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lender_time_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaReply, lender_time_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lender_boot",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaReply, lender_boot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attached_percent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaReply, attached_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "redirect",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__Pb__QuotaReply, redirect),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grants",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sgr__Pb__QuotaReply, n_grants),
+    offsetof(Sgr__Pb__QuotaReply, grants),
+    &sgr__pb__quota_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sgr__pb__quota_reply__field_indices_by_name[] = {
+  3,   /* field[3] = attached_percent */
+  5,   /* field[5] = grants */
+  2,   /* field[2] = lender_boot */
+  1,   /* field[1] = lender_time_us */
+  4,   /* field[4] = redirect */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange sgr__pb__quota_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor sgr__pb__quota_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sgr.pb.QuotaReply",
+  "QuotaReply",
+  "Sgr__Pb__QuotaReply",
+  "sgr.pb",
+  sizeof(Sgr__Pb__QuotaReply),
+  6,
+  sgr__pb__quota_reply__field_descriptors,
+  sgr__pb__quota_reply__field_indices_by_name,
+  1,  sgr__pb__quota_reply__number_ranges,
+  (ProtobufCMessageInit) sgr__pb__quota_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sgr__pb__ping__field_descriptors[1] =
 {
   {
@@ -2152,7 +2666,7 @@
   (ProtobufCMessageInit) sgr__pb__pong__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__pb__peer_frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor sgr__pb__peer_frame__field_descriptors[16] =
 {
   {
     "hello",
@@ -2322,6 +2836,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_request",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sgr__Pb__PeerFrame, body_case),
+    offsetof(Sgr__Pb__PeerFrame, quota_request),
+    &sgr__pb__quota_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_reply",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sgr__Pb__PeerFrame, body_case),
+    offsetof(Sgr__Pb__PeerFrame, quota_reply),
+    &sgr__pb__quota_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__pb__peer_frame__field_indices_by_name[] = {
   7,   /* field[7] = answer_chunk */
@@ -2337,12 +2875,14 @@
   12,   /* field[12] = pong */
   4,   /* field[4] = query */
   10,   /* field[10] = query_reply */
+  15,   /* field[15] = quota_reply */
+  14,   /* field[14] = quota_request */
   9,   /* field[9] = refusal */
 };
 static const ProtobufCIntRange sgr__pb__peer_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor sgr__pb__peer_frame__descriptor =
 {
@@ -2352,7 +2892,7 @@
   "Sgr__Pb__PeerFrame",
   "sgr.pb",
   sizeof(Sgr__Pb__PeerFrame),
-  14,
+  16,
   sgr__pb__peer_frame__field_descriptors,
   sgr__pb__peer_frame__field_indices_by_name,
   1,  sgr__pb__peer_frame__number_ranges,
--- a/libsiskingrade/peer.pb-c.h
+++ b/libsiskingrade/peer.pb-c.h
@@ -30,6 +30,10 @@
 typedef struct Sgr__Pb__AnswerEnd Sgr__Pb__AnswerEnd;
 typedef struct Sgr__Pb__Refusal Sgr__Pb__Refusal;
 typedef struct Sgr__Pb__QueryReply Sgr__Pb__QueryReply;
+typedef struct Sgr__Pb__QuotaUse Sgr__Pb__QuotaUse;
+typedef struct Sgr__Pb__QuotaRequest Sgr__Pb__QuotaRequest;
+typedef struct Sgr__Pb__QuotaGrant Sgr__Pb__QuotaGrant;
+typedef struct Sgr__Pb__QuotaReply Sgr__Pb__QuotaReply;
 typedef struct Sgr__Pb__Ping Sgr__Pb__Ping;
 typedef struct Sgr__Pb__Pong Sgr__Pb__Pong;
 typedef struct Sgr__Pb__PeerFrame Sgr__Pb__PeerFrame;
@@ -77,10 +81,14 @@
    * Time that work takes at the target now, 100 for as usual; 0 if unknown.
    */
   uint32_t cost_percent;
+  /*
+   * Requests per second that the target accepts while it is cold; 0 if it is not cold.
+   */
+  uint32_t cold_calls_per_s;
 };
 #define SGR__PB__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__load_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -275,6 +283,97 @@
     , NULL, 0, 0, 0 }
 
 
+/*
+ * Use of one account's quota at a borrower.
+ */
+struct  Sgr__Pb__QuotaUse
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the account's name
+   */
+  uint64_t account;
+  /*
+   * tokens that the borrower holds
+   */
+  uint32_t held;
+  /*
+   * calls started since the last request that was answered
+   */
+  uint32_t spent;
+  /*
+   * further tokens
+   */
+  uint32_t wanted;
+};
+#define SGR__PB__QUOTA_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__quota_use__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Attaches a borrower to the lender and reports its use.
+ */
+struct  Sgr__Pb__QuotaRequest
+{
+  ProtobufCMessage base;
+  uint64_t sequence;
+  /*
+   * time of the last reply, 0 without one
+   */
+  uint64_t lender_time_us;
+  /*
+   * boot of the lender in the last reply, 0 without one
+   */
+  uint64_t lender_boot;
+  size_t n_uses;
+  Sgr__Pb__QuotaUse **uses;
+};
+#define SGR__PB__QUOTA_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__quota_request__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+struct  Sgr__Pb__QuotaGrant
+{
+  ProtobufCMessage base;
+  uint64_t account;
+  /*
+   * added to the tokens held
+   */
+  uint32_t tokens;
+  /*
+   * time until there are tokens, 0 if there are some
+   */
+  uint32_t retry_after_ms;
+};
+#define SGR__PB__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__quota_grant__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Sgr__Pb__QuotaReply
+{
+  ProtobufCMessage base;
+  /*
+   * of the request
+   */
+  uint64_t sequence;
+  uint64_t lender_time_us;
+  uint64_t lender_boot;
+  uint32_t attached_percent;
+  /*
+   * lender of a node that does not lend, 0 for none
+   */
+  uint64_t redirect;
+  size_t n_grants;
+  Sgr__Pb__QuotaGrant **grants;
+};
+#define SGR__PB__QUOTA_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sgr__pb__quota_reply__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
 struct  Sgr__Pb__Ping
 {
   ProtobufCMessage base;
@@ -310,7 +409,9 @@
   SGR__PB__PEER_FRAME__BODY_QUERY_REPLY = 11,
   SGR__PB__PEER_FRAME__BODY_PING = 12,
   SGR__PB__PEER_FRAME__BODY_PONG = 13,
-  SGR__PB__PEER_FRAME__BODY_LOAD = 14
+  SGR__PB__PEER_FRAME__BODY_LOAD = 14,
+  SGR__PB__PEER_FRAME__BODY_QUOTA_REQUEST = 15,
+  SGR__PB__PEER_FRAME__BODY_QUOTA_REPLY = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SGR__PB__PEER_FRAME__BODY__CASE)
 } Sgr__Pb__PeerFrame__BodyCase;
 
@@ -336,6 +437,8 @@
      * Load of the gate, sent unasked when it has changed.
      */
     Sgr__Pb__LoadReport *load;
+    Sgr__Pb__QuotaRequest *quota_request;
+    Sgr__Pb__QuotaReply *quota_reply;
   };
 };
 #define SGR__PB__PEER_FRAME__INIT \
@@ -628,6 +731,82 @@
 void   sgr__pb__query_reply__free_unpacked
                      (Sgr__Pb__QueryReply *message,
                       ProtobufCAllocator *allocator);
+/* Sgr__Pb__QuotaUse methods */
+void   sgr__pb__quota_use__init
+                     (Sgr__Pb__QuotaUse         *message);
+size_t sgr__pb__quota_use__get_packed_size
+                     (const Sgr__Pb__QuotaUse   *message);
+size_t sgr__pb__quota_use__pack
+                     (const Sgr__Pb__QuotaUse   *message,
+                      uint8_t             *out);
+size_t sgr__pb__quota_use__pack_to_buffer
+                     (const Sgr__Pb__QuotaUse   *message,
+                      ProtobufCBuffer     *buffer);
+Sgr__Pb__QuotaUse *
+       sgr__pb__quota_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sgr__pb__quota_use__free_unpacked
+                     (Sgr__Pb__QuotaUse *message,
+                      ProtobufCAllocator *allocator);
+/* Sgr__Pb__QuotaRequest methods */
+void   sgr__pb__quota_request__init
+                     (Sgr__Pb__QuotaRequest         *message);
+size_t sgr__pb__quota_request__get_packed_size
+                     (const Sgr__Pb__QuotaRequest   *message);
+size_t sgr__pb__quota_request__pack
+                     (const Sgr__Pb__QuotaRequest   *message,
+                      uint8_t             *out);
+size_t sgr__pb__quota_request__pack_to_buffer
+                     (const Sgr__Pb__QuotaRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Sgr__Pb__QuotaRequest *
+       sgr__pb__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sgr__pb__quota_request__free_unpacked
+                     (Sgr__Pb__QuotaRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Sgr__Pb__QuotaGrant methods */
+void   sgr__pb__quota_grant__init
+                     (Sgr__Pb__QuotaGrant         *message);
+size_t sgr__pb__quota_grant__get_packed_size
+                     (const Sgr__Pb__QuotaGrant   *message);
+size_t sgr__pb__quota_grant__pack
+                     (const Sgr__Pb__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t sgr__pb__quota_grant__pack_to_buffer
+                     (const Sgr__Pb__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Sgr__Pb__QuotaGrant *
+       sgr__pb__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sgr__pb__quota_grant__free_unpacked
+                     (Sgr__Pb__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Sgr__Pb__QuotaReply methods */
+void   sgr__pb__quota_reply__init
+                     (Sgr__Pb__QuotaReply         *message);
+size_t sgr__pb__quota_reply__get_packed_size
+                     (const Sgr__Pb__QuotaReply   *message);
+size_t sgr__pb__quota_reply__pack
+                     (const Sgr__Pb__QuotaReply   *message,
+                      uint8_t             *out);
+size_t sgr__pb__quota_reply__pack_to_buffer
+                     (const Sgr__Pb__QuotaReply   *message,
+                      ProtobufCBuffer     *buffer);
+Sgr__Pb__QuotaReply *
+       sgr__pb__quota_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sgr__pb__quota_reply__free_unpacked
+                     (Sgr__Pb__QuotaReply *message,
+                      ProtobufCAllocator *allocator);
 /* Sgr__Pb__Ping methods */
 void   sgr__pb__ping__init
                      (Sgr__Pb__Ping         *message);
@@ -732,6 +911,18 @@
 typedef void (*Sgr__Pb__QueryReply_Closure)
                  (const Sgr__Pb__QueryReply *message,
                   void *closure_data);
+typedef void (*Sgr__Pb__QuotaUse_Closure)
+                 (const Sgr__Pb__QuotaUse *message,
+                  void *closure_data);
+typedef void (*Sgr__Pb__QuotaRequest_Closure)
+                 (const Sgr__Pb__QuotaRequest *message,
+                  void *closure_data);
+typedef void (*Sgr__Pb__QuotaGrant_Closure)
+                 (const Sgr__Pb__QuotaGrant *message,
+                  void *closure_data);
+typedef void (*Sgr__Pb__QuotaReply_Closure)
+                 (const Sgr__Pb__QuotaReply *message,
+                  void *closure_data);
 typedef void (*Sgr__Pb__Ping_Closure)
                  (const Sgr__Pb__Ping *message,
                   void *closure_data);
@@ -762,6 +953,10 @@
 extern const ProtobufCMessageDescriptor sgr__pb__answer_end__descriptor;
 extern const ProtobufCMessageDescriptor sgr__pb__refusal__descriptor;
 extern const ProtobufCMessageDescriptor sgr__pb__query_reply__descriptor;
+extern const ProtobufCMessageDescriptor sgr__pb__quota_use__descriptor;
+extern const ProtobufCMessageDescriptor sgr__pb__quota_request__descriptor;
+extern const ProtobufCMessageDescriptor sgr__pb__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor sgr__pb__quota_reply__descriptor;
 extern const ProtobufCMessageDescriptor sgr__pb__ping__descriptor;
 extern const ProtobufCMessageDescriptor sgr__pb__pong__descriptor;
 extern const ProtobufCMessageDescriptor sgr__pb__peer_frame__descriptor;
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -27,6 +27,7 @@
     .heartbeat_ms = 250,
     .silence_ms = 1000,
     .membership_bytes_per_s = 5000,
+    .quota_window_ms = 5000,
   };
 }
 
@@ -226,12 +227,26 @@
 static void
 read_limits (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
-  static const char *const keys[]
-      = { "request_body_max_bytes", "answer_buffer_bytes",    "calls_max",
-          "announce_ttl_ms",        "store_delay_ms",         "store_readers",
-          "store_watch_ms",         "store_retry_max_ms",     "leave_delay_ms",
-          "drain_timeout_ms",       "heartbeat_ms",           "silence_ms",
-          "far_us_per_kib",         "membership_bytes_per_s", NULL };
+  static const char *const keys[] = { "request_body_max_bytes",
+                                      "answer_buffer_bytes",
+                                      "calls_max",
+                                      "announce_ttl_ms",
+                                      "store_delay_ms",
+                                      "store_readers",
+                                      "store_watch_ms",
+                                      "store_retry_max_ms",
+                                      "leave_delay_ms",
+                                      "drain_timeout_ms",
+                                      "heartbeat_ms",
+                                      "silence_ms",
+                                      "far_us_per_kib",
+                                      "membership_bytes_per_s",
+                                      "stop_grace",
+                                      "evacuation",
+                                      "quota_window",
+                                      "quota_over",
+                                      "quota_slack",
+                                      NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "limits");
 
   if (node == 0 || !sgr_yaml_mapping_check (yaml, node, "limits", keys))
@@ -260,6 +275,14 @@
                         &settings->far_us_per_kib);
   sgr_yaml_number_read (yaml, node, "membership_bytes_per_s", "limits", 500, 1000000,
                         &settings->membership_bytes_per_s);
+  sgr_yaml_duration_read (yaml, node, "stop_grace", "limits", 500, 3600000,
+                          &settings->stop_grace_ms);
+  sgr_yaml_duration_read (yaml, node, "evacuation", "limits", 100, 600000,
+                          &settings->evacuation_ms);
+  sgr_yaml_duration_read (yaml, node, "quota_window", "limits", 100, 600000,
+                          &settings->quota_window_ms);
+  sgr_yaml_share_read (yaml, node, "quota_over", "limits", &settings->quota_over);
+  sgr_yaml_number_read (yaml, node, "quota_slack", "limits", 0, 1000000, &settings->quota_slack);
   if (settings->silence_ms < 2 * settings->heartbeat_ms)
     sgr_yaml_error (yaml, node, "limits.silence_ms", "expected at least twice heartbeat_ms (%lu)",
                     2 * settings->heartbeat_ms);
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -50,6 +50,13 @@
  * @far_us_per_kib: extra latency in microseconds that is accepted to keep 1 KiB of a call's data
  *                  within the failure domain
  * @membership_bytes_per_s: budget of membership messages in bytes per second
+ * @stop_grace_ms: time in milliseconds from a stop signal until the process is killed, 0 if not
+ *                 known; replaces @drain_timeout_ms
+ * @evacuation_ms: time in milliseconds within which an evacuation has to be in force, 0 if the node
+ *                 does not follow evacuations
+ * @quota_window_ms: length in milliseconds of the windows in which quotas of accounts hold
+ * @quota_over: share by which a quota may be exceeded in a window
+ * @quota_slack: further calls by which a quota may be exceeded in a window
  */
 typedef struct
 {
@@ -87,6 +94,11 @@
   uint64_t silence_ms;
   uint64_t far_us_per_kib;
   uint64_t membership_bytes_per_s;
+  uint64_t stop_grace_ms;
+  uint64_t evacuation_ms;
+  uint64_t quota_window_ms;
+  double quota_over;
+  uint64_t quota_slack;
 } sgr_settings_t;
 
 /**
--- a/libsiskingrade/snapshot.c
+++ b/libsiskingrade/snapshot.c
@@ -24,5 +24,7 @@
   free (snapshot->members);
   free (snapshot->policies);
   free (snapshot->routes);
+  free (snapshot->accounts);
+  free (snapshot->account_keys);
   free (snapshot);
 }
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -1,6 +1,7 @@
 #ifndef SGR_SNAPSHOT_H
 #define SGR_SNAPSHOT_H
 
+#include "account.h"
 #include "member.h"
 #include "result.h"
 #include "route.h"
@@ -43,6 +44,11 @@
  * @policy_count: entries of @policies
  * @routes: routes of the configuration; empty if the snapshot before had the same revision
  * @route_count: entries of @routes
+ * @accounts: client accounts of the configuration; empty if the snapshot before had the same
+ *   revision
+ * @account_count: entries of @accounts
+ * @account_keys: keys of @accounts
+ * @account_key_count: entries of @account_keys
  */
 typedef struct
 {
@@ -56,10 +62,14 @@
   size_t policy_count;
   sgr_route_t *routes;
   size_t route_count;
+  sgr_account_t *accounts;
+  size_t account_count;
+  sgr_account_key_t *account_keys;
+  size_t account_key_count;
 } sgr_snapshot_t;
 
 /**
- * sgr_snapshot_create() - create an empty snapshot
+ * sgr_snapshot_create() - create an empty snapshot, without room for accounts
  * @members: number of members to allocate memory for
  * @policies: number of policies to allocate memory for
  * @routes: number of routes to allocate memory for
--- a/libsiskingrade/yaml_reader.c
+++ b/libsiskingrade/yaml_reader.c
@@ -365,6 +365,56 @@
   return true;
 }
 
+bool
+sgr_yaml_duration_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
+                        uint64_t min_ms, uint64_t max_ms, uint64_t *duration_ms)
+{
+  char key_path[KEY_PATH_BYTES];
+  const char *text = scalar_read (yaml, node, key, path, false, key_path);
+  double value;
+  char *end;
+
+  if (text == NULL)
+    return false;
+  value = text[0] >= '0' && text[0] <= '9' ? strtod (text, &end) : -1;
+  if (value >= 0 && strcmp (end, "s") == 0)
+    value *= 1000;
+  else if (value < 0 || strcmp (end, "ms") != 0)
+    value = -1;
+  if (!(value >= (double)min_ms && value <= (double)max_ms))
+    {
+      sgr_yaml_error (yaml, sgr_yaml_get (yaml, node, key), key_path,
+                      "found \"%.80s\", expected a duration such as \"1500ms\" or \"2.5s\" from "
+                      "%llums to %llums",
+                      text, (unsigned long long)min_ms, (unsigned long long)max_ms);
+      return false;
+    }
+  *duration_ms = (uint64_t)value;
+  return true;
+}
+
+bool
+sgr_yaml_share_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
+                     double *share)
+{
+  char key_path[KEY_PATH_BYTES];
+  const char *text = scalar_read (yaml, node, key, path, false, key_path);
+  double value;
+  char *end;
+
+  if (text == NULL)
+    return false;
+  value = text[0] >= '0' && text[0] <= '9' ? strtod (text, &end) : -1;
+  if (value < 0 || *end != '\0' || !(value <= 1))
+    {
+      sgr_yaml_error (yaml, sgr_yaml_get (yaml, node, key), key_path,
+                      "found \"%.80s\", expected a decimal number from 0 to 1", text);
+      return false;
+    }
+  *share = value;
+  return true;
+}
+
 bool
 sgr_yaml_address_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
                        bool required, sgr_address_t *address)
--- a/libsiskingrade/yaml_reader.h
+++ b/libsiskingrade/yaml_reader.h
@@ -112,6 +112,28 @@
 bool sgr_yaml_number_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key,
                            const char *path, uint64_t min, uint64_t max, uint64_t *number);
 
+/**
+ * sgr_yaml_duration_read() - read a duration such as "1500ms" or "2.5s"
+ * @yaml: the document
+ * @node: the mapping
+ * @key: key in the mapping
+ * @path: dotted path of the mapping for error messages
+ * @min_ms: shortest valid duration in milliseconds
+ * @max_ms: longest valid duration in milliseconds
+ * @duration_ms: receives the duration in whole milliseconds; unchanged if the key is absent or
+ * invalid
+ *
+ * Return: false if the key is absent or invalid. An invalid duration is reported.
+ */
+bool sgr_yaml_duration_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key,
+                             const char *path, uint64_t min_ms, uint64_t max_ms,
+                             uint64_t *duration_ms);
+
+/** sgr_yaml_share_read() - read a decimal number from 0 to 1 as sgr_yaml_number_read() reads a
+ * whole number */
+bool sgr_yaml_share_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
+                          double *share);
+
 /** sgr_yaml_address_read() - read an address "IP:PORT" as sgr_yaml_name_read() reads a name */
 bool sgr_yaml_address_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key,
                             const char *path, bool required, sgr_address_t *address);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -74,6 +74,14 @@
   { NODE LISTEN OWNERS "tls: {certificate: /nonexistent, key: /nonexistent}\n",
     "f:6: certificate: " },
   { NODE LISTEN OWNERS "log: {level: loud}\n", "f:6: log.level: expected" },
+  { NODE LISTEN OWNERS "limits: {stop_grace: 6}\n", "f:6: limits.stop_grace: " },
+  { NODE LISTEN OWNERS "limits: {stop_grace: 6m}\n", "f:6: limits.stop_grace: " },
+  { NODE LISTEN OWNERS "limits: {stop_grace: -6s}\n", "f:6: limits.stop_grace: " },
+  { NODE LISTEN OWNERS "limits: {evacuation: 99ms}\n", "f:6: limits.evacuation: " },
+  { NODE LISTEN OWNERS "limits: {quota_window: 601s}\n", "f:6: limits.quota_window: " },
+  { NODE LISTEN OWNERS "limits: {quota_over: 1.1}\n", "f:6: limits.quota_over: " },
+  { NODE LISTEN OWNERS "limits: {quota_over: nan}\n", "f:6: limits.quota_over: " },
+  { NODE LISTEN OWNERS "limits: {quota_slack: 0.5}\n", "f:6: limits.quota_slack: " },
   { NODE LISTEN OWNERS "limits: {calls_max: 0}\n", "f:6: limits.calls_max: " },
   { NODE LISTEN OWNERS "limits: {calls_max: many}\n", "f:6: limits.calls_max: " },
   { NODE LISTEN OWNERS "limits: {calls_max: 1.5}\n", "f:6: limits.calls_max: " },
@@ -130,7 +138,8 @@
   static const char text[]
       = NODE LISTEN OWNERS "contacts: [127.0.0.1:4]\nstore: 127.0.0.1:5\nlog: {level: debug}\n"
                            "advertise: {peers: 127.0.0.1:9}\nlimits: {heartbeat_ms: 10, "
-                           "silence_ms: 20, store_retry_max_ms: 2000}\n";
+                           "silence_ms: 20, store_retry_max_ms: 2000, stop_grace: 6s, "
+                           "evacuation: 2500ms, quota_over: 0.1, quota_slack: 20}\n";
   sgr_settings_t settings;
   sgr_buffer_t errors = { 0 };
 
@@ -142,6 +151,11 @@
   assert_int_equal (settings.advertised_peers.port, 9);
   assert_int_equal (settings.silence_ms, 20);
   assert_int_equal (settings.store_retry_max_ms, 2000);
+  assert_int_equal (settings.stop_grace_ms, 6000);
+  assert_int_equal (settings.evacuation_ms, 2500);
+  assert_int_equal (settings.quota_window_ms, 5000);
+  assert_float_equal (settings.quota_over, 0.1, 0);
+  assert_int_equal (settings.quota_slack, 20);
   assert_int_equal (
       sgr_settings_parse (&settings, "f", NODE LISTEN OWNERS, strlen (NODE LISTEN OWNERS), &errors),
       SGR_OK);
