Read client accounts and public routes from the configuration

Cause: the configuration has no client accounts, so that a node cannot tell which calls are allowed and whom they belong to. Errors contain no values of keys, and errors of JSON no longer quote the text.

--- a/libsiskingrade/account.h
+++ b/libsiskingrade/account.h
@@ -3,6 +3,21 @@
 
 #include "idempotency_key.h"
 
+/* Highest rank of an account, see sgr_account_t. */
+#define SGR_ACCOUNT_PRIORITY_MAX 100
+/* Highest limits of an account. Higher ones could not be told from no limit. */
+#define SGR_ACCOUNT_RATE_MAX 1000000000
+#define SGR_ACCOUNT_BURST_MAX 1000000000
+/* Longest key in bytes; the shortest has one byte. */
+#define SGR_ACCOUNT_KEY_BYTES_MAX 512
+/* Bytes of the hash of a key in hexadecimal digits, with the terminating null. */
+#define SGR_ACCOUNT_KEY_HEX_BYTES 33
+/* Name of the account that calls of public routes belong to in queues and histograms. It is not an
+   account of the configuration. */
+#define SGR_ACCOUNT_PUBLIC_NAME "public"
+/* Index in place of that of an account. */
+#define SGR_ACCOUNT_NONE UINT32_MAX
+
 /**
  * struct sgr_account_t - a client account; part of the configuration
  * @name: name of the account
@@ -29,4 +44,31 @@
   uint32_t account;
 } sgr_account_key_t;
 
+/**
+ * sgr_account_key_hash() - hash of a key
+ * @key: the key, not zero-terminated
+ * @length: its length in bytes
+ *
+ * SipHash-2-4 with 16 bytes of output and a fixed key, so that all nodes and all configurations use
+ * the same hashes.
+ */
+sgr_hash128_t sgr_account_key_hash (const char *key, size_t length);
+
+/**
+ * sgr_account_key_hash_format() - write the hash of a key as hexadecimal digits
+ * @hash: the hash
+ * @hex: receives the digits and a null
+ */
+void sgr_account_key_hash_format (sgr_hash128_t hash, char hex[SGR_ACCOUNT_KEY_HEX_BYTES]);
+
+/**
+ * sgr_account_key_hash_parse() - read 32 lower-case hexadecimal digits
+ * @hex: the digits
+ * @length: bytes of @hex
+ * @hash: receives the hash; unchanged after an error
+ *
+ * Return: SGR_OK or SGR_ERR_INVALID.
+ */
+sgr_result_t sgr_account_key_hash_parse (const char *hex, size_t length, sgr_hash128_t *hash);
+
 #endif
--- /dev/null
+++ b/libsiskingrade/config_account.c
@@ -0,0 +1,196 @@
+#include "config_account.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "config_json.h"
+#include "config_resource.h"
+
+#define KEYS_KEY "key_hashes"
+
+/**
+ * struct key_place_t - a key and its place in the document
+ * @key: the key
+ * @position: index of the key in its account
+ */
+typedef struct
+{
+  sgr_account_key_t key;
+  size_t position;
+} key_place_t;
+
+/* Reads the hash at an index of the keys of an account. */
+static sgr_result_t
+hash_read (const json_t *list, size_t index, sgr_hash128_t *hash)
+{
+  const json_t *value = json_array_get (list, index);
+
+  if (!json_is_string (value))
+    return SGR_ERR_INVALID;
+  return sgr_account_key_hash_parse (json_string_value (value), json_string_length (value), hash);
+}
+
+static sgr_result_t
+check_hashes (const json_t *json, const char *path, sgr_config_error_t *error)
+{
+  const json_t *list = json_object_get (json, KEYS_KEY);
+  char key_path[SGR_CONFIG_PATH_BYTES];
+  sgr_hash128_t hash;
+
+  sgr_config_json_path (key_path, path, KEYS_KEY);
+  if (!json_is_array (list) || json_array_size (list) > SGR_CONFIG_RESOURCES_MAX)
+    return sgr_config_error_set (error, SGR_ERR_INVALID, key_path, "expected a list of at most %d",
+                                 SGR_CONFIG_RESOURCES_MAX);
+  for (size_t i = 0; i < json_array_size (list); i++)
+    {
+      if (hash_read (list, i, &hash) == SGR_OK)
+        continue;
+      sgr_config_json_path_at (key_path, path, KEYS_KEY, i);
+      return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
+                                   "expected a text of 32 hexadecimal digits in lower case");
+    }
+  return SGR_OK;
+}
+
+static sgr_result_t
+read_optional_u32 (const json_t *json, const char *path, const char *key, uint64_t max,
+                   uint32_t *field, sgr_config_error_t *error)
+{
+  uint64_t value;
+
+  if (json_object_get (json, key) == NULL)
+    return SGR_OK;
+  if (sgr_config_json_u64 (json, path, key, 0, max, &value, error) != SGR_OK)
+    return SGR_ERR_INVALID;
+  *field = (uint32_t)value;
+  return SGR_OK;
+}
+
+sgr_result_t
+sgr_config_account_read (const json_t *json, const char *path, sgr_account_t *account,
+                         sgr_config_error_t *error)
+{
+  static const char *const required[] = { "name", KEYS_KEY, NULL };
+  static const char *const optional[] = { "priority", "rate_per_s", "burst", NULL };
+
+  memset (account, 0, sizeof *account);
+  if (sgr_config_json_object (json, path, required, optional, error) != SGR_OK
+      || sgr_config_json_name (json, path, "name", account->name, error) != SGR_OK
+      || check_hashes (json, path, error) != SGR_OK
+      || read_optional_u32 (json, path, "priority", SGR_ACCOUNT_PRIORITY_MAX, &account->priority,
+                            error)
+             != SGR_OK
+      || read_optional_u32 (json, path, "rate_per_s", SGR_ACCOUNT_RATE_MAX, &account->rate_per_s,
+                            error)
+             != SGR_OK)
+    return SGR_ERR_INVALID;
+  return read_optional_u32 (json, path, "burst", SGR_ACCOUNT_BURST_MAX, &account->burst, error);
+}
+
+json_t *
+sgr_config_account_normalize (const json_t *json)
+{
+  sgr_account_t account;
+
+  sgr_config_account_read (json, "", &account, NULL);
+  return json_pack ("{s:s, s:O, s:I, s:I, s:I}", "name", account.name, KEYS_KEY,
+                    json_object_get (json, KEYS_KEY), "priority", (json_int_t)account.priority,
+                    "rate_per_s", (json_int_t)account.rate_per_s, "burst",
+                    (json_int_t)account.burst);
+}
+
+/* Orders keys by hash, equal ones by their place in the document. */
+static int
+place_compare (const void *a, const void *b)
+{
+  const key_place_t *left = a, *right = b;
+
+  if (left->key.hash.high != right->key.hash.high)
+    return left->key.hash.high < right->key.hash.high ? -1 : 1;
+  if (left->key.hash.low != right->key.hash.low)
+    return left->key.hash.low < right->key.hash.low ? -1 : 1;
+  if (left->key.account != right->key.account)
+    return left->key.account < right->key.account ? -1 : 1;
+  return (left->position > right->position) - (left->position < right->position);
+}
+
+static sgr_result_t
+repeated_key_refuse (const sgr_config_accounts_t *accounts, const key_place_t *places, size_t index,
+                     const char *path, sgr_config_error_t *error)
+{
+  const key_place_t *place = &places[index];
+  char item_path[SGR_CONFIG_PATH_BYTES], key_path[SGR_CONFIG_PATH_BYTES];
+
+  sgr_config_json_path_at (item_path, path, "accounts", place->key.account);
+  sgr_config_json_path_at (key_path, item_path, KEYS_KEY, place->position);
+  return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
+                               "account \"%s\": found a key of account \"%s\" a second time, "
+                               "expected each key once",
+                               accounts->list[place->key.account].name,
+                               accounts->list[places[index - 1].key.account].name);
+}
+
+/* Collects the keys of all accounts and checks that none is used twice. */
+static sgr_result_t
+build_keys (sgr_config_accounts_t *accounts, const json_t *list, const char *path,
+            sgr_config_error_t *error)
+{
+  key_place_t *places;
+  size_t count = 0;
+  sgr_result_t result = SGR_OK;
+
+  for (size_t i = 0; i < accounts->count; i++)
+    count += json_array_size (json_object_get (json_array_get (list, i), KEYS_KEY));
+  places = calloc (count + 1, sizeof *places);
+  accounts->keys = calloc (count + 1, sizeof *accounts->keys);
+  sgr_invariant (places != NULL && accounts->keys != NULL);
+  accounts->key_count = count;
+  count = 0;
+  for (size_t i = 0; i < accounts->count; i++)
+    {
+      const json_t *hashes = json_object_get (json_array_get (list, i), KEYS_KEY);
+
+      for (size_t j = 0; j < json_array_size (hashes); j++, count++)
+        {
+          places[count] = (key_place_t){ .key.account = (uint32_t)i, .position = j };
+          sgr_invariant (hash_read (hashes, j, &places[count].key.hash) == SGR_OK);
+        }
+    }
+  qsort (places, count, sizeof *places, place_compare);
+  for (size_t i = 0; i < count && result == SGR_OK; i++)
+    {
+      accounts->keys[i] = places[i].key;
+      if (i > 0 && sgr_hash128_equal (places[i - 1].key.hash, places[i].key.hash))
+        result = repeated_key_refuse (accounts, places, i, path, error);
+    }
+  free (places);
+  return result;
+}
+
+sgr_result_t
+sgr_config_accounts_build (sgr_config_accounts_t *accounts, const json_t *json, const char *path,
+                           sgr_config_error_t *error)
+{
+  const json_t *list = json_object_get (json, "accounts");
+  char item_path[SGR_CONFIG_PATH_BYTES];
+
+  *accounts = (sgr_config_accounts_t){ .count = json_array_size (list) };
+  accounts->list = calloc (accounts->count + 1, sizeof *accounts->list);
+  sgr_invariant (accounts->list != NULL);
+  for (size_t i = 0; i < accounts->count; i++)
+    {
+      sgr_config_json_path_at (item_path, path, "accounts", i);
+      if (sgr_config_account_read (json_array_get (list, i), item_path, &accounts->list[i], error)
+          != SGR_OK)
+        return SGR_ERR_INVALID;
+    }
+  return build_keys (accounts, list, path, error);
+}
+
+void
+sgr_config_accounts_release (sgr_config_accounts_t *accounts)
+{
+  free (accounts->list);
+  free (accounts->keys);
+  *accounts = (sgr_config_accounts_t){ 0 };
+}
--- /dev/null
+++ b/libsiskingrade/config_account.h
@@ -0,0 +1,64 @@
+#ifndef SGR_CONFIG_ACCOUNT_H
+#define SGR_CONFIG_ACCOUNT_H
+
+#include <jansson.h>
+
+#include "account.h"
+#include "config_error.h"
+
+/* Errors of this module never contain a value of "key_hashes", because somebody may have written a
+   key in place of its hash. */
+
+/**
+ * struct sgr_config_accounts_t - the client accounts of a configuration
+ * @list: accounts in document order
+ * @count: entries of @list
+ * @keys: keys of all accounts, sorted by their hashes
+ * @key_count: entries of @keys
+ */
+typedef struct
+{
+  sgr_account_t *list;
+  size_t count;
+  sgr_account_key_t *keys;
+  size_t key_count;
+} sgr_config_accounts_t;
+
+/**
+ * sgr_config_account_read() - parse an account without its keys, but check the keys
+ * @json: object with "name" and "key_hashes", and optionally "priority", "rate_per_s" and "burst"
+ * @path: path of @json in its document
+ * @account: receives the account; an absent optional field is 0, see sgr_account_t
+ * @error: receives the error, may be NULL
+ *
+ * Return: SGR_OK or SGR_ERR_INVALID.
+ */
+sgr_result_t sgr_config_account_read (const json_t *json, const char *path, sgr_account_t *account,
+                                      sgr_config_error_t *error);
+
+/**
+ * sgr_config_account_normalize() - write out all fields of a valid account
+ * @json: a valid account
+ *
+ * Return: a new object, owned by the caller.
+ */
+json_t *sgr_config_account_normalize (const json_t *json);
+
+/**
+ * sgr_config_accounts_build() - read the list "accounts" of a document
+ * @accounts: receives the accounts; release them with sgr_config_accounts_release() also after an
+ *            error
+ * @json: document that holds the list; without it, there are no accounts
+ * @path: path of @json, "" for the document itself
+ * @error: receives the error, may be NULL
+ *
+ * Names that are used twice are not checked.
+ *
+ * Return: SGR_OK; SGR_ERR_INVALID if an account is invalid or a key is used twice.
+ */
+sgr_result_t sgr_config_accounts_build (sgr_config_accounts_t *accounts, const json_t *json,
+                                        const char *path, sgr_config_error_t *error);
+
+void sgr_config_accounts_release (sgr_config_accounts_t *accounts);
+
+#endif
--- a/libsiskingrade/config_edit.c
+++ b/libsiskingrade/config_edit.c
@@ -5,7 +5,7 @@
 #include "config_json.h"
 
 /* Keys of the resource lists, in a content as well as in "put" and "remove" of an edit. */
-static const char *const list_keys[] = { "policies", "services", "routes" };
+static const char *const list_keys[] = { "policies", "services", "routes", "accounts" };
 #define LIST_KEY_COUNT (sizeof list_keys / sizeof list_keys[0])
 
 /* Returns the resource with a name and its index in the list, or NULL. */
@@ -86,7 +86,7 @@
 static bool
 list_is_optional (const char *key)
 {
-  return strcmp (key, "routes") == 0;
+  return strcmp (key, "routes") == 0 || strcmp (key, "accounts") == 0;
 }
 
 /* Checks that an edit has no unknown keys; the lists are checked when they are applied. */
@@ -94,7 +94,7 @@
 check_edit (const json_t *edit, sgr_config_error_t *error)
 {
   static const char *const edit_keys[] = { "put", "remove", NULL };
-  static const char *const lists[] = { "policies", "services", "routes", NULL };
+  static const char *const lists[] = { "policies", "services", "routes", "accounts", NULL };
 
   if (sgr_config_json_object (edit, "", NULL, edit_keys, error) != SGR_OK)
     return SGR_ERR_INVALID;
@@ -130,8 +130,8 @@
       json_t *list = base_list == NULL ? json_array () : json_copy ((json_t *)base_list);
       const json_t *items = json_object_get (put_lists, key);
 
-      /* If neither the base nor the edit has routes, leave out the list "routes". An empty list
-         would change the digest of the content. */
+      /* If neither the base nor the edit has an optional list, leave it out. An empty list would
+         change the digest of the content. */
       if (list_is_optional (key) && base_list == NULL && json_array_size (items) == 0)
         {
           json_decref (list);
--- a/libsiskingrade/config_resource.c
+++ b/libsiskingrade/config_resource.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config_account.h"
 #include "config_json.h"
 #include "config_policy.h"
 #include "config_route.h"
@@ -109,6 +110,14 @@
   return sgr_config_route_read (json, path, &route, error);
 }
 
+static sgr_result_t
+check_account (const json_t *json, const char *path, sgr_config_error_t *error)
+{
+  sgr_account_t account;
+
+  return sgr_config_account_read (json, path, &account, error);
+}
+
 static sgr_result_t
 check_resource (const json_t *json, const char *path, const char *key, sgr_config_error_t *error)
 {
@@ -116,6 +125,8 @@
     return check_policy (json, path, error);
   if (strcmp (key, "services") == 0)
     return check_service (json, path, error);
+  if (strcmp (key, "accounts") == 0)
+    return check_account (json, path, error);
   return check_route (json, path, error);
 }
 
@@ -340,7 +351,7 @@
                sgr_config_content_t **content, sgr_config_error_t *error)
 {
   static const char *const required[] = { "policies", "services", NULL };
-  static const char *const optional[] = { "routes", NULL };
+  static const char *const optional[] = { "routes", "accounts", NULL };
   sgr_config_content_t *built;
   sgr_result_t result;
 
@@ -349,7 +360,9 @@
       || sgr_config_resource_check (json, path, "policies", error) != SGR_OK
       || sgr_config_resource_check (json, path, "services", error) != SGR_OK
       || (json_object_get (json, "routes") != NULL
-          && check_list (json, path, "routes", error) != SGR_OK))
+          && check_list (json, path, "routes", error) != SGR_OK)
+      || (json_object_get (json, "accounts") != NULL
+          && check_list (json, path, "accounts", error) != SGR_OK))
     return SGR_ERR_INVALID;
   built = calloc (1, sizeof *built);
   if (built == NULL)
@@ -358,6 +371,10 @@
   result = build_services (built, path, error);
   if (result == SGR_OK)
     result = build_routes (built, previous, path, error);
+  if (result == SGR_OK)
+    result = sgr_config_accounts_build (&built->accounts, json, path, error);
+  if (result == SGR_OK)
+    result = check_names (json_object_get (json, "accounts"), path, "accounts", error);
   if (result == SGR_OK)
     *content = built;
   else
@@ -426,15 +443,16 @@
   return out;
 }
 
+/* Converts each resource of a list with @normalize. */
 static json_t *
-normalize_routes (const json_t *list)
+normalize_list (const json_t *list, json_t *(*normalize) (const json_t *json))
 {
   size_t count = json_array_size (list);
   named_resource_t *named = sort_by_name (list);
   json_t *out = json_array ();
 
   for (size_t i = 0; i < count; i++)
-    json_array_append_new (out, normalize_route (named[i].json));
+    json_array_append_new (out, normalize (named[i].json));
   free (named);
   return out;
 }
@@ -449,7 +467,12 @@
   json_object_set_new (out, "services",
                        normalize_policies_or_services (json_object_get (json, "services"), false));
   if (json_object_get (json, "routes") != NULL)
-    json_object_set_new (out, "routes", normalize_routes (json_object_get (json, "routes")));
+    json_object_set_new (out, "routes",
+                         normalize_list (json_object_get (json, "routes"), normalize_route));
+  if (json_object_get (json, "accounts") != NULL)
+    json_object_set_new (
+        out, "accounts",
+        normalize_list (json_object_get (json, "accounts"), sgr_config_account_normalize));
   return out;
 }
 
@@ -469,7 +492,8 @@
 {
   return list_is_sorted (json_object_get (content->json, "policies"))
          && list_is_sorted (json_object_get (content->json, "services"))
-         && list_is_sorted (json_object_get (content->json, "routes"));
+         && list_is_sorted (json_object_get (content->json, "routes"))
+         && list_is_sorted (json_object_get (content->json, "accounts"));
 }
 
 const sgr_policy_t *
@@ -500,18 +524,30 @@
   json_decref (content->json);
   free (content->services);
   free (content->routes);
+  sgr_config_accounts_release (&content->accounts);
   free (content);
 }
 
+/* Length of the message of an error without the text that it quotes. */
+static int
+json_error_length (const json_error_t *error)
+{
+  const char *quote = strstr (error->text, " near '");
+
+  return quote != NULL ? (int)(quote - error->text) : (int)strlen (error->text);
+}
+
 json_t *
 sgr_config_json_load (const void *text, size_t length, sgr_config_error_t *error)
 {
   json_error_t json_error;
   json_t *json = json_loadb (text, length, JSON_REJECT_DUPLICATES, &json_error);
 
+  /* The message ends with the text near the error, which may be the key of an account. */
   if (json == NULL)
-    sgr_config_error_set (error, SGR_ERR_INVALID, "", "line %d, column %d: %s, expected JSON",
-                          json_error.line, json_error.column, json_error.text);
+    sgr_config_error_set (error, SGR_ERR_INVALID, "", "line %d, column %d: %.*s, expected JSON",
+                          json_error.line, json_error.column, json_error_length (&json_error),
+                          json_error.text);
   return json;
 }
 
--- a/libsiskingrade/config_resource.h
+++ b/libsiskingrade/config_resource.h
@@ -3,11 +3,12 @@
 
 #include <jansson.h>
 
+#include "config_account.h"
 #include "config_error.h"
 #include "route.h"
 
-/* Most resources in each of the lists "policies", "services" and "routes". More do not fit into the
-   largest value of a store. */
+/* Most resources in each of the lists "policies", "services", "routes" and "accounts". More do not
+   fit into the largest value of a store. */
 #define SGR_CONFIG_RESOURCES_MAX 16384
 #define SGR_CONFIG_DIGEST_BYTES 32
 /* Bytes of a digest in hexadecimal digits, with the terminating null. */
@@ -20,12 +21,13 @@
 } sgr_config_digest_t;
 
 /**
- * struct sgr_config_content_t - the valid services, policies and routes of a deployment
+ * struct sgr_config_content_t - the valid services, policies, routes and accounts of a deployment
  * @json: the document as it was parsed
  * @services: effective policy of each service (policy with overrides), sorted by service name
  * @service_count: entries of @services
  * @routes: routes in document order; if there are none, each call has to name its service
  * @route_count: entries of @routes
+ * @accounts: client accounts; without any, calls need no key
  * @digest: digest of the canonical form of @json; zero in a content of sgr_config_content_update()
  */
 typedef struct
@@ -35,12 +37,14 @@
   size_t service_count;
   sgr_route_t *routes;
   size_t route_count;
+  sgr_config_accounts_t accounts;
   sgr_config_digest_t digest;
 } sgr_config_content_t;
 
 /**
- * sgr_config_content_parse() - parse and validate services, policies and routes
- * @json: object with the lists "policies" and "services", and optionally "routes"
+ * sgr_config_content_parse() - parse and validate services, policies, routes and accounts
+ * @json: object with the lists "policies" and "services", and optionally "routes" and
+ *        "accounts"
  * @path: path of @json in its document, "" for the document itself
  * @content: receives the content, NULL on an error
  * @error: receives the error, may be NULL
@@ -76,7 +80,7 @@
  * @json: JSON of a valid content, or the "put" object of a valid edit
  *
  * Return: a new object, owned by the caller, with each list sorted by name and with all fields of
- * each policy and route written out.
+ * each policy, route and account written out.
  */
 json_t *sgr_config_content_normalize (const json_t *json);
 
@@ -84,7 +88,7 @@
  * sgr_config_resource_check() - check each resource of one list, and that no name occurs twice
  * @json: object that holds the list
  * @path: path of @json in its document
- * @key: key of the list: "policies", "services" or "routes"
+ * @key: key of the list: "policies", "services", "routes" or "accounts"
  * @error: receives the error, may be NULL
  *
  * References from one resource to another are not checked.
@@ -102,8 +106,8 @@
  * sgr_config_content_apply() - apply an edit to a content
  * @base: content that the edit starts from, NULL for an empty one; not changed
  * @edit: object with the optional objects "put" and "remove", each with the optional lists
- *        "policies", "services" and "routes"; "put" holds resources to insert or replace, "remove"
- *        holds names of resources
+ *        "policies", "services", "routes" and "accounts"; "put" holds resources to insert or
+ * replace, "remove" holds names of resources
  * @content: receives the new content, NULL on an error
  * @error: receives the error, may be NULL
  *
--- a/libsiskingrade/config_route.c
+++ b/libsiskingrade/config_route.c
@@ -114,13 +114,31 @@
   return SGR_OK;
 }
 
+/* Reads the optional field "public". */
+static sgr_result_t
+read_public (const json_t *json, const char *path, bool *is_public, sgr_config_error_t *error)
+{
+  const json_t *value = json_object_get (json, "public");
+  char found[80], key_path[SGR_CONFIG_PATH_BYTES];
+
+  if (value == NULL)
+    return SGR_OK;
+  *is_public = json_is_true (value);
+  if (json_is_boolean (value))
+    return SGR_OK;
+  sgr_config_json_path (key_path, path, "public");
+  return sgr_config_error_set (error, SGR_ERR_INVALID, key_path, "found %s, expected true or false",
+                               sgr_config_json_describe (value, found, sizeof found));
+}
+
 sgr_result_t
 sgr_config_route_read (const json_t *json, const char *path, sgr_route_t *route,
                        sgr_config_error_t *error)
 {
   static const char *const required[] = { "name", "host", "prefix", "services", NULL };
   static const char *const optional[]
-      = { "idempotency", "timeout_ms", "target_latency_ms", "priority", "attempts_max", NULL };
+      = { "idempotency", "timeout_ms", "target_latency_ms", "priority", "attempts_max",
+          "public",      NULL };
   const json_t *idempotency = json_object_get (json, "idempotency");
   char key_path[SGR_CONFIG_PATH_BYTES];
 
@@ -141,7 +159,8 @@
                             &route->target_latency_ms, error)
              != SGR_OK
       || read_optional_u32 (json, path, "priority", 0, PRIORITY_MAX, &route->priority, error)
-             != SGR_OK)
+             != SGR_OK
+      || read_public (json, path, &route->is_public, error) != SGR_OK)
     return SGR_ERR_INVALID;
   return read_optional_u32 (json, path, "attempts_max", 0, ATTEMPTS_MAX, &route->attempts_max,
                             error);
@@ -150,14 +169,18 @@
 json_t *
 sgr_config_route_write (const sgr_route_t *route)
 {
-  json_t *parts = json_array ();
+  json_t *parts = json_array (), *json;
 
   for (uint32_t i = 0; i < route->part_count; i++)
     json_array_append_new (parts, json_pack ("{s:s, s:i}", "service", route->parts[i].service,
                                              "weight", (int)route->parts[i].weight));
-  return json_pack ("{s:s, s:s, s:s, s:o, s:s, s:i, s:i, s:i, s:i}", "name", route->name, "host",
+  json = json_pack ("{s:s, s:s, s:s, s:o, s:s, s:i, s:i, s:i, s:i}", "name", route->name, "host",
                     route->host, "prefix", route->prefix, "services", parts, "idempotency",
                     sgr_config_idempotency_name (route->idempotency), "timeout_ms",
                     (int)route->timeout_ms, "target_latency_ms", (int)route->target_latency_ms,
                     "priority", (int)route->priority, "attempts_max", (int)route->attempts_max);
+  /* Earlier versions of the program refuse this key, so that it is only written where needed. */
+  if (route->is_public)
+    json_object_set_new (json, "public", json_true ());
+  return json;
 }
--- a/libsiskingrade/config_state.c
+++ b/libsiskingrade/config_state.c
@@ -281,6 +281,12 @@
   return state->record == NULL ? NULL : state->record->content->routes;
 }
 
+const sgr_config_accounts_t *
+sgr_config_state_accounts (const sgr_config_state_t *state)
+{
+  return state->record == NULL ? NULL : &state->record->content->accounts;
+}
+
 const sgr_policy_t *
 sgr_config_state_service_at (const sgr_config_state_t *state, size_t index)
 {
--- a/libsiskingrade/config_state.h
+++ b/libsiskingrade/config_state.h
@@ -110,6 +110,14 @@
  */
 const sgr_route_t *sgr_config_state_routes (const sgr_config_state_t *state, size_t *count);
 
+/**
+ * sgr_config_state_accounts() - client accounts in force
+ *
+ * Return: the accounts and their keys, valid until the record in force is replaced; NULL if there
+ * is no configuration.
+ */
+const sgr_config_accounts_t *sgr_config_state_accounts (const sgr_config_state_t *state);
+
 /**
  * sgr_config_state_changes_since() - list the changes since a revision, for a watcher
  * @state: the state
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -103,11 +103,15 @@
   uint64_t revision = sgr_config_state_revision (state);
   size_t policies = sgr_config_state_service_count (state), route_count;
   const sgr_route_t *routes = sgr_config_state_routes (state, &route_count);
+  const sgr_config_accounts_t *accounts = sgr_config_state_accounts (state);
   sgr_snapshot_t *snapshot;
 
-  /* Thousands of routes would make each snapshot megabytes large. */
+  /* Thousands of routes or keys would make each snapshot megabytes large. */
   if (control->snapshot_revision == revision)
-    route_count = 0;
+    {
+      route_count = 0;
+      accounts = NULL;
+    }
   control->snapshot_revision = revision;
   snapshot = sgr_snapshot_create (control->member_count, policies, route_count);
   snapshot->config_revision = revision;
@@ -125,6 +129,9 @@
   if (route_count > 0)
     memcpy (snapshot->routes, routes, route_count * sizeof *routes);
   snapshot->route_count = route_count;
+  if (accounts != NULL)
+    sgr_snapshot_accounts_set (snapshot, accounts->list, accounts->count, accounts->keys,
+                               accounts->key_count);
   return snapshot;
 }
 
--- a/libsiskingrade/route.h
+++ b/libsiskingrade/route.h
@@ -32,6 +32,7 @@
  * @priority: rank under overload, 0 is served first
  * @attempts_max: most attempts of one call that gates accept, 0 for the limit in the service's
  *   policy
+ * @is_public: calls need no key of an account
  * @parts: services that the calls are split among
  * @part_count: used entries of @parts, at least 1
  */
@@ -45,6 +46,7 @@
   uint32_t target_latency_ms;
   uint32_t priority;
   uint32_t attempts_max;
+  bool is_public;
   sgr_route_part_t parts[SGR_ROUTE_PARTS_MAX];
   uint32_t part_count;
 } sgr_route_t;
--- a/libsiskingrade/snapshot.c
+++ b/libsiskingrade/snapshot.c
@@ -1,6 +1,7 @@
 #include "snapshot.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 sgr_snapshot_t *
 sgr_snapshot_create (size_t members, size_t policies, size_t routes)
@@ -16,6 +17,21 @@
   return snapshot;
 }
 
+void
+sgr_snapshot_accounts_set (sgr_snapshot_t *snapshot, const sgr_account_t *accounts, size_t count,
+                           const sgr_account_key_t *keys, size_t key_count)
+{
+  if (count == 0)
+    return;
+  snapshot->accounts = calloc (count, sizeof *accounts);
+  snapshot->account_keys = calloc (key_count + 1, sizeof *keys);
+  sgr_invariant (snapshot->accounts != NULL && snapshot->account_keys != NULL);
+  memcpy (snapshot->accounts, accounts, count * sizeof *accounts);
+  memcpy (snapshot->account_keys, keys, key_count * sizeof *keys);
+  snapshot->account_count = count;
+  snapshot->account_key_count = key_count;
+}
+
 void
 sgr_snapshot_destroy (sgr_snapshot_t *snapshot)
 {
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -76,6 +76,17 @@
  */
 sgr_snapshot_t *sgr_snapshot_create (size_t members, size_t policies, size_t routes);
 
+/**
+ * sgr_snapshot_accounts_set() - put client accounts and their keys into a snapshot without any
+ * @snapshot: the snapshot
+ * @accounts: the accounts, copied
+ * @count: entries of @accounts
+ * @keys: their keys, copied
+ * @key_count: entries of @keys
+ */
+void sgr_snapshot_accounts_set (sgr_snapshot_t *snapshot, const sgr_account_t *accounts,
+                                size_t count, const sgr_account_key_t *keys, size_t key_count);
+
 /** sgr_snapshot_destroy() - free a snapshot; NULL is allowed */
 void sgr_snapshot_destroy (sgr_snapshot_t *snapshot);
 
--- a/tests/test_platform_input.c
+++ b/tests/test_platform_input.c
@@ -1,6 +1,8 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -11,6 +13,7 @@
 /* Input from the platform's operator and targets: valid input is translated in full; invalid input
    is refused with the path of the error and changes nothing. */
 
+#define DOCUMENT_BYTES 1024
 #define DOCUMENT(version, resources)                                                               \
   "{\"version\":\"" version "\",\"baseVersion\":\"00000001\",\"resources\":[" resources "]}"
 #define SERVICE                                                                                    \
@@ -125,6 +128,113 @@
     }
 }
 
+#define TENANT(name, spec)                                                                         \
+  "{\"resourceType\":\"tenants\",\"metadata\":{\"name\":\"" name "\"},\"spec\":{" spec "}}"
+#define SECRET "the-key-of-a-tenant"
+
+/* Guards against an account that is translated only in part, a key that stays in the content, and a
+   small limit that is rounded down to no limit. */
+static void
+test_tenants (void **unused)
+{
+  sgr_config_state_t *state = state_create ();
+  sgr_hash128_t hash = sgr_account_key_hash (SECRET, strlen (SECRET));
+  sgr_config_error_t error = { SGR_OK };
+  const sgr_config_accounts_t *accounts;
+  const sgr_route_t *routes;
+  size_t count;
+  char *content;
+
+  assert_null (sgr_config_state_accounts (state));
+  assert_int_equal (
+      document_offer (state,
+                      DOCUMENT (
+                          "00000001",
+                          TENANT (
+                              "a",
+                              "\"apiKeys\":[\"" SECRET "\"],"
+                              "\"priority\":3.7,\"ratePerS\":12.9,"
+                              "\"burst\":0.25,\"allowedRegions\":[]") "," TENANT ("b",
+                                                                                  "\"ratePerS\":"
+                                                                                  "1e12") "," SERVICE
+                                                                                          "," ROUTE (SPEC (
+                                                                                              "saf"
+                                                                                              "e") ",\"service\":\"s\","
+                                                                                                   "\"public\":true")),
+                      &error),
+      SGR_OK);
+  accounts = sgr_config_state_accounts (state);
+  assert_int_equal (accounts->count, 2);
+  assert_string_equal (accounts->list[0].name, "a");
+  assert_int_equal (accounts->list[0].priority, 3);
+  assert_int_equal (accounts->list[0].rate_per_s, 12);
+  assert_int_equal (accounts->list[0].burst, 1);
+  assert_int_equal (accounts->list[1].rate_per_s, SGR_ACCOUNT_RATE_MAX);
+  assert_int_equal (accounts->key_count, 1);
+  assert_true (sgr_hash128_equal (accounts->keys[0].hash, hash));
+  routes = sgr_config_state_routes (state, &count);
+  assert_true (routes[0].is_public);
+  content = sgr_config_json_canonical (sgr_config_state_record (state)->content->json);
+  assert_null (strstr (content, SECRET));
+  free (content);
+  assert_int_equal (document_offer (state, DOCUMENT ("00000002", SERVICE), &error), SGR_OK);
+  assert_int_equal (sgr_config_state_accounts (state)->count, 0);
+  sgr_config_state_destroy (state);
+}
+
+/* Guards against an invalid tenant that replaces the accounts in force, an error with a wrong path,
+   and an error that shows a key. */
+static void
+test_bad_tenants (void **unused)
+{
+  static char long_key[DOCUMENT_BYTES];
+  const struct
+  {
+    const char *text;
+    const char *path;
+  } cases[] = {
+    { TENANT ("a b", ""), "accounts[0].name" },
+    { "{\"resourceType\":\"tenants\",\"metadata\":{},\"spec\":{}}", "accounts[0].name" },
+    { TENANT ("a", "") "," TENANT ("a", "\"burst\":1"), "accounts[1].name" },
+    { TENANT ("a", "\"apiKeys\":\"" SECRET "\""), "resources[0].spec.apiKeys" },
+    { TENANT ("a", "\"apiKeys\":{\"" SECRET "\":1}"), "resources[0].spec.apiKeys" },
+    { TENANT ("a", "\"apiKeys\":[\"" SECRET "\",\"\"]"), "resources[0].spec.apiKeys[1]" },
+    { TENANT ("a", "\"apiKeys\":[17]"), "resources[0].spec.apiKeys[0]" },
+    { long_key, "resources[0].spec.apiKeys[0]" },
+    { TENANT ("a", "\"apiKeys\":[\"" SECRET "\",\"" SECRET "\"]"), "accounts[0].key_hashes[1]" },
+    { TENANT ("a", "\"apiKeys\":[\"" SECRET "\"]") "," TENANT ("b", "\"apiKeys\":[\"x\",\"" SECRET
+                                                                    "\"]"),
+      "accounts[1].key_hashes[1]" },
+    { TENANT ("a", "\"ratePerS\":-0.5"), "resources[0].spec.ratePerS" },
+    { TENANT ("a", "\"ratePerS\":\"" SECRET "\""), "resources[0].spec.ratePerS" },
+    { TENANT ("a", "\"burst\":-1"), "resources[0].spec.burst" },
+    { TENANT ("a", "\"priority\":-1"), "resources[0].spec.priority" },
+    { TENANT ("a", "\"priority\":101"), "resources[0].spec.priority" },
+    { TENANT ("a", "\"apiKeys\":[\"" SECRET "\" \"" SECRET "\"]"), "" },
+    { SERVICE "," ROUTE (SPEC ("safe") ",\"service\":\"s\",\"public\":\"yes\""),
+      "routes[0].public" },
+  };
+  char text[2 * DOCUMENT_BYTES], key[SGR_ACCOUNT_KEY_BYTES_MAX + 2];
+
+  memset (key, 'k', sizeof key - 1);
+  key[sizeof key - 1] = '\0';
+  snprintf (long_key, sizeof long_key, TENANT ("a", "\"apiKeys\":[\"%s\"]"), key);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_config_state_t *state = state_create ();
+      sgr_config_error_t error = { SGR_OK };
+
+      snprintf (text, sizeof text, DOCUMENT ("00000003", "%s"), cases[i].text);
+      assert_int_equal (document_offer (state, DOCUMENT ("00000002", TENANT ("old", "")), &error),
+                        SGR_OK);
+      if (document_offer (state, text, &error) != SGR_ERR_INVALID
+          || strcmp (error.path, cases[i].path) != 0 || strstr (error.message, SECRET) != NULL)
+        fail_msg ("%s: path \"%s\", message \"%s\"", cases[i].text, error.path, error.message);
+      assert_string_equal (sgr_config_state_accounts (state)->list[0].name, "old");
+      sgr_config_state_destroy (state);
+    }
+}
+
 #define HEARTBEAT(info, status)                                                                    \
   "{\"address\":\"10.1.0.9:8080\",\"born\":1700000000123,\"info\":{" info "},\"status\":{" status  \
   "}}"
@@ -292,6 +402,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_documents),
     cmocka_unit_test (test_bad_documents),
+    cmocka_unit_test (test_tenants),
+    cmocka_unit_test (test_bad_tenants),
     cmocka_unit_test (test_heartbeats),
     cmocka_unit_test (test_durations),
     cmocka_unit_test (test_change_reads_changed_parts),
