--- a/libsiskingrade/call_fields.c
+++ b/libsiskingrade/call_fields.c
@@ -33,6 +33,32 @@
          || is_named (fields->caller_service, name, length);
 }
 
+/* Compares names without regard to case and to the difference of '-' and '_'. */
+static bool
+is_spelt_like (const char *field, const char *name, size_t length)
+{
+  if (field == NULL || strlen (field) != length)
+    return false;
+  for (size_t i = 0; i < length; i++)
+    {
+      char letter = name[i] == '_' ? '-' : name[i];
+
+      if (letter >= 'A' && letter <= 'Z')
+        letter = (char)(letter + 'a' - 'A');
+      if (letter != field[i])
+        return false;
+    }
+  return true;
+}
+
+bool
+sgr_call_fields_is_of_account (const sgr_call_fields_t *fields, const char *name, size_t length)
+{
+  return is_spelt_like (fields->authorization, name, length)
+         || is_spelt_like (fields->tenant, name, length)
+         || is_spelt_like ("siskingrade-tenant", name, length);
+}
+
 bool
 sgr_target_load_parse (const char *text, size_t length, sgr_target_load_t *load)
 {
--- a/libsiskingrade/call_fields.h
+++ b/libsiskingrade/call_fields.h
@@ -55,6 +55,19 @@
 bool sgr_call_fields_is_set_by_node (const sgr_call_fields_t *fields, const char *name,
                                      size_t length);
 
+/**
+ * sgr_call_fields_is_of_account() - whether a field of requests concerns client accounts
+ * @fields: names of the fields
+ * @name: name of the field in any case, not zero-terminated
+ * @length: its length in bytes
+ *
+ * With client accounts, a node does not forward such a field of a caller: its key, and fields that
+ * a target could take for the name of the account. Some servers do not tell '-' from '_' in names,
+ * so that neither does this function.
+ */
+bool sgr_call_fields_is_of_account (const sgr_call_fields_t *fields, const char *name,
+                                    size_t length);
+
 /**
  * struct sgr_target_load_t - load that a target reports in a header field of an answer
  * @running: requests that the target is running
