Check the key of each request, and tell the target the account

Cause: a call is served whoever sends it, and its account is what the caller says. Change: with accounts in the configuration, a request needs a known key unless its route is public: otherwise 401 unknown-key, or 503 while another node is known to have a newer configuration. The account's name is the tenant of the call in queues, histograms and idempotency keys, and reaches the target in the field of the platform; its rank comes before that of the route. Fields of a caller that concern accounts are dropped. Without accounts nothing changes.

--- a/libsiskingrade/config_resource.c
+++ b/libsiskingrade/config_resource.c
@@ -528,29 +528,6 @@
   free (content);
 }
 
-/* Length of the message of an error without the text that it quotes. */
-static int
-json_error_length (const json_error_t *error)
-{
-  const char *quote = strstr (error->text, " near '");
-
-  return quote != NULL ? (int)(quote - error->text) : (int)strlen (error->text);
-}
-
-json_t *
-sgr_config_json_load (const void *text, size_t length, sgr_config_error_t *error)
-{
-  json_error_t json_error;
-  json_t *json = json_loadb (text, length, JSON_REJECT_DUPLICATES, &json_error);
-
-  /* The message ends with the text near the error, which may be the key of an account. */
-  if (json == NULL)
-    sgr_config_error_set (error, SGR_ERR_INVALID, "", "line %d, column %d: %.*s, expected JSON",
-                          json_error.line, json_error.column, json_error_length (&json_error),
-                          json_error.text);
-  return json;
-}
-
 char *
 sgr_config_json_canonical (const json_t *json)
 {
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -73,7 +73,11 @@
  *   has no such limit
  * @attempts_max: maximum number of attempts that reach a target
  * @refusals_max: additional attempts that are allowed because gates refused earlier ones
- * @priority: rank under overload, 0 is served first
+ * @priority: rank under overload, 0 is served first; with accounts, the rank of the account comes
+ *   before that of the route
+ * @has_accounts: the configuration had client accounts when the request arrived
+ * @account: index of the client account of the call in the configuration that was in force when the
+ *   request arrived; SGR_ACCOUNT_NONE for a call of a public route, and without accounts
  * @chain: depth and remaining retries of the call chain that the call belongs to
  * @has_key: the call carries an idempotency key
  * @is_key_issued: a node issued the key, as opposed to a caller's own key
@@ -93,6 +97,8 @@
   uint32_t attempts_max;
   uint32_t refusals_max;
   uint32_t priority;
+  bool has_accounts;
+  uint32_t account;
   sgr_retry_chain_t chain;
   bool has_key;
   bool is_key_issued;
--- a/libsiskingrade/data_call_log.c
+++ b/libsiskingrade/data_call_log.c
@@ -1,5 +1,6 @@
 #include "data_call_internal.h"
 
+#include "data_account.h"
 #include "log.h"
 
 /* Log lines that an entry writes when a call ends: one for each attempt and one for the call. */
@@ -50,7 +51,7 @@
     attempt_log (call, id, i, now_us);
   sgr_log_info ("call-end",
                 "id=%s route=%s service=%s revision=%lu attempts=%u outcome=%s reason=%s "
-                "gate_reason=%s status=%d retry_after_ms=%u took_ms=%lu left_ms=%ld",
+                "gate_reason=%s status=%d retry_after_ms=%u took_ms=%lu left_ms=%ld%s%s",
                 id, call->request.class_name, call->request.service, snapshot->config_revision,
                 call->plan.attempt_count, sgr_outcome_name (finish->outcome),
                 sgr_call_reason_name (finish->reason), sgr_gate_reason_name (finish->gate_reason),
@@ -59,5 +60,7 @@
                                   : 0
                             : 0,
                 finish->retry_after_ms, sgr_ms_of (now_us - call->start_us),
-                ((long)call->request.deadline_us - (long)now_us) / 1000);
+                ((long)call->request.deadline_us - (long)now_us) / 1000,
+                call->request.has_accounts ? " account=" : "",
+                call->request.has_accounts ? sgr_data_account_name (&call->request) : "");
 }
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "data_account.h"
 #include "data_call.h"
 #include "data_keys.h"
 #include "data_refuse.h"
@@ -218,8 +219,9 @@
     request->on_time_us = sgr_clock_monotonic_us () + route->target_latency_ms * SGR_USEC_PER_MSEC;
   request->refusals_max = route != NULL ? ROUTE_REFUSALS_MAX : 0;
   request->priority = route != NULL ? route->priority : 0;
-  if (tenant.base != NULL && !name_copy (tenant, request->tenant))
+  if (!request->has_accounts && tenant.base != NULL && !name_copy (tenant, request->tenant))
     return "bad-tenant";
+  sgr_data_account_apply (http->task, request);
   if (route == NULL && class_name.base != NULL && !name_copy (class_name, request->class_name))
     return "bad-class";
   if (!idempotent_read (req, route != NULL ? route->idempotency : policy->idempotency,
@@ -282,13 +284,15 @@
     sgr_data_request_refuse (http->task, req, 404, reason);
 }
 
-/* Finds the service of a call. With routes, it is the service that is next in the traffic split of
-   the matching route; without routes, the caller names it. If there is no such service, refuses the
-   request and returns NULL. */
+/* Checks the key of a call and finds its service. With routes, it is the service that is next in
+   the traffic split of the matching route; without routes, the caller names it. If the key is not
+   known or there is no such service, refuses the request and returns NULL. */
 static sgr_data_service_t *
-service_choose (sgr_data_http_t *http, h2o_req_t *req, const sgr_route_t **route, char *name)
+service_choose (sgr_data_http_t *http, h2o_req_t *req, const sgr_route_t **route,
+                sgr_data_call_request_t *request)
 {
   sgr_route_table_t *routes = http->task->routes;
+  sgr_route_entry_t *entry = NULL;
   sgr_data_service_t *service;
 
   if (routes == NULL || http->task->snapshot->config_revision == 0)
@@ -298,23 +302,26 @@
     }
   if (sgr_route_table_count (routes) > 0)
     {
-      sgr_route_entry_t *entry = sgr_route_table_find (
-          routes, req->authority.base, req->authority.len, req->path.base, req->path.len);
-
+      entry = sgr_route_table_find (routes, req->authority.base, req->authority.len, req->path.base,
+                                    req->path.len);
       if (entry == NULL)
         {
           unknown_refuse (http, req, "no-route");
           return NULL;
         }
       *route = sgr_route_entry_route (entry);
-      snprintf (name, SGR_NAME_MAX + 1, "%s", sgr_route_entry_part_next (entry)->service);
     }
-  else if (!service_name_read (req, name))
+  if (!sgr_data_account_check (http->task, req, *route, request))
+    return NULL;
+  if (entry != NULL)
+    snprintf (request->service, sizeof request->service, "%s",
+              sgr_route_entry_part_next (entry)->service);
+  else if (!service_name_read (req, request->service))
     {
       sgr_data_request_refuse (http->task, req, 400, "bad-service");
       return NULL;
     }
-  service = sgr_data_service_find (http->task->services, name);
+  service = sgr_data_service_find (http->task->services, request->service);
   if (service == NULL)
     unknown_refuse (http, req, "unknown-service");
   return service;
@@ -323,9 +330,9 @@
 static void
 call_begin (sgr_data_http_t *http, h2o_req_t *req)
 {
-  sgr_data_call_request_t request = { 0 };
+  sgr_data_call_request_t request = { .account = SGR_ACCOUNT_NONE };
   const sgr_route_t *route = NULL;
-  sgr_data_service_t *service = service_choose (http, req, &route, request.service);
+  sgr_data_service_t *service = service_choose (http, req, &route, &request);
   pending_bind_t *pending;
   const char *reason;
 
@@ -338,6 +345,7 @@
       sgr_data_request_refuse (http->task, req, 400, reason);
       return;
     }
+  sgr_data_account_call_count (http->task, &request);
   if (!request.has_key || request.is_key_issued)
     {
       sgr_data_call_start (http->task, req, service, &request);
@@ -377,6 +385,7 @@
 static void
 key_issue (sgr_data_http_t *http, h2o_req_t *req)
 {
+  sgr_data_call_request_t request = { .account = SGR_ACCOUNT_NONE };
   sgr_data_service_t *service = NULL;
   char name[SGR_NAME_MAX + 1];
   h2o_iovec_t query = { 0 };
@@ -386,6 +395,8 @@
       sgr_data_request_refuse (http->task, req, 405, "expected-post");
       return;
     }
+  if (!sgr_data_account_check (http->task, req, NULL, &request))
+    return;
   if (req->query_at != SIZE_MAX)
     query = h2o_iovec_init (req->path.base + req->query_at + 1, req->path.len - req->query_at - 1);
   if (query.len > 8 && memcmp (query.base, "service=", 8) == 0
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -3,6 +3,7 @@
 
 #include <h2o.h>
 
+#include "account_table.h"
 #include "balancer.h"
 #include "call_log.h"
 #include "call_plan.h"
@@ -38,6 +39,8 @@
  * @completed: requests that the local target answered completely
  * @snapshot: latest snapshot of the control task, NULL before the first one
  * @routes: routes of the configuration in @snapshot
+ * @accounts: client accounts of the configuration in @snapshot, NULL without any
+ * @account_counters: counters of calls by the hash of the account's name
  * @attempts: attempts of this node's own calls by sgr_data_attempt_map_key()
  * @next_sequence: sequence number of the next call
  * @calls: number of open calls of callers
@@ -70,6 +73,8 @@
   sgr_rng_t rng;
   sgr_snapshot_t *snapshot;
   sgr_route_table_t *routes;
+  sgr_account_table_t *accounts;
+  sgr_id_map_t *account_counters;
   sgr_data_gate_t *gate;
   sgr_data_links_t *links;
   sgr_data_services_t *services;
--- a/libsiskingrade/data_refuse.c
+++ b/libsiskingrade/data_refuse.c
@@ -39,26 +39,47 @@
 
 void
 sgr_data_request_refuse (sgr_data_task_t *task, h2o_req_t *req, int status, const char *reason)
+{
+  sgr_data_refusal_t refusal = { .status = status,
+                                 .reason = reason,
+                                 .retry_after_ms = status == 503 ? UNAVAILABLE_RETRY_AFTER_MS : 0 };
+
+  sgr_data_request_refuse_as (task, req, &refusal);
+}
+
+static void
+refusal_log (sgr_data_task_t *task, const h2o_req_t *req, const sgr_data_refusal_t *refusal)
 {
   const sgr_snapshot_t *snapshot = task->snapshot;
-  bool is_unavailable = status == 503;
-  sgr_data_error_t error = { .status = status,
-                             .outcome = SGR_OUTCOME_NOT_RUN,
-                             .reason = reason,
-                             .is_repeat_safe = is_unavailable,
-                             .retry_after_ms = is_unavailable ? UNAVAILABLE_RETRY_AFTER_MS : 0,
-                             .has_retry_fractions = task->fields->has_retry_fractions };
+  bool has_accounts = sgr_account_table_count (task->accounts) > 0;
   char id[SGR_NAME_MAX + 1];
 
-  refusal_count (task, status, reason);
   sgr_data_request_id_read (task, req, id);
-  if (sgr_call_log_should_log (task->call_log, sgr_clock_monotonic_us (), id, true))
-    sgr_log_info ("call-refused",
-                  "id=%s status=%d reason=%s host=%.*s path=%.*s revision=%lu newest_revision=%lu",
-                  id, status, reason, (int)req->authority.len, req->authority.base,
-                  (int)req->path.len, req->path.base,
-                  snapshot != NULL ? snapshot->config_revision : 0UL,
-                  snapshot != NULL ? snapshot->newest_revision : 0UL);
+  if (!sgr_call_log_should_log (task->call_log, sgr_clock_monotonic_us (), id, true))
+    return;
+  sgr_log_info (
+      "call-refused",
+      "id=%s status=%d reason=%s%s%s host=%.*s path=%.*s revision=%lu newest_revision=%lu", id,
+      refusal->status, refusal->reason, has_accounts ? " account=" : "",
+      has_accounts ? (refusal->account != NULL ? refusal->account : "-") : "",
+      (int)req->authority.len, req->authority.base, (int)req->path.len, req->path.base,
+      snapshot != NULL ? snapshot->config_revision : 0UL,
+      snapshot != NULL ? snapshot->newest_revision : 0UL);
+}
+
+void
+sgr_data_request_refuse_as (sgr_data_task_t *task, h2o_req_t *req,
+                            const sgr_data_refusal_t *refusal)
+{
+  sgr_data_error_t error = { .status = refusal->status,
+                             .outcome = SGR_OUTCOME_NOT_RUN,
+                             .reason = refusal->reason,
+                             .is_repeat_safe = refusal->retry_after_ms > 0,
+                             .retry_after_ms = refusal->retry_after_ms,
+                             .has_retry_fractions = task->fields->has_retry_fractions };
+
+  refusal_count (task, refusal->status, refusal->reason);
+  refusal_log (task, req, refusal);
   sgr_data_error_send (req, &error);
 }
 
--- a/libsiskingrade/data_refuse.h
+++ b/libsiskingrade/data_refuse.h
@@ -25,6 +25,31 @@
 void sgr_data_request_refuse (sgr_data_task_t *task, h2o_req_t *req, int status,
                               const char *reason);
 
+/**
+ * struct sgr_data_refusal_t - why a request is refused
+ * @status: status of the answer
+ * @reason: as of sgr_data_request_refuse()
+ * @account: name of the caller's account for the log, NULL if it is not known
+ * @retry_after_ms: time after which the caller may come back, 0 to not name any
+ */
+typedef struct
+{
+  int status;
+  const char *reason;
+  const char *account;
+  uint32_t retry_after_ms;
+} sgr_data_refusal_t;
+
+/**
+ * sgr_data_request_refuse_as() - as sgr_data_request_refuse(), for a call of a known account or
+ * with a time of its own
+ * @task: the data task
+ * @req: the request
+ * @refusal: the reason
+ */
+void sgr_data_request_refuse_as (sgr_data_task_t *task, h2o_req_t *req,
+                                 const sgr_data_refusal_t *refusal);
+
 /**
  * sgr_data_malformed_count() - count and log a request that was answered without being read
  * @task: the data task
--- a/libsiskingrade/data_send.c
+++ b/libsiskingrade/data_send.c
@@ -78,8 +78,18 @@
 }
 
 /* Maximum number of fields that headers_fill() adds to those of the caller: depth and retries of
-   the call chain, and the caller's service. */
-#define HEADERS_ADDED_MAX 3
+   the call chain, the caller's service, and the account's name. */
+#define HEADERS_ADDED_MAX 4
+
+/* Whether a field of the caller's request is forwarded to the target. */
+static bool
+header_is_forwarded (const sgr_data_call_t *call, const char *name, size_t length)
+{
+  return sgr_http_is_forwarded (name, length)
+         && !sgr_call_fields_is_set_by_node (call->task->fields, name, length)
+         && !(call->request.has_accounts
+              && sgr_call_fields_is_of_account (call->task->fields, name, length));
+}
 
 /* Sets the header fields for the target: those of the caller's request that are forwarded, and
    those that the entry adds. Returns their number. */
@@ -95,9 +105,7 @@
     {
       const h2o_header_t *header = &req->headers.entries[i];
 
-      if (!sgr_http_is_forwarded (header->name->base, header->name->len)
-          || sgr_call_fields_is_set_by_node (call->task->fields, header->name->base,
-                                             header->name->len))
+      if (!header_is_forwarded (call, header->name->base, header->name->len))
         continue;
       header_set (&headers[used++],
                   h2o_strdup (&req->pool, header->name->base, header->name->len).base,
@@ -113,6 +121,8 @@
     }
   if (service != NULL)
     header_set (&headers[used++], call->task->fields->caller_service, service);
+  if (call->request.account != SGR_ACCOUNT_NONE && call->task->fields->tenant != NULL)
+    header_set (&headers[used++], call->task->fields->tenant, call->request.tenant);
   for (size_t i = 0; i < used; i++)
     pointers[i] = &headers[i];
   return used;
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "data_account.h"
 #include "data_gate.h"
 #include "data_http.h"
 #include "data_internal.h"
@@ -74,7 +75,10 @@
 
   task->snapshot = snapshot;
   if (old == NULL || old->config_revision != snapshot->config_revision)
-    routes_rebuild (task);
+    {
+      routes_rebuild (task);
+      sgr_data_accounts_rebuild (task);
+    }
   sgr_data_services_update (task->services, old, now_us);
   sgr_data_gate_update (task->gate, now_us);
   task->had_snapshot = true;
@@ -286,6 +290,8 @@
   sgr_call_log_destroy (task->call_log);
   sgr_snapshot_destroy (task->snapshot);
   sgr_route_table_destroy (task->routes);
+  sgr_account_table_destroy (task->accounts);
+  sgr_id_map_destroy (task->account_counters);
   sgr_timer_heap_destroy (task->timers);
   sgr_metrics_destroy (task->metrics);
   free (task);
@@ -333,6 +339,7 @@
   task->metrics_timer = (sgr_timer_t){ .fire = on_metrics_timer, .ctx = task };
   sgr_rng_seed (&task->rng, boot);
   task->attempts = sgr_id_map_create ();
+  task->account_counters = sgr_id_map_create ();
   task->call_log = sgr_call_log_create ();
   task->completed = sgr_metrics_counter (task->metrics, "siskingrade_gate_completed_total", "");
   if (thread_start (task, errors))
--- a/tests/test_platform_input.c
+++ b/tests/test_platform_input.c
@@ -147,21 +147,24 @@
 
   assert_null (sgr_config_state_accounts (state));
   assert_int_equal (
-      document_offer (state,
-                      DOCUMENT (
-                          "00000001",
-                          TENANT (
-                              "a",
-                              "\"apiKeys\":[\"" SECRET "\"],"
-                              "\"priority\":3.7,\"ratePerS\":12.9,"
-                              "\"burst\":0.25,\"allowedRegions\":[]") "," TENANT ("b",
-                                                                                  "\"ratePerS\":"
-                                                                                  "1e12") "," SERVICE
-                                                                                          "," ROUTE (SPEC (
-                                                                                              "saf"
-                                                                                              "e") ",\"service\":\"s\","
-                                                                                                   "\"public\":true")),
-                      &error),
+      document_offer (
+          state,
+          DOCUMENT (
+              "00000001",
+              TENANT (
+                  "a",
+                  "\"apiKeys\":[\"" SECRET "\"],"
+                  "\"priority\":3.7,\"ratePerS\":12.9,"
+                  "\"burst\":0.25,\"allowedRegions\":[]") "," TENANT ("b",
+                                                                      "\"ratePerS\":"
+                                                                      "1e12") "," SERVICE
+                                                                              "," ROUTE (SPEC (
+                                                                                  "saf"
+                                                                                  "e") ",\"service"
+                                                                                       "\":\"s\","
+                                                                                       "\"public\":"
+                                                                                       "true")),
+          &error),
       SGR_OK);
   accounts = sgr_config_state_accounts (state);
   assert_int_equal (accounts->count, 2);
