--- a/tests/node_fixture_config.c
+++ b/tests/node_fixture_config.c
@@ -106,31 +106,74 @@
   uint8_t secret[crypto_sign_SECRETKEYBYTES];
   char hex[SGR_CONFIG_DIGEST_HEX_BYTES];
   sgr_config_digest_t digest;
+  char path[128];
 
   sgr_config_change_digest (change, &digest);
   sgr_config_digest_format (&digest, hex);
   owner_keys_derive (owner, public_key, secret);
   snprintf (approval.owner, sizeof approval.owner, "%s", owner_names[owner]);
   sgr_config_statement_sign (&digest, secret, approval.signature);
+  snprintf (path, sizeof path, "/v1/changes/%s/approve", change->statement.id);
   return post_until_accepted (
-      fixture, "/v1/changes/first/approve",
+      fixture, path,
       json_pack ("{s:s, s:o}", "digest", hex, "approval", sgr_config_approval_write (&approval)));
 }
 
-bool
-sgr_fixture_services_set (const sgr_fixture_t *fixture)
+/* Proposes a change of the record @base, NULL for the first one, and approves it. */
+static bool
+change_set (const sgr_fixture_t *fixture, const sgr_config_record_t *base, const char *id,
+            json_t *body)
 {
-  json_t *content = content_create (fixture);
   sgr_config_change_t *change;
   sgr_config_error_t error = { SGR_OK };
-  sgr_result_t result = sgr_config_change_propose (SGR_FIXTURE_DEPLOYMENT, NULL, "first",
-                                                   owner_names[0], content, &change, &error);
+  sgr_result_t result = sgr_config_change_propose (SGR_FIXTURE_DEPLOYMENT, base, id, owner_names[0],
+                                                   body, &change, &error);
   bool is_set;
 
   sgr_invariant (result == SGR_OK);
   is_set = post_until_accepted (fixture, "/v1/changes", sgr_config_change_write (change))
            && change_approve (fixture, change, 0) && change_approve (fixture, change, 1);
   sgr_config_change_destroy (change);
-  json_decref (content);
+  json_decref (body);
+  return is_set;
+}
+
+bool
+sgr_fixture_services_set (const sgr_fixture_t *fixture)
+{
+  return change_set (fixture, NULL, "first", content_create (fixture));
+}
+
+/* Reads the record that the first node has in force. */
+static sgr_config_record_t *
+record_read (const sgr_fixture_t *fixture)
+{
+  sgr_probe_request_t request = { .port = fixture->nodes[0].control, .path = "/v1/config/raw" };
+  sgr_config_owners_t owners = { .deployment = SGR_FIXTURE_DEPLOYMENT };
+  sgr_config_error_t error = { SGR_OK };
+  sgr_config_record_t *record = NULL;
+  uint8_t secret[crypto_sign_SECRETKEYBYTES];
+  sgr_probe_answer_t answer;
+
+  for (int i = 0; i < SGR_CONFIG_OWNER_COUNT; i++)
+    {
+      snprintf (owners.owner[i].name, sizeof owners.owner[i].name, "%s", owner_names[i]);
+      owner_keys_derive (i, owners.owner[i].key, secret);
+    }
+  sgr_probe_call (&request, &answer);
+  sgr_invariant (answer.status == 200);
+  sgr_invariant (sgr_config_record_verify (&owners, answer.body, answer.length, &record, &error)
+                 == SGR_OK);
+  sgr_probe_release (&answer);
+  return record;
+}
+
+bool
+sgr_fixture_change_set (const sgr_fixture_t *fixture, const char *id, json_t *edit)
+{
+  sgr_config_record_t *base = record_read (fixture);
+  bool is_set = change_set (fixture, base, id, json_pack ("{s:o}", "edit", edit));
+
+  sgr_config_record_destroy (base);
   return is_set;
 }
--- a/tests/node_fixture_config.h
+++ b/tests/node_fixture_config.h
@@ -1,6 +1,7 @@
 #ifndef SGR_NODE_FIXTURE_CONFIG_H
 #define SGR_NODE_FIXTURE_CONFIG_H
 
+#include <jansson.h>
 #include <stdio.h>
 
 #include "node_fixture.h"
@@ -22,4 +23,16 @@
  */
 bool sgr_fixture_services_set (const sgr_fixture_t *fixture);
 
+/**
+ * sgr_fixture_change_set() - change the configuration that the fixture's first node has in force
+ * @fixture: the fixture, after sgr_fixture_services_set()
+ * @id: id of the change, used once
+ * @edit: edit of the content, see sgr_config_content_apply(); released by this function
+ *
+ * Proposes and approves the change as sgr_fixture_services_set() does.
+ *
+ * Return: false if a request was refused, or not accepted within 20 seconds.
+ */
+bool sgr_fixture_change_set (const sgr_fixture_t *fixture, const char *id, json_t *edit);
+
 #endif
