Answer calls that are open at a stop before the process ends

Cause: the deadline of a call was limited by the stop only if it arrived during the stop. A call that was open at SIGTERM and outlasted the drain was cut without an answer. The drain of 5 s of the platform's settings ended calls 4.8 s after SIGTERM, before five sixths of a grace time of 6 s, and halfway through one of 10 s. Change: the deadlines of all open calls are limited; the times of a stop follow from limits.stop_grace, which the platform's settings fill in.

--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -12,6 +12,30 @@
 /* Latency samples needed for hedging; the percentile of fewer samples is unreliable. */
 #define HEDGE_SAMPLES_MIN 100
 
+static void
+open_call_add (sgr_data_call_t *call)
+{
+  sgr_data_task_t *task = call->task;
+
+  call->next = task->open_calls;
+  if (call->next != NULL)
+    call->next->previous = call;
+  task->open_calls = call;
+  task->calls++;
+}
+
+static void
+open_call_remove (sgr_data_call_t *call)
+{
+  if (call->previous != NULL)
+    call->previous->next = call->next;
+  else
+    call->task->open_calls = call->next;
+  if (call->next != NULL)
+    call->next->previous = call->previous;
+  call->task->calls--;
+}
+
 /* Frees an ended call once no event is being handled and h2o has disposed of the request. */
 static void
 call_free_if_done (sgr_data_call_t *call)
@@ -26,7 +50,7 @@
         sgr__pb__answer_head__free_unpacked (call->attempts[i].head, NULL);
     }
   sgr_timer_cancel (call->task->timers, &call->timer);
-  call->task->calls--;
+  open_call_remove (call);
   free (call);
 }
 
@@ -319,6 +343,25 @@
   sgr_data_call_event (ctx, &event);
 }
 
+void
+sgr_data_calls_deadline_limit (sgr_data_task_t *task, uint64_t deadline_us)
+{
+  sgr_call_event_t event = { .kind = SGR_CALL_EVENT_TIMER };
+  sgr_data_call_t *next;
+
+  for (sgr_data_call_t *call = task->open_calls; call != NULL; call = next)
+    {
+      next = call->next;
+      if (call->is_finished || call->request.deadline_us <= deadline_us)
+        continue;
+      call->request.deadline_us = deadline_us;
+      call->plan.options.deadline_us = deadline_us;
+      /* The plan computes its timer again. It does not end a call here, as the deadline is not
+         reached yet. */
+      sgr_data_call_event (call, &event);
+    }
+}
+
 static void
 on_request_disposed (void *object)
 {
@@ -365,7 +408,7 @@
   /* h2o calls on_request_disposed() when it frees this memory together with the request. */
   call_ref = h2o_mem_alloc_shared (&req->pool, sizeof *call_ref, on_request_disposed);
   *call_ref = call;
-  task->calls++;
+  open_call_add (call);
   sgr_call_options_init (&options);
   options.idempotent = request->is_idempotent;
   options.keyed = request->has_key;
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -111,6 +111,15 @@
 void sgr_data_call_start (sgr_data_task_t *task, h2o_req_t *req, sgr_data_service_t *service,
                           const sgr_data_call_request_t *request);
 
+/**
+ * sgr_data_calls_deadline_limit() - move the deadlines of all open calls to a time at the latest
+ * @task: the data task
+ * @deadline_us: the time, monotonic, microseconds
+ *
+ * Callers of a node that stops thus get a final answer before its process ends.
+ */
+void sgr_data_calls_deadline_limit (sgr_data_task_t *task, uint64_t deadline_us);
+
 /**
  * sgr_data_attempt_frame_handle() - handle a frame that the gate sent for an attempt
  * @attempt: the attempt
--- a/libsiskingrade/data_call_internal.h
+++ b/libsiskingrade/data_call_internal.h
@@ -11,6 +11,8 @@
 
 /**
  * struct sgr_data_call_t - one call of a caller
+ * @next: next open call of the task
+ * @previous: previous open call of the task
  * @req: h2o request, NULL after h2o disposed of it
  * @start_us: time of arrival, monotonic, microseconds
  * @sequence: sequence number of the call within this boot, part of the attempt ids
@@ -27,6 +29,8 @@
 struct sgr_data_call_t
 {
   sgr_data_task_t *task;
+  struct sgr_data_call_t *next;
+  struct sgr_data_call_t *previous;
   sgr_data_service_t *service;
   h2o_req_t *req;
   sgr_data_call_request_t request;
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -18,9 +18,6 @@
 /* Retry-After of a call that is refused because its idempotency key, which the caller chose, cannot
    be bound to a gate. */
 #define KEY_BIND_RETRY_AFTER_MS 1000
-/* Time for the answers to calls that reach the end of a stop: cancels, their replies, and the write
-   to the caller. */
-#define STOP_ANSWER_US (200 * SGR_USEC_PER_MSEC)
 /* Time for which the knowledge of a newer configuration turns 404 into 503. */
 #define BEHIND_MAX_US (15 * SGR_USEC_PER_SEC)
 /* Maximum number of attempts that a routed call may make in addition to attempts_max because gates
@@ -143,8 +140,8 @@
 static void
 deadline_limit_by_stop (const sgr_data_task_t *task, uint64_t *deadline_us)
 {
-  if (task->drain_deadline_us != 0 && *deadline_us > task->drain_deadline_us - STOP_ANSWER_US)
-    *deadline_us = task->drain_deadline_us - STOP_ANSWER_US;
+  if (task->calls_end_us != 0 && *deadline_us > task->calls_end_us)
+    *deadline_us = task->calls_end_us;
 }
 
 static bool
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -47,6 +47,8 @@
  * @had_snapshot: at least one snapshot was applied
  * @leave_timer: sets @is_draining leave_delay_ms after the drain was requested
  * @drain_timer: checks at short intervals whether the drain is complete
+ * @open_calls: list of the open calls of callers
+ * @calls_end_us: latest deadline of a call during a drain, monotonic time, 0 before a drain
  * @drain_deadline_us: monotonic time at which the drain ends even if calls are open, 0 before a
  * drain
  *
@@ -88,6 +90,8 @@
   sgr_timer_t leave_timer;
   sgr_timer_t drain_timer;
   sgr_timer_t metrics_timer;
+  struct sgr_data_call_t *open_calls;
+  uint64_t calls_end_us;
   uint64_t drain_deadline_us;
 };
 
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "data_call.h"
 #include "data_gate.h"
 #include "data_http.h"
 #include "data_internal.h"
@@ -11,6 +12,7 @@
 #include "data_link.h"
 #include "data_peer.h"
 #include "data_service.h"
+#include "stop_plan.h"
 #include "task_loop.h"
 
 /* Interval of pings on a connection between nodes while no attempt waits on it. */
@@ -122,7 +124,8 @@
     sgr_timer_arm (task->timers, &task->drain_timer, now_us + DRAIN_POLL_INTERVAL_US);
 }
 
-/* Callers have had leave_delay_ms to move to other nodes; refuses their requests from now on. */
+/* Callers have had the time until here to move to other nodes; refuses their requests from now on.
+ */
 static void
 on_leave_timer (void *ctx, uint64_t now_us)
 {
@@ -136,15 +139,17 @@
 static void
 drain_begin (sgr_data_task_t *task)
 {
+  sgr_stop_plan_t plan = sgr_stop_plan (task->settings);
   uint64_t now_us = sgr_clock_monotonic_us ();
 
   if (task->drain_deadline_us != 0)
     return;
-  task->drain_deadline_us = now_us + task->settings->drain_timeout_ms * SGR_USEC_PER_MSEC;
+  task->calls_end_us = now_us + plan.calls_end_ms * SGR_USEC_PER_MSEC;
+  task->drain_deadline_us = now_us + plan.drain_end_ms * SGR_USEC_PER_MSEC;
+  sgr_data_calls_deadline_limit (task, task->calls_end_us);
   sgr_data_gate_drain (task->gate, now_us);
   sgr_data_http_leave (task->http);
-  sgr_timer_arm (task->timers, &task->leave_timer,
-                 now_us + task->settings->leave_delay_ms * SGR_USEC_PER_MSEC);
+  sgr_timer_arm (task->timers, &task->leave_timer, now_us + plan.refuse_ms * SGR_USEC_PER_MSEC);
 }
 
 static void
--- a/libsiskingrade/data_task.h
+++ b/libsiskingrade/data_task.h
@@ -42,7 +42,7 @@
 /**
  * struct sgr_data_task_events_t - callbacks of the data task
  * @drained: after sgr_data_task_drain(), all calls have ended and their answers are delivered, or
- * drain_timeout_ms has passed; @open_calls calls of callers are then cut
+ * the drain has timed out, see sgr_stop_plan(); @open_calls calls of callers are then cut
  * @key_bind: bind a caller's own key and reply with sgr_data_task_key_bind_reply_send(); the
  * receiver owns @bind
  * @target_unreachable: connections to the local target failed repeatedly
