--- a/cli/siskingradectl.c
+++ b/cli/siskingradectl.c
@@ -28,6 +28,8 @@
       "  status                revision in force by failure domain, and what lags\n"
       "  explain ID LOG...     print the log lines of one request from the logs of all nodes\n"
       "  keygen PREFIX         write an Ed25519 key pair to PREFIX.key (mode 0600) and PREFIX.pub\n"
+      "  key-hash FILE         print the hash of the account key in the first line of FILE, or of\n"
+      "                        standard input for -\n"
       "\n"
       "Exit status: 0 done; 1 refused (conflict, not found); 64 usage; 69 no node or store\n"
       "reachable, nothing done; 75 outcome unknown, read the change back; 77 key or signature\n"
--- a/libsiskingrade/ctl_command.c
+++ b/libsiskingrade/ctl_command.c
@@ -314,6 +314,23 @@
   return SGR_CTL_EXIT_OK;
 }
 
+static int
+run_key_hash (const sgr_ctl_options_t *options, FILE *out, FILE *err)
+{
+  sgr_config_error_t error = { SGR_OK };
+  char hex[SGR_ACCOUNT_KEY_HEX_BYTES];
+
+  if (sgr_ctl_account_key_hash (options->arguments[1], hex, &error) != SGR_OK)
+    {
+      /* As for run_keygen(): the failure of a local command is certain. */
+      if (error.result == SGR_ERR_IO)
+        error.result = SGR_ERR_INVALID;
+      return sgr_ctl_error_print (err, &error);
+    }
+  fprintf (out, "%s\n", hex);
+  return SGR_CTL_EXIT_OK;
+}
+
 int
 sgr_ctl_run (const sgr_ctl_options_t *options, FILE *out, FILE *err)
 {
@@ -342,6 +359,8 @@
     return run_explain (options, out, err);
   if (strcmp (command, "keygen") == 0 && options->argument_count == 2)
     return run_keygen (options, out, err);
+  if (strcmp (command, "key-hash") == 0 && options->argument_count == 2)
+    return run_key_hash (options, out, err);
   for (size_t i = 0; i < sizeof commands / sizeof commands[0]; i++)
     {
       if (strcmp (command, commands[i].name) != 0
--- a/libsiskingrade/ctl_keys.c
+++ b/libsiskingrade/ctl_keys.c
@@ -92,6 +92,34 @@
          && key_length == SGR_CONFIG_KEY_BYTES;
 }
 
+sgr_result_t
+sgr_ctl_account_key_hash (const char *file, char hex[SGR_ACCOUNT_KEY_HEX_BYTES],
+                          sgr_config_error_t *error)
+{
+  /* Room for the longest key, its line end, and one byte more that shows a longer one. */
+  char line[SGR_ACCOUNT_KEY_BYTES_MAX + 4] = "";
+  bool is_standard_input = strcmp (file, "-") == 0;
+  FILE *input = is_standard_input ? stdin : fopen (file, "re");
+  sgr_result_t result = SGR_OK;
+  size_t length;
+
+  if (input == NULL)
+    return sgr_config_error_set (error, SGR_ERR_IO, "", "%s: %s", file, strerror (errno));
+  if (fgets (line, sizeof line, input) == NULL && ferror (input))
+    result = sgr_config_error_set (error, SGR_ERR_IO, "", "%s: %s", file, strerror (errno));
+  if (!is_standard_input)
+    fclose (input);
+  length = strcspn (line, "\r\n");
+  if (result == SGR_OK && (length == 0 || length > SGR_ACCOUNT_KEY_BYTES_MAX))
+    result
+        = sgr_config_error_set (error, SGR_ERR_INVALID, "", "%s:1: expected a key of 1 to %d bytes",
+                                file, SGR_ACCOUNT_KEY_BYTES_MAX);
+  if (result == SGR_OK)
+    sgr_account_key_hash_format (sgr_account_key_hash (line, length), hex);
+  sodium_memzero (line, sizeof line);
+  return result;
+}
+
 static sgr_result_t
 owner_parse (const json_t *json, size_t index, sgr_config_owner_t *owner, sgr_config_error_t *error)
 {
--- a/libsiskingrade/ctl_keys.h
+++ b/libsiskingrade/ctl_keys.h
@@ -1,6 +1,7 @@
 #ifndef SGR_CTL_KEYS_H
 #define SGR_CTL_KEYS_H
 
+#include "account.h"
 #include "config_chain.h"
 
 /**
@@ -34,6 +35,18 @@
  */
 bool sgr_ctl_keys_parse_public (const char *hex, uint8_t *key);
 
+/**
+ * sgr_ctl_account_key_hash() - hash the key of a client account
+ * @file: name of a file whose first line is the key, "-" for standard input
+ * @hex: receives the hash for the list "key_hashes" of the account
+ * @error: receives the reason of a failure, without the key
+ *
+ * Return: SGR_OK; SGR_ERR_INVALID for a key that is empty or too long; SGR_ERR_IO if the file
+ * cannot be read.
+ */
+sgr_result_t sgr_ctl_account_key_hash (const char *file, char hex[SGR_ACCOUNT_KEY_HEX_BYTES],
+                                       sgr_config_error_t *error);
+
 /**
  * sgr_ctl_owners_load() - read the owners file
  * @file: name of a YAML file with the deployment and the names and public keys of its owners
--- a/tests/test_config_ctl.c
+++ b/tests/test_config_ctl.c
@@ -216,6 +216,29 @@
   assert_non_null (strstr (out, "/no/change.yaml"));
 }
 
+/* Guards against a hash that is not the one that nodes compute, as for a key with its line end, and
+   against an error that shows the key. */
+static void
+test_ctl_key_hash (void **state)
+{
+  char path[128], out[1024], long_key[SGR_ACCOUNT_KEY_BYTES_MAX + 3];
+
+  rig_file_write (&rig, "account", "0123456789abcdefghij\r\nrest\n", path, sizeof path);
+  assert_int_equal (rig_ctl_run (&rig, out, sizeof out, ARGS ("key-hash", path)), 0);
+  assert_string_equal (out, "5e72666bd8e9107c417419fd017bf766\n");
+  memset (long_key, 'k', sizeof long_key);
+  strcpy (long_key + SGR_ACCOUNT_KEY_BYTES_MAX, "\n");
+  rig_file_write (&rig, "account", long_key, path, sizeof path);
+  assert_int_equal (rig_ctl_run (&rig, out, sizeof out, ARGS ("key-hash", path)), 0);
+  strcpy (long_key + SGR_ACCOUNT_KEY_BYTES_MAX, "k\n");
+  rig_file_write (&rig, "account", long_key, path, sizeof path);
+  assert_int_equal (rig_ctl_run (&rig, out, sizeof out, ARGS ("key-hash", path)), 78);
+  assert_null (strstr (out, "kk"));
+  rig_file_write (&rig, "account", "\n", path, sizeof path);
+  assert_int_equal (rig_ctl_run (&rig, out, sizeof out, ARGS ("key-hash", path)), 78);
+  assert_int_equal (rig_ctl_run (&rig, out, sizeof out, ARGS ("key-hash", "no/such/file")), 78);
+}
+
 int
 main (void)
 {
@@ -224,6 +247,7 @@
     cmocka_unit_test (test_ctl_bad_file_table),
     cmocka_unit_test (test_ctl_exit_status_table),
     cmocka_unit_test (test_ctl_missing_files),
+    cmocka_unit_test (test_ctl_key_hash),
   };
 
   return cmocka_run_group_tests (tests, setup, teardown);
