--- a/bench/bench_account.c
+++ b/bench/bench_account.c
@@ -86,7 +86,7 @@
 measure (const keys_t *keys, void (*run) (const keys_t *keys, const char *text), size_t first,
          sgr_rng_t *rng)
 {
-  double rounds[ROUNDS];
+  double rounds[ROUNDS] = { 0 };
 
   for (int round = 0; round < ROUNDS; round++)
     {
--- a/tests/test_config_ctl.c
+++ b/tests/test_config_ctl.c
@@ -221,16 +221,16 @@
 static void
 test_ctl_key_hash (void **state)
 {
-  char path[128], out[1024], long_key[SGR_ACCOUNT_KEY_BYTES_MAX + 3];
+  char path[128], out[1024], long_key[SGR_ACCOUNT_KEY_BYTES_MAX + 3] = "";
 
   rig_file_write (&rig, "account", "0123456789abcdefghij\r\nrest\n", path, sizeof path);
   assert_int_equal (rig_ctl_run (&rig, out, sizeof out, ARGS ("key-hash", path)), 0);
   assert_string_equal (out, "5e72666bd8e9107c417419fd017bf766\n");
   memset (long_key, 'k', sizeof long_key);
-  strcpy (long_key + SGR_ACCOUNT_KEY_BYTES_MAX, "\n");
+  memcpy (long_key + SGR_ACCOUNT_KEY_BYTES_MAX, "\n", 2);
   rig_file_write (&rig, "account", long_key, path, sizeof path);
   assert_int_equal (rig_ctl_run (&rig, out, sizeof out, ARGS ("key-hash", path)), 0);
-  strcpy (long_key + SGR_ACCOUNT_KEY_BYTES_MAX, "k\n");
+  memcpy (long_key + SGR_ACCOUNT_KEY_BYTES_MAX, "k\n", 3);
   rig_file_write (&rig, "account", long_key, path, sizeof path);
   assert_int_equal (rig_ctl_run (&rig, out, sizeof out, ARGS ("key-hash", path)), 78);
   assert_null (strstr (out, "kk"));
--- a/tests/test_data_account.c
+++ b/tests/test_data_account.c
@@ -228,7 +228,7 @@
   assert_non_null (snapshot->routes);
   snapshot->routes[2] = snapshot->routes[1];
   strcpy (snapshot->routes[2].name, "revision");
-  strcpy (snapshot->routes[2].prefix, path);
+  snprintf (snapshot->routes[2].prefix, sizeof snapshot->routes[2].prefix, "%s", path);
   snapshot->route_count = 3;
   sgr_data_task_snapshot_send (task, snapshot);
   while (status != 200)
@@ -257,11 +257,10 @@
                     (ssize_t)strlen (requests));
   for (size_t i = 0; i < count; i++)
     {
-      const char *end = NULL;
       char line[16];
 
       /* An answer ends with "ok" of the target or with the brace of a refusal. */
-      while ((end = strstr (at, "\r\n\r\nok")) == NULL && (end = strstr (at, "}\n")) == NULL)
+      while (strstr (at, "\r\n\r\nok") == NULL && strstr (at, "}\n") == NULL)
         {
           ssize_t received = recv (fd, text + length, sizeof text - 1 - length, 0);
 
