Spill by distance: own domain, own region, other regions

Cause: targets of other failure domains came from one small set for each node, whatever their region. In a fleet of three regions most of that set was 30 ms away, and calls went there while the own region had room. Delays were fixed estimates. Change: one set for each distance; the price of bytes for other regions has a setting of its own, remote_us_per_kib; the round-trip time to gates of other domains is measured when a connection is opened and by pings.

--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -262,6 +262,15 @@
   return SGR_OK;
 }
 
+void
+sgr_balancer_link_rtt_set (sgr_balancer_t *b, sgr_balancer_target_t target, uint32_t link_rtt_us)
+{
+  sgr_balancer_entry_t *entry = entry_find_or_record_stale (b, target);
+
+  if (entry != NULL)
+    entry->info.link_rtt_us = link_rtt_us;
+}
+
 sgr_balancer_target_t
 sgr_balancer_target_find (const sgr_balancer_t *b, sgr_node_id_t node)
 {
--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -49,6 +49,7 @@
  * @far_us_per_kib: cost that is added to the latency of a target in another failure domain, in
  *   microseconds per KiB of request and answer; a higher cost keeps more bytes within the failure
  *   domain
+ * @remote_us_per_kib: as @far_us_per_kib, for a target in another region
  * @far_set_seed: decides which targets of other failure domains this node uses; must differ between
  *   nodes, so that their choices spread evenly, and stay the same for one node
  */
@@ -59,6 +60,7 @@
   uint64_t slow_start_us;
   uint32_t eject_percent;
   uint32_t far_us_per_kib;
+  uint32_t remote_us_per_kib;
   uint64_t far_set_seed;
 } sgr_balancer_options_t;
 
@@ -69,6 +71,7 @@
  * @slots: requests that the target may run at a time, at least 1
  * @link_rtt_us: round-trip time from this node to that gate, microseconds
  * @is_far: that gate is in another failure domain than this node
+ * @is_remote: that gate is in another region than this node; then it is also far
  * @state: only warming and serving targets are chosen; warming ones only if none is serving
  * @serving_since_us: when the target began to serve and its slow start begins, on this node's
  * clock, microseconds
@@ -80,6 +83,7 @@
   uint32_t slots;
   uint32_t link_rtt_us;
   bool is_far;
+  bool is_remote;
   sgr_target_state_t state;
   uint64_t serving_since_us;
 } sgr_balancer_target_info_t;
@@ -197,6 +201,15 @@
  */
 sgr_result_t sgr_balancer_target_remove (sgr_balancer_t *b, sgr_balancer_target_t target);
 
+/**
+ * sgr_balancer_link_rtt_set() - replace the round-trip time to a target's gate by a measured one
+ * @b: the balancer
+ * @target: the handle; a stale one is only counted
+ * @link_rtt_us: round-trip time, microseconds
+ */
+void sgr_balancer_link_rtt_set (sgr_balancer_t *b, sgr_balancer_target_t target,
+                                uint32_t link_rtt_us);
+
 /**
  * sgr_balancer_target_find() - look up a target by its node
  *
--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -32,7 +32,7 @@
 sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_later_attempt,
                      uint64_t bytes)
 {
-  double far_charge_us = (double)b->options.far_us_per_kib * (double)bytes / 1024;
+  double kib = (double)bytes / 1024;
   size_t sample_count = sgr_balancer_sample_draw (b, count);
   /* Index 0: the best target with a free slot, index 1: the best hot target. */
   double best_cost[2] = { INFINITY, INFINITY };
@@ -47,9 +47,10 @@
           = sgr_balancer_score (b, &b->entries[index], now_us, is_later_attempt);
       double cost = score.cost_us * (1 + COST_JITTER_SHARE_MAX * sgr_rng_uniform (&b->rng));
 
-      if (b->entries[index].info.is_far)
-        cost += far_charge_us;
-
+      if (b->entries[index].info.is_remote)
+        cost += b->options.remote_us_per_kib * kib;
+      else if (b->entries[index].info.is_far)
+        cost += b->options.far_us_per_kib * kib;
       if (cost < best_cost[score.is_hot])
         {
           best_cost[score.is_hot] = cost;
--- a/libsiskingrade/balancer_sample.c
+++ b/libsiskingrade/balancer_sample.c
@@ -3,15 +3,16 @@
 #include <xxhash.h>
 
 /* Chooses the targets that one choice compares. The targets of the own failure domain come first,
-   so that calls leave it only for want of room, also where most targets are elsewhere. Targets of
-   other failure domains come from a small set that differs between nodes and changes only with the
-   membership, ejections and the targets already tried: with any number of targets, a node keeps
-   connections to, and gets load reports from, few of them. */
+   then those of the own region, then those of other regions: each distance is represented, so that
+   calls leave it only for want of room, also where most targets are elsewhere. Targets of other
+   failure domains come from two small sets, one for each distance, that differ between nodes and
+   change only with the membership, ejections and the targets already tried: with any number of
+   targets, a node keeps connections to, and gets load reports from, few of them. */
 
 /* Most targets of the own failure domain in a sample. A random sample keeps nodes with the same
    load reports from all choosing the same target. */
 #define NEAR_SAMPLE_MAX 6
-/* Most targets of other failure domains in a sample, and in the set that they are drawn from. */
+/* Most targets of each farther distance in a sample, and in the set that they are drawn from. */
 #define FAR_SAMPLE_MAX 3
 #define FAR_SET_MAX 6
 
@@ -35,16 +36,30 @@
   return sample_count;
 }
 
-/* Moves the candidates of the own failure domain to the front; returns their number. */
+static bool
+is_near (const sgr_balancer_target_info_t *info)
+{
+  return !info->is_far;
+}
+
+static bool
+is_in_region (const sgr_balancer_target_info_t *info)
+{
+  return !info->is_remote;
+}
+
+/* Moves the candidates from @start on for which the predicate holds to @start; returns their
+   number. */
 static size_t
-near_partition (sgr_balancer_t *b, size_t count)
+partition (sgr_balancer_t *b, size_t start, size_t count,
+           bool (*predicate) (const sgr_balancer_target_info_t *info))
 {
-  size_t near_count = 0;
+  size_t chosen_count = 0;
 
-  for (size_t i = 0; i < count; i++)
-    if (!b->entries[b->candidates[i]].info.is_far)
-      candidates_swap (b, i, near_count++);
-  return near_count;
+  for (size_t i = start; i < count; i++)
+    if (predicate (&b->entries[b->candidates[i]].info))
+      candidates_swap (b, i, start + chosen_count++);
+  return chosen_count;
 }
 
 static uint64_t
@@ -85,17 +100,36 @@
   return size;
 }
 
+/* Moves the chosen candidates, @count from @start on, to the end of the sample at @sample_count;
+   returns the new size of the sample. */
+static size_t
+sample_extend (sgr_balancer_t *b, size_t sample_count, size_t start, size_t count)
+{
+  for (size_t i = 0; i < count && sample_count + i < start; i++)
+    candidates_swap (b, sample_count + i, start + i);
+  return sample_count + count;
+}
+
+/* Adds a sample of the candidates of one farther distance, @count from @start on. If there are none
+   nearer, it is as large as a sample of near ones. */
+static size_t
+far_sample_add (sgr_balancer_t *b, size_t sample_count, size_t start, size_t count)
+{
+  size_t set_size = far_set_select (b, start, count);
+  size_t size
+      = random_sample (b, start, set_size, sample_count == 0 ? NEAR_SAMPLE_MAX : FAR_SAMPLE_MAX);
+
+  return sample_extend (b, sample_count, start, size);
+}
+
 size_t
 sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count)
 {
-  size_t near_count = near_partition (b, count);
-  size_t far_count = far_set_select (b, near_count, count - near_count);
-  size_t near_sample = random_sample (b, 0, near_count, NEAR_SAMPLE_MAX);
-  size_t far_sample = random_sample (b, near_count, far_count, FAR_SAMPLE_MAX);
-
-  if (near_count == 0)
-    far_sample = random_sample (b, 0, far_count, NEAR_SAMPLE_MAX);
-  for (size_t i = 0; i < far_sample && near_sample < near_count; i++)
-    candidates_swap (b, near_sample + i, near_count + i);
-  return near_sample + far_sample;
+  size_t near_count = partition (b, 0, count, is_near);
+  size_t region_count = partition (b, near_count, count, is_in_region);
+  size_t remote_start = near_count + region_count;
+  size_t sample_count = random_sample (b, 0, near_count, NEAR_SAMPLE_MAX);
+
+  sample_count = far_sample_add (b, sample_count, near_count, region_count);
+  return far_sample_add (b, sample_count, remote_start, count - remote_start);
 }
--- a/libsiskingrade/data_link.c
+++ b/libsiskingrade/data_link.c
@@ -322,10 +322,19 @@
     }
 }
 
+static void
+on_rtt_measured (void *ctx, sgr_peer_conn_t *conn, uint64_t rtt_us)
+{
+  sgr_data_link_t *link = ctx;
+
+  sgr_data_services_link_rtt_set (link->links->task->services, link->node, rtt_us);
+}
+
 static const sgr_peer_conn_handlers_t conn_handlers = {
   .ready = on_ready,
   .frame = on_frame,
   .closed = on_closed,
+  .rtt_measured = on_rtt_measured,
 };
 
 sgr_result_t
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -109,6 +109,7 @@
                                    .slow_start_us = policy->slow_start_ms * SGR_USEC_PER_MSEC,
                                    .eject_percent = policy->eject_percent,
                                    .far_us_per_kib = (uint32_t)task->settings->far_us_per_kib,
+                                   .remote_us_per_kib = (uint32_t)task->settings->remote_us_per_kib,
                                    .far_set_seed = task->node };
 }
 
@@ -175,6 +176,7 @@
     return;
   memcpy (info.failure_domain, member->failure_domain, sizeof info.failure_domain);
   info.is_far = sgr_data_member_is_far (services->task, member);
+  info.is_remote = strcmp (services->task->settings->region, member->region) != 0;
   info.link_rtt_us = link_rtt_initial_us (services->task->settings, member);
   target = sgr_balancer_target_find (service->balancer, member->id);
   known = sgr_balancer_target_info (service->balancer, target);
@@ -183,6 +185,8 @@
       bool has_started_serving
           = known->state != SGR_TARGET_SERVING && info.state == SGR_TARGET_SERVING;
 
+      /* It may have been measured since. */
+      info.link_rtt_us = known->link_rtt_us;
       info.serving_since_us = has_started_serving ? now_us : known->serving_since_us;
       sgr_balancer_target_update (service->balancer, now_us, target, &info);
       return;
@@ -347,6 +351,18 @@
                               sgr_balancer_target_find (service->balancer, node), &report);
 }
 
+void
+sgr_data_services_link_rtt_set (sgr_data_services_t *services, sgr_node_id_t node, uint64_t rtt_us)
+{
+  const sgr_member_t *member = sgr_data_member_find (services->task, node);
+  sgr_data_service_t *service
+      = member != NULL ? sgr_data_service_find (services, member->service) : NULL;
+
+  if (service != NULL && sgr_data_member_is_far (services->task, member))
+    sgr_balancer_link_rtt_set (
+        service->balancer, sgr_balancer_target_find (service->balancer, node), (uint32_t)rtt_us);
+}
+
 /* Sets the number of serving targets of each service, according to the snapshot. Passes over the
    members only once, since it runs every second on the thread that handles calls. */
 static void
--- a/libsiskingrade/data_service.h
+++ b/libsiskingrade/data_service.h
@@ -56,6 +56,15 @@
 void sgr_data_services_load_report_apply (sgr_data_services_t *services, sgr_node_id_t node,
                                           const Sgr__Pb__LoadReport *message);
 
+/**
+ * sgr_data_services_link_rtt_set() - pass a measured round-trip time to a gate to the balancer
+ * @services: the services
+ * @node: node of the gate; ignored if it is in this node's failure domain
+ * @rtt_us: round-trip time, microseconds
+ */
+void sgr_data_services_link_rtt_set (sgr_data_services_t *services, sgr_node_id_t node,
+                                     uint64_t rtt_us);
+
 /**
  * sgr_data_services_metrics_set() - set the metrics of the services
  *
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -9,6 +9,9 @@
 /* Maximum size of the bulk frames in one write. It bounds the time that an urgent frame waits for a
    write in progress. A single larger frame is sent nevertheless. */
 #define BULK_WRITE_MAX_BYTES (64U * 1024)
+/* Weight of a longer sample in the round-trip time. A shorter one replaces it at once, because
+   queues and busy processes only lengthen samples. */
+#define RTT_RISE_DIVISOR 16
 
 /**
  * struct sgr_peer_conn_t - a connection to another node
@@ -36,6 +39,8 @@
  *                   on an idle connection, the first waiting attempt, or the end of a pause of this
  *                   process
  * @is_ping_unanswered: no byte arrived since the last ping
+ * @connect_us: when the connection was begun by this side, 0 otherwise
+ * @rtt_us: round-trip time to the other node in microseconds, 0 if not measured
  */
 struct sgr_peer_conn_t
 {
@@ -59,6 +64,8 @@
   uint64_t heartbeat_due_us;
   uint64_t silent_since_us;
   bool is_ping_unanswered;
+  uint64_t connect_us;
+  uint64_t rtt_us;
 };
 
 static void flush_queues (sgr_peer_conn_t *conn);
@@ -283,6 +290,7 @@
   Sgr__Pb__Ping ping = SGR__PB__PING__INIT;
 
   frame.body_case = SGR__PB__PEER_FRAME__BODY_PING;
+  ping.token = sgr_clock_monotonic_us ();
   frame.ping = &ping;
   conn->is_ping_unanswered = true;
   sgr_peer_conn_send (conn, &frame, SGR_PEER_URGENT);
@@ -300,6 +308,24 @@
   sgr_peer_conn_send (conn, &frame, SGR_PEER_URGENT);
 }
 
+/* Takes a sample of the round-trip time from the time at which a message was sent that the other
+   node answers at once. */
+static void
+rtt_sample (sgr_peer_conn_t *conn, uint64_t sent_us)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  uint64_t sample_us = now_us - sent_us;
+
+  if (sent_us == 0 || sent_us >= now_us || sample_us > conn->env->silence_us)
+    return;
+  if (conn->rtt_us == 0 || sample_us < conn->rtt_us)
+    conn->rtt_us = sample_us;
+  else
+    conn->rtt_us += (sample_us - conn->rtt_us) / RTT_RISE_DIVISOR;
+  if (conn->handlers->rtt_measured != NULL)
+    conn->handlers->rtt_measured (conn->ctx, conn, conn->rtt_us);
+}
+
 static void
 heartbeat_arm (sgr_peer_conn_t *conn, uint64_t now_us)
 {
@@ -388,7 +414,9 @@
     }
   if (frame->body_case == SGR__PB__PEER_FRAME__BODY_PING)
     send_pong (conn, frame->ping->token);
-  else if (frame->body_case != SGR__PB__PEER_FRAME__BODY_PONG)
+  else if (frame->body_case == SGR__PB__PEER_FRAME__BODY_PONG)
+    rtt_sample (conn, frame->pong->token);
+  else
     result = conn->handlers->frame (conn->ctx, conn, frame);
   if (result != SGR_OK)
     conn_fail (conn, SGR_PEER_CLOSE_BAD_FRAME);
@@ -494,7 +522,10 @@
   if (err != NULL)
     conn_fail (conn, SGR_PEER_CLOSE_CONNECT_FAILED);
   else
-    conn_start (conn);
+    {
+      rtt_sample (conn, conn->connect_us);
+      conn_start (conn);
+    }
 }
 
 sgr_peer_conn_t *
@@ -512,6 +543,7 @@
     return NULL;
   conn = conn_create (env, handlers, ctx);
   conn->sock = sock;
+  conn->connect_us = sgr_clock_monotonic_us ();
   sock->data = conn;
   return conn;
 }
--- a/libsiskingrade/peer_conn.h
+++ b/libsiskingrade/peer_conn.h
@@ -103,12 +103,14 @@
  * @frame: a frame other than Hello, Ping and Pong arrived; a result other than SGR_OK closes the
  *         connection with SGR_PEER_CLOSE_BAD_FRAME
  * @closed: the connection failed or was closed by the other node; it is freed after this call
+ * @rtt_measured: the round-trip time in microseconds was measured; may be NULL
  */
 typedef struct
 {
   sgr_result_t (*ready) (void *ctx, sgr_peer_conn_t *conn);
   sgr_result_t (*frame) (void *ctx, sgr_peer_conn_t *conn, const Sgr__Pb__PeerFrame *frame);
   void (*closed) (void *ctx, sgr_peer_conn_t *conn, sgr_peer_close_t reason);
+  void (*rtt_measured) (void *ctx, sgr_peer_conn_t *conn, uint64_t rtt_us);
 } sgr_peer_conn_handlers_t;
 
 /**
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -240,6 +240,7 @@
                                       "heartbeat_ms",
                                       "silence_ms",
                                       "far_us_per_kib",
+                                      "remote_us_per_kib",
                                       "membership_bytes_per_s",
                                       "stop_grace",
                                       "evacuation",
@@ -273,6 +274,9 @@
   sgr_yaml_number_read (yaml, node, "silence_ms", "limits", 20, 600000, &settings->silence_ms);
   sgr_yaml_number_read (yaml, node, "far_us_per_kib", "limits", 0, 1000000,
                         &settings->far_us_per_kib);
+  settings->remote_us_per_kib = settings->far_us_per_kib;
+  sgr_yaml_number_read (yaml, node, "remote_us_per_kib", "limits", 0, 1000000,
+                        &settings->remote_us_per_kib);
   sgr_yaml_number_read (yaml, node, "membership_bytes_per_s", "limits", 500, 1000000,
                         &settings->membership_bytes_per_s);
   sgr_yaml_duration_read (yaml, node, "stop_grace", "limits", 500, 3600000,
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -49,6 +49,7 @@
  *              has arrived
  * @far_us_per_kib: extra latency in microseconds that is accepted to keep 1 KiB of a call's data
  *                  within the failure domain
+ * @remote_us_per_kib: as @far_us_per_kib, within the region; equal to it unless set
  * @membership_bytes_per_s: budget of membership messages in bytes per second
  * @stop_grace_ms: time in milliseconds from a stop signal until the process is killed, 0 if not
  *                 known; replaces @drain_timeout_ms
@@ -93,6 +94,7 @@
   uint64_t heartbeat_ms;
   uint64_t silence_ms;
   uint64_t far_us_per_kib;
+  uint64_t remote_us_per_kib;
   uint64_t membership_bytes_per_s;
   uint64_t stop_grace_ms;
   uint64_t evacuation_ms;
--- a/tests/test_balancer_sample.c
+++ b/tests/test_balancer_sample.c
@@ -377,10 +377,121 @@
     }
 }
 
+#define REGION_TARGETS 39
+#define REGION_DOMAINS 6
+#define REGION_RTT_US 1000
+#define REMOTE_RTT_US 60000
+/* Domains 0 and 1 are one region, 2 and 3, 4 and 5 the others. */
+#define REGION_OF(domain) ((domain) / 2)
+
+/** struct region_load_t - requests in flight at each target by its distance from domain 0 */
+typedef struct
+{
+  uint32_t near_load;
+  uint32_t region_load;
+  uint32_t remote_load;
+} region_load_t;
+
+static sgr_balancer_t *
+region_balancer_create (uint64_t entry, const region_load_t *loads)
+{
+  sgr_balancer_options_t options = { .seed = entry,
+                                     .far_set_seed = entry,
+                                     .far_us_per_kib = FAR_US_PER_KIB,
+                                     .remote_us_per_kib = FAR_US_PER_KIB };
+  sgr_balancer_t *b = sgr_balancer_create (&options);
+
+  for (uint32_t t = 0; t < REGION_TARGETS; t++)
+    {
+      uint32_t domain = t % REGION_DOMAINS;
+      bool is_remote = REGION_OF (domain) != 0;
+      sgr_balancer_target_info_t info = { .node = t + 1,
+                                          .slots = SLOTS,
+                                          .is_far = domain != 0,
+                                          .is_remote = is_remote,
+                                          .state = SGR_TARGET_SERVING };
+      sgr_load_report_t report
+          = { .slots = SLOTS, .latency_us = REQUEST_US, .state = SGR_TARGET_SERVING };
+      sgr_balancer_target_t target;
+
+      info.link_rtt_us = is_remote ? REMOTE_RTT_US : info.is_far ? REGION_RTT_US : 200;
+      report.in_flight = is_remote     ? loads->remote_load
+                         : info.is_far ? loads->region_load
+                                       : loads->near_load;
+      assert_int_equal (sgr_balancer_target_add (b, 0, &info, &target), SGR_OK);
+      sgr_balancer_report_update (b, MS, target, &report);
+    }
+  return b;
+}
+
+/* Load pattern: three regions of two domains each, and demand that exceeds the room of the own
+   domain, or of the own region. Guards against calls that go to another region while the own one
+   has room, against calls that wait in a full region while others have room, and against a spill
+   that uses few targets of the other regions over all entries. */
+static void
+test_calls_spill_by_distance (void **state)
+{
+  static const struct
+  {
+    region_load_t loads;
+    bool is_far;
+    bool is_remote;
+  } cases[] = {
+    { { SLOTS / 2, 0, 0 }, false, false },
+    { { 4 * SLOTS, SLOTS / 2, 0 }, true, false },
+    { { 4 * SLOTS, 4 * SLOTS, SLOTS / 2 }, true, true },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      uint32_t chosen[REGION_TARGETS] = { 0 };
+      uint32_t used = 0;
+
+      for (uint64_t entry = 0; entry < 65; entry++)
+        {
+          sgr_balancer_t *b = region_balancer_create (entry, &cases[i].loads);
+
+          for (int pick = 0; pick < 20; pick++)
+            {
+              sgr_balancer_target_t target
+                  = sgr_balancer_pick_sized (b, 2 * MS, NULL, 0, REQUEST_BYTES);
+              const sgr_balancer_target_info_t *info = sgr_balancer_target_info (b, target);
+
+              assert_int_equal (info->is_far, cases[i].is_far);
+              assert_int_equal (info->is_remote, cases[i].is_remote);
+              chosen[info->node - 1]++;
+            }
+          sgr_balancer_destroy (b);
+        }
+      for (uint32_t t = 0; t < REGION_TARGETS; t++)
+        used += chosen[t] > 0;
+      assert_true (used >= (cases[i].is_remote ? 20 : 6));
+    }
+}
+
+/* Guards against measured round-trip times that have no effect on the choice. */
+static void
+test_measured_delay (void **state)
+{
+  static const region_load_t loads = { 4 * SLOTS, 0, 0 };
+  sgr_balancer_t *b = region_balancer_create (1, &loads);
+  sgr_balancer_target_t target;
+
+  for (uint32_t t = 1; t < REGION_TARGETS; t += REGION_DOMAINS)
+    sgr_balancer_link_rtt_set (b, handle_of (b, t), 5 * REQUEST_US);
+  target = sgr_balancer_pick_sized (b, 2 * MS, NULL, 0, 0);
+  assert_true (sgr_balancer_target_info (b, target)->is_remote);
+  sgr_balancer_link_rtt_set (b, SGR_BALANCER_TARGET_NONE, 1);
+  assert_int_equal (sgr_balancer_event_count (b, SGR_BALANCER_STALE_HANDLE), 1);
+  sgr_balancer_destroy (b);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_stay_in_their_domain),
+                                      cmocka_unit_test (test_calls_spill_by_distance),
+                                      cmocka_unit_test (test_measured_delay),
                                       cmocka_unit_test (test_far_targets_are_few_and_even),
                                       cmocka_unit_test (test_most_targets_are_far),
                                       cmocka_unit_test (test_large_answers_wait_nearby) };
