Write the node's address only if the store lacks it

Cause: each start of a node cost one write of its address in the store, also a restart, whose address is there already. When many processes restart at a time, these writes compete for the rate of the store and are paid for. Change: the list of nodes is read first. If it has the node's address, nothing is written; otherwise the node writes it and reads the list again.

--- a/libsiskingrade/control_contacts.c
+++ b/libsiskingrade/control_contacts.c
@@ -20,8 +20,8 @@
 
 typedef enum
 {
-  STEP_REGISTER,
   STEP_LIST,
+  STEP_REGISTER,
   STEP_DONE,
 } step_t;
 
@@ -33,6 +33,7 @@
   step_t step;
   uint64_t generation; /* generation of the store that has the node's address, 0 if it tells none */
   bool has_found;      /* whether the store has named another node */
+  bool is_registered;  /* whether the store has the node's address */
   char prefix[SGR_NAME_MAX + 16];  /* "nodes/DEPLOYMENT/" */
   char key[2 * SGR_NAME_MAX + 16]; /* "nodes/DEPLOYMENT/NAME" */
   char address[ADDRESS_TEXT_BYTES];
@@ -73,7 +74,11 @@
           (int)(item->length < ADDRESS_TEXT_BYTES - 1 ? item->length : ADDRESS_TEXT_BYTES - 1),
           (const char *)item->value);
       if (strcmp (item->key, contacts->key) == 0)
-        continue;
+        {
+          contacts->is_registered
+              = contacts->is_registered || strcmp (text, contacts->address) == 0;
+          continue;
+        }
       if (!sgr_address_parse (text, &address))
         {
           sgr_log_warn ("contact-refused", "key=%s reason=\"expected IP:PORT\"", item->key);
@@ -88,6 +93,8 @@
 
 static void step_run (sgr_control_contacts_t *contacts);
 
+/* A node that restarts finds its address in the list and saves the write, so that the writes of
+   many restarts at a time do not use up the rate of the store. */
 static void
 on_listed (void *ctx, const sgr_store_reply_t *reply)
 {
@@ -100,12 +107,18 @@
       retry_schedule (contacts, "list", reply);
       return;
     }
+  if (reply->generation != contacts->generation)
+    {
+      /* This is the first list, or the store was restored after the address was written. */
+      contacts->generation = reply->generation;
+      contacts->is_registered = false;
+    }
   added = contacts_add (contacts, reply);
-  sgr_log_info ("contacts-read", "contacts=%zu", added);
+  sgr_log_info ("contacts-read", "contacts=%zu registered=%s", added,
+                contacts->is_registered ? "yes" : "no");
   contacts->has_found = contacts->has_found || added > 0;
-  if (reply->generation != contacts->generation)
+  if (!contacts->is_registered)
     {
-      /* The store was restored after the address was written. */
       contacts->step = STEP_REGISTER;
       step_run (contacts);
     }
@@ -128,6 +141,7 @@
       return;
     }
   contacts->generation = reply->generation;
+  contacts->is_registered = true;
   contacts->step = STEP_LIST;
   contacts->retry_us = RETRY_MIN_US;
   step_run (contacts);
@@ -182,6 +196,7 @@
   if (contacts == NULL || contacts->call != NULL
       || contacts->generation == contacts->store->generation)
     return;
+  contacts->is_registered = false;
   contacts->step = STEP_REGISTER;
   sgr_timer_arm (contacts->control->timers, &contacts->timer,
                  sgr_clock_monotonic_us ()
--- a/tests/test_path_store_restored.c
+++ b/tests/test_path_store_restored.c
@@ -84,10 +84,26 @@
     assert_true (sgr_fixture_event_await (&fixture, &fixture.nodes[i], "event=store-restored", 1));
 }
 
+/* Guards against a write for each restart, which uses up the rate of the store when many nodes
+   restart at a time. */
+static void
+test_restart_keeps_address (void **state)
+{
+  sgr_fixture_node_t *node = &fixture.nodes[0];
+
+  assert_true (sgr_fixture_event_await (&fixture, node, "event=contacts-read", 1));
+  sgr_fixture_process_kill (&node->pid);
+  sgr_fixture_node_start (&fixture, node);
+  assert_true (
+      sgr_fixture_event_await (&fixture, node, "event=contacts-read contacts=1 registered=yes", 1));
+  assert_true (is_registered ("first"));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_restart_keeps_address),
     cmocka_unit_test (test_address_is_written_again_after_restore),
   };
 
