Count only the lines of the second start in the test of a restart

Cause: the log of a node is appended to, so that the line of the first start satisfied test_restart_keeps_address, and the test after it deleted the addresses before the node had read them: it failed six of six times on a loaded machine. Change: the log is cut before the second start, and each test has its own processes.

--- a/tests/test_path_store_restored.c
+++ b/tests/test_path_store_restored.c
@@ -1,8 +1,10 @@
+#include <limits.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -18,7 +20,7 @@
 static sgr_fixture_t fixture;
 
 static int
-group_setup (void **state)
+test_setup (void **state)
 {
   sgr_fixture_init (&fixture);
   sgr_fixture_node_add (&fixture, "first", NULL, false);
@@ -27,7 +29,7 @@
 }
 
 static int
-group_teardown (void **state)
+test_teardown (void **state)
 {
   sgr_fixture_stop (&fixture);
   return 0;
@@ -90,9 +92,13 @@
 test_restart_keeps_address (void **state)
 {
   sgr_fixture_node_t *node = &fixture.nodes[0];
+  char log_path[PATH_MAX];
 
-  assert_true (sgr_fixture_event_await (&fixture, node, "event=contacts-read", 1));
+  assert_true (is_registered ("first"));
   sgr_fixture_process_kill (&node->pid);
+  /* Only the lines of the second start count. */
+  snprintf (log_path, sizeof log_path, "%s/%s.log", fixture.directory, node->name);
+  assert_int_equal (truncate (log_path, 0), 0);
   sgr_fixture_node_start (&fixture, node);
   assert_true (
       sgr_fixture_event_await (&fixture, node, "event=contacts-read contacts=1 registered=yes", 1));
@@ -103,9 +109,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_restart_keeps_address),
-    cmocka_unit_test (test_address_is_written_again_after_restore),
+    cmocka_unit_test_setup_teardown (test_restart_keeps_address, test_setup, test_teardown),
+    cmocka_unit_test_setup_teardown (test_address_is_written_again_after_restore, test_setup,
+                                     test_teardown),
   };
 
-  return cmocka_run_group_tests (tests, group_setup, group_teardown);
+  return cmocka_run_group_tests (tests, NULL, NULL);
 }
