Leave a domain or region only with calls that would be late there

Cause: targets of a farther distance competed by cost with the nearer ones. In a fleet of several regions calls crossed domains, whose bytes are paid for, as soon as the near targets had a short queue, although they would have been answered on time. Fleets of one region are served as before.

--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -381,6 +381,15 @@
 sgr_balancer_target_t
 sgr_balancer_pick_sized (sgr_balancer_t *b, uint64_t now_us, const sgr_balancer_target_t *exclude,
                          size_t exclude_count, uint64_t bytes)
+{
+  return sgr_balancer_pick_for_call (b, now_us, exclude, exclude_count,
+                                     &(sgr_balancer_call_t){ .bytes = bytes });
+}
+
+sgr_balancer_target_t
+sgr_balancer_pick_for_call (sgr_balancer_t *b, uint64_t now_us,
+                            const sgr_balancer_target_t *exclude, size_t exclude_count,
+                            const sgr_balancer_call_t *call)
 {
   bool is_baseline = b->options.policy != SGR_BALANCER_LOAD_LATENCY;
   sgr_balancer_target_t trial = SGR_BALANCER_TARGET_NONE;
@@ -412,7 +421,7 @@
   sgr_balancer_event_record (b, SGR_BALANCER_PICKED);
   if (is_baseline)
     return handle_of (b, sgr_balancer_baseline_choose (b, count));
-  return handle_of (b, sgr_balancer_choose (b, now_us, count, exclude_count > 0, bytes));
+  return handle_of (b, sgr_balancer_choose (b, now_us, count, exclude_count > 0, call));
 }
 
 bool
--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -50,6 +50,8 @@
  *   microseconds per KiB of request and answer; a higher cost keeps more bytes within the failure
  *   domain
  * @remote_us_per_kib: as @far_us_per_kib, for a target in another region
+ * @is_spill_late_only: a call goes to a farther target only if no nearer one is expected to answer
+ *   it on time; otherwise farther targets compete by their cost
  * @far_set_seed: decides which targets of other failure domains this node uses; must differ between
  *   nodes, so that their choices spread evenly, and stay the same for one node
  */
@@ -61,6 +63,7 @@
   uint32_t eject_percent;
   uint32_t far_us_per_kib;
   uint32_t remote_us_per_kib;
+  bool is_spill_late_only;
   uint64_t far_set_seed;
 } sgr_balancer_options_t;
 
@@ -247,15 +250,33 @@
                                          size_t exclude_count);
 
 /**
- * sgr_balancer_pick_sized() - as sgr_balancer_pick(), for an attempt of known size
+ * struct sgr_balancer_call_t - what a choice needs to know of the call
+ * @bytes: expected size of request and answer together
+ * @on_time_left_us: time until the answer is no longer on time, 0 if the call has no such time
+ */
+typedef struct
+{
+  uint64_t bytes;
+  uint64_t on_time_left_us;
+} sgr_balancer_call_t;
+
+/**
+ * sgr_balancer_pick_for_call() - as sgr_balancer_pick(), for a call of known properties
  * @b: the balancer
  * @now_us: current time on this node's clock, microseconds
  * @exclude: targets that must not be chosen
  * @exclude_count: entries of @exclude
- * @bytes: expected size of request and answer together
+ * @call: the call
  *
  * Return: the handle, or SGR_BALANCER_TARGET_NONE if no target is eligible.
  */
+sgr_balancer_target_t sgr_balancer_pick_for_call (sgr_balancer_t *b, uint64_t now_us,
+                                                  const sgr_balancer_target_t *exclude,
+                                                  size_t exclude_count,
+                                                  const sgr_balancer_call_t *call);
+
+/** sgr_balancer_pick_sized() - as sgr_balancer_pick_for_call(), for a call of @bytes without a time
+ * limit */
 sgr_balancer_target_t sgr_balancer_pick_sized (sgr_balancer_t *b, uint64_t now_us,
                                                const sgr_balancer_target_t *exclude,
                                                size_t exclude_count, uint64_t bytes);
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -194,7 +194,7 @@
 /* balancer_choose.c */
 /** sgr_balancer_choose() - index of the entry that is best among the first @count candidates */
 uint32_t sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count,
-                              bool is_later_attempt, uint64_t bytes);
+                              bool is_later_attempt, const sgr_balancer_call_t *call);
 
 /* balancer_baseline.c */
 /** sgr_balancer_baseline_choose() - as sgr_balancer_choose(), by one of the baseline policies */
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -102,11 +102,19 @@
   sgr_data_send_cancel (attempt);
 }
 
-static uint64_t
-call_bytes_expected (const sgr_data_call_t *call)
+/* Returns what the choice of a target needs to know of a call. A call that is late already has one
+   microsecond left: 0 stands for a call without a time limit. */
+static sgr_balancer_call_t
+balancer_call (const sgr_data_call_t *call, uint64_t now_us)
 {
-  return call->req->entity.len
-         + sgr_data_service_answer_bytes_estimate (call->service, call->request.class_name);
+  uint64_t on_time_us = call->request.on_time_us;
+  sgr_balancer_call_t properties = { .bytes = call->req->entity.len
+                                              + sgr_data_service_answer_bytes_estimate (
+                                                  call->service, call->request.class_name) };
+
+  if (on_time_us > 0)
+    properties.on_time_left_us = on_time_us > now_us ? on_time_us - now_us : 1;
+  return properties;
 }
 
 /* Chooses the gate of an attempt and opens the link to it. A call with an idempotency key goes to
@@ -126,9 +134,13 @@
       attempt->target = sgr_balancer_target_find (call->service->balancer, node);
     }
   else
-    attempt->target
-        = sgr_data_service_pick (call->service, sgr_clock_monotonic_us (), excluded, count,
-                                 call_bytes_expected (call), &node, &attempt->may_wait);
+    {
+      uint64_t now_us = sgr_clock_monotonic_us ();
+      sgr_balancer_call_t properties = balancer_call (call, now_us);
+
+      attempt->target = sgr_data_service_pick (call->service, now_us, excluded, count, &properties,
+                                               &node, &attempt->may_wait);
+    }
   if (attempt->target == SGR_BALANCER_TARGET_NONE)
     return NULL;
   link = sgr_data_link_get (call->task->links, node);
--- a/libsiskingrade/data_keys.c
+++ b/libsiskingrade/data_keys.c
@@ -96,6 +96,7 @@
 {
   key_request_t *request = ctx;
   sgr_data_task_t *task = request->keys->task;
+  static const sgr_balancer_call_t call = { 0 };
   sgr_node_id_t node = 0;
   sgr_data_link_t *link = NULL;
   sgr_issued_key_t key;
@@ -107,7 +108,7 @@
       key_request_finish (request, SGR_ERR_UNAVAILABLE, NULL);
       return;
     }
-  if (sgr_data_service_pick (request->service, now_us, NULL, 0, 0, &node, NULL)
+  if (sgr_data_service_pick (request->service, now_us, NULL, 0, &call, &node, NULL)
       != SGR_BALANCER_TARGET_NONE)
     link = sgr_data_link_get (task->links, node);
   if (link == NULL || sgr_data_link_open (link) != SGR_OK
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -110,6 +110,7 @@
                                    .eject_percent = policy->eject_percent,
                                    .far_us_per_kib = (uint32_t)task->settings->far_us_per_kib,
                                    .remote_us_per_kib = (uint32_t)task->settings->remote_us_per_kib,
+                                   .is_spill_late_only = task->settings->region_count > 1,
                                    .far_set_seed = task->node };
 }
 
@@ -251,7 +252,8 @@
 
 sgr_balancer_target_t
 sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us, const sgr_node_id_t *excluded,
-                       size_t count, uint64_t bytes, sgr_node_id_t *node, bool *should_wait)
+                       size_t count, const sgr_balancer_call_t *call, sgr_node_id_t *node,
+                       bool *should_wait)
 {
   sgr_balancer_target_t excluded_targets[SGR_CALL_ATTEMPTS_MAX];
   sgr_balancer_target_t target;
@@ -259,12 +261,12 @@
   sgr_invariant (count <= SGR_CALL_ATTEMPTS_MAX);
   for (size_t i = 0; i < count; i++)
     excluded_targets[i] = sgr_balancer_target_find (service->balancer, excluded[i]);
-  target = sgr_balancer_pick_sized (service->balancer, now_us, excluded_targets, count, bytes);
+  target = sgr_balancer_pick_for_call (service->balancer, now_us, excluded_targets, count, call);
   if (target != SGR_BALANCER_TARGET_NONE)
     *node = sgr_balancer_target_info (service->balancer, target)->node;
   if (should_wait != NULL)
-    *should_wait
-        = sgr_balancer_should_wait (service->balancer, target, excluded_targets, count, bytes);
+    *should_wait = sgr_balancer_should_wait (service->balancer, target, excluded_targets, count,
+                                             call->bytes);
   return target;
 }
 
--- a/libsiskingrade/data_service.h
+++ b/libsiskingrade/data_service.h
@@ -81,7 +81,7 @@
  * @now_us: the time, monotonic, microseconds
  * @excluded: nodes whose targets are not chosen
  * @count: elements of @excluded, at most SGR_CALL_ATTEMPTS_MAX
- * @bytes: expected size of request and answer together, in bytes
+ * @call: size and time of the call
  * @node: receives the node of the target
  * @should_wait: receives whether the attempt should wait if the target is slowed, see
  *   sgr_balancer_should_wait(); may be NULL
@@ -90,7 +90,7 @@
  */
 sgr_balancer_target_t sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us,
                                              const sgr_node_id_t *excluded, size_t count,
-                                             uint64_t bytes, sgr_node_id_t *node,
+                                             const sgr_balancer_call_t *call, sgr_node_id_t *node,
                                              bool *should_wait);
 
 /** sgr_data_service_answer_bytes_estimate() - average answer size of a class, 0 if unknown */
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "config_resource.h"
 #include "ctl_keys.h"
 #include "yaml_reader.h"
 
@@ -31,11 +32,39 @@
   };
 }
 
+/* Counts the different names in the list of the deployment's regions. */
+static void
+read_regions (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t node)
+{
+  sgr_yaml_node_t list = sgr_yaml_get (yaml, node, "regions");
+  bool has_own = false;
+
+  if (list == 0)
+    return;
+  for (size_t i = 0; i < sgr_yaml_count (yaml, list); i++)
+    {
+      const char *name = sgr_yaml_scalar (yaml, sgr_yaml_item (yaml, list, i));
+      bool is_repeated = false;
+
+      if (name == NULL || !sgr_config_name_valid (name))
+        {
+          sgr_yaml_error (yaml, list, "node.regions", "expected a list of names");
+          return;
+        }
+      for (size_t j = 0; j < i && !is_repeated; j++)
+        is_repeated = strcmp (name, sgr_yaml_scalar (yaml, sgr_yaml_item (yaml, list, j))) == 0;
+      settings->region_count += !is_repeated;
+      has_own = has_own || strcmp (name, settings->region) == 0;
+    }
+  if (!sgr_yaml_is_sequence (yaml, list) || !has_own)
+    sgr_yaml_error (yaml, list, "node.regions", "expected a list of names with node.region");
+}
+
 static void
 read_node (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
   static const char *const keys[]
-      = { "deployment", "name", "service", "region", "failure_domain", NULL };
+      = { "deployment", "name", "service", "region", "regions", "failure_domain", NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "node");
 
   if (!sgr_yaml_mapping_check (yaml, node, "node", keys))
@@ -45,6 +74,7 @@
   sgr_yaml_name_read (yaml, node, "service", "node", false, settings->service);
   sgr_yaml_name_read (yaml, node, "region", "node", true, settings->region);
   sgr_yaml_name_read (yaml, node, "failure_domain", "node", true, settings->failure_domain);
+  read_regions (settings, yaml, node);
 }
 
 static bool
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -16,6 +16,7 @@
  * @name: name of the node, unique in the deployment
  * @service: service of the target beside the node, empty if known only from its announcement
  * @region: region of the node
+ * @region_count: number of regions of the deployment, 0 if not known
  * @failure_domain: failure domain of the node; its name is unique in the deployment
  * @callers: address where callers connect
  * @peers: address where other nodes send calls
@@ -65,6 +66,7 @@
   char name[SGR_NAME_MAX + 1];
   char service[SGR_NAME_MAX + 1];
   char region[SGR_NAME_MAX + 1];
+  size_t region_count;
   char failure_domain[SGR_NAME_MAX + 1];
   sgr_address_t callers;
   sgr_address_t peers;
--- a/tests/test_balancer_sample.c
+++ b/tests/test_balancer_sample.c
@@ -469,6 +469,50 @@
     }
 }
 
+/* Load pattern: a wave of demand that fills the own domain of a fleet of three regions. Guards
+   against calls that leave their domain or region although they would be on time there, and against
+   calls that stay and are late. */
+static void
+test_only_late_calls_spill (void **state)
+{
+  static const struct
+  {
+    region_load_t loads;
+    uint64_t on_time_left_us;
+    bool is_far;
+    bool is_remote;
+  } cases[] = {
+    { { 2 * SLOTS, 0, 0 }, 10 * REQUEST_US, false, false },
+    { { 2 * SLOTS, 0, 0 }, 3 * REQUEST_US, true, false },
+    { { 8 * SLOTS, 2 * SLOTS, 0 }, 10 * REQUEST_US, true, false },
+    { { 8 * SLOTS, 8 * SLOTS, 0 }, 10 * REQUEST_US, true, true },
+    { { 2 * SLOTS, 0, 0 }, 0, true, false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_balancer_t *b = region_balancer_create (1, &cases[i].loads);
+      sgr_balancer_call_t call
+          = { .bytes = REQUEST_BYTES, .on_time_left_us = cases[i].on_time_left_us };
+      sgr_balancer_options_t options = { .seed = 1,
+                                         .far_set_seed = 1,
+                                         .far_us_per_kib = FAR_US_PER_KIB,
+                                         .remote_us_per_kib = FAR_US_PER_KIB,
+                                         .is_spill_late_only = true };
+
+      assert_int_equal (sgr_balancer_options_set (b, &options), SGR_OK);
+      for (int pick = 0; pick < 20; pick++)
+        {
+          sgr_balancer_target_t target = sgr_balancer_pick_for_call (b, 2 * MS, NULL, 0, &call);
+          const sgr_balancer_target_info_t *info = sgr_balancer_target_info (b, target);
+
+          if (info->is_far != cases[i].is_far || info->is_remote != cases[i].is_remote)
+            fail_msg ("case %zu: far %d, remote %d", i, info->is_far, info->is_remote);
+        }
+      sgr_balancer_destroy (b);
+    }
+}
+
 /* Guards against measured round-trip times that have no effect on the choice. */
 static void
 test_measured_delay (void **state)
@@ -491,6 +535,7 @@
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_stay_in_their_domain),
                                       cmocka_unit_test (test_calls_spill_by_distance),
+                                      cmocka_unit_test (test_only_late_calls_spill),
                                       cmocka_unit_test (test_measured_delay),
                                       cmocka_unit_test (test_far_targets_are_few_and_even),
                                       cmocka_unit_test (test_most_targets_are_far),
--- a/tests/test_data_service.c
+++ b/tests/test_data_service.c
@@ -60,10 +60,11 @@
 has_target (fixture_t *fixture, const char *service)
 {
   sgr_data_service_t *found = sgr_data_service_find (fixture->task.services, service);
+  const sgr_balancer_call_t call = { 0 };
   sgr_node_id_t node = 0;
 
   return found != NULL
-         && sgr_data_service_pick (found, sgr_clock_monotonic_us (), NULL, 0, 0, &node, NULL)
+         && sgr_data_service_pick (found, sgr_clock_monotonic_us (), NULL, 0, &call, &node, NULL)
                 != SGR_BALANCER_TARGET_NONE;
 }
 
