--- a/libsiskingrade/config_policy.c
+++ b/libsiskingrade/config_policy.c
@@ -33,6 +33,8 @@
   { "targets_max", offsetof (sgr_policy_t, targets_max), 1, 100000 },
   { "slow_start_ms", offsetof (sgr_policy_t, slow_start_ms), 0, 3600000 },
   { "eject_percent", offsetof (sgr_policy_t, eject_percent), 0, 99 },
+  { "cold_start_ms", offsetof (sgr_policy_t, cold_start_ms), 0, SGR_POLICY_COLD_START_MAX_MS },
+  { "cold_calls_per_s", offsetof (sgr_policy_t, cold_calls_per_s), 0, SGR_POLICY_COLD_CALLS_MAX },
   { "key_store_per_s", offsetof (sgr_policy_t, key_store_per_s), 0, 1000 },
 };
 
@@ -46,7 +48,7 @@
       "attempts_max, retry_percent, hedge_percentile, not_run_status, tenant_limits, "
       "class_limits, tenant_limit_default, probe_calls_per_s, probe_bytes_per_s, load_path, "
       "load_calls_per_s, targets_max, "
-      "slow_start_ms, eject_percent, key_store_per_s";
+      "slow_start_ms, eject_percent, cold_start_ms, cold_calls_per_s, key_store_per_s";
 
 sgr_result_t
 sgr_config_idempotency_read (const json_t *value, const char *path,
--- a/libsiskingrade/policy.h
+++ b/libsiskingrade/policy.h
@@ -6,6 +6,9 @@
 #define SGR_POLICY_LIMITS_MAX 32
 #define SGR_POLICY_NOT_RUN_STATUSES_MAX 8
 #define SGR_POLICY_PATH_MAX 127
+/* Highest limits for cold targets. A gate keeps 8 bytes for each start of the last second. */
+#define SGR_POLICY_COLD_START_MAX_MS 3600000
+#define SGR_POLICY_COLD_CALLS_MAX 10000
 
 /**
  * struct sgr_policy_limit_t - limit of the requests in flight of one tenant or class at one gate
@@ -58,6 +61,8 @@
  * @targets_max: most targets of the service; each gate gets the budgets divided by this number
  * @slow_start_ms: duration of the slow start of a target, milliseconds, 0 for no slow start
  * @eject_percent: percentage of the service's targets that may be ejected at a time
+ * @cold_start_ms: time after its start for which a target is cold, milliseconds
+ * @cold_calls_per_s: requests per second that a cold target can handle, 0 for no limit
  * @key_store_per_s: maximum number of idempotency keys chosen by callers that a node binds in the
  *   store per second
  */
@@ -85,6 +90,8 @@
   uint32_t targets_max;
   uint32_t slow_start_ms;
   uint32_t eject_percent;
+  uint32_t cold_start_ms;
+  uint32_t cold_calls_per_s;
   uint32_t key_store_per_s;
 } sgr_policy_t;
 
