--- a/libsiskingrade/announce.c
+++ b/libsiskingrade/announce.c
@@ -10,6 +10,11 @@
 #define CONNECTIONS_MAX 65535
 /* Maximum number of connections to a target whose announcement does not give one. */
 #define CONNECTIONS_DEFAULT 240
+/* Largest cold time of an announcement. */
+#define COLD_MAX_MS 3600000
+/* The announced end of a cold time varies with the time that announcements take to arrive. Smaller
+   differences are no change, so that not every announcement needs a new snapshot. */
+#define COLD_END_TOLERANCE_US (100 * SGR_USEC_PER_MSEC)
 
 static bool
 read_service (json_t *object, sgr_local_target_t *local, sgr_buffer_t *error)
@@ -90,7 +95,7 @@
 {
   static const char *const known[]
       = { "service",    "address",  "slots",      "connections", "state",
-          "probe_path", "instance", "started_ms", "sequence" };
+          "probe_path", "instance", "started_ms", "sequence",    "cold_ms" };
   const char *key;
   json_t *value;
 
@@ -159,6 +164,24 @@
   return true;
 }
 
+static bool
+read_cold (json_t *object, sgr_announcement_t *announcement, sgr_buffer_t *error)
+{
+  json_t *value = json_object_get (object, "cold_ms");
+
+  if (value == NULL)
+    return true;
+  if (!json_is_integer (value) || json_integer_value (value) < 0
+      || json_integer_value (value) > COLD_MAX_MS)
+    {
+      sgr_buffer_printf (error, "cold_ms: expected a whole number from 0 to %d", COLD_MAX_MS);
+      return false;
+    }
+  announcement->has_cold = true;
+  announcement->cold_ms = (uint32_t)json_integer_value (value);
+  return true;
+}
+
 static bool
 has_same_fields (const sgr_local_target_t *a, const sgr_local_target_t *b)
 {
@@ -223,6 +246,30 @@
   sgr_departures_add (&announce->departures, &departure);
 }
 
+/* Takes over the registration time and the cold state of the registered instance, and the statement
+   of the announcement. Returns whether what is known of the cold state changed. */
+static bool
+cold_state_update (const sgr_announce_state_t *announce, uint64_t now_us,
+                   const sgr_announcement_t *announcement, sgr_local_target_t *local)
+{
+  const sgr_local_target_t *known = &announce->local;
+  uint64_t until_us = now_us + announcement->cold_ms * SGR_USEC_PER_MSEC;
+  bool is_new = known->service[0] == '\0' || !is_same_target (known, local)
+                || is_newer_instance (announce, announcement);
+
+  local->registered_us = is_new ? now_us : known->registered_us;
+  local->cold_stated_us = is_new ? 0 : known->cold_stated_us;
+  local->cold_until_us = is_new ? 0 : known->cold_until_us;
+  if (!announcement->has_cold)
+    return is_new;
+  if (!is_new && known->cold_stated_us != 0
+      && (announcement->cold_ms == 0 || until_us <= known->cold_until_us + COLD_END_TOLERANCE_US))
+    return false;
+  local->cold_stated_us = now_us;
+  local->cold_until_us = until_us;
+  return true;
+}
+
 sgr_result_t
 sgr_announce_apply (sgr_announce_state_t *announce, uint64_t now_us, uint64_t ttl_us,
                     const sgr_announcement_t *announcement, bool *is_changed)
@@ -241,7 +288,8 @@
   /* Without a start, a later instance of the name could not be told from the one that drains. */
   if (local.state == SGR_TARGET_DRAINING && announcement->started_ms != 0)
     departure_add (announce, local.instance, announcement->started_ms, false);
-  *is_changed = !has_same_fields (&announce->local, &local);
+  *is_changed = cold_state_update (announce, now_us, announcement, &local);
+  *is_changed = !has_same_fields (&announce->local, &local) || *is_changed;
   announce->local = local;
   announce->started_ms = announcement->started_ms;
   announce->sequence = announcement->sequence;
@@ -261,7 +309,8 @@
   if (!json_is_object (object))
     sgr_buffer_printf (error, "body: expected a JSON object");
   else if (read_target (object, &announcement->local, error)
-           && read_ordering_fields (object, announcement, error))
+           && read_ordering_fields (object, announcement, error)
+           && read_cold (object, announcement, error))
     result = SGR_OK;
   json_decref (object);
   return result;
--- a/libsiskingrade/announce.h
+++ b/libsiskingrade/announce.h
@@ -10,12 +10,16 @@
  * @local: the target as announced
  * @started_ms: Unix time of the instance's start in milliseconds, 0 if not given; orders instances
  * @sequence: counter of the announcements of one instance, 0 if not given
+ * @has_cold: the announcement says whether the target is cold
+ * @cold_ms: time for which the target stays cold, 0 if it is not cold, milliseconds
  */
 typedef struct
 {
   sgr_local_target_t local;
   uint64_t started_ms;
   uint64_t sequence;
+  bool has_cold;
+  uint32_t cold_ms;
 } sgr_announcement_t;
 
 /**
@@ -45,7 +49,8 @@
  * @now_us: monotonic time
  * @ttl_us: time until the registration expires, in microseconds
  * @announcement: the announcement
- * @is_changed: receives whether anything but the time of expiry changed
+ * @is_changed: receives whether anything but the time of expiry changed. A statement that the
+ * target is cold is a change if its cold time ends later than known by more than 100 ms.
  *
  * Ignores an outdated announcement: one of an instance that started before the instance that was
  * registered last, one whose sequence number is given and does not exceed that of the last
@@ -62,7 +67,8 @@
  * sgr_announcement_read() - parse an announcement
  * @announcement: receives the announcement; not valid after an error
  * @body: JSON object with "service", "address", "slots", and optionally "connections", "state",
- *        "probe_path", "instance", "started_ms" and "sequence"; NULL stands for an empty body
+ *        "probe_path", "instance", "started_ms", "sequence" and "cold_ms"; NULL stands for an empty
+ * body
  * @length: bytes of @body
  * @error: receives the reason, without a terminating zero, if the result is not SGR_OK
  *
--- a/libsiskingrade/control_target.c
+++ b/libsiskingrade/control_target.c
@@ -67,9 +67,21 @@
     sgr_timer_arm (control->timers, &control->announce_timer, control->announce.expires_us);
 }
 
+/* Whether the service of an announcement has a limit for cold targets. Without one, what
+   announcements say of it is ignored, so that it causes no snapshots. */
+static bool
+has_cold_limit (const sgr_control_t *control, const sgr_announcement_t *announcement)
+{
+  const sgr_policy_t *policy = sgr_config_state_policy (sgr_control_config_state (control->config),
+                                                        announcement->local.service);
+
+  return policy != NULL && policy->cold_calls_per_s > 0;
+}
+
 sgr_result_t
 sgr_control_target_announce (sgr_control_t *control, const sgr_announcement_t *announcement)
 {
+  sgr_announcement_t applied = *announcement;
   uint64_t ttl_us = control->settings->announce_ttl_ms * SGR_USEC_PER_MSEC;
   bool is_changed;
   sgr_result_t result;
@@ -78,7 +90,8 @@
     return SGR_ERR_UNAVAILABLE;
   if (!sgr_control_departures_may_register (control->departures, announcement))
     return SGR_OK;
-  result = sgr_announce_apply (&control->announce, sgr_clock_monotonic_us (), ttl_us, announcement,
+  applied.has_cold = announcement->has_cold && has_cold_limit (control, announcement);
+  result = sgr_announce_apply (&control->announce, sgr_clock_monotonic_us (), ttl_us, &applied,
                                &is_changed);
   if (result == SGR_OK)
     sgr_control_announce_renewed (control, is_changed);
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -15,6 +15,11 @@
  * @slots: requests that the target may run at a time
  * @connections: connections that the gate may open to the target
  * @probe_path: HTTP path for active probes, empty if the target has none
+ * @registered_us: monotonic time at which the instance registered
+ * @cold_stated_us: monotonic time of the last announcement that said whether the instance is cold
+ * and changed what was known, 0 if none has
+ * @cold_until_us: monotonic time until which the instance stays cold according to it, not after
+ * @cold_stated_us if it is not cold
  */
 typedef struct
 {
@@ -25,6 +30,9 @@
   uint32_t slots;
   uint32_t connections;
   char probe_path[SGR_NAME_MAX + 1];
+  uint64_t registered_us;
+  uint64_t cold_stated_us;
+  uint64_t cold_until_us;
 } sgr_local_target_t;
 
 /**
--- a/tests/test_announce.c
+++ b/tests/test_announce.c
@@ -65,6 +65,8 @@
     { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"state\":\"left\"}", "state" },
     { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"state\":3}", "state" },
     { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"weight\":3}", "weight" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"cold_ms\":-1}", "cold_ms" },
+    { "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":1,\"cold_ms\":\"1\"}", "cold_ms" },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
@@ -212,6 +214,53 @@
   assert_false (sgr_announce_departures_merge (&announce, &departures));
 }
 
+/* Guards against a cold time that does not reach the gate, a snapshot for each announcement, and a
+   cold time of a former instance that is taken over. */
+static void
+test_cold_time (void **state)
+{
+#define COLD_BODY(started, cold)                                                                   \
+  "{\"service\":\"a\",\"address\":\"1.2.3.4:5\",\"slots\":4,\"instance\":\"i\",\"started_"         \
+  "ms\":" started cold "}"
+  static const struct
+  {
+    uint64_t at_ms;
+    const char *body;
+    bool is_changed;
+    uint64_t registered_ms;
+    uint64_t stated_ms;
+    uint64_t until_ms;
+  } steps[] = {
+    { 1000, COLD_BODY ("1", ""), true, 1000, 0, 0 },
+    { 1100, COLD_BODY ("1", ",\"cold_ms\":0"), true, 1000, 1100, 1100 },
+    { 1200, COLD_BODY ("1", ",\"cold_ms\":0"), false, 1000, 1100, 1100 },
+    { 1300, COLD_BODY ("1", ",\"cold_ms\":2000"), true, 1000, 1300, 3300 },
+    { 1400, COLD_BODY ("1", ",\"cold_ms\":1990"), false, 1000, 1300, 3300 },
+    { 1500, COLD_BODY ("1", ",\"cold_ms\":1950"), true, 1000, 1500, 3450 },
+    { 1600, COLD_BODY ("1", ",\"cold_ms\":0"), false, 1000, 1500, 3450 },
+    { 1700, COLD_BODY ("2", ""), true, 1700, 0, 0 },
+    { 1800, COLD_BODY ("2", ",\"cold_ms\":900"), true, 1700, 1800, 2700 },
+  };
+  sgr_announce_state_t announce = { 0 };
+
+  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
+    {
+      bool is_changed;
+      char error[ERROR_SIZE];
+
+      assert_int_equal (announce_put (&announce, steps[i].at_ms * SGR_USEC_PER_MSEC, steps[i].body,
+                                      error, &is_changed),
+                        SGR_OK);
+      if (is_changed != steps[i].is_changed
+          || announce.local.registered_us != steps[i].registered_ms * SGR_USEC_PER_MSEC
+          || announce.local.cold_stated_us != steps[i].stated_ms * SGR_USEC_PER_MSEC
+          || announce.local.cold_until_us != steps[i].until_ms * SGR_USEC_PER_MSEC)
+        fail_msg ("step %zu: changed %d, registered %lu, stated %lu, until %lu", i, is_changed,
+                  announce.local.registered_us, announce.local.cold_stated_us,
+                  announce.local.cold_until_us);
+    }
+}
+
 int
 main (void)
 {
@@ -221,7 +270,8 @@
                                       cmocka_unit_test (test_two_leave),
                                       cmocka_unit_test (test_leave_without_start),
                                       cmocka_unit_test (test_drain_outlasts_registration),
-                                      cmocka_unit_test (test_departures_merge) };
+                                      cmocka_unit_test (test_departures_merge),
+                                      cmocka_unit_test (test_cold_time) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_platform_input.c
+++ b/tests/test_platform_input.c
@@ -305,6 +305,84 @@
     }
 }
 
+/* Guards against a heartbeat that is taken for a statement that the target is warm although it says
+   nothing about that, and against a target that is dropped because of it. */
+static void
+test_heartbeat_cold (void **unused)
+{
+  static const struct
+  {
+    const char *text;
+    bool has_cold;
+    uint32_t cold_ms;
+  } cases[] = {
+    { HEARTBEAT (INFO, "\"state\":\"ready\",\"sequence\":4,\"cold\":\"0ms\""), true, 0 },
+    { HEARTBEAT (INFO, "\"state\":\"ready\",\"sequence\":4,\"cold\":\"2.5s\""), true, 2500 },
+    { HEARTBEAT (INFO, "\"state\":\"ready\",\"sequence\":4,\"cold\":\"90000s\""), true, 3600000 },
+    { HEARTBEAT (INFO, "\"state\":\"ready\",\"sequence\":4"), false, 0 },
+    { HEARTBEAT (INFO, "\"state\":\"ready\",\"sequence\":4,\"cold\":2500"), false, 0 },
+    { HEARTBEAT (INFO, "\"state\":\"ready\",\"sequence\":4,\"cold\":\"soon\""), false, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_config_error_t error = { SGR_OK };
+      sgr_announcement_t announcement;
+
+      assert_int_equal (sgr_platform_heartbeat_read ("i-1", cases[i].text, strlen (cases[i].text),
+                                                     &announcement, &error),
+                        SGR_OK);
+      if (announcement.has_cold != cases[i].has_cold || announcement.cold_ms != cases[i].cold_ms)
+        fail_msg ("%s: %d, %u ms", cases[i].text, announcement.has_cold, announcement.cold_ms);
+    }
+}
+
+/* Guards against a limit for cold targets that is lost, doubled or becomes "no limit" by rounding.
+ */
+static void
+test_cold_limits (void **unused)
+{
+  static const struct
+  {
+    const char *spec;
+    int64_t calls_per_s; /* -1 for an invalid document */
+    uint32_t cold_start_ms;
+  } cases[] = {
+    { "", 0, 0 },
+    { ",\"coldStart\":\"4s\",\"coldPerS\":12", 12, 4000 },
+    { ",\"coldStart\":\"2.5s\",\"coldPerS\":7.9", 7, 2500 },
+    { ",\"coldPerS\":0.2", 1, 0 },
+    { ",\"coldPerS\":0", 0, 0 },
+    { ",\"coldStart\":\"9000s\",\"coldPerS\":1e9", 10000, 3600000 },
+    { ",\"coldPerS\":-1", -1, 0 },
+    { ",\"coldPerS\":\"12\"", -1, 0 },
+    { ",\"coldStart\":4000", -1, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_config_state_t *state = state_create ();
+      sgr_config_error_t error = { SGR_OK };
+      const sgr_policy_t *policy;
+      char text[512];
+
+      snprintf (text, sizeof text,
+                DOCUMENT ("0000000c", "{\"resourceType\":\"services\",\"metadata\":{\"name\":"
+                                      "\"s\"},\"spec\":{\"healthPath\":\"/healthz\"%s}}"),
+                cases[i].spec);
+      if ((document_offer (state, text, &error) == SGR_OK) != (cases[i].calls_per_s >= 0))
+        fail_msg ("%s: %s", cases[i].spec, error.message);
+      policy = sgr_config_state_policy (state, "s");
+      if (cases[i].calls_per_s >= 0)
+        {
+          assert_string_equal (policy->load_path, "/healthz");
+          assert_int_equal (policy->cold_calls_per_s, cases[i].calls_per_s);
+          assert_int_equal (policy->cold_start_ms, cases[i].cold_start_ms);
+        }
+      sgr_config_state_destroy (state);
+    }
+}
+
 /* Guards against a wrong conversion, and against an invalid or too long duration that is accepted.
  */
 static void
@@ -408,6 +486,8 @@
     cmocka_unit_test (test_tenants),
     cmocka_unit_test (test_bad_tenants),
     cmocka_unit_test (test_heartbeats),
+    cmocka_unit_test (test_heartbeat_cold),
+    cmocka_unit_test (test_cold_limits),
     cmocka_unit_test (test_durations),
     cmocka_unit_test (test_change_reads_changed_parts),
     cmocka_unit_test (test_largest_document),
