Limit the requests to a cold target at its gate

Cause: a cold target crashes if it gets well more requests per second than it can handle, and its gate sends it as many as it has slots. Change: gate_cold keeps the starts of the last second and what the target has stated; gate_start applies the limit to starts, queue and refusals; data_cold brings in announcements, health answers and failed connections. Reports carry the limit. sgr_data_gate_cold_forget() is for the end of an evacuation. Two functions of the gate get the time as a parameter, and test_gate and test_call_property pass it; their checks are unchanged.

--- a/libsiskingrade/call_fields.c
+++ b/libsiskingrade/call_fields.c
@@ -18,6 +18,7 @@
   .not_run = "siskingrade-not-run",
   .load = "siskingrade-load",
   .authorization = "authorization",
+  .cold = "siskingrade-cold-ms",
 };
 
 static bool
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "data_cold.h"
 #include "data_load.h"
 #include "gate_request.h"
 #include "gate_run.h"
@@ -16,6 +17,8 @@
 #define DEFAULT_CONNECTIONS_MAX 240
 /* Delay until the gate's next tick if work is still due after a tick. */
 #define TICK_DELAY_MIN_US 1000
+/* Size of the text that sgr_data_cold_log_text() writes. */
+#define COLD_TEXT_BYTES 32
 
 /* Whether the policy declares an HTTP status of the target as not-run. */
 bool
@@ -48,9 +51,8 @@
   gate->runs--;
 }
 
-/* Runs the work of the gate that is due, and arms the timer for the next due time. */
-static void
-tick_run (sgr_data_gate_t *gate, uint64_t now_us)
+void
+sgr_data_gate_tick (sgr_data_gate_t *gate, uint64_t now_us)
 {
   uint64_t next_us = sgr_gate_tick (gate->core, now_us);
 
@@ -59,12 +61,13 @@
   else
     sgr_timer_arm (gate->task->timers, &gate->tick,
                    next_us > now_us ? next_us : now_us + TICK_DELAY_MIN_US);
+  sgr_data_cold_change_check (gate, now_us);
 }
 
 static void
 on_tick (void *ctx, uint64_t now_us)
 {
-  tick_run (ctx, now_us);
+  sgr_data_gate_tick (ctx, now_us);
 }
 
 static void
@@ -111,19 +114,21 @@
   sgr_gate_refusal_t refusal = { .outcome = SGR_OUTCOME_NOT_RUN,
                                  .reason = SGR_CALL_REASON_REFUSED,
                                  .gate_reason = reason };
+  char cold[COLD_TEXT_BYTES];
 
   if (reason == SGR_GATE_REASON_QUEUE_FULL || reason == SGR_GATE_REASON_DEADLINE
-      || reason == SGR_GATE_REASON_LATE)
+      || reason == SGR_GATE_REASON_LATE || reason == SGR_GATE_REASON_COLD)
     refusal.retry_after_ms = sgr_gate_retry_after_ms (gate->core, now_us);
   if (sgr_call_log_should_log (gate->task->call_log, now_us,
                                sgr_request_ids_log_name (&run->request_ids), true))
-    sgr_log_info ("gate-dropped", "id=%s attempt=%u reason=%s wait_ms=%lu left_ms=%ld",
+    sgr_log_info ("gate-dropped", "id=%s attempt=%u reason=%s wait_ms=%lu left_ms=%ld%s",
                   sgr_request_ids_log_name (&run->request_ids), run->id.attempt,
                   sgr_gate_reason_name (reason),
                   /* @now_us is the time at which the iteration of the event loop started. A request
                      that arrived within the iteration has a later time of arrival. */
                   sgr_ms_of (now_us > run->arrived_us ? now_us - run->arrived_us : 0),
-                  ((long)run->deadline_us - (long)now_us) / 1000);
+                  ((long)run->deadline_us - (long)now_us) / 1000,
+                  sgr_data_cold_log_text (gate, now_us, cold, sizeof cold));
   run->handle = 0;
   while (run->streaming != NULL || run->joined != NULL)
     {
@@ -161,6 +166,7 @@
   gate->task = task;
   sgr_policy_init (&gate->policy, "");
   sgr_gate_options_init (&options, task->boot);
+  options.start_us = sgr_clock_monotonic_us ();
   gate->core = sgr_gate_create (&options, &gate->policy, &gate_callbacks, gate);
   sgr_invariant (gate->core != NULL);
   gate->waiters = sgr_id_map_create ();
@@ -247,9 +253,10 @@
           sgr_gate_policy_update (gate->core, now_us, &gate->policy);
         }
     }
+  sgr_data_cold_local_apply (gate, now_us);
   sgr_gate_target_update (gate->core, now_us, local->state, local->slots);
   sgr_data_load_budget_update (gate, now_us);
-  tick_run (gate, now_us);
+  sgr_data_gate_tick (gate, now_us);
 }
 
 static void
@@ -364,21 +371,22 @@
              const sgr_gate_run_t *run, const sgr_gate_decision_t *decision)
 {
   const sgr_member_t *entry = sgr_data_member_find (gate->task, channel->node);
+  char cold[COLD_TEXT_BYTES];
   sgr_load_report_t load;
 
   if (!sgr_call_log_should_log (gate->task->call_log, now_us,
                                 sgr_request_ids_log_name (&run->request_ids), true))
     return;
-  sgr_gate_load_report (gate->core, &load);
+  sgr_gate_load_report (gate->core, now_us, &load);
   sgr_log_info ("gate-refused",
                 "id=%s entry=%s attempt=%u reason=%s outcome=%s running=%u queued=%u slots=%u "
-                "cost=%u cost_age_ms=%lu state=%s left_ms=%ld retry_after_ms=%u",
+                "cost=%u cost_age_ms=%lu state=%s left_ms=%ld retry_after_ms=%u%s",
                 sgr_request_ids_log_name (&run->request_ids), entry != NULL ? entry->name : "-",
                 run->id.attempt, sgr_gate_reason_name (decision->reason),
                 sgr_outcome_name (decision->outcome), load.in_flight, load.queued, load.slots,
                 load.cost_percent, sgr_ms_of (now_us - gate->load_received_us),
                 sgr_target_state_name (load.state), ((long)run->deadline_us - (long)now_us) / 1000,
-                decision->retry_after_ms);
+                decision->retry_after_ms, sgr_data_cold_log_text (gate, now_us, cold, sizeof cold));
 }
 
 static void
@@ -440,7 +448,7 @@
       sgr_buffer_append (&run->body, body, body_length);
       run_admit (gate, channel, run, &decision);
       sgr_data_load_report_if_changed (gate);
-      tick_run (gate, now_us);
+      sgr_data_gate_tick (gate, now_us);
       return;
     }
   if (decision.kind == SGR_GATE_DUPLICATE)
@@ -448,7 +456,7 @@
   else
     attempt_refuse (gate, channel, now_us, run, &attempt, &decision);
   sgr_data_gate_run_free (gate, run);
-  tick_run (gate, now_us);
+  sgr_data_gate_tick (gate, now_us);
 }
 
 void
@@ -466,15 +474,16 @@
 void
 sgr_data_gate_load_report (const sgr_data_gate_t *gate, Sgr__Pb__LoadReport *load)
 {
+  uint64_t now_us = sgr_clock_monotonic_us ();
   sgr_load_report_t report;
 
-  sgr_gate_load_report (gate->core, &report);
+  sgr_gate_load_report (gate->core, now_us, &report);
   sgr_frame_load_set (load, &report);
-  load->key_generation = sgr_gate_key_generation (gate->core, sgr_clock_monotonic_us ());
+  load->key_generation = sgr_gate_key_generation (gate->core, now_us);
 }
 
 void
 sgr_data_gate_metrics_set (const sgr_data_gate_t *gate)
 {
-  sgr_gate_metrics_set (gate->core, gate->task->metrics);
+  sgr_gate_metrics_set (gate->core, sgr_clock_monotonic_us (), gate->task->metrics);
 }
--- a/libsiskingrade/data_gate.h
+++ b/libsiskingrade/data_gate.h
@@ -74,6 +74,11 @@
 /** sgr_data_gate_drain() - refuse new and queued attempts; running requests finish */
 void sgr_data_gate_drain (sgr_data_gate_t *gate, uint64_t now_us);
 
+/** sgr_data_gate_cold_forget() - count the local target as cold until its next statement, because
+ * an evacuation of the failure domain ended
+ */
+void sgr_data_gate_cold_forget (sgr_data_gate_t *gate, uint64_t now_us);
+
 /** sgr_data_gate_is_idle() - whether no request is queued or running and all answers are sent */
 bool sgr_data_gate_is_idle (const sgr_data_gate_t *gate);
 
--- a/libsiskingrade/data_load.c
+++ b/libsiskingrade/data_load.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "data_cold.h"
 #include "data_peer.h"
 #include "data_service.h"
 
@@ -23,6 +24,14 @@
    calls carry the load as well and arrive more often under load, so fewer queries are needed. */
 #define LOAD_QUERY_SLOWED_INTERVAL_US (15 * SGR_USEC_PER_MSEC)
 #define LOAD_QUERY_USUAL_INTERVAL_US (40 * SGR_USEC_PER_MSEC)
+/* Shortest interval between load queries of a service with a limit for cold targets, also used
+   while it is not known whether the target is cold. With a shorter one, the queries would exceed
+   the usual budget of 40 per second and target, and none would be left when the state becomes
+   unknown. */
+#define LOAD_QUERY_COLD_INTERVAL_US (26 * SGR_USEC_PER_MSEC)
+/* The same while no attempts arrive. Queries then continue only after an event such as a new
+   instance, so that entries learn whether the target is cold before they send it much. */
+#define LOAD_QUERY_COLD_IDLE_INTERVAL_US (400 * SGR_USEC_PER_MSEC)
 /* Load queries stop if no attempt has arrived for this long. */
 #define LOAD_QUERY_IDLE_US (1 * SGR_USEC_PER_SEC)
 #define LOAD_QUERY_TIMEOUT_US (200 * SGR_USEC_PER_MSEC)
@@ -46,7 +55,8 @@
   uint32_t lower = current->cost_percent < reported->cost_percent ? current->cost_percent
                                                                   : reported->cost_percent;
 
-  if (current->state != reported->state || current->slots != reported->slots)
+  if (current->state != reported->state || current->slots != reported->slots
+      || current->cold_calls_per_s != reported->cold_calls_per_s)
     return true;
   if (absolute_difference (load, reported->in_flight + reported->queued) > (step > 1 ? step : 1))
     return true;
@@ -85,7 +95,7 @@
 
   if (gate->report_timer.position != 0)
     return;
-  sgr_gate_load_report (gate->core, &report);
+  sgr_gate_load_report (gate->core, now_us, &report);
   if (!load_has_changed (&report, &gate->last_report))
     return;
   if (now_us >= load_report_due_us (gate))
@@ -147,6 +157,7 @@
       if (h2o_lcstris (fields[i].name, fields[i].name_length, name, strlen (name)))
         sgr_data_load_field_apply (gate, &fields[i]);
     }
+  sgr_data_cold_health_apply (gate, status, fields, count);
 }
 
 static void
@@ -164,6 +175,7 @@
 on_query_failed (void *ctx, bool is_started, const char *reason)
 {
   load_query_end (ctx);
+  sgr_data_cold_connection_failed (ctx, sgr_clock_monotonic_us ());
 }
 
 static const sgr_target_handlers_t load_query_handlers = {
@@ -192,21 +204,56 @@
   sgr_buffer_release (&message);
 }
 
+static bool
+is_idle (const sgr_data_gate_t *gate, uint64_t now_us)
+{
+  return now_us >= gate->last_attempt_us + LOAD_QUERY_IDLE_US;
+}
+
+/* Whether an event made it unknown whether the target is cold, and it can be asked. */
+static bool
+is_cold_state_lost (const sgr_data_gate_t *gate, uint64_t now_us)
+{
+  sgr_gate_cold_source_t source;
+
+  return sgr_gate_target_is_cold_unknown (gate->core, now_us)
+         && sgr_gate_target_is_cold (gate->core, now_us, &source)
+         && source != SGR_GATE_COLD_SOURCE_SILENCE && gate->task->fields->cold != NULL
+         && gate->task->snapshot->local.service[0] != '\0';
+}
+
 /* Returns the age of the last known load at which the load of the target is queried again. */
 static uint64_t
 load_query_interval_us (const sgr_data_gate_t *gate, uint64_t now_us)
 {
+  if (gate->policy.cold_calls_per_s > 0 && is_idle (gate, now_us))
+    return LOAD_QUERY_COLD_IDLE_INTERVAL_US;
+  if (gate->policy.cold_calls_per_s > 0)
+    return sgr_gate_is_slowed (gate->core, now_us)
+                   || sgr_gate_target_is_cold_unknown (gate->core, now_us)
+               ? LOAD_QUERY_COLD_INTERVAL_US
+               : LOAD_QUERY_USUAL_INTERVAL_US;
   return sgr_gate_is_slowed (gate->core, now_us) ? LOAD_QUERY_SLOWED_INTERVAL_US
                                                  : LOAD_QUERY_USUAL_INTERVAL_US;
 }
 
+/* Returns when the load of the target is to be queried next. Answers to calls tell the load as
+   well, but only answers to queries tell whether the target is cold. */
+static uint64_t
+load_query_due_us (const sgr_data_gate_t *gate, uint64_t now_us)
+{
+  uint64_t known_us = gate->query_sent_us;
+
+  if (gate->policy.cold_calls_per_s == 0 && gate->load_received_us > known_us)
+    known_us = gate->load_received_us;
+  return known_us + load_query_interval_us (gate, now_us);
+}
+
 static void
 on_load_query_timer (void *ctx, uint64_t now_us)
 {
   sgr_data_gate_t *gate = ctx;
-  uint64_t known_us
-      = gate->load_received_us > gate->query_sent_us ? gate->load_received_us : gate->query_sent_us;
-  uint64_t due_us = known_us + load_query_interval_us (gate, now_us);
+  uint64_t due_us = load_query_due_us (gate, now_us);
 
   if (gate->load_query != NULL && now_us >= gate->query_sent_us + LOAD_QUERY_TIMEOUT_US)
     {
@@ -214,7 +261,7 @@
       load_query_end (gate);
     }
   if (gate->client == NULL || gate->policy.load_path[0] == '\0'
-      || now_us >= gate->last_attempt_us + LOAD_QUERY_IDLE_US)
+      || (is_idle (gate, now_us) && !is_cold_state_lost (gate, now_us)))
     return;
   if (gate->load_query == NULL && now_us >= due_us)
     {
@@ -225,12 +272,23 @@
                  due_us > now_us ? due_us : now_us + LOAD_QUERY_SLOWED_INTERVAL_US);
 }
 
+void
+sgr_data_load_query_hasten (sgr_data_gate_t *gate, uint64_t now_us)
+{
+  uint64_t due_us = load_query_due_us (gate, now_us);
+
+  sgr_timer_arm (gate->task->timers, &gate->load_query_timer, due_us > now_us ? due_us : now_us);
+}
+
 void
 sgr_data_load_query_activate (sgr_data_gate_t *gate, uint64_t now_us)
 {
   gate->last_attempt_us = now_us;
   if (gate->load_query_timer.position == 0)
     sgr_timer_arm (gate->task->timers, &gate->load_query_timer, now_us);
+  else if (gate->policy.cold_calls_per_s > 0
+           && gate->load_query_timer.due_us > load_query_due_us (gate, now_us))
+    sgr_data_load_query_hasten (gate, now_us);
 }
 
 void
--- a/libsiskingrade/data_load.h
+++ b/libsiskingrade/data_load.h
@@ -29,6 +29,11 @@
  */
 void sgr_data_load_query_activate (sgr_data_gate_t *gate, uint64_t now_us);
 
+/** sgr_data_load_query_hasten() - send the next load query as soon as the shortest interval between
+ * queries allows
+ */
+void sgr_data_load_query_hasten (sgr_data_gate_t *gate, uint64_t now_us);
+
 /** sgr_data_load_init() - set up timers and counters; called once by the gate */
 void sgr_data_load_init (sgr_data_gate_t *gate);
 
--- a/libsiskingrade/frame.c
+++ b/libsiskingrade/frame.c
@@ -140,6 +140,7 @@
   message->latency_us = load->latency_us;
   message->cost_percent = load->cost_percent;
   message->state = load->state;
+  message->cold_calls_per_s = load->cold_calls_per_s;
 }
 
 void
@@ -149,7 +150,8 @@
                                .queued = message->queued,
                                .slots = message->slots,
                                .latency_us = message->latency_us,
-                               .cost_percent = message->cost_percent };
+                               .cost_percent = message->cost_percent,
+                               .cold_calls_per_s = message->cold_calls_per_s };
   load->state
       = message->state <= SGR_TARGET_LEFT ? (sgr_target_state_t)message->state : SGR_TARGET_NONE;
 }
--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -4,8 +4,6 @@
 
 #include "gate_internal.h"
 
-/* Longest delay that a refusal suggests before a retry. */
-#define RETRY_AFTER_MAX_MS 1000
 /* A queued attempt is refused as late when the time left until its on_time_us is below this
    percentage of the usual latency of its class. The margin above 100 % covers the variation of
    latencies and the transfer of the answer to the entry. */
@@ -54,6 +52,8 @@
   gate->queue = sgr_gate_queue_create (SGR_GATE_QUEUE_CAPACITY, options->newest_first);
   gate->ledger = sgr_ledger_create (options);
   gate->classes = sgr_gate_classes_create ();
+  gate->cold = sgr_gate_cold_create (options->start_us);
+  sgr_gate_cold_limit_set (gate->cold, options->start_us, policy->cold_calls_per_s);
   sgr_gate_queue_max_set (gate, policy);
   gate->slots_percent = policy->slots_percent;
   gate->work_item_count = options->slots_max + SGR_GATE_QUEUE_CAPACITY;
@@ -74,6 +74,7 @@
   sgr_gate_queue_destroy (gate->queue);
   sgr_ledger_destroy (gate->ledger);
   sgr_gate_classes_destroy (gate->classes);
+  sgr_gate_cold_destroy (gate->cold);
   free (gate->work_items);
   free (gate->free_work_indexes);
   free (gate);
@@ -171,6 +172,7 @@
   work->slot_taken_us = now_us;
   work->was_unslowed = gate->cost_percent == 0 || gate->cost_percent < UNSLOWED_COST_PERCENT;
   work->was_nearly_full = is_target_nearly_full (gate);
+  sgr_gate_start_reserve (gate, now_us, work);
 }
 
 /* Settles an attempt that was removed from the queue, without calling the callback refuse.
@@ -256,6 +258,7 @@
   queue_expire (gate, now_us);
   queue_drop_late (gate, now_us);
   while (sgr_gate_is_serving (gate) && !sgr_gate_is_slowed (gate, now_us)
+         && sgr_gate_has_start (gate, now_us)
          && (item = sgr_gate_queue_pop (gate->queue, now_us, gate->limits,
                                         sgr_gate_expected_latency_us (gate, now_us)))
                 != NULL)
@@ -268,17 +271,6 @@
   gate->dispatching = false;
 }
 
-uint32_t
-sgr_gate_retry_after_ms (const sgr_gate_t *gate, uint64_t now_us)
-{
-  uint32_t slots = sgr_gate_limits_slots (gate->limits);
-  uint64_t wait_us = sgr_gate_expected_latency_us (gate, now_us)
-                     * (sgr_gate_queue_count (gate->queue) + 1) / (slots > 0 ? slots : 1);
-  uint64_t wait_ms = wait_us / SGR_USEC_PER_MSEC + 1;
-
-  return wait_ms < RETRY_AFTER_MAX_MS ? (uint32_t)wait_ms : RETRY_AFTER_MAX_MS;
-}
-
 static void
 decision_set_refused (sgr_gate_t *gate, uint64_t now_us, sgr_gate_reason_t reason,
                       sgr_outcome_t outcome, sgr_gate_decision_t *decision)
@@ -294,10 +286,11 @@
     case SGR_GATE_REASON_LATE:
     case SGR_GATE_REASON_TENANT_LIMIT:
     case SGR_GATE_REASON_CLASS_LIMIT:
+    case SGR_GATE_REASON_COLD:
       decision->retry_after_ms = sgr_gate_retry_after_ms (gate, now_us);
       break;
     case SGR_GATE_REASON_LEDGER_FULL:
-      decision->retry_after_ms = RETRY_AFTER_MAX_MS;
+      decision->retry_after_ms = SGR_GATE_RETRY_AFTER_MAX_MS;
       break;
     default:
       break;
@@ -392,51 +385,13 @@
   return SGR_GATE_REASON_NONE;
 }
 
-/* Returns the maximum number of queued attempts of a tenant or class that may use @slots_limit
-   slots. Its share of the queue equals its share of the slots; the result is at least 1. */
-static uint32_t
-queue_attempts_max (const sgr_gate_t *gate, uint32_t slots_limit)
-{
-  uint32_t slots = sgr_gate_limits_slots (gate->limits);
-  uint32_t share = (uint32_t)((uint64_t)gate->queue_max * slots_limit / slots);
-
-  return share > 0 ? share : 1;
-}
-
-/* Returns the reason why an attempt cannot be queued, SGR_GATE_REASON_NONE if it can. May refuse
-   another queued attempt to make room. */
-static sgr_gate_reason_t
-refusal_reason_by_queue (sgr_gate_t *gate, uint64_t now_us, const sgr_gate_queue_item_t *item)
-{
-  uint32_t tenant_limit = sgr_gate_limits_tenant_limit (gate->limits, item->tenant);
-  uint32_t class_limit = sgr_gate_limits_class_limit (gate->limits, item->class_index);
-  sgr_gate_queue_item_t *victim;
-
-  if (gate->queue_max == 0)
-    return SGR_GATE_REASON_QUEUE_FULL;
-  if (sgr_gate_queue_tenant_count (gate->queue, item->tenant)
-          >= queue_attempts_max (gate, tenant_limit)
-      && tenant_limit < sgr_gate_limits_slots (gate->limits))
-    return SGR_GATE_REASON_TENANT_LIMIT;
-  if (sgr_gate_queue_class_count (gate->queue, item->class_index)
-          >= queue_attempts_max (gate, class_limit)
-      && class_limit < sgr_gate_limits_slots (gate->limits))
-    return SGR_GATE_REASON_CLASS_LIMIT;
-  if (sgr_gate_queue_count (gate->queue) < gate->queue_max)
-    return SGR_GATE_REASON_NONE;
-  victim = sgr_gate_queue_victim (gate->queue, item->tenant, item->class_index);
-  if (victim == NULL)
-    return SGR_GATE_REASON_QUEUE_FULL;
-  sgr_gate_work_drop (gate, now_us, victim->owner, SGR_GATE_REASON_QUEUE_FULL);
-  return SGR_GATE_REASON_NONE;
-}
-
 /* Returns whether an attempt can start without being queued. While sgr_gate_dispatch() runs, no
    attempt can, because a free slot may be due to an older attempt in the queue. */
 static bool
 can_start (const sgr_gate_t *gate, uint64_t now_us, const sgr_gate_work_t *work)
 {
   return !gate->dispatching && !sgr_gate_is_slowed (gate, now_us)
+         && sgr_gate_has_start (gate, now_us)
          && sgr_gate_limits_check (gate->limits, work->queue_item.tenant,
                                    work->queue_item.class_index)
                 == SGR_LIMITS_ALLOWED;
@@ -457,8 +412,8 @@
     reason = SGR_GATE_REASON_LEDGER_FULL;
   else if (!start)
     {
-      reason = refusal_reason_by_queue (gate, now_us, &work->queue_item);
-      /* refusal_reason_by_queue() may have refused another attempt, and the callback for it may
+      reason = sgr_gate_refusal_by_queue (gate, now_us, &work->queue_item);
+      /* sgr_gate_refusal_by_queue() may have refused another attempt, and the callback for it may
          have released a slot. */
       start = reason == SGR_GATE_REASON_NONE && can_start (gate, now_us, work);
     }
@@ -567,6 +522,7 @@
   service_us = finish->latency_us > 0 ? finish->latency_us : now_us - work->slot_taken_us;
   if (outcome == SGR_OUTCOME_COMPLETE && finish->latency_us > 0)
     work_sample_record (gate, now_us, work, finish->latency_us);
+  sgr_gate_start_settle (gate, now_us, work, outcome);
   sgr_gate_queue_charge_correct (gate->queue, &work->queue_item, service_us);
   sgr_ledger_attempt_settle (gate->ledger, now_us, work->record, outcome, SGR_GATE_REASON_NONE,
                              outcome == SGR_OUTCOME_COMPLETE ? finish->answer : NULL,
@@ -582,10 +538,11 @@
 sgr_gate_tick (sgr_gate_t *gate, uint64_t now_us)
 {
   uint64_t ledger_us = sgr_ledger_tick (gate->ledger, now_us);
-  uint64_t queue_us, late_us;
+  uint64_t queue_us, late_us, cold_us;
 
   sgr_gate_slots_apply (gate, now_us);
   sgr_gate_dispatch (gate, now_us);
+  cold_us = sgr_gate_cold_tick (gate, now_us);
   queue_us = queue_expire (gate, now_us);
   late_us = queue_drop_late (gate, now_us);
   /* An attempt is late as soon as its latest start time has passed. */
@@ -594,5 +551,7 @@
   if (sgr_gate_queue_count (gate->queue) > 0 && sgr_gate_is_slowed (gate, now_us)
       && sgr_gate_cost_expiry_us (gate) < queue_us)
     queue_us = sgr_gate_cost_expiry_us (gate);
+  if (cold_us < queue_us)
+    queue_us = cold_us;
   return ledger_us < queue_us ? ledger_us : queue_us;
 }
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -3,6 +3,7 @@
 
 #include "call_fields.h"
 #include "counter.h"
+#include "gate_cold.h"
 #include "gate_limits.h"
 #include "idempotency_key.h"
 #include "policy.h"
@@ -46,6 +47,8 @@
  * @SGR_GATE_REASON_SLOW: the target is slowed and the attempt must not wait for the slowdown to
  * end; another target may answer sooner
  * @SGR_GATE_REASON_LATE: the answer can no longer be on time
+ * @SGR_GATE_REASON_COLD: the target counts as cold, and the limit of its policy allows the start
+ * only after the deadline
  */
 typedef enum
 {
@@ -65,9 +68,10 @@
   SGR_GATE_REASON_ENTRY_LOST,
   SGR_GATE_REASON_SLOW,
   SGR_GATE_REASON_LATE,
+  SGR_GATE_REASON_COLD,
 } sgr_gate_reason_t;
 
-#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_LATE + 1)
+#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_COLD + 1)
 
 /**
  * struct sgr_attempt_t - one attempt as the gate receives it
@@ -213,6 +217,8 @@
 /**
  * struct sgr_gate_options_t - sizes and times of a gate; sgr_gate_options_init() sets defaults
  * @boot: boot id of this process
+ * @start_us: monotonic time of the start of this process; the target counts as cold until it states
+ * otherwise after that
  * @slots_max: most slots that the gate uses; a target that registers more is limited to this number
  * @attempts_max: most attempts in the ledger; must be greater than the sum of @slots_max and the
  * capacity of the queue
@@ -230,6 +236,7 @@
 typedef struct
 {
   sgr_boot_id_t boot;
+  uint64_t start_us;
   uint32_t slots_max;
   uint32_t attempts_max;
   uint32_t keys_max;
@@ -284,6 +291,17 @@
  */
 bool sgr_gate_attempt_mark_started (sgr_gate_t *gate, sgr_gate_handle_t handle);
 
+/**
+ * sgr_gate_attempt_sent() - record that the first byte of a request is being sent
+ * @gate: the gate
+ * @handle: handle of an attempt that is marked as started
+ * @now_us: current monotonic time, microseconds
+ *
+ * The limit for cold targets holds in the times of these calls. An attempt without this call counts
+ * as a start from the time at which it got its slot until one second after its end.
+ */
+void sgr_gate_attempt_sent (sgr_gate_t *gate, sgr_gate_handle_t handle, uint64_t now_us);
+
 /**
  * sgr_gate_attempt_finish() - release the slot of an attempt and record the outcome
  * @gate: the gate
@@ -397,6 +415,33 @@
  */
 void sgr_gate_target_load_set (sgr_gate_t *gate, uint64_t now_us, const sgr_target_load_t *load);
 
+/** sgr_gate_target_cold_record() - record what the target states about being cold */
+void sgr_gate_target_cold_record (sgr_gate_t *gate, uint64_t now_us,
+                                  const sgr_gate_cold_statement_t *statement);
+
+/**
+ * sgr_gate_target_cold_forget() - count the target as cold until its next statement
+ * @gate: the gate
+ * @now_us: current monotonic time, microseconds
+ * @source: what made the state unknown; with SGR_GATE_COLD_SOURCE_REGISTRATION, what the former
+ * instance stated does not count any more
+ */
+void sgr_gate_target_cold_forget (sgr_gate_t *gate, uint64_t now_us, sgr_gate_cold_source_t source);
+
+/**
+ * sgr_gate_target_is_cold() - whether the limit for cold targets applies
+ * @gate: the gate
+ * @now_us: current monotonic time, microseconds
+ * @source: receives why the target counts as cold or as warm; may be NULL
+ */
+bool sgr_gate_target_is_cold (const sgr_gate_t *gate, uint64_t now_us,
+                              sgr_gate_cold_source_t *source);
+
+/** sgr_gate_target_is_cold_unknown() - whether the limit for cold targets applies only for want of
+ * a statement of the target
+ */
+bool sgr_gate_target_is_cold_unknown (const sgr_gate_t *gate, uint64_t now_us);
+
 /**
  * sgr_gate_is_slowed() - whether the target is slowed, so that a request is expected to end sooner
  * if it starts after the slowdown than if it starts now
@@ -406,8 +451,10 @@
 /** sgr_gate_retry_after_ms() - milliseconds after which a retry of a refused attempt may succeed */
 uint32_t sgr_gate_retry_after_ms (const sgr_gate_t *gate, uint64_t now_us);
 
-/** sgr_gate_load_report() - current load of the gate; the age of the report is 0 */
-void sgr_gate_load_report (const sgr_gate_t *gate, sgr_load_report_t *report);
+/** sgr_gate_load_report() - load of the gate at the monotonic time @now_us; the age of the report
+ * is 0
+ */
+void sgr_gate_load_report (const sgr_gate_t *gate, uint64_t now_us, sgr_load_report_t *report);
 
 /** sgr_gate_handle_user() - user pointer of the attempt, NULL if the handle is no longer valid */
 void *sgr_gate_handle_user (const sgr_gate_t *gate, sgr_gate_handle_t handle);
@@ -418,12 +465,13 @@
 /**
  * sgr_gate_metrics_set() - write the load, queue order, refusals and ledger usage as metrics
  * @gate: the gate
+ * @now_us: current monotonic time, microseconds
  * @metrics: metrics registry of the task that owns the gate; all names start with
  * "siskingrade_gate_"
  *
  * The metrics are snapshots, so this function is called before each output of the registry.
  */
-void sgr_gate_metrics_set (const sgr_gate_t *gate, sgr_metrics_t *metrics);
+void sgr_gate_metrics_set (const sgr_gate_t *gate, uint64_t now_us, sgr_metrics_t *metrics);
 
 /** sgr_gate_reason_name() - name of a reason as reported to callers, such as "queue-full" */
 const char *sgr_gate_reason_name (sgr_gate_reason_t reason);
--- a/libsiskingrade/gate_internal.h
+++ b/libsiskingrade/gate_internal.h
@@ -1,11 +1,12 @@
 #ifndef SGR_GATE_INTERNAL_H
 #define SGR_GATE_INTERNAL_H
 
-/* Implementation of sgr_gate_t, shared only by gate.c, gate_metrics.c, gate_status.c and
-   gate_target.c. */
+/* Implementation of sgr_gate_t, shared only by gate.c, gate_admission.c, gate_metrics.c,
+   gate_start.c, gate_status.c and gate_target.c. */
 
 #include "gate.h"
 #include "gate_classes.h"
+#include "gate_cold.h"
 #include "gate_latency.h"
 #include "gate_ledger.h"
 #include "gate_queue.h"
@@ -39,6 +40,7 @@
  * @class_stats_index: index of its class in sgr_gate_classes_t
  * @was_unslowed: the target was not slowed when the attempt got its slot
  * @was_nearly_full: nearly all slots were in use when the attempt got its slot
+ * @is_start_reserved: the attempt is counted as a start at a cold target and was not sent yet
  * @user: pointer from sgr_attempt_t
  */
 typedef struct
@@ -54,6 +56,7 @@
   uint32_t class_stats_index;
   bool was_unslowed;
   bool was_nearly_full;
+  bool is_start_reserved;
   void *user;
 } sgr_gate_work_t;
 
@@ -77,6 +80,8 @@
  * @cost_min_percent: lowest cost in the current period (element 0) and in the period before
  * (element 1), 0 for none
  * @cost_period_start_us: start of the current period
+ * @cold: coldness of the target, and the starts of the last second
+ * @cold_starts: attempts that got a slot while the target counted as cold
  * @classes: latencies by class of request
  * @limits: slots in use by tenant and class
  * @queue: queued attempts
@@ -104,6 +109,8 @@
   uint64_t cost_reported_us;
   uint32_t cost_min_percent[2];
   uint64_t cost_period_start_us;
+  sgr_gate_cold_t *cold;
+  uint64_t cold_starts;
   sgr_gate_classes_t *classes;
   sgr_gate_limits_t *limits;
   sgr_gate_queue_t *queue;
@@ -119,6 +126,9 @@
    work items. */
 #define SGR_GATE_QUEUE_CAPACITY 1024
 
+/* Longest delay that a refusal suggests before a retry. */
+#define SGR_GATE_RETRY_AFTER_MAX_MS 1000
+
 /** sgr_gate_queue_max_set() - apply the queue length of the policy */
 void sgr_gate_queue_max_set (sgr_gate_t *gate, const sgr_policy_t *policy);
 
@@ -152,4 +162,46 @@
 /** sgr_gate_expected_latency_us() - expected latency of a request that starts now, 0 if unknown */
 uint64_t sgr_gate_expected_latency_us (const sgr_gate_t *gate, uint64_t now_us);
 
+/**
+ * sgr_gate_refusal_by_queue() - reason why an attempt cannot be queued, SGR_GATE_REASON_NONE if it
+ * can; may refuse another queued attempt to make room
+ */
+sgr_gate_reason_t sgr_gate_refusal_by_queue (sgr_gate_t *gate, uint64_t now_us,
+                                             const sgr_gate_queue_item_t *item);
+
+/* Functions of gate_start.c: starts at a cold target. They do nothing while the policy has no limit
+   for cold targets. */
+
+/** sgr_gate_has_start() - whether the limit for a cold target allows one more start now */
+bool sgr_gate_has_start (const sgr_gate_t *gate, uint64_t now_us);
+
+/** sgr_gate_start_reserve() - count the start of an attempt that gets a slot */
+void sgr_gate_start_reserve (sgr_gate_t *gate, uint64_t now_us, sgr_gate_work_t *work);
+
+/** sgr_gate_start_settle() - stop to reserve the start of an attempt that ends; one that may have
+ * reached the target stays counted
+ */
+void sgr_gate_start_settle (sgr_gate_t *gate, uint64_t now_us, sgr_gate_work_t *work,
+                            sgr_outcome_t outcome);
+
+/** sgr_gate_is_start_too_late() - whether a new attempt must be refused, because the limit for a
+ * cold target allows its start only after its deadline
+ */
+bool sgr_gate_is_start_too_late (sgr_gate_t *gate, uint64_t now_us,
+                                 const sgr_gate_queue_item_t *item);
+
+/** sgr_gate_cold_retry_us() - time until the window of starts has room for one more attempt behind
+ * the queued ones, 0 if no limit applies
+ */
+uint64_t sgr_gate_cold_retry_us (const sgr_gate_t *gate, uint64_t now_us);
+
+/**
+ * sgr_gate_cold_tick() - refuse the queued attempts that the limit for a cold target allows only
+ * after their deadlines
+ *
+ * Return: when queued attempts may start next because of the limit, SGR_TIMER_NEVER if none waits
+ * for it.
+ */
+uint64_t sgr_gate_cold_tick (sgr_gate_t *gate, uint64_t now_us);
+
 #endif
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "data_cold.h"
 #include "data_load.h"
 #include "gate_request.h"
 #include "log.h"
@@ -69,7 +70,7 @@
   if (!sgr_call_log_should_log (gate->task->call_log, now_us,
                                 sgr_request_ids_log_name (&run->request_ids), has_failed))
     return;
-  sgr_gate_load_report (gate->core, &load);
+  sgr_gate_load_report (gate->core, now_us, &load);
   sgr_log_info ("gate-ran",
                 "id=%s attempt=%u instance=%s reason=%s started=%s status=%d bytes=%lu wait_ms=%lu "
                 "run_ms=%lu running=%u queued=%u cost=%u left_ms=%ld",
@@ -103,6 +104,7 @@
   if (!sgr_gate_attempt_mark_started (run->gate->core, run->handle))
     return false;
   run->started_us = sgr_clock_monotonic_us ();
+  sgr_gate_attempt_sent (run->gate->core, run->handle, run->started_us);
   return true;
 }
 
@@ -272,6 +274,10 @@
 
   if (!run->is_connected)
     connect_failure_record (run->gate);
+  /* Before the run ends, because its end may start further attempts. A request that ends unsent on
+     a ready connection was cancelled. */
+  if (!run->is_connected || is_started)
+    sgr_data_cold_connection_failed (run->gate, sgr_clock_monotonic_us ());
   run_end_without_answer (run, is_started ? SGR_OUTCOME_UNKNOWN : SGR_OUTCOME_NOT_RUN,
                           is_started ? SGR_CALL_REASON_CONNECTION_LOST : SGR_CALL_REASON_NO_TARGET);
 }
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -11,7 +11,7 @@
 #define SGR_GATE_CREDIT_MAX_BYTES (1024U * 1024)
 
 /* Requests at the local target and the attempts that wait for their answers. Used only by
-   data_gate.c, data_load.c, gate_answer.c, gate_run.c and gate_waiter.c. */
+   data_gate.c, data_cold.c, data_load.c, gate_answer.c, gate_run.c and gate_waiter.c. */
 
 /**
  * struct sgr_gate_waiter_t - an attempt that waits for the answer of a run
@@ -153,6 +153,11 @@
  * @query_sent_us: when @load_query was sent
  * @load_received_us: when the target last reported its load
  * @last_attempt_us: when the last attempt arrived
+ * @registered_us: when the instance registered that was applied last, see sgr_local_target_t
+ * @cold_stated_us: time of the announced cold state that was applied last, see sgr_local_target_t
+ * @is_cold_logged: the last log line said that the target is cold
+ * @silent_since_us: when it was noticed that the target no longer says whether it is cold, 0 if it
+ * does
  * @load_query_counter: counter of load queries
  * @reports: counter of load reports sent
  * @starts: counter of attempts that were sent to the target
@@ -185,6 +190,10 @@
   uint64_t query_sent_us;
   uint64_t load_received_us;
   uint64_t last_attempt_us;
+  uint64_t registered_us;
+  uint64_t cold_stated_us;
+  bool is_cold_logged;
+  uint64_t silent_since_us;
   sgr_counter_t *load_query_counter;
   sgr_counter_t *reports;
   sgr_counter_t *starts;
@@ -212,6 +221,11 @@
 bool sgr_data_gate_is_not_run_status (const sgr_data_gate_t *gate, int status);
 void sgr_data_gate_run_free (sgr_data_gate_t *gate, sgr_gate_run_t *run);
 
+/** sgr_data_gate_tick() - run the work of the gate that is due, and arm the timer for the next due
+ * time
+ */
+void sgr_data_gate_tick (sgr_data_gate_t *gate, uint64_t now_us);
+
 /* Functions of gate_answer.c: frames to the entry of an attempt. */
 
 /**
--- a/libsiskingrade/gate_status.c
+++ b/libsiskingrade/gate_status.c
@@ -238,8 +238,10 @@
 }
 
 void
-sgr_gate_load_report (const sgr_gate_t *gate, sgr_load_report_t *report)
+sgr_gate_load_report (const sgr_gate_t *gate, uint64_t now_us, sgr_load_report_t *report)
 {
+  uint32_t starts_left;
+
   *report = (sgr_load_report_t){
     .in_flight = sgr_gate_limits_slots_used (gate->limits),
     .queued = sgr_gate_queue_count (gate->queue),
@@ -249,6 +251,12 @@
     .age_us = 0,
     .state = gate->draining ? SGR_TARGET_DRAINING : gate->target_state,
   };
+  if (!sgr_gate_cold_is_reported (gate->cold, now_us))
+    return;
+  starts_left = sgr_gate_cold_starts_left (gate->cold, now_us);
+  report->cold_calls_per_s = sgr_gate_cold_limit (gate->cold);
+  if (report->slots > report->in_flight && report->slots - report->in_flight > starts_left)
+    report->slots = report->in_flight + starts_left;
 }
 
 void *
@@ -285,6 +293,7 @@
     [SGR_GATE_REASON_ENTRY_LOST] = "entry-lost",
     [SGR_GATE_REASON_SLOW] = "slow",
     [SGR_GATE_REASON_LATE] = "late",
+    [SGR_GATE_REASON_COLD] = "cold",
   };
 
   return (unsigned)reason < SGR_GATE_REASON_COUNT ? names[reason] : "unknown";
--- a/libsiskingrade/gate_target.c
+++ b/libsiskingrade/gate_target.c
@@ -41,6 +41,7 @@
   sgr_gate_queue_max_set (gate, policy);
   gate->slots_percent = policy->slots_percent;
   sgr_gate_limits_policy_update (gate->limits, policy);
+  sgr_gate_cold_limit_set (gate->cold, now_us, policy->cold_calls_per_s);
   sgr_gate_slots_apply (gate, now_us);
   sgr_gate_dispatch (gate, now_us);
 }
--- a/libsiskingrade/types.h
+++ b/libsiskingrade/types.h
@@ -93,12 +93,15 @@
  * struct sgr_load_report_t - load of one target as its gate measures and reports it
  * @in_flight: requests at the target now
  * @queued: requests that wait at the gate
- * @slots: requests that the target may run at a time
+ * @slots: requests that the target may run at a time; while it counts as cold, at most those at the
+ * target plus those that may start now
  * @latency_us: recent median latency of the target in microseconds, 0 if unknown
  * @cost_percent: current duration of requests at the target in percent of their usual duration, 0
  * if unknown
  * @age_us: age of the report when it is used, in microseconds
  * @state: state of the target
+ * @cold_calls_per_s: requests per second that the target accepts while it counts as cold, 0 if it
+ * does not
  */
 typedef struct
 {
@@ -109,6 +112,7 @@
   uint32_t cost_percent;
   uint64_t age_us;
   sgr_target_state_t state;
+  uint32_t cold_calls_per_s;
 } sgr_load_report_t;
 
 /**
--- a/tests/test_call_property.c
+++ b/tests/test_call_property.c
@@ -521,7 +521,7 @@
   for (int i = 0; i < GATE_COUNT; i++)
     {
       sgr_gate_tick (sim->gates[i], sim->now_us);
-      sgr_gate_load_report (sim->gates[i], &report);
+      sgr_gate_load_report (sim->gates[i], sim->now_us, &report);
       assert_true (report.in_flight <= SLOT_COUNT);
     }
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -468,8 +468,8 @@
   assert_int_equal (f.refused_count, 3);
   assert_int_equal (f.refused_reason, SGR_GATE_REASON_DRAINING);
   assert_int_equal (finish (&f, f.started[0], 5, SGR_OUTCOME_COMPLETE, NULL), SGR_OUTCOME_COMPLETE);
-  sgr_gate_load_report (f.gate, &report);
-  sgr_gate_metrics_set (f.gate, metrics);
+  sgr_gate_load_report (f.gate, 5, &report);
+  sgr_gate_metrics_set (f.gate, 5, metrics);
   counter = sgr_metrics_counter (metrics, "siskingrade_gate_refused_total", "reason=\"draining\"");
   assert_int_equal (sgr_counter_get (counter), 3);
   counter = sgr_metrics_counter (metrics, "siskingrade_gate_ledger_attempts", "");
