Send cold targets no more than they accept

Cause: many nodes see the same room at a cold target, and their attempts wait or are refused there. Change: a balancer leaves out cold targets without room, and those that got the share of this node in their limit; the others take the rest.

--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -39,6 +39,7 @@
   [SGR_BALANCER_REPORT_OLD] = "report_old",
   [SGR_BALANCER_REPORT_CONTRADICTED] = "report_contradicted",
   [SGR_BALANCER_STALE_HANDLE] = "stale_handle",
+  [SGR_BALANCER_PICK_COLD_AVOIDED] = "pick_cold_avoided",
 };
 
 static const char *const policy_names[SGR_BALANCER_POLICY_COUNT] = {
@@ -182,6 +183,7 @@
 {
   sgr_balancer_estimate_init (&entry->estimate);
   entry->health = (sgr_balancer_health_t){ 0 };
+  entry->cold = (sgr_balancer_cold_t){ 0 };
   entry->reported_state = SGR_TARGET_NONE;
   entry->slow_start_begin_us = info->serving_since_us;
 }
@@ -412,6 +414,7 @@
   sgr_balancer_event_record (b, SGR_BALANCER_PICKED);
   if (is_baseline)
     return handle_of (b, sgr_balancer_baseline_choose (b, count));
+  count = sgr_balancer_cold_filter (b, now_us, count);
   return handle_of (b, sgr_balancer_choose (b, now_us, count, exclude_count > 0, bytes));
 }
 
@@ -447,6 +450,7 @@
   entry->outstanding++;
   b->outstanding++;
   entry->start_times_sum_us += now_us;
+  sgr_balancer_cold_attempt_start (b, entry, now_us);
   sgr_balancer_estimate_attempt_start (entry, now_us);
 }
 
--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -52,6 +52,11 @@
  * @remote_us_per_kib: as @far_us_per_kib, for a target in another region
  * @far_set_seed: decides which targets of other failure domains this node uses; must differ between
  *   nodes, so that their choices spread evenly, and stay the same for one node
+ * @cold_calls_per_s: requests per second that a cold target can handle, 0 for no limit
+ * @cold_start_us: time after its start for which a target without a load report counts as cold,
+ *   microseconds
+ * @entry_count: nodes that send attempts to the targets; each sends its share of what a cold target
+ *   can handle; 0 counts as 1
  */
 typedef struct
 {
@@ -62,6 +67,9 @@
   uint32_t far_us_per_kib;
   uint32_t remote_us_per_kib;
   uint64_t far_set_seed;
+  uint32_t cold_calls_per_s;
+  uint64_t cold_start_us;
+  uint32_t entry_count;
 } sgr_balancer_options_t;
 
 /**
@@ -112,6 +120,8 @@
  * @SGR_BALANCER_REPORT_OLD: load reports discarded because they are older than the last applied one
  * @SGR_BALANCER_REPORT_CONTRADICTED: load reports that the latency or the number of this node's own
  *   attempts contradicts
+ * @SGR_BALANCER_PICK_COLD_AVOIDED: choices that left out at least one cold target, because it got
+ *   its share already
  * @SGR_BALANCER_STALE_HANDLE: calls with the handle of a removed target or with
  *   SGR_BALANCER_TARGET_NONE
  *
@@ -138,6 +148,7 @@
   SGR_BALANCER_REPORT_OLD,
   SGR_BALANCER_REPORT_CONTRADICTED,
   SGR_BALANCER_STALE_HANDLE,
+  SGR_BALANCER_PICK_COLD_AVOIDED,
   SGR_BALANCER_EVENT_COUNT,
 } sgr_balancer_event_t;
 
--- a/libsiskingrade/balancer_estimate.c
+++ b/libsiskingrade/balancer_estimate.c
@@ -202,6 +202,7 @@
           += SERVICE_LOAD_GAIN * (estimate->reported_slowdown - b->service_slowdown);
     }
   entry->reported_state = report->state;
+  sgr_balancer_cold_report_apply (entry, report);
   unreported_starts_discard (entry, made_us);
   b->service_load += SERVICE_LOAD_GAIN * estimate->report_confidence
                      * (fmin (load / entry->info.slots, REPORT_LOAD_SHARE_MAX) - b->service_load);
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -77,6 +77,22 @@
   uint32_t trials_passed;
 } sgr_balancer_health_t;
 
+/**
+ * struct sgr_balancer_cold_t - what a cold target accepts
+ * @calls_per_s: requests per second that the target accepts, from the last report; 0 if it is not
+ *   cold
+ * @starts_left: requests that it could start when that report was made
+ * @share: attempts that this node may send to it now, out of its share
+ * @share_time_us: time of the last change of @share, 0 before the target was known to be cold
+ */
+typedef struct
+{
+  uint32_t calls_per_s;
+  uint32_t starts_left;
+  double share;
+  uint64_t share_time_us;
+} sgr_balancer_cold_t;
+
 /**
  * struct sgr_balancer_entry_t - one entry of the table of targets
  * @info: what the membership view holds of the target
@@ -88,6 +104,7 @@
  * @slow_start_begin_us: when the slow start began
  * @estimate: load and latency
  * @health: errors and ejection
+ * @cold: what the target accepts while it is cold
  */
 typedef struct
 {
@@ -100,6 +117,7 @@
   uint64_t slow_start_begin_us;
   sgr_balancer_estimate_t estimate;
   sgr_balancer_health_t health;
+  sgr_balancer_cold_t cold;
 } sgr_balancer_entry_t;
 
 /**
@@ -191,6 +209,25 @@
 /** sgr_balancer_outlier_trial_start() - start a half-open trial; false if none is due */
 bool sgr_balancer_outlier_trial_start (sgr_balancer_entry_t *entry, uint64_t now_us);
 
+/* balancer_cold.c */
+void sgr_balancer_cold_report_apply (sgr_balancer_entry_t *entry, const sgr_load_report_t *report);
+/** sgr_balancer_cold_attempt_start() - record an attempt, which uses this node's share of a cold
+ * target
+ */
+void sgr_balancer_cold_attempt_start (sgr_balancer_t *b, sgr_balancer_entry_t *entry,
+                                      uint64_t now_us);
+/**
+ * sgr_balancer_cold_filter() - leave out the cold targets that got their share already
+ * @b: the balancer; the candidates that stay are moved to the front
+ * @now_us: current time
+ * @count: number of candidates, above 0
+ *
+ * Return: number of candidates that stay, above 0; all without a limit for cold targets. If all are
+ * cold and got their share, those stay that can start a request according to their reports; if none
+ * can, all.
+ */
+size_t sgr_balancer_cold_filter (sgr_balancer_t *b, uint64_t now_us, size_t count);
+
 /* balancer_choose.c */
 /** sgr_balancer_choose() - index of the entry that is best among the first @count candidates */
 uint32_t sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count,
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -110,7 +110,10 @@
                                    .eject_percent = policy->eject_percent,
                                    .far_us_per_kib = (uint32_t)task->settings->far_us_per_kib,
                                    .remote_us_per_kib = (uint32_t)task->settings->remote_us_per_kib,
-                                   .far_set_seed = task->node };
+                                   .far_set_seed = task->node,
+                                   .cold_calls_per_s = policy->cold_calls_per_s,
+                                   .cold_start_us = policy->cold_start_ms * SGR_USEC_PER_MSEC,
+                                   .entry_count = (uint32_t)task->snapshot->member_count };
 }
 
 static sgr_data_service_t *
