--- a/standins/standin-target.c
+++ b/standins/standin-target.c
@@ -25,6 +25,8 @@
 #define ANNOUNCE_INTERVAL_US (500 * SGR_USEC_PER_MSEC)
 #define ANNOUNCE_TIMEOUT_MS 2000
 #define ANNOUNCE_REPLY_MAX_BYTES 4096
+/* Size of a number of milliseconds as text. */
+#define COLD_TEXT_BYTES 24
 
 /**
  * struct options_t - command line
@@ -56,6 +58,7 @@
  * @fetcher: HTTP client for announcements
  * @announce_timer: sends the next announcement
  * @state: state in the announcements, "serving" or "draining"
+ * @cold_until_us: monotonic time until which the target says that it is cold
  * @is_deregistering: SIGTERM was received and the node was requested to remove the target; the next
  *                    reply of the node ends the program
  * @is_stopped: the event loop is to end
@@ -72,6 +75,7 @@
   sgr_standin_work_t *work;
   sgr_timer_t announce_timer;
   const char *state;
+  uint64_t cold_until_us;
   bool is_deregistering;
   bool is_stopped;
 } target_t;
@@ -90,7 +94,9 @@
   { "slots", 'n', "COUNT", 0, "Requests that run at a time (16)", 0 },
   { "connections", 'c', "COUNT", 0, "Connections to announce (240)", 0 },
   { "service-us", 'u', "MICROSECONDS", 0, "Mean service time (2000)", 0 },
-  { "cold-ms", 'w', "MILLISECONDS", 0, "Time after the start with five times the service time", 0 },
+  { "cold-ms", 'w', "MILLISECONDS", 0,
+    "Time after the start in which the target says that it is cold, and takes five times as long",
+    0 },
   { "seed", 'r', "NUMBER", 0, "Seed of the service times (1)", 0 },
   { "execution-log", 'o', "FILE", 0, "Append the id of each request that ran", 0 },
   { 0 },
@@ -175,6 +181,15 @@
   sgr_http_fetch_start (target->fetcher, &request, on_announce_reply, target);
 }
 
+/* Time for which the target stays cold, 0 if it is not cold, milliseconds. */
+static uint64_t
+cold_left_ms (const target_t *target)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+
+  return now_us < target->cold_until_us ? sgr_ms_of (target->cold_until_us - now_us) + 1 : 0;
+}
+
 static void
 on_announce_timer (void *ctx, uint64_t now_us)
 {
@@ -185,12 +200,25 @@
   sgr_address_format (&target->options.listen, address, sizeof address);
   snprintf (body, sizeof body,
             "{\"service\":\"%s\",\"address\":\"%s\",\"slots\":%u,\"connections\":%u,"
-            "\"state\":\"%s\",\"probe_path\":\"/ready\"}",
+            "\"state\":\"%s\",\"probe_path\":\"/ready\",\"cold_ms\":%lu}",
             target->options.service, address, target->options.slots, target->options.connections,
-            target->state);
+            target->state, cold_left_ms (target));
   announce (target, "PUT", body);
 }
 
+/* Handles "cold/MILLISECONDS": from now on, the target says for that time that it is cold. */
+static bool
+cold_set (target_t *target, h2o_iovec_t name)
+{
+  uint64_t cold_ms;
+
+  if (name.len < 5 || memcmp (name.base, "cold/", 5) != 0
+      || !sgr_http_number_parse (name.base + 5, name.len - 5, NUMBER_MAX, &cold_ms))
+    return false;
+  target->cold_until_us = sgr_clock_monotonic_us () + cold_ms * SGR_USEC_PER_MSEC;
+  return true;
+}
+
 /* POST /admin/NAME changes the announced state or the behaviour of the target. */
 static int
 on_admin (h2o_handler_t *super, h2o_req_t *req)
@@ -203,7 +231,8 @@
     target->state = "draining";
   else if (h2o_memis (name.base, name.len, H2O_STRLIT ("serve")))
     target->state = "serving";
-  else if (!sgr_standin_work_set_mode (target->work, name.base, name.len))
+  else if (!cold_set (target, name)
+           && !sgr_standin_work_set_mode (target->work, name.base, name.len))
     {
       h2o_send_error_404 (req, "Not Found", "no such setting\n", 0);
       return 0;
@@ -230,6 +259,12 @@
 static int
 on_ready (h2o_handler_t *super, h2o_req_t *req)
 {
+  uint64_t cold_ms = cold_left_ms (((handler_t *)super)->target);
+  char *value = h2o_mem_alloc_pool (&req->pool, COLD_TEXT_BYTES);
+
+  if (cold_ms > 0)
+    h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("siskingrade-cold-ms"), 0,
+                           NULL, value, (size_t)snprintf (value, COLD_TEXT_BYTES, "%lu", cold_ms));
   req->res.status = 200;
   h2o_send_inline (req, H2O_STRLIT ("ready\n"));
   return 0;
@@ -346,6 +381,7 @@
                                                        + target.options.cold_ms * SGR_USEC_PER_MSEC,
                                       .seed = target.options.seed,
                                       .log_path = target.options.log_path };
+  target.cold_until_us = work.cold_until_us;
   target.work = sgr_standin_work_create (target.timers, &work);
   return target_run (&target);
 }
--- a/tests/node_fixture_config.c
+++ b/tests/node_fixture_config.c
@@ -37,6 +37,14 @@
     }
 }
 
+static const char *
+policy_name (const char *service)
+{
+  if (strcmp (service, "pair") == 0)
+    return "shedding";
+  return strcmp (service, "cold") == 0 ? "cold" : "plain";
+}
+
 static json_t *
 content_create (const sgr_fixture_t *fixture)
 {
@@ -51,16 +59,17 @@
         is_listed
             = fixture->nodes[j].service != NULL && strcmp (fixture->nodes[j].service, service) == 0;
       if (!is_listed)
-        json_array_append_new (services,
-                               json_pack ("{s:s, s:s}", "name", service, "policy",
-                                          strcmp (service, "pair") == 0 ? "shedding" : "plain"));
+        json_array_append_new (
+            services, json_pack ("{s:s, s:s}", "name", service, "policy", policy_name (service)));
     }
   /* With retry_percent 100, each successful call allows one retry. With the default of 10, a test
      that repeats shed calls would exhaust the retry budget whenever its first attempts go to the
      shedding target. */
-  return json_pack ("{s:{s:[{s:s}, {s:s, s:[i], s:i}], s:o}}", "full", "policies", "name", "plain",
-                    "name", "shedding", "not_run_status", 503, "retry_percent", 100, "services",
-                    services);
+  return json_pack ("{s:{s:[{s:s}, {s:s, s:[i], s:i}, {s:s, s:i, s:i, s:s, s:i}], s:o}}", "full",
+                    "policies", "name", "plain", "name", "shedding", "not_run_status", 503,
+                    "retry_percent", 100, "name", "cold", "cold_calls_per_s",
+                    SGR_FIXTURE_COLD_CALLS_PER_S, "cold_start_ms", 2000, "load_path", "/ready",
+                    "load_calls_per_s", 640, "services", services);
 }
 
 /* Sends a POST request with JSON. Sends it again after status 503 or without an answer, because the
--- a/tests/node_fixture_config.h
+++ b/tests/node_fixture_config.h
@@ -7,6 +7,8 @@
 #include "node_fixture.h"
 
 #define SGR_FIXTURE_DEPLOYMENT "test"
+/* Limit of the policy "cold". */
+#define SGR_FIXTURE_COLD_CALLS_PER_S 10
 
 /** sgr_fixture_owners_write() - write the section "owners" of the settings, with the test's keys */
 void sgr_fixture_owners_write (FILE *file);
@@ -16,8 +18,9 @@
  * @fixture: the fixture; its store and its nodes have been started
  *
  * Proposes one change through the first node and approves it in the name of both owners. The
- * service "pair" gets the policy "shedding", which declares the status 503 as not-run; all other
- * services get the policy "plain", which has the defaults.
+ * service "pair" gets the policy "shedding", which declares the status 503 as not-run; the service
+ * "cold" gets the policy "cold", which has a limit for cold targets and asks them for their state;
+ * all other services get the policy "plain", which has the defaults.
  *
  * Return: false if a request was refused, or not accepted within 20 seconds.
  */
