--- a/libsiskingrade/control_contacts.h
+++ b/libsiskingrade/control_contacts.h
@@ -11,9 +11,9 @@
  *
  * Reads the addresses of the nodes. If the node's own is missing, writes it under the key
  * "nodes/DEPLOYMENT/NAME" and then reads the others again. If two nodes start at the same time, the
- * one that writes later
- * finds the other. Once the node has found others, membership alone keeps them connected and the
- * store is not read again, unless the store was restored. A step that fails is retried.
+ * one that writes later finds the other. Once the node has found others, membership alone keeps
+ * them connected and the store is not read again, unless the store was restored. A step that fails
+ * is retried.
  *
  * Return: the object, NULL without a store.
  */
