Distribute evacuated failure domains by membership

Every membership datagram carries the set once there was one; a change is sent by gossip at once, like a configuration revision. Without an evacuation, no field is encoded.

--- a/libsiskingrade/membership.h
+++ b/libsiskingrade/membership.h
@@ -1,6 +1,7 @@
 #ifndef SGR_MEMBERSHIP_H
 #define SGR_MEMBERSHIP_H
 
+#include "evacuation.h"
 #include "member.h"
 #include "result.h"
 
@@ -269,6 +270,42 @@
 uint64_t sgr_membership_revision_highest (const sgr_membership_t *membership,
                                           sgr_node_id_t *holder);
 
+/**
+ * typedef sgr_membership_evacuation_cb_t - reports that another node sent evacuated failure domains
+ *
+ * Called for the first set that arrives, and for each one that changes the domains. It may call the
+ * functions that the callback changed() may call, see sgr_membership_callbacks_t.
+ */
+typedef void (*sgr_membership_evacuation_cb_t) (void *ctx);
+
+/**
+ * sgr_membership_evacuation_follow() - take part in the distribution of evacuated failure domains
+ * @membership: the membership
+ * @cb: called when a set arrives
+ * @ctx: passed to @cb
+ *
+ * Without this call, sets in received datagrams are ignored. A datagram carries a set only if there
+ * is or was an evacuation.
+ */
+void sgr_membership_evacuation_follow (sgr_membership_t *membership,
+                                       sgr_membership_evacuation_cb_t cb, void *ctx);
+
+/**
+ * sgr_membership_evacuation_read() - apply evacuated failure domains that were read from the store
+ * @membership: the membership
+ * @now_us: monotonic time in microseconds
+ * @read: the set, see sgr_evacuation_read_apply()
+ *
+ * A change is sent to the other nodes at once, like a new configuration revision.
+ *
+ * Return: whether the domains have changed.
+ */
+bool sgr_membership_evacuation_read (sgr_membership_t *membership, uint64_t now_us,
+                                     const sgr_evacuation_t *read);
+
+/** sgr_membership_evacuation() - the evacuated failure domains that this node knows */
+const sgr_evacuation_t *sgr_membership_evacuation (const sgr_membership_t *membership);
+
 /**
  * sgr_membership_counters() - totals since sgr_membership_create()
  * @membership: the membership
--- a/libsiskingrade/membership.pb-c.c
+++ b/libsiskingrade/membership.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &sgr__membership_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sgr__membership_evacuation__init
+                     (Sgr__MembershipEvacuation         *message)
+{
+  static const Sgr__MembershipEvacuation init_value = SGR__MEMBERSHIP_EVACUATION__INIT;
+  *message = init_value;
+}
+size_t sgr__membership_evacuation__get_packed_size
+                     (const Sgr__MembershipEvacuation *message)
+{
+  assert(message->base.descriptor == &sgr__membership_evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sgr__membership_evacuation__pack
+                     (const Sgr__MembershipEvacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sgr__membership_evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sgr__membership_evacuation__pack_to_buffer
+                     (const Sgr__MembershipEvacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sgr__membership_evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sgr__MembershipEvacuation *
+       sgr__membership_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sgr__MembershipEvacuation *)
+     protobuf_c_message_unpack (&sgr__membership_evacuation__descriptor,
+                                allocator, len, data);
+}
+void   sgr__membership_evacuation__free_unpacked
+                     (Sgr__MembershipEvacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sgr__membership_evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sgr__membership_datagram__init
                      (Sgr__MembershipDatagram         *message)
 {
@@ -356,7 +401,71 @@
   (ProtobufCMessageInit) sgr__membership_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sgr__membership_datagram__field_descriptors[15] =
+static const ProtobufCFieldDescriptor sgr__membership_evacuation__field_descriptors[3] =
+{
+  {
+    "generation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__MembershipEvacuation, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__MembershipEvacuation, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Sgr__MembershipEvacuation, n_domains),
+    offsetof(Sgr__MembershipEvacuation, domains),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sgr__membership_evacuation__field_indices_by_name[] = {
+  2,   /* field[2] = domains */
+  0,   /* field[0] = generation */
+  1,   /* field[1] = number */
+};
+static const ProtobufCIntRange sgr__membership_evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sgr__membership_evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sgr.MembershipEvacuation",
+  "MembershipEvacuation",
+  "Sgr__MembershipEvacuation",
+  "sgr",
+  sizeof(Sgr__MembershipEvacuation),
+  3,
+  sgr__membership_evacuation__field_descriptors,
+  sgr__membership_evacuation__field_indices_by_name,
+  1,  sgr__membership_evacuation__number_ranges,
+  (ProtobufCMessageInit) sgr__membership_evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sgr__membership_datagram__field_descriptors[16] =
 {
   {
     "version",
@@ -538,11 +647,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuation",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sgr__MembershipDatagram, evacuation),
+    &sgr__membership_evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sgr__membership_datagram__field_indices_by_name[] = {
   3,   /* field[3] = boot */
   5,   /* field[5] = config_revision */
   11,   /* field[11] = digests */
+  15,   /* field[15] = evacuation */
   13,   /* field[13] = fingerprints */
   12,   /* field[12] = groups */
   1,   /* field[1] = kind */
@@ -559,7 +681,7 @@
 static const ProtobufCIntRange sgr__membership_datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor sgr__membership_datagram__descriptor =
 {
@@ -569,7 +691,7 @@
   "Sgr__MembershipDatagram",
   "sgr",
   sizeof(Sgr__MembershipDatagram),
-  15,
+  16,
   sgr__membership_datagram__field_descriptors,
   sgr__membership_datagram__field_indices_by_name,
   1,  sgr__membership_datagram__number_ranges,
--- a/libsiskingrade/membership.pb-c.h
+++ b/libsiskingrade/membership.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Sgr__MembershipRecord Sgr__MembershipRecord;
+typedef struct Sgr__MembershipEvacuation Sgr__MembershipEvacuation;
 typedef struct Sgr__MembershipDatagram Sgr__MembershipDatagram;
 
 
@@ -76,6 +77,28 @@
     , 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * The evacuated failure domains, see evacuation.h.
+ */
+struct  Sgr__MembershipEvacuation
+{
+  ProtobufCMessage base;
+  /*
+   * of the store
+   */
+  uint64_t generation;
+  /*
+   * version within the generation
+   */
+  uint64_t number;
+  size_t n_domains;
+  ProtobufCBinaryData *domains;
+};
+#define SGR__MEMBERSHIP_EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sgr__membership_evacuation__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 struct  Sgr__MembershipDatagram
 {
   ProtobufCMessage base;
@@ -117,10 +140,14 @@
    */
   size_t n_wanted;
   uint64_t *wanted;
+  /*
+   * absent if there never was an evacuation
+   */
+  Sgr__MembershipEvacuation *evacuation;
 };
 #define SGR__MEMBERSHIP_DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sgr__membership_datagram__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, NULL }
 
 
 /* Sgr__MembershipRecord methods */
@@ -142,6 +169,25 @@
 void   sgr__membership_record__free_unpacked
                      (Sgr__MembershipRecord *message,
                       ProtobufCAllocator *allocator);
+/* Sgr__MembershipEvacuation methods */
+void   sgr__membership_evacuation__init
+                     (Sgr__MembershipEvacuation         *message);
+size_t sgr__membership_evacuation__get_packed_size
+                     (const Sgr__MembershipEvacuation   *message);
+size_t sgr__membership_evacuation__pack
+                     (const Sgr__MembershipEvacuation   *message,
+                      uint8_t             *out);
+size_t sgr__membership_evacuation__pack_to_buffer
+                     (const Sgr__MembershipEvacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Sgr__MembershipEvacuation *
+       sgr__membership_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sgr__membership_evacuation__free_unpacked
+                     (Sgr__MembershipEvacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Sgr__MembershipDatagram methods */
 void   sgr__membership_datagram__init
                      (Sgr__MembershipDatagram         *message);
@@ -166,6 +212,9 @@
 typedef void (*Sgr__MembershipRecord_Closure)
                  (const Sgr__MembershipRecord *message,
                   void *closure_data);
+typedef void (*Sgr__MembershipEvacuation_Closure)
+                 (const Sgr__MembershipEvacuation *message,
+                  void *closure_data);
 typedef void (*Sgr__MembershipDatagram_Closure)
                  (const Sgr__MembershipDatagram *message,
                   void *closure_data);
@@ -176,6 +225,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor sgr__membership_record__descriptor;
+extern const ProtobufCMessageDescriptor sgr__membership_evacuation__descriptor;
 extern const ProtobufCMessageDescriptor sgr__membership_datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/libsiskingrade/membership_codec.c
+++ b/libsiskingrade/membership_codec.c
@@ -10,6 +10,8 @@
    and 3 bytes for more. */
 #define FIELD_PREFIX_BYTES_SHORT 2
 #define FIELD_PREFIX_BYTES_MAX 3
+/* Tag and length of the field with the evacuated failure domains, whose number is above 15. */
+#define EVACUATION_PREFIX_BYTES_MAX 4
 
 /* Size of one element of the repeated fields, encoded and in memory. */
 #define FINGERPRINT_BYTES 4
@@ -38,6 +40,27 @@
   writer->message.wanted = writer->wanted;
   writer->message.digests = writer->digests;
   writer->size = HEADER_BYTES_MAX;
+  writer->evacuation_size = 0;
+}
+
+void
+sgr_membership_writer_set_evacuation (sgr_membership_writer_t *writer,
+                                      const sgr_evacuation_t *evacuation)
+{
+  Sgr__MembershipEvacuation *field = &writer->evacuation;
+
+  sgr__membership_evacuation__init (field);
+  field->generation = evacuation->version.generation;
+  field->number = evacuation->version.number;
+  field->n_domains = evacuation->count;
+  field->domains = writer->evacuated_domains;
+  for (size_t i = 0; i < evacuation->count; i++)
+    writer->evacuated_domains[i] = (ProtobufCBinaryData){ strlen (evacuation->domains[i]),
+                                                          (uint8_t *)evacuation->domains[i] };
+  writer->message.evacuation = field;
+  writer->evacuation_size
+      = protobuf_c_message_get_packed_size (&field->base) + EVACUATION_PREFIX_BYTES_MAX;
+  writer->size += writer->evacuation_size;
 }
 
 /* Adds an interned string of the table to the datagram unless it is there already. Returns its
@@ -282,6 +305,25 @@
   return true;
 }
 
+/* Copies the evacuated failure domains. A number of 0 would stand for a set that never was. */
+static bool
+evacuation_decode (const Sgr__MembershipEvacuation *from, sgr_evacuation_t *evacuation)
+{
+  *evacuation = (sgr_evacuation_t){ 0 };
+  if (from == NULL)
+    return true;
+  if (from->number == 0 || from->n_domains > SGR_EVACUATION_DOMAINS_MAX)
+    return false;
+  evacuation->version = (sgr_store_version_t){ from->generation, from->number };
+  evacuation->checked = evacuation->version;
+  for (size_t i = 0; i < from->n_domains; i++)
+    if (sgr_evacuation_domain_add (evacuation, (const char *)from->domains[i].data,
+                                   from->domains[i].len)
+        != SGR_OK)
+      return false;
+  return true;
+}
+
 /* Validates a datagram and copies it to *message. */
 static bool
 message_convert (const Sgr__MembershipDatagram *from, sgr_membership_message_t *message)
@@ -312,6 +354,8 @@
   for (size_t i = 0; i < from->n_records; i++)
     if (!record_decode (from, from->records[i], &message->records[i]))
       return false;
+  if (!evacuation_decode (from->evacuation, &message->evacuation))
+    return false;
   if (from->n_fingerprints > 0)
     memcpy (message->fingerprints, from->fingerprints, from->n_fingerprints * FINGERPRINT_BYTES);
   if (from->n_wanted > 0)
--- a/libsiskingrade/membership_codec.h
+++ b/libsiskingrade/membership_codec.h
@@ -1,6 +1,7 @@
 #ifndef SGR_MEMBERSHIP_CODEC_H
 #define SGR_MEMBERSHIP_CODEC_H
 
+#include "evacuation.h"
 #include "membership.h"
 #include "membership.pb-c.h"
 #include "membership_table.h"
@@ -80,6 +81,7 @@
  * @fingerprints: @fingerprint_count fingerprints, see SGR_MEMBERSHIP_PULL
  * @wanted: @wanted_count nodes whose full records are requested
  * @digests: digest of each group, in a DIGEST only
+ * @evacuation: the evacuated failure domains; sgr_evacuation_exists() is false if there are none
  */
 typedef struct
 {
@@ -98,6 +100,7 @@
   uint32_t fingerprints[SGR_MEMBERSHIP_FINGERPRINTS_MAX];
   sgr_node_id_t wanted[SGR_MEMBERSHIP_WANTED_IDS_MAX];
   uint32_t digests[SGR_MEMBERSHIP_GROUPS];
+  sgr_evacuation_t evacuation;
 } sgr_membership_message_t;
 
 /**
@@ -107,6 +110,7 @@
  * @size: upper bound of the encoded size in bytes
  * @strings: strings to which the records refer
  * @string_indexes: index of each of @strings in the table, as the records of the table hold it
+ * @evacuation_size: part of @size that the evacuated failure domains take
  */
 typedef struct
 {
@@ -119,6 +123,9 @@
   uint32_t fingerprints[SGR_MEMBERSHIP_FINGERPRINTS_MAX];
   sgr_node_id_t wanted[SGR_MEMBERSHIP_WANTED_IDS_MAX];
   uint32_t digests[SGR_MEMBERSHIP_GROUPS];
+  Sgr__MembershipEvacuation evacuation;
+  ProtobufCBinaryData evacuated_domains[SGR_EVACUATION_DOMAINS_MAX];
+  size_t evacuation_size;
 } sgr_membership_writer_t;
 
 /** sgr_membership_writer_begin() - start a datagram without content */
@@ -155,6 +162,14 @@
  */
 void sgr_membership_writer_set_digests (sgr_membership_writer_t *writer, const uint32_t *digests);
 
+/**
+ * sgr_membership_writer_set_evacuation() - set the evacuated failure domains
+ * @writer: the datagram, without other content
+ * @evacuation: the set, which exists; must not change until the datagram is finished
+ */
+void sgr_membership_writer_set_evacuation (sgr_membership_writer_t *writer,
+                                           const sgr_evacuation_t *evacuation);
+
 /**
  * sgr_membership_writer_finish() - encode a datagram
  * @writer: the datagram
--- a/libsiskingrade/membership_internal.h
+++ b/libsiskingrade/membership_internal.h
@@ -141,9 +141,14 @@
  * @last_conflict_us: when this node last received a record of a newer boot under its own name, 0
  *   for never
  * @revision_sends_pending: gossip datagrams that are still to be sent for a new configuration
- *                          revision of this node; every datagram carries the revision
+ *                          revision of this node or for a change of @evacuation; every datagram
+ *                          carries both
  * @revision_highest: highest configuration revision known to be in force at a node
  * @revision_holder: node that last reported @revision_highest
+ * @evacuation: the evacuated failure domains
+ * @evacuation_cb: called when a set arrives, NULL if this node does not follow evacuations
+ * @evacuation_ctx: passed to @evacuation_cb
+ * @has_received_evacuation: whether another node has sent a set
  * @corrections: handles of the members whose received record was stale
  * @requested_ids: nodes whose full record is missing here
  * @self_correction_due: whether to send the present record of this node to the sender of the
@@ -182,6 +187,10 @@
   uint32_t revision_sends_pending;
   uint64_t revision_highest;
   sgr_node_id_t revision_holder;
+  sgr_evacuation_t evacuation;
+  sgr_membership_evacuation_cb_t evacuation_cb;
+  void *evacuation_ctx;
+  bool has_received_evacuation;
   /* Collected while a datagram is processed; sgr_membership_sync_send_pending() then sends the
      resulting requests and corrections to its sender. */
   uint32_t corrections[SGR_MEMBERSHIP_CORRECTIONS_MAX];
@@ -220,6 +229,12 @@
 /** sgr_membership_change_notify() - report a changed member through the callback */
 void sgr_membership_change_notify (sgr_membership_t *m, uint32_t handle);
 
+/* membership_evacuation.c */
+
+/** sgr_membership_evacuation_receive() - apply the evacuated failure domains of a datagram */
+void sgr_membership_evacuation_receive (sgr_membership_t *m, uint64_t now_us,
+                                        const sgr_membership_message_t *message);
+
 /* membership_update.c */
 
 /**
@@ -317,6 +332,10 @@
 bool sgr_membership_add_record (sgr_membership_t *m, sgr_membership_writer_t *writer,
                                 uint64_t now_us, uint32_t handle, bool full, size_t limit);
 
+/** sgr_membership_datagram_begin() - start a datagram, which has the evacuated failure domains */
+void sgr_membership_datagram_begin (const sgr_membership_t *m, sgr_membership_writer_t *writer,
+                                    sgr_membership_kind_t kind);
+
 /** sgr_membership_add_updates() - add queued updates to a datagram as far as the budget allows */
 void sgr_membership_add_updates (sgr_membership_t *m, sgr_membership_writer_t *writer,
                                  uint64_t now_us);
--- a/libsiskingrade/membership_probe.c
+++ b/libsiskingrade/membership_probe.c
@@ -39,7 +39,7 @@
   sgr_address_t address = sgr_membership_address (m, handle);
   sgr_membership_writer_t writer;
 
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PING);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PING);
   writer.message.sequence = sequence;
   writer.message.target = m->table.entries[handle].id;
   add_receiver_record (m, &writer, now_us, handle);
@@ -115,7 +115,7 @@
       if (relay_peer == probed || m->table.entries[relay_peer].status != SGR_MEMBER_ALIVE)
         continue;
       to = sgr_membership_address (m, relay_peer);
-      sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PING_REQ);
+      sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PING_REQ);
       writer.message.sequence = probe->sequence;
       writer.message.target = probe->id;
       writer.message.target_ip = address.ip;
@@ -190,7 +190,7 @@
 {
   sgr_membership_writer_t writer;
 
-  sgr_membership_writer_begin (&writer, kind);
+  sgr_membership_datagram_begin (m, &writer, kind);
   writer.message.sequence = relay->requester_sequence;
   writer.message.target = relay->probed_id;
   sgr_membership_send (m, &writer, &relay->requester, SGR_MEMBERSHIP_DETECTION);
@@ -236,7 +236,7 @@
   };
   if (relay->due_us < m->relay_due_us)
     m->relay_due_us = relay->due_us;
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PING);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PING);
   writer.message.sequence = relay->sequence;
   writer.message.target = message->probed_id;
   sgr_membership_send (m, &writer, &message->probed_address, SGR_MEMBERSHIP_DETECTION);
@@ -249,7 +249,7 @@
   uint32_t sender = sgr_membership_table_find (&m->table, message->sender);
   sgr_membership_writer_t writer;
 
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_ACK);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_ACK);
   writer.message.sequence = message->sequence;
   if (m->self_correction_due)
     sgr_membership_add_record (m, &writer, now_us, m->self, true, SGR_MEMBERSHIP_DATAGRAM_MAX);
@@ -338,7 +338,7 @@
       if (peer == SGR_MEMBERSHIP_NONE)
         return;
       address = sgr_membership_address (m, peer);
-      sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_GOSSIP);
+      sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_GOSSIP);
       sgr_membership_add_updates (m, &writer, now_us);
       if (writer.message.n_records == 0 && m->revision_sends_pending == 0)
         return;
@@ -389,7 +389,7 @@
   if (sgr_membership_table_find_address (&m->table, contact, SGR_MEMBERSHIP_NONE)
       != SGR_MEMBERSHIP_NONE)
     return;
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PING);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PING);
   writer.message.sequence = ++m->sequence;
   sgr_membership_add_record (m, &writer, now_us, m->self, true, SGR_MEMBERSHIP_DATAGRAM_MAX);
   sgr_membership_send (m, &writer, contact, SGR_MEMBERSHIP_SYNC);
--- a/libsiskingrade/membership_send.c
+++ b/libsiskingrade/membership_send.c
@@ -17,9 +17,10 @@
 #define RECORD_BYTES_MIN 30
 
 /*
- * Sync datagrams up to this size, IP and UDP headers included, may use spare bytes of the detection
- * share. Such datagrams include the answers to join requests, from which nodes learn of each other.
- * Without these answers, neither failure detection nor sync can begin.
+ * Sync datagrams up to this size, IP and UDP headers included and without the evacuated failure
+ * domains, may use spare bytes of the detection share. Such datagrams include the answers to join
+ * requests, from which nodes learn of each other. Without these answers, neither failure detection
+ * nor sync can begin.
  */
 #define SYNC_IN_DETECTION_SHARE_BYTES_MAX 430
 
@@ -72,6 +73,15 @@
     sgr_membership_queue_count_send (&m->queue, &m->table, handle, update_send_count (m, entry));
 }
 
+void
+sgr_membership_datagram_begin (const sgr_membership_t *m, sgr_membership_writer_t *writer,
+                               sgr_membership_kind_t kind)
+{
+  sgr_membership_writer_begin (writer, kind);
+  if (sgr_evacuation_exists (&m->evacuation))
+    sgr_membership_writer_set_evacuation (writer, &m->evacuation);
+}
+
 void
 sgr_membership_add_updates (sgr_membership_t *m, sgr_membership_writer_t *writer, uint64_t now_us)
 {
@@ -124,7 +134,8 @@
    */
   if (share == SGR_MEMBERSHIP_DETECTION && total > SGR_MEMBERSHIP_PROBE_BYTES)
     share_bytes = SGR_MEMBERSHIP_PROBE_BYTES;
-  if (share == SGR_MEMBERSHIP_SYNC && total <= SYNC_IN_DETECTION_SHARE_BYTES_MAX
+  if (share == SGR_MEMBERSHIP_SYNC
+      && total - writer->evacuation_size <= SYNC_IN_DETECTION_SHARE_BYTES_MAX
       && !sgr_membership_budget_has (&m->budget, share, total)
       && m->budget.tokens[SGR_MEMBERSHIP_DETECTION]
              > m->budget.capacity[SGR_MEMBERSHIP_DETECTION] / 2)
--- a/libsiskingrade/membership_suspicion.c
+++ b/libsiskingrade/membership_suspicion.c
@@ -117,7 +117,7 @@
       sgr_membership_change_notify (m, handle);
     }
   /* Notify the suspect directly, so that it can refute before the update reaches it by gossip. */
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_GOSSIP);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_GOSSIP);
   sgr_membership_add_record (m, &writer, now_us, handle, false, SGR_MEMBERSHIP_DATAGRAM_MAX);
   sgr_membership_send (m, &writer, &address, SGR_MEMBERSHIP_DETECTION);
 }
--- a/libsiskingrade/membership_sync.c
+++ b/libsiskingrade/membership_sync.c
@@ -25,8 +25,8 @@
    starts to probe and pull. Otherwise many nodes that start at once would all probe the contacts
    and pull from them. */
 #define JOIN_PEERS_MIN 6
-/* Maximum size of the answer to a join request. It names only a few members, from which the new
-   node then pulls all records. */
+/* Maximum size of the answer to a join request, without the evacuated failure domains. It names
+   only a few members, from which the new node then pulls all records. */
 #define JOIN_ANSWER_BYTES_MAX 400
 
 typedef bool (*entry_visitor_t) (void *ctx, uint32_t handle);
@@ -118,7 +118,7 @@
   unsigned start = (unsigned)sgr_rng_below (&m->rng, SGR_MEMBERSHIP_GROUPS);
   unsigned count = 0;
 
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PULL);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PULL);
   /* Include the record of this node, which the receiver may not know yet. */
   if (m->sync.pulls_with_own_record_left > 0)
     sgr_membership_add_record (m, &writer, now_us, m->self, true, SGR_MEMBERSHIP_DATAGRAM_MAX);
@@ -157,7 +157,7 @@
 {
   sgr_membership_writer_t writer;
 
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_DIGEST);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_DIGEST);
   sgr_membership_writer_set_digests (&writer, m->table.digests);
   m->sync.sequence = writer.message.sequence = ++m->sequence;
   sgr_membership_send (m, &writer, to, SGR_MEMBERSHIP_SYNC);
@@ -170,7 +170,7 @@
 {
   sgr_membership_writer_t writer;
 
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PULL);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PULL);
   writer.message.groups = ALL_GROUPS;
   m->sync.sequence = writer.message.sequence = ++m->sequence;
   sgr_membership_add_record (m, &writer, now_us, m->self, true, SGR_MEMBERSHIP_DATAGRAM_MAX);
@@ -259,7 +259,7 @@
 {
   sgr_membership_writer_t writer;
 
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_DIFF);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_DIFF);
   writer.message.sequence = message->sequence;
   for (unsigned i = 0; i < SGR_MEMBERSHIP_GROUPS; i++)
     if (message->digests[i] != m->table.digests[i])
@@ -332,7 +332,7 @@
   sgr_membership_writer_t writer;
   uint32_t start = (uint32_t)sgr_rng_below (&m->rng, m->table.ring_count);
 
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PULL_ANSWER);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PULL_ANSWER);
   writer.message.sequence = message->sequence;
   for (uint32_t i = 0; i < m->table.ring_count; i++)
     {
@@ -343,7 +343,8 @@
          itself and the requester. */
       if (m->table.entries[peer].id != message->sender
           && (peer != m->self || m->table.ring_count <= 2)
-          && !sgr_membership_add_record (m, &writer, now_us, peer, true, JOIN_ANSWER_BYTES_MAX))
+          && !sgr_membership_add_record (m, &writer, now_us, peer, true,
+                                         JOIN_ANSWER_BYTES_MAX + writer.evacuation_size))
         break;
     }
   sgr_membership_send (m, &writer, from, SGR_MEMBERSHIP_SYNC);
@@ -368,7 +369,7 @@
       m->counters.budget_refusals++;
       return;
     }
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PULL_ANSWER);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PULL_ANSWER);
   writer.message.sequence = message->sequence;
   filter_fill (&scan);
   pull_answer_add_requests (&scan);
@@ -408,7 +409,7 @@
 
   if (message->fingerprint_count == 0)
     return;
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PUSH);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PUSH);
   filter_fill (&scan);
   for (unsigned group = 0; group < SGR_MEMBERSHIP_GROUPS; group++)
     if ((m->sync.requested_groups >> group & 1) && !group_visit (m, group, push_add_record, &scan))
@@ -463,7 +464,7 @@
 {
   sgr_membership_writer_t writer;
 
-  sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PUSH);
+  sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PUSH);
   for (size_t i = 0; i < message->wanted_count; i++)
     {
       uint32_t handle = sgr_membership_table_find (&m->table, message->wanted[i]);
@@ -508,14 +509,14 @@
 
   if (m->requested_id_count > 0)
     {
-      sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_RECORD_REQUEST);
+      sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_RECORD_REQUEST);
       for (uint32_t i = 0; i < m->requested_id_count; i++)
         sgr_membership_writer_add_wanted_id (&writer, m->requested_ids[i]);
       sgr_membership_send (m, &writer, from, SGR_MEMBERSHIP_SYNC);
     }
   if (m->correction_count > 0 || m->self_correction_due)
     {
-      sgr_membership_writer_begin (&writer, SGR_MEMBERSHIP_PUSH);
+      sgr_membership_datagram_begin (m, &writer, SGR_MEMBERSHIP_PUSH);
       if (m->self_correction_due)
         sgr_membership_add_record (m, &writer, now_us, m->self, true, SGR_MEMBERSHIP_DATAGRAM_MAX);
       for (uint32_t i = 0; i < m->correction_count; i++)
