--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -458,6 +458,7 @@
   .fields = &sgr_call_fields_default,
   .store_create = sgr_store_http_open,
   .store_destroy = sgr_store_http_destroy,
+  .evacuation_prefix = "evacuations/",
 };
 
 int
--- a/libsiskingrade/control_task.h
+++ b/libsiskingrade/control_task.h
@@ -22,6 +22,8 @@
  *          co-owners approve the configuration
  * @store_create: creates a client of the platform's store at the address in the settings
  * @store_destroy: destroys the client; pending calls are cancelled without their callbacks
+ * @evacuation_prefix: prefix of the store keys that evacuate failure domains; the name of the
+ *                     failure domain follows it
  * @ready_setup: registers more paths on the address that answers readiness checks
  *               ("listen.ready"); NULL for none
  * @targets_setup: registers more paths on the address where targets announce themselves
@@ -33,6 +35,7 @@
   const sgr_config_source_t *config;
   sgr_store_t *(*store_create) (h2o_loop_t *loop, const sgr_settings_t *settings);
   void (*store_destroy) (sgr_store_t *store);
+  const char *evacuation_prefix;
   void (*ready_setup) (sgr_control_t *control, h2o_hostconf_t *host);
   void (*targets_setup) (sgr_control_t *control, h2o_hostconf_t *host);
 } sgr_adapter_t;
--- a/libsiskingrade/store.h
+++ b/libsiskingrade/store.h
@@ -50,10 +50,12 @@
  * @outcome: what is known about its effect
  * @generation: generation that @version belongs to, 0 if the store does not tell it
  * @version: version of the key after the call, 0 if it does not exist or is not known; of a
- *           lease, its fencing token
+ *           lease, its fencing token; of a watch of a prefix, version of the store at the time of
+ *           the read
  * @value: value that was read, NULL if there is none; valid only during the callback
  * @length: its length in bytes
- * @items: keys of a list call, valid only during the callback
+ * @items: keys of a list call or of a watch of a prefix, valid only during the callback; NULL if a
+ *         watch of a prefix ended without a change, not NULL if there is no key
  * @item_count: number of entries of @items
  * @retry_after_ms: wait before the next call that the store requests, in milliseconds, 0 for none
  * @reason: short text that explains any outcome but SGR_STORE_OK
@@ -97,6 +99,12 @@
  * @watch: wait until the version of a key is newer than @after and read it; ends after @wait_ms or
  *         the client's longest wait, whichever is shorter, without a value and with @after as the
  *         version
+ * @watch_prefix: wait until a key that begins with a prefix is written or removed after the store
+ *                had the version @after, and read all keys with the prefix; reads at once if the
+ *                number of @after is 0. Ends after @wait_ms or the client's longest wait, whichever
+ *                is shorter, without items; the version of the reply is the one to watch from next.
+ *                An item whose value cannot be decoded has none. Watches do not affect each other.
+ *                The pointer is NULL if the client cannot watch a prefix.
  * @cancel: cancel and free a pending call; its callback does not run
  * @calls: number of calls sent since the client was created; a watch counts as one call
  * @generation: highest generation of the store in any reply so far, 0 if none told it; it rises
@@ -112,6 +120,9 @@
                               uint32_t ttl_ms, sgr_store_cb_t cb, void *ctx);
   sgr_store_call_t *(*watch) (sgr_store_t *store, const char *key, sgr_store_version_t after,
                               uint32_t wait_ms, sgr_store_cb_t cb, void *ctx);
+  sgr_store_call_t *(*watch_prefix) (sgr_store_t *store, const char *prefix,
+                                     sgr_store_version_t after, uint32_t wait_ms, sgr_store_cb_t cb,
+                                     void *ctx);
   void (*cancel) (sgr_store_t *store, sgr_store_call_t *call);
   uint64_t calls;
   uint64_t generation;
--- a/libsiskingrade/store_http.c
+++ b/libsiskingrade/store_http.c
@@ -24,7 +24,7 @@
 enum
 {
   FIELD_VERSION,
-  FIELD_UNCHANGED, /* present if a watch ended without a change of the key */
+  FIELD_UNCHANGED, /* present if a watch ended without a change */
   FIELD_RETRY_AFTER_MS,
   FIELD_GENERATION, /* absent from the replies of a store that does not tell it */
 };
@@ -34,6 +34,7 @@
   CALL_GET,
   CALL_LIST,
   CALL_WATCH,
+  CALL_WATCH_PREFIX,
   CALL_WRITE,
 } call_kind_t;
 
@@ -108,8 +109,8 @@
     }
 }
 
-/* Parses the items of a list and runs the callback with them; they are freed after it has returned.
-   Items without a key or a string value are skipped. */
+/* Parses the items of a list or of a watch of a prefix and runs the callback with them; they are
+   freed after it has returned. Items without a key or a string value are skipped. */
 static void
 list_reply_deliver (const sgr_store_call_t *call, sgr_store_reply_t *reply)
 {
@@ -176,7 +177,7 @@
     }
   /* A call is valid only until its callback starts, see sgr_store_call_t. */
   call_release (call);
-  if (ended.kind == CALL_LIST && reply.outcome == SGR_STORE_OK)
+  if ((ended.kind == CALL_LIST || ended.kind == CALL_WATCH_PREFIX) && reply.value != NULL)
     list_reply_deliver (&ended, &reply);
   else
     ended.cb (ended.ctx, &reply);
@@ -297,6 +298,31 @@
                      &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
 }
 
+static sgr_store_call_t *
+http_watch_prefix (sgr_store_t *store, const char *prefix, sgr_store_version_t after,
+                   uint32_t wait_ms, sgr_store_cb_t cb, void *ctx)
+{
+  store_http_t *http = (store_http_t *)store;
+  sgr_http_fetcher_t *fetcher
+      = wait_ms <= SGR_STORE_SHORT_WATCH_MS ? http->short_watch_fetcher : http->watch_fetcher;
+  char path[SGR_STORE_KEY_MAX + 128];
+
+  if (!key_valid (prefix))
+    return NULL;
+  if (wait_ms > WATCH_WAIT_MAX_MS)
+    wait_ms = WATCH_WAIT_MAX_MS;
+  if (after.number == 0)
+    {
+      fetcher = http->call_fetcher;
+      snprintf (path, sizeof path, "/v1/kv?prefix=%s", prefix);
+    }
+  else
+    snprintf (path, sizeof path, "/v1/kv?prefix=%s&after=%llu&generation=%llu&wait_ms=%u", prefix,
+              (unsigned long long)after.number, (unsigned long long)after.generation, wait_ms);
+  return call_start (http, fetcher, CALL_WATCH_PREFIX,
+                     &(sgr_http_fetch_request_t){ .method = "GET", .path = path }, cb, ctx);
+}
+
 static void
 http_cancel (sgr_store_t *store, sgr_store_call_t *call)
 {
@@ -316,6 +342,7 @@
                                .swap = http_swap,
                                .lease = http_lease,
                                .watch = http_watch,
+                               .watch_prefix = http_watch_prefix,
                                .cancel = http_cancel };
   http->options = *options;
   http->call_fetcher = sgr_http_fetcher_create (loop, options->timeout_ms, REPLY_MAX_BYTES);
--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -45,12 +45,14 @@
 /**
  * enum waiter_kind_t - why the reply to a request is delayed
  * @WAIT_WATCH: the request waits for a newer version of its key
+ * @WAIT_WATCH_PREFIX: the request waits for a write or removal of a key with its prefix
  * @WAIT_SLOW: the fault slow_ms is set; the request is handled when it is due
  * @WAIT_LOST: the reply is lost; the request is answered with status 504 when it is due
  */
 typedef enum
 {
   WAIT_WATCH,
+  WAIT_WATCH_PREFIX,
   WAIT_SLOW,
   WAIT_LOST,
 } waiter_kind_t;
@@ -59,7 +61,7 @@
  * struct waiter_t - a request whose reply is delayed
  * @ref: pointer to this waiter in the memory of the request, cleared when the reply is sent
  * @req: the request, NULL after it was disposed of, for example because its connection closed
- * @key: name of the key of a watch, path of a slow request
+ * @key: name of the key of a watch, prefix of a watch of a prefix, path of a slow request
  * @after_version: a watch ends with the first version of its key above this one
  * @generation: generation of the store when the request came
  * @due_us: time of the reply, UINT64_MAX for never
@@ -203,6 +205,45 @@
   server.waiters = waiter;
 }
 
+/* Lists keys with their values as JSON strings, and leaves out values that are not UTF-8 text. The
+   reply to a watch that ends without a change has no items. */
+static void
+send_list (h2o_req_t *req, const char *prefix, bool has_change)
+{
+  json_t *list = json_array ();
+
+  for (size_t i = 0; has_change && i < server.state.key_count; i++)
+    {
+      const store_key_t *key = &server.state.keys[i];
+
+      if (key->exists && strncmp (key->name, prefix, strlen (prefix)) == 0)
+        json_array_append_new (
+            list,
+            json_pack ("{s:s, s:I, s:s%}", "key", key->name, "version", (json_int_t)key->version,
+                       "value", key->value.length > 0 ? (const char *)key->value.bytes : "",
+                       key->value.length));
+    }
+  number_header_add (req, "store-version", server.state.last_version);
+  number_header_add (req, "store-generation", server.generation);
+  if (!has_change)
+    h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("store-no-news"), 0, NULL,
+                           H2O_STRLIT ("1"));
+  sgr_http_reply_json (req, 200, json_pack ("{s:o}", "items", list));
+}
+
+/* Returns the version of the last write or removal of a key with a prefix, 0 if there was none. */
+static uint64_t
+prefix_version (const char *prefix)
+{
+  uint64_t version = 0;
+
+  for (size_t i = 0; i < server.state.key_count; i++)
+    if (strncmp (server.state.keys[i].name, prefix, strlen (prefix)) == 0
+        && server.state.keys[i].version > version)
+      version = server.state.keys[i].version;
+  return version;
+}
+
 static void handle_request (h2o_req_t *req, const char *path);
 
 static void
@@ -219,6 +260,8 @@
         send_status (req, 504, 0, "timeout");
       else if (server.faults.outage)
         send_status (req, 503, 0, "outage");
+      else if (waiter->kind == WAIT_WATCH_PREFIX)
+        send_list (req, waiter->key, has_newer_value);
       else
         send_value (req, store_key_find (&server.state, waiter->key, false), has_newer_value);
     }
@@ -226,7 +269,16 @@
   free (waiter);
 }
 
-/* Replies to the requests that are due, to watches whose key has a newer version, and to all
+/* Returns the version that a waiting watch compares with the one that its client knows. */
+static uint64_t
+watched_version (const waiter_t *waiter)
+{
+  if (waiter->kind == WAIT_WATCH_PREFIX)
+    return prefix_version (waiter->key);
+  return store_key_version (store_key_find (&server.state, waiter->key, false));
+}
+
+/* Replies to the requests that are due, to watches with a newer version, and to all
    watches during an outage or after the snapshot was restored. */
 static void
 waiters_run (void)
@@ -237,12 +289,10 @@
   server.waiters = NULL;
   while ((waiter = remaining) != NULL)
     {
-      bool is_watch = waiter->kind == WAIT_WATCH;
-      bool has_newer_value
-          = is_watch
-            && (waiter->generation != server.generation
-                || store_key_version (store_key_find (&server.state, waiter->key, false))
-                       > waiter->after_version);
+      bool is_watch = waiter->kind == WAIT_WATCH || waiter->kind == WAIT_WATCH_PREFIX;
+      bool has_newer_value = is_watch
+                             && (waiter->generation != server.generation
+                                 || watched_version (waiter) > waiter->after_version);
 
       remaining = waiter->next;
       if (waiter->req == NULL || has_newer_value || waiter->due_us <= now_us
@@ -279,27 +329,30 @@
     waiter_add (req, name, after_version, wait_ms, WAIT_WATCH);
 }
 
-/* Lists keys with their values as JSON strings, and leaves out values that are not UTF-8 text. */
+/* Replies to a list at once, and to a watch of a prefix when a key changes. */
 static void
 handle_list (h2o_req_t *req)
 {
-  json_t *list = json_array ();
   char prefix[256];
+  uint64_t after_version, generation, wait_ms;
 
-  server.counts[COUNT_GET]++;
   if (!sgr_http_query_text (req, "prefix", prefix, sizeof prefix))
     prefix[0] = '\0';
-  for (size_t i = 0; i < server.state.key_count; i++)
+  if (!sgr_http_query_u64 (req, "after", &after_version))
     {
-      const store_key_t *key = &server.state.keys[i];
-
-      if (key->exists && strncmp (key->name, prefix, strlen (prefix)) == 0)
-        json_array_append_new (list, json_pack ("{s:s, s:I, s:s%}", "key", key->name, "version",
-                                                (json_int_t)key->version, "value",
-                                                (const char *)key->value.bytes, key->value.length));
+      server.counts[COUNT_GET]++;
+      send_list (req, prefix, true);
+      return;
     }
-  number_header_add (req, "store-generation", server.generation);
-  sgr_http_reply_json (req, 200, json_pack ("{s:o}", "items", list));
+  server.counts[COUNT_WATCH]++;
+  if (!sgr_http_query_u64 (req, "wait_ms", &wait_ms) || wait_ms > WAIT_MAX_MS)
+    wait_ms = WAIT_MAX_MS;
+  if (!sgr_http_query_u64 (req, "generation", &generation) || generation == 0)
+    generation = server.generation;
+  if (generation != server.generation || prefix_version (prefix) > after_version)
+    send_list (req, prefix, true);
+  else
+    waiter_add (req, prefix, after_version, wait_ms, WAIT_WATCH_PREFIX);
 }
 
 static void
@@ -453,7 +506,7 @@
     }
   server.counts[COUNT_PENDING] = 0;
   for (const waiter_t *waiter = server.waiters; waiter != NULL; waiter = waiter->next)
-    server.counts[COUNT_PENDING] += waiter->kind == WAIT_WATCH;
+    server.counts[COUNT_PENDING] += waiter->kind == WAIT_WATCH || waiter->kind == WAIT_WATCH_PREFIX;
   for (size_t i = 0; i < sizeof count_names / sizeof count_names[0]; i++)
     json_object_set_new (json, count_names[i], json_integer ((json_int_t)server.counts[i]));
   sgr_http_reply_json (req, 200, json);
--- a/tests/test_store_http.c
+++ b/tests/test_store_http.c
@@ -221,6 +221,69 @@
   assert_string_equal (reply_wait (&next).value, "three");
 }
 
+/* Names of the items of a reply, joined by spaces. */
+typedef struct
+{
+  reply_copy_t reply;
+  bool has_items;
+  char names[64];
+} items_copy_t;
+
+static void
+on_items (void *ctx, const sgr_store_reply_t *reply)
+{
+  items_copy_t *got = ctx;
+
+  got->has_items = reply->items != NULL;
+  got->names[0] = '\0';
+  for (size_t i = 0; i < reply->item_count; i++)
+    snprintf (got->names + strlen (got->names), sizeof got->names - strlen (got->names), "%s ",
+              reply->items[i].key);
+  on_reply (&got->reply, reply);
+}
+
+/* Watches the prefix "p/" from a version, and returns the version of the reply. */
+static sgr_store_version_t
+prefix_watch_wait (sgr_store_version_t after, uint32_t wait_ms, items_copy_t *got)
+{
+  *got = (items_copy_t){ 0 };
+  assert_non_null (store->watch_prefix (store, "p/", after, wait_ms, on_items, got));
+  reply_wait (&got->reply);
+  assert_int_equal (got->reply.outcome, SGR_STORE_OK);
+  return (sgr_store_version_t){ got->reply.generation, got->reply.version };
+}
+
+/* Guards against a watch of a prefix that misses a write, a removal or a restore, or that ends for
+   a key without the prefix. */
+static void
+test_store_watch_prefix (void **state)
+{
+  sgr_store_version_t version = { 0 };
+  items_copy_t got;
+  uint64_t key;
+
+  swap ("other", 0, "one");
+  version = prefix_watch_wait (version, 10000, &got);
+  assert_true (got.has_items && got.names[0] == '\0');
+  swap ("another", 0, "one");
+  version = prefix_watch_wait (version, 50, &got);
+  assert_false (got.has_items);
+  key = swap ("p/a", 0, "").version;
+  swap ("p/b", 0, "x");
+  version = prefix_watch_wait (version, 10000, &got);
+  assert_string_equal (got.names, "p/a p/b ");
+  rig_store_faults_set (&rig, "snapshot=1");
+  got = (items_copy_t){ 0 };
+  assert_non_null (store->watch_prefix (store, "p/", version, 10000, on_items, &got));
+  assert_int_equal (swap ("p/a", key, NULL).outcome, SGR_STORE_OK);
+  reply_wait (&got.reply);
+  assert_string_equal (got.names, "p/b ");
+  version = (sgr_store_version_t){ got.reply.generation, got.reply.version };
+  rig_store_faults_set (&rig, "restore=1");
+  assert_true (prefix_watch_wait (version, 10000, &got).generation > version.generation);
+  assert_string_equal (got.names, "p/a p/b ");
+}
+
 /* Guards against two holders that both write: a holder that was paused while its lease expired gets
    a conflict for a write with an old version and for the renewal of its lease. */
 static void
@@ -243,9 +306,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_store_swap_contract),       cmocka_unit_test (test_store_large_value),
-    cmocka_unit_test (test_store_fault_table),         cmocka_unit_test (test_store_watch),
-    cmocka_unit_test (test_store_watch_after_restore), cmocka_unit_test (test_store_lapsed_lease),
+    cmocka_unit_test (test_store_swap_contract), cmocka_unit_test (test_store_large_value),
+    cmocka_unit_test (test_store_fault_table),   cmocka_unit_test (test_store_watch),
+    cmocka_unit_test (test_store_watch_prefix),  cmocka_unit_test (test_store_watch_after_restore),
+    cmocka_unit_test (test_store_lapsed_lease),
   };
 
   return cmocka_run_group_tests (tests, setup, teardown);
