Follow evacuations of failure domains

An operator writes a key to the store to take a failure domain out of service. control_evacuation reads the keys at the start, and up to three readers of each failure domain watch them; the other nodes learn the set from membership. Targets of evacuated domains count as draining at all entries, the gate of such a domain refuses new and queued attempts, and its node announces the target as draining. A node admits and sends nothing before it knows the set, or 3 s after its start. Off unless limits.evacuation is set.

--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -17,6 +17,7 @@
 typedef struct sgr_control_keys_t sgr_control_keys_t;
 typedef struct sgr_control_contacts_t sgr_control_contacts_t;
 typedef struct sgr_control_departures_t sgr_control_departures_t;
+typedef struct sgr_control_evacuation_t sgr_control_evacuation_t;
 typedef struct sgr_control_probe_t sgr_control_probe_t;
 
 /**
@@ -39,6 +40,7 @@
  * @keys: binds the idempotency keys that callers chose, in the store
  * @contacts: finds other nodes through the store, NULL without a store
  * @departures: keeps the departures of the local target in the store
+ * @evacuation: follows the evacuated failure domains, NULL if the settings do not ask for it
  * @probe: active probes of the local target
  * @members: members that are alive or suspect, as of the last snapshot, in the order of their ids
  * @member_count: entries of @members
@@ -76,6 +78,7 @@
   sgr_control_keys_t *keys;
   sgr_control_contacts_t *contacts;
   sgr_control_departures_t *departures;
+  sgr_control_evacuation_t *evacuation;
   sgr_control_probe_t *probe;
   sgr_member_t *members;
   size_t member_count;
--- a/libsiskingrade/control_target.c
+++ b/libsiskingrade/control_target.c
@@ -1,5 +1,6 @@
 #include "control_config.h"
 #include "control_departures.h"
+#include "control_evacuation.h"
 #include "control_internal.h"
 #include "control_probe.h"
 #include "log.h"
@@ -11,10 +12,15 @@
 sgr_control_target_state (const sgr_control_t *control)
 {
   const sgr_local_target_t *local = &control->announce.local;
+  bool can_serve = sgr_control_evacuation_may_serve (control->evacuation)
+                   && !sgr_control_probe_is_failing (control->probe);
 
   if (local->service[0] == '\0')
     return control->announce.has_left ? SGR_TARGET_LEFT : SGR_TARGET_NONE;
-  return sgr_control_probe_is_failing (control->probe) ? SGR_TARGET_NONE : local->state;
+  /* Nodes that do not know of the evacuation yet avoid a target that drains. */
+  if (sgr_control_evacuation_is_own (control->evacuation))
+    return SGR_TARGET_DRAINING;
+  return can_serve ? local->state : SGR_TARGET_NONE;
 }
 
 void
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -14,6 +14,7 @@
 #include "control_config.h"
 #include "control_contacts.h"
 #include "control_departures.h"
+#include "control_evacuation.h"
 #include "control_http.h"
 #include "control_internal.h"
 #include "control_keys.h"
@@ -117,6 +118,8 @@
   snapshot->config_revision = revision;
   snapshot->local = control->announce.local;
   snapshot->local.state = sgr_control_target_state (control);
+  if (control->evacuation != NULL)
+    snapshot->evacuation = *sgr_control_evacuation_set (control->evacuation);
   /* Nodes without a target are included: a gate that has restarted is queried for open attempts
      before its target has announced itself again. */
   if (control->member_count > 0)
@@ -147,7 +150,11 @@
   sgr_control_probe_update (control->probe,
                             sgr_config_state_policy (sgr_control_config_state (control->config),
                                                      control->announce.local.service));
-  sgr_data_task_snapshot_send (control->data, snapshot_build (control));
+  sgr_control_evacuation_members_update (control->evacuation, control->members,
+                                         control->member_count);
+  /* Without a snapshot, the data task has no target to send calls to and admits none. */
+  if (sgr_control_evacuation_may_serve (control->evacuation))
+    sgr_data_task_snapshot_send (control->data, snapshot_build (control));
 }
 
 void
@@ -194,7 +201,8 @@
   bool has_members = control->member_count > 1
                      || sgr_clock_monotonic_us () >= control->started_us + READY_WITHOUT_PEERS_US;
 
-  return has_config && has_members && !control->is_stopping;
+  return has_config && has_members && !control->is_stopping
+         && sgr_control_evacuation_may_serve (control->evacuation);
 }
 
 static void
@@ -399,6 +407,7 @@
   sgr_metrics_print (sgr_data_task_metrics (control->data), text);
   sgr_metrics_print (control->metrics, text);
   sgr_control_config_metrics_print (control->config, text);
+  sgr_control_evacuation_metrics_print (control->evacuation, text);
   sgr_buffer_printf (text,
                      "# TYPE siskingrade_config_newest_revision gauge\n"
                      "siskingrade_config_newest_revision %lu\n",
@@ -446,6 +455,8 @@
       = sgr_control_contacts_create (control, sgr_control_config_store (control->config));
   control->departures
       = sgr_control_departures_create (control, sgr_control_config_store (control->config));
+  control->evacuation
+      = sgr_control_evacuation_create (control, sgr_control_config_store (control->config));
   control->data = sgr_data_task_start (control->settings, control->adapter->fields, control->boot,
                                        &data_events, control, errors);
   if (control->data == NULL)
@@ -510,6 +521,7 @@
 out:
   sgr_control_http_destroy (control.http);
   sgr_control_probe_destroy (control.probe);
+  sgr_control_evacuation_destroy (control.evacuation);
   sgr_control_departures_destroy (control.departures);
   sgr_control_contacts_destroy (control.contacts);
   sgr_control_keys_destroy (control.keys);
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -149,6 +149,9 @@
   gate->queued = sgr_metrics_counter (metrics, "siskingrade_gate_queued_total", "");
   gate->duplicates = sgr_metrics_counter (metrics, "siskingrade_gate_duplicates_total", "");
   gate->misdirected = sgr_metrics_counter (metrics, "siskingrade_gate_misdirected_total", "");
+  if (gate->task->settings->evacuation_ms > 0)
+    gate->evacuations_ended
+        = sgr_metrics_counter (metrics, "siskingrade_gate_evacuations_ended_total", "");
 }
 
 sgr_data_gate_t *
@@ -231,6 +234,21 @@
   gate->client = sgr_target_client_create (gate->task->loop, &local->address, connections);
 }
 
+/* Follows the evacuation of the node's failure domain. During it, the state of the local target in
+   the snapshot is draining, so that the gate refuses new and queued attempts. A target may have
+   been replaced or restarted meanwhile: nothing that was learned about it before the evacuation
+   holds after its end. */
+static void
+evacuation_update (sgr_data_gate_t *gate)
+{
+  bool is_evacuated = sgr_evacuation_has (&gate->task->snapshot->evacuation,
+                                          gate->task->settings->failure_domain);
+
+  if (gate->is_evacuated && !is_evacuated)
+    sgr_counter_add (gate->evacuations_ended, 1);
+  gate->is_evacuated = is_evacuated;
+}
+
 void
 sgr_data_gate_update (sgr_data_gate_t *gate, uint64_t now_us)
 {
@@ -238,6 +256,7 @@
   const sgr_local_target_t *local = &snapshot->local;
 
   retired_clients_purge (gate);
+  evacuation_update (gate);
   client_update (gate, local);
   for (size_t i = 0; i < snapshot->policy_count; i++)
     {
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -216,6 +216,24 @@
     }
 }
 
+/* Lets targets of evacuated failure domains count as draining, also while their nodes announce
+   another state because they do not know of the evacuation. When the evacuation ends, the state of
+   their nodes counts again, and targets that serve get a slow start. */
+static void
+evacuated_targets_mark (sgr_data_services_t *services)
+{
+  sgr_snapshot_t *snapshot = services->task->snapshot;
+
+  for (size_t i = 0; snapshot->evacuation.count > 0 && i < snapshot->member_count; i++)
+    {
+      sgr_member_t *member = &snapshot->members[i];
+
+      if (member->target_state != SGR_TARGET_LEFT
+          && sgr_evacuation_has (&snapshot->evacuation, member->failure_domain))
+        member->target_state = SGR_TARGET_DRAINING;
+    }
+}
+
 /* Removes targets of the previous snapshot that are no longer members of their service. */
 static void
 departed_targets_remove (sgr_data_services_t *services, const sgr_snapshot_t *previous)
@@ -244,6 +262,7 @@
   for (size_t i = 0; i < snapshot->policy_count; i++)
     policy_apply (services, &snapshot->policies[i]);
   restarted_services_keep (services, previous);
+  evacuated_targets_mark (services);
   departed_targets_remove (services, previous);
   for (size_t i = 0; i < snapshot->member_count; i++)
     member_apply (services, &snapshot->members[i], now_us);
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -141,6 +141,7 @@
  * @waiters: waiters by hash of the attempt id
  * @first_run: list of all runs
  * @runs: number of runs
+ * @is_evacuated: whether the node's failure domain is evacuated
  * @connect_failures: consecutive failed connections to the target
  * @tick: timer for sgr_gate_tick()
  * @last_report: the last load report that was sent to all entries
@@ -159,6 +160,7 @@
  * @queued: counter of attempts that were queued
  * @duplicates: counter of duplicates
  * @misdirected: counter of attempts for a service that the target does not provide
+ * @evacuations_ended: counter of evacuations of the node's failure domain that have ended
  */
 struct sgr_data_gate_t
 {
@@ -173,6 +175,7 @@
   sgr_id_map_t *waiters;
   sgr_gate_run_t *first_run;
   size_t runs;
+  bool is_evacuated;
   unsigned connect_failures;
   sgr_timer_t tick;
   sgr_load_report_t last_report;
@@ -191,6 +194,7 @@
   sgr_counter_t *queued;
   sgr_counter_t *duplicates;
   sgr_counter_t *misdirected;
+  sgr_counter_t *evacuations_ended;
 };
 
 /* Functions of gate_waiter.c. */
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -2,6 +2,7 @@
 #define SGR_SNAPSHOT_H
 
 #include "account.h"
+#include "evacuation.h"
 #include "member.h"
 #include "result.h"
 #include "route.h"
@@ -40,6 +41,7 @@
  * @config_revision: revision of the configuration, 0 if none is known
  * @newest_revision: highest revision that this node or one of @members has in force
  * @newest_seen_us: monotonic time at which this node heard of @newest_revision first
+ * @evacuation: the evacuated failure domains
  * @policies: policies of the services in the configuration
  * @policy_count: entries of @policies
  * @routes: routes of the configuration; empty if the snapshot before had the same revision
@@ -58,6 +60,7 @@
   uint64_t config_revision;
   uint64_t newest_revision;
   uint64_t newest_seen_us;
+  sgr_evacuation_t evacuation;
   sgr_policy_t *policies;
   size_t policy_count;
   sgr_route_t *routes;
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -142,13 +142,15 @@
   sgr_invariant (file != NULL);
   fprintf (file,
            "node:\n  deployment: " SGR_FIXTURE_DEPLOYMENT
-           "\n  name: %s\n  region: test\n  failure_domain: test-1\n"
+           "\n  name: %s\n  region: test\n  failure_domain: %s\n"
            "listen:\n  callers: 127.0.0.1:%u\n  peers: 127.0.0.1:%u\n  control: 127.0.0.1:%u\n"
            "advertise:\n  peers: 127.0.0.1:%u\ncontacts:\n",
-           node->name, node->callers, node->peers, node->control, node->advertised);
+           node->name, node->failure_domain != NULL ? node->failure_domain : "test-1",
+           node->callers, node->peers, node->control, node->advertised);
   for (size_t i = 0; i < fixture->count; i++)
     fprintf (file, "  - 127.0.0.1:%u\n", fixture->nodes[i].control);
-  fprintf (file, "store: 127.0.0.1:%u\nlimits:\n%s%s", fixture->store_port, fixture->limits,
+  fprintf (file, "store: 127.0.0.1:%u\nlimits:\n%s%s",
+           node->store_port != 0 ? node->store_port : fixture->store_port, fixture->limits,
            fixture->extra_settings);
   sgr_fixture_owners_write (file);
   fclose (file);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -19,6 +19,8 @@
  * struct sgr_fixture_node_t - one node, with its target if it has one
  * @name: name of the node
  * @service: service of its target, NULL for none
+ * @failure_domain: failure domain of the node, NULL for "test-1"
+ * @store_port: port that the node takes for that of the store, 0 for the real one
  * @callers: port for callers
  * @peers: port on which the node accepts connections of other nodes
  * @advertised: port that other nodes connect to: that of @relay, or @peers without a relay
@@ -32,6 +34,8 @@
 {
   char name[32];
   const char *service;
+  const char *failure_domain;
+  uint16_t store_port;
   uint16_t callers;
   uint16_t peers;
   uint16_t advertised;
--- a/tests/test_data_service.c
+++ b/tests/test_data_service.c
@@ -139,6 +139,61 @@
     }
 }
 
+/* Applies a snapshot in which the target's node announces a state, and its failure domain is
+   evacuated or not. */
+static void
+evacuation_apply (fixture_t *fixture, uint64_t now_us, sgr_target_state_t state, bool is_evacuated)
+{
+  sgr_snapshot_t *old = fixture->task.snapshot;
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (1, 1, 0);
+
+  sgr_policy_init (&snapshot->policies[0], "a");
+  snapshot->policy_count = 1;
+  snapshot->members[0]
+      = (sgr_member_t){ .id = 7, .slots = 4, .service = "a", .failure_domain = "east" };
+  snapshot->members[0].target_state = state;
+  snapshot->member_count = 1;
+  sgr_evacuation_domain_add (&snapshot->evacuation, is_evacuated ? "east" : "west", 4);
+  fixture->task.snapshot = snapshot;
+  sgr_data_services_update (fixture->task.services, old, now_us);
+  fixture->task.had_snapshot = true;
+  sgr_snapshot_destroy (old);
+}
+
+/* Guards against calls to a target of an evacuated failure domain whose node does not know of the
+   evacuation and still reports that it serves, and against one that gets its full share at once
+   when the domain is taken back. */
+static void
+test_evacuated_failure_domain (void **state)
+{
+  static const sgr_target_state_t announced[]
+      = { SGR_TARGET_SERVING, SGR_TARGET_WARMING, SGR_TARGET_NONE, SGR_TARGET_DRAINING };
+  Sgr__Pb__LoadReport report = SGR__PB__LOAD_REPORT__INIT;
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  fixture_t fixture;
+
+  report.slots = 4;
+  report.state = SGR_TARGET_SERVING;
+  for (size_t i = 0; i < sizeof announced / sizeof announced[0]; i++)
+    {
+      sgr_balancer_t *balancer;
+
+      fixture_start (&fixture);
+      evacuation_apply (&fixture, now_us, SGR_TARGET_SERVING, false);
+      assert_true (has_target (&fixture, "a"));
+      evacuation_apply (&fixture, now_us + 1, announced[i], true);
+      sgr_data_services_load_report_apply (fixture.task.services, 7, &report);
+      assert_false (has_target (&fixture, "a"));
+      evacuation_apply (&fixture, now_us + 2, SGR_TARGET_SERVING, false);
+      assert_true (has_target (&fixture, "a"));
+      balancer = sgr_data_service_find (fixture.task.services, "a")->balancer;
+      assert_int_equal (sgr_balancer_target_info (balancer, sgr_balancer_target_find (balancer, 7))
+                            ->serving_since_us,
+                        now_us + 2);
+      fixture_stop (&fixture);
+    }
+}
+
 /* Guards against memory that grows with the tenant names that callers choose: 64 pairs of tenant
    and class have a histogram each, all others share one. */
 static void
@@ -177,6 +232,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_target_changes_service),
     cmocka_unit_test (test_restarted_node_has_no_service_yet),
+    cmocka_unit_test (test_evacuated_failure_domain),
     cmocka_unit_test (test_latency_histograms_are_limited),
   };
 
