Learn from older nodes that there is no evacuation

While the store does not answer, a starting node waited 3 s for evacuations in a deployment that has none, because its peers cannot tell it without a field in their datagrams. A datagram without a set from a node that started at least 10 s before now counts as that answer, once a call to the store has failed.

--- a/libsiskingrade/control_evacuation.c
+++ b/libsiskingrade/control_evacuation.c
@@ -142,13 +142,24 @@
   return changes > 0;
 }
 
+/* Applies what other nodes have told. That there is no evacuation counts only while the store does
+   not answer: it is read at the start, and knows a change first. */
 static void
-on_received (void *ctx)
+peers_apply (sgr_control_evacuation_t *evacuation)
 {
-  sgr_control_evacuation_t *evacuation = ctx;
+  const sgr_membership_t *membership = membership_of (evacuation);
 
   evacuation->changes_peer += change_apply (evacuation, "peer");
-  known_set (evacuation, "peer");
+  if (sgr_evacuation_exists (&evacuation->in_force)
+      || (sgr_membership_evacuation_is_denied (membership)
+          && (evacuation->store == NULL || evacuation->failures > 0)))
+    known_set (evacuation, "peer");
+}
+
+static void
+on_received (void *ctx)
+{
+  peers_apply (ctx);
 }
 
 static void
@@ -180,6 +191,7 @@
     sgr_log_warn ("evacuations-failed", "reason=\"%s\"",
                   reply != NULL && reply->reason != NULL ? reply->reason : "no valid reply");
   evacuation->store_failures++;
+  peers_apply (evacuation);
   evacuation->read.checked = (sgr_store_version_t){ 0 };
   evacuation->is_confirmed = false;
   evacuation->retry_us = 2 * delay_us;
--- a/libsiskingrade/membership.c
+++ b/libsiskingrade/membership.c
@@ -253,8 +253,8 @@
   budget_charge_received (m, message.kind, total);
   if (message.sender == m->id && message.boot == m->table.entries[m->self].boot)
     return SGR_OK;
-  sgr_membership_evacuation_receive (m, now_us, &message);
   newer_count = records_merge (m, now_us, &message);
+  sgr_membership_evacuation_receive (m, now_us, &message);
   if (message.sender != m->id)
     sender_header_apply (m, &message);
   if (message.kind < SGR_MEMBERSHIP_DIGEST)
--- a/libsiskingrade/membership.h
+++ b/libsiskingrade/membership.h
@@ -271,9 +271,10 @@
                                           sgr_node_id_t *holder);
 
 /**
- * typedef sgr_membership_evacuation_cb_t - reports that another node sent evacuated failure domains
+ * typedef sgr_membership_evacuation_cb_t - reports what other nodes tell of evacuations
  *
- * Called for the first set that arrives, and for each one that changes the domains. It may call the
+ * Called for the first set that arrives, for each one that changes the domains, and when
+ * sgr_membership_evacuation_is_denied() becomes true. It may call the
  * functions that the callback changed() may call, see sgr_membership_callbacks_t.
  */
 typedef void (*sgr_membership_evacuation_cb_t) (void *ctx);
@@ -303,6 +304,15 @@
 bool sgr_membership_evacuation_read (sgr_membership_t *membership, uint64_t now_us,
                                      const sgr_evacuation_t *read);
 
+/**
+ * sgr_membership_evacuation_is_denied() - whether another node tells that there never was a set
+ * @membership: the membership
+ *
+ * A datagram cannot tell it without a field. The node is taken to know it if it follows
+ * evacuations, started at least 10 s before this node, and sends a datagram without a set.
+ */
+bool sgr_membership_evacuation_is_denied (const sgr_membership_t *membership);
+
 /** sgr_membership_evacuation() - the evacuated failure domains that this node knows */
 const sgr_evacuation_t *sgr_membership_evacuation (const sgr_membership_t *membership);
 
--- a/libsiskingrade/membership_evacuation.c
+++ b/libsiskingrade/membership_evacuation.c
@@ -3,6 +3,11 @@
 /* Distribution of the evacuated failure domains. Every datagram carries them once there has been an
    evacuation. */
 
+/* A node that started this much before another one has had the time to learn of an evacuation: up
+   to 3 s after its start it may not know any, and a change has to be known everywhere within 5 s.
+ */
+#define OLDER_PEER_MS 10000
+
 /* A datagram of gossip is sent for the set alone, as for a new configuration revision. */
 static void
 set_spread (sgr_membership_t *m, uint64_t now_us)
@@ -35,6 +40,29 @@
   return &m->evacuation;
 }
 
+bool
+sgr_membership_evacuation_is_denied (const sgr_membership_t *m)
+{
+  return m->is_evacuation_denied && !sgr_evacuation_exists (&m->evacuation);
+}
+
+/* Notes a datagram without a set, if its sender started long before this node. */
+static void
+absent_set_receive (sgr_membership_t *m, const sgr_membership_message_t *message)
+{
+  uint32_t handle = sgr_membership_table_find (&m->table, message->sender);
+  const sgr_membership_entry_t *entry;
+
+  if (m->is_evacuation_denied || handle == SGR_MEMBERSHIP_NONE || handle == m->self)
+    return;
+  entry = sgr_membership_entry (m, handle);
+  if (entry->boot != message->boot
+      || entry->boot_time_ms + OLDER_PEER_MS > m->options.self.boot_time_ms)
+    return;
+  m->is_evacuation_denied = true;
+  m->evacuation_cb (m->evacuation_ctx);
+}
+
 void
 sgr_membership_evacuation_receive (sgr_membership_t *m, uint64_t now_us,
                                    const sgr_membership_message_t *message)
@@ -42,8 +70,13 @@
   sgr_evacuation_effect_t effect;
   bool is_first = !m->has_received_evacuation;
 
-  if (m->evacuation_cb == NULL || !sgr_evacuation_exists (&message->evacuation))
+  if (m->evacuation_cb == NULL)
     return;
+  if (!sgr_evacuation_exists (&message->evacuation))
+    {
+      absent_set_receive (m, message);
+      return;
+    }
   effect = sgr_evacuation_merge (&m->evacuation, &message->evacuation);
   if (effect != SGR_EVACUATION_SAME)
     set_spread (m, now_us);
--- a/libsiskingrade/membership_internal.h
+++ b/libsiskingrade/membership_internal.h
@@ -149,6 +149,8 @@
  * @evacuation_cb: called when a set arrives, NULL if this node does not follow evacuations
  * @evacuation_ctx: passed to @evacuation_cb
  * @has_received_evacuation: whether another node has sent a set
+ * @is_evacuation_denied: whether a node that started long before this one has sent a datagram
+ *                        without a set
  * @corrections: handles of the members whose received record was stale
  * @requested_ids: nodes whose full record is missing here
  * @self_correction_due: whether to send the present record of this node to the sender of the
@@ -191,6 +193,7 @@
   sgr_membership_evacuation_cb_t evacuation_cb;
   void *evacuation_ctx;
   bool has_received_evacuation;
+  bool is_evacuation_denied;
   /* Collected while a datagram is processed; sgr_membership_sync_send_pending() then sends the
      resulting requests and corrections to its sender. */
   uint32_t corrections[SGR_MEMBERSHIP_CORRECTIONS_MAX];
--- a/tests/test_membership_evacuation.c
+++ b/tests/test_membership_evacuation.c
@@ -119,6 +119,30 @@
   sim_release (&sim);
 }
 
+/* Guards against a node that waits in vain for a set that never was, and against one that takes the
+   datagram of a node that started with it for an answer. */
+static void
+test_no_set_is_told_by_older_nodes (void **state)
+{
+  sim_t sim;
+  const sgr_membership_t *m;
+
+  notified = 0;
+  fleet_start (&sim, 7, true);
+  assert_int_equal (notified, 0);
+  sim_stop (&sim, 40);
+  node_start (&sim, 40);
+  m = sim.nodes[40].membership;
+  assert_false (sgr_membership_evacuation_is_denied (m));
+  sim_run (&sim, 3 * SIM_US_PER_S);
+  assert_true (sgr_membership_evacuation_is_denied (m));
+  assert_int_equal (notified, 1);
+  store_read (&sim, 5, 1, 100, "domain-1");
+  sim_run (&sim, SPREAD_MAX_US);
+  assert_false (sgr_membership_evacuation_is_denied (m));
+  sim_release (&sim);
+}
+
 /* Guards against a set that stays in force on one side of a partition after it was deleted, once
    the sides meet again. */
 static bool
@@ -253,6 +277,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_spread),
     cmocka_unit_test (test_node_that_joins_later),
+    cmocka_unit_test (test_no_set_is_told_by_older_nodes),
     cmocka_unit_test (test_partition),
     cmocka_unit_test (test_no_byte_without_evacuation),
     cmocka_unit_test (test_node_that_does_not_follow),
--- a/tests/test_path_evacuation.c
+++ b/tests/test_path_evacuation.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -19,6 +20,8 @@
 #define RUNNING_CALLS 8
 /* Calls that would reach the evacuated target with near certainty if it took any. */
 #define CALLS 60
+/* Age from which on a node tells by a datagram without a set that there is none. */
+#define OLDER_PEER_US (10 * SGR_USEC_PER_SEC)
 #define STARTS "siskingrade_gate_starts_total"
 
 static sgr_fixture_t fixture;
@@ -219,6 +222,23 @@
   sgr_fixture_store_faults_set (&fixture, "outage=0");
 }
 
+/* Guards against a node that the store turns away and that waits 3 s for evacuations, although
+   nodes that have run for long tell that there is none. */
+static void
+test_peers_tell_that_there_is_none (void **state)
+{
+  uint64_t start_us;
+
+  usleep (OLDER_PEER_US);
+  sgr_fixture_process_kill (&cut->pid);
+  start_us = sgr_clock_monotonic_us ();
+  sgr_fixture_node_start (&fixture, cut);
+  assert_true (
+      sgr_fixture_event_await (&fixture, cut, "event=evacuations-known domains=0 source=peer", 1));
+  print_message ("known after %lu ms\n", sgr_ms_of (sgr_clock_monotonic_us () - start_us));
+  assert_true (sgr_fixture_service_await (cut, "one"));
+}
+
 /* Guards against a node that never serves because neither the store nor a peer tells it the
    evacuations, and against one that does not wait for them. */
 static void
@@ -251,6 +271,7 @@
     cmocka_unit_test_setup_teardown (test_evacuated_domain_gets_no_new_work, test_setup,
                                      test_teardown),
     cmocka_unit_test_setup_teardown (test_restarted_nodes_know_it_first, test_setup, test_teardown),
+    cmocka_unit_test_setup_teardown (test_peers_tell_that_there_is_none, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_no_store_and_no_peer, test_setup, test_teardown),
   };
 
