--- a/libsiskingrade/config_api.h
+++ b/libsiskingrade/config_api.h
@@ -2,6 +2,7 @@
 #define SGR_CONFIG_API_H
 
 #include "config_io.h"
+#include "evacuation.h"
 
 typedef struct sgr_config_api_t sgr_config_api_t;
 
@@ -26,6 +27,19 @@
 sgr_config_api_t *sgr_config_api_create (h2o_hostconf_t *host, sgr_config_io_t *io,
                                          sgr_config_api_members_t members, void *ctx);
 
+/**
+ * sgr_config_api_evacuation_t - callback that returns the evacuated failure domains
+ * @ctx: as passed to sgr_config_api_evacuation_setup()
+ *
+ * Return: the set, valid until the caller returns to the event loop; NULL if the node does not
+ * follow evacuations.
+ */
+typedef const sgr_evacuation_t *(*sgr_config_api_evacuation_t) (void *ctx);
+
+/** sgr_config_api_evacuation_setup() - let /v1/status show the evacuated failure domains */
+void sgr_config_api_evacuation_setup (sgr_config_api_t *api, sgr_config_api_evacuation_t evacuation,
+                                      void *ctx);
+
 /**
  * sgr_config_api_notify() - answer the pending watch requests that a new revision concerns
  * @api: the API, may be NULL; call from config_changed of sgr_config_io_callbacks_t
--- a/libsiskingrade/config_api_private.h
+++ b/libsiskingrade/config_api_private.h
@@ -34,6 +34,8 @@
  * @io: the configuration I/O
  * @members: returns the members, may be NULL
  * @members_ctx: passed to @members
+ * @evacuation: returns the evacuated failure domains, may be NULL
+ * @evacuation_ctx: passed to @evacuation
  * @loop: event loop of the HTTP server, NULL until its context is initialized
  * @tick: timeout with the period WATCH_TICK_MS
  * @tick_entry: entry of @tick
@@ -45,6 +47,8 @@
   sgr_config_io_t *io;
   sgr_config_api_members_t members;
   void *members_ctx;
+  sgr_config_api_evacuation_t evacuation;
+  void *evacuation_ctx;
   h2o_loop_t *loop;
   h2o_timeout_t tick;
   h2o_timeout_entry_t tick_entry;
--- a/libsiskingrade/config_api_status.c
+++ b/libsiskingrade/config_api_status.c
@@ -126,6 +126,30 @@
     }
 }
 
+void
+sgr_config_api_evacuation_setup (sgr_config_api_t *api, sgr_config_api_evacuation_t evacuation,
+                                 void *ctx)
+{
+  api->evacuation = evacuation;
+  api->evacuation_ctx = ctx;
+}
+
+/* Adds the evacuated failure domains, unless the node does not follow evacuations. */
+static void
+evacuation_add (const sgr_config_api_t *api, json_t *json)
+{
+  const sgr_evacuation_t *set
+      = api->evacuation != NULL ? api->evacuation (api->evacuation_ctx) : NULL;
+  json_t *list;
+
+  if (set == NULL)
+    return;
+  list = json_array ();
+  for (size_t i = 0; i < set->count; i++)
+    json_array_append_new (list, json_string (set->domains[i]));
+  json_object_set_new (json, "evacuated", list);
+}
+
 int
 api_on_status (h2o_handler_t *handler, h2o_req_t *req)
 {
@@ -162,6 +186,7 @@
       json, "store_failures",
       json_integer ((json_int_t)sgr_config_io_sync_stats (api->io)->store_failures));
   json_object_set_new (json, "failure_domains", failure_domains);
+  evacuation_add (api, json);
   sgr_http_reply_json (req, 200, json);
   return 0;
 }
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -6,6 +6,7 @@
 #include "config_api.h"
 #include "control_contacts.h"
 #include "control_departures.h"
+#include "control_evacuation.h"
 
 struct sgr_control_config_t
 {
@@ -45,6 +46,12 @@
   return control->member_count;
 }
 
+static const sgr_evacuation_t *
+evacuation_get (void *ctx)
+{
+  return sgr_control_evacuation_set (((const sgr_control_t *)ctx)->evacuation);
+}
+
 sgr_control_config_t *
 sgr_control_config_create (sgr_control_t *control, h2o_hostconf_t *host)
 {
@@ -76,6 +83,7 @@
   config->io = sgr_config_io_create (control->loop, &options, &callbacks, config);
   sgr_invariant (config->io != NULL);
   config->api = sgr_config_api_create (host, config->io, members_list, control);
+  sgr_config_api_evacuation_setup (config->api, evacuation_get, control);
   return config;
 }
 
--- a/libsiskingrade/ctl_command.c
+++ b/libsiskingrade/ctl_command.c
@@ -190,6 +190,21 @@
   return SGR_CTL_EXIT_USAGE;
 }
 
+/* Prints one line with the evacuated failure domains, nothing if there are none. */
+static void
+print_evacuated (const json_t *list, FILE *out)
+{
+  size_t index;
+  json_t *domain;
+
+  if (json_array_size (list) == 0)
+    return;
+  fprintf (out, "evacuated:");
+  json_array_foreach ((json_t *)list, index, domain)
+      fprintf (out, " %s", json_string_value (domain));
+  fputc ('\n', out);
+}
+
 static int
 run_status (const sgr_ctl_options_t *options, sgr_ctl_client_t *client, FILE *out, FILE *err)
 {
@@ -221,6 +236,7 @@
                  json_integer_value (json_object_get (domain, "nodes")),
                  json_array_size (json_object_get (domain, "lagging")));
       }
+      print_evacuated (json_object_get (reply.json, "evacuated"), out);
     }
   json_decref (reply.json);
   return SGR_CTL_EXIT_OK;
--- a/tests/test_path_evacuation.c
+++ b/tests/test_path_evacuation.c
@@ -123,6 +123,20 @@
     }
 }
 
+/* Guards against an operator who cannot see which domains are evacuated. */
+static void
+status_check (const sgr_fixture_node_t *node, const char *expected)
+{
+  sgr_probe_request_t request = { .port = node->control, .path = "/v1/status" };
+  sgr_probe_answer_t answer;
+
+  sgr_probe_call (&request, &answer);
+  assert_int_equal (answer.status, 200);
+  if (strstr (answer.body, expected) == NULL)
+    fail_msg ("%s: no %s in %s", node->name, expected, answer.body);
+  sgr_probe_release (&answer);
+}
+
 /* Guards against new work for an evacuated domain after the bound: from other nodes, from its own
    node, and from one that the store turns away; against running calls that are cut off; and against
    a domain that gets no work after it was taken back. */
@@ -145,6 +159,7 @@
     sgr_fixture_poll_sleep ();
   evacuate ("PUT");
   change_await ("event=evacuation-in-force domain=east", 1);
+  status_check (cut, "\"evacuated\":[\"east\"]");
   starts = sgr_fixture_metric (east, STARTS);
   assert_true (starts > 0);
   for (size_t i = 0; i < fixture.count; i++)
@@ -162,6 +177,7 @@
   assert_int_equal (sgr_fixture_metric (cut, "siskingrade_evacuation_known"), 1);
   evacuate ("DELETE");
   change_await ("event=evacuation-ended domain=east", 0);
+  status_check (cut, "\"evacuated\":[]");
   for (size_t i = 0; i < fixture.count; i++)
     assert_true (
         metric_await (&fixture.nodes[i], "siskingrade_targets{service=\"one\"}", 2, WAIT_MAX_US));
