--- a/libsiskingrade/ctl_command.c
+++ b/libsiskingrade/ctl_command.c
@@ -201,7 +201,9 @@
     return;
   fprintf (out, "evacuated:");
   json_array_foreach ((json_t *)list, index, domain)
-      fprintf (out, " %s", json_string_value (domain));
+  {
+    fprintf (out, " %s", json_string_value (domain));
+  }
   fputc ('\n', out);
 }
 
--- a/tests/test_platform_store_prefix.c
+++ b/tests/test_platform_store_prefix.c
@@ -115,7 +115,7 @@
                        .outcome = reply->outcome,
                        .version = { reply->generation, reply->version },
                        .has_items = reply->items != NULL };
-  for (size_t i = 0; i < reply->item_count; i++)
+  for (size_t i = 0; reply->items != NULL && i < reply->item_count; i++)
     snprintf (got->names + strlen (got->names), sizeof got->names - strlen (got->names), "%s ",
               reply->items[i].key);
 }
--- a/tests/test_store_http.c
+++ b/tests/test_store_http.c
@@ -236,7 +236,7 @@
 
   got->has_items = reply->items != NULL;
   got->names[0] = '\0';
-  for (size_t i = 0; i < reply->item_count; i++)
+  for (size_t i = 0; reply->items != NULL && i < reply->item_count; i++)
     snprintf (got->names + strlen (got->names), sizeof got->names - strlen (got->names), "%s ",
               reply->items[i].key);
   on_reply (&got->reply, reply);
