Test a node that follows no evacuations beside nodes that do

Such a node knows only the state that the gate of an evacuated domain announces. The test covers this announcement; entries that know the set do not depend on it. The fixture gets limits of one node.

--- a/libsiskingrade/siskingrade.h
+++ b/libsiskingrade/siskingrade.h
@@ -12,6 +12,7 @@
  * retry_budget.h    retries that do not multiply along a chain of calls
  * call_plan.h       attempts, hedged attempts and outcome of one call
  * membership.h      failure detection and dissemination
+ * evacuation.h      evacuated failure domains, merged by version
  * config_state.h    configuration in force, verified by both co-owners' signatures
  * config_sync.h     which nodes read the configuration from the store, which from peers
  */
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -138,6 +138,7 @@
 settings_write (const sgr_fixture_t *fixture, const sgr_fixture_node_t *node, const char *path)
 {
   FILE *file = fopen (path, "w");
+  unsigned store_port = node->store_port != 0 ? node->store_port : fixture->store_port;
 
   sgr_invariant (file != NULL);
   fprintf (file,
@@ -149,9 +150,8 @@
            node->callers, node->peers, node->control, node->advertised);
   for (size_t i = 0; i < fixture->count; i++)
     fprintf (file, "  - 127.0.0.1:%u\n", fixture->nodes[i].control);
-  fprintf (file, "store: 127.0.0.1:%u\nlimits:\n%s%s",
-           node->store_port != 0 ? node->store_port : fixture->store_port, fixture->limits,
-           fixture->extra_settings);
+  fprintf (file, "store: 127.0.0.1:%u\nlimits:\n%s%s", store_port,
+           node->limits != NULL ? node->limits : fixture->limits, fixture->extra_settings);
   sgr_fixture_owners_write (file);
   fclose (file);
 }
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -20,6 +20,7 @@
  * @name: name of the node
  * @service: service of its target, NULL for none
  * @failure_domain: failure domain of the node, NULL for "test-1"
+ * @limits: lines of the section "limits", NULL for those of the fixture
  * @store_port: port that the node takes for that of the store, 0 for the real one
  * @callers: port for callers
  * @peers: port on which the node accepts connections of other nodes
@@ -35,6 +36,7 @@
   char name[32];
   const char *service;
   const char *failure_domain;
+  const char *limits;
   uint16_t store_port;
   uint16_t callers;
   uint16_t peers;
--- a/tests/test_path_evacuation.c
+++ b/tests/test_path_evacuation.c
@@ -28,7 +28,8 @@
 static sgr_fixture_node_t *entry;
 static sgr_fixture_node_t *east;
 static sgr_fixture_node_t *west;
-static sgr_fixture_node_t *cut; /* the store turns it away */
+static sgr_fixture_node_t *cut;   /* the store turns it away */
+static sgr_fixture_node_t *plain; /* does not follow evacuations, and is the last node */
 
 static int
 test_setup (void **state)
@@ -43,6 +44,8 @@
   east->failure_domain = "east";
   west->failure_domain = "west";
   cut->store_port = sgr_fixture_port_find ();
+  plain = sgr_fixture_node_add (&fixture, "plain", NULL, false);
+  plain->limits = "  heartbeat_ms: 50\n  silence_ms: 300\n";
   return sgr_fixture_start (&fixture) ? 0 : -1;
 }
 
@@ -83,13 +86,13 @@
   return true;
 }
 
-/* Waits until all nodes have put a change in force. */
+/* Waits until all nodes that follow evacuations have put a change in force. */
 static void
 change_await (const char *event, uint64_t domains)
 {
   uint64_t end_us = sgr_clock_monotonic_us () + BOUND_US;
 
-  for (size_t i = 0; i < fixture.count; i++)
+  for (size_t i = 0; i + 1 < fixture.count; i++)
     {
       uint64_t now_us = sgr_clock_monotonic_us ();
 
@@ -138,7 +141,8 @@
 }
 
 /* Guards against new work for an evacuated domain after the bound: from other nodes, from its own
-   node, and from one that the store turns away; against running calls that are cut off; and against
+   node, from one that the store turns away, and from one that follows no evacuations and thus only
+   knows the announced state of the target; against running calls that are cut off; and against
    a domain that gets no work after it was taken back. */
 static void
 test_evacuated_domain_gets_no_new_work (void **state)
