--- a/tests/test_membership_evacuation.c
+++ b/tests/test_membership_evacuation.c
@@ -229,6 +229,12 @@
   sim_schedule (&sim.nodes[0]);
   sim_run (&sim, 4 * SIM_US_PER_S);
   assert_int_equal (evacuated_count (&sim, read.domains[0]), NODES);
+  /* The answer of a contact still names other members. */
+  sim_stop (&sim, 50);
+  node_start (&sim, 50);
+  while (sgr_membership_counters (sim.nodes[50].membership)->messages_received == 0)
+    sim_run (&sim, SIM_MS);
+  assert_true (sgr_membership_size (sim.nodes[50].membership) >= 3);
   for (uint32_t i = 20; i < 40; i++)
     sim_stop (&sim, i);
   for (uint32_t i = 20; i < 40; i++)
--- a/tests/test_path_evacuation.c
+++ b/tests/test_path_evacuation.c
@@ -22,6 +22,8 @@
 #define CALLS 60
 /* Age from which on a node tells by a datagram without a set that there is none. */
 #define OLDER_PEER_US (10 * SGR_USEC_PER_SEC)
+/* Time after its start at which a node serves without knowing the evacuations. */
+#define START_WAIT_US (3 * SGR_USEC_PER_SEC)
 #define STARTS "siskingrade_gate_starts_total"
 
 static sgr_fixture_t fixture;
@@ -259,6 +261,63 @@
   assert_true (sgr_fixture_service_await (cut, "one"));
 }
 
+/* Waits until a call through a node succeeds, and checks that none does before the node may serve.
+ */
+static void
+first_answer_check (const sgr_fixture_node_t *node, const char *service, uint64_t start_us)
+{
+  uint64_t end_us = start_us + WAIT_MAX_US;
+  int status = 0;
+
+  while (status != 200)
+    {
+      sgr_path_call_t call = call_of (node);
+      sgr_probe_answer_t answer;
+      int socket;
+
+      call.service = service;
+      socket = sgr_path_call_send (&call);
+      assert_true (sgr_clock_monotonic_us () < end_us);
+      if (socket < 0)
+        {
+          sgr_fixture_poll_sleep ();
+          continue;
+        }
+      sgr_path_answer_receive (socket, &call, &answer);
+      status = answer.status;
+      sgr_probe_release (&answer);
+    }
+  assert_true (sgr_clock_monotonic_us () >= start_us + START_WAIT_US);
+}
+
+static int
+ignorant_setup (void **state)
+{
+  sgr_fixture_init (&fixture);
+  fixture.limits = "  heartbeat_ms: 50\n  silence_ms: 300\n";
+  entry = sgr_fixture_node_add (&fixture, "entry", NULL, false);
+  east = sgr_fixture_node_add (&fixture, "east", "one", false);
+  west = sgr_fixture_node_add (&fixture, "west", "two", false);
+  cut = sgr_fixture_node_add (&fixture, "cut", NULL, false);
+  west->limits = cut->limits = "  evacuation: 5s\n";
+  west->store_port = cut->store_port = sgr_fixture_port_find ();
+  return 0;
+}
+
+/* Guards against a node that knows configuration and members but not the evacuations, and sends
+   calls or admits them at its gate before its wait is over. The store turns these two nodes away;
+   the other ones do not follow evacuations. */
+static void
+test_nothing_is_sent_before_the_wait_is_over (void **state)
+{
+  uint64_t start_us = sgr_clock_monotonic_us ();
+
+  assert_true (sgr_fixture_processes_start (&fixture));
+  first_answer_check (cut, "one", start_us);
+  first_answer_check (entry, "two", start_us);
+  assert_int_equal (sgr_fixture_metric (cut, "siskingrade_evacuation_known"), 0);
+}
+
 /* Guards against a node that never serves because neither the store nor a peer tells it the
    evacuations, and against one that does not wait for them. */
 static void
@@ -274,7 +333,7 @@
   start_us = sgr_clock_monotonic_us ();
   sgr_fixture_node_start (&fixture, west);
   assert_true (sgr_fixture_event_await (&fixture, west, "event=evacuations-unknown", 1));
-  assert_true (sgr_clock_monotonic_us () >= start_us + 3 * SGR_USEC_PER_SEC);
+  assert_true (sgr_clock_monotonic_us () >= start_us + START_WAIT_US);
   assert_int_equal (sgr_fixture_metric (west, "siskingrade_evacuation_known"), 0);
   sgr_probe_call (&request, &answer);
   assert_int_equal (answer.status, 503);
@@ -292,6 +351,8 @@
                                      test_teardown),
     cmocka_unit_test_setup_teardown (test_restarted_nodes_know_it_first, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_peers_tell_that_there_is_none, test_setup, test_teardown),
+    cmocka_unit_test_setup_teardown (test_nothing_is_sent_before_the_wait_is_over, ignorant_setup,
+                                     test_teardown),
     cmocka_unit_test_setup_teardown (test_no_store_and_no_peer, test_setup, test_teardown),
   };
 
