Divide limits by the largest fleet that an attached node knows

Cause: a node that restarts during a network partition learns only the nodes on its side, and would lend its side a whole limit. Change: requests and replies state the size of the fleet in an entry for account 0; lenders divide by the largest number, and a node has no reserve before a lender has stated it.

--- a/libsiskingrade/quota.h
+++ b/libsiskingrade/quota.h
@@ -66,10 +66,15 @@
   uint32_t wanted;
 } sgr_quota_use_t;
 
-/** struct sgr_quota_request_t - see QuotaRequest in peer.proto */
+/**
+ * struct sgr_quota_request_t - see QuotaRequest in peer.proto
+ * @fleet: number of nodes that the borrower knows, 0 if it does not; in the frame the tokens held
+ * in a use of account 0
+ */
 typedef struct
 {
   uint64_t sequence;
+  uint32_t fleet;
   uint64_t lender_time_us;
   sgr_boot_id_t lender_boot;
   sgr_quota_use_t uses[SGR_QUOTA_USES_MAX];
@@ -86,8 +91,9 @@
 
 /**
  * struct sgr_quota_reply_t - see QuotaReply in peer.proto
- * @lease_us: lease of the borrower; in the frame a grant for account 0 whose time is the lease,
- *   absent for SGR_QUOTA_LEASE_US
+ * @fleet: number of nodes by which the lender divides, 0 while it is not known; in the frame the
+ *   tokens of a grant for account 0
+ * @lease_us: lease of the borrower; in the frame the time in that grant
  * @grants: renewed accounts; tokens of other accounts are valid only as long as before
  */
 typedef struct
@@ -95,6 +101,7 @@
   uint64_t sequence;
   uint64_t lender_time_us;
   sgr_boot_id_t lender_boot;
+  uint32_t fleet;
   uint64_t lease_us;
   uint32_t attached_percent;
   sgr_node_id_t redirect;
--- a/libsiskingrade/quota_borrower.c
+++ b/libsiskingrade/quota_borrower.c
@@ -66,6 +66,7 @@
   size_t account_count;
   sgr_quota_choice_t choice;
   size_t fleet;
+  size_t lender_fleet;
   sgr_node_id_t lender;
   sgr_boot_id_t lender_boot;
   uint64_t lender_time_us;
@@ -225,9 +226,15 @@
 static uint32_t
 reserve_limit (const sgr_quota_borrower_t *borrower, const account_t *account, uint64_t now_us)
 {
-  if (borrower->fleet == 0 || now_us < borrower->start_us + borrower->bound.window_us)
+  size_t fleet
+      = borrower->fleet > borrower->lender_fleet ? borrower->fleet : borrower->lender_fleet;
+
+  /* A node that started during a network partition knows only its side, until a lender has stated
+     what others know. */
+  if (borrower->fleet == 0 || borrower->lender_fleet == 0
+      || now_us < borrower->start_us + borrower->bound.window_us)
     return 0;
-  return (uint32_t)(account->plan.reserve / (double)borrower->fleet);
+  return (uint32_t)(account->plan.reserve / (double)fleet);
 }
 
 static void
@@ -382,6 +389,7 @@
                         && borrower->bound_boot == borrower->lender_boot);
 
   request->sequence = ++borrower->sequence;
+  request->fleet = (uint32_t)borrower->fleet;
   request->lender_boot = borrower->lender_boot;
   request->lender_time_us = 0;
   request->use_count = 0;
@@ -445,6 +453,7 @@
       || !sgr_quota_choice_is_member (&borrower->choice, node))
     return 0;
   request->sequence = ++borrower->sequence;
+  request->fleet = (uint32_t)borrower->fleet;
   request->lender_boot = 0;
   request->lender_time_us = 0;
   request->use_count = 0;
@@ -581,6 +590,8 @@
     }
   borrower->lender_time_us = reply->lender_time_us;
   borrower->lease_us = reply->lease_us;
+  if (reply->fleet > 0)
+    borrower->lender_fleet = reply->fleet;
   valid_until_us = borrower->sent_us + sgr_quota_loan_us (reply->lease_us);
   if (now_us < valid_until_us)
     {
--- a/libsiskingrade/quota_borrower.h
+++ b/libsiskingrade/quota_borrower.h
@@ -78,7 +78,8 @@
 /**
  * sgr_quota_borrower_members_set() - set the nodes that may be chosen as the lender
  * @members: nodes that are alive or suspect, this node included
- * @fleet: nodes that may run, whether they can be reached or not; 0 while it is not known
+ * @fleet: nodes that may run, whether they can be reached or not; 0 while it is not known. There is
+ *   no reserve before a lender has stated the number, too
  */
 void sgr_quota_borrower_members_set (sgr_quota_borrower_t *borrower, const sgr_node_id_t *members,
                                      size_t count, size_t fleet);
--- a/libsiskingrade/quota_lender.c
+++ b/libsiskingrade/quota_lender.c
@@ -31,6 +31,7 @@
   uint64_t sequence;
   uint64_t reply_us;
   uint64_t attached_until_us;
+  uint32_t fleet;
   uint64_t loans_until_us;
   loan_t *loans;
   size_t loan_count;
@@ -43,6 +44,7 @@
   sgr_quota_bound_t bound;
   uint64_t start_us;
   uint64_t last_us;
+  size_t known_fleet;
   size_t fleet;
   uint64_t lease_us;
   uint64_t old_lease_us;
@@ -131,8 +133,8 @@
                   account_compare);
 }
 
-/* Counts the attached borrowers and those whose lease outlasts a loan made now. Both counts are
-   exact until count_again_us, if no lease is renewed. */
+/* Counts the attached borrowers and those whose lease outlasts a loan made now, and determines the
+   size of the fleet. The numbers are exact until count_again_us, if no lease is renewed. */
 static void
 attachments_count (sgr_quota_lender_t *lender, uint64_t now_us)
 {
@@ -140,6 +142,7 @@
 
   lender->attached = 0;
   lender->backed = 0;
+  lender->fleet = lender->known_fleet;
   lender->count_again_us = UINT64_MAX;
   for (size_t i = 0; i < lender->borrower_count; i++)
     {
@@ -149,6 +152,8 @@
       if (until_us <= now_us)
         continue;
       lender->attached++;
+      if (lender->fleet > 0 && lender->borrowers[i].fleet > lender->fleet)
+        lender->fleet = lender->borrowers[i].fleet;
       if (until_us > now_us + loan_us)
         {
           lender->backed++;
@@ -261,7 +266,7 @@
 
   lender_settle (lender, now_us);
   accounts_advance (lender, now_us);
-  lender->fleet = fleet;
+  lender->known_fleet = fleet;
   /* A shorter lease waits until it would be half as long, so that a fleet near a step does not
      change it again and again. Leases keep the length that was stated with their timestamp. */
   if ((lease_us > lender->lease_us || lease_us * 2 <= lender->lease_us)
@@ -454,6 +459,7 @@
 
   if (until_us <= borrower->attached_until_us || until_us <= lender->last_us)
     return;
+  borrower->fleet = request->fleet;
   accounts_advance (lender, lender->last_us);
   borrower->attached_until_us = until_us;
   attachments_count (lender, lender->last_us);
@@ -498,6 +504,7 @@
   reply->sequence = request->sequence;
   reply->lender_time_us = borrower->reply_us;
   reply->lender_boot = lender->boot;
+  reply->fleet = (uint32_t)lender->fleet;
   reply->lease_us = lender->lease_us;
   reply->redirect = redirect;
   reply->grant_count = 0;
--- a/libsiskingrade/quota_lender.h
+++ b/libsiskingrade/quota_lender.h
@@ -44,6 +44,9 @@
  * sgr_quota_lender_fleet_set() - set the number of nodes that a limit is divided by
  * @fleet: nodes that may run, whether they can be reached or not; 0 while it is not known, then
  *   nothing is lent
+ *
+ * The limit is divided by the largest number that this node or an attached borrower knows. A node
+ * that starts during a network partition learns from its peers only the nodes on its side.
  */
 void sgr_quota_lender_fleet_set (sgr_quota_lender_t *lender, uint64_t now_us, size_t fleet);
 
--- a/tests/quota_model.c
+++ b/tests/quota_model.c
@@ -35,6 +35,7 @@
   sgr_quota_borrower_t *borrower;
   sgr_boot_id_t boot;
   bool is_down;
+  size_t known;
   uint64_t frozen_until;
   uint64_t bytes;
 } node_t;
@@ -112,18 +113,23 @@
   sgr_node_id_t members[QUOTA_MODEL_NODES_MAX];
   node_t *node = &world->nodes[index];
   size_t count = 0;
-  size_t fleet = world->model->nodes;
+  size_t fleet;
 
   for (size_t i = 0; i < world->model->nodes; i++)
     {
       if (i == index || (!world->nodes[i].is_down && is_reachable (world, index, i)))
         members[count++] = node_id (i);
     }
+  /* A node knows those that were there since its start. */
+  if (count > node->known)
+    node->known = count;
+  fleet = node->known;
   if (world->model->fault == QUOTA_FAULT_LATE_FLEET && world->step < STEPS_OF (4))
     fleet = 0;
+  if (world->model->is_undivided && fleet > 0)
+    fleet = 1;
   sgr_quota_borrower_members_set (node->borrower, members, count, fleet);
-  sgr_quota_lender_fleet_set (node->lender, world_now (world),
-                              world->model->is_undivided && fleet > 0 ? 1 : fleet);
+  sgr_quota_lender_fleet_set (node->lender, world_now (world), fleet);
 }
 
 static void
@@ -150,6 +156,7 @@
   node_t *node = &world->nodes[index];
 
   node->is_down = false;
+  node->known = 0;
   node->boot = sgr_rng_next (&world->rng);
   node->lender = sgr_quota_lender_create (node->boot, &world->bound, world_now (world));
   node->borrower = sgr_quota_borrower_create (&world->bound, world_now (world), &events, NULL);
@@ -357,11 +364,14 @@
           node_kill (&world->nodes[i]);
           node_start (world, i);
         }
+      for (size_t i = 0; i < nodes; i++)
+        view_set (world, i);
       break;
     case QUOTA_FAULT_PARTITION_MINORITY:
       world->side = lender < nodes / 2 ? lender + 1 : lender;
       world->is_cut = true;
       break;
+    case QUOTA_FAULT_PARTITION_RESTART:
     case QUOTA_FAULT_PARTITION_MAJORITY:
       world->side = lender < nodes / 2 ? nodes - nodes / 3 : nodes / 3;
       world->is_cut = true;
@@ -384,6 +394,16 @@
 {
   if (world->step == FAULT)
     fault_start (world);
+  if (world->model->fault == QUOTA_FAULT_PARTITION_RESTART && world->step == FAULT + STEPS_OF (5))
+    {
+      for (size_t i = 0; i < world->model->nodes; i += world->model->nodes - 1)
+        {
+          size_t lender = node_index (world, sgr_quota_borrower_lender (world->nodes[i].borrower));
+
+          node_kill (&world->nodes[lender]);
+          node_start (world, lender);
+        }
+    }
   if (world->step == HEAL)
     {
       world->is_cut = false;
@@ -484,6 +504,8 @@
   sgr_rng_seed (&world->rng, model->seed);
   for (size_t i = 0; i < model->nodes; i++)
     node_start (world, i);
+  for (size_t i = 0; i < model->nodes; i++)
+    view_set (world, i);
   for (world->step = 0; world->step < STEPS; world->step++)
     {
       message_t *message = world->arrivals[world->step];
--- a/tests/test_quota_borrower.c
+++ b/tests/test_quota_borrower.c
@@ -55,6 +55,7 @@
   answer = (sgr_quota_reply_t){ .sequence = request.sequence,
                                 .lender_time_us = now_us,
                                 .lender_boot = 5,
+                                .fleet = 3,
                                 .lease_us = SGR_QUOTA_LEASE_US,
                                 .attached_percent = 100,
                                 .grants = { { ACCOUNT, tokens, 0 } },
@@ -84,8 +85,11 @@
   sgr_quota_credit_t credit;
   int started = 0;
 
-  assert_false (call (borrower, START + 10 * SEC, &credit));
+  assert_false (call (borrower, START + 7 * SEC, &credit));
   sgr_quota_borrower_members_set (borrower, members, 3, 3);
+  assert_false (call (borrower, START + 7 * SEC, &credit));
+  sgr_quota_borrower_tick (borrower, START + 7 * SEC, &request);
+  reply (borrower, START + 7 * SEC, 0, 0);
   assert_false (call (borrower, START + 4 * SEC, &credit));
   /* Half of the 70 calls beyond the limit, divided by three nodes. */
   for (int i = 0; i < 100; i++)
--- a/tests/test_quota_model.c
+++ b/tests/test_quota_model.c
@@ -72,6 +72,7 @@
     { "kill-all", QUOTA_FAULT_KILL_ALL, 0, SHARE },
     { "partition-minority", QUOTA_FAULT_PARTITION_MINORITY, FAULT_SHARE, SHARE },
     { "partition-majority", QUOTA_FAULT_PARTITION_MAJORITY, FAULT_SHARE, SHARE },
+    { "partition-restart", QUOTA_FAULT_PARTITION_RESTART, 0, SHARE },
     { "freeze", QUOTA_FAULT_FREEZE_LENDER, FAULT_SHARE, SHARE },
     { "late-fleet", QUOTA_FAULT_LATE_FLEET, SHARE, SHARE },
     { "limit-tenth", QUOTA_FAULT_LIMIT_TENTH, 0, 0 },
