Enforce quotas of accounts at the entry

Cause: a limit of an account has to hold over all nodes. Change: data_quota asks the lender over the links between nodes, decides before a call starts (429, reason quota, Retry-After) and returns the credit of a call that did not run. Result: test_path_quota 2 passed (three nodes, 20 calls per second: no window above the bound).

--- a/libsiskingrade/control_contacts.c
+++ b/libsiskingrade/control_contacts.c
@@ -32,6 +32,7 @@
   sgr_store_call_t *call;
   step_t step;
   uint64_t generation; /* generation of the store that has the node's address, 0 if it tells none */
+  bool has_listed;     /* whether the store has named the nodes */
   bool has_found;      /* whether the store has named another node */
   bool is_registered;  /* whether the store has the node's address */
   char prefix[SGR_NAME_MAX + 16];  /* "nodes/DEPLOYMENT/" */
@@ -116,6 +117,7 @@
   added = contacts_add (contacts, reply);
   sgr_log_info ("contacts-read", "contacts=%zu registered=%s", added,
                 contacts->is_registered ? "yes" : "no");
+  contacts->has_listed = true;
   contacts->has_found = contacts->has_found || added > 0;
   if (!contacts->is_registered)
     {
@@ -203,6 +205,12 @@
                      + sgr_node_id_of (contacts->control->settings->name) % RENEWAL_DELAY_MAX_US);
 }
 
+bool
+sgr_control_contacts_is_alone (const sgr_control_contacts_t *contacts)
+{
+  return contacts != NULL && contacts->has_listed && !contacts->has_found;
+}
+
 void
 sgr_control_contacts_destroy (sgr_control_contacts_t *contacts)
 {
--- a/libsiskingrade/control_contacts.h
+++ b/libsiskingrade/control_contacts.h
@@ -10,9 +10,10 @@
  * @store: the store, NULL if there is none
  *
  * Reads the addresses of the nodes. If the node's own is missing, writes it under the key
- * "nodes/DEPLOYMENT/NAME" and then reads the others again. If two nodes start at the same time, the one that writes later
- * finds the other. Once the node has found others, membership alone keeps them connected and the
- * store is not read again, unless the store was restored. A step that fails is retried.
+ * "nodes/DEPLOYMENT/NAME" and then reads the others again. If two nodes start at the same time, the
+ * one that writes later finds the other. Once the node has found others, membership alone keeps
+ * them connected and the store is not read again, unless the store was restored. A step that fails
+ * is retried.
  *
  * Return: the object, NULL without a store.
  */
@@ -27,6 +28,9 @@
  * restore at once.
  */
 void sgr_control_contacts_renew (sgr_control_contacts_t *contacts);
+/** sgr_control_contacts_is_alone() - whether the store has answered that there is no other node;
+ * false for NULL */
+bool sgr_control_contacts_is_alone (const sgr_control_contacts_t *contacts);
 void sgr_control_contacts_destroy (sgr_control_contacts_t *contacts);
 
 #endif
--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -19,6 +19,19 @@
 typedef struct sgr_control_departures_t sgr_control_departures_t;
 typedef struct sgr_control_probe_t sgr_control_probe_t;
 
+/**
+ * struct sgr_control_fleet_t - nodes that may run
+ * @size: members that are alive, suspect, or dead without having left
+ * @changed_us: when @size changed last
+ * @is_known: @size did not change for a while after this node had learned of the others
+ */
+typedef struct
+{
+  size_t size;
+  uint64_t changed_us;
+  bool is_known;
+} sgr_control_fleet_t;
+
 /**
  * struct sgr_control_t - state of the control task
  *
@@ -42,6 +55,7 @@
  * @probe: active probes of the local target
  * @members: members that are alive or suspect, as of the last snapshot, in the order of their ids
  * @member_count: entries of @members
+ * @fleet: number of nodes that may run, for quotas of accounts
  * @snapshot_revision: revision of the configuration in the last snapshot
  * @newest_revision: highest revision of the configuration that this node or one of @members has in
  *   force
@@ -79,6 +93,7 @@
   sgr_control_probe_t *probe;
   sgr_member_t *members;
   size_t member_count;
+  sgr_control_fleet_t fleet;
   uint64_t snapshot_revision;
   uint64_t newest_revision;
   uint64_t newest_seen_us;
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -24,6 +24,8 @@
 
 /* Delay before a snapshot is sent, so that changes that arrive together share one snapshot. */
 #define SNAPSHOT_DELAY_US (20 * SGR_USEC_PER_MSEC)
+/* Time for which the number of nodes has to stay the same before quotas are divided by it first. */
+#define FLEET_REST_US (2 * SGR_USEC_PER_SEC)
 /* Minimum interval between snapshots that are sent because of changed members. Applying a snapshot
    takes the data task about 2 ms with 2,600 members, and calls wait meanwhile; many changes in a
    row must not cause more than a few snapshots per second. */
@@ -82,6 +84,30 @@
   qsort (control->members, control->member_count, sizeof *control->members, member_order);
 }
 
+/* Determines the number of nodes by which quotas are divided. When many nodes start at once, the
+   first peer that answers knows only a few of them, so the number has to rest before it counts. */
+static void
+fleet_refresh (sgr_control_t *control, uint64_t now_us)
+{
+  sgr_control_fleet_t *fleet = &control->fleet;
+  bool has_learned = sgr_membership_is_synced (membership_of (control))
+                     || sgr_control_contacts_is_alone (control->contacts)
+                     || (control->contacts == NULL && control->settings->contact_count == 0);
+  sgr_member_t member;
+  size_t cursor = 0;
+  size_t size = 0;
+
+  while (sgr_membership_member_next (membership_of (control), &cursor, &member))
+    size += member.status != SGR_MEMBER_LEFT;
+  if (size != fleet->size)
+    fleet->changed_us = now_us;
+  fleet->size = size;
+  if (has_learned && now_us >= fleet->changed_us + FLEET_REST_US)
+    fleet->is_known = true;
+  if (!fleet->is_known)
+    sgr_timer_arm (control->timers, &control->snapshot_timer, now_us + FLEET_REST_US);
+}
+
 /* Determines the highest revision of the configuration that this node or a member has in force. */
 static void
 newest_revision_update (sgr_control_t *control, uint64_t now_us)
@@ -122,6 +148,7 @@
   if (control->member_count > 0)
     memcpy (snapshot->members, control->members, control->member_count * sizeof *snapshot->members);
   snapshot->member_count = control->member_count;
+  snapshot->fleet_size = control->fleet.is_known ? control->fleet.size : 0;
   snapshot->newest_revision = control->newest_revision;
   snapshot->newest_seen_us = control->newest_seen_us;
   for (size_t i = 0; i < policies; i++)
@@ -139,10 +166,14 @@
 on_snapshot_timer (void *ctx, uint64_t now_us)
 {
   sgr_control_t *control = ctx;
+  const sgr_config_accounts_t *accounts;
 
   control->snapshot_sent_us = now_us;
   members_refresh (control);
   newest_revision_update (control, now_us);
+  accounts = sgr_config_state_accounts (sgr_control_config_state (control->config));
+  if (accounts != NULL && accounts->count > 0)
+    fleet_refresh (control, now_us);
   sgr_control_config_members_update (control->config, control->members, control->member_count);
   sgr_control_probe_update (control->probe,
                             sgr_config_state_policy (sgr_control_config_state (control->config),
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "data_link.h"
+#include "data_quota.h"
 #include "http_fields.h"
 
 /* Index of the first attempt that the gate of a slowed target may queue in any case. */
@@ -264,6 +265,8 @@
 call_finish (sgr_data_call_t *call, const sgr_call_action_t *action)
 {
   call->is_finished = true;
+  if (action->outcome == SGR_OUTCOME_NOT_RUN)
+    sgr_data_quotas_return (call->task->quotas, &call->request);
   sgr_data_call_log (call, action);
   sgr_timer_cancel (call->task->timers, &call->timer);
   if (call->req != NULL && action->outcome == SGR_OUTCOME_COMPLETE)
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -3,6 +3,7 @@
 
 #include "data_internal.h"
 #include "data_service.h"
+#include "quota_borrower.h"
 
 /** One call at its entry node: performs the actions of the call plan and relays the answer. */
 typedef struct sgr_data_call_t sgr_data_call_t;
@@ -78,6 +79,7 @@
  * @has_accounts: the configuration had client accounts when the request arrived
  * @account: index of the client account of the call in the configuration that was in force when the
  *   request arrived; SGR_ACCOUNT_NONE for a call of a public route, and without accounts
+ * @credit: what the quota of the account was charged; zero without a quota
  * @chain: depth and remaining retries of the call chain that the call belongs to
  * @has_key: the call carries an idempotency key
  * @is_key_issued: a node issued the key, as opposed to a caller's own key
@@ -99,6 +101,7 @@
   uint32_t priority;
   bool has_accounts;
   uint32_t account;
+  sgr_quota_credit_t credit;
   sgr_retry_chain_t chain;
   bool has_key;
   bool is_key_issued;
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -31,6 +31,7 @@
 typedef struct sgr_data_peers_t sgr_data_peers_t;
 typedef struct sgr_data_http_t sgr_data_http_t;
 typedef struct sgr_data_keys_t sgr_data_keys_t;
+typedef struct sgr_data_quotas_t sgr_data_quotas_t;
 
 /**
  * struct sgr_data_task_t - state of the data task
@@ -83,6 +84,7 @@
   sgr_data_peers_t *peers;
   sgr_data_http_t *http;
   sgr_data_keys_t *keys;
+  sgr_data_quotas_t *quotas;
   sgr_id_map_t *attempts;
   sgr_peer_conn_env_t conn_env;
   sgr_call_log_t *call_log;
--- a/libsiskingrade/data_link.c
+++ b/libsiskingrade/data_link.c
@@ -4,6 +4,7 @@
 
 #include "data_call.h"
 #include "data_peer.h"
+#include "data_quota.h"
 #include "log.h"
 
 /* A connection is closed if no attempt has used it for this long. */
@@ -291,6 +292,8 @@
       sgr_data_services_load_report_apply (link->links->task->services, link->node, frame->load);
       return SGR_OK;
     }
+  if (frame->body_case == SGR__PB__PEER_FRAME__BODY_QUOTA_REPLY)
+    return sgr_data_quotas_reply_handle (link->links->task->quotas, link->node, frame->quota_reply);
   return entry_frame_handle (ctx, frame);
 }
 
@@ -395,6 +398,13 @@
   return link->has_key_generation && *boot == link->boot;
 }
 
+void
+sgr_data_link_keep (sgr_data_link_t *link)
+{
+  sgr_timer_arm (link->links->task->timers, &link->idle_timer,
+                 sgr_clock_monotonic_us () + IDLE_CLOSE_US);
+}
+
 sgr_node_id_t
 sgr_data_link_node (const sgr_data_link_t *link)
 {
--- a/libsiskingrade/data_link.h
+++ b/libsiskingrade/data_link.h
@@ -51,6 +51,9 @@
 bool sgr_data_link_gate_info (const sgr_data_link_t *link, sgr_boot_id_t *boot,
                               uint64_t *key_generation);
 
+/** sgr_data_link_keep() - keep the connection for another idle time, though no attempt uses it */
+void sgr_data_link_keep (sgr_data_link_t *link);
+
 sgr_node_id_t sgr_data_link_node (const sgr_data_link_t *link);
 
 /** sgr_data_link_attach() - add an attempt that waits for frames from the gate */
--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "data_quota.h"
 #include "listener.h"
 #include "log.h"
 
@@ -69,6 +70,9 @@
 {
   peer_t *peer = ctx;
 
+  if (frame->body_case == SGR__PB__PEER_FRAME__BODY_QUOTA_REQUEST)
+    return sgr_data_quotas_request_handle (peer->peers->task->quotas, &peer->channel,
+                                           frame->quota_request);
   return sgr_data_calls_frame_handle (peer->calls, &peer->channel, frame);
 }
 
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -12,6 +12,7 @@
 #include "data_keys.h"
 #include "data_link.h"
 #include "data_peer.h"
+#include "data_quota.h"
 #include "data_service.h"
 #include "stop_plan.h"
 #include "task_loop.h"
@@ -74,15 +75,17 @@
 {
   uint64_t now_us = sgr_clock_monotonic_us ();
   sgr_snapshot_t *old = task->snapshot;
+  bool is_new_revision = old == NULL || old->config_revision != snapshot->config_revision;
 
   task->snapshot = snapshot;
-  if (old == NULL || old->config_revision != snapshot->config_revision)
+  if (is_new_revision)
     {
       routes_rebuild (task);
       sgr_data_accounts_rebuild (task);
     }
   sgr_data_services_update (task->services, old, now_us);
   sgr_data_gate_update (task->gate, now_us);
+  sgr_data_quotas_update (task->quotas, is_new_revision);
   task->had_snapshot = true;
   sgr_snapshot_destroy (old);
 }
@@ -101,6 +104,7 @@
 
   sgr_data_gate_metrics_set (task->gate);
   sgr_data_services_metrics_set (task->services, task->metrics);
+  sgr_data_quotas_metrics_set (task->quotas);
   sgr_timer_arm (task->timers, &task->metrics_timer, now_us + METRICS_INTERVAL_US);
 }
 
@@ -251,6 +255,7 @@
   task->services = sgr_data_services_create (task);
   task->keys = sgr_data_keys_create (task);
   task->links = sgr_data_links_create (task);
+  task->quotas = sgr_data_quotas_create (task);
   task->peers = sgr_data_peers_create (task, errors);
   if (task->peers != NULL)
     task->http = sgr_data_http_create (task, errors);
@@ -262,6 +267,7 @@
 data_task_close (sgr_data_task_t *task)
 {
   sgr_data_http_destroy (task->http);
+  sgr_data_quotas_destroy (task->quotas);
   sgr_data_links_destroy (task->links);
   sgr_data_peers_destroy (task->peers);
   sgr_data_keys_destroy (task->keys);
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -37,6 +37,8 @@
  * @members: nodes that are alive or suspect, this node included; the service of a node without a
  *   target is empty
  * @member_count: entries of @members
+ * @fleet_size: nodes that may run: those of @members and those that are dead and did not leave; 0
+ *   while it is not known, and without accounts
  * @config_revision: revision of the configuration, 0 if none is known
  * @newest_revision: highest revision that this node or one of @members has in force
  * @newest_seen_us: monotonic time at which this node heard of @newest_revision first
@@ -55,6 +57,7 @@
   sgr_local_target_t local;
   sgr_member_t *members;
   size_t member_count;
+  size_t fleet_size;
   uint64_t config_revision;
   uint64_t newest_revision;
   uint64_t newest_seen_us;
--- /dev/null
+++ b/tests/test_path_quota.c
@@ -0,0 +1,173 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "account.h"
+#include "node_fixture.h"
+#include "node_fixture_config.h"
+#include "types.h"
+
+/* Quotas of accounts through processes: three nodes, one account with a low rate. */
+
+#define NODES 3
+#define KEY "acme-key-0123456789"
+#define RATE 20
+#define BURST 30
+#define SLACK 9
+#define WINDOW_US (2 * SGR_USEC_PER_SEC)
+#define CALLS_MAX 60000
+
+static sgr_fixture_t fixture;
+
+static int
+group_setup (void **state)
+{
+  char hex[SGR_ACCOUNT_KEY_HEX_BYTES];
+  json_t *account;
+
+  sgr_fixture_init (&fixture);
+  fixture.limits = "  quota_window: 2s\n  quota_slack: 9\n";
+  sgr_fixture_node_add (&fixture, "a", "one", false);
+  sgr_fixture_node_add (&fixture, "b", NULL, false);
+  sgr_fixture_node_add (&fixture, "c", NULL, false);
+  if (!sgr_fixture_start (&fixture))
+    return -1;
+  sgr_account_key_hash_format (sgr_account_key_hash (KEY, strlen (KEY)), hex);
+  account = json_pack ("{s:s, s:[s], s:i, s:i}", "name", "acme", "key_hashes", hex, "rate_per_s",
+                       RATE, "burst", BURST);
+  return sgr_fixture_change_set (&fixture, "quota",
+                                 json_pack ("{s:{s:[o]}}", "put", "accounts", account))
+             ? 0
+             : -1;
+}
+
+static int
+group_teardown (void **state)
+{
+  sgr_fixture_stop (&fixture);
+  return 0;
+}
+
+/* Makes one call; a refused one has to say so correctly. */
+static int
+call_make (int node)
+{
+  sgr_probe_request_t request
+      = { .port = fixture.nodes[node].callers,
+          .path = "/bytes/10",
+          .fields
+          = "Siskingrade-Service: one\r\nConnection: close\r\nAuthorization: Token " KEY "\r\n" };
+  sgr_probe_answer_t answer;
+  int status;
+
+  sgr_probe_call (&request, &answer);
+  status = answer.status;
+  if (status == 429)
+    {
+      assert_non_null (strcasestr (answer.head, "retry-after: "));
+      assert_non_null (strstr (answer.body, "\"not-run\""));
+      assert_non_null (strstr (answer.body, "\"quota\""));
+    }
+  sgr_probe_release (&answer);
+  return status;
+}
+
+/* Calls as fast as possible, and checks the bound in each window. Return: calls started. */
+static size_t
+load_run (const int *nodes, size_t node_count, uint64_t duration_us)
+{
+  static uint64_t starts[CALLS_MAX];
+  uint64_t end_us = sgr_clock_monotonic_us () + duration_us;
+  size_t count = 0;
+  size_t first = 0;
+
+  for (size_t i = 0; sgr_clock_monotonic_us () < end_us && count < CALLS_MAX; i++)
+    {
+      int status = call_make (nodes[i % node_count]);
+
+      assert_true (status == 200 || status == 429);
+      if (status != 200)
+        continue;
+      starts[count++] = sgr_clock_monotonic_us ();
+      while (starts[first] + WINDOW_US < starts[count - 1])
+        first++;
+      /* An answer is later than the start of its call. */
+      assert_true (count - first <= RATE * 2 + BURST + SLACK + 1);
+    }
+  return count;
+}
+
+/* Guards against an account that exceeds its limit over all nodes, and against nodes whose callers
+   get nothing of it. */
+static void
+test_quota_holds_over_nodes (void **state)
+{
+  static const int all[] = { 0, 1, 2 };
+  uint64_t end_us = sgr_clock_monotonic_us () + 20 * SGR_USEC_PER_SEC;
+  uint64_t before;
+
+  for (int i = 0; i < NODES; i++)
+    {
+      while (call_make (i) != 200)
+        {
+          if (sgr_clock_monotonic_us () > end_us)
+            fail_msg ("node %d starts no call", i);
+          sgr_fixture_poll_sleep ();
+        }
+    }
+  for (int i = 0; i < NODES; i++)
+    {
+      before = load_run (&all[i], 1, 4 * SGR_USEC_PER_SEC);
+      print_message ("node %d: %lu calls in 4 s\n", i, before);
+      assert_true (before > 0);
+    }
+  before = load_run (all, NODES, 6 * SGR_USEC_PER_SEC);
+  print_message ("all nodes: %lu calls in 6 s\n", before);
+  assert_true (before > 0);
+  assert_true (sgr_fixture_metric (&fixture.nodes[0], "siskingrade_quota_refused_total") > 0);
+}
+
+/* Guards against quotas that end with the node that lends. */
+static void
+test_lender_lost (void **state)
+{
+  static const int all[] = { 0, 1, 2 };
+  int lender = 0;
+  int left[NODES - 1];
+  int count = 0;
+
+  for (int i = 1; i < NODES; i++)
+    {
+      if (sgr_fixture_metric (&fixture.nodes[i], "siskingrade_quota_attached")
+          > sgr_fixture_metric (&fixture.nodes[lender], "siskingrade_quota_attached"))
+        lender = i;
+    }
+  if (lender == 0)
+    {
+      print_message ("the lender has the only target, and is stopped instead of killed\n");
+      return;
+    }
+  load_run (all, NODES, SGR_USEC_PER_SEC);
+  sgr_fixture_process_kill (&fixture.nodes[lender].pid);
+  for (int i = 0; i < NODES; i++)
+    {
+      if (i != lender)
+        left[count++] = i;
+    }
+  assert_true (load_run (left, NODES - 1, 6 * SGR_USEC_PER_SEC) > RATE);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_quota_holds_over_nodes),
+    cmocka_unit_test (test_lender_lost),
+  };
+
+  return cmocka_run_group_tests (tests, group_setup, group_teardown);
+}
