--- a/tests/quota_model.c
+++ b/tests/quota_model.c
@@ -87,7 +87,8 @@
       if (node_id (i) == id)
         return i;
     }
-  return SIZE_MAX;
+  sgr_invariant (id == 0);
+  return 0;
 }
 
 static void
--- a/tests/test_path_quota.c
+++ b/tests/test_path_quota.c
@@ -20,6 +20,8 @@
 #define SLACK 9
 #define WINDOW_US (2 * SGR_USEC_PER_SEC)
 #define CALLS_MAX 60000
+/* Far more than the burst, and than the rate allows in the time that they take. */
+#define CALLS_NOT_RUN 400
 
 static sgr_fixture_t fixture;
 /* The target of a killed node does not answer. */
@@ -152,6 +154,36 @@
   assert_true (sgr_fixture_metric (&fixture.nodes[0], "siskingrade_quota_refused_total") > 0);
 }
 
+/* Guards against calls that did not run and use up the quota. */
+static void
+test_credit_returns (void **state)
+{
+  uint64_t refilled_us = sgr_clock_monotonic_us () + 2 * SGR_USEC_PER_SEC;
+  int refused = 0;
+  int statuses[2] = { 0 };
+
+  /* The tests before have used up the burst. */
+  while (sgr_clock_monotonic_us () < refilled_us)
+    sgr_fixture_poll_sleep ();
+  for (int i = 0; i < 2; i++)
+    sgr_fixture_process_kill (&fixture.nodes[i].target_pid);
+  for (int i = 0; i < CALLS_NOT_RUN; i++)
+    {
+      int status = call_make (2);
+
+      refused += status == 429;
+      statuses[status == 503]++;
+    }
+  print_message ("no target: %d of %d calls refused by the quota, %d not run\n", refused,
+                 CALLS_NOT_RUN, statuses[1]);
+  assert_true (statuses[1] > 0);
+  assert_true (refused < CALLS_NOT_RUN / 2);
+  for (int i = 0; i < 2; i++)
+    sgr_fixture_target_start (&fixture, &fixture.nodes[i]);
+  while (call_make (2) != 200)
+    sgr_fixture_poll_sleep ();
+}
+
 /* Guards against quotas that end with the node that lends. */
 static void
 test_lender_lost (void **state)
@@ -181,6 +213,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_quota_holds_over_nodes),
+    cmocka_unit_test (test_credit_returns),
     cmocka_unit_test (test_lender_lost),
   };
 
