Count attached nodes only when a number can change

Cause: a lender counted all borrowers and refilled all buckets at each request. Change: a lease that is renewed in time only gets its new end. Result: test_quota_lender 5 passed, test_quota_model 3 passed.

--- a/libsiskingrade/quota_lender.c
+++ b/libsiskingrade/quota_lender.c
@@ -459,6 +459,13 @@
 
   if (until_us <= borrower->attached_until_us || until_us <= lender->last_us)
     return;
+  /* The numbers stay as they are, and do not have to be counted for each request. */
+  if (borrower->attached_until_us > lender->last_us + sgr_quota_loan_us (lender->lease_us)
+      && borrower->fleet == request->fleet)
+    {
+      borrower->attached_until_us = until_us;
+      return;
+    }
   borrower->fleet = request->fleet;
   accounts_advance (lender, lender->last_us);
   borrower->attached_until_us = until_us;
