Discard a gate's old latencies at the end of an evacuation

One run of test_path_evacuation failed on a busy machine, of three on the same commit: the domain that was taken back got no call for 15 s. Load reports repeat the median of the calls before the evacuation (2.5 s in the test), which can keep entries away; that this caused the failure is inferred, not traced. The gate discards its latencies now.

--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -245,7 +245,10 @@
                                           gate->task->settings->failure_domain);
 
   if (gate->is_evacuated && !is_evacuated)
-    sgr_counter_add (gate->evacuations_ended, 1);
+    {
+      sgr_counter_add (gate->evacuations_ended, 1);
+      sgr_gate_latencies_discard (gate->core);
+    }
   gate->is_evacuated = is_evacuated;
 }
 
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -378,6 +378,15 @@
 void sgr_gate_target_update (sgr_gate_t *gate, uint64_t now_us, sgr_target_state_t state,
                              uint32_t slots);
 
+/**
+ * sgr_gate_latencies_discard() - discard the latencies of answered requests
+ * @gate: the gate
+ *
+ * For a target that got no work for long. Load reports then tell no latency until the next answer;
+ * an old one would keep entries from sending requests that could replace it.
+ */
+void sgr_gate_latencies_discard (sgr_gate_t *gate);
+
 /** sgr_gate_drain_begin() - refuse new and queued attempts permanently; running ones finish */
 void sgr_gate_drain_begin (sgr_gate_t *gate, uint64_t now_us);
 
--- a/libsiskingrade/gate_target.c
+++ b/libsiskingrade/gate_target.c
@@ -65,3 +65,9 @@
   gate->draining = true;
   queue_drop_all (gate, now_us, SGR_GATE_REASON_DRAINING);
 }
+
+void
+sgr_gate_latencies_discard (sgr_gate_t *gate)
+{
+  gate->latency = (sgr_gate_latency_t){ 0 };
+}
