--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -254,6 +254,7 @@
     {
       sgr_counter_add (gate->evacuations_ended, 1);
       sgr_data_gate_cold_forget (gate, now_us);
+      sgr_gate_latencies_discard (gate->core);
     }
   gate->is_evacuated = is_evacuated;
 }
