Refuse answers whose status is not that of a final answer

The gate passed on any status of three digits, among them 000, 101 and 999. The entry took such a status in a frame for a violation of the protocol and closed the connection, which cut the attempts of other calls.

The gate now ends the request at the target as it does for other malformed heads, and the entry ends only the attempt: outcome unknown, reason answer-lost, and the rest of its answer is ignored. The same holds for invalid header fields in the head of an answer.

--- a/libsiskingrade/data_attempt.c
+++ b/libsiskingrade/data_attempt.c
@@ -6,25 +6,51 @@
 
 /* Handles frames that an entry receives from gates, and lost connections to gates. */
 
-/* Statuses below 200 are informational and never end a request; a status has three digits. */
-#define HTTP_STATUS_FINAL_MIN 200
-#define HTTP_STATUS_MAX 999
 /* Delay before the next attempt of a call with an idempotency key, if the gate of the key did not
    receive the last attempt. */
 #define KEY_RETRY_DELAY_MS 1
 
+static bool
+head_is_valid (const Sgr__Pb__AnswerHead *head)
+{
+  if (head->status < SGR_HTTP_STATUS_FINAL_MIN || head->status > SGR_HTTP_STATUS_FINAL_MAX)
+    return false;
+  for (size_t i = 0; i < head->n_headers; i++)
+    {
+      if (!sgr_http_is_token (head->headers[i]->name, strlen (head->headers[i]->name))
+          || !sgr_http_is_field_value (head->headers[i]->value, strlen (head->headers[i]->value)))
+        return false;
+    }
+  return true;
+}
+
+/* Ends an attempt whose answer cannot be passed on. The content of a head comes from the target, so
+   it says nothing about the connection, which other attempts share. */
+static void
+answer_reject (sgr_data_attempt_t *attempt)
+{
+  sgr_call_event_t event = { .kind = SGR_CALL_EVENT_OUTCOME,
+                             .attempt = attempt->id.attempt,
+                             .outcome = SGR_OUTCOME_UNKNOWN,
+                             .reason = SGR_CALL_REASON_ANSWER_LOST };
+
+  attempt->is_rejected = true;
+  sgr_data_send_cancel (attempt);
+  sgr_data_attempt_balancer_finish (attempt, SGR_OUTCOME_UNKNOWN, true, NULL);
+  sgr_data_call_event (attempt->call, &event);
+}
+
 static sgr_result_t
 head_receive (sgr_data_attempt_t *attempt, const Sgr__Pb__AnswerHead *head)
 {
   sgr_buffer_t packed = { 0 };
 
-  if (attempt->has_head || head->status < HTTP_STATUS_FINAL_MIN || head->status > HTTP_STATUS_MAX)
+  if (attempt->has_head)
     return SGR_ERR_INVALID;
-  for (size_t i = 0; i < head->n_headers; i++)
+  if (!head_is_valid (head))
     {
-      if (!sgr_http_is_token (head->headers[i]->name, strlen (head->headers[i]->name))
-          || !sgr_http_is_field_value (head->headers[i]->value, strlen (head->headers[i]->value)))
-        return SGR_ERR_INVALID;
+      answer_reject (attempt);
+      return SGR_OK;
     }
   packed.length = sgr__pb__answer_head__pack (
       head, sgr_buffer_reserve (&packed, sgr__pb__answer_head__get_packed_size (head)));
@@ -181,6 +207,8 @@
   bool is_cancelled
       = attempt->call->plan.attempts[attempt->id.attempt].state == SGR_CALL_ATTEMPT_CANCELLING;
 
+  if (attempt->is_rejected)
+    return SGR_OK; /* the rest of the answer, or the reply to the cancel */
   switch (frame->body_case)
     {
     case SGR__PB__PEER_FRAME__BODY_ANSWER_HEAD:
@@ -211,7 +239,7 @@
                              .outcome = SGR_OUTCOME_NOT_RUN,
                              .reason = SGR_CALL_REASON_NO_TARGET };
 
-  if (attempt->was_connection_lost)
+  if (attempt->was_connection_lost || attempt->is_rejected)
     {
       sgr_data_attempt_connection_lost (attempt);
       return;
@@ -227,7 +255,8 @@
       = { .kind = SGR_CALL_EVENT_CONNECTION_LOST, .attempt = attempt->id.attempt };
 
   /* A whole answer with an error status is kept while the call is retried. */
-  if (attempt->call->plan.attempts[attempt->id.attempt].state == SGR_CALL_ATTEMPT_COMPLETE)
+  if (attempt->call->plan.attempts[attempt->id.attempt].state == SGR_CALL_ATTEMPT_COMPLETE
+      || attempt->is_rejected)
     return;
   attempt->was_connection_lost = true;
   sgr_data_attempt_balancer_finish (attempt, SGR_OUTCOME_UNKNOWN, true, NULL);
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -27,6 +27,7 @@
  * @is_outstanding: the balancer counts the attempt as started and not finished
  * @is_loss_pending: the connection was lost, and the loss has not been handled for this attempt yet
  * @has_head: the head of the answer was received
+ * @is_rejected: the head of the answer was invalid; further frames are ignored
  * @status: not used
  * @body_length: length of the body according to the head, -1 if unknown
  * @received: body bytes received from the gate
@@ -55,6 +56,7 @@
   bool is_outstanding;
   bool is_loss_pending;
   bool has_head;
+  bool is_rejected;
   int status;
   int64_t body_length;
   uint64_t received;
--- a/libsiskingrade/http_fields.h
+++ b/libsiskingrade/http_fields.h
@@ -6,6 +6,9 @@
 /* Largest total of method, path and header fields of one call. It has to fit into one frame between
    nodes. */
 #define SGR_HTTP_HEAD_MAX_BYTES (48 * 1024)
+/* Statuses of final answers. Lower ones are informational; no class of statuses is above. */
+#define SGR_HTTP_STATUS_FINAL_MIN 200
+#define SGR_HTTP_STATUS_FINAL_MAX 599
 
 /** sgr_http_is_token() - whether a text is an HTTP token, the syntax of methods and field names */
 bool sgr_http_is_token (const char *text, size_t length);
--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http_fields.h"
 #include "http_head_guard.h"
 #include "result.h"
 
@@ -218,6 +219,13 @@
       request_finish (request, errstr);
       return NULL;
     }
+  /* h2o takes three digits of any value for a status. An interim answer other than 101 does not get
+     here; 101 would change the protocol, which no request asked for. */
+  if (status < SGR_HTTP_STATUS_FINAL_MIN || status > SGR_HTTP_STATUS_FINAL_MAX)
+    {
+      request_finish (request, "status is not that of a final answer");
+      return NULL;
+    }
   count = fields_convert (headers, header_count, fields);
   if (!body_length_find (request, status, fields, count, &length) && !is_end)
     {
