Wait for the lost connection before the frames of the simulated gate are tried

A call that was sent on the closed connection was queried at the simulated gate, which does not answer queries.

--- a/tests/test_path_status.c
+++ b/tests/test_path_status.c
@@ -404,6 +404,8 @@
 
   sgr_relay_port_set (gate->relay, peer_port);
   sgr_relay_action_apply (gate->relay, SGR_RELAY_CLOSE);
+  /* A call that is sent on the closed connection would be queried at the simulated gate. */
+  assert_true (sgr_fixture_event_await (&fixture, &fixture.nodes[ENTRY], "event=peer-lost", 1));
   for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
     {
       uint64_t before = bad_frames ();
