Add settings for the memory of a node and for stalled callers

limits.memory_mb is the memory limit of the process, from which the budget of the buffers follows; limits.memory_budget_bytes sets the budget itself. limits.memory_share_percent, limits.connections_max, limits.head_timeout_ms and limits.stall_timeout_ms bound one caller.

--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -8,6 +8,10 @@
 
 #define KIB 1024ULL
 #define MIB (1024ULL * KIB)
+/* Memory that is left to everything but buffers where the limit of the process is known: program,
+   tables of the gate, membership, configuration, and what the allocators keep. A node of the size
+   to design for takes 39 MB without buffers (docs/CAPACITY.md). */
+#define MEMORY_REST_MIB 48
 
 static void
 defaults_set (sgr_settings_t *settings)
@@ -28,6 +32,10 @@
     .silence_ms = 1000,
     .membership_bytes_per_s = 5000,
     .quota_window_ms = 5000,
+    .memory_share_percent = 50,
+    .connections_max = 10000,
+    .head_timeout_ms = 5000,
+    .stall_timeout_ms = 20000,
   };
 }
 
@@ -224,6 +232,39 @@
     sgr_yaml_error (yaml, node, "log.level", "expected error, warn, info or debug");
 }
 
+/* Sets the budget of a document that does not state one: what the limit of the process leaves, at
+   least a quarter of it; 1 GiB if no limit is known. */
+static void
+memory_budget_derive (sgr_settings_t *settings)
+{
+  uint64_t mib = 1024;
+
+  if (settings->memory_budget_bytes != 0)
+    return;
+  if (settings->memory_mb != 0)
+    {
+      mib = settings->memory_mb / 4;
+      if (settings->memory_mb > MEMORY_REST_MIB + mib)
+        mib = settings->memory_mb - MEMORY_REST_MIB;
+    }
+  settings->memory_budget_bytes = mib * MIB;
+}
+static void
+read_memory (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t node)
+{
+  sgr_yaml_number_read (yaml, node, "memory_mb", "limits", 32, 1048576, &settings->memory_mb);
+  sgr_yaml_number_read (yaml, node, "memory_budget_bytes", "limits", 8 * MIB, MIB * MIB,
+                        &settings->memory_budget_bytes);
+  sgr_yaml_number_read (yaml, node, "memory_share_percent", "limits", 1, 100,
+                        &settings->memory_share_percent);
+  sgr_yaml_number_read (yaml, node, "connections_max", "limits", 10, 1000000,
+                        &settings->connections_max);
+  sgr_yaml_number_read (yaml, node, "head_timeout_ms", "limits", 100, 600000,
+                        &settings->head_timeout_ms);
+  sgr_yaml_number_read (yaml, node, "stall_timeout_ms", "limits", 100, 600000,
+                        &settings->stall_timeout_ms);
+}
+
 static void
 read_limits (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
@@ -246,6 +287,12 @@
                                       "quota_window",
                                       "quota_over",
                                       "quota_slack",
+                                      "memory_mb",
+                                      "memory_budget_bytes",
+                                      "memory_share_percent",
+                                      "connections_max",
+                                      "head_timeout_ms",
+                                      "stall_timeout_ms",
                                       NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "limits");
 
@@ -283,6 +330,7 @@
                           &settings->quota_window_ms);
   sgr_yaml_share_read (yaml, node, "quota_over", "limits", &settings->quota_over);
   sgr_yaml_number_read (yaml, node, "quota_slack", "limits", 0, 1000000, &settings->quota_slack);
+  read_memory (settings, yaml, node);
   if (settings->silence_ms < 2 * settings->heartbeat_ms)
     sgr_yaml_error (yaml, node, "limits.silence_ms", "expected at least twice heartbeat_ms (%lu)",
                     2 * settings->heartbeat_ms);
@@ -308,6 +356,7 @@
   read_tls (settings, yaml, root);
   read_log (settings, yaml, root);
   read_limits (settings, yaml, root);
+  memory_budget_derive (settings);
   return sgr_yaml_failed (yaml) ? SGR_ERR_INVALID : SGR_OK;
 }
 
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -57,6 +57,13 @@
  * @quota_window_ms: length in milliseconds of the windows in which quotas of accounts hold
  * @quota_over: share by which a quota may be exceeded in a window
  * @quota_slack: further calls by which a quota may be exceeded in a window
+ * @memory_mb: memory limit of the process in MiB, 0 if not known
+ * @memory_budget_bytes: most bytes in buffers of callers, peers and the target
+ * @memory_share_percent: share of the budget that one caller address may use
+ * @connections_max: most connections of callers
+ * @head_timeout_ms: longest time in milliseconds for the head of a request
+ * @stall_timeout_ms: longest time in milliseconds without a byte of a body, or without a byte that
+ *                    the caller takes of an answer
  */
 typedef struct
 {
@@ -99,6 +106,12 @@
   uint64_t quota_window_ms;
   double quota_over;
   uint64_t quota_slack;
+  uint64_t memory_mb;
+  uint64_t memory_budget_bytes;
+  uint64_t memory_share_percent;
+  uint64_t connections_max;
+  uint64_t head_timeout_ms;
+  uint64_t stall_timeout_ms;
 } sgr_settings_t;
 
 /**
