Return the memory of large freed buffers to the system

glibc raises its threshold for separate mappings with each freed buffer, up to 32 MiB, and keeps what is below it.

--- a/libsiskingrade/daemon.c
+++ b/libsiskingrade/daemon.c
@@ -1,6 +1,7 @@
 #include "daemon.h"
 
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -10,6 +11,10 @@
 #include "log.h"
 #include "version.h"
 
+/* Allocations of this size and above are returned to the system when they are freed. Without a fixed
+   threshold, glibc raises it with each freed body, up to 32 MiB, and keeps such bodies' memory. */
+#define MMAP_THRESHOLD_BYTES (256 * 1024)
+
 const char *argp_program_version = "siskingraded " SGR_VERSION;
 
 typedef struct
@@ -88,5 +93,7 @@
       return EX_OK;
     }
   sgr_log_setup (settings.name, settings.log_level);
+  /* A failure only means that freed memory may stay with the process. */
+  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
   return sgr_control_task_run (options.settings_path, &settings, adapter);
 }
