--- a/libsiskingrade/buffer.c
+++ b/libsiskingrade/buffer.c
@@ -28,6 +28,18 @@
   return buffer->bytes + buffer->length;
 }
 
+void
+sgr_buffer_reserve_exact (sgr_buffer_t *buffer, size_t extra)
+{
+  size_t needed = buffer->length + extra;
+
+  if (needed <= buffer->capacity)
+    return;
+  buffer->bytes = realloc (buffer->bytes, needed);
+  sgr_invariant (buffer->bytes != NULL);
+  buffer->capacity = needed;
+}
+
 void
 sgr_buffer_append (sgr_buffer_t *buffer, const void *bytes, size_t length)
 {
--- a/libsiskingrade/buffer.h
+++ b/libsiskingrade/buffer.h
@@ -27,6 +27,15 @@
  */
 uint8_t *sgr_buffer_reserve (sgr_buffer_t *buffer, size_t extra);
 
+/**
+ * sgr_buffer_reserve_exact() - allocate space after the content, without space for growth
+ * @buffer: the buffer
+ * @extra: bytes needed
+ *
+ * For a length that is known in advance. sgr_buffer_reserve() allocates up to twice as much.
+ */
+void sgr_buffer_reserve_exact (sgr_buffer_t *buffer, size_t extra);
+
 /** sgr_buffer_append() - append bytes */
 void sgr_buffer_append (sgr_buffer_t *buffer, const void *bytes, size_t length);
 
--- a/libsiskingrade/daemon.c
+++ b/libsiskingrade/daemon.c
@@ -11,9 +11,10 @@
 #include "log.h"
 #include "version.h"
 
-/* Allocations of this size and above are returned to the system when they are freed. Without a fixed
-   threshold, glibc raises it with each freed body, up to 32 MiB, and keeps such bodies' memory. */
-#define MMAP_THRESHOLD_BYTES (256 * 1024)
+/* Allocations of this size and above are returned to the system when they are freed. Without a
+   fixed threshold, glibc raises it with each freed body, up to 32 MiB, and keeps such bodies'
+   memory. */
+#define MMAP_THRESHOLD_BYTES (1024 * 1024)
 
 const char *argp_program_version = "siskingraded " SGR_VERSION;
 
--- a/libsiskingrade/data_attempt.c
+++ b/libsiskingrade/data_attempt.c
@@ -96,6 +96,7 @@
   if (attempt->received + chunk->data.len > attempt->delivered + SGR_ANSWER_WINDOW_BYTES)
     return SGR_ERR_INVALID;
   attempt->received += chunk->data.len;
+  sgr_memory_budget_charge (&call->memory, chunk->data.len, sgr_clock_monotonic_us ());
   if (call->streaming == attempt)
     {
       sgr_data_answer_body_append (call->answer, chunk->data.data, chunk->data.len);
@@ -259,6 +260,8 @@
       || attempt->is_rejected)
     return;
   attempt->was_connection_lost = true;
+  /* A gate never gets the rest of a body on another connection. */
+  attempt->body_sent = SIZE_MAX;
   sgr_data_attempt_balancer_finish (attempt, SGR_OUTCOME_UNKNOWN, true, NULL);
   if (attempt->call->streaming != attempt && attempt->has_head)
     {
@@ -267,7 +270,8 @@
       attempt->head = NULL;
       attempt->has_head = false;
       attempt->received = 0;
-      attempt->body.length = 0;
+      sgr_memory_budget_release (&attempt->call->memory, attempt->body.length);
+      sgr_buffer_release (&attempt->body);
     }
   sgr_data_call_event (attempt->call, &event);
 }
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "data_link.h"
+#include "data_memory.h"
 #include "http_fields.h"
 
 /* Index of the first attempt that the gate of a slowed target may queue in any case. */
@@ -25,6 +26,7 @@
       if (call->attempts[i].head != NULL)
         sgr__pb__answer_head__free_unpacked (call->attempts[i].head, NULL);
     }
+  sgr_memory_holder_end (&call->memory);
   sgr_timer_cancel (call->task->timers, &call->timer);
   call->task->calls--;
   free (call);
@@ -209,6 +211,8 @@
 {
   sgr_data_call_t *call = ctx;
 
+  sgr_memory_budget_release (&call->memory, bytes);
+  sgr_memory_budget_progress (&call->memory, sgr_clock_monotonic_us ());
   if (call->streaming == NULL || call->is_finished)
     return;
   call->streaming->delivered += bytes;
@@ -225,7 +229,8 @@
   call->answer = sgr_data_answer_start (call->req, attempt->head, is_head_method ? -1 : body_length,
                                         on_delivered, call);
   sgr_data_answer_body_append (call->answer, attempt->body.bytes, attempt->body.length);
-  attempt->body.length = 0;
+  /* The answer keeps the bytes from now on. */
+  sgr_buffer_release (&attempt->body);
 }
 
 static void
@@ -334,6 +339,17 @@
   call_free_if_done (call);
 }
 
+/* Ends the connection of a caller that does not take its answer, since the answer cannot be ended
+   in another way that the caller could tell from a whole one. */
+static void
+on_memory_drop (void *ctx)
+{
+  sgr_data_call_t *call = ctx;
+
+  if (call->req != NULL)
+    sgr_data_caller_disconnect (call->req);
+}
+
 static uint64_t
 hedge_delay_us (const sgr_data_service_t *service)
 {
@@ -366,6 +382,12 @@
   call_ref = h2o_mem_alloc_shared (&req->pool, sizeof *call_ref, on_request_disposed);
   *call_ref = call;
   task->calls++;
+  call->memory = (sgr_memory_holder_t){ .kind = SGR_MEMORY_ANSWER,
+                                        .address = sgr_data_caller_address (req),
+                                        .may_drop = true,
+                                        .drop = on_memory_drop,
+                                        .ctx = call };
+  sgr_memory_holder_begin (&call->memory, task->memory, call->start_us);
   sgr_call_options_init (&options);
   options.idempotent = request->is_idempotent;
   options.keyed = request->has_key;
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -27,6 +27,7 @@
  * @is_outstanding: the balancer counts the attempt as started and not finished
  * @is_loss_pending: the connection was lost, and the loss has not been handled for this attempt yet
  * @has_head: the head of the answer was received
+ * @body_sent: bytes of the request body that were sent to the gate
  * @is_rejected: the head of the answer was invalid; further frames are ignored
  * @status: not used
  * @body_length: length of the body according to the head, -1 if unknown
@@ -56,6 +57,7 @@
   bool is_outstanding;
   bool is_loss_pending;
   bool has_head;
+  size_t body_sent;
   bool is_rejected;
   int status;
   int64_t body_length;
@@ -131,6 +133,14 @@
  */
 void sgr_data_attempt_connect_failed (sgr_data_attempt_t *attempt);
 
+/**
+ * sgr_data_send_body_continue() - send the next part of the request body
+ *
+ * Return: whether a part was sent; false if none is left or the attempt does not wait for an
+ * answer.
+ */
+bool sgr_data_send_body_continue (sgr_data_attempt_t *attempt);
+
 /** sgr_data_attempt_connection_lost() - handle the loss of the connection to the gate */
 void sgr_data_attempt_connection_lost (sgr_data_attempt_t *attempt);
 
--- a/libsiskingrade/data_call_internal.h
+++ b/libsiskingrade/data_call_internal.h
@@ -23,6 +23,7 @@
  * @is_finished: the call plan has ended the call
  * @is_key_checked: the last reply was a refusal, for which the gate has looked up the idempotency
  * key; a reply to a query does not include this look-up
+ * @memory: counts the bytes of answers that the caller has not taken yet
  */
 struct sgr_data_call_t
 {
@@ -41,6 +42,7 @@
   unsigned event_depth;
   bool is_finished;
   bool is_key_checked;
+  sgr_memory_holder_t memory;
 };
 
 /** sgr_data_call_event() - pass an event to the call plan and perform the resulting actions */
--- a/libsiskingrade/data_calls.c
+++ b/libsiskingrade/data_calls.c
@@ -17,11 +17,13 @@
   sgr_attempt_id_t id;
   Sgr__Pb__Call *call;
   sgr_buffer_t body;
+  sgr_memory_holder_t memory;
 } partial_call_t;
 
 /**
  * struct sgr_data_calls_t - calls of one channel with an incomplete body
  * @gate: gate that receives the calls
+ * @memory: budget that counts the bodies
  * @body_max_bytes: maximum length of a body
  * @partial: calls by sgr_data_attempt_map_key(); this key does not contain the node and the boot of
  * the entry, which are the same for all calls of a channel
@@ -29,17 +31,19 @@
 struct sgr_data_calls_t
 {
   sgr_data_gate_t *gate;
+  sgr_memory_budget_t *memory;
   uint64_t body_max_bytes;
   sgr_id_map_t *partial;
 };
 
 sgr_data_calls_t *
-sgr_data_calls_create (sgr_data_gate_t *gate, uint64_t body_max_bytes)
+sgr_data_calls_create (sgr_data_gate_t *gate, sgr_memory_budget_t *memory, uint64_t body_max_bytes)
 {
   sgr_data_calls_t *calls = calloc (1, sizeof *calls);
 
   sgr_invariant (calls != NULL);
   calls->gate = gate;
+  calls->memory = memory;
   calls->body_max_bytes = body_max_bytes;
   calls->partial = sgr_id_map_create ();
   return calls;
@@ -48,6 +52,7 @@
 static void
 partial_call_free (partial_call_t *partial)
 {
+  sgr_memory_holder_end (&partial->memory);
   sgr__pb__call__free_unpacked (partial->call, NULL);
   sgr_buffer_release (&partial->body);
   free (partial);
@@ -87,6 +92,7 @@
             const sgr_attempt_id_t *id)
 {
   partial_call_t *partial;
+  sgr_buffer_t no_body = { 0 };
 
   if (!sgr_gate_request_is_valid (call) || call->body_length > calls->body_max_bytes
       || id->attempt >= SGR_CALL_ATTEMPTS_MAX
@@ -94,7 +100,7 @@
     return SGR_ERR_INVALID;
   if (call->body_length == 0)
     {
-      sgr_data_gate_call (calls->gate, channel, call, NULL, 0);
+      sgr_data_gate_call (calls->gate, channel, call, &no_body);
       return SGR_OK;
     }
   if (sgr_id_map_get (calls->partial, sgr_data_attempt_map_key (id)) != NULL
@@ -102,6 +108,14 @@
     return SGR_ERR_INVALID;
   partial = calloc (1, sizeof *partial);
   sgr_invariant (partial != NULL);
+  partial->memory.kind = SGR_MEMORY_GATE;
+  sgr_memory_holder_begin (&partial->memory, calls->memory, sgr_clock_monotonic_us ());
+  if (!sgr_data_gate_body_admit (calls->gate, channel, call, &partial->memory))
+    {
+      sgr_memory_holder_end (&partial->memory);
+      free (partial);
+      return SGR_OK; /* the parts of the body that follow are ignored */
+    }
   partial->id = *id;
   partial->call = call_copy (call);
   sgr_id_map_put (calls->partial, sgr_data_attempt_map_key (id), partial);
@@ -119,12 +133,15 @@
   if (part->offset != partial->body.length
       || part->data.len > partial->call->body_length - partial->body.length)
     return SGR_ERR_INVALID;
+  /* The length is known and counted, and memory that is not written costs nothing. */
+  if (partial->body.bytes == NULL)
+    sgr_buffer_reserve_exact (&partial->body, partial->call->body_length);
   sgr_buffer_append (&partial->body, part->data.data, part->data.len);
   if (partial->body.length < partial->call->body_length)
     return SGR_OK;
   sgr_id_map_remove (calls->partial, sgr_data_attempt_map_key (id));
-  sgr_data_gate_call (calls->gate, channel, partial->call, partial->body.bytes,
-                      partial->body.length);
+  sgr_memory_holder_end (&partial->memory); /* the gate counts the body from now on */
+  sgr_data_gate_call (calls->gate, channel, partial->call, &partial->body);
   partial_call_free (partial);
   return SGR_OK;
 }
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 
 #include "data_load.h"
+#include "data_memory.h"
 #include "gate_request.h"
 #include "gate_run.h"
 #include "log.h"
@@ -14,6 +15,8 @@
 #define KEYED_ABORT_DELAY_US (30ULL * SGR_USEC_PER_SEC)
 /* Maximum number of connections to a target that announces no limit of its own. */
 #define DEFAULT_CONNECTIONS_MAX 240
+/* Time after which an attempt that the memory budget refused may find room. */
+#define BODY_RETRY_AFTER_MS 1000
 /* Delay until the gate's next tick if work is still due after a tick. */
 #define TICK_DELAY_MIN_US 1000
 
@@ -33,6 +36,7 @@
 sgr_data_gate_run_free (sgr_data_gate_t *gate, sgr_gate_run_t *run)
 {
   sgr_timer_cancel (gate->task->timers, &run->deadline);
+  sgr_memory_holder_end (&run->memory);
   sgr_request_ids_release (&run->request_ids);
   sgr_buffer_release (&run->message);
   sgr_buffer_release (&run->body);
@@ -149,6 +153,8 @@
   gate->queued = sgr_metrics_counter (metrics, "siskingrade_gate_queued_total", "");
   gate->duplicates = sgr_metrics_counter (metrics, "siskingrade_gate_duplicates_total", "");
   gate->misdirected = sgr_metrics_counter (metrics, "siskingrade_gate_misdirected_total", "");
+  gate->bodies_refused
+      = sgr_metrics_counter (metrics, "siskingrade_memory_refused_total", "kind=\"gate\"");
 }
 
 sgr_data_gate_t *
@@ -161,6 +167,7 @@
   gate->task = task;
   sgr_policy_init (&gate->policy, "");
   sgr_gate_options_init (&options, task->boot);
+  options.answer_bytes_max = sgr_data_memory_answers_max (task, options.answer_bytes_max);
   gate->core = sgr_gate_create (&options, &gate->policy, &gate_callbacks, gate);
   sgr_invariant (gate->core != NULL);
   gate->waiters = sgr_id_map_create ();
@@ -349,6 +356,8 @@
   run->deadline = (sgr_timer_t){ .fire = on_deadline, .ctx = run };
   run->id = attempt->id;
   run->arrived_us = sgr_clock_monotonic_us ();
+  run->memory.kind = SGR_MEMORY_GATE;
+  sgr_memory_holder_begin (&run->memory, gate->task->memory, run->arrived_us);
   request_ids_copy (run, call);
   run->credit = call->credit < SGR_GATE_CREDIT_MAX_BYTES ? call->credit : SGR_GATE_CREDIT_MAX_BYTES;
   run->next = gate->first_run;
@@ -413,7 +422,7 @@
 
 void
 sgr_data_gate_call (sgr_data_gate_t *gate, sgr_data_channel_t *channel, const Sgr__Pb__Call *call,
-                    const void *body, size_t body_length)
+                    sgr_buffer_t *body)
 {
   uint64_t now_us = sgr_clock_monotonic_us ();
   sgr_attempt_id_t id = { call->id->node, call->id->boot, call->id->sequence, call->id->attempt };
@@ -433,11 +442,13 @@
     sgr_counter_add (gate->misdirected, 1);
   if (decision.kind == SGR_GATE_START || decision.kind == SGR_GATE_QUEUED)
     {
-      /* Copies the request only after admission: under overload a refusal has to be cheap. */
+      /* Writes the head only after admission: under overload a refusal has to be cheap. */
       sgr_gate_request_head_begin (call, &id, gate->task->fields->instance,
-                                   gate->task->snapshot->local.instance, body_length,
+                                   gate->task->snapshot->local.instance, body->length,
                                    &run->message);
-      sgr_buffer_append (&run->body, body, body_length);
+      run->body = *body;
+      *body = (sgr_buffer_t){ 0 };
+      sgr_memory_budget_charge (&run->memory, run->body.length, now_us);
       run_admit (gate, channel, run, &decision);
       sgr_data_load_report_if_changed (gate);
       tick_run (gate, now_us);
@@ -451,6 +462,28 @@
   tick_run (gate, now_us);
 }
 
+bool
+sgr_data_gate_body_admit (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                          const Sgr__Pb__Call *call, sgr_memory_holder_t *memory)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+  sgr_attempt_id_t id = { call->id->node, call->id->boot, call->id->sequence, call->id->attempt };
+  sgr_gate_refusal_t refusal = { .reason = SGR_CALL_REASON_REFUSED,
+                                 .gate_reason = SGR_GATE_REASON_QUEUE_FULL,
+                                 .retry_after_ms = BODY_RETRY_AFTER_MS };
+  sgr_attempt_t attempt;
+
+  if (sgr_memory_budget_admit (memory, call->body_length, now_us) == SGR_OK)
+    return true;
+  /* The ledger has no record of the attempt. A later query leaves a tombstone there, which says
+     not-run as well. */
+  attempt_fill (&attempt, call, &id, now_us);
+  refusal.outcome = refused_outcome (gate, now_us, &attempt, SGR_OUTCOME_NOT_RUN);
+  sgr_counter_add (gate->bodies_refused, 1);
+  sgr_gate_refusal_send (gate, channel, &id, &refusal);
+  return false;
+}
+
 void
 sgr_data_gate_drain (sgr_data_gate_t *gate, uint64_t now_us)
 {
--- a/libsiskingrade/data_gate.h
+++ b/libsiskingrade/data_gate.h
@@ -33,11 +33,22 @@
  * @gate: the gate
  * @channel: channel of the entry, which gets the answer
  * @call: head of the attempt
- * @body: body of the request, copied if the attempt is admitted or queued
- * @body_length: bytes of @body
+ * @body: body of the request; its content is taken over if the attempt is admitted or queued
  */
 void sgr_data_gate_call (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
-                         const Sgr__Pb__Call *call, const void *body, size_t body_length);
+                         const Sgr__Pb__Call *call, sgr_buffer_t *body);
+
+/**
+ * sgr_data_gate_body_admit() - admit the announced body of an attempt, or refuse the attempt
+ * @gate: the gate
+ * @channel: channel of the entry, which gets the refusal
+ * @call: head of the attempt
+ * @memory: holder of the body, which has begun
+ *
+ * Return: false if the memory budget has no room; the attempt was not run.
+ */
+bool sgr_data_gate_body_admit (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                               const Sgr__Pb__Call *call, sgr_memory_holder_t *memory);
 
 /** sgr_data_gate_cancel() - cancel an attempt and reply to its entry with the status */
 void sgr_data_gate_cancel (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -8,6 +8,7 @@
 
 #include "data_call.h"
 #include "data_keys.h"
+#include "data_memory.h"
 #include "data_refuse.h"
 #include "http1_server.h"
 #include "http_fields.h"
@@ -54,6 +55,13 @@
   sgr_data_http_t *http;
 } handler_t;
 
+/* A request until h2o disposes of it; @memory counts its body if h2o has read it itself. */
+typedef struct
+{
+  sgr_data_http_t *http;
+  sgr_memory_holder_t memory;
+} open_request_t;
+
 /* A call that waits until its caller's own idempotency key is bound to a gate. */
 typedef struct
 {
@@ -400,19 +408,34 @@
 static void
 on_request_disposed (void *object)
 {
-  sgr_data_http_t *http = *(sgr_data_http_t **)object;
+  open_request_t *open = object;
 
-  http->requests--;
+  sgr_memory_holder_end (&open->memory);
+  open->http->requests--;
+}
+
+/* Counts the body of a request that h2o has read itself, over HTTP/2 or TLS. Returns false if there
+   is no room for it. */
+static bool
+body_admit (open_request_t *open, h2o_req_t *req)
+{
+  if (req->entity.len == 0 || sgr_http1_server_is_own (req->conn))
+    return true;
+  open->memory = (sgr_memory_holder_t){ .kind = SGR_MEMORY_REQUEST,
+                                        .address = sgr_data_caller_address (req) };
+  sgr_memory_holder_begin (&open->memory, open->http->task->memory, sgr_clock_monotonic_us ());
+  return sgr_memory_budget_admit (&open->memory, req->entity.len, sgr_clock_monotonic_us ())
+         == SGR_OK;
 }
 
 static int
 on_request (h2o_handler_t *super, h2o_req_t *req)
 {
   sgr_data_http_t *http = ((handler_t *)super)->http;
-  sgr_data_http_t **guard = h2o_mem_alloc_shared (&req->pool, sizeof *guard, on_request_disposed);
+  open_request_t *open = h2o_mem_alloc_shared (&req->pool, sizeof *open, on_request_disposed);
 
   /* h2o calls on_request_disposed() when it frees the memory pool of the request. */
-  *guard = http;
+  *open = (open_request_t){ .http = http };
   http->requests++;
   /* The end of an answer to HTTP/1.0 may be marked only by the close of the connection, so the
      caller could not tell a truncated answer from a complete one. */
@@ -425,6 +448,11 @@
       req->http1_is_persistent = 0;
       sgr_data_request_refuse (http->task, req, 503, "node-stopping");
     }
+  else if (!body_admit (open, req))
+    {
+      sgr_data_memory_refused (http->task);
+      sgr_data_request_refuse (http->task, req, 503, "memory");
+    }
   else if (http->task->calls >= http->task->settings->calls_max)
     sgr_data_request_refuse (http->task, req, 503, "too-many-calls");
   else if (h2o_memis (req->path_normalized.base, req->path_normalized.len, H2O_STRLIT (KEYS_PATH)))
@@ -464,7 +492,7 @@
   handler_t *handler;
 
   h2o_config_init (&http->config);
-  http->config.max_request_entity_size = http->task->settings->request_body_max_bytes;
+  http->config.max_request_entity_size = sgr_data_memory_body_max (http->task);
   http->config.server_name = h2o_iovec_init (H2O_STRLIT ("siskingrade"));
   host = h2o_config_register_host (&http->config, h2o_iovec_init (H2O_STRLIT ("default")),
                                    SCHEME_DEFAULT_PORT);
@@ -480,7 +508,20 @@
 static void
 on_malformed (void *ctx, int status)
 {
-  sgr_data_malformed_count (ctx, status);
+  sgr_data_task_t *task = ctx;
+
+  if (status == 503)
+    sgr_data_memory_refused (task);
+  sgr_data_malformed_count (task, status);
+}
+
+static void
+on_closed_for_room (void *ctx)
+{
+  sgr_data_task_t *task = ctx;
+
+  sgr_counter_add (
+      sgr_metrics_counter (task->metrics, "siskingrade_connections_closed_for_room_total", ""), 1);
 }
 
 sgr_data_http_t *
@@ -501,13 +542,18 @@
     }
   h2o_config_setup (http);
   http->accept.ssl_ctx = http->tls;
-  http->server = sgr_http1_server_create (
-      &(sgr_http1_options_t){ .accept = &http->accept,
-                              .timers = task->timers,
-                              .body_max_bytes = task->settings->request_body_max_bytes,
-                              .head_max_bytes = SGR_HTTP_HEAD_MAX_BYTES,
-                              .rejected = on_malformed,
-                              .ctx = task });
+  http->server = sgr_http1_server_create (&(sgr_http1_options_t){
+      .accept = &http->accept,
+      .timers = task->timers,
+      .body_max_bytes = sgr_data_memory_body_max (task),
+      .head_max_bytes = SGR_HTTP_HEAD_MAX_BYTES,
+      .memory = task->memory,
+      .connections_max = sgr_data_connections_max (task),
+      .head_timeout_us = task->settings->head_timeout_ms * SGR_USEC_PER_MSEC,
+      .stall_timeout_us = task->settings->stall_timeout_ms * SGR_USEC_PER_MSEC,
+      .closed_for_room = on_closed_for_room,
+      .rejected = on_malformed,
+      .ctx = task });
   if (sgr_listener_open (task->loop, &listen_address, on_accept, http, &http->listener) == SGR_OK)
     return http;
   sgr_address_format (&task->settings->callers, address, sizeof address);
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -12,6 +12,7 @@
 #include "gate.h"
 #include "id_map.h"
 #include "mailbox.h"
+#include "memory_budget.h"
 #include "peer_conn.h"
 #include "settings.h"
 #include "snapshot.h"
@@ -39,6 +40,11 @@
  * @snapshot: latest snapshot of the control task, NULL before the first one
  * @routes: routes of the configuration in @snapshot
  * @attempts: attempts of this node's own calls by sgr_data_attempt_map_key()
+ * @memory: budget of the buffers of callers, peers and the target
+ * @memory_timer: drops the holders that the budget has chosen
+ * @memory_events: refusals and drops for lack of memory
+ * @memory_events_seen: value of @memory_events when the metrics were last set
+ * @memory_short_s: seconds until the memory does not count as short any more, 0 if it is not short
  * @next_sequence: sequence number of the next call
  * @calls: number of open calls of callers
  * @is_draining: new requests of callers are refused
@@ -77,6 +83,11 @@
   sgr_data_http_t *http;
   sgr_data_keys_t *keys;
   sgr_id_map_t *attempts;
+  sgr_memory_budget_t *memory;
+  sgr_timer_t memory_timer;
+  uint64_t memory_events;
+  uint64_t memory_events_seen;
+  unsigned memory_short_s;
   sgr_peer_conn_env_t conn_env;
   sgr_call_log_t *call_log;
   uint64_t next_sequence;
--- a/libsiskingrade/data_link.c
+++ b/libsiskingrade/data_link.c
@@ -8,6 +8,9 @@
 
 /* A connection is closed if no attempt has used it for this long. */
 #define IDLE_CLOSE_US (60ULL * SGR_USEC_PER_SEC)
+/* Bytes in the queue of a link from which on large bodies wait. It covers 14 ms at 150 Mbit/s, so
+   that a link is not idle while the next part of a body is queued. */
+#define QUEUE_ROOM_BYTES (256U * 1024)
 
 /**
  * struct sgr_data_link_t - link to the gate of one node
@@ -18,6 +21,7 @@
  * @has_key_generation: @key_generation was received and belongs to @boot
  * @attempts: list of the attempts that wait for frames from the gate
  * @attempt_count: elements of @attempts
+ * @has_waiting_body: a part of a body waits for room in the queue
  * @idle_timer: closes the connection after IDLE_CLOSE_US without an attempt
  * @lost_us: monotonic time at which a connection was lost or could not be opened; 0 once one is
  * ready
@@ -33,6 +37,7 @@
   bool has_key_generation;
   sgr_data_attempt_t *attempts;
   size_t attempt_count;
+  bool has_waiting_body;
   sgr_timer_t idle_timer;
   uint64_t lost_us;
 };
@@ -127,12 +132,29 @@
   return entry_frame_handle (ctx, frame);
 }
 
+/* Sends further parts of the large bodies that wait for room in the queue, one part of each body in
+   turn. */
+static void
+bodies_continue (sgr_data_link_t *link)
+{
+  while (link->has_waiting_body && sgr_data_link_has_room (link))
+    {
+      bool has_sent = false;
+
+      for (sgr_data_attempt_t *attempt = link->attempts; attempt != NULL;
+           attempt = attempt->link_next)
+        has_sent = sgr_data_send_body_continue (attempt) || has_sent;
+      link->has_waiting_body = has_sent;
+    }
+}
+
 static void
 on_to_gate_timer (void *ctx, uint64_t now_us)
 {
   sgr_data_links_t *links = ctx;
 
   local_queue_deliver (&links->to_gate, gate_frame_deliver, links);
+  bodies_continue (links->local);
 }
 
 static void
@@ -203,7 +225,8 @@
   links->local_channel = (sgr_data_channel_t){
     .node = task->node, .boot = task->boot, .send = local_channel_send, .ctx = links
   };
-  links->local_calls = sgr_data_calls_create (task->gate, task->settings->request_body_max_bytes);
+  links->local_calls
+      = sgr_data_calls_create (task->gate, task->memory, task->settings->request_body_max_bytes);
   links->to_gate.timer = (sgr_timer_t){ .fire = on_to_gate_timer, .ctx = links };
   links->to_entry.timer = (sgr_timer_t){ .fire = on_to_entry_timer, .ctx = links };
   links->late_frames = sgr_metrics_counter (task->metrics, "siskingrade_late_frames_total", "");
@@ -322,10 +345,17 @@
     }
 }
 
+static void
+on_written (void *ctx)
+{
+  bodies_continue (ctx);
+}
+
 static const sgr_peer_conn_handlers_t conn_handlers = {
   .ready = on_ready,
   .frame = on_frame,
   .closed = on_closed,
+  .written = on_written,
 };
 
 sgr_result_t
@@ -363,6 +393,20 @@
   return sgr_peer_conn_send (link->conn, frame, priority);
 }
 
+void
+sgr_data_link_body_wait (sgr_data_link_t *link)
+{
+  link->has_waiting_body = true;
+}
+
+bool
+sgr_data_link_has_room (const sgr_data_link_t *link)
+{
+  if (link->is_local)
+    return link->links->to_gate.frames.length < QUEUE_ROOM_BYTES;
+  return link->conn != NULL && sgr_peer_conn_queued (link->conn) < QUEUE_ROOM_BYTES;
+}
+
 bool
 sgr_data_link_gate_info (const sgr_data_link_t *link, sgr_boot_id_t *boot, uint64_t *key_generation)
 {
--- a/libsiskingrade/data_link.h
+++ b/libsiskingrade/data_link.h
@@ -33,6 +33,16 @@
 sgr_result_t sgr_data_link_send (sgr_data_link_t *link, const Sgr__Pb__PeerFrame *frame,
                                  sgr_peer_priority_t priority);
 
+/** sgr_data_link_has_room() - whether a further part of a large body may be sent now */
+bool sgr_data_link_has_room (const sgr_data_link_t *link);
+
+/**
+ * sgr_data_link_body_wait() - wait for room in the queue of a link
+ *
+ * When there is room, sgr_data_send_body_continue() is called for each attempt of the link.
+ */
+void sgr_data_link_body_wait (sgr_data_link_t *link);
+
 /**
  * sgr_data_link_open() - open a connection if there is none; frames may be sent at once
  *
--- a/libsiskingrade/data_load.c
+++ b/libsiskingrade/data_load.c
@@ -186,10 +186,9 @@
   sgr_buffer_printf (&message, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n", gate->policy.load_path,
                      gate->policy.service);
   gate->query_sent_us = now_us;
-  gate->load_query = sgr_target_request_start (gate->client, message.bytes, message.length, false,
-                                               &load_query_handlers, gate);
+  gate->load_query
+      = sgr_target_request_start (gate->client, &message, NULL, false, &load_query_handlers, gate);
   sgr_counter_add (gate->load_query_counter, 1);
-  sgr_buffer_release (&message);
 }
 
 /* Returns the age of the last known load at which the load of the target is queried again. */
--- a/libsiskingrade/data_peer.c
+++ b/libsiskingrade/data_peer.c
@@ -181,8 +181,8 @@
   peer->peers = peers;
   peer->channel.send = channel_send;
   peer->channel.ctx = peer;
-  peer->calls
-      = sgr_data_calls_create (peers->task->gate, peers->task->settings->request_body_max_bytes);
+  peer->calls = sgr_data_calls_create (peers->task->gate, peers->task->memory,
+                                       peers->task->settings->request_body_max_bytes);
   peer->next = peers->first;
   peers->first = peer;
   peers->count++;
--- a/libsiskingrade/data_peer.h
+++ b/libsiskingrade/data_peer.h
@@ -26,9 +26,11 @@
 /**
  * sgr_data_calls_create() - create the receiver of one channel
  * @gate: the gate
+ * @memory: budget that counts the bodies
  * @body_max: largest body of a call, bytes
  */
-sgr_data_calls_t *sgr_data_calls_create (sgr_data_gate_t *gate, uint64_t body_max);
+sgr_data_calls_t *sgr_data_calls_create (sgr_data_gate_t *gate, sgr_memory_budget_t *memory,
+                                         uint64_t body_max);
 void sgr_data_calls_destroy (sgr_data_calls_t *calls);
 
 /**
--- a/libsiskingrade/data_refuse.c
+++ b/libsiskingrade/data_refuse.c
@@ -65,7 +65,9 @@
 void
 sgr_data_malformed_count (sgr_data_task_t *task, int status)
 {
-  refusal_count (task, status, "malformed");
+  const char *reason = status == 503 ? "memory" : status == 408 ? "timeout" : "malformed";
+
+  refusal_count (task, status, reason);
   if (sgr_call_log_should_log (task->call_log, sgr_clock_monotonic_us (), "", true))
-    sgr_log_info ("call-refused", "id= status=%d reason=malformed", status);
+    sgr_log_info ("call-refused", "id= status=%d reason=%s", status, reason);
 }
--- a/libsiskingrade/data_send.c
+++ b/libsiskingrade/data_send.c
@@ -119,33 +119,55 @@
 }
 
 static sgr_result_t
-body_send (sgr_data_attempt_t *attempt, Sgr__Pb__AttemptId *id)
+body_part_send (sgr_data_attempt_t *attempt)
 {
+  Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
+  Sgr__Pb__CallBody part = SGR__PB__CALL_BODY__INIT;
   h2o_iovec_t body = attempt->call->req->entity;
+  Sgr__Pb__AttemptId id;
+
+  sgr_frame_attempt_id_set (&id, &attempt->id);
+  part.id = &id;
+  part.offset = attempt->body_sent;
+  part.data.data = (uint8_t *)body.base + attempt->body_sent;
+  part.data.len = body.len - attempt->body_sent;
+  if (part.data.len > SGR_FRAME_CHUNK_BYTES)
+    part.data.len = SGR_FRAME_CHUNK_BYTES;
+  attempt->body_sent += part.data.len;
+  frame.body_case = SGR__PB__PEER_FRAME__BODY_CALL_BODY;
+  frame.call_body = &part;
+  return sgr_data_link_send (attempt->link, &frame,
+                             body.len > SGR_FRAME_CHUNK_BYTES ? SGR_PEER_BULK : SGR_PEER_URGENT);
+}
+
+/* Sends the body of a call. The rest of a large one waits for room in the queue of the link, so
+   that no second copy of it is held. */
+static sgr_result_t
+body_send (sgr_data_attempt_t *attempt)
+{
+  size_t length = attempt->call->req->entity.len;
   sgr_result_t result = SGR_OK;
 
-  for (size_t offset = 0; offset < body.len && result == SGR_OK;)
-    {
-      Sgr__Pb__PeerFrame frame = SGR__PB__PEER_FRAME__INIT;
-      Sgr__Pb__CallBody part = SGR__PB__CALL_BODY__INIT;
-      size_t length = body.len - offset;
-
-      if (length > SGR_FRAME_CHUNK_BYTES)
-        length = SGR_FRAME_CHUNK_BYTES;
-      part.id = id;
-      part.offset = offset;
-      part.data.data = (uint8_t *)body.base + offset;
-      part.data.len = length;
-      frame.body_case = SGR__PB__PEER_FRAME__BODY_CALL_BODY;
-      frame.call_body = &part;
-      result
-          = sgr_data_link_send (attempt->link, &frame,
-                                body.len > SGR_FRAME_CHUNK_BYTES ? SGR_PEER_BULK : SGR_PEER_URGENT);
-      offset += length;
-    }
+  while (attempt->body_sent < length && result == SGR_OK
+         && (length <= SGR_FRAME_CHUNK_BYTES || sgr_data_link_has_room (attempt->link)))
+    result = body_part_send (attempt);
+  if (attempt->body_sent < length)
+    sgr_data_link_body_wait (attempt->link);
   return result;
 }
 
+bool
+sgr_data_send_body_continue (sgr_data_attempt_t *attempt)
+{
+  const sgr_data_call_t *call = attempt->call;
+
+  if (call->req == NULL || attempt->body_sent >= call->req->entity.len
+      || call->plan.attempts[attempt->id.attempt].state != SGR_CALL_ATTEMPT_SENT)
+    return false;
+  /* A failed connection reports its close to the attempts itself. */
+  return body_part_send (attempt) == SGR_OK;
+}
+
 static void
 key_fill (const sgr_data_call_request_t *request, Sgr__Pb__IdempotencyKey *key)
 {
@@ -201,5 +223,5 @@
   frame.body_case = SGR__PB__PEER_FRAME__BODY_CALL;
   frame.call = &message;
   result = sgr_data_link_send (attempt->link, &frame, SGR_PEER_URGENT);
-  return result == SGR_OK ? body_send (attempt, &id) : result;
+  return result == SGR_OK ? body_send (attempt) : result;
 }
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -9,6 +9,7 @@
 #include "data_internal.h"
 #include "data_keys.h"
 #include "data_link.h"
+#include "data_memory.h"
 #include "data_peer.h"
 #include "data_service.h"
 #include "task_loop.h"
@@ -95,6 +96,7 @@
 
   sgr_data_gate_metrics_set (task->gate);
   sgr_data_services_metrics_set (task->services, task->metrics);
+  sgr_data_memory_metrics_set (task);
   sgr_timer_arm (task->timers, &task->metrics_timer, now_us + METRICS_INTERVAL_US);
 }
 
@@ -192,6 +194,7 @@
   env->silence_us = task->settings->silence_ms * SGR_USEC_PER_MSEC;
   env->load_fill = load_report_fill;
   env->load_ctx = task;
+  env->memory = task->memory;
   env->bytes_in
       = sgr_metrics_counter (task->metrics, "siskingrade_peer_bytes_total", "direction=\"in\"");
   env->bytes_out
@@ -237,6 +240,7 @@
 {
   task->loop = h2o_evloop_create ();
   task->mailbox = sgr_mailbox_create (task->loop, on_message, task);
+  sgr_data_memory_create (task);
   peer_conn_env_init (task);
   task->gate = sgr_data_gate_create (task);
   task->services = sgr_data_services_create (task);
@@ -260,6 +264,7 @@
   sgr_data_gate_destroy (task->gate);
   /* Each closed connection has a timer for time 0, which frees it. */
   sgr_timer_heap_run (task->timers, 0);
+  sgr_data_memory_destroy (task);
 }
 
 static void *
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -157,7 +157,10 @@
      broken. */
   run->is_recording = run->keyed || !run->idempotent || run->streaming == NULL;
   if (run->is_recording)
-    sgr_buffer_append (&run->record, head.bytes, head.length);
+    {
+      sgr_buffer_append (&run->record, head.bytes, head.length);
+      sgr_memory_budget_charge (&run->memory, head.length, sgr_clock_monotonic_us ());
+    }
   sgr_buffer_release (&head);
 }
 
@@ -175,6 +178,7 @@
   waiter->credit -= length;
   sgr_gate_answer_chunk_send (waiter, run->backlog.bytes, length);
   sgr_buffer_consume (&run->backlog, length);
+  sgr_memory_budget_release (&run->memory, length);
 }
 
 static void
@@ -188,13 +192,18 @@
   if (run->is_recording)
     {
       sgr_buffer_append (&run->record, bytes, length);
+      sgr_memory_budget_charge (&run->memory, length, sgr_clock_monotonic_us ());
       run->is_recording = run->record.length <= ANSWER_RECORD_MAX_BYTES;
       if (!run->is_recording)
-        sgr_buffer_release (&run->record);
+        {
+          sgr_memory_budget_release (&run->memory, run->record.length);
+          sgr_buffer_release (&run->record);
+        }
     }
   if (run->streaming == NULL)
     return;
   sgr_buffer_append (&run->backlog, bytes, length);
+  sgr_memory_budget_charge (&run->memory, length, sgr_clock_monotonic_us ());
   backlog_flush (run);
   if (run->backlog.length > 0)
     sgr_target_request_pause (run->request);
@@ -292,12 +301,8 @@
   sgr_gate_request_head_finish (run->gate->task->fields->deadline,
                                 run->deadline_us > now_us ? run->deadline_us - now_us : 0,
                                 &run->message);
-  sgr_buffer_append (&run->message, run->body.bytes, run->body.length);
-  run->request
-      = sgr_target_request_start (run->gate->client, run->message.bytes, run->message.length,
-                                  run->is_head_method, &handlers, run);
-  sgr_buffer_release (&run->message);
-  sgr_buffer_release (&run->body);
+  run->request = sgr_target_request_start (run->gate->client, &run->message, &run->body,
+                                           run->is_head_method, &handlers, run);
 }
 
 void
@@ -333,6 +338,7 @@
   if (run->streaming == waiter)
     {
       run->streaming = NULL;
+      sgr_memory_budget_release (&run->memory, run->backlog.length);
       run->backlog.length = 0;
       if (run->request != NULL)
         sgr_target_request_resume (run->request);
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -65,6 +65,7 @@
  * @record: recorded head and body, in the form that sgr_gate_recorded_answer_send() reads
  * @is_recording: @record holds all of the answer that has arrived so far
  * @is_connected: a connection to the target was established
+ * @memory: counts @body until the run ends, @backlog and @record
  */
 typedef struct sgr_gate_run_t
 {
@@ -95,6 +96,7 @@
   sgr_buffer_t record;
   bool is_recording;
   bool is_connected;
+  sgr_memory_holder_t memory;
 } sgr_gate_run_t;
 
 /** sgr_gate_run_start() - send the request of a run to the target */
@@ -159,6 +161,7 @@
  * @queued: counter of attempts that were queued
  * @duplicates: counter of duplicates
  * @misdirected: counter of attempts for a service that the target does not provide
+ * @bodies_refused: counter of attempts that are refused because of the memory budget
  */
 struct sgr_data_gate_t
 {
@@ -191,6 +194,7 @@
   sgr_counter_t *queued;
   sgr_counter_t *duplicates;
   sgr_counter_t *misdirected;
+  sgr_counter_t *bodies_refused;
 };
 
 /* Functions of gate_waiter.c. */
--- a/libsiskingrade/http1_conn.c
+++ b/libsiskingrade/http1_conn.c
@@ -4,16 +4,15 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#include <h2o/http2.h>
+#include <netinet/in.h>
 
+#include "http2_guard.h"
 #include "result.h"
+#include "socket_input.h"
 
 /* Requests of one connection that may run at the same time. Further ones are read when one of them
    is answered. */
 #define OPEN_REQUESTS_MAX 32
-/* Time after which a connection is closed whose caller has stopped in the middle of a request or
-   has not accepted a part of an answer. */
-#define STALL_TIMEOUT_US (30 * SGR_USEC_PER_SEC)
 /* Time after which a connection without a request is closed. Callers close idle connections
    earlier. */
 #define IDLE_TIMEOUT_US (60 * SGR_USEC_PER_SEC)
@@ -23,11 +22,15 @@
 /* Time for which an idle connection of a node that stops waits for a request in transit. */
 #define DRAIN_IDLE_TIMEOUT_US (300 * SGR_USEC_PER_MSEC)
 
+/* Time without a byte of a body after which its connection makes room for a new one. */
+#define BODY_STALL_US (1 * SGR_USEC_PER_SEC)
+
 /* First bytes of HTTP/2's connection preface. */
 static const char http2_preface_start[] = "PRI ";
 #define PREFACE_BYTES (sizeof http2_preface_start - 1)
 
 static void input_parse (sgr_http1_conn_t *conn);
+static void parse_error_answer (sgr_http1_conn_t *conn, int status);
 
 static sgr_timer_heap_t *
 timers_of (const sgr_http1_conn_t *conn)
@@ -40,6 +43,8 @@
 {
   sgr_timer_cancel (timers_of (conn), &conn->timeout);
   sgr_timer_cancel (timers_of (conn), &conn->empty_part_timer);
+  sgr_memory_holder_end (&conn->memory);
+  conn->server->connections--;
   if (conn->previous != NULL)
     conn->previous->next = conn->next;
   else
@@ -72,10 +77,18 @@
   conn_release (conn);
 }
 
+/* Whether the head of a request has begun and is not complete. */
+static bool
+is_head_open (const sgr_http1_conn_t *conn)
+{
+  return conn->reading != NULL && !conn->reading->is_head_complete && !conn->is_last_request_read;
+}
+
 /* Sets the time at which the connection is closed, depending on what the connection waits for. */
 static void
 timeout_arm (sgr_http1_conn_t *conn)
 {
+  uint64_t now_us = sgr_clock_monotonic_us ();
   uint64_t wait_us = IDLE_TIMEOUT_US;
 
   if (conn->is_lingering)
@@ -83,13 +96,16 @@
   else if (conn->server->is_draining && conn->open_count == 0)
     wait_us = conn->reading != NULL ? LINGER_TIMEOUT_US : DRAIN_IDLE_TIMEOUT_US;
   else if (conn->is_writing || conn->reading != NULL)
-    wait_us = STALL_TIMEOUT_US;
+    wait_us = conn->server->options.stall_timeout_us;
   else if (conn->open_count > 0)
     {
       sgr_timer_cancel (timers_of (conn), &conn->timeout);
       return;
     }
-  sgr_timer_arm (timers_of (conn), &conn->timeout, sgr_clock_monotonic_us () + wait_us);
+  /* Bytes of a head do not prolong the time for it. */
+  if (is_head_open (conn) && conn->head_due_us < now_us + wait_us)
+    wait_us = conn->head_due_us > now_us ? conn->head_due_us - now_us : 0;
+  sgr_timer_arm (timers_of (conn), &conn->timeout, now_us + wait_us);
 }
 
 /* Shuts down the sending side and starts to discard input. */
@@ -109,6 +125,9 @@
   if (!conn->is_lingering && conn->server->is_draining && conn->open_count == 0
       && conn->reading == NULL)
     linger (conn);
+  else if (conn->reading != NULL && !conn->is_last_request_read
+           && (!conn->is_writing || (is_head_open (conn) && now_us >= conn->head_due_us)))
+    parse_error_answer (conn, 408);
   else
     sgr_http1_conn_close (conn);
 }
@@ -124,7 +143,7 @@
   conn->open_count++;
 }
 
-/* Answers a malformed or too large request with an error status. No further request is parsed, so
+/* Answers a request that is not passed on with an error status. No further request is parsed, so
    this is the last answer of the connection. */
 static void
 parse_error_answer (sgr_http1_conn_t *conn, int status)
@@ -134,6 +153,7 @@
   if (request == NULL)
     request = sgr_http1_request_create (conn);
   conn->reading = NULL;
+  conn->memory.may_drop = false;
   conn->is_last_request_read = true;
   sgr_http1_request_set_error (request, status);
   request_add (conn, request);
@@ -259,6 +279,20 @@
   return HTTP_PARSER_ERRNO (&conn->parser) == HPE_HEADER_OVERFLOW ? 431 : 400;
 }
 
+/* Counts the received bytes that wait until open requests are answered, and sets whether the
+   connection may be dropped: while a request is unfinished, or while such bytes wait. */
+static void
+input_count (sgr_http1_conn_t *conn)
+{
+  size_t bytes = conn->sock->input->size;
+
+  sgr_memory_budget_release (&conn->memory, conn->input_bytes);
+  conn->input_bytes = bytes;
+  conn->memory.may_drop = bytes > 0 || (conn->reading != NULL && !conn->is_last_request_read);
+  if (bytes > 0)
+    sgr_memory_budget_charge (&conn->memory, bytes, sgr_clock_monotonic_us ());
+}
+
 /* Parses requests until the connection has OPEN_REQUESTS_MAX open ones. A request starts only after
    the parser has returned, because its handler may answer at once. */
 static void
@@ -291,6 +325,8 @@
     h2o_buffer_consume (&sock->input, sock->input->size);
   else if (conn->open_count >= OPEN_REQUESTS_MAX)
     h2o_socket_read_stop (sock);
+  sgr_socket_input_shrink (sock);
+  input_count (conn);
   /* Bytes that a caller goes on sending do not prolong the wait for its close. */
   if (!conn->is_lingering)
     timeout_arm (conn);
@@ -303,6 +339,7 @@
 {
   sgr_http1_server_t *server = conn->server;
   struct timeval connected_at = conn->super.connected_at;
+  uint32_t address = conn->memory.address;
   h2o_socket_t *sock = conn->sock;
 
   if (sock->input->size < PREFACE_BYTES
@@ -310,7 +347,7 @@
     return false;
   h2o_socket_read_stop (sock);
   conn_release (conn);
-  h2o_http2_accept (server->options.accept, sock, connected_at);
+  sgr_http2_guard_accept (server, sock, connected_at, address);
   return true;
 }
 
@@ -364,11 +401,65 @@
   return ((sgr_http1_conn_t *)conn)->sock;
 }
 
+/* Releases the unfinished request of a connection for lack of memory. It was not run, so its caller
+   may send it again. A connection whose bytes wait behind OPEN_REQUESTS_MAX requests is closed. */
+static void
+on_memory_drop (void *ctx)
+{
+  sgr_http1_conn_t *conn = ctx;
+
+  if (conn->reading != NULL && !conn->is_last_request_read)
+    parse_error_answer (conn, 503);
+  else if (conn->input_bytes > 0)
+    sgr_http1_conn_close (conn);
+}
+
+static uint32_t
+caller_address (h2o_socket_t *sock)
+{
+  struct sockaddr_storage address;
+
+  if (h2o_socket_getpeername (sock, (struct sockaddr *)&address) == 0
+      || address.ss_family != AF_INET)
+    return 0;
+  return ntohl (((struct sockaddr_in *)&address)->sin_addr.s_addr);
+}
+
+bool
+sgr_http1_conn_close_for_room (sgr_http1_server_t *server)
+{
+  sgr_http1_conn_t *unfinished = NULL, *idle = NULL;
+  uint64_t stalled_us = sgr_clock_monotonic_us () - BODY_STALL_US;
+
+  /* New connections are put in front of the list, so that the last one found is the oldest. */
+  for (sgr_http1_conn_t *conn = server->first; conn != NULL; conn = conn->next)
+    {
+      if (conn->open_count > 0 || conn->is_writing)
+        continue;
+      if (is_head_open (conn) || (conn->reading != NULL && conn->memory.progress_us < stalled_us))
+        unfinished = conn;
+      else if (conn->reading == NULL || conn->is_lingering)
+        idle = conn;
+    }
+  if (unfinished == NULL)
+    unfinished = idle;
+  if (unfinished != NULL)
+    sgr_http1_conn_close (unfinished);
+  return unfinished != NULL;
+}
+
+static const h2o_conn_callbacks_t callbacks
+    = { .get_sockname = get_sockname, .get_peername = get_peername, .get_socket = get_socket };
+
+bool
+sgr_http1_server_is_own (const h2o_conn_t *conn)
+{
+  return conn->callbacks == &callbacks;
+}
+
 void
 sgr_http1_conn_create (sgr_http1_server_t *server, h2o_socket_t *sock, struct timeval connected_at)
 {
-  static const h2o_conn_callbacks_t callbacks
-      = { .get_sockname = get_sockname, .get_peername = get_peername, .get_socket = get_socket };
   h2o_accept_ctx_t *accept = server->options.accept;
   sgr_http1_conn_t *conn = (sgr_http1_conn_t *)h2o_create_connection (
       sizeof *conn, accept->ctx, accept->hosts, connected_at, &callbacks);
@@ -376,6 +467,12 @@
   memset ((char *)conn + sizeof conn->super, 0, sizeof *conn - sizeof conn->super);
   conn->server = server;
   conn->sock = sock;
+  conn->memory = (sgr_memory_holder_t){ .kind = SGR_MEMORY_REQUEST,
+                                        .address = caller_address (sock),
+                                        .drop = on_memory_drop,
+                                        .ctx = conn };
+  sgr_memory_holder_begin (&conn->memory, server->options.memory, sgr_clock_monotonic_us ());
+  server->connections++;
   conn->timeout = (sgr_timer_t){ .fire = on_timeout, .ctx = conn };
   conn->empty_part_timer = (sgr_timer_t){ .fire = on_empty_part, .ctx = conn };
   conn->next = server->first;
--- a/libsiskingrade/http1_conn.h
+++ b/libsiskingrade/http1_conn.h
@@ -34,8 +34,10 @@
  * @fields: header fields
  * @field_count: used entries of @fields
  * @is_parsing_value: the parser has begun the value of the last entry of @fields
+ * @is_head_complete: the whole head was parsed
  * @body: body of the request
- * @error_text: whole answer to a malformed or too large request, NULL for one that h2o handles
+ * @memory_bytes: bytes that are counted for the request
+ * @error_text: whole answer to a request that is not passed on, NULL for one that h2o handles
  * @output: part of the answer that is being written or waits until older requests are answered
  * @output_count: number of vectors in @output
  * @has_output: @output is waiting or being written
@@ -53,7 +55,9 @@
   sgr_http1_field_t fields[SGR_HTTP1_FIELDS_MAX];
   size_t field_count;
   bool is_parsing_value;
+  bool is_head_complete;
   sgr_buffer_t body;
+  uint64_t memory_bytes;
   const char *error_text;
   h2o_iovec_t *output;
   size_t output_count;
@@ -76,6 +80,9 @@
  * @newest: newest request without a whole answer
  * @open_count: requests that were parsed and are not wholly answered
  * @error_status: status of the answer to a request that the parser callbacks rejected, 0 for none
+ * @memory: counts the heads and bodies of the requests
+ * @input_bytes: received bytes that wait to be parsed and are counted
+ * @head_due_us: time by which the head of @reading has to be complete
  * @timeout: closes the connection if it is idle, makes no progress or lingers for too long
  * @empty_part_timer: continues an answer after a part without bytes, which needs no write
  * @is_writing: a write is in progress
@@ -98,6 +105,9 @@
   sgr_http1_request_t *newest;
   size_t open_count;
   int error_status;
+  sgr_memory_holder_t memory;
+  size_t input_bytes;
+  uint64_t head_due_us;
   sgr_timer_t timeout;
   sgr_timer_t empty_part_timer;
   bool is_writing;
@@ -110,6 +120,7 @@
  * struct sgr_http1_server_t - all HTTP/1.1 connections of callers
  * @options: settings
  * @first: first connection of the list
+ * @connections: number of connections, those of HTTP/2 included
  * @is_leaving: each connection closes after an answer behind which no request waits
  * @is_draining: idle connections close soon
  */
@@ -117,6 +128,7 @@
 {
   sgr_http1_options_t options;
   sgr_http1_conn_t *first;
+  size_t connections;
   bool is_leaving;
   bool is_draining;
 };
@@ -125,6 +137,15 @@
 void sgr_http1_conn_create (sgr_http1_server_t *server, h2o_socket_t *sock,
                             struct timeval connected_at);
 void sgr_http1_conn_close (sgr_http1_conn_t *conn);
+/**
+ * sgr_http1_conn_close_for_room() - close a connection on which no request runs
+ *
+ * Chooses the oldest one that has not finished a message head, or has not sent a byte of a body for
+ * one second, or else the oldest idle one.
+ *
+ * Return: false if there is none.
+ */
+bool sgr_http1_conn_close_for_room (sgr_http1_server_t *server);
 /** sgr_http1_conn_drain() - close an idle connection unless a request arrives within a moment */
 void sgr_http1_conn_drain (sgr_http1_conn_t *conn);
 /** sgr_http1_conn_flush() - write the waiting output of the oldest request, if no write runs */
@@ -138,9 +159,9 @@
 /** sgr_http1_request_start() - pass a parsed request to h2o's handlers */
 void sgr_http1_request_start (sgr_http1_request_t *request);
 /**
- * sgr_http1_request_set_error() - set the answer to a malformed or too large request
- * @request: the request
- * @status: 400, 413 or 431
+ * sgr_http1_request_set_error() - set the answer to a request that is not passed on
+ * @request: the request; its head and body are released
+ * @status: 400, 408, 413, 431 or 503
  */
 void sgr_http1_request_set_error (sgr_http1_request_t *request, int status);
 /**
--- a/libsiskingrade/http1_request.c
+++ b/libsiskingrade/http1_request.c
@@ -15,6 +15,8 @@
 /* Upper bound of the total size of the Connection field, the Content-Length field and the empty
    line after the head. */
 #define FRAMING_FIELDS_BYTES 64
+/* Memory of a request beside its texts: this file's structure and the first block of h2o's pool. */
+#define REQUEST_BYTES (sizeof (sgr_http1_request_t) + 4096)
 /* ": " after the name and CR LF after the value of a field. */
 #define FIELD_DELIMITERS_BYTES 4
 
@@ -54,12 +56,37 @@
   return request;
 }
 
+static void
+request_charge (sgr_http1_request_t *request, uint64_t bytes)
+{
+  request->memory_bytes += bytes;
+  sgr_memory_budget_charge (&request->conn->memory, bytes, sgr_clock_monotonic_us ());
+}
+
+/* Counts bytes of a body; returns false if there is no room for them. */
+static bool
+body_admit (sgr_http1_request_t *request, uint64_t bytes)
+{
+  if (sgr_memory_budget_admit (&request->conn->memory, bytes, sgr_clock_monotonic_us ()) != SGR_OK)
+    return false;
+  request->memory_bytes += bytes;
+  return true;
+}
+
+static void
+request_memory_release (sgr_http1_request_t *request)
+{
+  sgr_memory_budget_release (&request->conn->memory, request->memory_bytes);
+  request->memory_bytes = 0;
+  sgr_buffer_release (&request->head_text);
+  sgr_buffer_release (&request->body);
+}
+
 void
 sgr_http1_request_destroy (sgr_http1_request_t *request)
 {
   h2o_dispose_request (&request->req);
-  sgr_buffer_release (&request->head_text);
-  sgr_buffer_release (&request->body);
+  request_memory_release (request);
   free (request);
 }
 
@@ -82,7 +109,13 @@
 {
   sgr_http1_conn_t *conn = conn_of (parser);
 
+  uint64_t now_us = sgr_clock_monotonic_us ();
+
   conn->reading = sgr_http1_request_create (conn);
+  conn->head_due_us = now_us + conn->server->options.head_timeout_us;
+  conn->memory.may_drop = true;
+  sgr_memory_budget_progress (&conn->memory, now_us);
+  request_charge (conn->reading, REQUEST_BYTES);
   return 0;
 }
 
@@ -93,6 +126,7 @@
 
   if (conn->reading->head_text.length + length > conn->server->options.head_max_bytes)
     return parse_fail (parser, 431);
+  request_charge (conn->reading, length);
   sgr_buffer_append (&conn->reading->head_text, at, length);
   return 0;
 }
@@ -175,6 +209,14 @@
   if (parser->content_length != ULLONG_MAX
       && parser->content_length > conn->server->options.body_max_bytes)
     return parse_fail (parser, 413);
+  request->is_head_complete = true;
+  sgr_memory_budget_progress (&conn->memory, sgr_clock_monotonic_us ());
+  if (parser->content_length != ULLONG_MAX && parser->content_length > 0)
+    {
+      if (!body_admit (request, parser->content_length))
+        return parse_fail (parser, 503);
+      sgr_buffer_reserve_exact (&request->body, parser->content_length);
+    }
   field_find (request, "expect", &expect_count);
   if (expect_count > 0 && (parser->content_length != 0 || (parser->flags & F_CHUNKED) != 0))
     sgr_http1_conn_send_continue (conn);
@@ -190,6 +232,9 @@
 
   if (conn->reading->body.length + length > conn->server->options.body_max_bytes)
     return parse_fail (parser, 413);
+  if ((parser->flags & F_CHUNKED) != 0 && !body_admit (conn->reading, length))
+    return parse_fail (parser, 503);
+  sgr_memory_budget_progress (&conn->memory, sgr_clock_monotonic_us ());
   sgr_buffer_append (&conn->reading->body, at, length);
   return 0;
 }
@@ -201,6 +246,7 @@
 
   conn->complete = conn->reading;
   conn->reading = NULL;
+  conn->memory.may_drop = false;
   conn->complete->req.http1_is_persistent = http_should_keep_alive (parser) != 0;
   conn->complete->req.version = parser->http_major << 8 | parser->http_minor;
   conn->complete->req.input.method
@@ -316,8 +362,18 @@
 void
 sgr_http1_request_set_error (sgr_http1_request_t *request, int status)
 {
+  request_memory_release (request);
   switch (status)
     {
+    case 503:
+      request->error_text = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+                            "Retry-After: 1\r\nSiskingrade-Outcome: not-run\r\n"
+                            "Siskingrade-Reason: memory\r\nContent-Length: 0\r\n\r\n";
+      break;
+    case 408:
+      request->error_text = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+                            "Siskingrade-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
+      break;
     case 413:
       request->error_text = "HTTP/1.1 413 Payload Too Large\r\nConnection: close\r\n"
                             "Content-Length: 0\r\n\r\n";
--- a/libsiskingrade/http1_server.c
+++ b/libsiskingrade/http1_server.c
@@ -18,6 +18,16 @@
 void
 sgr_http1_server_accept (sgr_http1_server_t *server, h2o_socket_t *sock)
 {
+  if (server->connections >= server->options.connections_max)
+    {
+      if (server->options.closed_for_room != NULL)
+        server->options.closed_for_room (server->options.ctx);
+      if (!sgr_http1_conn_close_for_room (server))
+        {
+          h2o_socket_close (sock);
+          return;
+        }
+    }
   sgr_http1_conn_create (server, sock,
                          *h2o_get_timestamp (server->options.accept->ctx, NULL, NULL));
 }
--- a/libsiskingrade/http1_server.h
+++ b/libsiskingrade/http1_server.h
@@ -3,6 +3,7 @@
 
 #include <h2o.h>
 
+#include "memory_budget.h"
 #include "timer_heap.h"
 
 /**
@@ -19,9 +20,17 @@
  * @body_max_bytes: largest request body; a larger one is answered with 413
  * @head_max_bytes: largest total of request URL, field names and field values; a larger one is
  *                  answered with 431
- * @rejected: called with the status of the answer when a malformed or too large request is answered
- *            without being passed on; may be NULL
- * @ctx: passed to @rejected
+ * @memory: budget that counts the requests, NULL for none
+ * @connections_max: most connections; beyond, one without a whole request makes room, or else the
+ *                   new connection is closed
+ * @head_timeout_us: longest time for the head of a request, microseconds
+ * @stall_timeout_us: longest time without a byte of a body, or without a byte that the caller takes
+ *                    of an answer, microseconds
+ * @rejected: called with the status of the answer when a request is answered without being passed
+ *            on: 400, 408, 413, 431, or 503 for lack of memory; may be NULL
+ * @closed_for_room: called when a connection was closed because there are @connections_max; may be
+ *                   NULL
+ * @ctx: passed to @rejected and @closed_for_room
  */
 typedef struct
 {
@@ -29,7 +38,12 @@
   sgr_timer_heap_t *timers;
   size_t body_max_bytes;
   size_t head_max_bytes;
+  sgr_memory_budget_t *memory;
+  size_t connections_max;
+  uint64_t head_timeout_us;
+  uint64_t stall_timeout_us;
   void (*rejected) (void *ctx, int status);
+  void (*closed_for_room) (void *ctx);
   void *ctx;
 } sgr_http1_options_t;
 
@@ -58,6 +72,10 @@
  */
 size_t sgr_http1_server_connection_count (const sgr_http1_server_t *server);
 
+/** sgr_http1_server_is_own() - whether a connection is one of HTTP/1.1 that a server of this file
+ * serves, which counts its requests itself */
+bool sgr_http1_server_is_own (const h2o_conn_t *conn);
+
 /** sgr_http1_server_destroy() - close all connections at once and free the server; NULL is allowed
  */
 void sgr_http1_server_destroy (sgr_http1_server_t *server);
--- a/libsiskingrade/memory_budget.c
+++ b/libsiskingrade/memory_budget.c
@@ -141,9 +141,18 @@
     free (sgr_id_map_remove (budget->shares, holder->address));
 }
 
+/* Whether a holder may be chosen to be dropped. @address is the only one to choose from unless it
+   is 0. */
+static bool
+is_candidate (const sgr_memory_holder_t *holder, uint32_t address)
+{
+  return holder->may_drop && holder->drop != NULL && !holder->is_dropping && holder->bytes > 0
+         && (address == 0 || holder->address == address);
+}
+
 /* Returns the holder with the highest product of bytes and time without progress, NULL if none that
-   may be dropped has gone without progress for @stall_us. @address limits the choice to one address
-   unless it is 0. */
+   may be dropped has gone without progress for @stall_us. @excluded is not chosen; it may be NULL.
+ */
 static sgr_memory_holder_t *
 victim_find (sgr_memory_budget_t *budget, uint32_t address, uint64_t stall_us, uint64_t now_us,
              const sgr_memory_holder_t *excluded)
@@ -151,14 +160,16 @@
   sgr_memory_holder_t *victim = NULL;
   double highest = 0;
 
-  for (sgr_memory_holder_t *holder = budget->first; holder != NULL; holder = holder->next)
+  for (sgr_memory_holder_t *holder = budget->first; holder; holder = holder->next)
     {
-      uint64_t age_us = now_us > holder->progress_us ? now_us - holder->progress_us : 0;
-      double score = (double)holder->bytes * (double)(age_us + 1);
+      uint64_t age_us;
+      double score;
 
-      if (holder == excluded || !holder->may_drop || holder->drop == NULL || holder->is_dropping
-          || holder->bytes == 0 || age_us < stall_us || score <= highest
-          || (address != 0 && holder->address != address))
+      if (excluded == holder || !is_candidate (holder, address))
+        continue;
+      age_us = now_us > holder->progress_us ? now_us - holder->progress_us : 0;
+      score = (double)holder->bytes * (double)(age_us + 1);
+      if (age_us < stall_us || score <= highest)
         continue;
       victim = holder;
       highest = score;
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "socket_input.h"
+
 /* Maximum size of the bulk frames in one write. It bounds the time that an urgent frame waits for a
    write in progress. A single larger frame is sent nevertheless. */
 #define BULK_WRITE_MAX_BYTES (64U * 1024)
@@ -28,6 +30,7 @@
  * @urgent: encoded frames of the urgent queue
  * @bulk: encoded frames of the bulk queue
  * @writing: bytes of the write in progress, empty if there is none
+ * @memory: counts the bytes of the three buffers
  * @waiting_attempts: attempts that wait for the other node
  * @heartbeat: timer of the pings and of the silence check, also while the connection finishes;
  * after the close, frees the connection
@@ -54,6 +57,7 @@
   sgr_buffer_t urgent;
   sgr_buffer_t bulk;
   sgr_buffer_t writing;
+  sgr_memory_holder_t memory;
   size_t waiting_attempts;
   sgr_timer_t heartbeat;
   uint64_t heartbeat_due_us;
@@ -103,6 +107,7 @@
 static void
 conn_free (sgr_peer_conn_t *conn)
 {
+  sgr_memory_holder_end (&conn->memory);
   sgr_buffer_release (&conn->urgent);
   sgr_buffer_release (&conn->bulk);
   sgr_buffer_release (&conn->writing);
@@ -167,6 +172,7 @@
   if (conn == NULL)
     return;
   sgr_counter_add (conn->env->bytes_out, conn->writing.length);
+  sgr_memory_budget_release (&conn->memory, conn->writing.length);
   conn->writing.length = 0;
   if (err != NULL)
     {
@@ -176,6 +182,8 @@
   if (conn->is_finishing)
     progress_record (conn);
   flush_queues (conn);
+  if (conn->handlers->written != NULL && !conn->is_closed && !conn->is_finishing)
+    conn->handlers->written (conn->ctx);
 }
 
 /* Returns the length of the frames at the front of the bulk queue that fit into one write, at least
@@ -237,12 +245,19 @@
   result = sgr_frame_append (queue, frame);
   if (result != SGR_OK)
     return result;
+  sgr_memory_budget_charge (&conn->memory, queue->length - length, sgr_clock_monotonic_us ());
   if (conn->is_far)
     sgr_counter_add (conn->env->far_bytes_out[frame_traffic (frame)], queue->length - length);
   flush_queues (conn);
   return SGR_OK;
 }
 
+size_t
+sgr_peer_conn_queued (const sgr_peer_conn_t *conn)
+{
+  return conn->urgent.length + conn->bulk.length + conn->writing.length;
+}
+
 void
 sgr_peer_conn_far_set (sgr_peer_conn_t *conn, bool is_far)
 {
@@ -443,6 +458,8 @@
   conn->silent_since_us = sgr_clock_monotonic_us ();
   conn->is_ping_unanswered = false;
   input_decode (conn);
+  if (!conn->is_closed)
+    sgr_socket_input_shrink (sock);
 }
 
 static void
@@ -467,6 +484,8 @@
   conn->ctx = ctx;
   conn->heartbeat = (sgr_timer_t){ .fire = on_heartbeat, .ctx = conn };
   conn->silent_since_us = sgr_clock_monotonic_us ();
+  conn->memory.kind = SGR_MEMORY_PEER;
+  sgr_memory_holder_begin (&conn->memory, env->memory, conn->silent_since_us);
   send_hello (conn);
   heartbeat_arm (conn, conn->silent_since_us);
   return conn;
--- a/libsiskingrade/peer_conn.h
+++ b/libsiskingrade/peer_conn.h
@@ -5,6 +5,7 @@
 
 #include "counter.h"
 #include "frame.h"
+#include "memory_budget.h"
 #include "timer_heap.h"
 
 /**
@@ -78,6 +79,7 @@
  * @bytes_in: counter of received bytes
  * @bytes_out: counter of sent bytes
  * @far_bytes_out: counters by sgr_peer_traffic_t of the bytes of frames for other failure domains
+ * @memory: budget that counts the queued frames, NULL for none
  */
 typedef struct
 {
@@ -94,6 +96,7 @@
   sgr_counter_t *bytes_in;
   sgr_counter_t *bytes_out;
   sgr_counter_t *far_bytes_out[SGR_PEER_TRAFFIC_COUNT];
+  sgr_memory_budget_t *memory;
 } sgr_peer_conn_env_t;
 
 /**
@@ -103,12 +106,14 @@
  * @frame: a frame other than Hello, Ping and Pong arrived; a result other than SGR_OK closes the
  *         connection with SGR_PEER_CLOSE_BAD_FRAME
  * @closed: the connection failed or was closed by the other node; it is freed after this call
+ * @written: a write has ended, so that the queues may have room; may be NULL
  */
 typedef struct
 {
   sgr_result_t (*ready) (void *ctx, sgr_peer_conn_t *conn);
   sgr_result_t (*frame) (void *ctx, sgr_peer_conn_t *conn, const Sgr__Pb__PeerFrame *frame);
   void (*closed) (void *ctx, sgr_peer_conn_t *conn, sgr_peer_close_t reason);
+  void (*written) (void *ctx);
 } sgr_peer_conn_handlers_t;
 
 /**
@@ -167,6 +172,9 @@
 /** sgr_peer_conn_close() - close and free a connection without a callback */
 void sgr_peer_conn_close (sgr_peer_conn_t *conn);
 
+/** sgr_peer_conn_queued() - bytes that are queued or being written */
+size_t sgr_peer_conn_queued (const sgr_peer_conn_t *conn);
+
 /** sgr_peer_conn_far_set() - set whether the other node is in another failure domain */
 void sgr_peer_conn_far_set (sgr_peer_conn_t *conn, bool is_far);
 
--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -37,8 +37,9 @@
  * @http: h2o's client for this request
  * @handlers: callbacks
  * @ctx: passed to the callbacks
- * @message: bytes to send
- * @vector: @message in the form that h2o sends
+ * @head: head of the request
+ * @body: body of the request
+ * @vectors: @head and @body in the form that h2o sends
  * @is_head: the method is HEAD
  * @is_chunked: the answer has the chunked transfer coding
  * @is_started: a byte may have reached the target
@@ -53,8 +54,9 @@
   h2o_http1client_t *http;
   const sgr_target_handlers_t *handlers;
   void *ctx;
-  uint8_t *message;
-  h2o_iovec_t vector;
+  sgr_buffer_t head;
+  sgr_buffer_t body;
+  h2o_iovec_t vectors[2];
   bool is_head;
   bool is_chunked;
   bool is_started;
@@ -105,7 +107,8 @@
 {
   sgr_http_head_guard_stop (&request->head_guard);
   request->client->open_requests--;
-  free (request->message);
+  sgr_buffer_release (&request->head);
+  sgr_buffer_release (&request->body);
   free (request);
 }
 
@@ -289,14 +292,14 @@
               sizeof buffer_bytes);
   sgr_http_head_guard_start (&request->head_guard, http, &request->client->immediate_timeout,
                              on_head_rejected);
-  *vectors = &request->vector;
-  *count = 1;
+  *vectors = request->vectors;
+  *count = request->body.length > 0 ? 2 : 1;
   *method_is_head = request->is_head;
   return on_head;
 }
 
 sgr_target_request_t *
-sgr_target_request_start (sgr_target_client_t *client, const void *message, size_t length,
+sgr_target_request_start (sgr_target_client_t *client, sgr_buffer_t *head, sgr_buffer_t *body,
                           bool is_head, const sgr_target_handlers_t *handlers, void *ctx)
 {
   sgr_target_request_t *request = calloc (1, sizeof *request);
@@ -306,10 +309,15 @@
   request->handlers = handlers;
   request->ctx = ctx;
   request->is_head = is_head;
-  request->message = malloc (length);
-  sgr_invariant (request->message != NULL);
-  memcpy (request->message, message, length);
-  request->vector = h2o_iovec_init (request->message, length);
+  request->head = *head;
+  *head = (sgr_buffer_t){ 0 };
+  if (body != NULL)
+    {
+      request->body = *body;
+      *body = (sgr_buffer_t){ 0 };
+    }
+  request->vectors[0] = h2o_iovec_init (request->head.bytes, request->head.length);
+  request->vectors[1] = h2o_iovec_init (request->body.bytes, request->body.length);
   client->open_requests++;
   h2o_http1client_connect_with_pool (&request->http, request, &client->ctx, &client->pool,
                                      on_connect);
--- a/libsiskingrade/target_client.h
+++ b/libsiskingrade/target_client.h
@@ -67,14 +67,14 @@
 /**
  * sgr_target_request_start() - send a request
  * @client: the client
- * @message: whole HTTP/1.1 request, copied
- * @length: length of @message in bytes
+ * @head: head of the HTTP/1.1 request, with the empty line; the content is taken over
+ * @body: body of the request, NULL for none; the content is taken over
  * @is_head: whether the method is HEAD, whose answer has no body
  * @handlers: callbacks; none is called before this function returns
  * @ctx: passed to the callbacks
  */
-sgr_target_request_t *sgr_target_request_start (sgr_target_client_t *client, const void *message,
-                                                size_t length, bool is_head,
+sgr_target_request_t *sgr_target_request_start (sgr_target_client_t *client, sgr_buffer_t *head,
+                                                sgr_buffer_t *body, bool is_head,
                                                 const sgr_target_handlers_t *handlers, void *ctx);
 
 /** sgr_target_request_pause() - stop reading the answer for a while, for flow control */
