Test the largest body on a small machine, and input behind open requests

The crowd's settings state the budget of 16 MiB and the 100 connections that the bounds were set for. test_longest_body sends 64 MiB through an entry and a gate with 160 MB each and checks the refusal where both are one node. test_input_behind_open_requests fills the receive buffers behind 32 open requests. test_target_client passes the head of a request as a buffer, as the client takes it over.

--- a/tests/crowd.c
+++ b/tests/crowd.c
@@ -22,14 +22,14 @@
    node may raise the peak. */
 #define SETTLE_POLLS 100
 
-int
-sgr_crowd_setup (void **state)
+static int
+nodes_start (void **state, const char *limits)
 {
   sgr_crowd_t *crowd = calloc (1, sizeof *crowd);
 
   sgr_invariant (crowd != NULL);
   sgr_fixture_init (&crowd->fixture);
-  crowd->fixture.limits = "  request_body_max_bytes: 4194304\n";
+  crowd->fixture.limits = limits;
   crowd->fixture.target_options = "--service-us=0 --slots=64";
   sgr_fixture_node_add (&crowd->fixture, "entry", NULL, false);
   sgr_fixture_node_add (&crowd->fixture, "gate", "one", false);
@@ -37,6 +37,21 @@
   return sgr_fixture_start (&crowd->fixture) ? 0 : -1;
 }
 
+int
+sgr_crowd_setup (void **state)
+{
+  return nodes_start (state, "  request_body_max_bytes: 4194304\n"
+                             "  memory_budget_bytes: 16777216\n"
+                             "  connections_max: 100\n");
+}
+
+int
+sgr_crowd_small_setup (void **state)
+{
+  return nodes_start (state, "  request_body_max_bytes: 67108864\n"
+                             "  memory_mb: 160\n");
+}
+
 int
 sgr_crowd_teardown (void **state)
 {
@@ -145,15 +160,14 @@
   ordinary_call (&crowd->fixture.nodes[SGR_CROWD_ENTRY]);
 }
 
-/* Returns the peak of the resident memory of a process, in bytes. */
-static size_t
-memory_peak (pid_t pid)
+size_t
+sgr_crowd_peak (const sgr_fixture_node_t *node)
 {
   char path[64], line[256];
   size_t kib = 0;
   FILE *file;
 
-  snprintf (path, sizeof path, "/proc/%d/status", (int)pid);
+  snprintf (path, sizeof path, "/proc/%d/status", (int)node->pid);
   file = fopen (path, "r");
   assert_non_null (file);
   while (fgets (line, sizeof line, file) != NULL)
@@ -185,7 +199,7 @@
   size_t peak, descriptors;
 
   assert_int_equal (waitpid (node->pid, NULL, WNOHANG), 0);
-  peak = memory_peak (node->pid);
+  peak = sgr_crowd_peak (node);
   descriptors = descriptor_count (node->pid);
   if (peak > SGR_CROWD_BUDGET_BYTES + SGR_CROWD_REST_BYTES)
     fail_msg ("%s took %zu KiB, bound %u KiB", node->name, peak / 1024,
@@ -209,6 +223,6 @@
   /* Visible with the output of the program, for the journal of measurements. */
   for (size_t i = 0; i < crowd->fixture.count; i++)
     print_message ("%s: peak %zu KiB, %zu descriptors\n", crowd->fixture.nodes[i].name,
-                   memory_peak (crowd->fixture.nodes[i].pid) / 1024,
+                   sgr_crowd_peak (&crowd->fixture.nodes[i]) / 1024,
                    descriptor_count (crowd->fixture.nodes[i].pid));
 }
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -48,6 +48,12 @@
 /** sgr_crowd_setup() - start the nodes; a cmocka setup function */
 int sgr_crowd_setup (void **state);
 
+/** sgr_crowd_small_setup() - start nodes with the limits of a machine of 160 MB */
+int sgr_crowd_small_setup (void **state);
+
+/** sgr_crowd_peak() - peak of the resident memory of a node in bytes */
+size_t sgr_crowd_peak (const sgr_fixture_node_t *node);
+
 /** sgr_crowd_teardown() - close the connections and stop the nodes; a cmocka teardown function */
 int sgr_crowd_teardown (void **state);
 
--- a/tests/test_path_hostile.c
+++ b/tests/test_path_hostile.c
@@ -2,8 +2,10 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 
 #include <cmocka.h>
 
@@ -27,6 +29,12 @@
   "POST /x HTTP/1.1\r\nHost: one\r\nSiskingrade-Service: one\r\n"                                  \
   "Siskingrade-Deadline-Ms: 60000\r\nX-Request-Id: crowd\r\nX-Fault: hang\r\n"
 
+/* Requests that a node reads from a connection before one of them is answered. */
+#define OPEN_REQUESTS 32
+#define GET_HEAD                                                                                   \
+  "GET / HTTP/1.1\r\nHost: one\r\nSiskingrade-Service: one\r\nX-Request-Id: crowd\r\n"             \
+  "Siskingrade-Deadline-Ms: 60000\r\n"
+
 static bool
 post_begin (int fd, const char *fields)
 {
@@ -168,6 +176,32 @@
   sgr_crowd_check (crowd);
 }
 
+/* Guards against bytes that are received behind the most requests that a connection may have open,
+   and are kept until one of them is answered. */
+static void
+test_input_behind_open_requests (void **state)
+{
+  sgr_crowd_t *crowd = *state;
+
+  for (int i = 0; i < BODY_CALLERS; i++)
+    {
+      struct timeval send_timeout = { .tv_usec = 100000 };
+      int fd = sgr_crowd_connect (crowd);
+
+      /* The node reads no more once enough requests are open. */
+      setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &send_timeout, sizeof send_timeout);
+      /* The answers to the other requests wait for that to the first one. */
+      sgr_crowd_send (fd, GET_HEAD "X-Fault: hang\r\n\r\n",
+                      strlen (GET_HEAD "X-Fault: hang\r\n\r\n"));
+      for (int j = 1; j < OPEN_REQUESTS; j++)
+        sgr_crowd_send (fd, GET_HEAD "\r\n", strlen (GET_HEAD "\r\n"));
+      sgr_crowd_call (crowd);
+      if (post_length_begin (fd, SGR_CROWD_BODY_BYTES))
+        sgr_crowd_fill (fd, SGR_CROWD_BODY_BYTES);
+    }
+  sgr_crowd_check (crowd);
+}
+
 /* Guards against connections that never finish a message head and take all descriptors. */
 static void
 test_unfinished_heads (void **state)
@@ -188,6 +222,48 @@
   sgr_crowd_check (crowd);
 }
 
+/* Guards against a single body of the greatest length that a node cannot serve, or that takes more
+   than the memory of a machine of 160 MB at its entry or at its gate. With both on one node, the
+   body is refused truly: nothing has run, and the caller is told when to come back. */
+static void
+test_longest_body (void **state)
+{
+  sgr_crowd_t *crowd = *state;
+  sgr_probe_request_t request = { .port = crowd->fixture.nodes[SGR_CROWD_ENTRY].callers,
+                                  .method = "POST",
+                                  .path = "/",
+                                  .fields = "Siskingrade-Service: one\r\nX-Request-Id: longest\r\n"
+                                            "Siskingrade-Deadline-Ms: 30000\r\n",
+                                  .body_length = 64U * 1024 * 1024 };
+  char *body = calloc (1, request.body_length);
+  const sgr_fixture_node_t *gate = &crowd->fixture.nodes[SGR_CROWD_GATE];
+  sgr_probe_answer_t answer;
+  char value[32] = "";
+
+  assert_non_null (body);
+  request.body = body;
+  sgr_probe_call (&request, &answer);
+  assert_int_equal (answer.status, 200);
+  sgr_probe_release (&answer);
+  assert_int_equal (sgr_fixture_executions (gate, "longest"), 1);
+  request.port = gate->callers;
+  sgr_probe_call (&request, &answer);
+  assert_int_equal (answer.status, 503);
+  sgr_probe_field (&answer, "siskingrade-outcome", value, sizeof value);
+  assert_string_equal (value, "not-run");
+  assert_true (sgr_probe_field (&answer, "retry-after", value, sizeof value));
+  sgr_probe_release (&answer);
+  free (body);
+  assert_int_equal (sgr_fixture_executions (gate, "longest"), 1);
+  for (size_t i = 0; i < crowd->fixture.count; i++)
+    {
+      size_t peak = sgr_crowd_peak (&crowd->fixture.nodes[i]);
+
+      print_message ("%s: peak %zu KiB\n", crowd->fixture.nodes[i].name, peak / 1024);
+      assert_true (peak < 160U * 1000 * 1000);
+    }
+}
+
 #define CROWD_TEST(test) cmocka_unit_test_setup_teardown (test, sgr_crowd_setup, sgr_crowd_teardown)
 
 int
@@ -199,7 +275,9 @@
     CROWD_TEST (test_unfinished_chunked_bodies),
     CROWD_TEST (test_bodies_over_limit),
     CROWD_TEST (test_unread_answers),
+    CROWD_TEST (test_input_behind_open_requests),
     CROWD_TEST (test_unfinished_heads),
+    cmocka_unit_test_setup_teardown (test_longest_body, sgr_crowd_small_setup, sgr_crowd_teardown),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_target_client.c
+++ b/tests/test_target_client.c
@@ -182,6 +182,7 @@
       sgr_target_request_t *request;
       end_t end = END_CANCELLED;
       size_t used_before, used_max;
+      sgr_buffer_t head = { 0 };
       pthread_t thread;
 
       assert_int_equal (bind (target.listener, (struct sockaddr *)&address, sizeof address), 0);
@@ -191,8 +192,8 @@
       assert_int_equal (pthread_create (&thread, NULL, target_run, &target), 0);
       client = sgr_target_client_create (loop, &target_address, 4);
       used_before = memory_used ();
-      request
-          = sgr_target_request_start (client, message, strlen (message), false, &handlers, &end);
+      sgr_buffer_append (&head, message, strlen (message));
+      request = sgr_target_request_start (client, &head, NULL, false, &handlers, &end);
       used_max = request_run (loop, request, &end);
       assert_true (sgr_target_client_is_idle (client));
       sgr_target_client_destroy (client);
