--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -82,6 +82,14 @@
   { NODE LISTEN OWNERS "limits: {quota_over: 1.1}\n", "f:6: limits.quota_over: " },
   { NODE LISTEN OWNERS "limits: {quota_over: nan}\n", "f:6: limits.quota_over: " },
   { NODE LISTEN OWNERS "limits: {quota_slack: 0.5}\n", "f:6: limits.quota_slack: " },
+  { NODE LISTEN OWNERS "limits: {memory_mb: 31}\n", "f:6: limits.memory_mb: " },
+  { NODE LISTEN OWNERS "limits: {memory_budget_bytes: 1000}\n",
+    "f:6: limits.memory_budget_bytes: " },
+  { NODE LISTEN OWNERS "limits: {memory_share_percent: 101}\n",
+    "f:6: limits.memory_share_percent: " },
+  { NODE LISTEN OWNERS "limits: {connections_max: 9}\n", "f:6: limits.connections_max: " },
+  { NODE LISTEN OWNERS "limits: {head_timeout_ms: 0}\n", "f:6: limits.head_timeout_ms: " },
+  { NODE LISTEN OWNERS "limits: {stall_timeout_ms: 0}\n", "f:6: limits.stall_timeout_ms: " },
   { NODE LISTEN OWNERS "limits: {calls_max: 0}\n", "f:6: limits.calls_max: " },
   { NODE LISTEN OWNERS "limits: {calls_max: many}\n", "f:6: limits.calls_max: " },
   { NODE LISTEN OWNERS "limits: {calls_max: 1.5}\n", "f:6: limits.calls_max: " },
@@ -199,12 +207,43 @@
   assert_int_equal (daemon_run ("--help"), 0);
 }
 
+/* Guards against a budget beyond the memory of the process, and one without room for a body. */
+static void
+test_memory_budget (void **state)
+{
+  static const struct
+  {
+    const char *limits;
+    uint64_t mib;
+  } cases[] = {
+    { "", 1024 },
+    { "limits: {memory_mb: 32}\n", 8 },
+    { "limits: {memory_mb: 64}\n", 16 },
+    { "limits: {memory_mb: 160}\n", 112 },
+    { "limits: {memory_mb: 512}\n", 464 },
+    { "limits: {memory_mb: 160, memory_budget_bytes: 16777216}\n", 16 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_buffer_t errors = { 0 };
+      sgr_settings_t settings;
+      char text[1024];
+
+      snprintf (text, sizeof text, "%s%s", NODE LISTEN OWNERS, cases[i].limits);
+      assert_int_equal (sgr_settings_parse (&settings, "f", text, strlen (text), &errors), SGR_OK);
+      assert_int_equal (settings.memory_budget_bytes, cases[i].mib << 20);
+      sgr_buffer_release (&errors);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_bad_settings),
     cmocka_unit_test (test_good_settings),
+    cmocka_unit_test (test_memory_budget),
     cmocka_unit_test (test_exit_status),
   };
 
