Send waiting bodies of a link one after the other

Bodies that wait for room in the queue of a link took turns, so that all were complete late; before, they were sent in the order of their calls. They wait in a list in that order now.

--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -28,6 +28,7 @@
  * @is_loss_pending: the connection was lost, and the loss has not been handled for this attempt yet
  * @has_head: the head of the answer was received
  * @body_sent: bytes of the request body that were sent to the gate
+ * @body_next: next attempt in the list of waiting bodies of the link
  * @is_rejected: the head of the answer was invalid; further frames are ignored
  * @status: not used
  * @body_length: length of the body according to the head, -1 if unknown
@@ -58,6 +59,7 @@
   bool is_loss_pending;
   bool has_head;
   size_t body_sent;
+  struct sgr_data_attempt_t *body_next;
   bool is_rejected;
   int status;
   int64_t body_length;
--- a/libsiskingrade/data_calls.c
+++ b/libsiskingrade/data_calls.c
@@ -8,8 +8,8 @@
 /* Handles the frames that a gate receives from an entry. A call is passed to the gate once its
    whole body has arrived. */
 
-/* Maximum number of calls with an incomplete body on one channel. An entry sends all frames of a
-   body without waiting in between, so only a faulty peer exceeds the limit. */
+/* Maximum number of calls with an incomplete body on one channel; further ones are refused. The
+   heads of calls overtake the bodies of earlier ones, so that a busy entry may reach the limit. */
 #define PARTIAL_CALLS_MAX 1024
 
 typedef struct
@@ -103,15 +103,17 @@
       sgr_data_gate_call (calls->gate, channel, call, &no_body);
       return SGR_OK;
     }
-  if (sgr_id_map_get (calls->partial, sgr_data_attempt_map_key (id)) != NULL
-      || sgr_id_map_count (calls->partial) >= PARTIAL_CALLS_MAX)
+  if (sgr_id_map_get (calls->partial, sgr_data_attempt_map_key (id)) != NULL)
     return SGR_ERR_INVALID;
   partial = calloc (1, sizeof *partial);
   sgr_invariant (partial != NULL);
   partial->memory.kind = SGR_MEMORY_GATE;
   sgr_memory_holder_begin (&partial->memory, calls->memory, sgr_clock_monotonic_us ());
-  if (!sgr_data_gate_body_admit (calls->gate, channel, call, &partial->memory))
+  if (sgr_id_map_count (calls->partial) >= PARTIAL_CALLS_MAX
+      || sgr_memory_budget_admit (&partial->memory, call->body_length, sgr_clock_monotonic_us ())
+             != SGR_OK)
     {
+      sgr_data_gate_body_refuse (calls->gate, channel, call);
       sgr_memory_holder_end (&partial->memory);
       free (partial);
       return SGR_OK; /* the parts of the body that follow are ignored */
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -462,9 +462,9 @@
   tick_run (gate, now_us);
 }
 
-bool
-sgr_data_gate_body_admit (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
-                          const Sgr__Pb__Call *call, sgr_memory_holder_t *memory)
+void
+sgr_data_gate_body_refuse (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                           const Sgr__Pb__Call *call)
 {
   uint64_t now_us = sgr_clock_monotonic_us ();
   sgr_attempt_id_t id = { call->id->node, call->id->boot, call->id->sequence, call->id->attempt };
@@ -473,15 +473,13 @@
                                  .retry_after_ms = BODY_RETRY_AFTER_MS };
   sgr_attempt_t attempt;
 
-  if (sgr_memory_budget_admit (memory, call->body_length, now_us) == SGR_OK)
-    return true;
   /* The ledger has no record of the attempt. A later query leaves a tombstone there, which says
      not-run as well. */
   attempt_fill (&attempt, call, &id, now_us);
   refusal.outcome = refused_outcome (gate, now_us, &attempt, SGR_OUTCOME_NOT_RUN);
   sgr_counter_add (gate->bodies_refused, 1);
+  gate->task->memory_events++;
   sgr_gate_refusal_send (gate, channel, &id, &refusal);
-  return false;
 }
 
 void
--- a/libsiskingrade/data_gate.h
+++ b/libsiskingrade/data_gate.h
@@ -39,16 +39,13 @@
                          const Sgr__Pb__Call *call, sgr_buffer_t *body);
 
 /**
- * sgr_data_gate_body_admit() - admit the announced body of an attempt, or refuse the attempt
+ * sgr_data_gate_body_refuse() - refuse an attempt for whose announced body there is no room
  * @gate: the gate
  * @channel: channel of the entry, which gets the refusal
- * @call: head of the attempt
- * @memory: holder of the body, which has begun
- *
- * Return: false if the memory budget has no room; the attempt was not run.
+ * @call: head of the attempt, which was not passed to sgr_data_gate_call()
  */
-bool sgr_data_gate_body_admit (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
-                               const Sgr__Pb__Call *call, sgr_memory_holder_t *memory);
+void sgr_data_gate_body_refuse (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
+                                const Sgr__Pb__Call *call);
 
 /** sgr_data_gate_cancel() - cancel an attempt and reply to its entry with the status */
 void sgr_data_gate_cancel (sgr_data_gate_t *gate, sgr_data_channel_t *channel,
--- a/libsiskingrade/data_link.c
+++ b/libsiskingrade/data_link.c
@@ -21,7 +21,8 @@
  * @has_key_generation: @key_generation was received and belongs to @boot
  * @attempts: list of the attempts that wait for frames from the gate
  * @attempt_count: elements of @attempts
- * @has_waiting_body: a part of a body waits for room in the queue
+ * @first_body: oldest attempt whose body waits for room in the queue
+ * @last_body: newest of these attempts
  * @idle_timer: closes the connection after IDLE_CLOSE_US without an attempt
  * @lost_us: monotonic time at which a connection was lost or could not be opened; 0 once one is
  * ready
@@ -37,7 +38,8 @@
   bool has_key_generation;
   sgr_data_attempt_t *attempts;
   size_t attempt_count;
-  bool has_waiting_body;
+  sgr_data_attempt_t *first_body;
+  sgr_data_attempt_t *last_body;
   sgr_timer_t idle_timer;
   uint64_t lost_us;
 };
@@ -132,19 +134,38 @@
   return entry_frame_handle (ctx, frame);
 }
 
-/* Sends further parts of the large bodies that wait for room in the queue, one part of each body in
-   turn. */
+/* Removes an attempt from the bodies that wait for room. */
 static void
-bodies_continue (sgr_data_link_t *link)
+body_remove (sgr_data_link_t *link, sgr_data_attempt_t *attempt)
 {
-  while (link->has_waiting_body && sgr_data_link_has_room (link))
+  sgr_data_attempt_t *previous = NULL;
+  sgr_data_attempt_t *at = link->first_body;
+
+  while (at != NULL && at != attempt)
     {
-      bool has_sent = false;
+      previous = at;
+      at = at->body_next;
+    }
+  if (at == NULL)
+    return;
+  if (previous != NULL)
+    previous->body_next = at->body_next;
+  else
+    link->first_body = at->body_next;
+  if (link->last_body == at)
+    link->last_body = previous;
+  at->body_next = NULL;
+}
 
-      for (sgr_data_attempt_t *attempt = link->attempts; attempt != NULL;
-           attempt = attempt->link_next)
-        has_sent = sgr_data_send_body_continue (attempt) || has_sent;
-      link->has_waiting_body = has_sent;
+/* Sends further parts of the large bodies that wait for room in the queue. Each body is sent to its
+   end before the next one: if they took turns, all would be complete late. */
+static void
+bodies_continue (sgr_data_link_t *link)
+{
+  while (link->first_body != NULL && sgr_data_link_has_room (link))
+    {
+      if (!sgr_data_send_body_continue (link->first_body))
+        body_remove (link, link->first_body);
     }
 }
 
@@ -393,10 +414,21 @@
   return sgr_peer_conn_send (link->conn, frame, priority);
 }
 
+bool
+sgr_data_link_has_waiting_body (const sgr_data_link_t *link)
+{
+  return link->first_body != NULL;
+}
+
 void
-sgr_data_link_body_wait (sgr_data_link_t *link)
+sgr_data_link_body_wait (sgr_data_link_t *link, sgr_data_attempt_t *attempt)
 {
-  link->has_waiting_body = true;
+  attempt->body_next = NULL;
+  if (link->last_body != NULL)
+    link->last_body->body_next = attempt;
+  else
+    link->first_body = attempt;
+  link->last_body = attempt;
 }
 
 bool
@@ -463,6 +495,7 @@
 void
 sgr_data_link_detach (sgr_data_link_t *link, sgr_data_attempt_t *attempt)
 {
+  body_remove (link, attempt);
   if (attempt->link_previous != NULL)
     attempt->link_previous->link_next = attempt->link_next;
   else
--- a/libsiskingrade/data_link.h
+++ b/libsiskingrade/data_link.h
@@ -36,12 +36,16 @@
 /** sgr_data_link_has_room() - whether a further part of a large body may be sent now */
 bool sgr_data_link_has_room (const sgr_data_link_t *link);
 
+/** sgr_data_link_has_waiting_body() - whether a large body waits; a later one has to wait, too */
+bool sgr_data_link_has_waiting_body (const sgr_data_link_t *link);
+
 /**
- * sgr_data_link_body_wait() - wait for room in the queue of a link
+ * sgr_data_link_body_wait() - let the body of an attempt wait for room in the queue of its link
  *
- * When there is room, sgr_data_send_body_continue() is called for each attempt of the link.
+ * When there is room, sgr_data_send_body_continue() is called for the oldest waiting attempt until
+ * it returns false. An attempt that is detached waits no more.
  */
-void sgr_data_link_body_wait (sgr_data_link_t *link);
+void sgr_data_link_body_wait (sgr_data_link_t *link, struct sgr_data_attempt_t *attempt);
 
 /**
  * sgr_data_link_open() - open a connection if there is none; frames may be sent at once
--- a/libsiskingrade/data_send.c
+++ b/libsiskingrade/data_send.c
@@ -149,10 +149,12 @@
   sgr_result_t result = SGR_OK;
 
   while (attempt->body_sent < length && result == SGR_OK
-         && (length <= SGR_FRAME_CHUNK_BYTES || sgr_data_link_has_room (attempt->link)))
+         && (length <= SGR_FRAME_CHUNK_BYTES
+             || (!sgr_data_link_has_waiting_body (attempt->link)
+                 && sgr_data_link_has_room (attempt->link))))
     result = body_part_send (attempt);
-  if (attempt->body_sent < length)
-    sgr_data_link_body_wait (attempt->link);
+  if (attempt->body_sent < length && result == SGR_OK)
+    sgr_data_link_body_wait (attempt->link, attempt);
   return result;
 }
 
