--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -79,7 +79,11 @@
  *   has no such limit
  * @attempts_max: maximum number of attempts that reach a target
  * @refusals_max: additional attempts that are allowed because gates refused earlier ones
- * @priority: rank under overload, 0 is served first
+ * @priority: rank under overload, 0 is served first; with accounts, the rank of the account comes
+ *   before that of the route
+ * @has_accounts: the configuration had client accounts when the request arrived
+ * @account: index of the client account of the call in the configuration that was in force when the
+ *   request arrived; SGR_ACCOUNT_NONE for a call of a public route, and without accounts
  * @chain: depth and remaining retries of the call chain that the call belongs to
  * @has_key: the call carries an idempotency key
  * @is_key_issued: a node issued the key, as opposed to a caller's own key
@@ -99,6 +103,8 @@
   uint32_t attempts_max;
   uint32_t refusals_max;
   uint32_t priority;
+  bool has_accounts;
+  uint32_t account;
   sgr_retry_chain_t chain;
   bool has_key;
   bool is_key_issued;
@@ -117,6 +123,15 @@
 void sgr_data_call_start (sgr_data_task_t *task, h2o_req_t *req, sgr_data_service_t *service,
                           const sgr_data_call_request_t *request);
 
+/**
+ * sgr_data_calls_deadline_limit() - move the deadlines of all open calls to a time at the latest
+ * @task: the data task
+ * @deadline_us: the time, monotonic, microseconds
+ *
+ * Callers of a node that stops thus get a final answer before its process ends.
+ */
+void sgr_data_calls_deadline_limit (sgr_data_task_t *task, uint64_t deadline_us);
+
 /**
  * sgr_data_attempt_frame_handle() - handle a frame that the gate sent for an attempt
  * @attempt: the attempt
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "data_account.h"
 #include "data_call.h"
 #include "data_keys.h"
 #include "data_memory.h"
@@ -19,9 +20,6 @@
 /* Retry-After of a call that is refused because its idempotency key, which the caller chose, cannot
    be bound to a gate. */
 #define KEY_BIND_RETRY_AFTER_MS 1000
-/* Time for the answers to calls that reach the end of a stop: cancels, their replies, and the write
-   to the caller. */
-#define STOP_ANSWER_US (200 * SGR_USEC_PER_MSEC)
 /* Time for which the knowledge of a newer configuration turns 404 into 503. */
 #define BEHIND_MAX_US (15 * SGR_USEC_PER_SEC)
 /* Maximum number of attempts that a routed call may make in addition to attempts_max because gates
@@ -151,8 +149,8 @@
 static void
 deadline_limit_by_stop (const sgr_data_task_t *task, uint64_t *deadline_us)
 {
-  if (task->drain_deadline_us != 0 && *deadline_us > task->drain_deadline_us - STOP_ANSWER_US)
-    *deadline_us = task->drain_deadline_us - STOP_ANSWER_US;
+  if (task->calls_end_us != 0 && *deadline_us > task->calls_end_us)
+    *deadline_us = task->calls_end_us;
 }
 
 static bool
@@ -226,8 +224,9 @@
     request->on_time_us = sgr_clock_monotonic_us () + route->target_latency_ms * SGR_USEC_PER_MSEC;
   request->refusals_max = route != NULL ? ROUTE_REFUSALS_MAX : 0;
   request->priority = route != NULL ? route->priority : 0;
-  if (tenant.base != NULL && !name_copy (tenant, request->tenant))
+  if (!request->has_accounts && tenant.base != NULL && !name_copy (tenant, request->tenant))
     return "bad-tenant";
+  sgr_data_account_apply (http->task, request);
   if (route == NULL && class_name.base != NULL && !name_copy (class_name, request->class_name))
     return "bad-class";
   if (!idempotent_read (req, route != NULL ? route->idempotency : policy->idempotency,
@@ -290,13 +289,15 @@
     sgr_data_request_refuse (http->task, req, 404, reason);
 }
 
-/* Finds the service of a call. With routes, it is the service that is next in the traffic split of
-   the matching route; without routes, the caller names it. If there is no such service, refuses the
-   request and returns NULL. */
+/* Checks the key of a call and finds its service. With routes, it is the service that is next in
+   the traffic split of the matching route; without routes, the caller names it. If the key is not
+   known or there is no such service, refuses the request and returns NULL. */
 static sgr_data_service_t *
-service_choose (sgr_data_http_t *http, h2o_req_t *req, const sgr_route_t **route, char *name)
+service_choose (sgr_data_http_t *http, h2o_req_t *req, const sgr_route_t **route,
+                sgr_data_call_request_t *request)
 {
   sgr_route_table_t *routes = http->task->routes;
+  sgr_route_entry_t *entry = NULL;
   sgr_data_service_t *service;
 
   if (routes == NULL || http->task->snapshot->config_revision == 0)
@@ -306,23 +307,26 @@
     }
   if (sgr_route_table_count (routes) > 0)
     {
-      sgr_route_entry_t *entry = sgr_route_table_find (
-          routes, req->authority.base, req->authority.len, req->path.base, req->path.len);
-
+      entry = sgr_route_table_find (routes, req->authority.base, req->authority.len, req->path.base,
+                                    req->path.len);
       if (entry == NULL)
         {
           unknown_refuse (http, req, "no-route");
           return NULL;
         }
       *route = sgr_route_entry_route (entry);
-      snprintf (name, SGR_NAME_MAX + 1, "%s", sgr_route_entry_part_next (entry)->service);
     }
-  else if (!service_name_read (req, name))
+  if (!sgr_data_account_check (http->task, req, *route, request))
+    return NULL;
+  if (entry != NULL)
+    snprintf (request->service, sizeof request->service, "%s",
+              sgr_route_entry_part_next (entry)->service);
+  else if (!service_name_read (req, request->service))
     {
       sgr_data_request_refuse (http->task, req, 400, "bad-service");
       return NULL;
     }
-  service = sgr_data_service_find (http->task->services, name);
+  service = sgr_data_service_find (http->task->services, request->service);
   if (service == NULL)
     unknown_refuse (http, req, "unknown-service");
   return service;
@@ -331,9 +335,9 @@
 static void
 call_begin (sgr_data_http_t *http, h2o_req_t *req)
 {
-  sgr_data_call_request_t request = { 0 };
+  sgr_data_call_request_t request = { .account = SGR_ACCOUNT_NONE };
   const sgr_route_t *route = NULL;
-  sgr_data_service_t *service = service_choose (http, req, &route, request.service);
+  sgr_data_service_t *service = service_choose (http, req, &route, &request);
   pending_bind_t *pending;
   const char *reason;
 
@@ -346,6 +350,7 @@
       sgr_data_request_refuse (http->task, req, 400, reason);
       return;
     }
+  sgr_data_account_call_count (http->task, &request);
   if (!request.has_key || request.is_key_issued)
     {
       sgr_data_call_start (http->task, req, service, &request);
@@ -385,6 +390,7 @@
 static void
 key_issue (sgr_data_http_t *http, h2o_req_t *req)
 {
+  sgr_data_call_request_t request = { .account = SGR_ACCOUNT_NONE };
   sgr_data_service_t *service = NULL;
   char name[SGR_NAME_MAX + 1];
   h2o_iovec_t query = { 0 };
@@ -394,6 +400,8 @@
       sgr_data_request_refuse (http->task, req, 405, "expected-post");
       return;
     }
+  if (!sgr_data_account_check (http->task, req, NULL, &request))
+    return;
   if (req->query_at != SIZE_MAX)
     query = h2o_iovec_init (req->path.base + req->query_at + 1, req->path.len - req->query_at - 1);
   if (query.len > 8 && memcmp (query.base, "service=", 8) == 0
@@ -414,20 +422,6 @@
   open->http->requests--;
 }
 
-/* Counts the body of a request that h2o has read itself, over HTTP/2 or TLS. Returns false if there
-   is no room for it. */
-static bool
-body_admit (open_request_t *open, h2o_req_t *req)
-{
-  if (req->entity.len == 0 || sgr_http1_server_is_own (req->conn))
-    return true;
-  open->memory = (sgr_memory_holder_t){ .kind = SGR_MEMORY_REQUEST,
-                                        .address = sgr_data_caller_address (req) };
-  sgr_memory_holder_begin (&open->memory, open->http->task->memory, sgr_clock_monotonic_us ());
-  return sgr_memory_budget_admit (&open->memory, req->entity.len, sgr_clock_monotonic_us ())
-         == SGR_OK;
-}
-
 static int
 on_request (h2o_handler_t *super, h2o_req_t *req)
 {
@@ -448,7 +442,7 @@
       req->http1_is_persistent = 0;
       sgr_data_request_refuse (http->task, req, 503, "node-stopping");
     }
-  else if (!body_admit (open, req))
+  else if (!sgr_data_memory_body_admit (http->task, req, &open->memory))
     {
       sgr_data_memory_refused (http->task);
       sgr_data_request_refuse (http->task, req, 503, "memory");
@@ -515,15 +509,6 @@
   sgr_data_malformed_count (task, status);
 }
 
-static void
-on_closed_for_room (void *ctx)
-{
-  sgr_data_task_t *task = ctx;
-
-  sgr_counter_add (
-      sgr_metrics_counter (task->metrics, "siskingrade_connections_closed_for_room_total", ""), 1);
-}
-
 sgr_data_http_t *
 sgr_data_http_create (sgr_data_task_t *task, sgr_buffer_t *errors)
 {
@@ -551,7 +536,7 @@
       .connections_max = sgr_data_connections_max (task),
       .head_timeout_us = task->settings->head_timeout_ms * SGR_USEC_PER_MSEC,
       .stall_timeout_us = task->settings->stall_timeout_ms * SGR_USEC_PER_MSEC,
-      .closed_for_room = on_closed_for_room,
+      .closed_for_room = sgr_data_memory_room_made,
       .rejected = on_malformed,
       .ctx = task });
   if (sgr_listener_open (task->loop, &listen_address, on_accept, http, &http->listener) == SGR_OK)
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -3,6 +3,7 @@
 
 #include <h2o.h>
 
+#include "account_table.h"
 #include "balancer.h"
 #include "call_log.h"
 #include "call_plan.h"
@@ -39,6 +40,8 @@
  * @completed: requests that the local target answered completely
  * @snapshot: latest snapshot of the control task, NULL before the first one
  * @routes: routes of the configuration in @snapshot
+ * @accounts: client accounts of the configuration in @snapshot, NULL without any
+ * @account_counters: counters of calls by the hash of the account's name
  * @attempts: attempts of this node's own calls by sgr_data_attempt_map_key()
  * @memory: budget of the buffers of callers, peers and the target
  * @memory_timer: drops the holders that the budget has chosen
@@ -53,6 +56,8 @@
  * @had_snapshot: at least one snapshot was applied
  * @leave_timer: sets @is_draining leave_delay_ms after the drain was requested
  * @drain_timer: checks at short intervals whether the drain is complete
+ * @open_calls: list of the open calls of callers
+ * @calls_end_us: latest deadline of a call during a drain, monotonic time, 0 before a drain
  * @drain_deadline_us: monotonic time at which the drain ends even if calls are open, 0 before a
  * drain
  *
@@ -76,6 +81,8 @@
   sgr_rng_t rng;
   sgr_snapshot_t *snapshot;
   sgr_route_table_t *routes;
+  sgr_account_table_t *accounts;
+  sgr_id_map_t *account_counters;
   sgr_data_gate_t *gate;
   sgr_data_links_t *links;
   sgr_data_services_t *services;
@@ -99,6 +106,8 @@
   sgr_timer_t leave_timer;
   sgr_timer_t drain_timer;
   sgr_timer_t metrics_timer;
+  struct sgr_data_call_t *open_calls;
+  uint64_t calls_end_us;
   uint64_t drain_deadline_us;
 };
 
--- a/libsiskingrade/data_memory.c
+++ b/libsiskingrade/data_memory.c
@@ -5,6 +5,7 @@
 #include <sys/resource.h>
 #include <sys/socket.h>
 
+#include "http1_server.h"
 #include "log.h"
 
 /* Time without progress after which a holder makes room for a new body. A caller inside the limits
@@ -56,6 +57,28 @@
   return limit.rlim_cur / 4 * 3;
 }
 
+bool
+sgr_data_memory_body_admit (sgr_data_task_t *task, h2o_req_t *req, sgr_memory_holder_t *memory)
+{
+  uint64_t now_us = sgr_clock_monotonic_us ();
+
+  if (req->entity.len == 0 || sgr_http1_server_is_own (req->conn))
+    return true;
+  memory->kind = SGR_MEMORY_REQUEST;
+  memory->address = sgr_data_caller_address (req);
+  sgr_memory_holder_begin (memory, task->memory, now_us);
+  return sgr_memory_budget_admit (memory, req->entity.len, now_us) == SGR_OK;
+}
+
+void
+sgr_data_memory_room_made (void *ctx)
+{
+  sgr_data_task_t *task = ctx;
+
+  sgr_counter_add (
+      sgr_metrics_counter (task->metrics, "siskingrade_connections_closed_for_room_total", ""), 1);
+}
+
 static void
 on_drops_pending (void *ctx)
 {
--- a/libsiskingrade/data_memory.h
+++ b/libsiskingrade/data_memory.h
@@ -27,6 +27,23 @@
  */
 size_t sgr_data_connections_max (const sgr_data_task_t *task);
 
+/**
+ * sgr_data_memory_body_admit() - count the body of a request that h2o has read itself, over HTTP/2
+ * or TLS
+ * @task: the data task
+ * @req: the request
+ * @memory: zero-initialized holder; to be ended with the request
+ *
+ * Return: false if there is no room for the body.
+ */
+bool sgr_data_memory_body_admit (sgr_data_task_t *task, h2o_req_t *req,
+                                 sgr_memory_holder_t *memory);
+
+/** sgr_data_memory_room_made() - count a connection that was closed because of connections_max
+ * @ctx: the data task
+ */
+void sgr_data_memory_room_made (void *ctx);
+
 /** sgr_data_memory_refused() - count a request of a caller that was refused for lack of memory */
 void sgr_data_memory_refused (sgr_data_task_t *task);
 
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "data_account.h"
+#include "data_call.h"
 #include "data_gate.h"
 #include "data_http.h"
 #include "data_internal.h"
@@ -12,6 +14,7 @@
 #include "data_memory.h"
 #include "data_peer.h"
 #include "data_service.h"
+#include "stop_plan.h"
 #include "task_loop.h"
 
 /* Interval of pings on a connection between nodes while no attempt waits on it. */
@@ -75,7 +78,10 @@
 
   task->snapshot = snapshot;
   if (old == NULL || old->config_revision != snapshot->config_revision)
-    routes_rebuild (task);
+    {
+      routes_rebuild (task);
+      sgr_data_accounts_rebuild (task);
+    }
   sgr_data_services_update (task->services, old, now_us);
   sgr_data_gate_update (task->gate, now_us);
   task->had_snapshot = true;
@@ -124,7 +130,8 @@
     sgr_timer_arm (task->timers, &task->drain_timer, now_us + DRAIN_POLL_INTERVAL_US);
 }
 
-/* Callers have had leave_delay_ms to move to other nodes; refuses their requests from now on. */
+/* Callers have had the time until here to move to other nodes; refuses their requests from now on.
+ */
 static void
 on_leave_timer (void *ctx, uint64_t now_us)
 {
@@ -138,15 +145,17 @@
 static void
 drain_begin (sgr_data_task_t *task)
 {
+  sgr_stop_plan_t plan = sgr_stop_plan (task->settings);
   uint64_t now_us = sgr_clock_monotonic_us ();
 
   if (task->drain_deadline_us != 0)
     return;
-  task->drain_deadline_us = now_us + task->settings->drain_timeout_ms * SGR_USEC_PER_MSEC;
+  task->calls_end_us = now_us + plan.calls_end_ms * SGR_USEC_PER_MSEC;
+  task->drain_deadline_us = now_us + plan.drain_end_ms * SGR_USEC_PER_MSEC;
+  sgr_data_calls_deadline_limit (task, task->calls_end_us);
   sgr_data_gate_drain (task->gate, now_us);
   sgr_data_http_leave (task->http);
-  sgr_timer_arm (task->timers, &task->leave_timer,
-                 now_us + task->settings->leave_delay_ms * SGR_USEC_PER_MSEC);
+  sgr_timer_arm (task->timers, &task->leave_timer, now_us + plan.refuse_ms * SGR_USEC_PER_MSEC);
 }
 
 static void
@@ -291,6 +300,8 @@
   sgr_call_log_destroy (task->call_log);
   sgr_snapshot_destroy (task->snapshot);
   sgr_route_table_destroy (task->routes);
+  sgr_account_table_destroy (task->accounts);
+  sgr_id_map_destroy (task->account_counters);
   sgr_timer_heap_destroy (task->timers);
   sgr_metrics_destroy (task->metrics);
   free (task);
@@ -338,6 +349,7 @@
   task->metrics_timer = (sgr_timer_t){ .fire = on_metrics_timer, .ctx = task };
   sgr_rng_seed (&task->rng, boot);
   task->attempts = sgr_id_map_create ();
+  task->account_counters = sgr_id_map_create ();
   task->call_log = sgr_call_log_create ();
   task->completed = sgr_metrics_counter (task->metrics, "siskingrade_gate_completed_total", "");
   if (thread_start (task, errors))
--- a/libsiskingrade/peer_conn.h
+++ b/libsiskingrade/peer_conn.h
@@ -107,6 +107,7 @@
  *         connection with SGR_PEER_CLOSE_BAD_FRAME
  * @closed: the connection failed or was closed by the other node; it is freed after this call
  * @written: a write has ended, so that the queues may have room; may be NULL
+ * @rtt_measured: the round-trip time in microseconds was measured; may be NULL
  */
 typedef struct
 {
@@ -114,6 +115,7 @@
   sgr_result_t (*frame) (void *ctx, sgr_peer_conn_t *conn, const Sgr__Pb__PeerFrame *frame);
   void (*closed) (void *ctx, sgr_peer_conn_t *conn, sgr_peer_close_t reason);
   void (*written) (void *ctx);
+  void (*rtt_measured) (void *ctx, sgr_peer_conn_t *conn, uint64_t rtt_us);
 } sgr_peer_conn_handlers_t;
 
 /**
