--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -334,7 +334,6 @@
                           &settings->quota_window_ms);
   sgr_yaml_share_read (yaml, node, "quota_over", "limits", &settings->quota_over);
   sgr_yaml_number_read (yaml, node, "quota_slack", "limits", 0, 1000000, &settings->quota_slack);
-  read_memory (settings, yaml, node);
   if (settings->silence_ms < 2 * settings->heartbeat_ms)
     sgr_yaml_error (yaml, node, "limits.silence_ms", "expected at least twice heartbeat_ms (%lu)",
                     2 * settings->heartbeat_ms);
@@ -360,6 +359,7 @@
   read_tls (settings, yaml, root);
   read_log (settings, yaml, root);
   read_limits (settings, yaml, root);
+  read_memory (settings, yaml, sgr_yaml_get (yaml, root, "limits"));
   memory_budget_derive (settings);
   return sgr_yaml_failed (yaml) ? SGR_ERR_INVALID : SGR_OK;
 }
