--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -17,8 +17,22 @@
 typedef struct sgr_control_keys_t sgr_control_keys_t;
 typedef struct sgr_control_contacts_t sgr_control_contacts_t;
 typedef struct sgr_control_departures_t sgr_control_departures_t;
+typedef struct sgr_control_evacuation_t sgr_control_evacuation_t;
 typedef struct sgr_control_probe_t sgr_control_probe_t;
 
+/**
+ * struct sgr_control_fleet_t - nodes that may run
+ * @size: members that are alive, suspect, or dead without having left
+ * @changed_us: when @size changed last
+ * @is_known: @size did not change for a while after this node had learned of the others
+ */
+typedef struct
+{
+  size_t size;
+  uint64_t changed_us;
+  bool is_known;
+} sgr_control_fleet_t;
+
 /**
  * struct sgr_control_t - state of the control task
  *
@@ -39,9 +53,11 @@
  * @keys: binds the idempotency keys that callers chose, in the store
  * @contacts: finds other nodes through the store, NULL without a store
  * @departures: keeps the departures of the local target in the store
+ * @evacuation: follows the evacuated failure domains, NULL if the settings do not ask for it
  * @probe: active probes of the local target
  * @members: members that are alive or suspect, as of the last snapshot, in the order of their ids
  * @member_count: entries of @members
+ * @fleet: number of nodes that may run, for quotas of accounts
  * @snapshot_revision: revision of the configuration in the last snapshot
  * @newest_revision: highest revision of the configuration that this node or one of @members has in
  *   force
@@ -76,9 +92,11 @@
   sgr_control_keys_t *keys;
   sgr_control_contacts_t *contacts;
   sgr_control_departures_t *departures;
+  sgr_control_evacuation_t *evacuation;
   sgr_control_probe_t *probe;
   sgr_member_t *members;
   size_t member_count;
+  sgr_control_fleet_t fleet;
   uint64_t snapshot_revision;
   uint64_t newest_revision;
   uint64_t newest_seen_us;
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -32,6 +32,7 @@
 typedef struct sgr_data_peers_t sgr_data_peers_t;
 typedef struct sgr_data_http_t sgr_data_http_t;
 typedef struct sgr_data_keys_t sgr_data_keys_t;
+typedef struct sgr_data_quotas_t sgr_data_quotas_t;
 
 /**
  * struct sgr_data_task_t - state of the data task
@@ -89,6 +90,7 @@
   sgr_data_peers_t *peers;
   sgr_data_http_t *http;
   sgr_data_keys_t *keys;
+  sgr_data_quotas_t *quotas;
   sgr_id_map_t *attempts;
   sgr_memory_budget_t *memory;
   sgr_timer_t memory_timer;
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -110,7 +110,11 @@
                                    .eject_percent = policy->eject_percent,
                                    .far_us_per_kib = (uint32_t)task->settings->far_us_per_kib,
                                    .remote_us_per_kib = (uint32_t)task->settings->remote_us_per_kib,
-                                   .far_set_seed = task->node };
+                                   .is_spill_late_only = task->settings->region_count > 1,
+                                   .far_set_seed = task->node,
+                                   .cold_calls_per_s = policy->cold_calls_per_s,
+                                   .cold_start_us = policy->cold_start_ms * SGR_USEC_PER_MSEC,
+                                   .entry_count = (uint32_t)task->snapshot->member_count };
 }
 
 static sgr_data_service_t *
@@ -216,6 +220,24 @@
     }
 }
 
+/* Lets targets of evacuated failure domains count as draining, also while their nodes announce
+   another state because they do not know of the evacuation. When the evacuation ends, the state of
+   their nodes counts again, and targets that serve get a slow start. */
+static void
+evacuated_targets_mark (sgr_data_services_t *services)
+{
+  sgr_snapshot_t *snapshot = services->task->snapshot;
+
+  for (size_t i = 0; snapshot->evacuation.count > 0 && i < snapshot->member_count; i++)
+    {
+      sgr_member_t *member = &snapshot->members[i];
+
+      if (member->target_state != SGR_TARGET_LEFT
+          && sgr_evacuation_has (&snapshot->evacuation, member->failure_domain))
+        member->target_state = SGR_TARGET_DRAINING;
+    }
+}
+
 /* Removes targets of the previous snapshot that are no longer members of their service. */
 static void
 departed_targets_remove (sgr_data_services_t *services, const sgr_snapshot_t *previous)
@@ -244,6 +266,7 @@
   for (size_t i = 0; i < snapshot->policy_count; i++)
     policy_apply (services, &snapshot->policies[i]);
   restarted_services_keep (services, previous);
+  evacuated_targets_mark (services);
   departed_targets_remove (services, previous);
   for (size_t i = 0; i < snapshot->member_count; i++)
     member_apply (services, &snapshot->members[i], now_us);
@@ -251,7 +274,8 @@
 
 sgr_balancer_target_t
 sgr_data_service_pick (sgr_data_service_t *service, uint64_t now_us, const sgr_node_id_t *excluded,
-                       size_t count, uint64_t bytes, sgr_node_id_t *node, bool *should_wait)
+                       size_t count, const sgr_balancer_call_t *call, sgr_node_id_t *node,
+                       bool *should_wait)
 {
   sgr_balancer_target_t excluded_targets[SGR_CALL_ATTEMPTS_MAX];
   sgr_balancer_target_t target;
@@ -259,12 +283,12 @@
   sgr_invariant (count <= SGR_CALL_ATTEMPTS_MAX);
   for (size_t i = 0; i < count; i++)
     excluded_targets[i] = sgr_balancer_target_find (service->balancer, excluded[i]);
-  target = sgr_balancer_pick_sized (service->balancer, now_us, excluded_targets, count, bytes);
+  target = sgr_balancer_pick_for_call (service->balancer, now_us, excluded_targets, count, call);
   if (target != SGR_BALANCER_TARGET_NONE)
     *node = sgr_balancer_target_info (service->balancer, target)->node;
   if (should_wait != NULL)
-    *should_wait
-        = sgr_balancer_should_wait (service->balancer, target, excluded_targets, count, bytes);
+    *should_wait = sgr_balancer_should_wait (service->balancer, target, excluded_targets, count,
+                                             call->bytes);
   return target;
 }
 
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -2,6 +2,7 @@
 #define SGR_SNAPSHOT_H
 
 #include "account.h"
+#include "evacuation.h"
 #include "member.h"
 #include "result.h"
 #include "route.h"
@@ -15,6 +16,11 @@
  * @slots: requests that the target may run at a time
  * @connections: connections that the gate may open to the target
  * @probe_path: HTTP path for active probes, empty if the target has none
+ * @registered_us: monotonic time at which the instance registered
+ * @cold_stated_us: monotonic time of the last announcement that said whether the instance is cold
+ * and changed what was known, 0 if none has
+ * @cold_until_us: monotonic time until which the instance stays cold according to it, not after
+ * @cold_stated_us if it is not cold
  */
 typedef struct
 {
@@ -25,6 +31,9 @@
   uint32_t slots;
   uint32_t connections;
   char probe_path[SGR_NAME_MAX + 1];
+  uint64_t registered_us;
+  uint64_t cold_stated_us;
+  uint64_t cold_until_us;
 } sgr_local_target_t;
 
 /**
@@ -37,9 +46,12 @@
  * @members: nodes that are alive or suspect, this node included; the service of a node without a
  *   target is empty
  * @member_count: entries of @members
+ * @fleet_size: nodes that may run: those of @members and those that are dead and did not leave; 0
+ *   while it is not known, and without accounts
  * @config_revision: revision of the configuration, 0 if none is known
  * @newest_revision: highest revision that this node or one of @members has in force
  * @newest_seen_us: monotonic time at which this node heard of @newest_revision first
+ * @evacuation: the evacuated failure domains
  * @policies: policies of the services in the configuration
  * @policy_count: entries of @policies
  * @routes: routes of the configuration; empty if the snapshot before had the same revision
@@ -55,9 +67,11 @@
   sgr_local_target_t local;
   sgr_member_t *members;
   size_t member_count;
+  size_t fleet_size;
   uint64_t config_revision;
   uint64_t newest_revision;
   uint64_t newest_seen_us;
+  sgr_evacuation_t evacuation;
   sgr_policy_t *policies;
   size_t policy_count;
   sgr_route_t *routes;
