Limit how often a reader watches the store in a quick succession of versions

Cause: each reader of the configuration calls the store once a version, also when versions replace each other within milliseconds. Change: a setting for the shortest time between the starts of two watches; a version that comes alone is not delayed. Result: test_sync_watch_interval is new; test_config_sync passes.

--- a/libsiskingrade/config_sync.c
+++ b/libsiskingrade/config_sync.c
@@ -325,7 +325,12 @@
   if (is_new_version || is_whole)
     {
       sync->watch_failures = 0;
-      sync->watch_due_us = now_us > sync->settled_us ? now_us : sync->settled_us;
+      sync->watch_due_us
+          = sync->watch_start_us + sync->options.watch_interval_ms * SGR_USEC_PER_MSEC;
+      if (sync->watch_due_us < now_us)
+        sync->watch_due_us = now_us;
+      if (sync->watch_due_us < sync->settled_us)
+        sync->watch_due_us = sync->settled_us;
       return;
     }
   sync->stats.store_failures++;
--- a/libsiskingrade/config_sync.h
+++ b/libsiskingrade/config_sync.h
@@ -30,6 +30,8 @@
  * @readers: nodes of a failure domain that watch the store; with two, the failure of one has no
  *           effect
  * @watch_ms: longest duration of one watch
+ * @watch_interval_ms: shortest time between the starts of two watches, 0 for none. In a quick
+ *   succession of versions, a reader skips those that are replaced within this time
  * @watch_confirm_ms: longest duration of the first watch after a new version or a failed watch, at
  *   the two readers that confirm that the store answers; half of it is random. Only its answer
  *   shows that the store has taken a watch, and after a change all readers send one at once.
@@ -52,6 +54,7 @@
   uint32_t start_delay_ms;
   uint32_t readers;
   uint32_t watch_ms;
+  uint32_t watch_interval_ms;
   uint32_t watch_confirm_ms;
   uint32_t backoff_min_ms;
   uint32_t backoff_max_ms;
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -75,6 +75,7 @@
   options.sync.start_delay_ms = (uint32_t)settings->store_delay_ms;
   options.sync.readers = (uint32_t)settings->store_readers;
   options.sync.watch_ms = (uint32_t)settings->store_watch_ms;
+  options.sync.watch_interval_ms = (uint32_t)settings->store_watch_interval_ms;
   options.sync.backoff_max_ms = (uint32_t)settings->store_retry_max_ms;
   options.source = control->adapter->config;
   memcpy (options.node, settings->name, sizeof options.node);
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -264,6 +264,7 @@
                                       "store_delay_ms",
                                       "store_readers",
                                       "store_watch_ms",
+                                      "store_watch_interval_ms",
                                       "store_retry_max_ms",
                                       "leave_delay_ms",
                                       "drain_timeout_ms",
@@ -294,6 +295,8 @@
   sgr_yaml_number_read (yaml, node, "store_readers", "limits", 1, 1000, &settings->store_readers);
   sgr_yaml_number_read (yaml, node, "store_watch_ms", "limits", 100, 60000,
                         &settings->store_watch_ms);
+  sgr_yaml_number_read (yaml, node, "store_watch_interval_ms", "limits", 0, 10000,
+                        &settings->store_watch_interval_ms);
   sgr_yaml_number_read (yaml, node, "store_retry_max_ms", "limits", 250, 60000,
                         &settings->store_retry_max_ms);
   sgr_yaml_number_read (yaml, node, "leave_delay_ms", "limits", 0, 60000,
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -41,6 +41,8 @@
  *                  a random time of up to half of it is added
  * @store_readers: number of readers in a failure domain, the nodes that watch the configuration
  *                 in the store
+ * @store_watch_interval_ms: shortest time between the starts of two watches of the configuration,
+ *                           in milliseconds
  * @store_watch_ms: longest wait of one watch of the store, in milliseconds
  * @store_retry_max_ms: longest delay between watches of a store that fails, in milliseconds
  * @leave_delay_ms: time in milliseconds from a stop signal until the node refuses callers' requests
@@ -90,6 +92,7 @@
   uint64_t store_delay_ms;
   uint64_t store_readers;
   uint64_t store_watch_ms;
+  uint64_t store_watch_interval_ms;
   uint64_t store_retry_max_ms;
   uint64_t leave_delay_ms;
   uint64_t drain_timeout_ms;
--- a/tests/test_config_sync.c
+++ b/tests/test_config_sync.c
@@ -193,6 +193,36 @@
   sgr_config_sync_destroy (sync);
 }
 
+/* Load pattern: versions every 60 ms. Guards against a call to the store for each of them, and
+   against a delay of a version that comes alone. */
+static void
+test_sync_watch_interval (void **state)
+{
+  sgr_config_sync_options_t options;
+  sgr_config_sync_action_t action;
+  sgr_config_sync_t *sync;
+  uint64_t now_us = 10 * SECOND_US, next_us, version = 1;
+  uint32_t watches = 0;
+
+  sgr_config_sync_options_init (&options);
+  options.self = 1;
+  options.watch_interval_ms = 200;
+  sync = sgr_config_sync_create (&options, 0);
+  assert_true (sgr_config_sync_next (sync, now_us, &action, &next_us));
+  now_us += SECOND_US;
+  sgr_config_sync_watch_done (sync, now_us, true, (sgr_store_version_t){ 0, version }, 0);
+  assert_true (sgr_config_sync_next (sync, now_us, &action, &next_us));
+  for (uint64_t end_us = now_us + 3 * SECOND_US; now_us < end_us; now_us += 60 * SGR_USEC_PER_MSEC)
+    {
+      sgr_config_sync_watch_done (sync, now_us, true, (sgr_store_version_t){ 0, ++version }, 0);
+      while (!sgr_config_sync_next (sync, now_us, &action, &next_us))
+        now_us = next_us;
+      watches++;
+    }
+  assert_in_range (watches, 8, 15);
+  sgr_config_sync_destroy (sync);
+}
+
 /* Guards against a node that is not a reader but calls the store, or keeps its watch open. */
 static void
 test_sync_role_follows_members (void **state)
@@ -440,6 +470,7 @@
     cmocka_unit_test (test_sync_two_readers_per_domain),
     cmocka_unit_test (test_watch_waits_until_members_are_known),
     cmocka_unit_test (test_sync_watch_is_short_until_answered),
+    cmocka_unit_test (test_sync_watch_interval),
     cmocka_unit_test (test_sync_two_short_watches_per_domain),
     cmocka_unit_test (test_sync_role_follows_members),
     cmocka_unit_test (test_sync_backoff_table),
