Copy only the used entries of messages in the model of quotas

Cause: the model took more than 250 s under the sanitizers, most of it for copies of unused entries. Change: a message holds the fields and the used entries; the size of a node's reserve is computed in quota_reserve.

--- a/libsiskingrade/quota_borrower.c
+++ b/libsiskingrade/quota_borrower.c
@@ -226,15 +226,9 @@
 static uint32_t
 reserve_limit (const sgr_quota_borrower_t *borrower, const account_t *account, uint64_t now_us)
 {
-  size_t fleet
-      = borrower->fleet > borrower->lender_fleet ? borrower->fleet : borrower->lender_fleet;
-
-  /* A node that started during a network partition knows only its side, until a lender has stated
-     what others know. */
-  if (borrower->fleet == 0 || borrower->lender_fleet == 0
-      || now_us < borrower->start_us + borrower->bound.window_us)
+  if (now_us < borrower->start_us + borrower->bound.window_us)
     return 0;
-  return (uint32_t)(account->plan.reserve / (double)fleet);
+  return sgr_quota_reserve_limit (account->plan.reserve, borrower->fleet, borrower->lender_fleet);
 }
 
 static void
--- a/libsiskingrade/quota_reserve.c
+++ b/libsiskingrade/quota_reserve.c
@@ -1,5 +1,13 @@
 #include "quota_reserve.h"
 
+uint32_t
+sgr_quota_reserve_limit (double calls, size_t fleet, size_t lender_fleet)
+{
+  if (fleet == 0 || lender_fleet == 0)
+    return 0;
+  return (uint32_t)(calls / (double)(fleet > lender_fleet ? fleet : lender_fleet));
+}
+
 static uint64_t
 part_of (uint64_t now_us, uint64_t window_us)
 {
--- a/libsiskingrade/quota_reserve.h
+++ b/libsiskingrade/quota_reserve.h
@@ -18,6 +18,17 @@
   uint32_t calls[SGR_QUOTA_RESERVE_PARTS];
 } sgr_quota_reserve_t;
 
+/**
+ * sgr_quota_reserve_limit() - calls that a node may start without a token in a window
+ * @calls: calls of all nodes together
+ * @fleet: nodes that this node knows, 0 for none
+ * @lender_fleet: nodes that a lender has stated, 0 for none
+ *
+ * A node that started during a network partition knows only its side, until a lender has stated
+ * what others know. Until then it has no reserve.
+ */
+uint32_t sgr_quota_reserve_limit (double calls, size_t fleet, size_t lender_fleet);
+
 /**
  * sgr_quota_reserve_take() - count a call if there is room
  * @window_us: length of the window
--- a/tests/quota_model.c
+++ b/tests/quota_model.c
@@ -17,7 +17,9 @@
 #define USES_MAX 2
 #define ACCOUNT 77
 
-/* A request or reply on its way. */
+/* A request or reply on its way. Most of the room for entries is not used, and copying it would
+   take most of the time of the model: request and reply are set while it is sent, head has the
+   fields before the entries. */
 typedef struct message_t
 {
   struct message_t *next;
@@ -25,8 +27,12 @@
   size_t to;
   sgr_boot_id_t boot;
   bool is_reply;
-  sgr_quota_request_t *request;
-  sgr_quota_reply_t *reply;
+  const sgr_quota_request_t *request;
+  const sgr_quota_reply_t *reply;
+  void *head;
+  size_t count;
+  sgr_quota_use_t uses[USES_MAX];
+  sgr_quota_grant_t grants[USES_MAX];
 } message_t;
 
 typedef struct
@@ -168,8 +174,7 @@
 static void
 message_free (message_t *message)
 {
-  free (message->request);
-  free (message->reply);
+  free (message->head);
   free (message);
 }
 
@@ -183,13 +188,19 @@
   *message = *source;
   if (source->is_reply)
     {
-      message->reply = malloc (sizeof *message->reply);
-      memcpy (message->reply, source->reply, sizeof *message->reply);
+      sgr_invariant (source->reply->grant_count <= USES_MAX);
+      message->head = malloc (offsetof (sgr_quota_reply_t, grants));
+      memcpy (message->head, source->reply, offsetof (sgr_quota_reply_t, grants));
+      memcpy (message->grants, source->reply->grants, sizeof message->grants);
+      message->count = source->reply->grant_count;
     }
   else
     {
-      message->request = malloc (sizeof *message->request);
-      memcpy (message->request, source->request, sizeof *message->request);
+      sgr_invariant (source->request->use_count <= USES_MAX);
+      message->head = malloc (offsetof (sgr_quota_request_t, uses));
+      memcpy (message->head, source->request, offsetof (sgr_quota_request_t, uses));
+      memcpy (message->uses, source->request->uses, sizeof message->uses);
+      message->count = source->request->use_count;
     }
   if (sgr_rng_uniform (&world->rng) < world->model->loss)
     delay_ms += 3000 * sgr_rng_uniform (&world->rng);
@@ -221,6 +232,7 @@
 static void
 message_deliver (world_t *world, message_t *message)
 {
+  static sgr_quota_request_t request;
   static sgr_quota_reply_t reply;
   node_t *node = &world->nodes[message->to];
   sgr_node_id_t lender;
@@ -237,14 +249,21 @@
       return;
     }
   if (message->is_reply)
-    sgr_quota_borrower_reply (node->borrower, world_now (world), node_id (message->from),
-                              message->reply);
+    {
+      memcpy (&reply, message->head, offsetof (sgr_quota_reply_t, grants));
+      memcpy (reply.grants, message->grants, sizeof message->grants);
+      reply.grant_count = message->count;
+      sgr_quota_borrower_reply (node->borrower, world_now (world), node_id (message->from), &reply);
+    }
   else
     {
+      memcpy (&request, message->head, offsetof (sgr_quota_request_t, uses));
+      memcpy (request.uses, message->uses, sizeof message->uses);
+      request.use_count = message->count;
       lender = sgr_quota_borrower_lender (node->borrower);
       if (sgr_quota_lender_request (node->lender, world_now (world), node_id (message->from),
                                     message->boot, lender == node_id (message->to) ? 0 : lender,
-                                    message->request, &reply))
+                                    &request, &reply))
         message_send (world, &(message_t){ .from = message->to,
                                            .to = message->from,
                                            .is_reply = true,
