--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -264,11 +264,16 @@
  * struct sgr_balancer_call_t - what a choice needs to know of the call
  * @bytes: expected size of request and answer together
  * @on_time_left_us: time until the answer is no longer on time, 0 if the call has no such time
+ * @affinity_seed: decides which targets of the own failure domain the call prefers; the same on all
+ *   nodes
+ * @affinity_count: number of targets that it prefers, 0 for no preference
  */
 typedef struct
 {
   uint64_t bytes;
   uint64_t on_time_left_us;
+  uint64_t affinity_seed;
+  uint32_t affinity_count;
 } sgr_balancer_call_t;
 
 /**
--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -31,6 +31,9 @@
     }
 }
 
+/* A call goes to another target than those that it prefers only if its cost times this factor is
+   lower. */
+#define AFFINITY_COST_FACTOR 2.0
 /* Number of distances: own failure domain, own region, other regions. */
 #define DISTANCE_COUNT 3
 
@@ -73,8 +76,8 @@
 
 /* Scores the sampled candidates and keeps the best ones of each distance. */
 static void
-candidates_score (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_later_attempt,
-                  uint64_t bytes, best_t *best)
+candidates_score (sgr_balancer_t *b, uint64_t now_us, size_t count, size_t preferred,
+                  bool is_later_attempt, uint64_t bytes, best_t *best)
 {
   for (size_t i = 0; i < DISTANCE_COUNT; i++)
     best_init (&best[i]);
@@ -87,6 +90,8 @@
       double cost_us = score.cost_us * (1 + COST_JITTER_SHARE_MAX * sgr_rng_uniform (&b->rng))
                        + distance_charge_us (b, distance, bytes);
 
+      if (distance == 0 && i >= preferred)
+        cost_us *= AFFINITY_COST_FACTOR;
       if (cost_us >= best[distance].cost_us[score.is_hot])
         continue;
       best[distance].cost_us[score.is_hot] = cost_us;
@@ -129,12 +134,13 @@
 sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_later_attempt,
                      const sgr_balancer_call_t *call)
 {
-  size_t sample_count = sgr_balancer_sample_draw (b, count);
+  size_t preferred;
+  size_t sample_count = sgr_balancer_sample_draw (b, count, call, &preferred);
   best_t by_distance[DISTANCE_COUNT];
   best_t best;
   bool is_hot_chosen;
 
-  candidates_score (b, now_us, sample_count, is_later_attempt, call->bytes, by_distance);
+  candidates_score (b, now_us, sample_count, preferred, is_later_attempt, call->bytes, by_distance);
   best = by_distance[0];
   for (size_t i = 1; i < DISTANCE_COUNT && !is_on_time (b, &best, call); i++)
     best_merge (&best, &by_distance[i]);
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -174,10 +174,14 @@
  * sgr_balancer_sample_draw() - choose the candidates that one choice compares
  * @b: the balancer; the sample is moved to the front of its candidates
  * @count: number of candidates
+ * @call: the call
+ * @preferred: receives the number of near candidates at the front that the call prefers; all near
+ *   ones without an affinity
  *
  * Return: size of the sample.
  */
-size_t sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count);
+size_t sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count, const sgr_balancer_call_t *call,
+                                 size_t *preferred);
 
 /* balancer_estimate.c */
 void sgr_balancer_estimate_init (sgr_balancer_estimate_t *estimate);
--- a/libsiskingrade/balancer_sample.c
+++ b/libsiskingrade/balancer_sample.c
@@ -12,9 +12,10 @@
 /* Most targets of the own failure domain in a sample. A random sample keeps nodes with the same
    load reports from all choosing the same target. */
 #define NEAR_SAMPLE_MAX 6
-/* Most targets of each farther distance in a sample, and in the set that they are drawn from. */
+/* Most targets of each farther distance in a sample. */
 #define FAR_SAMPLE_MAX 3
-#define FAR_SET_MAX 6
+/* Size of the sets of targets that are chosen by rank. */
+#define RANKED_SET_MAX 6
 
 static void
 candidates_swap (sgr_balancer_t *b, size_t i, size_t j)
@@ -63,29 +64,27 @@
 }
 
 static uint64_t
-rendezvous_rank (const sgr_balancer_t *b, uint32_t index)
+rendezvous_rank (const sgr_balancer_t *b, uint32_t index, uint64_t seed)
 {
-  return XXH64 (&b->entries[index].info.node, sizeof (sgr_node_id_t), b->options.far_set_seed);
+  return XXH64 (&b->entries[index].info.node, sizeof (sgr_node_id_t), seed);
 }
 
-/* Moves the FAR_SET_MAX candidates with the lowest rank among the @count ones from @start on to
-   @start; returns their number. */
+/* Moves the RANKED_SET_MAX candidates with the lowest rank among the @count ones from @start on to
+   @start, in the order of their ranks; returns their number. */
 static size_t
-far_set_select (sgr_balancer_t *b, size_t start, size_t count)
+ranked_set_select (sgr_balancer_t *b, size_t start, size_t count, uint64_t seed)
 {
-  uint64_t ranks[FAR_SET_MAX] = { 0 };
+  uint64_t ranks[RANKED_SET_MAX] = { 0 };
   size_t size = 0;
 
-  if (count <= FAR_SET_MAX)
-    return count;
   for (size_t i = 0; i < count; i++)
     {
-      uint64_t rank = rendezvous_rank (b, b->candidates[start + i]);
+      uint64_t rank = rendezvous_rank (b, b->candidates[start + i], seed);
       size_t position = size;
 
-      if (size == FAR_SET_MAX && rank >= ranks[size - 1])
+      if (size == RANKED_SET_MAX && rank >= ranks[size - 1])
         continue;
-      if (size < FAR_SET_MAX)
+      if (size < RANKED_SET_MAX)
         size++;
       else
         position--;
@@ -115,7 +114,10 @@
 static size_t
 far_sample_add (sgr_balancer_t *b, size_t sample_count, size_t start, size_t count)
 {
-  size_t set_size = far_set_select (b, start, count);
+  /* A set of all candidates needs no order. */
+  size_t set_size = count <= RANKED_SET_MAX
+                        ? count
+                        : ranked_set_select (b, start, count, b->options.far_set_seed);
   size_t size
       = random_sample (b, start, set_size, sample_count == 0 ? NEAR_SAMPLE_MAX : FAR_SAMPLE_MAX);
 
@@ -123,13 +125,17 @@
 }
 
 size_t
-sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count)
+sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count, const sgr_balancer_call_t *call,
+                          size_t *preferred)
 {
   size_t near_count = partition (b, 0, count, is_near);
   size_t region_count = partition (b, near_count, count, is_in_region);
   size_t remote_start = near_count + region_count;
-  size_t sample_count = random_sample (b, 0, near_count, NEAR_SAMPLE_MAX);
+  bool has_affinity = call->affinity_count > 0 && call->affinity_count < RANKED_SET_MAX;
+  size_t sample_count = has_affinity ? ranked_set_select (b, 0, near_count, call->affinity_seed)
+                                     : random_sample (b, 0, near_count, NEAR_SAMPLE_MAX);
 
+  *preferred = has_affinity ? call->affinity_count : sample_count;
   sample_count = far_sample_add (b, sample_count, near_count, region_count);
   return far_sample_add (b, sample_count, remote_start, count - remote_start);
 }
--- a/libsiskingrade/call_plan.c
+++ b/libsiskingrade/call_plan.c
@@ -181,6 +181,7 @@
     case SGR_GATE_REASON_QUEUE_FULL:
     case SGR_GATE_REASON_LATE:
     case SGR_GATE_REASON_COLD:
+    case SGR_GATE_REASON_QUOTA:
       return true;
     default:
       return false;
@@ -224,6 +225,10 @@
 
   if (!is_attempt_allowed (step))
     return false;
+  /* With a retry time, no gate has credit before it. */
+  if (plan->last_reason == SGR_CALL_REASON_REFUSED
+      && plan->last_gate_reason == SGR_GATE_REASON_QUOTA && plan->last_retry_after_ms > 0)
+    return false;
   if (plan->options.keyed)
     {
       /* All attempts with a key go to the same gate. So a retry is made only if the gate refused
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "data_link.h"
 #include "data_quota.h"
@@ -10,6 +11,9 @@
 
 /* Index of the first attempt that the gate of a slowed target may queue in any case. */
 #define MAY_WAIT_FROM_ATTEMPT 2
+/* Retry-After of a call that found no token of its account at the gates that it tried, while others
+   may have some. Within this time the gates have asked for more. */
+#define QUOTA_RETRY_AFTER_MS 60
 /* Latency samples needed for hedging; the percentile of fewer samples is unreliable. */
 #define HEDGE_SAMPLES_MIN 100
 
@@ -113,6 +117,14 @@
                                               + sgr_data_service_answer_bytes_estimate (
                                                   call->service, call->request.class_name) };
 
+  if (call->request.account != SGR_ACCOUNT_NONE)
+    {
+      const char *account = call->request.tenant;
+
+      properties.affinity_count
+          = sgr_data_quotas_affinity (call->task->quotas, call->request.account);
+      properties.affinity_seed = XXH64 (account, strlen (account), 0);
+    }
   if (on_time_us > 0)
     properties.on_time_left_us = on_time_us > now_us ? on_time_us - now_us : 1;
   return properties;
@@ -200,8 +212,11 @@
 {
   if (finish->reason == SGR_CALL_REASON_KEY_CONFLICT)
     return 422;
-  /* A call that was not run gets 503 for every reason, because 503 tells the caller that it may
-     send the call again. A 504 would not say so. */
+  if (finish->outcome == SGR_OUTCOME_NOT_RUN && finish->reason == SGR_CALL_REASON_REFUSED
+      && finish->gate_reason == SGR_GATE_REASON_QUOTA)
+    return 429;
+  /* A call that was not run gets 503 for every other reason, because 503 tells the caller that it
+     may send the call again. A 504 would not say so. */
   if (finish->outcome == SGR_OUTCOME_NOT_RUN)
     return 503;
   return finish->reason == SGR_CALL_REASON_DEADLINE ? 504 : 502;
@@ -220,6 +235,8 @@
                              .has_retry_fractions = call->task->fields->has_retry_fractions };
   char labels[128];
 
+  if (error.status == 429 && error.retry_after_ms == 0)
+    error.retry_after_ms = QUOTA_RETRY_AFTER_MS;
   /* None of the attempts of this call was run. But if the gate has not looked up the key, an
      earlier call with the same key may have run. So the outcome is unknown, and the status is not
      503, which stands for not-run. */
@@ -277,8 +294,6 @@
 call_finish (sgr_data_call_t *call, const sgr_call_action_t *action)
 {
   call->is_finished = true;
-  if (action->outcome == SGR_OUTCOME_NOT_RUN)
-    sgr_data_quotas_return (call->task->quotas, &call->request);
   sgr_data_call_log (call, action);
   sgr_timer_cancel (call->task->timers, &call->timer);
   if (call->req != NULL && action->outcome == SGR_OUTCOME_COMPLETE)
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -79,7 +79,6 @@
  * @has_accounts: the configuration had client accounts when the request arrived
  * @account: index of the client account of the call in the configuration that was in force when the
  *   request arrived; SGR_ACCOUNT_NONE for a call of a public route, and without accounts
- * @credit: what the quota of the account was charged; zero without a quota
  * @chain: depth and remaining retries of the call chain that the call belongs to
  * @has_key: the call carries an idempotency key
  * @is_key_issued: a node issued the key, as opposed to a caller's own key
@@ -101,7 +100,6 @@
   uint32_t priority;
   bool has_accounts;
   uint32_t account;
-  sgr_quota_credit_t credit;
   sgr_retry_chain_t chain;
   bool has_key;
   bool is_key_issued;
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -6,6 +6,7 @@
 
 #include "data_cold.h"
 #include "data_load.h"
+#include "data_quota.h"
 #include "gate_request.h"
 #include "gate_run.h"
 #include "log.h"
@@ -36,6 +37,9 @@
 sgr_data_gate_run_free (sgr_data_gate_t *gate, sgr_gate_run_t *run)
 {
   sgr_timer_cancel (gate->task->timers, &run->deadline);
+  /* A request that was sent counts even if its target did not run it completely. */
+  if (run->started_us == 0 || run->is_declared_not_run)
+    sgr_data_quotas_return (gate->task->quotas, &run->quota);
   sgr_request_ids_release (&run->request_ids);
   sgr_buffer_release (&run->message);
   sgr_buffer_release (&run->body);
@@ -457,6 +461,8 @@
   sgr_data_load_query_activate (gate, now_us);
   run = run_create (gate, call, &attempt);
   attempt.user = run;
+  attempt.is_over_quota = !sgr_data_quotas_take (gate->task->quotas, call->tenant, &run->quota,
+                                                 &attempt.quota_retry_ms);
   if (strcmp (call->service, gate->policy.service) == 0 && gate->client != NULL)
     sgr_gate_attempt_admit (gate->core, now_us, &attempt, &decision);
   else
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -9,7 +9,6 @@
 #include "data_account.h"
 #include "data_call.h"
 #include "data_keys.h"
-#include "data_quota.h"
 #include "data_refuse.h"
 #include "http1_server.h"
 #include "http_fields.h"
@@ -262,7 +261,6 @@
       sgr_data_call_start (pending->http->task, pending->req, pending->service, &pending->request);
       return;
     }
-  sgr_data_quotas_return (pending->http->task->quotas, &pending->request);
   key_bind_refuse (pending->req,
                    result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
 }
@@ -344,8 +342,6 @@
       sgr_data_request_refuse (http->task, req, 400, reason);
       return;
     }
-  if (!sgr_data_quotas_check (http->task->quotas, req, &request))
-    return;
   sgr_data_account_call_count (http->task, &request);
   if (!request.has_key || request.is_key_issued)
     {
--- a/libsiskingrade/data_quota.c
+++ b/libsiskingrade/data_quota.c
@@ -13,6 +13,8 @@
 #include "quota_lender.h"
 
 #define LIMIT_NONE UINT32_MAX
+/* Tokens of an account that a gate needs, so that calls that arrive at random rarely find none. */
+#define TOKENS_PER_GATE 6
 /* Requests that are made in a row before other events are handled. */
 #define REQUESTS_IN_ROW_MAX 4
 
@@ -26,6 +28,8 @@
  * struct sgr_data_quotas_t - state of the quotas
  * @limits: accounts with a rate, sorted by the hash of their names
  * @limit_of: index in @limits by the index of the account in the configuration, LIMIT_NONE for none
+ * @bound: bound of the quotas
+ * @group_count: pairs of a service and a failure domain; calls of an account go to gates of each
  * @armed_us: time on the clock of the quotas for which @timer is armed, UINT64_MAX if it is not
  * @request, @reply: buffers for one message
  * @entries: room for the messages in a frame
@@ -39,6 +43,8 @@
   size_t limit_count;
   uint32_t *limit_of;
   size_t account_count;
+  sgr_quota_bound_t bound;
+  uint32_t group_count;
   sgr_timer_t timer;
   uint64_t armed_us;
   sgr_quota_request_t request;
@@ -175,6 +181,7 @@
 
   sgr_invariant (quotas != NULL);
   quotas->task = task;
+  quotas->bound = bound;
   quotas->lender = sgr_quota_lender_create (task->boot, &bound, now_us);
   quotas->borrower = sgr_quota_borrower_create (&bound, now_us, &events, quotas);
   quotas->timer = (sgr_timer_t){ .fire = on_timer, .ctx = quotas };
@@ -274,6 +281,24 @@
   free (limits);
 }
 
+/* Counts the failure domains of the members, of which there are few. */
+static uint32_t
+domain_count (const sgr_snapshot_t *snapshot)
+{
+  uint32_t count = 0;
+
+  for (size_t i = 0; i < snapshot->member_count; i++)
+    {
+      const char *domain = snapshot->members[i].failure_domain;
+      size_t j = 0;
+
+      while (j < i && strcmp (snapshot->members[j].failure_domain, domain) != 0)
+        j++;
+      count += j == i;
+    }
+  return count;
+}
+
 void
 sgr_data_quotas_update (sgr_data_quotas_t *quotas, bool has_accounts)
 {
@@ -285,6 +310,7 @@
     limits_rebuild (quotas, now_us);
   if (quotas->account_count == 0)
     return;
+  quotas->group_count = domain_count (snapshot) * (uint32_t)snapshot->policy_count;
   nodes = calloc (snapshot->member_count + 1, sizeof *nodes);
   sgr_invariant (nodes != NULL);
   for (size_t i = 0; i < snapshot->member_count; i++)
@@ -297,39 +323,48 @@
 }
 
 bool
-sgr_data_quotas_check (sgr_data_quotas_t *quotas, h2o_req_t *req, sgr_data_call_request_t *request)
+sgr_data_quotas_take (sgr_data_quotas_t *quotas, const char *account, sgr_quota_credit_t *credit,
+                      uint32_t *retry_after_ms)
 {
+  named_limit_t key = { 0 };
+  const named_limit_t *found;
   uint64_t now_us;
-  uint32_t retry_after_ms = 0;
-  uint32_t limit;
+  bool is_allowed;
 
-  if (request->account >= quotas->account_count)
+  *credit = (sgr_quota_credit_t){ 0 };
+  if (quotas->limit_count == 0)
     return true;
-  limit = quotas->limit_of[request->account];
-  if (limit == LIMIT_NONE)
+  key.limit.account = account_id (account);
+  found
+      = bsearch (&key, quotas->limits, quotas->limit_count, sizeof *quotas->limits, limit_compare);
+  if (found == NULL)
     return true;
   now_us = quota_clock_us ();
-  if (sgr_quota_borrower_call_start (quotas->borrower, now_us, limit, &request->credit,
-                                     &retry_after_ms))
-    {
-      timer_update (quotas, now_us);
-      return true;
-    }
+  is_allowed = sgr_quota_borrower_call_start (
+      quotas->borrower, now_us, (size_t)(found - quotas->limits), credit, retry_after_ms);
   timer_update (quotas, now_us);
-  sgr_data_request_refuse_as (
-      quotas->task, req,
-      &(sgr_data_refusal_t){ .status = 429,
-                             .reason = "quota",
-                             .account = quotas->limits[limit].name,
-                             .retry_after_ms = retry_after_ms > 0 ? retry_after_ms : 1 });
-  return false;
+  return is_allowed;
+}
+
+uint32_t
+sgr_data_quotas_affinity (const sgr_data_quotas_t *quotas, uint32_t account)
+{
+  uint32_t limit = account < quotas->account_count ? quotas->limit_of[account] : LIMIT_NONE;
+  uint32_t groups = quotas->group_count > 0 ? quotas->group_count : 1;
+  uint32_t gates;
+
+  if (limit == LIMIT_NONE)
+    return 0;
+  gates = sgr_quota_plan (&quotas->limits[limit].limit, &quotas->bound).capacity
+          / (TOKENS_PER_GATE * groups);
+  return gates > 0 ? gates : 1;
 }
 
 void
-sgr_data_quotas_return (sgr_data_quotas_t *quotas, const sgr_data_call_request_t *request)
+sgr_data_quotas_return (sgr_data_quotas_t *quotas, const sgr_quota_credit_t *credit)
 {
-  if (request->credit.account != 0)
-    sgr_quota_borrower_call_return (quotas->borrower, quota_clock_us (), &request->credit);
+  if (credit->account != 0)
+    sgr_quota_borrower_call_return (quotas->borrower, quota_clock_us (), credit);
 }
 
 static void
--- a/libsiskingrade/data_quota.h
+++ b/libsiskingrade/data_quota.h
@@ -1,8 +1,8 @@
 #ifndef SGR_DATA_QUOTA_H
 #define SGR_DATA_QUOTA_H
 
-#include "data_call.h"
 #include "data_gate.h"
+#include "quota_borrower.h"
 
 /**
  * Quotas of client accounts on the data task: the lender and the borrower of this node, their
@@ -20,17 +20,28 @@
 void sgr_data_quotas_update (sgr_data_quotas_t *quotas, bool has_accounts);
 
 /**
- * sgr_data_quotas_check() - decide whether a call may start
- * @req: the request; answered with 429 if it may not
- * @request: the call, with its account; receives the credit
- *
- * Return: false if the request was answered.
+ * sgr_data_quotas_take() - decide at the gate whether a request of an account may start
+ * @account: name of the account
+ * @credit: receives what the request was started with; zero without a quota
+ * @retry_after_ms: receives for a refused request the time until there may be credit, 0 if other
+ *   gates may have some now
  */
-bool sgr_data_quotas_check (sgr_data_quotas_t *quotas, h2o_req_t *req,
-                            sgr_data_call_request_t *request);
+bool sgr_data_quotas_take (sgr_data_quotas_t *quotas, const char *account,
+                           sgr_quota_credit_t *credit, uint32_t *retry_after_ms);
+
+/** sgr_data_quotas_return() - return the credit of a request that did not run; zero is allowed */
+void sgr_data_quotas_return (sgr_data_quotas_t *quotas, const sgr_quota_credit_t *credit);
 
-/** sgr_data_quotas_return() - return the credit of a call that did not run */
-void sgr_data_quotas_return (sgr_data_quotas_t *quotas, const sgr_data_call_request_t *request);
+/**
+ * sgr_data_quotas_affinity() - number of gates of one service and failure domain that calls of an
+ * account should go to
+ * @account: index of the account in the configuration
+ *
+ * A small quota spread over all gates would leave most of them without a token.
+ *
+ * Return: the number, 0 for an account without a quota.
+ */
+uint32_t sgr_data_quotas_affinity (const sgr_data_quotas_t *quotas, uint32_t account);
 
 /**
  * sgr_data_quotas_request_handle() - answer a request of another node
--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -380,6 +380,8 @@
     return SGR_GATE_REASON_NOT_READY;
   if (deadline_us <= now_us || deadline_us < now_us + sgr_gate_expected_latency_us (gate, now_us))
     return SGR_GATE_REASON_DEADLINE;
+  if (attempt->is_over_quota)
+    return SGR_GATE_REASON_QUOTA;
   if (!attempt->may_wait && sgr_gate_is_slowed (gate, now_us))
     return SGR_GATE_REASON_SLOW;
   return SGR_GATE_REASON_NONE;
@@ -473,7 +475,11 @@
     return;
   reason = refusal_reason_by_state (gate, now_us, attempt);
   if (reason != SGR_GATE_REASON_NONE)
-    recorded_attempt_refuse (gate, now_us, record, reason, SGR_OUTCOME_NOT_RUN, decision);
+    {
+      recorded_attempt_refuse (gate, now_us, record, reason, SGR_OUTCOME_NOT_RUN, decision);
+      if (reason == SGR_GATE_REASON_QUOTA)
+        decision->retry_after_ms = attempt->quota_retry_ms;
+    }
   else
     work_admit (gate, now_us, attempt, record, decision);
 }
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -47,6 +47,7 @@
  * @SGR_GATE_REASON_SLOW: the target is slowed and the attempt must not wait for the slowdown to
  * end; another target may answer sooner
  * @SGR_GATE_REASON_LATE: the answer can no longer be on time
+ * @SGR_GATE_REASON_QUOTA: the quota of the client account allows no further call now
  * @SGR_GATE_REASON_COLD: the target counts as cold, and the limit of its policy allows the start
  * only after the deadline
  */
@@ -69,9 +70,10 @@
   SGR_GATE_REASON_SLOW,
   SGR_GATE_REASON_LATE,
   SGR_GATE_REASON_COLD,
+  SGR_GATE_REASON_QUOTA,
 } sgr_gate_reason_t;
 
-#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_COLD + 1)
+#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_QUOTA + 1)
 
 /**
  * struct sgr_attempt_t - one attempt as the gate receives it
@@ -85,6 +87,9 @@
  * @class_name: name of the class, "" for none
  * @idempotent: the request may run more than once
  * @may_wait: the attempt may be queued while the target is slowed
+ * @is_over_quota: the quota of its client account allows no further call now
+ * @quota_retry_ms: for one that is over its quota, time until there may be credit, 0 if other gates
+ *   may have some now
  * @has_key: the request carries an idempotency key
  * @key: hash of the key
  * @key_generation: generation of the key, from the issued key or from its record in the store
@@ -102,6 +107,8 @@
   const char *class_name;
   bool idempotent;
   bool may_wait;
+  bool is_over_quota;
+  uint32_t quota_retry_ms;
   bool has_key;
   sgr_hash128_t key;
   uint64_t key_generation;
--- a/libsiskingrade/gate_run.h
+++ b/libsiskingrade/gate_run.h
@@ -3,6 +3,7 @@
 
 #include "data_gate.h"
 #include "probe_budget.h"
+#include "quota_borrower.h"
 #include "request_ids.h"
 #include "target_client.h"
 
@@ -42,6 +43,7 @@
  * @gate: the gate
  * @id: id of its first attempt
  * @credit: bytes of the answer that the entry allows before it grants further credit
+ * @quota: what the quota of the account was charged; zero without a quota
  * @handle: handle of the attempt at the gate, 0 once the attempt has finished
  * @idempotent: the request may run again, so it may be aborted
  * @keyed: the request carries an idempotency key, so its answer is recorded
@@ -73,6 +75,7 @@
   sgr_data_gate_t *gate;
   sgr_attempt_id_t id;
   uint64_t credit;
+  sgr_quota_credit_t quota;
   sgr_gate_handle_t handle;
   bool idempotent;
   bool keyed;
--- a/libsiskingrade/quota_borrower.c
+++ b/libsiskingrade/quota_borrower.c
@@ -284,7 +284,9 @@
       account->is_refusing = true;
       borrower->events.refusing_changed (borrower->ctx, account->id, true);
     }
-  *retry_after_ms = sgr_quota_retry_ms (&account->retry_slot_us, now_us, account->retry_ms);
+  *retry_after_ms = account->retry_ms > 0
+                        ? sgr_quota_retry_ms (&account->retry_slot_us, now_us, account->retry_ms)
+                        : 0;
   return false;
 }
 
--- a/libsiskingrade/quota_borrower.h
+++ b/libsiskingrade/quota_borrower.h
@@ -88,7 +88,8 @@
  * sgr_quota_borrower_call_start() - whether a call may start; takes constant time
  * @index: index of the account's limit in the limits that were set
  * @credit: receives what the call was started with
- * @retry_after_ms: receives for a refused call the time after which it should be repeated
+ * @retry_after_ms: receives for a refused call the time after which it should be repeated, 0 if
+ *   the lender has tokens and only this node has none
  */
 bool sgr_quota_borrower_call_start (sgr_quota_borrower_t *borrower, uint64_t now_us, size_t index,
                                     sgr_quota_credit_t *credit, uint32_t *retry_after_ms);
--- a/libsiskingrade/quota_demand.c
+++ b/libsiskingrade/quota_demand.c
@@ -36,7 +36,7 @@
   /* They have moved to this node: it is too low. */
   if (demand->calls >= RECENT_CALLS && expected < recent)
     expected = recent;
-  tokens = ceil (1.5 * expected + sqrt (expected));
+  tokens = ceil (1.5 * expected + 2 * sqrt (expected));
   if (tokens < demand->calls)
     tokens = demand->calls;
   demand->calls = 0;
