--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -276,6 +276,18 @@
   uint32_t affinity_count;
 } sgr_balancer_call_t;
 
+/* Numbers of preferred targets from which on a call prefers none. */
+#define SGR_BALANCER_AFFINITY_MAX 6
+
+/**
+ * sgr_balancer_affinity_rank() - rank of a target among those that calls with a seed prefer
+ * @node: node of the target's gate
+ * @seed: affinity_seed of the calls
+ *
+ * Return: the rank; the targets with the lowest ranks are preferred.
+ */
+uint64_t sgr_balancer_affinity_rank (sgr_node_id_t node, uint64_t seed);
+
 /**
  * sgr_balancer_pick_for_call() - as sgr_balancer_pick(), for a call of known properties
  * @b: the balancer
--- a/libsiskingrade/balancer_sample.c
+++ b/libsiskingrade/balancer_sample.c
@@ -15,7 +15,7 @@
 /* Most targets of each farther distance in a sample. */
 #define FAR_SAMPLE_MAX 3
 /* Size of the sets of targets that are chosen by rank. */
-#define RANKED_SET_MAX 6
+#define RANKED_SET_MAX SGR_BALANCER_AFFINITY_MAX
 
 static void
 candidates_swap (sgr_balancer_t *b, size_t i, size_t j)
@@ -63,10 +63,10 @@
   return chosen_count;
 }
 
-static uint64_t
-rendezvous_rank (const sgr_balancer_t *b, uint32_t index, uint64_t seed)
+uint64_t
+sgr_balancer_affinity_rank (sgr_node_id_t node, uint64_t seed)
 {
-  return XXH64 (&b->entries[index].info.node, sizeof (sgr_node_id_t), seed);
+  return XXH64 (&node, sizeof node, seed);
 }
 
 /* Moves the RANKED_SET_MAX candidates with the lowest rank among the @count ones from @start on to
@@ -79,7 +79,8 @@
 
   for (size_t i = 0; i < count; i++)
     {
-      uint64_t rank = rendezvous_rank (b, b->candidates[start + i], seed);
+      uint64_t rank
+          = sgr_balancer_affinity_rank (b->entries[b->candidates[start + i]].info.node, seed);
       size_t position = size;
 
       if (size == RANKED_SET_MAX && rank >= ranks[size - 1])
@@ -131,7 +132,7 @@
   size_t near_count = partition (b, 0, count, is_near);
   size_t region_count = partition (b, near_count, count, is_in_region);
   size_t remote_start = near_count + region_count;
-  bool has_affinity = call->affinity_count > 0 && call->affinity_count < RANKED_SET_MAX;
+  bool has_affinity = call->affinity_count > 0 && call->affinity_count < SGR_BALANCER_AFFINITY_MAX;
   size_t sample_count = has_affinity ? ranked_set_select (b, 0, near_count, call->affinity_seed)
                                      : random_sample (b, 0, near_count, NEAR_SAMPLE_MAX);
 
--- a/libsiskingrade/call_plan.c
+++ b/libsiskingrade/call_plan.c
@@ -181,7 +181,6 @@
     case SGR_GATE_REASON_QUEUE_FULL:
     case SGR_GATE_REASON_LATE:
     case SGR_GATE_REASON_COLD:
-    case SGR_GATE_REASON_QUOTA:
       return true;
     default:
       return false;
@@ -225,9 +224,9 @@
 
   if (!is_attempt_allowed (step))
     return false;
-  /* With a retry time, no gate has credit before it. */
+  /* Attempts at other gates would spread the few tokens of the account over more of them. */
   if (plan->last_reason == SGR_CALL_REASON_REFUSED
-      && plan->last_gate_reason == SGR_GATE_REASON_QUOTA && plan->last_retry_after_ms > 0)
+      && plan->last_gate_reason == SGR_GATE_REASON_QUOTA)
     return false;
   if (plan->options.keyed)
     {
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -3,7 +3,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "data_link.h"
 #include "data_quota.h"
@@ -119,11 +118,9 @@
 
   if (call->request.account != SGR_ACCOUNT_NONE)
     {
-      const char *account = call->request.tenant;
-
       properties.affinity_count
           = sgr_data_quotas_affinity (call->task->quotas, call->request.account);
-      properties.affinity_seed = XXH64 (account, strlen (account), 0);
+      properties.affinity_seed = sgr_data_quotas_affinity_seed (call->request.tenant);
     }
   if (on_time_us > 0)
     properties.on_time_left_us = on_time_us > now_us ? on_time_us - now_us : 1;
--- a/libsiskingrade/data_quota.c
+++ b/libsiskingrade/data_quota.c
@@ -15,6 +15,8 @@
 #define LIMIT_NONE UINT32_MAX
 /* Tokens of an account that a gate needs, so that calls that arrive at random rarely find none. */
 #define TOKENS_PER_GATE 6
+/* Part of an account's capacity that its gates hold in advance; the rest goes where calls are. */
+#define STANDBY_SHARE 0.7
 /* Requests that are made in a row before other events are handled. */
 #define REQUESTS_IN_ROW_MAX 4
 
@@ -281,6 +283,8 @@
   free (limits);
 }
 
+static void standby_update (sgr_data_quotas_t *quotas);
+
 /* Counts the failure domains of the members, of which there are few. */
 static uint32_t
 domain_count (const sgr_snapshot_t *snapshot)
@@ -318,6 +322,7 @@
   sgr_quota_borrower_members_set (quotas->borrower, nodes, snapshot->member_count,
                                   snapshot->fleet_size);
   sgr_quota_lender_fleet_set (quotas->lender, now_us, snapshot->fleet_size);
+  standby_update (quotas);
   free (nodes);
   timer_update (quotas, now_us);
 }
@@ -329,6 +334,7 @@
   named_limit_t key = { 0 };
   const named_limit_t *found;
   uint64_t now_us;
+  size_t index;
   bool is_allowed;
 
   *credit = (sgr_quota_credit_t){ 0 };
@@ -340,24 +346,79 @@
   if (found == NULL)
     return true;
   now_us = quota_clock_us ();
-  is_allowed = sgr_quota_borrower_call_start (
-      quotas->borrower, now_us, (size_t)(found - quotas->limits), credit, retry_after_ms);
+  index = (size_t)(found - quotas->limits);
+  is_allowed
+      = sgr_quota_borrower_call_start (quotas->borrower, now_us, index, credit, retry_after_ms);
+  if (!sgr_quota_borrower_is_exhausted (quotas->borrower, index))
+    *retry_after_ms = 0;
   timer_update (quotas, now_us);
   return is_allowed;
 }
 
+static uint32_t
+affinity_of_limit (const sgr_data_quotas_t *quotas, size_t limit)
+{
+  uint32_t groups = quotas->group_count > 0 ? quotas->group_count : 1;
+  double capacity = sgr_quota_plan (&quotas->limits[limit].limit, &quotas->bound).capacity;
+  uint32_t gates = (uint32_t)(capacity / (TOKENS_PER_GATE * groups));
+
+  return gates > 0 ? gates : 1;
+}
+
 uint32_t
 sgr_data_quotas_affinity (const sgr_data_quotas_t *quotas, uint32_t account)
 {
   uint32_t limit = account < quotas->account_count ? quotas->limit_of[account] : LIMIT_NONE;
-  uint32_t groups = quotas->group_count > 0 ? quotas->group_count : 1;
-  uint32_t gates;
 
-  if (limit == LIMIT_NONE)
+  return limit != LIMIT_NONE ? affinity_of_limit (quotas, limit) : 0;
+}
+
+uint64_t
+sgr_data_quotas_affinity_seed (const char *account)
+{
+  return account_id (account);
+}
+
+/* Returns the tokens of an account that the gate of this node holds without calls: its part of the
+   capacity if it is one of the gates that calls of the account go to, otherwise 0. */
+static uint32_t
+standby_tokens (const sgr_data_quotas_t *quotas, size_t limit, const sgr_member_t *self)
+{
+  const sgr_snapshot_t *snapshot = quotas->task->snapshot;
+  uint64_t seed = quotas->limits[limit].limit.account;
+  uint32_t preferred = affinity_of_limit (quotas, limit);
+  uint32_t better = 0, gates = 0;
+
+  for (size_t i = 0; i < snapshot->member_count; i++)
+    {
+      const sgr_member_t *member = &snapshot->members[i];
+
+      if (member->target_state != SGR_TARGET_SERVING || strcmp (member->service, self->service) != 0
+          || strcmp (member->failure_domain, self->failure_domain) != 0)
+        continue;
+      gates++;
+      better += sgr_balancer_affinity_rank (member->id, seed)
+                < sgr_balancer_affinity_rank (self->id, seed);
+    }
+  if (preferred >= SGR_BALANCER_AFFINITY_MAX)
+    preferred = gates;
+  if (better >= preferred || gates == 0)
     return 0;
-  gates = sgr_quota_plan (&quotas->limits[limit].limit, &quotas->bound).capacity
-          / (TOKENS_PER_GATE * groups);
-  return gates > 0 ? gates : 1;
+  return (uint32_t)(STANDBY_SHARE
+                    * sgr_quota_plan (&quotas->limits[limit].limit, &quotas->bound).capacity
+                    / (preferred * quotas->group_count));
+}
+
+static void
+standby_update (sgr_data_quotas_t *quotas)
+{
+  const sgr_member_t *self = sgr_data_member_find (quotas->task, quotas->task->node);
+  bool is_serving
+      = self != NULL && self->service[0] != '\0' && self->target_state == SGR_TARGET_SERVING;
+
+  for (size_t i = 0; i < quotas->limit_count; i++)
+    sgr_quota_borrower_standby_set (quotas->borrower, i,
+                                    is_serving ? standby_tokens (quotas, i, self) : 0);
 }
 
 void
--- a/libsiskingrade/data_quota.h
+++ b/libsiskingrade/data_quota.h
@@ -43,6 +43,11 @@
  */
 uint32_t sgr_data_quotas_affinity (const sgr_data_quotas_t *quotas, uint32_t account);
 
+/** sgr_data_quotas_affinity_seed() - seed of the choice of an account's gates, the same on all
+ * nodes
+ */
+uint64_t sgr_data_quotas_affinity_seed (const char *account);
+
 /**
  * sgr_data_quotas_request_handle() - answer a request of another node
  * @channel: connection of the node
--- a/libsiskingrade/quota_borrower.c
+++ b/libsiskingrade/quota_borrower.c
@@ -43,6 +43,7 @@
   uint64_t ask_us;
   uint64_t answered_until_us;
   sgr_quota_demand_t demand;
+  uint32_t standby;
   uint32_t retry_ms;
   uint64_t retry_slot_us;
   uint64_t refused_us;
@@ -284,12 +285,22 @@
       account->is_refusing = true;
       borrower->events.refusing_changed (borrower->ctx, account->id, true);
     }
-  *retry_after_ms = account->retry_ms > 0
-                        ? sgr_quota_retry_ms (&account->retry_slot_us, now_us, account->retry_ms)
-                        : 0;
+  *retry_after_ms = sgr_quota_retry_ms (&account->retry_slot_us, now_us, account->retry_ms);
   return false;
 }
 
+bool
+sgr_quota_borrower_is_exhausted (const sgr_quota_borrower_t *borrower, size_t index)
+{
+  return borrower->accounts[index].retry_ms > 0;
+}
+
+void
+sgr_quota_borrower_standby_set (sgr_quota_borrower_t *borrower, size_t index, uint32_t tokens)
+{
+  borrower->accounts[index].standby = tokens;
+}
+
 void
 sgr_quota_borrower_call_return (sgr_quota_borrower_t *borrower, uint64_t now_us,
                                 const sgr_quota_credit_t *credit)
@@ -330,6 +341,8 @@
   uint32_t tokens = sgr_quota_demand_tokens (&account->demand, now_us,
                                              sgr_quota_interval_us (borrower->lease_us));
 
+  if (tokens < account->standby)
+    tokens = account->standby;
   /* The lender takes tokens that are not reported any more as given back. */
   if (account->held > 2 * tokens)
     account->held = tokens;
@@ -354,7 +367,7 @@
       account->spent_reported = 0;
       account->reserve_reported = 0;
       account->returned_reported = 0;
-      if (!account->is_used)
+      if (!account->is_used && account->standby == 0)
         continue;
       if (account->is_refusing && account->refused_us + REFUSING_US < now_us)
         {
@@ -364,7 +377,8 @@
       if (now_us >= account->held_until_us)
         account->held = 0;
       /* The lender takes the tokens of an account that is not reported as given up. */
-      if (account->used_us + IN_USE_US < now_us || request->use_count == SGR_QUOTA_USES_MAX)
+      if ((account->used_us + IN_USE_US < now_us && account->standby == 0)
+          || request->use_count == SGR_QUOTA_USES_MAX)
         {
           account->held = 0;
           account->spent = 0;
--- a/libsiskingrade/quota_borrower.h
+++ b/libsiskingrade/quota_borrower.h
@@ -88,12 +88,21 @@
  * sgr_quota_borrower_call_start() - whether a call may start; takes constant time
  * @index: index of the account's limit in the limits that were set
  * @credit: receives what the call was started with
- * @retry_after_ms: receives for a refused call the time after which it should be repeated, 0 if
- *   the lender has tokens and only this node has none
+ * @retry_after_ms: receives for a refused call the time after which it should be repeated
  */
 bool sgr_quota_borrower_call_start (sgr_quota_borrower_t *borrower, uint64_t now_us, size_t index,
                                     sgr_quota_credit_t *credit, uint32_t *retry_after_ms);
 
+/** sgr_quota_borrower_is_exhausted() - whether the lender had no token left for an account */
+bool sgr_quota_borrower_is_exhausted (const sgr_quota_borrower_t *borrower, size_t index);
+
+/**
+ * sgr_quota_borrower_standby_set() - set the tokens to hold of an account that has no calls
+ * @index: index of the account's limit in the limits that were set
+ * @tokens: number of tokens, 0 for none
+ */
+void sgr_quota_borrower_standby_set (sgr_quota_borrower_t *borrower, size_t index, uint32_t tokens);
+
 /** sgr_quota_borrower_call_return() - return the credit of a call that did not run */
 void sgr_quota_borrower_call_return (sgr_quota_borrower_t *borrower, uint64_t now_us,
                                      const sgr_quota_credit_t *credit);
