--- a/libsiskingrade/quota_borrower.c
+++ b/libsiskingrade/quota_borrower.c
@@ -504,7 +504,7 @@
 {
   account_t *account = account_find (borrower, grant->account);
 
-  if (account == NULL || !account->is_used)
+  if (account == NULL || (!account->is_used && account->standby == 0))
     return;
   if (now_us >= account->held_until_us)
     account->held = 0;
