--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -33,7 +33,7 @@
 
 /* A call goes to another target than those that it prefers only if its cost times this factor is
    lower. */
-#define AFFINITY_COST_FACTOR 2.0
+#define AFFINITY_COST_FACTOR 3.0
 /* Number of distances: own failure domain, own region, other regions. */
 #define DISTANCE_COUNT 3
 
--- a/libsiskingrade/data_quota.c
+++ b/libsiskingrade/data_quota.c
@@ -1,5 +1,6 @@
 #include "data_quota.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -14,9 +15,12 @@
 
 #define LIMIT_NONE UINT32_MAX
 /* Tokens of an account that a gate needs, so that calls that arrive at random rarely find none. */
-#define TOKENS_PER_GATE 6
+#define TOKENS_PER_GATE 3
+/* Fewest gates of a service and failure domain that calls of an account go to. With a single one,
+   they would leave it while it is slowed, and find no token at another. */
+#define GATES_MIN 2
 /* Part of an account's capacity that its gates hold in advance; the rest goes where calls are. */
-#define STANDBY_SHARE 0.7
+#define STANDBY_SHARE 0.9
 /* Requests that are made in a row before other events are handled. */
 #define REQUESTS_IN_ROW_MAX 4
 
@@ -362,7 +366,7 @@
   double capacity = sgr_quota_plan (&quotas->limits[limit].limit, &quotas->bound).capacity;
   uint32_t gates = (uint32_t)(capacity / (TOKENS_PER_GATE * groups));
 
-  return gates > 0 ? gates : 1;
+  return gates > GATES_MIN ? gates : GATES_MIN;
 }
 
 uint32_t
@@ -404,9 +408,11 @@
     preferred = gates;
   if (better >= preferred || gates == 0)
     return 0;
-  return (uint32_t)(STANDBY_SHARE
-                    * sgr_quota_plan (&quotas->limits[limit].limit, &quotas->bound).capacity
-                    / (preferred * quotas->group_count));
+  if (preferred > gates)
+    preferred = gates;
+  return (uint32_t)lround (STANDBY_SHARE
+                           * sgr_quota_plan (&quotas->limits[limit].limit, &quotas->bound).capacity
+                           / (preferred * quotas->group_count));
 }
 
 static void
