--- a/libsiskingrade/data_quota.c
+++ b/libsiskingrade/data_quota.c
@@ -1,6 +1,5 @@
 #include "data_quota.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -19,8 +18,9 @@
 /* Fewest gates of a service and failure domain that calls of an account go to. With a single one,
    they would leave it while it is slowed, and find no token at another. */
 #define GATES_MIN 2
-/* Part of an account's capacity that its gates hold in advance; the rest goes where calls are. */
-#define STANDBY_SHARE 0.9
+/* Part of an account's capacity that its gates hold in advance. The rest is there for gates that
+   have used theirs. */
+#define STANDBY_SHARE 0.5
 /* Requests that are made in a row before other events are handled. */
 #define REQUESTS_IN_ROW_MAX 4
 
@@ -392,6 +392,7 @@
   uint64_t seed = quotas->limits[limit].limit.account;
   uint32_t preferred = affinity_of_limit (quotas, limit);
   uint32_t better = 0, gates = 0;
+  double tokens;
 
   for (size_t i = 0; i < snapshot->member_count; i++)
     {
@@ -410,9 +411,9 @@
     return 0;
   if (preferred > gates)
     preferred = gates;
-  return (uint32_t)lround (STANDBY_SHARE
-                           * sgr_quota_plan (&quotas->limits[limit].limit, &quotas->bound).capacity
-                           / (preferred * quotas->group_count));
+  tokens = STANDBY_SHARE * sgr_quota_plan (&quotas->limits[limit].limit, &quotas->bound).capacity
+           / (preferred * quotas->group_count);
+  return tokens >= 1 ? (uint32_t)tokens : 1;
 }
 
 static void
