--- a/libsiskingrade/quota_borrower.c
+++ b/libsiskingrade/quota_borrower.c
@@ -436,12 +436,21 @@
                                                                                       : timeout;
 }
 
+/* A node that has just started knows few members, and would choose itself or another one that most
+   nodes do not choose. It waits until it knows the fleet; nothing is lent before. */
+static bool
+may_choose (const sgr_quota_borrower_t *borrower)
+{
+  return borrower->account_count > 0 && borrower->choice.member_count > 0
+         && (borrower->lender != 0 || borrower->fleet > 0);
+}
+
 uint64_t
 sgr_quota_borrower_next_us (const sgr_quota_borrower_t *borrower)
 {
   uint64_t next_us = borrower->due_us;
 
-  if (borrower->account_count == 0 || borrower->choice.member_count == 0)
+  if (!may_choose (borrower))
     return UINT64_MAX;
   if (borrower->open_sequence != 0)
     next_us = timeout_us (borrower);
@@ -476,7 +485,7 @@
 sgr_quota_borrower_tick (sgr_quota_borrower_t *borrower, uint64_t now_us,
                          sgr_quota_request_t *request)
 {
-  if (borrower->account_count == 0 || borrower->choice.member_count == 0)
+  if (!may_choose (borrower))
     return 0;
   if (borrower->lender == 0 || !sgr_quota_choice_is_member (&borrower->choice, borrower->lender))
     lender_switch (borrower, now_us, sgr_quota_choice_best (&borrower->choice, now_us));
