--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -264,13 +264,30 @@
  * struct sgr_balancer_call_t - what a choice needs to know of the call
  * @bytes: expected size of request and answer together
  * @on_time_left_us: time until the answer is no longer on time, 0 if the call has no such time
+ * @affinity_seed: decides which targets of the own failure domain the call prefers; the same on all
+ *   nodes
+ * @affinity_count: number of targets that it prefers, 0 for no preference
  */
 typedef struct
 {
   uint64_t bytes;
   uint64_t on_time_left_us;
+  uint64_t affinity_seed;
+  uint32_t affinity_count;
 } sgr_balancer_call_t;
 
+/* Numbers of preferred targets from which on a call prefers none. */
+#define SGR_BALANCER_AFFINITY_MAX 6
+
+/**
+ * sgr_balancer_affinity_rank() - rank of a target among those that calls with a seed prefer
+ * @node: node of the target's gate
+ * @seed: affinity_seed of the calls
+ *
+ * Return: the rank; the targets with the lowest ranks are preferred.
+ */
+uint64_t sgr_balancer_affinity_rank (sgr_node_id_t node, uint64_t seed);
+
 /**
  * sgr_balancer_pick_for_call() - as sgr_balancer_pick(), for a call of known properties
  * @b: the balancer
--- a/libsiskingrade/call_plan.c
+++ b/libsiskingrade/call_plan.c
@@ -224,6 +224,10 @@
 
   if (!is_attempt_allowed (step))
     return false;
+  /* Attempts at other gates would spread the few tokens of the account over more of them. */
+  if (plan->last_reason == SGR_CALL_REASON_REFUSED
+      && plan->last_gate_reason == SGR_GATE_REASON_QUOTA)
+    return false;
   if (plan->options.keyed)
     {
       /* All attempts with a key go to the same gate. So a retry is made only if the gate refused
--- a/libsiskingrade/quota_borrower.c
+++ b/libsiskingrade/quota_borrower.c
@@ -43,6 +43,7 @@
   uint64_t ask_us;
   uint64_t answered_until_us;
   sgr_quota_demand_t demand;
+  uint32_t standby;
   uint32_t retry_ms;
   uint64_t retry_slot_us;
   uint64_t refused_us;
@@ -226,15 +227,9 @@
 static uint32_t
 reserve_limit (const sgr_quota_borrower_t *borrower, const account_t *account, uint64_t now_us)
 {
-  size_t fleet
-      = borrower->fleet > borrower->lender_fleet ? borrower->fleet : borrower->lender_fleet;
-
-  /* A node that started during a network partition knows only its side, until a lender has stated
-     what others know. */
-  if (borrower->fleet == 0 || borrower->lender_fleet == 0
-      || now_us < borrower->start_us + borrower->bound.window_us)
+  if (now_us < borrower->start_us + borrower->bound.window_us)
     return 0;
-  return (uint32_t)(account->plan.reserve / (double)fleet);
+  return sgr_quota_reserve_limit (account->plan.reserve, borrower->fleet, borrower->lender_fleet);
 }
 
 static void
@@ -294,6 +289,18 @@
   return false;
 }
 
+bool
+sgr_quota_borrower_is_exhausted (const sgr_quota_borrower_t *borrower, size_t index)
+{
+  return borrower->accounts[index].retry_ms > 0;
+}
+
+void
+sgr_quota_borrower_standby_set (sgr_quota_borrower_t *borrower, size_t index, uint32_t tokens)
+{
+  borrower->accounts[index].standby = tokens;
+}
+
 void
 sgr_quota_borrower_call_return (sgr_quota_borrower_t *borrower, uint64_t now_us,
                                 const sgr_quota_credit_t *credit)
@@ -334,6 +341,8 @@
   uint32_t tokens = sgr_quota_demand_tokens (&account->demand, now_us,
                                              sgr_quota_interval_us (borrower->lease_us));
 
+  if (tokens < account->standby)
+    tokens = account->standby;
   /* The lender takes tokens that are not reported any more as given back. */
   if (account->held > 2 * tokens)
     account->held = tokens;
@@ -358,7 +367,7 @@
       account->spent_reported = 0;
       account->reserve_reported = 0;
       account->returned_reported = 0;
-      if (!account->is_used)
+      if (!account->is_used && account->standby == 0)
         continue;
       if (account->is_refusing && account->refused_us + REFUSING_US < now_us)
         {
@@ -368,7 +377,8 @@
       if (now_us >= account->held_until_us)
         account->held = 0;
       /* The lender takes the tokens of an account that is not reported as given up. */
-      if (account->used_us + IN_USE_US < now_us || request->use_count == SGR_QUOTA_USES_MAX)
+      if ((account->used_us + IN_USE_US < now_us && account->standby == 0)
+          || request->use_count == SGR_QUOTA_USES_MAX)
         {
           account->held = 0;
           account->spent = 0;
@@ -426,12 +436,21 @@
                                                                                       : timeout;
 }
 
+/* A node that has just started knows few members, and would choose itself or another one that most
+   nodes do not choose. It waits until it knows the fleet; nothing is lent before. */
+static bool
+may_choose (const sgr_quota_borrower_t *borrower)
+{
+  return borrower->account_count > 0 && borrower->choice.member_count > 0
+         && (borrower->lender != 0 || borrower->fleet > 0);
+}
+
 uint64_t
 sgr_quota_borrower_next_us (const sgr_quota_borrower_t *borrower)
 {
   uint64_t next_us = borrower->due_us;
 
-  if (borrower->account_count == 0 || borrower->choice.member_count == 0)
+  if (!may_choose (borrower))
     return UINT64_MAX;
   if (borrower->open_sequence != 0)
     next_us = timeout_us (borrower);
@@ -466,7 +485,7 @@
 sgr_quota_borrower_tick (sgr_quota_borrower_t *borrower, uint64_t now_us,
                          sgr_quota_request_t *request)
 {
-  if (borrower->account_count == 0 || borrower->choice.member_count == 0)
+  if (!may_choose (borrower))
     return 0;
   if (borrower->lender == 0 || !sgr_quota_choice_is_member (&borrower->choice, borrower->lender))
     lender_switch (borrower, now_us, sgr_quota_choice_best (&borrower->choice, now_us));
@@ -494,7 +513,7 @@
 {
   account_t *account = account_find (borrower, grant->account);
 
-  if (account == NULL || !account->is_used)
+  if (account == NULL || (!account->is_used && account->standby == 0))
     return;
   if (now_us >= account->held_until_us)
     account->held = 0;
