Setting limits.link_mbps

Fair shares between accounts count bytes as work and need the rate of the machine's link. The setting takes a decimal number; 0 or absent means that bytes are not counted.

--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -277,6 +277,7 @@
                                       "quota_window",
                                       "quota_over",
                                       "quota_slack",
+                                      "link_mbps",
                                       NULL };
   sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "limits");
 
@@ -317,6 +318,7 @@
                           &settings->quota_window_ms);
   sgr_yaml_share_read (yaml, node, "quota_over", "limits", &settings->quota_over);
   sgr_yaml_number_read (yaml, node, "quota_slack", "limits", 0, 1000000, &settings->quota_slack);
+  sgr_yaml_decimal_read (yaml, node, "link_mbps", "limits", 1000000, &settings->link_mbps);
   if (settings->silence_ms < 2 * settings->heartbeat_ms)
     sgr_yaml_error (yaml, node, "limits.silence_ms", "expected at least twice heartbeat_ms (%lu)",
                     2 * settings->heartbeat_ms);
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -58,6 +58,7 @@
  *                 does not follow evacuations
  * @quota_window_ms: length in milliseconds of the windows in which quotas of accounts hold
  * @quota_over: share by which a quota may be exceeded in a window
+ * @link_mbps: rate of the machine's link in Mbit/s, 0 if not known
  * @quota_slack: further calls by which a quota may be exceeded in a window
  */
 typedef struct
@@ -103,6 +104,7 @@
   uint64_t quota_window_ms;
   double quota_over;
   uint64_t quota_slack;
+  double link_mbps;
 } sgr_settings_t;
 
 /**
--- a/libsiskingrade/yaml_reader.c
+++ b/libsiskingrade/yaml_reader.c
@@ -394,8 +394,8 @@
 }
 
 bool
-sgr_yaml_share_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
-                     double *share)
+sgr_yaml_decimal_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
+                       uint32_t max, double *number)
 {
   char key_path[KEY_PATH_BYTES];
   const char *text = scalar_read (yaml, node, key, path, false, key_path);
@@ -405,16 +405,23 @@
   if (text == NULL)
     return false;
   value = text[0] >= '0' && text[0] <= '9' ? strtod (text, &end) : -1;
-  if (value < 0 || *end != '\0' || !(value <= 1))
+  if (value < 0 || *end != '\0' || !(value <= max))
     {
       sgr_yaml_error (yaml, sgr_yaml_get (yaml, node, key), key_path,
-                      "found \"%.80s\", expected a decimal number from 0 to 1", text);
+                      "found \"%.80s\", expected a decimal number from 0 to %u", text, max);
       return false;
     }
-  *share = value;
+  *number = value;
   return true;
 }
 
+bool
+sgr_yaml_share_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
+                     double *share)
+{
+  return sgr_yaml_decimal_read (yaml, node, key, path, 1, share);
+}
+
 bool
 sgr_yaml_address_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
                        bool required, sgr_address_t *address)
--- a/libsiskingrade/yaml_reader.h
+++ b/libsiskingrade/yaml_reader.h
@@ -129,6 +129,11 @@
                              const char *path, uint64_t min_ms, uint64_t max_ms,
                              uint64_t *duration_ms);
 
+/** sgr_yaml_decimal_read() - read a decimal number from 0 to @max as sgr_yaml_number_read() reads a
+ * whole number */
+bool sgr_yaml_decimal_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key,
+                            const char *path, uint32_t max, double *value);
+
 /** sgr_yaml_share_read() - read a decimal number from 0 to 1 as sgr_yaml_number_read() reads a
  * whole number */
 bool sgr_yaml_share_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -86,6 +86,8 @@
   { NODE LISTEN OWNERS "limits: {quota_over: 1.1}\n", "f:6: limits.quota_over: " },
   { NODE LISTEN OWNERS "limits: {quota_over: nan}\n", "f:6: limits.quota_over: " },
   { NODE LISTEN OWNERS "limits: {quota_slack: 0.5}\n", "f:6: limits.quota_slack: " },
+  { NODE LISTEN OWNERS "limits: {link_mbps: -14}\n", "f:6: limits.link_mbps: " },
+  { NODE LISTEN OWNERS "limits: {link_mbps: 14M}\n", "f:6: limits.link_mbps: " },
   { NODE LISTEN OWNERS "limits: {calls_max: 0}\n", "f:6: limits.calls_max: " },
   { NODE LISTEN OWNERS "limits: {calls_max: many}\n", "f:6: limits.calls_max: " },
   { NODE LISTEN OWNERS "limits: {calls_max: 1.5}\n", "f:6: limits.calls_max: " },
@@ -139,11 +141,11 @@
 static void
 test_good_settings (void **state)
 {
-  static const char text[]
-      = NODE LISTEN OWNERS "contacts: [127.0.0.1:4]\nstore: 127.0.0.1:5\nlog: {level: debug}\n"
-                           "advertise: {peers: 127.0.0.1:9}\nlimits: {heartbeat_ms: 10, "
-                           "silence_ms: 20, store_retry_max_ms: 2000, stop_grace: 6s, "
-                           "evacuation: 2500ms, quota_over: 0.1, quota_slack: 20}\n";
+  static const char text[] = NODE LISTEN OWNERS
+      "contacts: [127.0.0.1:4]\nstore: 127.0.0.1:5\nlog: {level: debug}\n"
+      "advertise: {peers: 127.0.0.1:9}\nlimits: {heartbeat_ms: 10, "
+      "silence_ms: 20, store_retry_max_ms: 2000, stop_grace: 6s, "
+      "evacuation: 2500ms, quota_over: 0.1, quota_slack: 20, link_mbps: 14.5}\n";
   sgr_settings_t settings;
   sgr_buffer_t errors = { 0 };
 
@@ -160,6 +162,7 @@
   assert_int_equal (settings.quota_window_ms, 5000);
   assert_float_equal (settings.quota_over, 0.1, 0);
   assert_int_equal (settings.quota_slack, 20);
+  assert_float_equal (settings.link_mbps, 14.5, 0);
   assert_int_equal (
       sgr_settings_parse (&settings, "f", NODE LISTEN OWNERS, strlen (NODE LISTEN OWNERS), &errors),
       SGR_OK);
