Fair shares between accounts at a gate

A full queue dropped the oldest call of the longest flow whatever its rank, classes came before accounts, and a call that could not be on time behind the waiting work was held until its latest start.

With accounts, the queue serves by rank, account and class and charges the expected work of each call, with the time that its bytes occupy the link. A full queue refuses the newest call of the account that holds the most work in the least urgent rank. A call that cannot start in time is refused on arrival, with the time by which it would be too late as its retry time; queued calls are refused as soon as more urgent ones delay them too far.

--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -253,6 +253,7 @@
           sgr_gate_policy_update (gate->core, now_us, &gate->policy);
         }
     }
+  sgr_gate_fair_set (gate->core, gate->task->accounts != NULL, gate->task->settings->link_mbps);
   sgr_data_cold_local_apply (gate, now_us);
   sgr_gate_target_update (gate->core, now_us, local->state, local->slots);
   sgr_data_load_budget_update (gate, now_us);
@@ -434,6 +435,7 @@
   attempt_fill (&attempt, call, &id, now_us);
   sgr_data_load_query_activate (gate, now_us);
   run = run_create (gate, call, &attempt);
+  attempt.request_bytes = body_length;
   attempt.user = run;
   if (strcmp (call->service, gate->policy.service) == 0 && gate->client != NULL)
     sgr_gate_attempt_admit (gate->core, now_us, &attempt, &decision);
--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -128,7 +128,8 @@
 }
 
 static sgr_gate_work_t *
-work_add (sgr_gate_t *gate, const sgr_attempt_t *attempt, sgr_ledger_attempt_t *record)
+work_add (sgr_gate_t *gate, uint64_t now_us, const sgr_attempt_t *attempt,
+          sgr_ledger_attempt_t *record)
 {
   sgr_gate_work_t *work;
 
@@ -143,6 +144,8 @@
   work->class_stats_index = sgr_gate_classes_find_or_add (gate->classes, attempt->class_name);
   work->queue_item.priority = attempt->priority;
   work->queue_item.start_by_us = latest_start_us (gate, attempt, work->class_stats_index);
+  work->request_bytes = attempt->request_bytes;
+  sgr_gate_fair_work_set (gate, now_us, work);
   record->work = work_handle (gate, work);
   return work;
 }
@@ -150,6 +153,7 @@
 static void
 work_free (sgr_gate_t *gate, sgr_gate_work_t *work)
 {
+  gate->held_us[work->queue_item.tenant] -= work->queue_item.work_us;
   sgr_gate_limits_tenant_unref (gate->limits, work->queue_item.tenant);
   sgr_gate_limits_class_unref (gate->limits, work->queue_item.class_index);
   work->phase = SGR_GATE_WORK_FREE;
@@ -170,6 +174,7 @@
                                 work->queue_item.class_index);
   work->phase = SGR_GATE_WORK_RUNNING;
   work->slot_taken_us = now_us;
+  gate->running_us += work->queue_item.duration_us;
   work->was_unslowed = gate->cost_percent == 0 || gate->cost_percent < UNSLOWED_COST_PERCENT;
   work->was_nearly_full = is_target_nearly_full (gate);
   sgr_gate_start_reserve (gate, now_us, work);
@@ -401,9 +406,10 @@
 work_admit (sgr_gate_t *gate, uint64_t now_us, const sgr_attempt_t *attempt,
             sgr_ledger_attempt_t *record, sgr_gate_decision_t *decision)
 {
-  sgr_gate_work_t *work = work_add (gate, attempt, record);
+  sgr_gate_work_t *work = work_add (gate, now_us, attempt, record);
   sgr_gate_reason_t reason = SGR_GATE_REASON_NONE;
   bool start = can_start (gate, now_us, work);
+  uint64_t late_us = 0;
 
   if (attempt->has_key
       && sgr_ledger_key_add (gate->ledger, now_us, record, attempt->key, attempt->key_generation,
@@ -419,8 +425,13 @@
     }
   if (reason != SGR_GATE_REASON_NONE)
     {
+      if (reason == SGR_GATE_REASON_LATE)
+        late_us = sgr_gate_fair_late_us (gate, now_us, &work->queue_item);
       work_free (gate, work);
       recorded_attempt_refuse (gate, now_us, record, reason, SGR_OUTCOME_NOT_RUN, decision);
+      /* The work that waits now is done to that extent by then. */
+      if (late_us > 0)
+        decision->retry_after_ms = sgr_gate_retry_ms_of (late_us);
       return;
     }
   decision->handle = record->work;
@@ -520,6 +531,14 @@
   else if (outcome == SGR_OUTCOME_NOT_RUN && work->started && !finish->declared_not_run)
     outcome = SGR_OUTCOME_UNKNOWN;
   service_us = finish->latency_us > 0 ? finish->latency_us : now_us - work->slot_taken_us;
+  gate->running_us -= work->queue_item.duration_us;
+  if (gate->is_fair)
+    {
+      service_us += sgr_gate_link_work_us (gate, work->request_bytes + finish->answer_bytes);
+      if (outcome == SGR_OUTCOME_COMPLETE)
+        sgr_gate_classes_answer_record (gate->classes, work->class_stats_index,
+                                        finish->answer_bytes);
+    }
   if (outcome == SGR_OUTCOME_COMPLETE && finish->latency_us > 0)
     work_sample_record (gate, now_us, work, finish->latency_us);
   sgr_gate_start_settle (gate, now_us, work, outcome);
@@ -543,6 +562,7 @@
   sgr_gate_slots_apply (gate, now_us);
   sgr_gate_dispatch (gate, now_us);
   cold_us = sgr_gate_cold_tick (gate, now_us);
+  sgr_gate_fair_tick (gate, now_us);
   queue_us = queue_expire (gate, now_us);
   late_us = queue_drop_late (gate, now_us);
   /* An attempt is late as soon as its latest start time has passed. */
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -89,6 +89,7 @@
  * @key: hash of the key
  * @key_generation: generation of the key, from the issued key or from its record in the store
  * @fingerprint: fingerprint of the request; two requests with the same key must have the same one
+ * @request_bytes: bytes of the request's body; only counted with fair shares
  * @user: pointer that sgr_gate_handle_user() returns, not used by the gate
  */
 typedef struct
@@ -106,6 +107,7 @@
   sgr_hash128_t key;
   uint64_t key_generation;
   sgr_hash128_t fingerprint;
+  uint64_t request_bytes;
   void *user;
 } sgr_attempt_t;
 
@@ -189,6 +191,7 @@
  * @declared_not_run: the target declared that it did not run the request, by a status that the
  * policy lists or by a header field
  * @latency_us: microseconds from the first byte sent to the end of the answer, 0 if not measured
+ * @answer_bytes: bytes of the answer's body that arrived from the target
  * @answer: answer to record for duplicates and queries, NULL for none
  * @answer_length: bytes of @answer
  */
@@ -197,6 +200,7 @@
   sgr_outcome_t outcome;
   bool declared_not_run;
   uint64_t latency_us;
+  uint64_t answer_bytes;
   const void *answer;
   size_t answer_length;
 } sgr_gate_finish_t;
@@ -268,6 +272,14 @@
 /** sgr_gate_policy_update() - apply a changed policy; attempts that hold a slot keep it */
 void sgr_gate_policy_update (sgr_gate_t *gate, uint64_t now_us, const sgr_policy_t *policy);
 
+/**
+ * sgr_gate_fair_set() - set whether the gate gives fair shares to tenants, see gate_fair.h
+ * @gate: the gate
+ * @is_fair: whether it does; a gate begins without fair shares
+ * @link_mbps: rate of the machine's link in Mbit/s, 0 if bytes are not counted as work
+ */
+void sgr_gate_fair_set (sgr_gate_t *gate, bool is_fair, double link_mbps);
+
 /**
  * sgr_gate_attempt_admit() - start, queue or refuse an attempt
  * @gate: the gate
--- a/libsiskingrade/gate_admission.c
+++ b/libsiskingrade/gate_admission.c
@@ -1,3 +1,4 @@
+#include "gate_fair.h"
 #include "gate_internal.h"
 
 /* Whether an attempt that cannot start at once may wait in the queue, and when a refused one may
@@ -14,12 +15,93 @@
   return share > 0 ? share : 1;
 }
 
+void
+sgr_gate_fair_set (sgr_gate_t *gate, bool is_fair, double link_mbps)
+{
+  gate->is_fair = is_fair;
+  gate->link_mbps = link_mbps;
+  sgr_gate_queue_fair_set (gate->queue, is_fair);
+}
+
+/* The link transfers one body at a time while the slots run several requests, so that its time
+   counts once for each slot. */
+uint64_t
+sgr_gate_link_work_us (const sgr_gate_t *gate, uint64_t bytes)
+{
+  return sgr_gate_fair_link_us (gate->link_mbps, bytes) * sgr_gate_limits_slots (gate->limits);
+}
+
+void
+sgr_gate_fair_work_set (sgr_gate_t *gate, uint64_t now_us, sgr_gate_work_t *work)
+{
+  sgr_gate_queue_item_t *item = &work->queue_item;
+
+  if (!gate->is_fair)
+    return;
+  item->duration_us = sgr_gate_classes_usual_us (gate->classes, work->class_stats_index);
+  if (item->duration_us == 0)
+    item->duration_us = sgr_gate_expected_latency_us (gate, now_us);
+  item->work_us = item->duration_us
+                  + sgr_gate_link_work_us (gate, work->request_bytes
+                                                     + sgr_gate_classes_answer_bytes (
+                                                         gate->classes, work->class_stats_index));
+  /* Without any estimate, calls count by their number. */
+  if (item->work_us == 0)
+    item->work_us = 1;
+  gate->held_us[item->tenant] += item->work_us;
+  if (item->deadline_us < item->duration_us)
+    item->start_by_us = 0;
+  else if (item->start_by_us > item->deadline_us - item->duration_us)
+    item->start_by_us = item->deadline_us - item->duration_us;
+}
+
+uint64_t
+sgr_gate_fair_late_us (const sgr_gate_t *gate, uint64_t now_us, const sgr_gate_queue_item_t *item)
+{
+  uint32_t slots = sgr_gate_limits_slots (gate->limits);
+  uint64_t latest_us, start_us;
+
+  if (!gate->is_fair || slots == 0)
+    return 0;
+  latest_us = sgr_gate_latest_start_us (gate, now_us, item);
+  /* On average, half of the time of the running requests is left. */
+  start_us = now_us + (gate->running_us / 2 + sgr_gate_fair_ahead_us (gate->queue, item)) / slots;
+  return start_us > latest_us ? start_us - latest_us : 0;
+}
+
+void
+sgr_gate_fair_tick (sgr_gate_t *gate, uint64_t now_us)
+{
+  sgr_gate_queue_item_t *last;
+
+  if (!gate->is_fair || gate->dispatching)
+    return;
+  /* The margin of one duration allows for the error of the estimates, which differ from one
+     moment to the next: an admitted call must not be refused for that. */
+  while ((last = sgr_gate_fair_last (gate->queue, gate->held_us, NULL)) != NULL
+         && sgr_gate_fair_late_us (gate, now_us, last) > last->duration_us)
+    sgr_gate_work_drop (gate, now_us, last->owner, SGR_GATE_REASON_LATE);
+}
+
+/* Makes room in a full queue. Returns false if the new attempt has to be refused. */
+static bool
+queue_room_make (sgr_gate_t *gate, uint64_t now_us, sgr_gate_queue_item_t *item)
+{
+  sgr_gate_queue_item_t *victim
+      = gate->is_fair ? sgr_gate_fair_last (gate->queue, gate->held_us, item)
+                      : sgr_gate_queue_victim (gate->queue, item->tenant, item->class_index);
+
+  if (victim == NULL || victim == item)
+    return false;
+  sgr_gate_work_drop (gate, now_us, victim->owner, SGR_GATE_REASON_QUEUE_FULL);
+  return true;
+}
+
 sgr_gate_reason_t
-sgr_gate_refusal_by_queue (sgr_gate_t *gate, uint64_t now_us, const sgr_gate_queue_item_t *item)
+sgr_gate_refusal_by_queue (sgr_gate_t *gate, uint64_t now_us, sgr_gate_queue_item_t *item)
 {
   uint32_t tenant_limit = sgr_gate_limits_tenant_limit (gate->limits, item->tenant);
   uint32_t class_limit = sgr_gate_limits_class_limit (gate->limits, item->class_index);
-  sgr_gate_queue_item_t *victim;
 
   if (sgr_gate_is_start_too_late (gate, now_us, item))
     return SGR_GATE_REASON_COLD;
@@ -33,13 +115,19 @@
           >= queue_attempts_max (gate, class_limit)
       && class_limit < sgr_gate_limits_slots (gate->limits))
     return SGR_GATE_REASON_CLASS_LIMIT;
-  if (sgr_gate_queue_count (gate->queue) < gate->queue_max)
+  if (sgr_gate_fair_late_us (gate, now_us, item) > 0)
+    return SGR_GATE_REASON_LATE;
+  if (sgr_gate_queue_count (gate->queue) < gate->queue_max || queue_room_make (gate, now_us, item))
     return SGR_GATE_REASON_NONE;
-  victim = sgr_gate_queue_victim (gate->queue, item->tenant, item->class_index);
-  if (victim == NULL)
-    return SGR_GATE_REASON_QUEUE_FULL;
-  sgr_gate_work_drop (gate, now_us, victim->owner, SGR_GATE_REASON_QUEUE_FULL);
-  return SGR_GATE_REASON_NONE;
+  return SGR_GATE_REASON_QUEUE_FULL;
+}
+
+uint32_t
+sgr_gate_retry_ms_of (uint64_t wait_us)
+{
+  uint64_t wait_ms = wait_us / SGR_USEC_PER_MSEC + 1;
+
+  return wait_ms < SGR_GATE_RETRY_AFTER_MAX_MS ? (uint32_t)wait_ms : SGR_GATE_RETRY_AFTER_MAX_MS;
 }
 
 uint32_t
@@ -49,7 +137,6 @@
   uint64_t wait_us = sgr_gate_expected_latency_us (gate, now_us)
                      * (sgr_gate_queue_count (gate->queue) + 1) / (slots > 0 ? slots : 1);
   uint64_t cold_us = sgr_gate_cold_retry_us (gate, now_us);
-  uint64_t wait_ms = (wait_us > cold_us ? wait_us : cold_us) / SGR_USEC_PER_MSEC + 1;
 
-  return wait_ms < SGR_GATE_RETRY_AFTER_MAX_MS ? (uint32_t)wait_ms : SGR_GATE_RETRY_AFTER_MAX_MS;
+  return sgr_gate_retry_ms_of (wait_us > cold_us ? wait_us : cold_us);
 }
--- a/libsiskingrade/gate_classes.c
+++ b/libsiskingrade/gate_classes.c
@@ -15,8 +15,8 @@
    are compared, because long latencies also contain the time of calls to other services than the
    target. */
 #define LOWER_QUARTILE_DIVISOR 4
-/* Weight of a new sample in the moving average of the latencies. */
-#define USUAL_LATENCY_GAIN (1.0 / 16)
+/* Weight of a new sample in the moving averages of the latencies and of the lengths of answers. */
+#define USUAL_GAIN (1.0 / 16)
 /* Ratio of the latency in a nearly full target to the latency otherwise, above which the target
    counts as slower. Above this ratio, the target serves fewer requests per second with all of its
    slots than with four fifths of them. */
@@ -47,6 +47,7 @@
  * @hash: hash of its name, 0 for an unused record
  * @last_use: value of @use_count when the class was looked up last
  * @usual_us: moving average of all latencies, 0 before the first one
+ * @answer_bytes: moving average of the lengths of answers, 0 before the first one
  * @normal: latencies while the target was not nearly full
  * @nearly_full: latencies while the target was nearly full
  */
@@ -55,6 +56,7 @@
   uint64_t hash;
   uint64_t last_use;
   double usual_us;
+  double answer_bytes;
   ring_t normal;
   ring_t nearly_full;
 } class_t;
@@ -174,7 +176,7 @@
     return false;
   if (class->usual_us <= 0)
     class->usual_us = (double)sample->latency_us;
-  class->usual_us += USUAL_LATENCY_GAIN * ((double)sample->latency_us - class->usual_us);
+  class->usual_us += USUAL_GAIN * ((double)sample->latency_us - class->usual_us);
   ring_add (sample->is_nearly_full_throughout ? &class->nearly_full : &class->normal,
             sample->latency_us);
   if (sample->is_nearly_full_throughout)
@@ -182,6 +184,20 @@
   return classes->slows_when_full != slows_before;
 }
 
+void
+sgr_gate_classes_answer_record (sgr_gate_classes_t *classes, uint32_t index, uint64_t bytes)
+{
+  double *usual = &classes->classes[index].answer_bytes;
+
+  *usual = *usual <= 0 ? (double)bytes : *usual + USUAL_GAIN * ((double)bytes - *usual);
+}
+
+uint64_t
+sgr_gate_classes_answer_bytes (const sgr_gate_classes_t *classes, uint32_t index)
+{
+  return (uint64_t)classes->classes[index].answer_bytes;
+}
+
 uint64_t
 sgr_gate_classes_usual_us (const sgr_gate_classes_t *classes, uint32_t index)
 {
--- a/libsiskingrade/gate_classes.h
+++ b/libsiskingrade/gate_classes.h
@@ -53,6 +53,12 @@
 bool sgr_gate_classes_record (sgr_gate_classes_t *classes, uint64_t now_us, uint32_t index,
                               const sgr_gate_sample_t *sample);
 
+/** sgr_gate_classes_answer_record() - add the length of an answer in bytes to the statistics */
+void sgr_gate_classes_answer_record (sgr_gate_classes_t *classes, uint32_t index, uint64_t bytes);
+
+/** sgr_gate_classes_answer_bytes() - usual length of an answer of a class in bytes, 0 if unknown */
+uint64_t sgr_gate_classes_answer_bytes (const sgr_gate_classes_t *classes, uint32_t index);
+
 /** sgr_gate_classes_usual_us() - usual latency of a class in microseconds, 0 if unknown */
 uint64_t sgr_gate_classes_usual_us (const sgr_gate_classes_t *classes, uint32_t index);
 
--- a/libsiskingrade/gate_internal.h
+++ b/libsiskingrade/gate_internal.h
@@ -41,6 +41,7 @@
  * @was_unslowed: the target was not slowed when the attempt got its slot
  * @was_nearly_full: nearly all slots were in use when the attempt got its slot
  * @is_start_reserved: the attempt is counted as a start at a cold target and was not sent yet
+ * @request_bytes: bytes of the request's body
  * @user: pointer from sgr_attempt_t
  */
 typedef struct
@@ -57,6 +58,7 @@
   bool was_unslowed;
   bool was_nearly_full;
   bool is_start_reserved;
+  uint64_t request_bytes;
   void *user;
 } sgr_gate_work_t;
 
@@ -90,6 +92,10 @@
  * @free_work_count: used elements of @free_work_indexes
  * @free_work_indexes: indexes of the unused work items
  * @work_items: work items; the handle of an attempt contains an index into this array
+ * @is_fair: tenants get fair shares
+ * @link_mbps: rate of the machine's link in Mbit/s, 0 if bytes are not counted
+ * @held_us: expected work of the waiting and running attempts of each tenant, by its index
+ * @running_us: sum of the expected durations of the running attempts
  * @refused: refusals by reason
  */
 struct sgr_gate_t
@@ -119,6 +125,10 @@
   uint32_t free_work_count;
   uint32_t *free_work_indexes;
   sgr_gate_work_t *work_items;
+  bool is_fair;
+  double link_mbps;
+  uint64_t held_us[SGR_LIMITS_CHILDREN_MAX];
+  uint64_t running_us;
   uint64_t refused[SGR_GATE_REASON_COUNT];
 };
 
@@ -167,7 +177,39 @@
  * can; may refuse another queued attempt to make room
  */
 sgr_gate_reason_t sgr_gate_refusal_by_queue (sgr_gate_t *gate, uint64_t now_us,
-                                             const sgr_gate_queue_item_t *item);
+                                             sgr_gate_queue_item_t *item);
+
+/** sgr_gate_retry_ms_of() - delay to suggest to a caller that has to wait for a time; not above
+ * SGR_GATE_RETRY_AFTER_MAX_MS
+ */
+uint32_t sgr_gate_retry_ms_of (uint64_t wait_us);
+
+/** sgr_gate_link_work_us() - work of bytes on the machine's link, in time of one slot */
+uint64_t sgr_gate_link_work_us (const sgr_gate_t *gate, uint64_t bytes);
+
+/** sgr_gate_fair_work_set() - set the expected duration and work of a new attempt, and count its
+ * work for its tenant; does nothing without fair shares
+ */
+void sgr_gate_fair_work_set (sgr_gate_t *gate, uint64_t now_us, sgr_gate_work_t *work);
+
+/**
+ * sgr_gate_fair_late_us() - how much too late an attempt would start, given what waits and runs
+ *
+ * Return: microseconds, 0 if it would start in time or without fair shares.
+ */
+uint64_t sgr_gate_fair_late_us (const sgr_gate_t *gate, uint64_t now_us,
+                                const sgr_gate_queue_item_t *item);
+
+/** sgr_gate_fair_tick() - refuse queued attempts that can no longer start in time because more
+ * urgent ones have arrived
+ */
+void sgr_gate_fair_tick (sgr_gate_t *gate, uint64_t now_us);
+
+/** sgr_gate_latest_start_us() - latest time at which an attempt may start: its answer is then
+ * expected to be on time and before its deadline
+ */
+uint64_t sgr_gate_latest_start_us (const sgr_gate_t *gate, uint64_t now_us,
+                                   const sgr_gate_queue_item_t *item);
 
 /* Functions of gate_start.c: starts at a cold target. They do nothing while the policy has no limit
    for cold targets. */
--- a/libsiskingrade/gate_queue.c
+++ b/libsiskingrade/gate_queue.c
@@ -56,6 +56,7 @@
  * @capacity: maximum number of items
  * @count: number of items
  * @newest_first: an overloaded flow serves its newest item first
+ * @is_fair: the queue serves fair shares of the tenants
  * @tenants: fair shares of the tenants
  * @classes: fair shares of the classes
  * @oldest: item that arrived first
@@ -71,6 +72,7 @@
   uint32_t capacity;
   uint32_t count;
   bool newest_first;
+  bool is_fair;
   fair_share_t tenants;
   fair_share_t classes;
   sgr_gate_queue_item_t *oldest;
@@ -110,6 +112,12 @@
   free (queue);
 }
 
+void
+sgr_gate_queue_fair_set (sgr_gate_queue_t *queue, bool is_fair)
+{
+  queue->is_fair = is_fair;
+}
+
 static uint32_t
 flow_find (const sgr_gate_queue_t *queue, uint32_t tenant, uint32_t class_index)
 {
@@ -238,6 +246,12 @@
 
   if (!queue->newest_first)
     return;
+  if (queue->is_fair)
+    {
+      flow->long_wait_since_us = 0;
+      flow->overloaded = false;
+      return;
+    }
   /* An overloaded flow stays overloaded while it has more than one item. The wait of its oldest
      item may be short although the overload goes on, because new items displace the oldest ones
      when the queue is full. */
@@ -273,6 +287,8 @@
 
   if (a->priority != b->priority)
     return a->priority < b->priority;
+  if (queue->is_fair && tenants_us[a->tenant] != tenants_us[b->tenant])
+    return tenants_us[a->tenant] < tenants_us[b->tenant];
   if (classes_us[a->class_index] != classes_us[b->class_index])
     return classes_us[a->class_index] < classes_us[b->class_index];
   return tenants_us[a->tenant] < tenants_us[b->tenant];
@@ -299,6 +315,8 @@
     return NULL;
   queue->classes.floor_us = queue->classes.served_us[item->class_index];
   queue->tenants.floor_us = queue->tenants.served_us[item->tenant];
+  if (queue->is_fair && item->work_us > 0)
+    estimate_us = item->work_us;
   /* Charges at least one microsecond. Without an estimate, a charge of 0 would let the same tenant
      and class go first each time. */
   item->charged_us = estimate_us > 0 ? estimate_us : 1;
@@ -386,6 +404,22 @@
   return queue->oldest;
 }
 
+sgr_gate_queue_item_t *
+sgr_gate_queue_newest (const sgr_gate_queue_t *queue)
+{
+  return queue->newest;
+}
+
+uint64_t
+sgr_gate_queue_tenant_served_us (const sgr_gate_queue_t *queue, uint32_t tenant)
+{
+  const fair_share_t *share = &queue->tenants;
+
+  return share->waiting[tenant] == 0 && share->served_us[tenant] < share->floor_us
+             ? share->floor_us
+             : share->served_us[tenant];
+}
+
 uint32_t
 sgr_gate_queue_count (const sgr_gate_queue_t *queue)
 {
--- a/libsiskingrade/gate_queue.h
+++ b/libsiskingrade/gate_queue.h
@@ -15,6 +15,8 @@
  * @start_by_us: time until which the attempt must start for its answer to be on time,
  * SGR_TIMER_NEVER if there is no such limit
  * @queued_us: time at which the item was added to the queue
+ * @duration_us: expected time in a slot, used only with fair shares
+ * @work_us: expected work, which is charged to the tenant and the class with fair shares
  * @charged_us: service time that sgr_gate_queue_pop() charged to the tenant and the class, 0 if the
  * item was not popped
  * @owner: pointer to the owner's record
@@ -34,6 +36,8 @@
   uint32_t priority;
   uint64_t start_by_us;
   uint64_t queued_us;
+  uint64_t duration_us;
+  uint64_t work_us;
   uint64_t charged_us;
   void *owner;
   struct sgr_gate_queue_t *queue;
@@ -51,6 +55,10 @@
  * queue was created with @newest_first. Among the flows, the item with the lowest @priority value
  * goes first; among equal priorities, the item of the class that has used the least service time,
  * then that of the tenant that has used the least.
+ *
+ * With fair shares, see sgr_gate_queue_fair_set(), the tenant is compared before the class, the
+ * expected work of each item is charged, and each flow serves its oldest item first: items that
+ * would wait too long are not admitted then.
  */
 typedef struct sgr_gate_queue_t sgr_gate_queue_t;
 
@@ -62,6 +70,11 @@
 sgr_gate_queue_t *sgr_gate_queue_create (uint32_t capacity, bool newest_first);
 void sgr_gate_queue_destroy (sgr_gate_queue_t *queue);
 
+/** sgr_gate_queue_fair_set() - set whether the queue serves fair shares of the tenants; the initial
+ * value is false
+ */
+void sgr_gate_queue_fair_set (sgr_gate_queue_t *queue, bool is_fair);
+
 /**
  * sgr_gate_queue_push() - add an item
  * @queue: the queue, which must have room
@@ -78,7 +91,7 @@
  * @now_us: the time
  * @limits: slots and limits; items of a tenant or class without a free slot are skipped
  * @estimate_us: expected service time, charged to the item's tenant and class until
- * sgr_gate_queue_charge_correct() is called
+ * sgr_gate_queue_charge_correct() is called; with fair shares, the item's @work_us is charged
  *
  * Return: the item, NULL if none may start.
  */
@@ -89,7 +102,8 @@
  * sgr_gate_queue_charge_correct() - replace the estimate charged for an item by its service time
  * @queue: the queue
  * @item: the item; nothing happens if it was never popped
- * @service_us: time that the request took at the target, in microseconds
+ * @service_us: time that the request took at the target, in microseconds; with fair shares, its
+ * work
  */
 void sgr_gate_queue_charge_correct (sgr_gate_queue_t *queue, const sgr_gate_queue_item_t *item,
                                     uint64_t service_us);
@@ -135,6 +149,15 @@
 /** sgr_gate_queue_oldest() - the item that has waited longest, NULL if the queue is empty */
 sgr_gate_queue_item_t *sgr_gate_queue_oldest (const sgr_gate_queue_t *queue);
 
+/** sgr_gate_queue_newest() - the item that arrived last, NULL if the queue is empty */
+sgr_gate_queue_item_t *sgr_gate_queue_newest (const sgr_gate_queue_t *queue);
+
+/**
+ * sgr_gate_queue_tenant_served_us() - work charged to a tenant, as it counts for the tenant's next
+ * item; only comparable between tenants
+ */
+uint64_t sgr_gate_queue_tenant_served_us (const sgr_gate_queue_t *queue, uint32_t tenant);
+
 uint32_t sgr_gate_queue_count (const sgr_gate_queue_t *queue);
 uint32_t sgr_gate_queue_tenant_count (const sgr_gate_queue_t *queue, uint32_t tenant);
 uint32_t sgr_gate_queue_class_count (const sgr_gate_queue_t *queue, uint32_t class_index);
--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -44,6 +44,7 @@
   sgr_gate_handle_t handle = run->handle;
 
   sgr_timer_cancel (run->gate->task->timers, &run->deadline);
+  finish.answer_bytes = run->received;
   if (run->started_us != 0)
     finish.latency_us = now_us - run->started_us;
   if (outcome == SGR_OUTCOME_COMPLETE && run->is_recording)
--- a/libsiskingrade/gate_start.c
+++ b/libsiskingrade/gate_start.c
@@ -59,10 +59,9 @@
     sgr_gate_cold_start_release (gate->cold);
 }
 
-/* Latest time at which an attempt may start: its answer is then expected to be on time and before
-   its deadline. */
-static uint64_t
-latest_start_us (const sgr_gate_t *gate, uint64_t now_us, const sgr_gate_queue_item_t *item)
+uint64_t
+sgr_gate_latest_start_us (const sgr_gate_t *gate, uint64_t now_us,
+                          const sgr_gate_queue_item_t *item)
 {
   uint64_t latency_us = sgr_gate_expected_latency_us (gate, now_us);
   uint64_t start_us = item->deadline_us > latency_us ? item->deadline_us - latency_us : 0;
@@ -81,7 +80,8 @@
   for (const sgr_gate_queue_item_t *queued = sgr_gate_queue_oldest (gate->queue); queued != NULL;
        queued = queued->arrival_newer)
     ahead += queued->priority <= item->priority;
-  return sgr_gate_cold_room_us (gate->cold, now_us, ahead) > latest_start_us (gate, now_us, item);
+  return sgr_gate_cold_room_us (gate->cold, now_us, ahead)
+         > sgr_gate_latest_start_us (gate, now_us, item);
 }
 
 uint64_t
@@ -118,9 +118,10 @@
     {
       const sgr_gate_work_t *work = item->owner;
 
-      waiting[count++] = (waiting_t){ .handle = work->record->work,
-                                      .priority = item->priority,
-                                      .start_by_us = latest_start_us (gate, now_us, item) };
+      waiting[count++]
+          = (waiting_t){ .handle = work->record->work,
+                         .priority = item->priority,
+                         .start_by_us = sgr_gate_latest_start_us (gate, now_us, item) };
     }
   if (count > 1)
     qsort (waiting, count, sizeof waiting[0], waiting_compare);
