Test fair shares of accounts with a model of four gates

The loads are one, two and three accounts at 3 and 8 times their usual, also with callers that repeat at once, large uploads beside urgent calls, and an account that spreads its calls over classes.

--- /dev/null
+++ b/tests/test_gate_fair.c
@@ -0,0 +1,419 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "gate.h"
+#include "gate_fair.h"
+#include "rng.h"
+
+/* A model of the gates of one service and the accounts that call it, in steps of 1 ms. Each load is
+   named by the test that uses it. */
+
+#define BOOT 77
+#define MS SGR_USEC_PER_MSEC
+#define GATES 4
+#define SLOTS 4
+#define ACCOUNTS 20
+#define CLASSES 3
+#define CALLS_MAX 4096
+/* Statistics begin after the gates have learned the durations of the classes. */
+#define WARM_MS 1000
+#define END_MS 6000
+#define DEADLINE_MS 400
+
+/**
+ * struct class_load_t - calls of one class
+ * @rank: rank of its calls
+ * @duration_ms: mean time in a slot
+ * @bytes: bytes of a request
+ * @share: share of the calls of each account
+ */
+typedef struct
+{
+  uint32_t rank;
+  uint32_t duration_ms;
+  uint64_t bytes;
+  double share;
+} class_load_t;
+
+/**
+ * struct load_t - a load
+ * @classes: its classes; those with a share of 0 are not used
+ * @utilisation: share of the slots that the usual load of all accounts needs
+ * @excess_accounts: accounts that call more than usual, the first ones
+ * @excess: factor by which they do
+ * @is_repeated: a refused call is repeated after 1 ms until its deadline
+ * @is_class_per_account: the first account uses all classes, the others only the first one
+ * @link_mbps: rate of the link for the gates
+ * @is_unfair: the gates are not told that there are accounts
+ */
+typedef struct
+{
+  class_load_t classes[CLASSES];
+  double utilisation;
+  uint32_t excess_accounts;
+  double excess;
+  bool is_repeated;
+  bool is_class_per_account;
+  double link_mbps;
+  bool is_unfair;
+} load_t;
+
+/** struct call_t - a call; free while @account is ACCOUNTS */
+typedef struct
+{
+  uint32_t account;
+  uint32_t class_index;
+  uint32_t gate;
+  uint64_t deadline_us;
+  uint64_t end_us;
+  uint64_t started_us;
+  uint64_t repeat_us;
+  sgr_gate_handle_t handle;
+} call_t;
+
+struct model_t;
+
+/** struct endpoint_t - a gate of the model */
+typedef struct
+{
+  struct model_t *model;
+  sgr_gate_t *gate;
+} endpoint_t;
+
+/**
+ * struct model_t - the model
+ * @held_late: calls that were refused as late after they had been queued
+ * @offered_ms: work that each account asked for, in time of a slot
+ * @served_ms: work of its calls that were answered by their deadline
+ * @offered: calls of each class
+ * @served: those that were answered by their deadline
+ */
+typedef struct model_t
+{
+  const load_t *load;
+  endpoint_t gates[GATES];
+  call_t calls[CALLS_MAX];
+  sgr_rng_t rng;
+  uint64_t sequence;
+  uint64_t now_us;
+  uint64_t held_late;
+  double offered_ms[ACCOUNTS];
+  double served_ms[ACCOUNTS];
+  uint32_t offered[CLASSES];
+  uint32_t served[CLASSES];
+} model_t;
+
+static void
+call_start (model_t *m, call_t *call, sgr_gate_handle_t handle)
+{
+  const class_load_t *class = &m->load->classes[call->class_index];
+
+  call->handle = handle;
+  call->started_us = m->now_us;
+  call->end_us = m->now_us + (uint64_t)(class->duration_ms * MS * (0.5 + sgr_rng_uniform (&m->rng)));
+  assert_true (sgr_gate_attempt_mark_started (m->gates[call->gate].gate, handle));
+}
+
+static void
+call_refused (const model_t *m, call_t *call)
+{
+  call->handle = 0;
+  call->repeat_us = m->now_us + MS;
+  if (!m->load->is_repeated || call->repeat_us >= call->deadline_us)
+    call->account = ACCOUNTS;
+}
+
+static void
+on_start (void *ctx, sgr_gate_handle_t handle, uint64_t now_us)
+{
+  const endpoint_t *endpoint = ctx;
+
+  call_start (endpoint->model, sgr_gate_handle_user (endpoint->gate, handle), handle);
+}
+
+static void
+on_refuse (void *ctx, sgr_gate_handle_t handle, sgr_gate_reason_t reason, uint64_t now_us)
+{
+  const endpoint_t *endpoint = ctx;
+  model_t *m = endpoint->model;
+
+  if (reason == SGR_GATE_REASON_LATE && m->now_us >= WARM_MS * MS)
+    m->held_late++;
+  call_refused (m, sgr_gate_handle_user (endpoint->gate, handle));
+}
+
+static void
+call_send (model_t *m, call_t *call)
+{
+  const class_load_t *class = &m->load->classes[call->class_index];
+  char tenant[16], class_name[16];
+  sgr_attempt_t attempt = { .id = { 5, 1, ++m->sequence, 0 },
+                            .gate_boot = BOOT,
+                            .deadline_us = call->deadline_us,
+                            .on_time_us = call->deadline_us,
+                            .priority = class->rank,
+                            .tenant = tenant,
+                            .class_name = class_name,
+                            .may_wait = true,
+                            .request_bytes = class->bytes,
+                            .user = call };
+  sgr_gate_decision_t decision;
+
+  snprintf (tenant, sizeof tenant, "account-%u", call->account);
+  snprintf (class_name, sizeof class_name, "class-%u", call->class_index);
+  call->gate = (uint32_t)sgr_rng_below (&m->rng, GATES);
+  sgr_gate_attempt_admit (m->gates[call->gate].gate, m->now_us, &attempt, &decision);
+  call->handle = decision.handle;
+  call->end_us = 0;
+  if (decision.kind == SGR_GATE_START)
+    call_start (m, call, decision.handle);
+  else if (decision.kind == SGR_GATE_REFUSED)
+    call_refused (m, call);
+  sgr_gate_tick (m->gates[call->gate].gate, m->now_us);
+}
+
+static void
+call_add (model_t *m, uint32_t account, uint32_t class_index)
+{
+  call_t *call = m->calls;
+
+  while (call->account < ACCOUNTS)
+    sgr_invariant (++call < m->calls + CALLS_MAX);
+  *call = (call_t){ .account = account,
+                    .class_index = class_index,
+                    .deadline_us = m->now_us + DEADLINE_MS * MS };
+  if (m->now_us >= WARM_MS * MS)
+    {
+      m->offered_ms[account] += m->load->classes[class_index].duration_ms;
+      m->offered[class_index]++;
+    }
+  call_send (m, call);
+}
+
+static void
+call_end (model_t *m, call_t *call)
+{
+  sgr_gate_finish_t finish
+      = { .outcome = SGR_OUTCOME_COMPLETE, .latency_us = call->end_us - call->started_us };
+
+  if (m->now_us >= WARM_MS * MS && call->end_us <= call->deadline_us)
+    {
+      m->served_ms[call->account] += m->load->classes[call->class_index].duration_ms;
+      m->served[call->class_index]++;
+    }
+  sgr_gate_attempt_finish (m->gates[call->gate].gate, call->handle, m->now_us, &finish);
+  call->account = ACCOUNTS;
+}
+
+/* Calls of one account in one class that arrive in a step of 1 ms. */
+static uint32_t
+arrival_count (model_t *m, uint32_t account, uint32_t class_index)
+{
+  const load_t *load = m->load;
+  const class_load_t *class = &load->classes[class_index];
+  double rate = load->utilisation * GATES * SLOTS / ACCOUNTS * class->share;
+  uint32_t count = 0;
+
+  if (class->share <= 0 || (load->is_class_per_account && account > 0 && class_index > 0))
+    return 0;
+  rate /= class->duration_ms;
+  if (account < load->excess_accounts && m->now_us >= WARM_MS * MS)
+    rate *= load->excess;
+  for (; rate > 0; rate -= 1)
+    count += sgr_rng_uniform (&m->rng) < rate;
+  return count;
+}
+
+static void
+model_step (model_t *m)
+{
+  for (call_t *call = m->calls; call < m->calls + CALLS_MAX; call++)
+    if (call->account < ACCOUNTS && call->end_us != 0 && call->end_us <= m->now_us)
+      call_end (m, call);
+    else if (call->account < ACCOUNTS && call->handle == 0 && call->repeat_us <= m->now_us)
+      call_send (m, call);
+  for (uint32_t account = 0; account < ACCOUNTS; account++)
+    for (uint32_t class_index = 0; class_index < CLASSES; class_index++)
+      for (uint32_t n = arrival_count (m, account, class_index); n > 0; n--)
+        call_add (m, account, class_index);
+  for (uint32_t gate = 0; gate < GATES; gate++)
+    sgr_gate_tick (m->gates[gate].gate, m->now_us);
+}
+
+static void
+model_run (model_t *m, const load_t *load)
+{
+  static const sgr_gate_callbacks_t callbacks = { .start = on_start, .refuse = on_refuse };
+  sgr_gate_options_t options;
+  sgr_policy_t policy;
+
+  memset (m, 0, sizeof *m);
+  m->load = load;
+  sgr_rng_seed (&m->rng, 1);
+  sgr_policy_init (&policy, "booking");
+  sgr_gate_options_init (&options, BOOT);
+  for (call_t *call = m->calls; call < m->calls + CALLS_MAX; call++)
+    call->account = ACCOUNTS;
+  for (uint32_t gate = 0; gate < GATES; gate++)
+    {
+      endpoint_t *endpoint = &m->gates[gate];
+
+      endpoint->model = m;
+      endpoint->gate = sgr_gate_create (&options, &policy, &callbacks, endpoint);
+      sgr_gate_target_update (endpoint->gate, 0, SGR_TARGET_SERVING, SLOTS);
+      sgr_gate_fair_set (endpoint->gate, !load->is_unfair, load->link_mbps);
+    }
+  for (m->now_us = MS; m->now_us < END_MS * MS; m->now_us += MS)
+    model_step (m);
+  for (uint32_t gate = 0; gate < GATES; gate++)
+    sgr_gate_destroy (m->gates[gate].gate);
+}
+
+static int
+share_compare (const void *a, const void *b)
+{
+  double left = *(const double *)a, right = *(const double *)b;
+
+  return (left > right) - (left < right);
+}
+
+/* Max-min share of the work of all slots, in slot milliseconds. */
+static double
+fair_share_ms (const model_t *m)
+{
+  double left_ms = (double)GATES * SLOTS * (END_MS - WARM_MS);
+  double sorted_ms[ACCOUNTS];
+
+  memcpy (sorted_ms, m->offered_ms, sizeof sorted_ms);
+  qsort (sorted_ms, ACCOUNTS, sizeof sorted_ms[0], share_compare);
+  for (uint32_t i = 0; i < ACCOUNTS; i++)
+    {
+      if (sorted_ms[i] >= left_ms / (ACCOUNTS - i))
+        return left_ms / (ACCOUNTS - i);
+      left_ms -= sorted_ms[i];
+    }
+  return sorted_ms[ACCOUNTS - 1];
+}
+
+/* Served share of the demand within the fair share: of the worst tenth of accounts, relative to
+   that of all. */
+static double
+worst_tenth (const model_t *m, double *all)
+{
+  double fair_ms = fair_share_ms (m), served[ACCOUNTS];
+  double sum = 0;
+
+  for (uint32_t i = 0; i < ACCOUNTS; i++)
+    {
+      double due_ms = m->offered_ms[i] < fair_ms ? m->offered_ms[i] : fair_ms;
+
+      served[i] = m->served_ms[i] < due_ms ? m->served_ms[i] / due_ms : 1;
+      sum += served[i];
+    }
+  qsort (served, ACCOUNTS, sizeof served[0], share_compare);
+  *all = sum / ACCOUNTS;
+  return (served[0] + served[1]) / 2 / *all;
+}
+
+static double
+class_served (const model_t *m, uint32_t class_index)
+{
+  return (double)m->served[class_index] / m->offered[class_index];
+}
+
+/* Guards against accounts that keep to their usual load and lose calls because of others, at one,
+   two and three accounts with 3 and 8 times their usual load, also if refused callers repeat at
+   once; and against shares that are even because hardly anything is served. */
+static void
+test_excess_of_accounts (void **state)
+{
+  model_t *m = malloc (sizeof *m);
+
+  for (uint32_t accounts = 1; accounts <= 3; accounts++)
+    for (uint32_t excess = 3; excess <= 8; excess += 5)
+      for (uint32_t repeated = 0; repeated <= 1; repeated++)
+        {
+          load_t load = { .classes = { { .rank = 0, .duration_ms = 40, .share = 1 } },
+                          .utilisation = 0.9,
+                          .excess_accounts = accounts,
+                          .excess = excess,
+                          .is_repeated = repeated != 0,
+                          .is_unfair = getenv ("UNFAIR") != NULL };
+          double worst, all;
+
+          model_run (m, &load);
+          worst = worst_tenth (m, &all);
+          print_message ("accounts=%u excess=%u repeated=%u worst=%.3f all=%.3f held=%lu\n",
+                         accounts, excess, repeated, worst, all, m->held_late);
+          assert_true (worst >= 0.8);
+          assert_true (all >= 0.8);
+        }
+  free (m);
+}
+
+/* Guards against large uploads of low rank that displace urgent short calls of the same service. */
+static void
+test_uploads_beside_urgent_calls (void **state)
+{
+  load_t load = { .classes = { { .rank = 0, .duration_ms = 10, .bytes = 200, .share = 0.5 },
+                               { .rank = 50, .duration_ms = 100, .bytes = 360000, .share = 0.5 } },
+                  .utilisation = 0.8,
+                  .excess_accounts = 3,
+                  .excess = 8,
+                  .link_mbps = 14,
+                  .is_unfair = getenv ("UNFAIR") != NULL };
+  model_t *m = malloc (sizeof *m);
+
+  for (uint32_t repeated = 0; repeated <= 1; repeated++)
+    {
+      load.is_repeated = repeated != 0;
+      model_run (m, &load);
+      print_message ("urgent=%.3f uploads=%.3f\n", class_served (m, 0), class_served (m, 1));
+      assert_true (class_served (m, 0) >= class_served (m, 1));
+      assert_true (class_served (m, 0) >= 0.95);
+    }
+  free (m);
+}
+
+/* Guards against an account that gets more by spreading its calls over more classes, and so
+   starves the others in the class that they share. */
+static void
+test_class_of_one_account (void **state)
+{
+  load_t load = { .classes = { { .duration_ms = 40, .share = 0.34 },
+                               { .duration_ms = 40, .share = 0.33 },
+                               { .duration_ms = 40, .share = 0.33 } },
+                  .utilisation = 2.8,
+                  .excess_accounts = 1,
+                  .excess = 40,
+                  .is_class_per_account = true,
+                  .is_unfair = getenv ("UNFAIR") != NULL };
+  model_t *m = malloc (sizeof *m);
+  double worst, all;
+
+  model_run (m, &load);
+  worst = worst_tenth (m, &all);
+  print_message ("worst=%.3f all=%.3f first=%.3f\n", worst, all,
+                 m->served_ms[0] / fair_share_ms (m));
+  assert_true (worst >= 0.8);
+  assert_true (all >= 0.8);
+  free (m);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_excess_of_accounts),
+    cmocka_unit_test (test_uploads_beside_urgent_calls),
+    cmocka_unit_test (test_class_of_one_account),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
