Refuse calls beyond an account's share on arrival

Calls of accounts beyond their share were admitted by what waited, but calls of other accounts arrive later and start earlier, so that most were held until their latest start. Each flow now keeps the ratio of recent waits to expected ones, and the expected wait has to fit with a margin of 1.5. The first of n running requests is expected after 1/(n+1) of their duration instead of half.

Further tests: full queue, late calls on arrival, work by bytes.

--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -220,7 +220,10 @@
   uint64_t next_us;
 
   while ((item = sgr_gate_queue_late_find (gate->queue, now_us, &next_us)) != NULL)
-    sgr_gate_work_drop (gate, now_us, item->owner, SGR_GATE_REASON_LATE);
+    {
+      sgr_gate_queue_wait_record (gate->queue, item, now_us);
+      sgr_gate_work_drop (gate, now_us, item->owner, SGR_GATE_REASON_LATE);
+    }
   return next_us;
 }
 
@@ -443,6 +446,7 @@
     }
   decision->kind = SGR_GATE_QUEUED;
   work->phase = SGR_GATE_WORK_QUEUED;
+  work->queue_item.expected_wait_us = sgr_gate_fair_wait_us (gate, &work->queue_item);
   sgr_gate_queue_push (gate->queue, now_us, &work->queue_item);
 }
 
--- a/libsiskingrade/gate_admission.c
+++ b/libsiskingrade/gate_admission.c
@@ -4,6 +4,11 @@
 /* Whether an attempt that cannot start at once may wait in the queue, and when a refused one may
    try again. */
 
+/* Factor by which the expected wait has to fit. Waits vary, and an account beyond its share keeps
+   as many calls waiting as it may, so that without a margin half of the last ones would start too
+   late. Slots do not stay free because of the margin: calls are refused only behind others. */
+#define WAIT_MARGIN 1.5
+
 /* Returns the maximum number of queued attempts of a tenant or class that may use @slots_limit
    slots. Its share of the queue equals its share of the slots; the result is at least 1. */
 static uint32_t
@@ -56,16 +61,25 @@
 }
 
 uint64_t
-sgr_gate_fair_late_us (const sgr_gate_t *gate, uint64_t now_us, const sgr_gate_queue_item_t *item)
+sgr_gate_fair_wait_us (const sgr_gate_t *gate, const sgr_gate_queue_item_t *item)
 {
   uint32_t slots = sgr_gate_limits_slots (gate->limits);
-  uint64_t latest_us, start_us;
 
   if (!gate->is_fair || slots == 0)
     return 0;
-  latest_us = sgr_gate_latest_start_us (gate, now_us, item);
-  /* On average, half of the time of the running requests is left. */
-  start_us = now_us + (gate->running_us / 2 + sgr_gate_fair_ahead_us (gate->queue, item)) / slots;
+  /* The first of n running requests ends after 1 / (n + 1) of their duration on average. */
+  return (gate->running_us / (slots + 1) + sgr_gate_fair_ahead_us (gate->queue, item)) / slots;
+}
+
+uint64_t
+sgr_gate_fair_late_us (const sgr_gate_t *gate, uint64_t now_us, const sgr_gate_queue_item_t *item)
+{
+  double factor = sgr_gate_queue_wait_factor (gate->queue, item) * WAIT_MARGIN;
+  uint64_t latest_us = sgr_gate_latest_start_us (gate, now_us, item);
+  uint64_t start_us = now_us + (uint64_t)(factor * (double)sgr_gate_fair_wait_us (gate, item));
+
+  if (!gate->is_fair)
+    return 0;
   return start_us > latest_us ? start_us - latest_us : 0;
 }
 
--- a/libsiskingrade/gate_internal.h
+++ b/libsiskingrade/gate_internal.h
@@ -192,6 +192,11 @@
  */
 void sgr_gate_fair_work_set (sgr_gate_t *gate, uint64_t now_us, sgr_gate_work_t *work);
 
+/** sgr_gate_fair_wait_us() - wait that is expected for an attempt from what waits and runs now, in
+ * microseconds; 0 without fair shares
+ */
+uint64_t sgr_gate_fair_wait_us (const sgr_gate_t *gate, const sgr_gate_queue_item_t *item);
+
 /**
  * sgr_gate_fair_late_us() - how much too late an attempt would start, given what waits and runs
  *
--- a/libsiskingrade/gate_queue.c
+++ b/libsiskingrade/gate_queue.c
@@ -10,6 +10,14 @@
 #define CODEL_WAIT_TARGET_US 5000
 #define CODEL_INTERVAL_US 100000
 #define NO_FLOW UINT32_MAX
+/* Sum of expected waits above which older waits of a flow count half, so that the factor follows
+   the load within some hundred milliseconds. */
+#define WAIT_SUM_MAX_US (2 * SGR_USEC_PER_SEC)
+/* Added to both sums, so that a few short waits do not make a large factor. */
+#define WAIT_PRIOR_US 100000.0
+/* Bounds of the factor. */
+#define WAIT_FACTOR_MIN 0.5
+#define WAIT_FACTOR_MAX 16.0
 
 /**
  * struct flow_t - queued items of one tenant in one class
@@ -20,6 +28,8 @@
  * @long_wait_since_us: time of the first of the consecutive checks that found the oldest item
  * waiting too long, see flow_overload_update(); 0 if the last check did not find it
  * @overloaded: the newest item is served first
+ * @waited_us: sum of recent waits of its items
+ * @expected_us: sum of the waits that were expected for them
  * @oldest: item that arrived first
  * @newest: item that arrived last
  */
@@ -31,6 +41,8 @@
   uint32_t active_index;
   uint64_t long_wait_since_us;
   bool overloaded;
+  double waited_us;
+  double expected_us;
   sgr_gate_queue_item_t *oldest;
   sgr_gate_queue_item_t *newest;
 } flow_t;
@@ -322,10 +334,43 @@
   item->charged_us = estimate_us > 0 ? estimate_us : 1;
   queue->classes.served_us[item->class_index] += item->charged_us;
   queue->tenants.served_us[item->tenant] += item->charged_us;
+  sgr_gate_queue_wait_record (queue, item, now_us);
   sgr_gate_queue_remove (queue, item);
   return item;
 }
 
+void
+sgr_gate_queue_wait_record (sgr_gate_queue_t *queue, const sgr_gate_queue_item_t *item,
+                            uint64_t now_us)
+{
+  flow_t *flow = &queue->flows[item->flow];
+
+  if (item->expected_wait_us == 0)
+    return;
+  flow->waited_us += (double)(now_us - item->queued_us);
+  flow->expected_us += (double)item->expected_wait_us;
+  if (flow->expected_us > (double)WAIT_SUM_MAX_US)
+    {
+      flow->waited_us /= 2;
+      flow->expected_us /= 2;
+    }
+}
+
+double
+sgr_gate_queue_wait_factor (const sgr_gate_queue_t *queue, const sgr_gate_queue_item_t *item)
+{
+  uint32_t index = flow_find (queue, item->tenant, item->class_index);
+  double factor;
+
+  if (index == NO_FLOW)
+    return 1;
+  factor = (queue->flows[index].waited_us + WAIT_PRIOR_US)
+           / (queue->flows[index].expected_us + WAIT_PRIOR_US);
+  if (factor < WAIT_FACTOR_MIN)
+    return WAIT_FACTOR_MIN;
+  return factor < WAIT_FACTOR_MAX ? factor : WAIT_FACTOR_MAX;
+}
+
 sgr_gate_queue_item_t *
 sgr_gate_queue_late_find (const sgr_gate_queue_t *queue, uint64_t now_us, uint64_t *next_us)
 {
--- a/libsiskingrade/gate_queue.h
+++ b/libsiskingrade/gate_queue.h
@@ -17,6 +17,8 @@
  * @queued_us: time at which the item was added to the queue
  * @duration_us: expected time in a slot, used only with fair shares
  * @work_us: expected work, which is charged to the tenant and the class with fair shares
+ * @expected_wait_us: wait that was expected when the item was added, without the factor of
+ * sgr_gate_queue_wait_factor(); used only with fair shares
  * @charged_us: service time that sgr_gate_queue_pop() charged to the tenant and the class, 0 if the
  * item was not popped
  * @owner: pointer to the owner's record
@@ -38,6 +40,7 @@
   uint64_t queued_us;
   uint64_t duration_us;
   uint64_t work_us;
+  uint64_t expected_wait_us;
   uint64_t charged_us;
   void *owner;
   struct sgr_gate_queue_t *queue;
@@ -146,6 +149,25 @@
 sgr_gate_queue_item_t *sgr_gate_queue_late_find (const sgr_gate_queue_t *queue, uint64_t now_us,
                                                  uint64_t *next_us);
 
+/** sgr_gate_queue_wait_record() - record how long an item has waited, before it is refused as late;
+ * sgr_gate_queue_pop() records it for the others
+ */
+void sgr_gate_queue_wait_record (sgr_gate_queue_t *queue, const sgr_gate_queue_item_t *item,
+                                 uint64_t now_us);
+
+/**
+ * sgr_gate_queue_wait_factor() - how much longer the items of a flow have waited than expected
+ * @queue: the queue
+ * @item: an item of the flow, in the queue or not
+ *
+ * Items that arrive later and start earlier are not part of the expected wait. Calls of an account
+ * beyond its share are mostly delayed by them.
+ *
+ * Return: the factor, 1 for a flow without waiting items.
+ */
+double sgr_gate_queue_wait_factor (const sgr_gate_queue_t *queue,
+                                   const sgr_gate_queue_item_t *item);
+
 /** sgr_gate_queue_oldest() - the item that has waited longest, NULL if the queue is empty */
 sgr_gate_queue_item_t *sgr_gate_queue_oldest (const sgr_gate_queue_t *queue);
 
--- a/tests/test_gate_fair.c
+++ b/tests/test_gate_fair.c
@@ -25,6 +25,8 @@
 #define WARM_MS 1000
 #define END_MS 6000
 #define DEADLINE_MS 400
+/* Wait after which a refusal does not count as made at once. */
+#define HELD_MS 300
 
 /**
  * struct class_load_t - calls of one class
@@ -47,6 +49,7 @@
  * @utilisation: share of the slots that the usual load of all accounts needs
  * @excess_accounts: accounts that call more than usual, the first ones
  * @excess: factor by which they do
+ * @excess_bytes: bytes of their requests, 0 for those of the class
  * @is_repeated: a refused call is repeated after 1 ms until its deadline
  * @is_class_per_account: the first account uses all classes, the others only the first one
  * @link_mbps: rate of the link for the gates
@@ -58,6 +61,7 @@
   double utilisation;
   uint32_t excess_accounts;
   double excess;
+  uint64_t excess_bytes;
   bool is_repeated;
   bool is_class_per_account;
   double link_mbps;
@@ -88,7 +92,8 @@
 
 /**
  * struct model_t - the model
- * @held_late: calls that were refused as late after they had been queued
+ * @refused: refusals
+ * @refused_held: those of calls that had waited for HELD_MS or more
  * @offered_ms: work that each account asked for, in time of a slot
  * @served_ms: work of its calls that were answered by their deadline
  * @offered: calls of each class
@@ -102,7 +107,8 @@
   sgr_rng_t rng;
   uint64_t sequence;
   uint64_t now_us;
-  uint64_t held_late;
+  uint64_t refused;
+  uint64_t refused_held;
   double offered_ms[ACCOUNTS];
   double served_ms[ACCOUNTS];
   uint32_t offered[CLASSES];
@@ -116,13 +122,17 @@
 
   call->handle = handle;
   call->started_us = m->now_us;
-  call->end_us = m->now_us + (uint64_t)(class->duration_ms * MS * (0.5 + sgr_rng_uniform (&m->rng)));
+  call->end_us
+      = m->now_us + (uint64_t)(class->duration_ms * MS * (0.5 + sgr_rng_uniform (&m->rng)));
   assert_true (sgr_gate_attempt_mark_started (m->gates[call->gate].gate, handle));
 }
 
 static void
-call_refused (const model_t *m, call_t *call)
+call_refused (model_t *m, call_t *call)
 {
+  m->refused++;
+  if (call->handle != 0 && m->now_us + DEADLINE_MS * MS >= call->deadline_us + HELD_MS * MS)
+    m->refused_held++;
   call->handle = 0;
   call->repeat_us = m->now_us + MS;
   if (!m->load->is_repeated || call->repeat_us >= call->deadline_us)
@@ -141,11 +151,8 @@
 on_refuse (void *ctx, sgr_gate_handle_t handle, sgr_gate_reason_t reason, uint64_t now_us)
 {
   const endpoint_t *endpoint = ctx;
-  model_t *m = endpoint->model;
 
-  if (reason == SGR_GATE_REASON_LATE && m->now_us >= WARM_MS * MS)
-    m->held_late++;
-  call_refused (m, sgr_gate_handle_user (endpoint->gate, handle));
+  call_refused (endpoint->model, sgr_gate_handle_user (endpoint->gate, handle));
 }
 
 static void
@@ -165,6 +172,8 @@
                             .user = call };
   sgr_gate_decision_t decision;
 
+  if (m->load->excess_bytes > 0 && call->account < m->load->excess_accounts)
+    attempt.request_bytes = m->load->excess_bytes;
   snprintf (tenant, sizeof tenant, "account-%u", call->account);
   snprintf (class_name, sizeof class_name, "class-%u", call->class_index);
   call->gate = (uint32_t)sgr_rng_below (&m->rng, GATES);
@@ -329,7 +338,8 @@
 
 /* Guards against accounts that keep to their usual load and lose calls because of others, at one,
    two and three accounts with 3 and 8 times their usual load, also if refused callers repeat at
-   once; and against shares that are even because hardly anything is served. */
+   once; against shares that are even because hardly anything is served; and against calls beyond
+   the share that are held for long before they are refused. */
 static void
 test_excess_of_accounts (void **state)
 {
@@ -349,10 +359,12 @@
 
           model_run (m, &load);
           worst = worst_tenth (m, &all);
-          print_message ("accounts=%u excess=%u repeated=%u worst=%.3f all=%.3f held=%lu\n",
-                         accounts, excess, repeated, worst, all, m->held_late);
+          print_message (
+              "accounts=%u excess=%u repeated=%u worst=%.3f all=%.3f refused=%lu held=%lu\n",
+              accounts, excess, repeated, worst, all, m->refused, m->refused_held);
           assert_true (worst >= 0.8);
           assert_true (all >= 0.8);
+          assert_true (m->refused_held * 5 <= m->refused);
         }
   free (m);
 }
@@ -406,6 +418,168 @@
   free (m);
 }
 
+/* Guards against an account that gets most of a machine because its calls transfer many bytes but
+   take no longer at the target: all accounts call above their share, and the first one with
+   uploads. A call of it is 864 ms of work, 40 ms and 206 ms on the link for each of the four slots.
+ */
+static void
+test_bytes_count (void **state)
+{
+  load_t load = { .classes = { { .duration_ms = 40, .bytes = 200, .share = 1 } },
+                  .utilisation = 1.5,
+                  .excess_accounts = 1,
+                  .excess = 1,
+                  .excess_bytes = 360000 };
+  model_t *m = malloc (sizeof *m);
+  double counted, uncounted;
+
+  model_run (m, &load);
+  uncounted = m->served_ms[0];
+  load.link_mbps = 14;
+  model_run (m, &load);
+  counted = m->served_ms[0];
+  print_message ("uploads with bytes=%.0f without=%.0f\n", counted, uncounted);
+  assert_true (uncounted >= 0.8 * fair_share_ms (m));
+  assert_true (counted <= 0.25 * uncounted);
+  for (uint32_t i = 1; i < ACCOUNTS; i++)
+    assert_true (m->served_ms[i] >= 0.8 * fair_share_ms (m));
+  free (m);
+}
+
+/* A gate with one slot, whose only class takes 10 ms, and room for 4 waiting calls. */
+static endpoint_t *
+gate_open (model_t *m, bool is_fair)
+{
+  endpoint_t *endpoint = &m->gates[0];
+  static const load_t load = { .classes = { { .duration_ms = 10 } } };
+  static const sgr_gate_callbacks_t callbacks = { .start = on_start, .refuse = on_refuse };
+  sgr_gate_options_t options;
+  sgr_policy_t policy;
+
+  memset (m, 0, sizeof *m);
+  m->load = &load;
+  sgr_policy_init (&policy, "booking");
+  policy.queue_max = 4;
+  sgr_gate_options_init (&options, BOOT);
+  endpoint->model = m;
+  endpoint->gate = sgr_gate_create (&options, &policy, &callbacks, endpoint);
+  sgr_gate_target_update (endpoint->gate, 0, SGR_TARGET_SERVING, 1);
+  sgr_gate_fair_set (endpoint->gate, is_fair, 0);
+  return endpoint;
+}
+
+static sgr_gate_decision_t
+gate_admit (endpoint_t *endpoint, const char *tenant, uint32_t rank, uint64_t deadline_us,
+            call_t *call)
+{
+  model_t *m = endpoint->model;
+  sgr_attempt_t attempt = { .id = { 5, 1, ++m->sequence, 0 },
+                            .gate_boot = BOOT,
+                            .deadline_us = deadline_us,
+                            .on_time_us = deadline_us,
+                            .priority = rank,
+                            .tenant = tenant,
+                            .class_name = "",
+                            .may_wait = true,
+                            .user = call };
+  sgr_gate_decision_t decision;
+
+  *call = (call_t){ .deadline_us = deadline_us };
+  sgr_gate_attempt_admit (endpoint->gate, m->now_us, &attempt, &decision);
+  call->handle = decision.handle;
+  return decision;
+}
+
+/* Ends the running call, which has taken 10 ms. */
+static void
+gate_finish (endpoint_t *endpoint, sgr_gate_handle_t handle)
+{
+  sgr_gate_finish_t finish = { .outcome = SGR_OUTCOME_COMPLETE, .latency_us = 10 * MS };
+
+  endpoint->model->now_us += 10 * MS;
+  sgr_gate_attempt_finish (endpoint->gate, handle, endpoint->model->now_us, &finish);
+}
+
+/* Guards against urgent calls that are dropped for less urgent ones when the queue is full, and
+   against a new call that displaces another of an account with no more work than its own. */
+static void
+test_full_queue (void **state)
+{
+  model_t *m = malloc (sizeof *m);
+  endpoint_t *endpoint = gate_open (m, true);
+  call_t calls[12];
+  uint64_t far_us = 1000 * SGR_USEC_PER_SEC;
+
+  assert_int_equal (gate_admit (endpoint, "r", 0, far_us, &calls[0]).kind, SGR_GATE_START);
+  for (int i = 1; i <= 3; i++)
+    assert_int_equal (gate_admit (endpoint, "a", 5, far_us, &calls[i]).kind, SGR_GATE_QUEUED);
+  assert_int_equal (gate_admit (endpoint, "b", 9, far_us, &calls[4]).kind, SGR_GATE_QUEUED);
+  /* Less urgent than all, or as urgent as the least urgent one: refused itself. */
+  assert_int_equal (gate_admit (endpoint, "c", 10, far_us, &calls[5]).kind, SGR_GATE_REFUSED);
+  assert_int_equal (gate_admit (endpoint, "b", 9, far_us, &calls[5]).kind, SGR_GATE_REFUSED);
+  /* More urgent: displaces the least urgent call, although "a" has more waiting. */
+  assert_int_equal (gate_admit (endpoint, "d", 7, far_us, &calls[6]).kind, SGR_GATE_QUEUED);
+  assert_int_equal (calls[4].handle, 0);
+  assert_int_equal (gate_admit (endpoint, "c", 5, far_us, &calls[7]).kind, SGR_GATE_QUEUED);
+  assert_int_equal (calls[6].handle, 0);
+  /* Of the same rank: the newest call of the account with the most, but not for an equal one. */
+  assert_int_equal (gate_admit (endpoint, "d", 5, far_us, &calls[8]).kind, SGR_GATE_QUEUED);
+  assert_int_equal (calls[3].handle, 0);
+  assert_int_equal (gate_admit (endpoint, "d", 5, far_us, &calls[9]).kind, SGR_GATE_REFUSED);
+  assert_int_equal (gate_admit (endpoint, "a", 5, far_us, &calls[9]).kind, SGR_GATE_REFUSED);
+  sgr_gate_destroy (endpoint->gate);
+  free (m);
+}
+
+/* Guards against a call that is held although it cannot be on time behind the waiting work, against
+   a retry time at which it cannot either, and against a change for gates without accounts. */
+static void
+test_late_on_arrival (void **state)
+{
+  model_t *m = malloc (sizeof *m);
+
+  for (int is_fair = 0; is_fair <= 1; is_fair++)
+    {
+      endpoint_t *endpoint = gate_open (m, is_fair != 0);
+      call_t calls[8];
+      sgr_gate_decision_t decision;
+
+      decision = gate_admit (endpoint, "a", 0, 60 * SGR_USEC_PER_SEC, &calls[0]);
+      gate_finish (endpoint, decision.handle);
+      decision = gate_admit (endpoint, "a", 0, m->now_us + 500 * MS, &calls[0]);
+      assert_int_equal (decision.kind, SGR_GATE_START);
+      for (int i = 1; i <= 3; i++)
+        assert_int_equal (gate_admit (endpoint, "a", 1, m->now_us + 500 * MS, &calls[i]).kind,
+                          SGR_GATE_QUEUED);
+      /* 35 ms are left, 18 ms until the latest start; 35 ms of work wait and run. */
+      decision = gate_admit (endpoint, "a", 1, m->now_us + 35 * MS, &calls[4]);
+      assert_int_equal (decision.kind, is_fair ? SGR_GATE_REFUSED : SGR_GATE_QUEUED);
+      if (!is_fair)
+        {
+          sgr_gate_destroy (endpoint->gate);
+          continue;
+        }
+      assert_int_equal (decision.reason, SGR_GATE_REASON_LATE);
+      assert_int_equal (decision.outcome, SGR_OUTCOME_NOT_RUN);
+      assert_in_range (decision.retry_after_ms, 10, 50);
+      /* More urgent than the waiting calls, or of an account that has used less. */
+      assert_int_equal (gate_admit (endpoint, "a", 0, m->now_us + 35 * MS, &calls[5]).kind,
+                        SGR_GATE_QUEUED);
+      sgr_gate_attempt_mark_started (endpoint->gate, calls[0].handle);
+      for (uint32_t ms = 0; ms < decision.retry_after_ms; ms += 10)
+        {
+          gate_finish (endpoint, calls[0].handle);
+          for (int i = 1; i <= 5; i++)
+            if (i != 4 && calls[i].started_us == m->now_us)
+              calls[0].handle = calls[i].handle;
+        }
+      assert_int_not_equal (gate_admit (endpoint, "a", 1, m->now_us + 35 * MS, &calls[6]).kind,
+                            SGR_GATE_REFUSED);
+      sgr_gate_destroy (endpoint->gate);
+    }
+  free (m);
+}
+
 int
 main (void)
 {
@@ -413,6 +587,9 @@
     cmocka_unit_test (test_excess_of_accounts),
     cmocka_unit_test (test_uploads_beside_urgent_calls),
     cmocka_unit_test (test_class_of_one_account),
+    cmocka_unit_test (test_bytes_count),
+    cmocka_unit_test (test_full_queue),
+    cmocka_unit_test (test_late_on_arrival),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
