--- a/libsiskingrade/yaml_reader.c
+++ b/libsiskingrade/yaml_reader.c
@@ -376,7 +376,9 @@
 
   if (text == NULL)
     return false;
-  value = text[0] >= '0' && text[0] <= '9' ? strtod (text, &end) : -1;
+  value = strtod (text, &end);
+  if (text[0] < '0' || text[0] > '9')
+    value = -1;
   if (value >= 0 && strcmp (end, "s") == 0)
     value *= 1000;
   else if (value < 0 || strcmp (end, "ms") != 0)
@@ -404,7 +406,9 @@
 
   if (text == NULL)
     return false;
-  value = text[0] >= '0' && text[0] <= '9' ? strtod (text, &end) : -1;
+  value = strtod (text, &end);
+  if (text[0] < '0' || text[0] > '9')
+    value = -1;
   if (value < 0 || *end != '\0' || !(value <= max))
     {
       sgr_yaml_error (yaml, sgr_yaml_get (yaml, node, key), key_path,
--- a/tests/test_gate_fair.c
+++ b/tests/test_gate_fair.c
@@ -227,16 +227,15 @@
   const load_t *load = m->load;
   const class_load_t *class = &load->classes[class_index];
   double rate = load->utilisation * GATES * SLOTS / ACCOUNTS * class->share;
-  uint32_t count = 0;
+  uint32_t count;
 
   if (class->share <= 0 || (load->is_class_per_account && account > 0 && class_index > 0))
     return 0;
   rate /= class->duration_ms;
   if (account < load->excess_accounts && m->now_us >= WARM_MS * MS)
     rate *= load->excess;
-  for (; rate > 0; rate -= 1)
-    count += sgr_rng_uniform (&m->rng) < rate;
-  return count;
+  count = (uint32_t)rate;
+  return count + (sgr_rng_uniform (&m->rng) < rate - count);
 }
 
 static void
