--- a/libsiskingrade/call_plan.c
+++ b/libsiskingrade/call_plan.c
@@ -181,6 +181,7 @@
     case SGR_GATE_REASON_QUEUE_FULL:
     case SGR_GATE_REASON_LATE:
     case SGR_GATE_REASON_COLD:
+    case SGR_GATE_REASON_SHARE:
       return true;
     default:
       return false;
--- a/libsiskingrade/data_account.c
+++ b/libsiskingrade/data_account.c
@@ -6,10 +6,15 @@
 #include <xxhash.h>
 
 #include "data_refuse.h"
+#include "data_service.h"
 
 /* Accounts that have a counter of their own; all others share one. */
 #define COUNTERS_MAX 256
 #define SCHEME "token"
+/* Bounds of the Retry-After of a call that is refused as beyond its account's share. The values are
+   spread, so that the callers do not return at the same time. */
+#define SHARE_RETRY_MIN_MS 200
+#define SHARE_RETRY_SPREAD_MS 300
 /* Ranks of routes that one rank of accounts spans: 0 to 100. */
 #define ROUTE_RANKS 101
 
@@ -141,3 +146,24 @@
 {
   return request->has_accounts ? request->tenant : "-";
 }
+
+bool
+sgr_data_account_throttle (sgr_data_task_t *task, h2o_req_t *req, sgr_data_service_t *service,
+                           const sgr_data_call_request_t *request)
+{
+  sgr_data_refusal_t refusal
+      = { .status = 503, .reason = "over-share", .account = request->tenant };
+
+  if (!request->has_accounts || request->has_key)
+    return true;
+  if (service->throttle == NULL)
+    service->throttle = sgr_share_throttle_create ();
+  if (sgr_share_throttle_admit (service->throttle, sgr_clock_monotonic_us (),
+                                sgr_share_throttle_key (request->tenant, request->priority),
+                                sgr_rng_uniform (&task->rng)))
+    return true;
+  refusal.retry_after_ms
+      = SHARE_RETRY_MIN_MS + (uint32_t)sgr_rng_below (&task->rng, SHARE_RETRY_SPREAD_MS);
+  sgr_data_request_refuse_as (task, req, &refusal);
+  return false;
+}
--- a/libsiskingrade/data_account.h
+++ b/libsiskingrade/data_account.h
@@ -31,6 +31,20 @@
  */
 void sgr_data_account_apply (const sgr_data_task_t *task, sgr_data_call_request_t *request);
 
+/**
+ * sgr_data_account_throttle() - refuse a call whose account the gates refuse as beyond its share
+ * @task: the task
+ * @req: the request, answered with 503 if it is refused
+ * @service: service of the call
+ * @request: the call, after sgr_data_account_apply()
+ *
+ * Calls with an idempotency key are let through: only their gate knows whether they have run.
+ *
+ * Return: whether the call may be sent on; always true if the configuration has no accounts.
+ */
+bool sgr_data_account_throttle (sgr_data_task_t *task, h2o_req_t *req, sgr_data_service_t *service,
+                                const sgr_data_call_request_t *request);
+
 /** sgr_data_account_call_count() - count a call that starts for its account, if it has one */
 void sgr_data_account_call_count (sgr_data_task_t *task, const sgr_data_call_request_t *request);
 
--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -272,10 +272,22 @@
                                    sgr_clock_monotonic_us () - call->start_us);
 }
 
+/* Tells the throttle of the service that gates refused the call as beyond its account's share. */
+static void
+share_refusal_record (const sgr_data_call_t *call, const sgr_call_action_t *action)
+{
+  if (call->service->throttle != NULL && action->outcome == SGR_OUTCOME_NOT_RUN
+      && action->reason == SGR_CALL_REASON_REFUSED && action->gate_reason == SGR_GATE_REASON_SHARE)
+    sgr_share_throttle_refused (
+        call->service->throttle, call->now_us,
+        sgr_share_throttle_key (call->request.tenant, call->request.priority));
+}
+
 static void
 call_finish (sgr_data_call_t *call, const sgr_call_action_t *action)
 {
   call->is_finished = true;
+  share_refusal_record (call, action);
   sgr_data_call_log (call, action);
   sgr_timer_cancel (call->task->timers, &call->timer);
   if (call->req != NULL && action->outcome == SGR_OUTCOME_COMPLETE)
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -117,7 +117,8 @@
   char cold[COLD_TEXT_BYTES];
 
   if (reason == SGR_GATE_REASON_QUEUE_FULL || reason == SGR_GATE_REASON_DEADLINE
-      || reason == SGR_GATE_REASON_LATE || reason == SGR_GATE_REASON_COLD)
+      || reason == SGR_GATE_REASON_LATE || reason == SGR_GATE_REASON_COLD
+      || reason == SGR_GATE_REASON_SHARE)
     refusal.retry_after_ms = sgr_gate_retry_after_ms (gate->core, now_us);
   if (sgr_call_log_should_log (gate->task->call_log, now_us,
                                sgr_request_ids_log_name (&run->request_ids), true))
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -343,6 +343,8 @@
       return;
     }
   sgr_data_account_call_count (http->task, &request);
+  if (!sgr_data_account_throttle (http->task, req, service, &request))
+    return;
   if (!request.has_key || request.is_key_issued)
     {
       sgr_data_call_start (http->task, req, service, &request);
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -43,6 +43,7 @@
   while ((size = sgr_id_map_next (service->answer_sizes, &cursor)) != NULL)
     free (size);
   sgr_id_map_destroy (service->answer_sizes);
+  sgr_share_throttle_destroy (service->throttle);
   free (service);
 }
 
--- a/libsiskingrade/data_service.h
+++ b/libsiskingrade/data_service.h
@@ -2,12 +2,15 @@
 #define SGR_DATA_SERVICE_H
 
 #include "data_internal.h"
+#include "share_throttle.h"
 
 /**
  * struct sgr_data_service_t - state of one service at this entry
  * @policy: policy of the service
  * @balancer: balancer among the targets of the service
  * @retry_budget: retry budget of the service at this entry
+ * @throttle: refuses calls of accounts beyond their shares, NULL before the first call of an
+ * account
  * @latency: latencies of all complete calls, for the delay of hedges
  * @series: latency histograms, by hash of tenant and class
  * @answer_sizes: moving averages of the answer sizes in bytes, by hash of the class
@@ -18,6 +21,7 @@
   sgr_policy_t policy;
   sgr_balancer_t *balancer;
   sgr_retry_budget_t retry_budget;
+  sgr_share_throttle_t *throttle;
   sgr_histogram_t latency;
   sgr_id_map_t *series;
   sgr_id_map_t *answer_sizes;
--- a/libsiskingrade/gate.c
+++ b/libsiskingrade/gate.c
@@ -175,6 +175,7 @@
   work->phase = SGR_GATE_WORK_RUNNING;
   work->slot_taken_us = now_us;
   gate->running_us += work->queue_item.duration_us;
+  gate->running_work_us += work->queue_item.work_us;
   work->was_unslowed = gate->cost_percent == 0 || gate->cost_percent < UNSLOWED_COST_PERCENT;
   work->was_nearly_full = is_target_nearly_full (gate);
   sgr_gate_start_reserve (gate, now_us, work);
@@ -222,7 +223,8 @@
   while ((item = sgr_gate_queue_late_find (gate->queue, now_us, &next_us)) != NULL)
     {
       sgr_gate_queue_wait_record (gate->queue, item, now_us);
-      sgr_gate_work_drop (gate, now_us, item->owner, SGR_GATE_REASON_LATE);
+      sgr_gate_work_drop (gate, now_us, item->owner,
+                          sgr_gate_fair_reason (gate, item, SGR_GATE_REASON_LATE));
     }
   return next_us;
 }
@@ -295,6 +297,7 @@
     case SGR_GATE_REASON_TENANT_LIMIT:
     case SGR_GATE_REASON_CLASS_LIMIT:
     case SGR_GATE_REASON_COLD:
+    case SGR_GATE_REASON_SHARE:
       decision->retry_after_ms = sgr_gate_retry_after_ms (gate, now_us);
       break;
     case SGR_GATE_REASON_LEDGER_FULL:
@@ -428,7 +431,7 @@
     }
   if (reason != SGR_GATE_REASON_NONE)
     {
-      if (reason == SGR_GATE_REASON_LATE)
+      if (reason == SGR_GATE_REASON_LATE || reason == SGR_GATE_REASON_SHARE)
         late_us = sgr_gate_fair_late_us (gate, now_us, &work->queue_item);
       work_free (gate, work);
       recorded_attempt_refuse (gate, now_us, record, reason, SGR_OUTCOME_NOT_RUN, decision);
@@ -536,6 +539,7 @@
     outcome = SGR_OUTCOME_UNKNOWN;
   service_us = finish->latency_us > 0 ? finish->latency_us : now_us - work->slot_taken_us;
   gate->running_us -= work->queue_item.duration_us;
+  gate->running_work_us -= work->queue_item.work_us;
   if (gate->is_fair)
     {
       service_us += sgr_gate_link_work_us (gate, work->request_bytes + finish->answer_bytes);
--- a/libsiskingrade/gate.h
+++ b/libsiskingrade/gate.h
@@ -49,6 +49,8 @@
  * @SGR_GATE_REASON_LATE: the answer can no longer be on time
  * @SGR_GATE_REASON_COLD: the target counts as cold, and the limit of its policy allows the start
  * only after the deadline
+ * @SGR_GATE_REASON_SHARE: as SGR_GATE_REASON_LATE or SGR_GATE_REASON_QUEUE_FULL, and the tenant
+ * holds more than its fair share
  */
 typedef enum
 {
@@ -69,9 +71,10 @@
   SGR_GATE_REASON_SLOW,
   SGR_GATE_REASON_LATE,
   SGR_GATE_REASON_COLD,
+  SGR_GATE_REASON_SHARE,
 } sgr_gate_reason_t;
 
-#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_COLD + 1)
+#define SGR_GATE_REASON_COUNT (SGR_GATE_REASON_SHARE + 1)
 
 /**
  * struct sgr_attempt_t - one attempt as the gate receives it
--- a/libsiskingrade/gate_admission.c
+++ b/libsiskingrade/gate_admission.c
@@ -83,6 +83,15 @@
   return start_us > latest_us ? start_us - latest_us : 0;
 }
 
+sgr_gate_reason_t
+sgr_gate_fair_reason (const sgr_gate_t *gate, const sgr_gate_queue_item_t *item,
+                      sgr_gate_reason_t reason)
+{
+  return gate->is_fair && sgr_gate_fair_is_beyond (gate->held_us, gate->running_work_us, item)
+             ? SGR_GATE_REASON_SHARE
+             : reason;
+}
+
 void
 sgr_gate_fair_tick (sgr_gate_t *gate, uint64_t now_us)
 {
@@ -94,7 +103,8 @@
      moment to the next: an admitted call must not be refused for that. */
   while ((last = sgr_gate_fair_last (gate->queue, gate->held_us, NULL)) != NULL
          && sgr_gate_fair_late_us (gate, now_us, last) > last->duration_us)
-    sgr_gate_work_drop (gate, now_us, last->owner, SGR_GATE_REASON_LATE);
+    sgr_gate_work_drop (gate, now_us, last->owner,
+                        sgr_gate_fair_reason (gate, last, SGR_GATE_REASON_LATE));
 }
 
 /* Makes room in a full queue. Returns false if the new attempt has to be refused. */
@@ -107,7 +117,8 @@
 
   if (victim == NULL || victim == item)
     return false;
-  sgr_gate_work_drop (gate, now_us, victim->owner, SGR_GATE_REASON_QUEUE_FULL);
+  sgr_gate_work_drop (gate, now_us, victim->owner,
+                      sgr_gate_fair_reason (gate, victim, SGR_GATE_REASON_QUEUE_FULL));
   return true;
 }
 
@@ -130,10 +141,10 @@
       && class_limit < sgr_gate_limits_slots (gate->limits))
     return SGR_GATE_REASON_CLASS_LIMIT;
   if (sgr_gate_fair_late_us (gate, now_us, item) > 0)
-    return SGR_GATE_REASON_LATE;
+    return sgr_gate_fair_reason (gate, item, SGR_GATE_REASON_LATE);
   if (sgr_gate_queue_count (gate->queue) < gate->queue_max || queue_room_make (gate, now_us, item))
     return SGR_GATE_REASON_NONE;
-  return SGR_GATE_REASON_QUEUE_FULL;
+  return sgr_gate_fair_reason (gate, item, SGR_GATE_REASON_QUEUE_FULL);
 }
 
 uint32_t
--- a/libsiskingrade/gate_fair.c
+++ b/libsiskingrade/gate_fair.c
@@ -74,3 +74,36 @@
       last = item;
   return last;
 }
+
+/* Raises the level until the accounts above it share what those below it leave. */
+static uint64_t
+share_level_us (const uint64_t *held_us, uint64_t running_us)
+{
+  uint64_t level_us = 0;
+
+  for (;;)
+    {
+      uint64_t left_us = running_us;
+      uint64_t count = 0;
+
+      for (uint32_t i = 0; i < SGR_LIMITS_CHILDREN_MAX; i++)
+        {
+          if (held_us[i] > level_us)
+            count++;
+          else
+            left_us -= held_us[i] < left_us ? held_us[i] : left_us;
+        }
+      if (count == 0 || left_us / count <= level_us)
+        return level_us;
+      level_us = left_us / count;
+    }
+}
+
+bool
+sgr_gate_fair_is_beyond (const uint64_t *held_us, uint64_t running_us,
+                         const sgr_gate_queue_item_t *item)
+{
+  uint64_t others_us = held_us[item->tenant] - item->work_us;
+
+  return others_us > 0 && others_us >= share_level_us (held_us, running_us);
+}
--- a/libsiskingrade/gate_fair.h
+++ b/libsiskingrade/gate_fair.h
@@ -42,4 +42,16 @@
 sgr_gate_queue_item_t *sgr_gate_fair_last (const sgr_gate_queue_t *queue, const uint64_t *held_us,
                                            sgr_gate_queue_item_t *candidate);
 
+/**
+ * sgr_gate_fair_is_beyond() - whether a call is beyond the fair share of its account
+ * @held_us: expected work of the waiting and running calls of each account, in microseconds
+ * @running_us: work of the running calls of all accounts, which is divided
+ * @item: the call, which is counted in @held_us
+ *
+ * Return: true if the other calls of its account hold the account's max-min share of @running_us or
+ * more. The only call of an account is never beyond its share.
+ */
+bool sgr_gate_fair_is_beyond (const uint64_t *held_us, uint64_t running_us,
+                              const sgr_gate_queue_item_t *item);
+
 #endif
--- a/libsiskingrade/gate_internal.h
+++ b/libsiskingrade/gate_internal.h
@@ -96,6 +96,7 @@
  * @link_mbps: rate of the machine's link in Mbit/s, 0 if bytes are not counted
  * @held_us: expected work of the waiting and running attempts of each tenant, by its index
  * @running_us: sum of the expected durations of the running attempts
+ * @running_work_us: sum of their expected work
  * @refused: refusals by reason
  */
 struct sgr_gate_t
@@ -129,6 +130,7 @@
   double link_mbps;
   uint64_t held_us[SGR_LIMITS_CHILDREN_MAX];
   uint64_t running_us;
+  uint64_t running_work_us;
   uint64_t refused[SGR_GATE_REASON_COUNT];
 };
 
@@ -205,6 +207,12 @@
 uint64_t sgr_gate_fair_late_us (const sgr_gate_t *gate, uint64_t now_us,
                                 const sgr_gate_queue_item_t *item);
 
+/** sgr_gate_fair_reason() - reason of a refusal: SGR_GATE_REASON_SHARE instead of @reason if the
+ * tenant of the attempt holds more than its fair share
+ */
+sgr_gate_reason_t sgr_gate_fair_reason (const sgr_gate_t *gate, const sgr_gate_queue_item_t *item,
+                                        sgr_gate_reason_t reason);
+
 /** sgr_gate_fair_tick() - refuse queued attempts that can no longer start in time because more
  * urgent ones have arrived
  */
--- a/libsiskingrade/gate_status.c
+++ b/libsiskingrade/gate_status.c
@@ -294,6 +294,7 @@
     [SGR_GATE_REASON_SLOW] = "slow",
     [SGR_GATE_REASON_LATE] = "late",
     [SGR_GATE_REASON_COLD] = "cold",
+    [SGR_GATE_REASON_SHARE] = "over-share",
   };
 
   return (unsigned)reason < SGR_GATE_REASON_COUNT ? names[reason] : "unknown";
--- a/tests/test_gate_fair.c
+++ b/tests/test_gate_fair.c
@@ -530,6 +530,26 @@
   free (m);
 }
 
+/* Guards against an account below its share that counts as beyond it because it holds more than
+   an equal part: the share is half of what the small accounts leave, 30 of 100 ms here. */
+static void
+test_beyond_share (void **state)
+{
+  static const struct
+  {
+    uint64_t held_us;
+    bool is_beyond;
+  } cases[] = { { 10, false }, { 39, false }, { 41, true }, { 500, true } };
+  uint64_t held_us[SGR_LIMITS_CHILDREN_MAX] = { 0, 10, 10, 10, 10, 300 };
+  sgr_gate_queue_item_t item = { .tenant = 6, .work_us = 10 };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      held_us[6] = cases[i].held_us;
+      assert_int_equal (sgr_gate_fair_is_beyond (held_us, 100, &item), cases[i].is_beyond);
+    }
+}
+
 /* Guards against a call that is held although it cannot be on time behind the waiting work, against
    a retry time at which it cannot either, and against a change for gates without accounts. */
 static void
@@ -558,9 +578,12 @@
           sgr_gate_destroy (endpoint->gate);
           continue;
         }
-      assert_int_equal (decision.reason, SGR_GATE_REASON_LATE);
+      assert_int_equal (decision.reason, SGR_GATE_REASON_SHARE);
       assert_int_equal (decision.outcome, SGR_OUTCOME_NOT_RUN);
       assert_in_range (decision.retry_after_ms, 10, 50);
+      /* The only call of its account is not beyond the share. */
+      assert_int_equal (gate_admit (endpoint, "b", 1, m->now_us + 18 * MS, &calls[4]).reason,
+                        SGR_GATE_REASON_LATE);
       /* More urgent than the waiting calls, or of an account that has used less. */
       assert_int_equal (gate_admit (endpoint, "a", 0, m->now_us + 35 * MS, &calls[5]).kind,
                         SGR_GATE_QUEUED);
@@ -588,6 +611,7 @@
     cmocka_unit_test (test_class_of_one_account),
     cmocka_unit_test (test_bytes_count),
     cmocka_unit_test (test_full_queue),
+    cmocka_unit_test (test_beyond_share),
     cmocka_unit_test (test_late_on_arrival),
   };
 
