Test that the entry refuses calls beyond an account's share

The test runs a data task with accounts and a target that does not answer: 30 calls on one connection, of which the gate refuses 28, then 30 on another, of which the entry refuses some; a call of another account is served.

--- a/tests/test_data_account.c
+++ b/tests/test_data_account.c
@@ -24,6 +24,8 @@
 #define KEY_ACME "acme-key-0123456789"
 #define KEY_BOLT "bolt-key-0123456789"
 #define HEAD_BYTES 4096
+/* Calls that are open at a time on one connection. */
+#define CONNECTION_CALLS 30
 #define EVENT_TIMEOUT_US (20 * SGR_USEC_PER_SEC)
 
 /* Head of the last request that the target received. */
@@ -543,6 +545,61 @@
   sgr_snapshot_destroy (snapshot);
 }
 
+/* Whether a metric reaches a value. */
+static bool
+metric_await (const char *line, uint64_t value)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + EVENT_TIMEOUT_US;
+
+  while (metric (line) < value)
+    {
+      if (sgr_clock_monotonic_us () >= end_us)
+        return false;
+      sgr_fixture_poll_sleep ();
+    }
+  return true;
+}
+
+/* Guards against gates that are not told of accounts, against calls that are sent on although the
+   gate refuses those of their account, and against another account that is refused with them. */
+static void
+test_over_share (void **state)
+{
+  static const char gate[]
+      = "siskingrade_call_errors_total{outcome=\"not-run\",reason=\"over-share\"} ";
+  static const char entry[]
+      = "siskingrade_requests_refused_total{status=\"503\",reason=\"over-share\"} ";
+  static const char request[] = GET ("/private/", TOKEN (KEY_ACME));
+  sgr_snapshot_t *snapshot = snapshot_make ();
+  int fds[] = { connection_open (), connection_open () };
+  uint64_t throttled_before;
+  bool is_refused, is_throttled;
+
+  snapshot->local.slots = 1;
+  snapshot->policies[0].queue_max = 1;
+  accounts_set (snapshot, true);
+  snapshot_apply (snapshot);
+  /* The target answers no request while the mutex is locked. */
+  pthread_mutex_lock (&head_mutex);
+  for (int i = 0; i < CONNECTION_CALLS; i++)
+    send (fds[0], request, strlen (request), MSG_NOSIGNAL);
+  /* One call runs and one waits. */
+  is_refused = metric_await (gate, CONNECTION_CALLS - 2);
+  throttled_before = metric (entry);
+  for (int i = 0; i < CONNECTION_CALLS; i++)
+    send (fds[1], request, strlen (request), MSG_NOSIGNAL);
+  is_throttled = metric_await (entry, 1);
+  pthread_mutex_unlock (&head_mutex);
+  assert_true (is_refused);
+  assert_int_equal (throttled_before, 0);
+  assert_true (is_throttled);
+  close (fds[0]);
+  close (fds[1]);
+  fds[0] = connection_open ();
+  exchange (fds[0], GET ("/private/", TOKEN (KEY_BOLT)), (int[]){ 200 }, 1);
+  close (fds[0]);
+}
+
 int
 main (void)
 {
@@ -554,6 +611,7 @@
     cmocka_unit_test (test_snapshot_of_same_revision),
     cmocka_unit_test (test_target_fields),
     cmocka_unit_test (test_rank_and_tenant),
+    cmocka_unit_test (test_over_share),
   };
 
   return cmocka_run_group_tests (tests, group_setup, group_teardown);
