--- a/libsiskingrade/control_contacts.h
+++ b/libsiskingrade/control_contacts.h
@@ -28,6 +28,9 @@
  * restore at once.
  */
 void sgr_control_contacts_renew (sgr_control_contacts_t *contacts);
+/** sgr_control_contacts_is_alone() - whether the store has answered that there is no other node;
+ * false for NULL */
+bool sgr_control_contacts_is_alone (const sgr_control_contacts_t *contacts);
 void sgr_control_contacts_destroy (sgr_control_contacts_t *contacts);
 
 #endif
--- a/libsiskingrade/data_account.c
+++ b/libsiskingrade/data_account.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 #include <xxhash.h>
 
+#include "data_quota.h"
 #include "data_refuse.h"
 #include "data_service.h"
 
@@ -162,6 +163,7 @@
                                 sgr_share_throttle_key (request->tenant, request->priority),
                                 sgr_rng_uniform (&task->rng)))
     return true;
+  sgr_data_quotas_return (task->quotas, request);
   refusal.retry_after_ms
       = SHARE_RETRY_MIN_MS + (uint32_t)sgr_rng_below (&task->rng, SHARE_RETRY_SPREAD_MS);
   sgr_data_request_refuse_as (task, req, &refusal);
--- a/libsiskingrade/data_account.h
+++ b/libsiskingrade/data_account.h
@@ -38,7 +38,8 @@
  * @service: service of the call
  * @request: the call, after sgr_data_account_apply()
  *
- * Calls with an idempotency key are let through: only their gate knows whether they have run.
+ * The credit of a refused call is returned to its account's quota. Calls with an idempotency key
+ * are let through: only their gate knows whether they have run.
  *
  * Return: whether the call may be sent on; always true if the configuration has no accounts.
  */
