--- a/tests/test_gate_fair.c
+++ b/tests/test_gate_fair.c
@@ -53,7 +53,6 @@
  * @is_repeated: a refused call is repeated after 1 ms until its deadline
  * @is_class_per_account: the first account uses all classes, the others only the first one
  * @link_mbps: rate of the link for the gates
- * @is_unfair: the gates are not told that there are accounts
  */
 typedef struct
 {
@@ -65,7 +64,6 @@
   bool is_repeated;
   bool is_class_per_account;
   double link_mbps;
-  bool is_unfair;
 } load_t;
 
 /** struct call_t - a call; free while @account is ACCOUNTS */
@@ -275,7 +273,7 @@
       endpoint->model = m;
       endpoint->gate = sgr_gate_create (&options, &policy, &callbacks, endpoint);
       sgr_gate_target_update (endpoint->gate, 0, SGR_TARGET_SERVING, SLOTS);
-      sgr_gate_fair_set (endpoint->gate, !load->is_unfair, load->link_mbps);
+      sgr_gate_fair_set (endpoint->gate, true, load->link_mbps);
     }
   for (m->now_us = MS; m->now_us < END_MS * MS; m->now_us += MS)
     model_step (m);
@@ -352,8 +350,7 @@
                           .utilisation = 0.9,
                           .excess_accounts = accounts,
                           .excess = excess,
-                          .is_repeated = repeated != 0,
-                          .is_unfair = getenv ("UNFAIR") != NULL };
+                          .is_repeated = repeated != 0 };
           double worst, all;
 
           model_run (m, &load);
@@ -377,8 +374,7 @@
                   .utilisation = 0.8,
                   .excess_accounts = 3,
                   .excess = 8,
-                  .link_mbps = 14,
-                  .is_unfair = getenv ("UNFAIR") != NULL };
+                  .link_mbps = 14 };
   model_t *m = malloc (sizeof *m);
 
   for (uint32_t repeated = 0; repeated <= 1; repeated++)
@@ -403,8 +399,7 @@
                   .utilisation = 2.8,
                   .excess_accounts = 1,
                   .excess = 40,
-                  .is_class_per_account = true,
-                  .is_unfair = getenv ("UNFAIR") != NULL };
+                  .is_class_per_account = true };
   model_t *m = malloc (sizeof *m);
   double worst, all;
 
