--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -480,7 +480,7 @@
   assert_int_equal (report.state, SGR_TARGET_DRAINING);
   assert_true (report.latency_us > 0);
   sgr_gate_latencies_discard (f.gate);
-  sgr_gate_load_report (f.gate, &report);
+  sgr_gate_load_report (f.gate, 5, &report);
   assert_int_equal (report.latency_us, 0);
   sgr_gate_destroy (f.gate);
 }
