--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -295,6 +295,17 @@
                         &settings->stall_timeout_ms);
 }
 
+/* Limits that concern client accounts. */
+static void
+read_account_limits (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t node)
+{
+  sgr_yaml_duration_read (yaml, node, "quota_window", "limits", 100, 600000,
+                          &settings->quota_window_ms);
+  sgr_yaml_share_read (yaml, node, "quota_over", "limits", &settings->quota_over);
+  sgr_yaml_number_read (yaml, node, "quota_slack", "limits", 0, 1000000, &settings->quota_slack);
+  sgr_yaml_decimal_read (yaml, node, "link_mbps", "limits", 1000000, &settings->link_mbps);
+}
+
 static void
 read_limits (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
@@ -361,11 +372,7 @@
                           &settings->stop_grace_ms);
   sgr_yaml_duration_read (yaml, node, "evacuation", "limits", 100, 600000,
                           &settings->evacuation_ms);
-  sgr_yaml_duration_read (yaml, node, "quota_window", "limits", 100, 600000,
-                          &settings->quota_window_ms);
-  sgr_yaml_share_read (yaml, node, "quota_over", "limits", &settings->quota_over);
-  sgr_yaml_number_read (yaml, node, "quota_slack", "limits", 0, 1000000, &settings->quota_slack);
-  sgr_yaml_decimal_read (yaml, node, "link_mbps", "limits", 1000000, &settings->link_mbps);
+  read_account_limits (settings, yaml, node);
   if (settings->silence_ms < 2 * settings->heartbeat_ms)
     sgr_yaml_error (yaml, node, "limits.silence_ms", "expected at least twice heartbeat_ms (%lu)",
                     2 * settings->heartbeat_ms);
