--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -125,7 +125,8 @@
   char cold[COLD_TEXT_BYTES];
 
   if (reason == SGR_GATE_REASON_QUEUE_FULL || reason == SGR_GATE_REASON_DEADLINE
-      || reason == SGR_GATE_REASON_LATE || reason == SGR_GATE_REASON_COLD)
+      || reason == SGR_GATE_REASON_LATE || reason == SGR_GATE_REASON_COLD
+      || reason == SGR_GATE_REASON_SHARE)
     refusal.retry_after_ms = sgr_gate_retry_after_ms (gate->core, now_us);
   if (sgr_call_log_should_log (gate->task->call_log, now_us,
                                sgr_request_ids_log_name (&run->request_ids), true))
@@ -287,6 +288,7 @@
           sgr_gate_policy_update (gate->core, now_us, &gate->policy);
         }
     }
+  sgr_gate_fair_set (gate->core, gate->task->accounts != NULL, gate->task->settings->link_mbps);
   sgr_data_cold_local_apply (gate, now_us);
   sgr_gate_target_update (gate->core, now_us, local->state, local->slots);
   sgr_data_load_budget_update (gate, now_us);
@@ -470,6 +472,7 @@
   attempt_fill (&attempt, call, &id, now_us);
   sgr_data_load_query_activate (gate, now_us);
   run = run_create (gate, call, &attempt);
+  attempt.request_bytes = body->length;
   attempt.user = run;
   attempt.is_over_quota = !sgr_data_quotas_take (gate->task->quotas, call->tenant, &run->quota,
                                                  &attempt.quota_retry_ms);
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -350,6 +350,8 @@
       sgr_data_request_refuse (http->task, req, 400, reason);
       return;
     }
+  if (!sgr_data_account_throttle (http->task, req, service, &request))
+    return;
   sgr_data_account_call_count (http->task, &request);
   if (!request.has_key || request.is_key_issued)
     {
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -60,6 +60,7 @@
  *                 does not follow evacuations
  * @quota_window_ms: length in milliseconds of the windows in which quotas of accounts hold
  * @quota_over: share by which a quota may be exceeded in a window
+ * @link_mbps: rate of the machine's link in Mbit/s, 0 if not known
  * @quota_slack: further calls by which a quota may be exceeded in a window
  * @memory_mb: memory limit of the process in MiB, 0 if not known
  * @memory_budget_bytes: most bytes in buffers of callers, peers and the target
@@ -113,6 +114,7 @@
   uint64_t quota_window_ms;
   double quota_over;
   uint64_t quota_slack;
+  double link_mbps;
   uint64_t memory_mb;
   uint64_t memory_budget_bytes;
   uint64_t memory_share_percent;
