--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -334,11 +334,12 @@
   return false;
 }
 
-/* Collects the candidates: the targets in @state that are not excluded, ejected ones only if
-   @with_ejected is set. Returns their number. */
+/* Collects the candidates: the targets in @state and in an allowed region that are not excluded,
+   ejected ones only if @with_ejected is set. Returns their number. */
 static size_t
 candidates_collect (sgr_balancer_t *b, sgr_target_state_t state, bool with_ejected,
-                    const sgr_balancer_target_t *exclude, size_t exclude_count)
+                    const sgr_balancer_target_t *exclude, size_t exclude_count,
+                    const sgr_region_limit_t *regions)
 {
   size_t count = 0;
 
@@ -348,6 +349,7 @@
       const sgr_balancer_entry_t *entry = &b->entries[index];
 
       if (effective_state (entry) == state && (with_ejected || !entry->health.is_ejected)
+          && sgr_region_limit_allows (regions, entry->info.region)
           && !is_excluded (b, index, exclude, exclude_count))
         b->candidates[count++] = index;
     }
@@ -358,7 +360,7 @@
    SGR_BALANCER_TARGET_NONE if no trial is due. */
 static sgr_balancer_target_t
 trial_pick (sgr_balancer_t *b, uint64_t now_us, const sgr_balancer_target_t *exclude,
-            size_t exclude_count)
+            size_t exclude_count, const sgr_region_limit_t *regions)
 {
   for (size_t i = 0; i < b->target_count; i++)
     {
@@ -366,6 +368,7 @@
       sgr_balancer_entry_t *entry = &b->entries[index];
 
       if (entry->health.is_ejected && effective_state (entry) == SGR_TARGET_SERVING
+          && sgr_region_limit_allows (regions, entry->info.region)
           && !is_excluded (b, index, exclude, exclude_count)
           && sgr_balancer_outlier_trial_start (entry, now_us))
         return handle_of (b, index);
@@ -393,28 +396,29 @@
                             const sgr_balancer_target_t *exclude, size_t exclude_count,
                             const sgr_balancer_call_t *call)
 {
+  const sgr_region_limit_t *regions = &call->regions;
   bool is_baseline = b->options.policy != SGR_BALANCER_LOAD_LATENCY;
   sgr_balancer_target_t trial = SGR_BALANCER_TARGET_NONE;
   size_t count;
 
   reported_states_expire (b, now_us);
   if (!is_baseline)
-    trial = trial_pick (b, now_us, exclude, exclude_count);
+    trial = trial_pick (b, now_us, exclude, exclude_count, regions);
   if (trial != SGR_BALANCER_TARGET_NONE)
     {
       sgr_balancer_event_record (b, SGR_BALANCER_PICKED);
       sgr_balancer_event_record (b, SGR_BALANCER_PICK_TRIAL);
       return trial;
     }
-  count = candidates_collect (b, SGR_TARGET_SERVING, is_baseline, exclude, exclude_count);
+  count = candidates_collect (b, SGR_TARGET_SERVING, is_baseline, exclude, exclude_count, regions);
   if (count == 0 && !is_baseline)
     {
-      count = candidates_collect (b, SGR_TARGET_SERVING, true, exclude, exclude_count);
+      count = candidates_collect (b, SGR_TARGET_SERVING, true, exclude, exclude_count, regions);
       if (count > 0)
         sgr_balancer_event_record (b, SGR_BALANCER_PICK_EJECTED_ONLY);
     }
   if (count == 0)
-    count = candidates_collect (b, SGR_TARGET_WARMING, true, exclude, exclude_count);
+    count = candidates_collect (b, SGR_TARGET_WARMING, true, exclude, exclude_count, regions);
   if (count == 0)
     {
       sgr_balancer_event_record (b, SGR_BALANCER_PICK_NONE);
--- a/libsiskingrade/balancer.h
+++ b/libsiskingrade/balancer.h
@@ -1,6 +1,7 @@
 #ifndef SGR_BALANCER_H
 #define SGR_BALANCER_H
 
+#include "region.h"
 #include "rng.h"
 #include "result.h"
 #include "types.h"
@@ -83,6 +84,7 @@
  * @link_rtt_us: round-trip time from this node to that gate, microseconds
  * @is_far: that gate is in another failure domain than this node
  * @is_remote: that gate is in another region than this node; then it is also far
+ * @region: bit of that gate's region, see sgr_region_table_add(); 0 if it is in none
  * @state: only warming and serving targets are chosen; warming ones only if none is serving
  * @serving_since_us: when the target began to serve and its slow start begins, on this node's
  * clock, microseconds
@@ -95,6 +97,7 @@
   uint32_t link_rtt_us;
   bool is_far;
   bool is_remote;
+  sgr_region_mask_t region;
   sgr_target_state_t state;
   uint64_t serving_since_us;
 } sgr_balancer_target_info_t;
@@ -264,11 +267,14 @@
  * struct sgr_balancer_call_t - what a choice needs to know of the call
  * @bytes: expected size of request and answer together
  * @on_time_left_us: time until the answer is no longer on time, 0 if the call has no such time
+ * @regions: where the call may be run; binds every choice, also half-open trials and the choice
+ *   among ejected targets
  */
 typedef struct
 {
   uint64_t bytes;
   uint64_t on_time_left_us;
+  sgr_region_limit_t regions;
 } sgr_balancer_call_t;
 
 /**
