--- a/libsiskingrade/account.h
+++ b/libsiskingrade/account.h
@@ -2,6 +2,7 @@
 #define SGR_ACCOUNT_H
 
 #include "idempotency_key.h"
+#include "region.h"
 
 /* Highest rank of an account, see sgr_account_t. */
 #define SGR_ACCOUNT_PRIORITY_MAX 100
@@ -24,6 +25,7 @@
  * @priority: rank under overload, 0 is served first; takes precedence over the route's priority
  * @rate_per_s: calls per second over all nodes, 0 for no limit
  * @burst: calls beyond the rate that may start at once, over all nodes
+ * @regions: where its calls may be run
  */
 typedef struct
 {
@@ -31,6 +33,7 @@
   uint32_t priority;
   uint32_t rate_per_s;
   uint32_t burst;
+  sgr_region_list_t regions;
 } sgr_account_t;
 
 /**
--- a/libsiskingrade/config_account.c
+++ b/libsiskingrade/config_account.c
@@ -71,7 +71,7 @@
                          sgr_config_error_t *error)
 {
   static const char *const required[] = { "name", KEYS_KEY, NULL };
-  static const char *const optional[] = { "priority", "rate_per_s", "burst", NULL };
+  static const char *const optional[] = { "priority", "rate_per_s", "burst", "regions", NULL };
 
   memset (account, 0, sizeof *account);
   if (sgr_config_json_object (json, path, required, optional, error) != SGR_OK
@@ -84,19 +84,28 @@
                             error)
              != SGR_OK)
     return SGR_ERR_INVALID;
-  return read_optional_u32 (json, path, "burst", SGR_ACCOUNT_BURST_MAX, &account->burst, error);
+  if (read_optional_u32 (json, path, "burst", SGR_ACCOUNT_BURST_MAX, &account->burst, error)
+      != SGR_OK)
+    return SGR_ERR_INVALID;
+  return sgr_config_json_regions (json, path, &account->regions, error);
 }
 
 json_t *
 sgr_config_account_normalize (const json_t *json)
 {
+  json_t *regions = json_object_get (json, "regions");
   sgr_account_t account;
+  json_t *normal;
 
   sgr_config_account_read (json, "", &account, NULL);
-  return json_pack ("{s:s, s:O, s:I, s:I, s:I}", "name", account.name, KEYS_KEY,
-                    json_object_get (json, KEYS_KEY), "priority", (json_int_t)account.priority,
-                    "rate_per_s", (json_int_t)account.rate_per_s, "burst",
-                    (json_int_t)account.burst);
+  normal = json_pack ("{s:s, s:O, s:I, s:I, s:I}", "name", account.name, KEYS_KEY,
+                      json_object_get (json, KEYS_KEY), "priority", (json_int_t)account.priority,
+                      "rate_per_s", (json_int_t)account.rate_per_s, "burst",
+                      (json_int_t)account.burst);
+  /* Earlier versions of the program refuse this key, so that it is only written where needed. */
+  if (regions != NULL)
+    json_object_set (normal, "regions", regions);
+  return normal;
 }
 
 /* Orders keys by hash, equal ones by their place in the document. */
--- a/libsiskingrade/config_account.h
+++ b/libsiskingrade/config_account.h
@@ -26,7 +26,8 @@
 
 /**
  * sgr_config_account_read() - parse an account without its keys, but check the keys
- * @json: object with "name" and "key_hashes", and optionally "priority", "rate_per_s" and "burst"
+ * @json: object with "name" and "key_hashes", and optionally "priority", "rate_per_s", "burst" and
+ * "regions"
  * @path: path of @json in its document
  * @account: receives the account; an absent optional field is 0, see sgr_account_t
  * @error: receives the error, may be NULL
--- a/libsiskingrade/config_json.c
+++ b/libsiskingrade/config_json.c
@@ -171,3 +171,35 @@
                                sgr_config_json_describe (item, found, sizeof found),
                                (unsigned long long)min, (unsigned long long)max);
 }
+
+sgr_result_t
+sgr_config_json_regions (const json_t *json, const char *path, sgr_region_list_t *regions,
+                         sgr_config_error_t *error)
+{
+  static const char key[] = "regions";
+  const json_t *list = json_object_get (json, key);
+  size_t count = json_array_size (list);
+  char found[80], key_path[SGR_CONFIG_PATH_BYTES];
+
+  *regions = (sgr_region_list_t){ 0 };
+  if (list == NULL)
+    return SGR_OK;
+  sgr_config_json_path (key_path, path, key);
+  if (!json_is_array (list) || count == 0 || count > SGR_REGION_LIST_MAX)
+    return sgr_config_error_set (
+        error, SGR_ERR_INVALID, key_path, "found %s of %zu, expected a list of 1 to %d regions",
+        sgr_config_json_describe (list, found, sizeof found), count, SGR_REGION_LIST_MAX);
+  for (size_t i = 0; i < count; i++)
+    {
+      const json_t *name = json_array_get (list, i);
+
+      sgr_config_json_path_at (key_path, path, key, i);
+      if (!json_is_string (name) || !sgr_config_name_valid (json_string_value (name))
+          || strlen (json_string_value (name)) != json_string_length (name))
+        return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
+                                     "found %s, expected the name of a region",
+                                     sgr_config_json_describe (name, found, sizeof found));
+      regions->ids[regions->count++] = sgr_region_id_of (json_string_value (name));
+    }
+  return SGR_OK;
+}
--- a/libsiskingrade/config_json.h
+++ b/libsiskingrade/config_json.h
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include "config_error.h"
+#include "region.h"
 
 /**
  * sgr_config_json_describe() - describe a JSON value for an error message
@@ -77,4 +78,17 @@
                                   uint64_t min, uint64_t max, uint64_t *value,
                                   sgr_config_error_t *error);
 
+/**
+ * sgr_config_json_regions() - read the optional list "regions" of a route or an account
+ * @json: object that may hold the list
+ * @path: path of @json
+ * @regions: receives the regions, none if the key is absent
+ * @error: receives the error, may be NULL
+ *
+ * Return: SGR_OK; SGR_ERR_INVALID if the value is not a list of 1 to SGR_REGION_LIST_MAX valid
+ * names. A region without members is valid.
+ */
+sgr_result_t sgr_config_json_regions (const json_t *json, const char *path,
+                                      sgr_region_list_t *regions, sgr_config_error_t *error);
+
 #endif
--- a/libsiskingrade/config_resource.c
+++ b/libsiskingrade/config_resource.c
@@ -405,10 +405,16 @@
 static json_t *
 normalize_route (const json_t *json)
 {
+  json_t *regions = json_object_get (json, "regions"), *normal;
   sgr_route_t route;
 
   sgr_config_route_read (json, "", &route, NULL);
-  return sgr_config_route_write (&route);
+  normal = sgr_config_route_write (&route);
+  /* A route holds only the hashes of its regions. Earlier versions of the program refuse this key,
+     so that it is only written where needed. */
+  if (regions != NULL)
+    json_object_set (normal, "regions", regions);
+  return normal;
 }
 
 static json_t *
--- a/libsiskingrade/config_route.c
+++ b/libsiskingrade/config_route.c
@@ -137,8 +137,8 @@
 {
   static const char *const required[] = { "name", "host", "prefix", "services", NULL };
   static const char *const optional[]
-      = { "idempotency", "timeout_ms", "target_latency_ms", "priority", "attempts_max",
-          "public",      NULL };
+      = { "idempotency",  "timeout_ms", "target_latency_ms", "priority",
+          "attempts_max", "public",     "regions",           NULL };
   const json_t *idempotency = json_object_get (json, "idempotency");
   char key_path[SGR_CONFIG_PATH_BYTES];
 
@@ -160,7 +160,8 @@
              != SGR_OK
       || read_optional_u32 (json, path, "priority", 0, PRIORITY_MAX, &route->priority, error)
              != SGR_OK
-      || read_public (json, path, &route->is_public, error) != SGR_OK)
+      || read_public (json, path, &route->is_public, error) != SGR_OK
+      || sgr_config_json_regions (json, path, &route->regions, error) != SGR_OK)
     return SGR_ERR_INVALID;
   return read_optional_u32 (json, path, "attempts_max", 0, ATTEMPTS_MAX, &route->attempts_max,
                             error);
--- a/libsiskingrade/config_route.h
+++ b/libsiskingrade/config_route.h
@@ -9,7 +9,7 @@
 /**
  * sgr_config_route_read() - parse a route
  * @json: object with "name", "host", "prefix" and "services", and optionally "idempotency",
- *        "timeout_ms", "target_latency_ms", "priority", "attempts_max" and "public"
+ *        "timeout_ms", "target_latency_ms", "priority", "attempts_max", "public" and "regions"
  * @path: path of @json in its document
  * @route: receives the route; an absent optional field is 0, see sgr_route_t
  * @error: receives the error, may be NULL
@@ -20,7 +20,7 @@
                                     sgr_config_error_t *error);
 
 /**
- * sgr_config_route_write() - convert a route to a JSON object with all its fields, but "public"
+ * sgr_config_route_write() - convert a route to a JSON object with all its fields except "regions", but "public"
  * only if it is true
  *
  * Return: a new object, owned by the caller.
--- a/libsiskingrade/route.h
+++ b/libsiskingrade/route.h
@@ -2,6 +2,7 @@
 #define SGR_ROUTE_H
 
 #include "policy.h"
+#include "region.h"
 #include "rng.h"
 
 #define SGR_ROUTE_HOST_MAX 255
@@ -33,6 +34,7 @@
  * @attempts_max: most attempts of one call that gates accept, 0 for the limit in the service's
  *   policy
  * @is_public: calls need no key of an account
+ * @regions: where the calls may be run
  * @parts: services that the calls are split among
  * @part_count: used entries of @parts, at least 1
  */
@@ -47,6 +49,7 @@
   uint32_t priority;
   uint32_t attempts_max;
   bool is_public;
+  sgr_region_list_t regions;
   sgr_route_part_t parts[SGR_ROUTE_PARTS_MAX];
   uint32_t part_count;
 } sgr_route_t;
