Apply the allowed regions of a call's route and account

Choices of targets, hedges, retries and bindings of idempotency keys used every region. The data task keeps a table of the members' regions, so that a call carries a mask. A call without an allowed target is refused at once with 503 'no-target'; one whose key is bound to a gate elsewhere is refused as unknown with 'key-gate-not-allowed', because an earlier call with the key may have run.

--- a/libsiskingrade/data_call.c
+++ b/libsiskingrade/data_call.c
@@ -110,13 +110,29 @@
   uint64_t on_time_us = call->request.on_time_us;
   sgr_balancer_call_t properties = { .bytes = call->req->entity.len
                                               + sgr_data_service_answer_bytes_estimate (
-                                                  call->service, call->request.class_name) };
+                                                  call->service, call->request.class_name),
+                                     .regions = call->request.regions };
 
   if (on_time_us > 0)
     properties.on_time_left_us = on_time_us > now_us ? on_time_us - now_us : 1;
   return properties;
 }
 
+/* Returns the target whose gate a call's idempotency key is bound to, none if it is in a region
+   that may not run the call. */
+static sgr_balancer_target_t
+key_target_find (sgr_data_call_t *call)
+{
+  sgr_balancer_t *balancer = call->service->balancer;
+  sgr_balancer_target_t target = sgr_balancer_target_find (balancer, call->request.issued_key.node);
+  const sgr_balancer_target_info_t *info = sgr_balancer_target_info (balancer, target);
+
+  if (info == NULL || sgr_region_limit_allows (&call->request.regions, info->region))
+    return target;
+  call->is_key_gate_denied = true;
+  return SGR_BALANCER_TARGET_NONE;
+}
+
 /* Chooses the gate of an attempt and opens the link to it. A call with an idempotency key goes to
    the gate that the key is bound to, any other call to a target that it has not tried yet. */
 static sgr_data_link_t *
@@ -131,7 +147,7 @@
   if (call->request.has_key)
     {
       node = call->request.issued_key.node;
-      attempt->target = sgr_balancer_target_find (call->service->balancer, node);
+      attempt->target = key_target_find (call);
     }
   else
     {
@@ -226,7 +242,7 @@
     {
       error.outcome = SGR_OUTCOME_UNKNOWN;
       if (finish->reason == SGR_CALL_REASON_NO_TARGET)
-        error.reason = "key-gate-unreachable";
+        error.reason = call->is_key_gate_denied ? "key-gate-not-allowed" : "key-gate-unreachable";
       error.status = error.status == 503 ? 502 : error.status;
     }
   snprintf (labels, sizeof labels, "outcome=\"%s\",reason=\"%s\"", sgr_outcome_name (error.outcome),
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -71,6 +71,7 @@
  * @deadline_us: time by which the caller wants the answer, monotonic, microseconds
  * @on_time_us: time until which an answer counts as on time, monotonic, microseconds; 0 if the call
  *   has no such limit
+ * @regions: where the call may be run and its content be sent, as of its arrival
  * @attempts_max: maximum number of attempts that reach a target
  * @refusals_max: additional attempts that are allowed because gates refused earlier ones
  * @priority: rank under overload, 0 is served first; with accounts, the rank of the account comes
@@ -94,6 +95,7 @@
   bool is_idempotent;
   uint64_t deadline_us;
   uint64_t on_time_us;
+  sgr_region_limit_t regions;
   uint32_t attempts_max;
   uint32_t refusals_max;
   uint32_t priority;
--- a/libsiskingrade/data_call_internal.h
+++ b/libsiskingrade/data_call_internal.h
@@ -25,6 +25,8 @@
  * @is_finished: the call plan has ended the call
  * @is_key_checked: the last reply was a refusal, for which the gate has looked up the idempotency
  * key; a reply to a query does not include this look-up
+ * @is_key_gate_denied: the gate that the idempotency key is bound to is in a region that may not
+ * run the call; nothing was sent to it
  */
 struct sgr_data_call_t
 {
@@ -45,6 +47,7 @@
   unsigned event_depth;
   bool is_finished;
   bool is_key_checked;
+  bool is_key_gate_denied;
 };
 
 /** sgr_data_call_event() - pass an event to the call plan and perform the resulting actions */
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -235,6 +235,20 @@
   return NULL;
 }
 
+/* Limits a call to the regions of its route and of its account. */
+static void
+regions_apply (const sgr_data_task_t *task, const sgr_route_t *route,
+               sgr_data_call_request_t *request)
+{
+  const sgr_account_t *account = sgr_account_table_get (task->accounts, request->account);
+  const sgr_region_table_t *regions = sgr_data_services_regions (task->services);
+
+  if (route != NULL)
+    sgr_region_limit_narrow (&request->regions, regions, &route->regions);
+  if (account != NULL)
+    sgr_region_limit_narrow (&request->regions, regions, &account->regions);
+}
+
 /* Refuses a call whose key could not be bound. Nothing was sent for this call, but the outcome is
    unknown because an earlier call with the same key may have run. Repeating the call with the same
    key is safe. */
@@ -261,8 +275,9 @@
       sgr_data_call_start (pending->http->task, pending->req, pending->service, &pending->request);
       return;
     }
-  key_bind_refuse (pending->req,
-                   result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
+  key_bind_refuse (pending->req, result == SGR_ERR_LIMIT       ? "key-rate-limit"
+                                 : result == SGR_ERR_NOT_FOUND ? "no-target"
+                                                               : "key-store-unavailable");
 }
 
 /* Refuses a request for a route or service that the configuration in force does not have. If a
@@ -310,6 +325,7 @@
     }
   if (!sgr_data_account_check (http->task, req, *route, request))
     return NULL;
+  regions_apply (http->task, *route, request);
   if (entry != NULL)
     snprintf (request->service, sizeof request->service, "%s",
               sgr_route_entry_part_next (entry)->service);
@@ -350,7 +366,8 @@
     }
   pending = h2o_mem_alloc_pool (&req->pool, sizeof *pending);
   *pending = (pending_bind_t){ .http = http, .req = req, .service = service, .request = request };
-  sgr_data_keys_bind (http->task->keys, req, service, request.key, on_key_bound, pending);
+  sgr_data_keys_bind (http->task->keys, req, service, &request.regions, request.key, on_key_bound,
+                      pending);
 }
 
 static void
@@ -394,6 +411,7 @@
     }
   if (!sgr_data_account_check (http->task, req, NULL, &request))
     return;
+  regions_apply (http->task, NULL, &request);
   if (req->query_at != SIZE_MAX)
     query = h2o_iovec_init (req->path.base + req->query_at + 1, req->path.len - req->query_at - 1);
   if (query.len > 8 && memcmp (query.base, "service=", 8) == 0
@@ -402,7 +420,7 @@
   if (service == NULL)
     unknown_refuse (http, req, "unknown-service");
   else
-    sgr_data_keys_issue (http->task->keys, req, service, on_key_issued, req);
+    sgr_data_keys_issue (http->task->keys, req, service, &request.regions, on_key_issued, req);
 }
 
 static void
--- a/libsiskingrade/data_keys.c
+++ b/libsiskingrade/data_keys.c
@@ -28,6 +28,7 @@
 
 /**
  * struct key_request_t - one key to issue or to bind; the memory belongs to the h2o request
+ * @regions: where calls with the key may be run
  * @is_bind: bind @key, otherwise issue a new key
  * @key: hash of the key to bind
  * @bind_id: id of the message to the control task, 0 if no reply is expected
@@ -41,6 +42,7 @@
 {
   sgr_data_keys_t *keys;
   sgr_data_service_t *service;
+  sgr_region_limit_t regions;
   bool is_bind;
   sgr_hash128_t key;
   uint64_t bind_id;
@@ -96,7 +98,7 @@
 {
   key_request_t *request = ctx;
   sgr_data_task_t *task = request->keys->task;
-  static const sgr_balancer_call_t call = { 0 };
+  const sgr_balancer_call_t call = { .regions = request->regions };
   sgr_node_id_t node = 0;
   sgr_data_link_t *link = NULL;
   sgr_issued_key_t key;
@@ -111,6 +113,11 @@
   if (sgr_data_service_pick (request->service, now_us, NULL, 0, &call, &node, NULL)
       != SGR_BALANCER_TARGET_NONE)
     link = sgr_data_link_get (task->links, node);
+  else if (request->regions.is_bound)
+    {
+      key_request_finish (request, SGR_ERR_NOT_FOUND, NULL);
+      return;
+    }
   if (link == NULL || sgr_data_link_open (link) != SGR_OK
       || !sgr_data_link_gate_info (link, &boot, &generation))
     {
@@ -129,6 +136,7 @@
 
 static key_request_t *
 key_request_create (sgr_data_keys_t *keys, h2o_req_t *req, sgr_data_service_t *service,
+                    const sgr_region_limit_t *regions,
                     void (*done) (void *ctx, sgr_result_t result, const sgr_issued_key_t *key),
                     void *ctx)
 {
@@ -137,6 +145,7 @@
   memset (request, 0, sizeof *request);
   request->keys = keys;
   request->service = service;
+  request->regions = *regions;
   request->done = done;
   request->ctx = ctx;
   request->expiry_us = sgr_clock_monotonic_us () + GATE_SEARCH_TIMEOUT_US;
@@ -169,10 +178,11 @@
 
 void
 sgr_data_keys_issue (sgr_data_keys_t *keys, h2o_req_t *req, sgr_data_service_t *service,
+                     const sgr_region_limit_t *regions,
                      void (*done) (void *ctx, sgr_result_t result, const sgr_issued_key_t *key),
                      void *ctx)
 {
-  key_request_t *request = key_request_create (keys, req, service, done, ctx);
+  key_request_t *request = key_request_create (keys, req, service, regions, done, ctx);
 
   on_key_request_timer (request, sgr_clock_monotonic_us ());
 }
@@ -195,12 +205,12 @@
 
 void
 sgr_data_keys_bind (sgr_data_keys_t *keys, h2o_req_t *req, sgr_data_service_t *service,
-                    sgr_hash128_t key,
+                    const sgr_region_limit_t *regions, sgr_hash128_t key,
                     void (*done) (void *ctx, sgr_result_t result, const sgr_issued_key_t *key),
                     void *ctx)
 {
   uint64_t now_us = sgr_clock_monotonic_us ();
-  key_request_t *request = key_request_create (keys, req, service, done, ctx);
+  key_request_t *request = key_request_create (keys, req, service, regions, done, ctx);
 
   request->is_bind = true;
   request->key = key;
--- a/libsiskingrade/data_service.c
+++ b/libsiskingrade/data_service.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "log.h"
+
 /* Initial estimates of the round trip to a gate; the balancer then measures the latency itself. */
 #define LINK_RTT_SAME_DOMAIN_US 200
 #define LINK_RTT_SAME_REGION_US 8000
@@ -20,6 +22,8 @@
   sgr_data_task_t *task;
   sgr_data_service_t **list;
   size_t count;
+  sgr_region_table_t regions;
+  bool is_region_table_full;
 };
 
 sgr_data_services_t *
@@ -166,6 +170,27 @@
   return LINK_RTT_OTHER_REGION_US;
 }
 
+/* Returns the bit of a member's region, 0 if there is no room for it. */
+static sgr_region_mask_t
+member_region (sgr_data_services_t *services, const sgr_member_t *member)
+{
+  sgr_region_mask_t region
+      = sgr_region_table_add (&services->regions, sgr_region_id_of (member->region));
+
+  if (region == 0 && member->region[0] != '\0' && !services->is_region_table_full)
+    {
+      services->is_region_table_full = true;
+      sgr_log_warn ("regions-full", "region=%s max=%d", member->region, SGR_REGIONS_MAX);
+    }
+  return region;
+}
+
+const sgr_region_table_t *
+sgr_data_services_regions (const sgr_data_services_t *services)
+{
+  return &services->regions;
+}
+
 static void
 member_apply (sgr_data_services_t *services, const sgr_member_t *member, uint64_t now_us)
 {
@@ -181,6 +206,7 @@
   memcpy (info.failure_domain, member->failure_domain, sizeof info.failure_domain);
   info.is_far = sgr_data_member_is_far (services->task, member);
   info.is_remote = strcmp (services->task->settings->region, member->region) != 0;
+  info.region = member_region (services, member);
   info.link_rtt_us = link_rtt_initial_us (services->task->settings, member);
   target = sgr_balancer_target_find (service->balancer, member->id);
   known = sgr_balancer_target_info (service->balancer, target);
--- a/libsiskingrade/data_service.h
+++ b/libsiskingrade/data_service.h
@@ -75,13 +75,19 @@
 /** sgr_data_service_find() - find a service by name; NULL if the configuration does not have it */
 sgr_data_service_t *sgr_data_service_find (sgr_data_services_t *services, const char *name);
 
+/**
+ * sgr_data_services_regions() - regions of the members that this node has seen; their bits are
+ * those of the targets in the balancers
+ */
+const sgr_region_table_t *sgr_data_services_regions (const sgr_data_services_t *services);
+
 /**
  * sgr_data_service_pick() - choose a target
  * @service: the service
  * @now_us: the time, monotonic, microseconds
  * @excluded: nodes whose targets are not chosen
  * @count: elements of @excluded, at most SGR_CALL_ATTEMPTS_MAX
- * @call: size and time of the call
+ * @call: size, time and regions of the call
  * @node: receives the node of the target
  * @should_wait: receives whether the attempt should wait if the target is slowed, see
  *   sgr_balancer_should_wait(); may be NULL
