--- a/libsiskingrade/balancer.c
+++ b/libsiskingrade/balancer.c
@@ -104,6 +104,12 @@
     return SGR_ERR_INVALID;
   b->options = *options;
   b->options.seed = seed;
+  for (size_t i = 0; i < b->target_count; i++)
+    {
+      sgr_balancer_entry_t *entry = &b->entries[b->used_indexes[i]];
+
+      entry->far_rank = sgr_balancer_far_rank (options->far_set_seed, entry->info.node);
+    }
   return SGR_OK;
 }
 
@@ -212,6 +218,7 @@
   entry->generation++;
   entry->outstanding = 0;
   entry->start_times_sum_us = 0;
+  entry->far_rank = sgr_balancer_far_rank (b->options.far_set_seed, info->node);
   entry_reset (entry, info);
   used_index_insert (b, index);
   *target = handle_of (b, index);
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -101,6 +101,8 @@
  * @generation: distinguishes the targets that the entry held one after the other
  * @outstanding: own attempts in flight
  * @start_times_sum_us: sum of the start times of these attempts, modulo 2^64
+ * @far_rank: rank among the targets of other failure domains; the lowest ones form the set that
+ * this node uses
  * @slow_start_begin_us: when the slow start began
  * @estimate: load and latency
  * @health: errors and ejection
@@ -114,6 +116,7 @@
   uint16_t generation;
   uint32_t outstanding;
   uint64_t start_times_sum_us;
+  uint64_t far_rank;
   uint64_t slow_start_begin_us;
   sgr_balancer_estimate_t estimate;
   sgr_balancer_health_t health;
@@ -170,6 +173,9 @@
 
 /* balancer_sample.c */
 
+/** sgr_balancer_far_rank() - rank of a node's target for a node with the seed @far_set_seed */
+uint64_t sgr_balancer_far_rank (uint64_t far_set_seed, sgr_node_id_t node);
+
 /**
  * sgr_balancer_sample_draw() - choose the candidates that one choice compares
  * @b: the balancer; the sample is moved to the front of its candidates
--- a/libsiskingrade/balancer_sample.c
+++ b/libsiskingrade/balancer_sample.c
@@ -62,10 +62,10 @@
   return chosen_count;
 }
 
-static uint64_t
-rendezvous_rank (const sgr_balancer_t *b, uint32_t index)
+uint64_t
+sgr_balancer_far_rank (uint64_t far_set_seed, sgr_node_id_t node)
 {
-  return XXH64 (&b->entries[index].info.node, sizeof (sgr_node_id_t), b->options.far_set_seed);
+  return XXH64 (&node, sizeof node, far_set_seed);
 }
 
 /* Moves the FAR_SET_MAX candidates with the lowest rank among the @count ones from @start on to
@@ -80,7 +80,7 @@
     return count;
   for (size_t i = 0; i < count; i++)
     {
-      uint64_t rank = rendezvous_rank (b, b->candidates[start + i]);
+      uint64_t rank = b->entries[b->candidates[start + i]].far_rank;
       size_t position = size;
 
       if (size == FAR_SET_MAX && rank >= ranks[size - 1])
--- a/libsiskingrade/config_route.h
+++ b/libsiskingrade/config_route.h
@@ -20,8 +20,8 @@
                                     sgr_config_error_t *error);
 
 /**
- * sgr_config_route_write() - convert a route to a JSON object with all its fields except "regions", but "public"
- * only if it is true
+ * sgr_config_route_write() - convert a route to a JSON object with all its fields except "regions",
+ * but "public" only if it is true
  *
  * Return: a new object, owned by the caller.
  */
