--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -91,7 +91,7 @@
   sgr_fixture_node_t *node = &fixture->nodes[fixture->count++];
 
   sgr_invariant (fixture->count <= SGR_FIXTURE_NODES_MAX);
-  *node = (sgr_fixture_node_t){ .service = service };
+  *node = (sgr_fixture_node_t){ .service = service, .region = "test" };
   snprintf (node->name, sizeof node->name, "%s", name);
   node->callers = sgr_fixture_port_find ();
   node->peers = sgr_fixture_port_find ();
@@ -142,10 +142,11 @@
   sgr_invariant (file != NULL);
   fprintf (file,
            "node:\n  deployment: " SGR_FIXTURE_DEPLOYMENT
-           "\n  name: %s\n  region: test\n  failure_domain: test-1\n"
+           "\n  name: %s\n  region: %s\n  failure_domain: %s-1\n"
            "listen:\n  callers: 127.0.0.1:%u\n  peers: 127.0.0.1:%u\n  control: 127.0.0.1:%u\n"
            "advertise:\n  peers: 127.0.0.1:%u\ncontacts:\n",
-           node->name, node->callers, node->peers, node->control, node->advertised);
+           node->name, node->region, node->region, node->callers, node->peers, node->control,
+           node->advertised);
   for (size_t i = 0; i < fixture->count; i++)
     fprintf (file, "  - 127.0.0.1:%u\n", fixture->nodes[i].control);
   fprintf (file, "store: 127.0.0.1:%u\nlimits:\n%s%s", fixture->store_port, fixture->limits,
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -19,6 +19,7 @@
  * struct sgr_fixture_node_t - one node, with its target if it has one
  * @name: name of the node
  * @service: service of its target, NULL for none
+ * @region: its region, "test" by default
  * @callers: port for callers
  * @peers: port on which the node accepts connections of other nodes
  * @advertised: port that other nodes connect to: that of @relay, or @peers without a relay
@@ -32,6 +33,7 @@
 {
   char name[32];
   const char *service;
+  const char *region;
   uint16_t callers;
   uint16_t peers;
   uint16_t advertised;
--- a/tests/test_config_account.c
+++ b/tests/test_config_account.c
@@ -14,6 +14,11 @@
 #define ACCOUNTS(list) "{" POLICY ",\"accounts\":[" list "]}"
 #define KEY_1 "00112233445566778899aabbccddeeff"
 #define KEY_2 "ffeeddccbbaa99887766554433221100"
+#define ACCOUNT_REGIONS(regions)                                                                   \
+  ACCOUNTS ("{\"name\":\"a\",\"key_hashes\":[],\"regions\":" regions "}")
+#define ROUTE_REGIONS(regions)                                                                     \
+  "{" POLICY ",\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\",\"services\":"          \
+  "[{\"service\":\"s\",\"weight\":1}],\"regions\":" regions "}]}"
 #define SECRET "a-key-in-place-of-its-hash"
 
 static sgr_result_t
@@ -98,6 +103,15 @@
     { "{" POLICY ",\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\",\"services\":"
       "[{\"service\":\"s\",\"weight\":1}],\"public\":1}]}",
       "routes[0].public" },
+    { ACCOUNT_REGIONS ("[]"), "accounts[0].regions" },
+    { ACCOUNT_REGIONS ("\"eu\""), "accounts[0].regions" },
+    { ACCOUNT_REGIONS ("null"), "accounts[0].regions" },
+    { ACCOUNT_REGIONS ("[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\",\"7\",\"8\",\"9\"]"),
+      "accounts[0].regions" },
+    { ACCOUNT_REGIONS ("[\"eu\",\"\"]"), "accounts[0].regions[1]" },
+    { ACCOUNT_REGIONS ("[\"eu\",7]"), "accounts[0].regions[1]" },
+    { ROUTE_REGIONS ("[]"), "routes[0].regions" },
+    { ROUTE_REGIONS ("[\"e u\"]"), "routes[0].regions[0]" },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
@@ -124,17 +138,18 @@
   assert_null (strstr (error.message, SECRET));
 }
 
-/* Guards against the loss of accounts or of a route's "public" when a configuration is normalized,
-   or when the difference of two configurations is applied as an edit; and against a list "accounts"
-   that appears in a configuration without accounts and changes its digest. */
+/* Guards against the loss of accounts or of a route's "public" or "regions" when a configuration is
+   normalized, or when the difference of two configurations is applied as an edit; and against a
+   list "accounts" that appears in a configuration without accounts and changes its digest. */
 static void
 test_accounts_survive_edits (void **state)
 {
   static const char text[]
       = "{" POLICY ",\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\",\"services\":"
-        "[{\"service\":\"s\",\"weight\":1}],\"public\":true}],"
+        "[{\"service\":\"s\",\"weight\":1}],\"public\":true,\"regions\":[\"eu\",\"us\"]}],"
         "\"accounts\":[{\"name\":\"b\",\"key_hashes\":[]},"
-        "{\"name\":\"a\",\"key_hashes\":[\"" KEY_1 "\"],\"rate_per_s\":1000000000}]}";
+        "{\"name\":\"a\",\"key_hashes\":[\"" KEY_1
+        "\"],\"rate_per_s\":1000000000,\"regions\":[\"eu\"]}]}";
   sgr_config_error_t error = { SGR_OK };
   json_t *json = sgr_config_json_load (text, strlen (text), &error);
   json_t *normal = sgr_config_content_normalize (json);
@@ -144,6 +159,10 @@
   assert_int_equal (sgr_config_content_parse (normal, "", &after, &error), SGR_OK);
   assert_true (sgr_config_content_is_sorted (after));
   assert_true (after->routes[0].is_public);
+  assert_int_equal (after->routes[0].regions.count, 2);
+  assert_true (after->routes[0].regions.ids[1] == sgr_region_id_of ("us"));
+  assert_int_equal (after->accounts.list[0].regions.count, 1);
+  assert_int_equal (after->accounts.list[1].regions.count, 0);
   assert_string_equal (after->accounts.list[0].name, "a");
   assert_int_equal (after->accounts.list[0].rate_per_s, 1000000000);
   assert_int_equal (after->accounts.key_count, 1);
--- a/tests/test_data_service.c
+++ b/tests/test_data_service.c
@@ -172,6 +172,104 @@
   fixture_stop (&fixture);
 }
 
+/* Applies a snapshot with a target of the service "a" in each region. */
+static void
+regions_apply (fixture_t *fixture, const char *const *regions, size_t count)
+{
+  sgr_snapshot_t *old = fixture->task.snapshot;
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (count, 1, 0);
+
+  sgr_policy_init (&snapshot->policies[0], "a");
+  snapshot->policy_count = 1;
+  snapshot->member_count = count;
+  for (size_t i = 0; i < count; i++)
+    {
+      snapshot->members[i] = (sgr_member_t){
+        .id = i + 1, .service = "a", .slots = 4, .target_state = SGR_TARGET_SERVING
+      };
+      snprintf (snapshot->members[i].region, sizeof snapshot->members[i].region, "%s", regions[i]);
+    }
+  fixture->task.snapshot = snapshot;
+  sgr_data_services_update (fixture->task.services, old, 1);
+  sgr_snapshot_destroy (old);
+}
+
+/* Node that a call of a route and an account gets, 0 if none; a list of regions ends with NULL. */
+static sgr_node_id_t
+node_for (fixture_t *fixture, const char *const *route, const char *const *account)
+{
+  const sgr_region_table_t *table = sgr_data_services_regions (fixture->task.services);
+  sgr_balancer_call_t call = { 0 };
+  sgr_node_id_t node = 0;
+
+  for (int i = 0; i < 2; i++)
+    {
+      const char *const *names = i == 0 ? route : account;
+      sgr_region_list_t list = { 0 };
+
+      for (; names != NULL && names[list.count] != NULL; list.count++)
+        list.ids[list.count] = sgr_region_id_of (names[list.count]);
+      sgr_region_limit_narrow (&call.regions, table, &list);
+    }
+  sgr_data_service_pick (sgr_data_service_find (fixture->task.services, "a"), 2, NULL, 0, &call,
+                         &node, NULL);
+  return node;
+}
+
+/* Guards against a call that only its route or only its account limits, against a limit that is
+   lifted because its region has no node yet, and against a region whose bit changes with the
+   members. */
+static void
+test_regions_of_route_and_account (void **state)
+{
+  static const char *const regions[] = { "eu", "us", "asia", "", "africa" };
+  static const char *const eu[] = { "eu", NULL }, *const us[] = { "us", NULL };
+  static const char *const eu_us[] = { "eu", "us", NULL }, *const us_asia[]
+                                                           = { "us", "asia", NULL };
+  static const char *const africa[] = { "none", "africa", NULL };
+  fixture_t fixture;
+
+  fixture_start (&fixture);
+  regions_apply (&fixture, regions, 4);
+  for (int i = 0; i < 20; i++)
+    {
+      assert_int_not_equal (node_for (&fixture, NULL, NULL), 0);
+      assert_int_equal (node_for (&fixture, eu, NULL), 1);
+      assert_int_equal (node_for (&fixture, NULL, us), 2);
+      assert_int_equal (node_for (&fixture, eu_us, us_asia), 2);
+      assert_int_equal (node_for (&fixture, us, eu), 0);
+      assert_int_equal (node_for (&fixture, africa, NULL), 0);
+      assert_int_equal (node_for (&fixture, africa, us), 0);
+    }
+  regions_apply (&fixture, regions + 1, 4);
+  assert_int_equal (node_for (&fixture, eu, NULL), 0);
+  assert_int_equal (node_for (&fixture, africa, NULL), 4);
+  assert_int_equal (node_for (&fixture, us_asia, us), 1);
+  fixture_stop (&fixture);
+}
+
+/* Guards against a region that gets the bit of another one when a node knows too many. */
+static void
+test_region_table_is_full (void **state)
+{
+  sgr_region_list_t list = { .count = 1 };
+  sgr_region_limit_t limit = { 0 };
+  sgr_region_table_t table = { 0 };
+  sgr_region_mask_t all = 0;
+
+  for (sgr_region_id_t id = 1; id <= SGR_REGIONS_MAX; id++)
+    all |= sgr_region_table_add (&table, id);
+  assert_true (all == UINT64_MAX);
+  assert_true (sgr_region_table_add (&table, SGR_REGIONS_MAX) == UINT64_C (1) << 63);
+  assert_true (sgr_region_table_add (&table, SGR_REGIONS_MAX + 1) == 0);
+  assert_true (sgr_region_table_add (&table, sgr_region_id_of ("")) == 0);
+  list.ids[0] = SGR_REGIONS_MAX + 1;
+  sgr_region_limit_narrow (&limit, &table, &list);
+  assert_true (limit.is_bound);
+  assert_false (sgr_region_limit_allows (&limit, 0));
+  assert_false (sgr_region_limit_allows (&limit, all));
+}
+
 int
 main (void)
 {
@@ -179,6 +277,8 @@
     cmocka_unit_test (test_target_changes_service),
     cmocka_unit_test (test_restarted_node_has_no_service_yet),
     cmocka_unit_test (test_latency_histograms_are_limited),
+    cmocka_unit_test (test_regions_of_route_and_account),
+    cmocka_unit_test (test_region_table_is_full),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_platform_input.c
+++ b/tests/test_platform_input.c
@@ -132,6 +132,12 @@
   "{\"resourceType\":\"tenants\",\"metadata\":{\"name\":\"" name "\"},\"spec\":{" spec "}}"
 #define SECRET "the-key-of-a-tenant"
 
+#define FULL_TENANT                                                                                \
+  TENANT ("a", "\"apiKeys\":[\"" SECRET "\"],\"priority\":3.7,\"ratePerS\":12.9,"                  \
+               "\"burst\":0.25,\"allowedRegions\":[\"eu\"]")
+#define FULL_ROUTE                                                                                 \
+  ROUTE (SPEC ("safe") ",\"service\":\"s\",\"public\":true,\"allowedRegions\":[\"eu\",\"us\"]")
+
 /* Guards against an account that is translated only in part, a key that stays in the content, and a
    small limit that is rounded down to no limit. */
 static void
@@ -147,24 +153,10 @@
 
   assert_null (sgr_config_state_accounts (state));
   assert_int_equal (
-      document_offer (
-          state,
-          DOCUMENT (
-              "00000001",
-              TENANT (
-                  "a",
-                  "\"apiKeys\":[\"" SECRET "\"],"
-                  "\"priority\":3.7,\"ratePerS\":12.9,"
-                  "\"burst\":0.25,\"allowedRegions\":[]") "," TENANT ("b",
-                                                                      "\"ratePerS\":"
-                                                                      "1e12") "," SERVICE
-                                                                              "," ROUTE (SPEC (
-                                                                                  "saf"
-                                                                                  "e") ",\"service"
-                                                                                       "\":\"s\","
-                                                                                       "\"public\":"
-                                                                                       "true")),
-          &error),
+      document_offer (state,
+                      DOCUMENT ("00000001", FULL_TENANT
+                                "," TENANT ("b", "\"ratePerS\":1e12") "," SERVICE "," FULL_ROUTE),
+                      &error),
       SGR_OK);
   accounts = sgr_config_state_accounts (state);
   assert_int_equal (accounts->count, 2);
@@ -177,6 +169,11 @@
   assert_true (sgr_hash128_equal (accounts->keys[0].hash, hash));
   routes = sgr_config_state_routes (state, &count);
   assert_true (routes[0].is_public);
+  assert_int_equal (routes[0].regions.count, 2);
+  assert_true (routes[0].regions.ids[1] == sgr_region_id_of ("us"));
+  assert_int_equal (accounts->list[0].regions.count, 1);
+  assert_true (accounts->list[0].regions.ids[0] == sgr_region_id_of ("eu"));
+  assert_int_equal (accounts->list[1].regions.count, 0);
   content = sgr_config_json_canonical (sgr_config_state_record (state)->content->json);
   assert_null (strstr (content, SECRET));
   free (content);
@@ -216,6 +213,9 @@
     { TENANT ("a", "\"apiKeys\":[\"" SECRET "\" \"" SECRET "\"]"), "" },
     { SERVICE "," ROUTE (SPEC ("safe") ",\"service\":\"s\",\"public\":\"yes\""),
       "routes[0].public" },
+    { TENANT ("a", "\"allowedRegions\":[]"), "accounts[0].regions" },
+    { SERVICE "," ROUTE (SPEC ("safe") ",\"service\":\"s\",\"allowedRegions\":[]"),
+      "routes[0].regions" },
   };
   char text[2 * DOCUMENT_BYTES], key[SGR_ACCOUNT_KEY_BYTES_MAX + 2];
 
