Test routes that are limited to regions with real processes

Three nodes in two regions, with routes for one, the other, an unknown and any region: calls, callers' own keys and the loss of the only allowed gate.

--- /dev/null
+++ b/tests/test_path_regions.c
@@ -0,0 +1,170 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "node_fixture.h"
+#include "node_fixture_config.h"
+#include "types.h"
+
+/* Routes that are limited to regions, through processes: an entry and a gate in the region "us" and
+   a gate in the region "eu". Calls with paths below /bytes/ may run in "eu" only, those below /us/
+   in "us" only, those below /none/ in a region without nodes, and all others everywhere. */
+
+enum
+{
+  ENTRY,
+  GATE_US,
+  GATE_EU,
+};
+
+#define CALLS 40
+#define AWAIT_TIMEOUT_US (20 * SGR_USEC_PER_SEC)
+
+static sgr_fixture_t fixture;
+
+static sgr_fixture_node_t *
+node (int index)
+{
+  return &fixture.nodes[index];
+}
+
+static int
+group_setup (void **state)
+{
+  sgr_fixture_init (&fixture);
+  sgr_fixture_node_add (&fixture, "entry", NULL, false)->region = "us";
+  sgr_fixture_node_add (&fixture, "gate-us", "one", false)->region = "us";
+  sgr_fixture_node_add (&fixture, "gate-eu", "one", false)->region = "eu";
+  return sgr_fixture_start (&fixture) ? 0 : -1;
+}
+
+static int
+group_teardown (void **state)
+{
+  sgr_fixture_stop (&fixture);
+  return 0;
+}
+
+static json_t *
+route_make (const char *name, const char *prefix, const char *region)
+{
+  json_t *route = json_pack ("{s:s, s:s, s:s, s:[{s:s, s:i}]}", "name", name, "host", "test",
+                             "prefix", prefix, "services", "service", "one", "weight", 1);
+
+  if (region != NULL)
+    json_object_set_new (route, "regions", json_pack ("[s]", region));
+  return route;
+}
+
+/* Sends a request and returns the status of its answer; @reason receives the reason of an error. */
+static int
+call (const char *method, const char *path, const char *id, const char *key, char reason[64])
+{
+  char fields[256];
+  sgr_probe_request_t request
+      = { .port = node (ENTRY)->callers, .method = method, .path = path, .fields = fields };
+  sgr_probe_answer_t answer;
+  int status;
+
+  snprintf (fields, sizeof fields, "X-Request-Id: %s\r\n%s%s%s", id,
+            key != NULL ? "Idempotency-Key: " : "", key != NULL ? key : "",
+            key != NULL ? "\r\n" : "");
+  sgr_probe_call (&request, &answer);
+  status = answer.status;
+  sgr_probe_field (&answer, "siskingrade-reason", reason, 64);
+  sgr_probe_release (&answer);
+  return status;
+}
+
+/* Guards against routes whose regions do not take effect, and against a call without an allowed
+   target that runs or waits for its deadline. */
+static void
+test_no_allowed_target (void **state)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + AWAIT_TIMEOUT_US;
+  char reason[64] = "";
+
+  assert_true (sgr_fixture_change_set (
+      &fixture, "routes",
+      json_pack ("{s:{s:[o, o, o, o]}}", "put", "routes", route_make ("bound", "/bytes/", "eu"),
+                 route_make ("none", "/none/", "mars"), route_make ("us", "/us/", "us"),
+                 route_make ("free", "/", NULL))));
+  while (call ("GET", "/none/", "none", NULL, reason) != 503)
+    {
+      assert_true (sgr_clock_monotonic_us () < end_us);
+      sgr_fixture_poll_sleep ();
+    }
+  assert_string_equal (reason, "no-target");
+}
+
+/* Guards against first choices and spill to a nearer target in a region that is not allowed. */
+static void
+test_calls_run_in_allowed_region (void **state)
+{
+  char id[32], reason[64];
+
+  for (int i = 0; i < CALLS; i++)
+    {
+      snprintf (id, sizeof id, "bound-%d", i);
+      assert_int_equal (call ("GET", "/bytes/10", id, NULL, reason), 200);
+      assert_int_equal (sgr_fixture_executions (node (GATE_EU), id), 1);
+      assert_int_equal (sgr_fixture_executions (node (GATE_US), id), 0);
+    }
+}
+
+/* Guards against a caller's own key that is bound to a gate in a region that is not allowed, and
+   against a call whose key is bound to such a gate and that runs there or is said not to have run.
+ */
+static void
+test_own_keys (void **state)
+{
+  char id[32], reason[64];
+
+  for (int i = 0; i < 5; i++)
+    {
+      snprintf (id, sizeof id, "own-%d", i);
+      assert_int_equal (call ("GET", "/bytes/10", id, id, reason), 200);
+      assert_int_equal (sgr_fixture_executions (node (GATE_EU), id), 1);
+    }
+  assert_int_equal (call ("GET", "/us/", "own-us", "own-us", reason), 200);
+  assert_int_equal (sgr_fixture_executions (node (GATE_US), "own-us"), 1);
+  assert_int_equal (call ("GET", "/bytes/10", "own-elsewhere", "own-us", reason), 502);
+  assert_string_equal (reason, "key-gate-not-allowed");
+  assert_int_equal (call ("GET", "/none/", "own-none", "own-none", reason), 503);
+  assert_string_equal (reason, "no-target");
+  assert_int_equal (sgr_fixture_executions (node (GATE_US), "own-elsewhere"), 0);
+  assert_int_equal (sgr_fixture_executions (node (GATE_EU), "own-elsewhere"), 0);
+}
+
+/* Guards against retries in a region that is not allowed after the only allowed gate is lost. */
+static void
+test_region_is_lost (void **state)
+{
+  char id[32], reason[64];
+
+  sgr_fixture_process_kill (&node (GATE_EU)->pid);
+  for (int i = 0; i < CALLS; i++)
+    {
+      snprintf (id, sizeof id, "lost-%d", i);
+      assert_int_not_equal (call ("GET", "/bytes/10", id, NULL, reason), 200);
+      assert_int_equal (sgr_fixture_executions (node (GATE_US), id), 0);
+    }
+  assert_int_equal (call ("GET", "/", "free-again", NULL, reason), 200);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_no_allowed_target),
+    cmocka_unit_test (test_calls_run_in_allowed_region),
+    cmocka_unit_test (test_own_keys),
+    cmocka_unit_test (test_region_is_lost),
+  };
+
+  return cmocka_run_group_tests (tests, group_setup, group_teardown);
+}
