--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -31,11 +31,8 @@
     }
 }
 
-/* Number of distances: own failure domain, own region, other regions. */
-#define DISTANCE_COUNT 3
-
 /**
- * struct best_t - the best candidate of one distance, with a free slot (index 0) or hot (index 1)
+ * struct best_t - the best candidate so far, with a free slot (index 0) or hot (index 1)
  * @cost_us: its cost, with the charge for its distance; INFINITY if there is no candidate
  * @time_us: its expected time
  * @index: its index
@@ -49,6 +46,7 @@
   bool is_in_slow_start[2];
 } best_t;
 
+/* Returns 0 for the own failure domain, 1 for the own region, 2 for other regions. */
 static size_t
 distance_of (const sgr_balancer_target_info_t *info)
 {
@@ -71,44 +69,32 @@
   *best = (best_t){ .cost_us = { INFINITY, INFINITY }, .time_us = { INFINITY, INFINITY } };
 }
 
-/* Scores the sampled candidates and keeps the best ones of each distance. */
-static void
-candidates_score (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_later_attempt,
-                  uint64_t bytes, best_t *best)
+/* Scores the candidates from @start on that have the same distance and adds the best ones; returns
+   the position of the first candidate that is farther. */
+static size_t
+distance_score (sgr_balancer_t *b, uint64_t now_us, size_t start, size_t count,
+                bool is_later_attempt, uint64_t bytes, best_t *best)
 {
-  for (size_t i = 0; i < DISTANCE_COUNT; i++)
-    best_init (&best[i]);
-  for (size_t i = 0; i < count; i++)
+  size_t distance = distance_of (&b->entries[b->candidates[start]].info);
+  double charge_us = distance_charge_us (b, distance, bytes);
+  size_t i = start;
+
+  for (; i < count && distance_of (&b->entries[b->candidates[i]].info) == distance; i++)
     {
       uint32_t index = b->candidates[i];
       const sgr_balancer_entry_t *entry = &b->entries[index];
       sgr_balancer_score_t score = sgr_balancer_score (b, entry, now_us, is_later_attempt);
-      size_t distance = distance_of (&entry->info);
-      double cost_us = score.cost_us * (1 + COST_JITTER_SHARE_MAX * sgr_rng_uniform (&b->rng))
-                       + distance_charge_us (b, distance, bytes);
-
-      if (cost_us >= best[distance].cost_us[score.is_hot])
-        continue;
-      best[distance].cost_us[score.is_hot] = cost_us;
-      best[distance].time_us[score.is_hot] = score.cost_us;
-      best[distance].index[score.is_hot] = index;
-      best[distance].is_in_slow_start[score.is_hot] = score.is_in_slow_start;
-    }
-}
+      double cost_us
+          = score.cost_us * (1 + COST_JITTER_SHARE_MAX * sgr_rng_uniform (&b->rng)) + charge_us;
 
-/* Adds the best candidates of a farther distance to those of nearer ones. */
-static void
-best_merge (best_t *best, const best_t *farther)
-{
-  for (int hot = 0; hot < 2; hot++)
-    {
-      if (farther->cost_us[hot] >= best->cost_us[hot])
+      if (cost_us >= best->cost_us[score.is_hot])
         continue;
-      best->cost_us[hot] = farther->cost_us[hot];
-      best->time_us[hot] = farther->time_us[hot];
-      best->index[hot] = farther->index[hot];
-      best->is_in_slow_start[hot] = farther->is_in_slow_start[hot];
+      best->cost_us[score.is_hot] = cost_us;
+      best->time_us[score.is_hot] = score.cost_us;
+      best->index[score.is_hot] = index;
+      best->is_in_slow_start[score.is_hot] = score.is_in_slow_start;
     }
+  return i;
 }
 
 static bool
@@ -130,14 +116,12 @@
                      const sgr_balancer_call_t *call)
 {
   size_t sample_count = sgr_balancer_sample_draw (b, count);
-  best_t by_distance[DISTANCE_COUNT];
   best_t best;
   bool is_hot_chosen;
 
-  candidates_score (b, now_us, sample_count, is_later_attempt, call->bytes, by_distance);
-  best = by_distance[0];
-  for (size_t i = 1; i < DISTANCE_COUNT && !is_on_time (b, &best, call); i++)
-    best_merge (&best, &by_distance[i]);
+  best_init (&best);
+  for (size_t i = 0; i < sample_count && !is_on_time (b, &best, call);)
+    i = distance_score (b, now_us, i, sample_count, is_later_attempt, call->bytes, &best);
   is_hot_chosen = is_hot_better (&best);
   if (best.cost_us[false] == INFINITY)
     sgr_balancer_event_record (b, SGR_BALANCER_PICK_ALL_HOT);
