--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -14,6 +14,7 @@
 #include "control_config.h"
 #include "control_contacts.h"
 #include "control_departures.h"
+#include "control_evacuation.h"
 #include "control_http.h"
 #include "control_internal.h"
 #include "control_keys.h"
@@ -24,6 +25,8 @@
 
 /* Delay before a snapshot is sent, so that changes that arrive together share one snapshot. */
 #define SNAPSHOT_DELAY_US (20 * SGR_USEC_PER_MSEC)
+/* Time for which the number of nodes has to stay the same before quotas are divided by it first. */
+#define FLEET_REST_US (2 * SGR_USEC_PER_SEC)
 /* Minimum interval between snapshots that are sent because of changed members. Applying a snapshot
    takes the data task about 2 ms with 2,600 members, and calls wait meanwhile; many changes in a
    row must not cause more than a few snapshots per second. */
@@ -82,6 +85,30 @@
   qsort (control->members, control->member_count, sizeof *control->members, member_order);
 }
 
+/* Determines the number of nodes by which quotas are divided. When many nodes start at once, the
+   first peer that answers knows only a few of them, so the number has to rest before it counts. */
+static void
+fleet_refresh (sgr_control_t *control, uint64_t now_us)
+{
+  sgr_control_fleet_t *fleet = &control->fleet;
+  bool has_learned = sgr_membership_is_synced (membership_of (control))
+                     || sgr_control_contacts_is_alone (control->contacts)
+                     || (control->contacts == NULL && control->settings->contact_count == 0);
+  sgr_member_t member;
+  size_t cursor = 0;
+  size_t size = 0;
+
+  while (sgr_membership_member_next (membership_of (control), &cursor, &member))
+    size += member.status != SGR_MEMBER_LEFT;
+  if (size != fleet->size)
+    fleet->changed_us = now_us;
+  fleet->size = size;
+  if (has_learned && now_us >= fleet->changed_us + FLEET_REST_US)
+    fleet->is_known = true;
+  if (!fleet->is_known)
+    sgr_timer_arm (control->timers, &control->snapshot_timer, now_us + FLEET_REST_US);
+}
+
 /* Determines the highest revision of the configuration that this node or a member has in force. */
 static void
 newest_revision_update (sgr_control_t *control, uint64_t now_us)
@@ -117,11 +144,14 @@
   snapshot->config_revision = revision;
   snapshot->local = control->announce.local;
   snapshot->local.state = sgr_control_target_state (control);
+  if (control->evacuation != NULL)
+    snapshot->evacuation = *sgr_control_evacuation_set (control->evacuation);
   /* Nodes without a target are included: a gate that has restarted is queried for open attempts
      before its target has announced itself again. */
   if (control->member_count > 0)
     memcpy (snapshot->members, control->members, control->member_count * sizeof *snapshot->members);
   snapshot->member_count = control->member_count;
+  snapshot->fleet_size = control->fleet.is_known ? control->fleet.size : 0;
   snapshot->newest_revision = control->newest_revision;
   snapshot->newest_seen_us = control->newest_seen_us;
   for (size_t i = 0; i < policies; i++)
@@ -139,15 +169,23 @@
 on_snapshot_timer (void *ctx, uint64_t now_us)
 {
   sgr_control_t *control = ctx;
+  const sgr_config_accounts_t *accounts;
 
   control->snapshot_sent_us = now_us;
   members_refresh (control);
   newest_revision_update (control, now_us);
+  accounts = sgr_config_state_accounts (sgr_control_config_state (control->config));
+  if (accounts != NULL && accounts->count > 0)
+    fleet_refresh (control, now_us);
   sgr_control_config_members_update (control->config, control->members, control->member_count);
   sgr_control_probe_update (control->probe,
                             sgr_config_state_policy (sgr_control_config_state (control->config),
                                                      control->announce.local.service));
-  sgr_data_task_snapshot_send (control->data, snapshot_build (control));
+  sgr_control_evacuation_members_update (control->evacuation, control->members,
+                                         control->member_count);
+  /* Without a snapshot, the data task has no target to send calls to and admits none. */
+  if (sgr_control_evacuation_may_serve (control->evacuation))
+    sgr_data_task_snapshot_send (control->data, snapshot_build (control));
 }
 
 void
@@ -194,7 +232,8 @@
   bool has_members = control->member_count > 1
                      || sgr_clock_monotonic_us () >= control->started_us + READY_WITHOUT_PEERS_US;
 
-  return has_config && has_members && !control->is_stopping;
+  return has_config && has_members && !control->is_stopping
+         && sgr_control_evacuation_may_serve (control->evacuation);
 }
 
 static void
@@ -399,6 +438,7 @@
   sgr_metrics_print (sgr_data_task_metrics (control->data), text);
   sgr_metrics_print (control->metrics, text);
   sgr_control_config_metrics_print (control->config, text);
+  sgr_control_evacuation_metrics_print (control->evacuation, text);
   sgr_buffer_printf (text,
                      "# TYPE siskingrade_config_newest_revision gauge\n"
                      "siskingrade_config_newest_revision %lu\n",
@@ -446,6 +486,8 @@
       = sgr_control_contacts_create (control, sgr_control_config_store (control->config));
   control->departures
       = sgr_control_departures_create (control, sgr_control_config_store (control->config));
+  control->evacuation
+      = sgr_control_evacuation_create (control, sgr_control_config_store (control->config));
   control->data = sgr_data_task_start (control->settings, control->adapter->fields, control->boot,
                                        &data_events, control, errors);
   if (control->data == NULL)
@@ -458,6 +500,7 @@
   .fields = &sgr_call_fields_default,
   .store_create = sgr_store_http_open,
   .store_destroy = sgr_store_http_destroy,
+  .evacuation_prefix = "evacuations/",
 };
 
 int
@@ -509,6 +552,7 @@
 out:
   sgr_control_http_destroy (control.http);
   sgr_control_probe_destroy (control.probe);
+  sgr_control_evacuation_destroy (control.evacuation);
   sgr_control_departures_destroy (control.departures);
   sgr_control_contacts_destroy (control.contacts);
   sgr_control_keys_destroy (control.keys);
--- a/tests/test_path_regions.c
+++ b/tests/test_path_regions.c
@@ -32,13 +32,22 @@
   return &fixture.nodes[index];
 }
 
+static void
+node_add (const char *name, const char *service, const char *region, const char *failure_domain)
+{
+  sgr_fixture_node_t *added = sgr_fixture_node_add (&fixture, name, service, false);
+
+  added->region = region;
+  added->failure_domain = failure_domain;
+}
+
 static int
 group_setup (void **state)
 {
   sgr_fixture_init (&fixture);
-  sgr_fixture_node_add (&fixture, "entry", NULL, false)->region = "us";
-  sgr_fixture_node_add (&fixture, "gate-us", "one", false)->region = "us";
-  sgr_fixture_node_add (&fixture, "gate-eu", "one", false)->region = "eu";
+  node_add ("entry", NULL, "us", "us-1");
+  node_add ("gate-us", "one", "us", "us-1");
+  node_add ("gate-eu", "one", "eu", "eu-1");
   return sgr_fixture_start (&fixture) ? 0 : -1;
 }
 
