--- a/tests/test_balancer_regions.c
+++ b/tests/test_balancer_regions.c
@@ -180,7 +180,9 @@
   sgr_balancer_destroy (b);
 }
 
-#define TICK_US (MS / 4)
+#define TICK_US 250
+/* Requests in a tick that use all slots of a target. */
+#define ARRIVALS_PER_TICK ((double)SLOTS * TICK_US / REQUEST_US)
 #define REPORT_INTERVAL_US (5 * MS)
 /* Load reports reach another region after this many intervals. */
 #define REPORT_DELAY 6
@@ -188,7 +190,7 @@
 /* A request should cross only if its expected time in its own region is half of ON_TIME_US. Load
    reports and samples of the targets make that an estimate, so that crossings at half of that wait
    count as early. */
-#define EARLY_WAIT_US (ON_TIME_US / 4)
+#define EARLY_WAIT_US ((double)ON_TIME_US / 4)
 #define WAVE_US (4000 * MS)
 #define BUCKET_US (200 * MS)
 #define BUCKETS (2 * WAVE_US / BUCKET_US)
@@ -257,7 +259,7 @@
   for (uint32_t t = 0; t < NODES; t++)
     if (REGION_OF (t) == region)
       sum += (double)wait_us (wave->load[t]);
-  return sum / region_size (region);
+  return sum / (double)region_size (region);
 }
 
 static sgr_load_report_t
@@ -362,7 +364,7 @@
       requests_advance (wave, now_us);
       for (uint32_t e = 0; e < NODES; e++)
         if (sgr_rng_uniform (&wave->rng)
-            < demand (REGION_OF (e), now_us, mean, swing) * SLOTS * TICK_US / REQUEST_US)
+            < demand (REGION_OF (e), now_us, mean, swing) * ARRIVALS_PER_TICK)
           request_send (wave, now_us, e);
     }
   for (uint32_t e = 0; e < NODES; e++)
--- a/tests/test_path_regions.c
+++ b/tests/test_path_regions.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 
+#include "account.h"
 #include "node_fixture.h"
 #include "node_fixture_config.h"
 #include "types.h"
@@ -24,7 +25,12 @@
 #define CALLS 40
 #define AWAIT_TIMEOUT_US (20 * SGR_USEC_PER_SEC)
 
+#define KEY_ACME "acme-key-0123456789"
+#define KEY_BOLT "bolt-key-0123456789"
+
 static sgr_fixture_t fixture;
+/* Header field with the key of an account, empty for none. */
+static const char *token = "";
 
 static sgr_fixture_node_t *
 node (int index)
@@ -73,13 +79,13 @@
 static int
 call (const char *method, const char *path, const char *id, const char *key, char reason[64])
 {
-  char fields[256];
+  char fields[512];
   sgr_probe_request_t request
       = { .port = node (ENTRY)->callers, .method = method, .path = path, .fields = fields };
   sgr_probe_answer_t answer;
   int status;
 
-  snprintf (fields, sizeof fields, "X-Request-Id: %s\r\n%s%s%s", id,
+  snprintf (fields, sizeof fields, "%sX-Request-Id: %s\r\n%s%s%s", token, id,
             key != NULL ? "Idempotency-Key: " : "", key != NULL ? key : "",
             key != NULL ? "\r\n" : "");
   sgr_probe_call (&request, &answer);
@@ -149,6 +155,86 @@
   assert_int_equal (sgr_fixture_executions (node (GATE_EU), "own-elsewhere"), 0);
 }
 
+/* Issues a key and copies it. */
+static void
+key_issue (char *key, size_t size)
+{
+  sgr_probe_request_t request = { .port = node (ENTRY)->callers,
+                                  .method = "POST",
+                                  .path = "/.siskingrade/keys?service=one",
+                                  .fields = token,
+                                  .body = "" };
+  sgr_probe_answer_t answer;
+  const char *at;
+
+  sgr_probe_call (&request, &answer);
+  assert_int_equal (answer.status, 201);
+  at = strstr (answer.body, ":\"");
+  assert_non_null (at);
+  snprintf (key, size, "%.*s", (int)strcspn (at + 2, "\""), at + 2);
+  sgr_probe_release (&answer);
+}
+
+/* Guards against a call with an issued key that runs at a gate in a region that is not allowed. */
+static void
+test_issued_key (void **state)
+{
+  char key[256], reason[64];
+  int status_eu, status_us;
+
+  key_issue (key, sizeof key);
+  status_eu = call ("GET", "/bytes/10", "issued-eu", key, reason);
+  assert_true (status_eu == 200 || strcmp (reason, "key-gate-not-allowed") == 0);
+  status_us = call ("GET", "/us/", "issued-us", key, reason);
+  assert_true (status_us == 200 || strcmp (reason, "key-gate-not-allowed") == 0);
+  assert_int_equal (status_eu + status_us, 200 + 502);
+  assert_int_equal (sgr_fixture_executions (node (GATE_US), "issued-eu"), 0);
+  assert_int_equal (sgr_fixture_executions (node (GATE_EU), "issued-us"), 0);
+}
+
+static json_t *
+account_make (const char *name, const char *key)
+{
+  char hex[SGR_ACCOUNT_KEY_HEX_BYTES];
+
+  sgr_account_key_hash_format (sgr_account_key_hash (key, strlen (key)), hex);
+  return json_pack ("{s:s, s:[s]}", "name", name, "key_hashes", hex);
+}
+
+/* Guards against an account whose regions do not bind its calls and issued keys, or do not narrow
+   those of a route. */
+static void
+test_regions_of_account (void **state)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + AWAIT_TIMEOUT_US;
+  json_t *acme = account_make ("acme", KEY_ACME);
+  char id[32], key[256], reason[64];
+
+  json_object_set_new (acme, "regions", json_pack ("[s]", "eu"));
+  assert_true (sgr_fixture_change_set (
+      &fixture, "accounts",
+      json_pack ("{s:{s:[o, o]}}", "put", "accounts", acme, account_make ("bolt", KEY_BOLT))));
+  token = "Authorization: Token " KEY_ACME "\r\n";
+  while (call ("GET", "/us/", "both", NULL, reason) != 503)
+    {
+      assert_true (sgr_clock_monotonic_us () < end_us);
+      sgr_fixture_poll_sleep ();
+    }
+  assert_string_equal (reason, "no-target");
+  for (int i = 0; i < 10; i++)
+    {
+      snprintf (id, sizeof id, "account-%d", i);
+      assert_int_equal (call ("GET", "/", id, NULL, reason), 200);
+      assert_int_equal (sgr_fixture_executions (node (GATE_EU), id), 1);
+      snprintf (id, sizeof id, "account-key-%d", i);
+      key_issue (key, sizeof key);
+      assert_int_equal (call ("GET", "/bytes/10", id, key, reason), 200);
+      assert_int_equal (sgr_fixture_executions (node (GATE_EU), id), 1);
+    }
+  token = "Authorization: Token " KEY_BOLT "\r\n";
+  assert_int_equal (call ("GET", "/us/", "bolt", NULL, reason), 200);
+}
+
 /* Guards against retries in a region that is not allowed after the only allowed gate is lost. */
 static void
 test_region_is_lost (void **state)
@@ -169,10 +255,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_no_allowed_target),
-    cmocka_unit_test (test_calls_run_in_allowed_region),
-    cmocka_unit_test (test_own_keys),
-    cmocka_unit_test (test_region_is_lost),
+    cmocka_unit_test (test_no_allowed_target),  cmocka_unit_test (test_calls_run_in_allowed_region),
+    cmocka_unit_test (test_own_keys),           cmocka_unit_test (test_issued_key),
+    cmocka_unit_test (test_regions_of_account), cmocka_unit_test (test_region_is_lost),
   };
 
   return cmocka_run_group_tests (tests, group_setup, group_teardown);
