Issue keys in regions that the routes of a service allow

A request for a key has no route, so that a key could be bound to a gate where the only route of its service does not allow its calls. The gate is now in a region that all routes of the service allow, if there is one.

--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -11,6 +11,7 @@
 #include "data_keys.h"
 #include "data_quota.h"
 #include "data_refuse.h"
+#include "data_region.h"
 #include "http1_server.h"
 #include "http_fields.h"
 #include "http_tls.h"
@@ -236,20 +237,6 @@
   return NULL;
 }
 
-/* Limits a call to the regions of its route and of its account. */
-static void
-regions_apply (const sgr_data_task_t *task, const sgr_route_t *route,
-               sgr_data_call_request_t *request)
-{
-  const sgr_account_t *account = sgr_account_table_get (task->accounts, request->account);
-  const sgr_region_table_t *regions = sgr_data_services_regions (task->services);
-
-  if (route != NULL)
-    sgr_region_limit_narrow (&request->regions, regions, &route->regions);
-  if (account != NULL)
-    sgr_region_limit_narrow (&request->regions, regions, &account->regions);
-}
-
 /* Refuses a call whose key could not be bound. Nothing was sent for this call, but the outcome is
    unknown because an earlier call with the same key may have run. Repeating the call with the same
    key is safe. */
@@ -327,7 +314,7 @@
     }
   if (!sgr_data_account_check (http->task, req, *route, request))
     return NULL;
-  regions_apply (http->task, *route, request);
+  sgr_data_regions_apply (http->task, *route, request);
   if (entry != NULL)
     snprintf (request->service, sizeof request->service, "%s",
               sgr_route_entry_part_next (entry)->service);
@@ -415,7 +402,7 @@
     }
   if (!sgr_data_account_check (http->task, req, NULL, &request))
     return;
-  regions_apply (http->task, NULL, &request);
+  sgr_data_regions_apply (http->task, NULL, &request);
   if (req->query_at != SIZE_MAX)
     query = h2o_iovec_init (req->path.base + req->query_at + 1, req->path.len - req->query_at - 1);
   if (query.len > 8 && memcmp (query.base, "service=", 8) == 0
@@ -424,7 +411,10 @@
   if (service == NULL)
     unknown_refuse (http, req, "unknown-service");
   else
-    sgr_data_keys_issue (http->task->keys, req, service, &request.regions, on_key_issued, req);
+    {
+      sgr_data_regions_key_apply (http->task, name, &request);
+      sgr_data_keys_issue (http->task->keys, req, service, &request.regions, on_key_issued, req);
+    }
 }
 
 static void
--- a/libsiskingrade/route.c
+++ b/libsiskingrade/route.c
@@ -185,6 +185,28 @@
   return NULL;
 }
 
+static bool
+has_service (const sgr_route_t *route, const char *service)
+{
+  for (uint32_t i = 0; i < route->part_count; i++)
+    if (strcmp (route->parts[i].service, service) == 0)
+      return true;
+  return false;
+}
+
+void
+sgr_route_table_regions_narrow (const sgr_route_table_t *table, const char *service,
+                                sgr_region_limit_t *limit, const sgr_region_table_t *regions)
+{
+  sgr_region_limit_t narrowed = *limit;
+
+  for (size_t i = 0; i < table->count; i++)
+    if (has_service (&table->entries[i].route, service))
+      sgr_region_limit_narrow (&narrowed, regions, &table->entries[i].route.regions);
+  if (narrowed.mask != 0)
+    *limit = narrowed;
+}
+
 const sgr_route_t *
 sgr_route_entry_route (const sgr_route_entry_t *entry)
 {
--- a/libsiskingrade/route.h
+++ b/libsiskingrade/route.h
@@ -90,6 +90,16 @@
 sgr_route_entry_t *sgr_route_table_find (sgr_route_table_t *table, const char *host,
                                          size_t host_length, const char *path, size_t path_length);
 
+/**
+ * sgr_route_table_regions_narrow() - limit calls to regions that all routes of a service allow
+ * @table: the table
+ * @service: the service
+ * @limit: the limit; unchanged if no region is left in it that all of these routes allow
+ * @regions: the regions of the members
+ */
+void sgr_route_table_regions_narrow (const sgr_route_table_t *table, const char *service,
+                                     sgr_region_limit_t *limit, const sgr_region_table_t *regions);
+
 const sgr_route_t *sgr_route_entry_route (const sgr_route_entry_t *entry);
 
 /**
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -183,14 +183,40 @@
   json_decref (json);
 }
 
+/* Guards against a key that is bound to a gate outside of the regions of the only route that it can
+   be used on, and against a service whose routes have no region in common and that gets no key. */
+static void
+test_regions_of_a_service (void **state)
+{
+  sgr_route_t routes[] = { route_make ("a", "a.example", "/"), route_make ("b", "b.example", "/"),
+                           route_make ("c", "c.example", "/") };
+  sgr_region_table_t regions = { .ids = { 10, 20, 30 }, .count = 3 };
+  sgr_region_limit_t limit = { 0 };
+  sgr_route_table_t *table;
+  sgr_rng_t rng;
+
+  sgr_rng_seed (&rng, 1);
+  routes[0].regions = (sgr_region_list_t){ { 20, 30 }, 2 };
+  strcpy (routes[1].parts[0].service, "a");
+  routes[2].regions = (sgr_region_list_t){ { 10 }, 1 };
+  table = sgr_route_table_create (routes, 3, NULL, &rng);
+  sgr_route_table_regions_narrow (table, "none", &limit, &regions);
+  assert_false (limit.is_bound);
+  sgr_route_table_regions_narrow (table, "a", &limit, &regions);
+  assert_true (limit.is_bound);
+  assert_int_equal (limit.mask, 2 | 4);
+  sgr_route_table_regions_narrow (table, "c", &limit, &regions);
+  assert_int_equal (limit.mask, 2 | 4);
+  sgr_route_table_destroy (table);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_longest_prefix),
-    cmocka_unit_test (test_split_is_exact),
-    cmocka_unit_test (test_bad_routes),
-    cmocka_unit_test (test_routes_survive_edits),
+    cmocka_unit_test (test_longest_prefix),       cmocka_unit_test (test_split_is_exact),
+    cmocka_unit_test (test_bad_routes),           cmocka_unit_test (test_routes_survive_edits),
+    cmocka_unit_test (test_regions_of_a_service),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
