--- a/libsiskingrade/balancer_internal.h
+++ b/libsiskingrade/balancer_internal.h
@@ -101,6 +101,8 @@
  * @generation: distinguishes the targets that the entry held one after the other
  * @outstanding: own attempts in flight
  * @start_times_sum_us: sum of the start times of these attempts, modulo 2^64
+ * @far_rank: rank among the targets of other failure domains; the lowest ones form the set that
+ * this node uses
  * @slow_start_begin_us: when the slow start began
  * @estimate: load and latency
  * @health: errors and ejection
@@ -114,6 +116,7 @@
   uint16_t generation;
   uint32_t outstanding;
   uint64_t start_times_sum_us;
+  uint64_t far_rank;
   uint64_t slow_start_begin_us;
   sgr_balancer_estimate_t estimate;
   sgr_balancer_health_t health;
@@ -170,17 +173,33 @@
 
 /* balancer_sample.c */
 
+/** sgr_balancer_far_rank() - rank of a node's target for a node with the seed @far_set_seed */
+uint64_t sgr_balancer_far_rank (uint64_t far_set_seed, sgr_node_id_t node);
+
+/* Number of distances. */
+#define SGR_BALANCER_DISTANCES 3
+
+/**
+ * sgr_balancer_distance() - distance of a target: 0 for the own failure domain, 1 for the own
+ * region, 2 for other regions
+ */
+size_t sgr_balancer_distance (const sgr_balancer_target_info_t *info);
+
 /**
- * sgr_balancer_sample_draw() - choose the candidates that one choice compares
- * @b: the balancer; the sample is moved to the front of its candidates
+ * sgr_balancer_sample_draw() - choose the candidates of one distance that a choice compares
+ * @b: the balancer; the candidates of that distance are moved to @start, the sample first
+ * @start: first candidate to consider; those before are nearer
  * @count: number of candidates
+ * @distance: the distance
  * @call: the call
- * @preferred: receives the number of near candidates at the front that the call prefers; all near
- *   ones without an affinity
+ * @group_size: receives the number of candidates of that distance
+ * @preferred: receives the number of candidates at the front of the sample that the call prefers;
+ *   all without an affinity
  *
  * Return: size of the sample.
  */
-size_t sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count, const sgr_balancer_call_t *call,
+size_t sgr_balancer_sample_draw (sgr_balancer_t *b, size_t start, size_t count, size_t distance,
+                                 const sgr_balancer_call_t *call, size_t *group_size,
                                  size_t *preferred);
 
 /* balancer_estimate.c */
--- a/libsiskingrade/balancer_sample.c
+++ b/libsiskingrade/balancer_sample.c
@@ -2,12 +2,12 @@
 
 #include <xxhash.h>
 
-/* Chooses the targets that one choice compares. The targets of the own failure domain come first,
-   then those of the own region, then those of other regions: each distance is represented, so that
-   calls leave it only for want of room, also where most targets are elsewhere. Targets of other
-   failure domains come from two small sets, one for each distance, that differ between nodes and
-   change only with the membership, ejections and the targets already tried: with any number of
-   targets, a node keeps connections to, and gets load reports from, few of them. */
+/* Chooses the targets that one choice compares, for each distance by itself: the own failure
+   domain, the own region, other regions. So calls leave a distance only for want of room, also
+   where most targets are elsewhere, and a call that does not costs no look at farther targets.
+   Targets of other failure domains come from two small sets, one for each distance, that differ
+   between nodes and change only with the membership, ejections and the targets already tried: with
+   any number of targets, a node keeps connections to, and gets load reports from, few of them. */
 
 /* Most targets of the own failure domain in a sample. A random sample keeps nodes with the same
    load reports from all choosing the same target. */
@@ -37,50 +37,58 @@
   return sample_count;
 }
 
-static bool
-is_near (const sgr_balancer_target_info_t *info)
-{
-  return !info->is_far;
-}
-
-static bool
-is_in_region (const sgr_balancer_target_info_t *info)
+size_t
+sgr_balancer_distance (const sgr_balancer_target_info_t *info)
 {
-  return !info->is_remote;
+  return info->is_remote ? 2 : info->is_far ? 1 : 0;
 }
 
-/* Moves the candidates from @start on for which the predicate holds to @start; returns their
+/* Moves the candidates from @start on that have the given distance to @start; returns their
    number. */
 static size_t
-partition (sgr_balancer_t *b, size_t start, size_t count,
-           bool (*predicate) (const sgr_balancer_target_info_t *info))
+partition (sgr_balancer_t *b, size_t start, size_t count, size_t distance)
 {
   size_t chosen_count = 0;
 
   for (size_t i = start; i < count; i++)
-    if (predicate (&b->entries[b->candidates[i]].info))
+    if (sgr_balancer_distance (&b->entries[b->candidates[i]].info) == distance)
       candidates_swap (b, i, start + chosen_count++);
   return chosen_count;
 }
 
+uint64_t
+sgr_balancer_far_rank (uint64_t far_set_seed, sgr_node_id_t node)
+{
+  return XXH64 (&node, sizeof node, far_set_seed);
+}
+
 uint64_t
 sgr_balancer_affinity_rank (sgr_node_id_t node, uint64_t seed)
 {
   return XXH64 (&node, sizeof node, seed);
 }
 
+/* Rank of a candidate in the far set, or among those that calls with an affinity prefer. */
+static uint64_t
+candidate_rank (const sgr_balancer_t *b, uint32_t index, const uint64_t *affinity_seed)
+{
+  const sgr_balancer_entry_t *entry = &b->entries[index];
+
+  return affinity_seed == NULL ? entry->far_rank
+                               : sgr_balancer_affinity_rank (entry->info.node, *affinity_seed);
+}
+
 /* Moves the RANKED_SET_MAX candidates with the lowest rank among the @count ones from @start on to
    @start, in the order of their ranks; returns their number. */
 static size_t
-ranked_set_select (sgr_balancer_t *b, size_t start, size_t count, uint64_t seed)
+ranked_set_select (sgr_balancer_t *b, size_t start, size_t count, const uint64_t *affinity_seed)
 {
   uint64_t ranks[RANKED_SET_MAX] = { 0 };
   size_t size = 0;
 
   for (size_t i = 0; i < count; i++)
     {
-      uint64_t rank
-          = sgr_balancer_affinity_rank (b->entries[b->candidates[start + i]].info.node, seed);
+      uint64_t rank = candidate_rank (b, b->candidates[start + i], affinity_seed);
       size_t position = size;
 
       if (size == RANKED_SET_MAX && rank >= ranks[size - 1])
@@ -100,43 +108,23 @@
   return size;
 }
 
-/* Moves the chosen candidates, @count from @start on, to the end of the sample at @sample_count;
-   returns the new size of the sample. */
-static size_t
-sample_extend (sgr_balancer_t *b, size_t sample_count, size_t start, size_t count)
-{
-  for (size_t i = 0; i < count && sample_count + i < start; i++)
-    candidates_swap (b, sample_count + i, start + i);
-  return sample_count + count;
-}
-
-/* Adds a sample of the candidates of one farther distance, @count from @start on. If there are none
-   nearer, it is as large as a sample of near ones. */
-static size_t
-far_sample_add (sgr_balancer_t *b, size_t sample_count, size_t start, size_t count)
-{
-  /* A set of all candidates needs no order. */
-  size_t set_size = count <= RANKED_SET_MAX
-                        ? count
-                        : ranked_set_select (b, start, count, b->options.far_set_seed);
-  size_t size
-      = random_sample (b, start, set_size, sample_count == 0 ? NEAR_SAMPLE_MAX : FAR_SAMPLE_MAX);
-
-  return sample_extend (b, sample_count, start, size);
-}
-
 size_t
-sgr_balancer_sample_draw (sgr_balancer_t *b, size_t count, const sgr_balancer_call_t *call,
-                          size_t *preferred)
+sgr_balancer_sample_draw (sgr_balancer_t *b, size_t start, size_t count, size_t distance,
+                          const sgr_balancer_call_t *call, size_t *group_size, size_t *preferred)
 {
-  size_t near_count = partition (b, 0, count, is_near);
-  size_t region_count = partition (b, near_count, count, is_in_region);
-  size_t remote_start = near_count + region_count;
-  bool has_affinity = call->affinity_count > 0 && call->affinity_count < SGR_BALANCER_AFFINITY_MAX;
-  size_t sample_count = has_affinity ? ranked_set_select (b, 0, near_count, call->affinity_seed)
-                                     : random_sample (b, 0, near_count, NEAR_SAMPLE_MAX);
-
-  *preferred = has_affinity ? call->affinity_count : sample_count;
-  sample_count = far_sample_add (b, sample_count, near_count, region_count);
-  return far_sample_add (b, sample_count, remote_start, count - remote_start);
+  bool has_affinity = distance == 0 && call->affinity_count > 0
+                      && call->affinity_count < SGR_BALANCER_AFFINITY_MAX;
+  size_t set_size;
+
+  *group_size = partition (b, start, count, distance);
+  *preferred = has_affinity ? call->affinity_count : SIZE_MAX;
+  if (has_affinity)
+    return ranked_set_select (b, start, *group_size, &call->affinity_seed);
+  if (distance == 0)
+    return random_sample (b, start, *group_size, NEAR_SAMPLE_MAX);
+  /* A set of all candidates needs no order. */
+  set_size = *group_size <= RANKED_SET_MAX ? *group_size
+                                           : ranked_set_select (b, start, *group_size, NULL);
+  /* If there are none nearer, the sample is as large as one of near targets. */
+  return random_sample (b, start, set_size, start == 0 ? NEAR_SAMPLE_MAX : FAR_SAMPLE_MAX);
 }
--- a/libsiskingrade/data_call_internal.h
+++ b/libsiskingrade/data_call_internal.h
@@ -26,6 +26,8 @@
  * @is_key_checked: the last reply was a refusal, for which the gate has looked up the idempotency
  * key; a reply to a query does not include this look-up
  * @memory: counts the bytes of answers that the caller has not taken yet
+ * @is_key_gate_denied: the gate that the idempotency key is bound to is in a region that may not
+ * run the call; nothing was sent to it
  */
 struct sgr_data_call_t
 {
@@ -47,6 +49,7 @@
   bool is_finished;
   bool is_key_checked;
   sgr_memory_holder_t memory;
+  bool is_key_gate_denied;
 };
 
 /** sgr_data_call_event() - pass an event to the call plan and perform the resulting actions */
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -11,6 +11,7 @@
 #include "data_keys.h"
 #include "data_memory.h"
 #include "data_refuse.h"
+#include "data_region.h"
 #include "http1_server.h"
 #include "http_fields.h"
 #include "http_tls.h"
@@ -269,8 +270,9 @@
       sgr_data_call_start (pending->http->task, pending->req, pending->service, &pending->request);
       return;
     }
-  key_bind_refuse (pending->req,
-                   result == SGR_ERR_LIMIT ? "key-rate-limit" : "key-store-unavailable");
+  key_bind_refuse (pending->req, result == SGR_ERR_LIMIT       ? "key-rate-limit"
+                                 : result == SGR_ERR_NOT_FOUND ? "no-target"
+                                                               : "key-store-unavailable");
 }
 
 /* Refuses a request for a route or service that the configuration in force does not have. If a
@@ -318,6 +320,7 @@
     }
   if (!sgr_data_account_check (http->task, req, *route, request))
     return NULL;
+  sgr_data_regions_apply (http->task, *route, request);
   if (entry != NULL)
     snprintf (request->service, sizeof request->service, "%s",
               sgr_route_entry_part_next (entry)->service);
@@ -360,7 +363,8 @@
     }
   pending = h2o_mem_alloc_pool (&req->pool, sizeof *pending);
   *pending = (pending_bind_t){ .http = http, .req = req, .service = service, .request = request };
-  sgr_data_keys_bind (http->task->keys, req, service, request.key, on_key_bound, pending);
+  sgr_data_keys_bind (http->task->keys, req, service, &request.regions, request.key, on_key_bound,
+                      pending);
 }
 
 static void
@@ -404,6 +408,7 @@
     }
   if (!sgr_data_account_check (http->task, req, NULL, &request))
     return;
+  sgr_data_regions_apply (http->task, NULL, &request);
   if (req->query_at != SIZE_MAX)
     query = h2o_iovec_init (req->path.base + req->query_at + 1, req->path.len - req->query_at - 1);
   if (query.len > 8 && memcmp (query.base, "service=", 8) == 0
@@ -412,7 +417,10 @@
   if (service == NULL)
     unknown_refuse (http, req, "unknown-service");
   else
-    sgr_data_keys_issue (http->task->keys, req, service, on_key_issued, req);
+    {
+      sgr_data_regions_key_apply (http->task, name, &request);
+      sgr_data_keys_issue (http->task->keys, req, service, &request.regions, on_key_issued, req);
+    }
 }
 
 static void
--- a/libsiskingrade/route.h
+++ b/libsiskingrade/route.h
@@ -2,6 +2,7 @@
 #define SGR_ROUTE_H
 
 #include "policy.h"
+#include "region.h"
 #include "rng.h"
 
 #define SGR_ROUTE_HOST_MAX 255
@@ -33,6 +34,7 @@
  * @attempts_max: most attempts of one call that gates accept, 0 for the limit in the service's
  *   policy
  * @is_public: calls need no key of an account
+ * @regions: where the calls may be run
  * @parts: services that the calls are split among
  * @part_count: used entries of @parts, at least 1
  */
@@ -47,6 +49,7 @@
   uint32_t priority;
   uint32_t attempts_max;
   bool is_public;
+  sgr_region_list_t regions;
   sgr_route_part_t parts[SGR_ROUTE_PARTS_MAX];
   uint32_t part_count;
 } sgr_route_t;
@@ -87,6 +90,16 @@
 sgr_route_entry_t *sgr_route_table_find (sgr_route_table_t *table, const char *host,
                                          size_t host_length, const char *path, size_t path_length);
 
+/**
+ * sgr_route_table_regions_narrow() - limit calls to regions that all routes of a service allow
+ * @table: the table
+ * @service: the service
+ * @limit: the limit; unchanged if no region is left in it that all of these routes allow
+ * @regions: the regions of the members
+ */
+void sgr_route_table_regions_narrow (const sgr_route_table_t *table, const char *service,
+                                     sgr_region_limit_t *limit, const sgr_region_table_t *regions);
+
 const sgr_route_t *sgr_route_entry_route (const sgr_route_entry_t *entry);
 
 /**
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -19,6 +19,7 @@
  * struct sgr_fixture_node_t - one node, with its target if it has one
  * @name: name of the node
  * @service: service of its target, NULL for none
+ * @region: its region, NULL for "test"
  * @failure_domain: failure domain of the node, NULL for "test-1"
  * @limits: lines of the section "limits", NULL for those of the fixture
  * @store_port: port that the node takes for that of the store, 0 for the real one
@@ -35,6 +36,7 @@
 {
   char name[32];
   const char *service;
+  const char *region;
   const char *failure_domain;
   const char *limits;
   uint16_t store_port;
