--- a/tests/test_balancer_sample.c
+++ b/tests/test_balancer_sample.c
@@ -513,6 +513,51 @@
     }
 }
 
+/* Load pattern: a small account whose calls arrive at all entries of a domain. Guards against calls
+   that are spread over many gates, which leaves most of them without a token of the account, and
+   against calls that stay at a gate that is far slower than others. */
+static void
+test_account_keeps_to_few_targets (void **state)
+{
+  sgr_balancer_call_t call = { .affinity_seed = 42, .affinity_count = 2 };
+  sgr_node_id_t preferred[2] = { 0, 0 };
+
+  for (uint64_t entry = 0; entry < 20; entry++)
+    {
+      sgr_balancer_t *b = large_balancer_create (entry, SLOTS / 2);
+
+      for (int pick = 0; pick < 20; pick++)
+        {
+          sgr_balancer_target_t target = sgr_balancer_pick_for_call (b, 2 * MS, NULL, 0, &call);
+          sgr_node_id_t node = sgr_balancer_target_info (b, target)->node;
+
+          if (preferred[0] == 0)
+            preferred[0] = node;
+          else if (node != preferred[0] && preferred[1] == 0)
+            preferred[1] = node;
+          assert_true (node == preferred[0] || node == preferred[1]);
+        }
+      for (int i = 0; i < 2 && entry == 19; i++)
+        {
+          sgr_load_report_t report = { .in_flight = 4 * SLOTS,
+                                       .slots = SLOTS,
+                                       .latency_us = 10 * REQUEST_US,
+                                       .state = SGR_TARGET_SERVING };
+
+          sgr_balancer_report_update (b, 2 * MS, sgr_balancer_target_find (b, preferred[i]),
+                                      &report);
+        }
+      if (entry == 19)
+        {
+          sgr_balancer_target_t target = sgr_balancer_pick_for_call (b, 3 * MS, NULL, 0, &call);
+          sgr_node_id_t node = sgr_balancer_target_info (b, target)->node;
+
+          assert_true (node != preferred[0] && node != preferred[1]);
+        }
+      sgr_balancer_destroy (b);
+    }
+}
+
 /* Guards against measured round-trip times that have no effect on the choice. */
 static void
 test_measured_delay (void **state)
@@ -536,6 +581,7 @@
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_calls_stay_in_their_domain),
                                       cmocka_unit_test (test_calls_spill_by_distance),
                                       cmocka_unit_test (test_only_late_calls_spill),
+                                      cmocka_unit_test (test_account_keeps_to_few_targets),
                                       cmocka_unit_test (test_measured_delay),
                                       cmocka_unit_test (test_far_targets_are_few_and_even),
                                       cmocka_unit_test (test_most_targets_are_far),
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -631,10 +631,33 @@
   sgr_gate_destroy (f.gate);
 }
 
+/* Guards against an attempt beyond its account's quota that runs, also when it is received again.
+ */
+static void
+test_over_quota (void **state)
+{
+  sgr_attempt_t attempt = attempt_make (1);
+  sgr_gate_decision_t decision;
+  fixture_t f;
+
+  fixture_open (&f, 4, 4);
+  attempt.is_over_quota = true;
+  attempt.quota_retry_ms = 70;
+  decision = admit (&f, 1, attempt);
+  assert_int_equal (decision.kind, SGR_GATE_REFUSED);
+  assert_int_equal (decision.reason, SGR_GATE_REASON_QUOTA);
+  assert_int_equal (decision.outcome, SGR_OUTCOME_NOT_RUN);
+  assert_int_equal (decision.retry_after_ms, 70);
+  attempt.is_over_quota = false;
+  assert_int_equal (admit (&f, 2, attempt).kind, SGR_GATE_REFUSED);
+  sgr_gate_destroy (f.gate);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_refusal_table),
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_over_quota),
+                                      cmocka_unit_test (test_refusal_table),
                                       cmocka_unit_test (test_not_run_is_final),
                                       cmocka_unit_test (test_finish_outcome_table),
                                       cmocka_unit_test (test_key_lifecycle),
--- a/tests/test_quota_borrower.c
+++ b/tests/test_quota_borrower.c
@@ -176,6 +176,34 @@
   sgr_quota_borrower_destroy (borrower);
 }
 
+/* Guards against a first call of an account that finds no token at a gate that holds some in
+   advance, and against a lender that is chosen by a node that knows few members. */
+static void
+test_tokens_in_advance (void **state)
+{
+  sgr_quota_borrower_t *borrower = borrower_create (0);
+  sgr_quota_credit_t credit;
+  uint64_t now_us = START + 2 * SEC;
+
+  sgr_quota_borrower_standby_set (borrower, 0, 2);
+  sgr_quota_borrower_members_set (borrower, members, 1, 0);
+  assert_int_equal (sgr_quota_borrower_tick (borrower, now_us, &request), 0);
+  assert_true (sgr_quota_borrower_next_us (borrower) == UINT64_MAX);
+  sgr_quota_borrower_members_set (borrower, members, 3, 3);
+  assert_true (sgr_quota_borrower_tick (borrower, now_us, &request) != 0);
+  reply (borrower, now_us, 0, 0);
+  now_us += SEC / 4;
+  assert_true (sgr_quota_borrower_tick (borrower, now_us, &request) != 0);
+  assert_int_equal (request.use_count, 1);
+  assert_int_equal (request.uses[0].wanted, 2);
+  reply (borrower, now_us, 2, 1);
+  assert_true (call (borrower, now_us, &credit));
+  assert_true (call (borrower, now_us, &credit));
+  assert_int_equal (credit.kind, SGR_QUOTA_TOKEN);
+  assert_false (call (borrower, now_us, &credit));
+  sgr_quota_borrower_destroy (borrower);
+}
+
 /* Guards against callers that return all at once, and against a log line for each refused call. */
 static void
 test_retry_after_is_spread (void **state)
@@ -201,11 +229,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_idle_without_limits),
-    cmocka_unit_test (test_reserve),
-    cmocka_unit_test (test_tokens_end),
-    cmocka_unit_test (test_lease_ends_before_next),
-    cmocka_unit_test (test_retry_after_is_spread),
+    cmocka_unit_test (test_idle_without_limits), cmocka_unit_test (test_reserve),
+    cmocka_unit_test (test_tokens_end),          cmocka_unit_test (test_lease_ends_before_next),
+    cmocka_unit_test (test_tokens_in_advance),   cmocka_unit_test (test_retry_after_is_spread),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
