--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -14,6 +14,7 @@
 #include "data_region.h"
 #include "data_request.h"
 #include "http1_server.h"
+#include "http_fields.h"
 #include "http_tls.h"
 #include "log.h"
 #include "listener.h"
