Know the size of the fleet earlier after a common restart

After a common restart that was followed by a rolling one, no node lent tokens for 17 s: the number of members has to rest for 2 s, and each stop and start changed it. Only new records count as a change now. If the store listed this node before its start and most listed nodes are members, the number of listed nodes counts at once.

--- a/libsiskingrade/control_contacts.c
+++ b/libsiskingrade/control_contacts.c
@@ -35,6 +35,8 @@
   bool has_listed;     /* whether the store has named the nodes */
   bool has_found;      /* whether the store has named another node */
   bool is_registered;  /* whether the store has the node's address */
+  bool has_written;    /* whether this process has written the node's address */
+  size_t listed;       /* nodes in the list if it had the address before this process wrote it */
   char prefix[SGR_NAME_MAX + 16];  /* "nodes/DEPLOYMENT/" */
   char key[2 * SGR_NAME_MAX + 16]; /* "nodes/DEPLOYMENT/NAME" */
   char address[ADDRESS_TEXT_BYTES];
@@ -118,6 +120,8 @@
   sgr_log_info ("contacts-read", "contacts=%zu registered=%s", added,
                 contacts->is_registered ? "yes" : "no");
   contacts->has_listed = true;
+  if (contacts->is_registered && !contacts->has_written)
+    contacts->listed = added + 1;
   contacts->has_found = contacts->has_found || added > 0;
   if (!contacts->is_registered)
     {
@@ -143,6 +147,7 @@
       return;
     }
   contacts->generation = reply->generation;
+  contacts->has_written = true;
   contacts->is_registered = true;
   contacts->step = STEP_LIST;
   contacts->retry_us = RETRY_MIN_US;
@@ -211,6 +216,12 @@
   return contacts != NULL && contacts->has_listed && !contacts->has_found;
 }
 
+size_t
+sgr_control_contacts_listed (const sgr_control_contacts_t *contacts)
+{
+  return contacts != NULL ? contacts->listed : 0;
+}
+
 void
 sgr_control_contacts_destroy (sgr_control_contacts_t *contacts)
 {
--- a/libsiskingrade/control_contacts.h
+++ b/libsiskingrade/control_contacts.h
@@ -31,6 +31,10 @@
 /** sgr_control_contacts_is_alone() - whether the store has answered that there is no other node;
  * false for NULL */
 bool sgr_control_contacts_is_alone (const sgr_control_contacts_t *contacts);
+
+/** sgr_control_contacts_listed() - nodes in the store's list, this one included, if it had the
+ * address of this node before this process wrote it; 0 otherwise and for NULL */
+size_t sgr_control_contacts_listed (const sgr_control_contacts_t *contacts);
 void sgr_control_contacts_destroy (sgr_control_contacts_t *contacts);
 
 #endif
--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -6,6 +6,7 @@
 #include "control_task.h"
 #include "counter.h"
 #include "data_task.h"
+#include "fleet_size.h"
 #include "mailbox.h"
 #include "membership_io.h"
 #include "timer_heap.h"
@@ -20,19 +21,6 @@
 typedef struct sgr_control_evacuation_t sgr_control_evacuation_t;
 typedef struct sgr_control_probe_t sgr_control_probe_t;
 
-/**
- * struct sgr_control_fleet_t - nodes that may run
- * @size: members that are alive, suspect, or dead without having left
- * @changed_us: when @size changed last
- * @is_known: @size did not change for a while after this node had learned of the others
- */
-typedef struct
-{
-  size_t size;
-  uint64_t changed_us;
-  bool is_known;
-} sgr_control_fleet_t;
-
 /**
  * struct sgr_control_t - state of the control task
  *
@@ -96,7 +84,7 @@
   sgr_control_probe_t *probe;
   sgr_member_t *members;
   size_t member_count;
-  sgr_control_fleet_t fleet;
+  sgr_fleet_size_t fleet;
   uint64_t snapshot_revision;
   uint64_t newest_revision;
   uint64_t newest_seen_us;
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -25,8 +25,6 @@
 
 /* Delay before a snapshot is sent, so that changes that arrive together share one snapshot. */
 #define SNAPSHOT_DELAY_US (20 * SGR_USEC_PER_MSEC)
-/* Time for which the number of nodes has to stay the same before quotas are divided by it first. */
-#define FLEET_REST_US (2 * SGR_USEC_PER_SEC)
 /* Minimum interval between snapshots that are sent because of changed members. Applying a snapshot
    takes the data task about 2 ms with 2,600 members, and calls wait meanwhile; many changes in a
    row must not cause more than a few snapshots per second. */
@@ -85,28 +83,29 @@
   qsort (control->members, control->member_count, sizeof *control->members, member_order);
 }
 
-/* Determines the number of nodes by which quotas are divided. When many nodes start at once, the
-   first peer that answers knows only a few of them, so the number has to rest before it counts. */
+/* Determines the number of nodes by which quotas are divided. */
 static void
 fleet_refresh (sgr_control_t *control, uint64_t now_us)
 {
-  sgr_control_fleet_t *fleet = &control->fleet;
-  bool has_learned = sgr_membership_is_synced (membership_of (control))
-                     || sgr_control_contacts_is_alone (control->contacts)
-                     || (control->contacts == NULL && control->settings->contact_count == 0);
+  sgr_fleet_view_t view = {
+    .alive = control->member_count,
+    .listed = sgr_control_contacts_listed (control->contacts),
+    .has_synced = sgr_membership_is_synced (membership_of (control))
+                  || sgr_control_contacts_is_alone (control->contacts)
+                  || (control->contacts == NULL && control->settings->contact_count == 0),
+  };
   sgr_member_t member;
   size_t cursor = 0;
-  size_t size = 0;
+  uint64_t next_us;
 
   while (sgr_membership_member_next (membership_of (control), &cursor, &member))
-    size += member.status != SGR_MEMBER_LEFT;
-  if (size != fleet->size)
-    fleet->changed_us = now_us;
-  fleet->size = size;
-  if (has_learned && now_us >= fleet->changed_us + FLEET_REST_US)
-    fleet->is_known = true;
-  if (!fleet->is_known)
-    sgr_timer_arm (control->timers, &control->snapshot_timer, now_us + FLEET_REST_US);
+    {
+      view.records++;
+      view.size += member.status != SGR_MEMBER_LEFT;
+    }
+  next_us = sgr_fleet_size_update (&control->fleet, now_us, &view);
+  if (next_us > 0)
+    sgr_timer_arm (control->timers, &control->snapshot_timer, next_us);
 }
 
 /* Determines the highest revision of the configuration that this node or a member has in force. */
