Let a restarted node lend and borrow tokens after one lease

A fixed time of 2 s was shorter than a lease above 500 nodes, so that a node could count at two lenders, and twice as long as a lease below 250. test_attaches_after_former_lease failed before.

--- a/libsiskingrade/quota.c
+++ b/libsiskingrade/quota.c
@@ -57,3 +57,11 @@
 
   return lease_us < SGR_QUOTA_LEASE_US ? SGR_QUOTA_LEASE_US : lease_us;
 }
+
+uint64_t
+sgr_quota_start_us (size_t fleet)
+{
+  uint64_t lease_us = sgr_quota_lease_us (fleet);
+
+  return lease_us + lease_us / 64;
+}
--- a/libsiskingrade/quota.h
+++ b/libsiskingrade/quota.h
@@ -8,9 +8,6 @@
 #define SGR_QUOTA_USES_MAX 1024
 /* Lease of a borrower in a fleet of at most 250 nodes. */
 #define SGR_QUOTA_LEASE_US (1000 * SGR_USEC_PER_MSEC)
-/* A node neither lends nor attaches before this time, when the leases and loans of its former boot
-   have ended. */
-#define SGR_QUOTA_START_US (2 * SGR_USEC_PER_SEC)
 /* The token of a call that did not run is returned if the call started at most this long ago. */
 #define SGR_QUOTA_RETURN_US (10 * SGR_USEC_PER_SEC)
 
@@ -115,6 +112,13 @@
 /** sgr_quota_lease_us() - lease of the borrowers in a fleet; four intervals between requests */
 uint64_t sgr_quota_lease_us (size_t fleet);
 
+/**
+ * sgr_quota_start_us() - time after its start in which a node of a fleet neither lends nor attaches
+ *
+ * The leases and loans of its former process have ended then, also by a slower clock.
+ */
+uint64_t sgr_quota_start_us (size_t fleet);
+
 /** sgr_quota_interval_us() - time between the requests of a borrower with a lease */
 static inline uint64_t
 sgr_quota_interval_us (uint64_t lease_us)
--- a/libsiskingrade/quota_borrower.c
+++ b/libsiskingrade/quota_borrower.c
@@ -102,8 +102,6 @@
   borrower->events = *events;
   borrower->ctx = ctx;
   borrower->lease_us = SGR_QUOTA_LEASE_US;
-  /* A former boot may be attached for as long as a lease. */
-  borrower->bound_until_us = start_us + SGR_QUOTA_START_US;
   return borrower;
 }
 
@@ -162,6 +160,9 @@
 {
   sgr_quota_choice_members_set (&borrower->choice, members, count);
   borrower->fleet = fleet;
+  /* A former boot may be attached for as long as a lease. */
+  if (borrower->start_us + sgr_quota_start_us (fleet) > borrower->bound_until_us)
+    borrower->bound_until_us = borrower->start_us + sgr_quota_start_us (fleet);
 }
 
 sgr_node_id_t
--- a/libsiskingrade/quota_borrower.h
+++ b/libsiskingrade/quota_borrower.h
@@ -61,7 +61,7 @@
 /**
  * sgr_quota_borrower_create() - create a borrower without accounts, members and lender
  * @bound: bound of the quotas, copied
- * @start_us: start of the process; it is not attached in the first SGR_QUOTA_START_US, and has no
+ * @start_us: start of the process; it is not attached in the first sgr_quota_start_us(), and has no
  *   reserve in the first window, because the former boot may have used that
  * @events: callbacks, copied
  * @ctx: passed to the callbacks
--- a/libsiskingrade/quota_lender.c
+++ b/libsiskingrade/quota_lender.c
@@ -190,8 +190,7 @@
           if (borrower->loans[n - 1].until_us <= now_us)
             loan_release (lender, borrower, n - 1);
         }
-      if (borrower->loan_count == 0
-          && borrower->reply_us + 10 * lender->lease_us + SGR_QUOTA_START_US < now_us)
+      if (borrower->loan_count == 0 && borrower->reply_us + 12 * lender->lease_us < now_us)
         free (borrower->loans);
       else
         lender->borrowers[kept++] = *borrower;
@@ -499,7 +498,8 @@
   bool lends;
 
   lender_settle (lender, now_us);
-  lends = redirect == 0 && lender->fleet > 0 && now_us >= lender->start_us + SGR_QUOTA_START_US;
+  lends = redirect == 0 && lender->fleet > 0
+          && now_us >= lender->start_us + sgr_quota_start_us (lender->fleet);
   borrower = borrower_get (lender, node);
   if (!borrower_boot_set (lender, borrower, boot) || request->sequence <= borrower->sequence)
     return false;
--- a/libsiskingrade/quota_lender.h
+++ b/libsiskingrade/quota_lender.h
@@ -25,7 +25,7 @@
  * sgr_quota_lender_create() - create a lender without accounts that knows no fleet
  * @boot: boot id of this node
  * @bound: bound of the quotas, copied
- * @start_us: start of the process; nothing is lent in the first SGR_QUOTA_START_US
+ * @start_us: start of the process; nothing is lent in the first sgr_quota_start_us()
  */
 sgr_quota_lender_t *sgr_quota_lender_create (sgr_boot_id_t boot, const sgr_quota_bound_t *bound,
                                              uint64_t start_us);
--- a/tests/test_quota_borrower.c
+++ b/tests/test_quota_borrower.c
@@ -225,13 +225,56 @@
   sgr_quota_borrower_destroy (borrower);
 }
 
+/* Time after its start at which a node of a fleet attaches first. */
+static uint64_t
+first_attachment_us (size_t fleet)
+{
+  sgr_quota_borrower_t *borrower = borrower_create (0);
+  uint64_t now_us = START;
+
+  sgr_quota_borrower_members_set (borrower, members, 3, fleet);
+  request.lender_time_us = 0;
+  while (now_us < START + 60 * SEC)
+    {
+      now_us += 10 * MS;
+      if (sgr_quota_borrower_tick (borrower, now_us, &request) == 0)
+        continue;
+      if (request.lender_time_us != 0)
+        break;
+      reply (borrower, now_us, 0, 0);
+    }
+  sgr_quota_borrower_destroy (borrower);
+  return now_us - START;
+}
+
+/* Guards against a restarted node that counts at a second lender while its former process is still
+   attached to one, which lasts longer in a large fleet, and against a longer wait than that. */
+static void
+test_attaches_after_former_lease (void **state)
+{
+  static const size_t fleets[] = { 3, 80, 250, 500, 2600 };
+
+  for (size_t i = 0; i < sizeof fleets / sizeof fleets[0]; i++)
+    {
+      uint64_t lease_us = sgr_quota_lease_us (fleets[i]);
+      uint64_t first_us = first_attachment_us (fleets[i]);
+
+      assert_true (first_us > lease_us);
+      assert_true (first_us <= lease_us + lease_us / 64 + 300 * MS);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_idle_without_limits), cmocka_unit_test (test_reserve),
-    cmocka_unit_test (test_tokens_end),          cmocka_unit_test (test_lease_ends_before_next),
-    cmocka_unit_test (test_tokens_in_advance),   cmocka_unit_test (test_retry_after_is_spread),
+    cmocka_unit_test (test_idle_without_limits),
+    cmocka_unit_test (test_reserve),
+    cmocka_unit_test (test_tokens_end),
+    cmocka_unit_test (test_lease_ends_before_next),
+    cmocka_unit_test (test_tokens_in_advance),
+    cmocka_unit_test (test_retry_after_is_spread),
+    cmocka_unit_test (test_attaches_after_former_lease),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
