--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -279,6 +279,7 @@
     }
   settings->memory_budget_bytes = mib * MIB;
 }
+
 static void
 read_memory (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t node)
 {
@@ -306,6 +307,21 @@
   sgr_yaml_decimal_read (yaml, node, "link_mbps", "limits", 1000000, &settings->link_mbps);
 }
 
+/* Limits that concern the store. */
+static void
+read_store_limits (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t node)
+{
+  sgr_yaml_number_read (yaml, node, "store_delay_ms", "limits", 0, 60000,
+                        &settings->store_delay_ms);
+  sgr_yaml_number_read (yaml, node, "store_readers", "limits", 1, 1000, &settings->store_readers);
+  sgr_yaml_number_read (yaml, node, "store_watch_ms", "limits", 100, 60000,
+                        &settings->store_watch_ms);
+  sgr_yaml_number_read (yaml, node, "store_watch_interval_ms", "limits", 0, 10000,
+                        &settings->store_watch_interval_ms);
+  sgr_yaml_number_read (yaml, node, "store_retry_max_ms", "limits", 250, 60000,
+                        &settings->store_retry_max_ms);
+}
+
 static void
 read_limits (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
@@ -349,15 +365,7 @@
   sgr_yaml_number_read (yaml, node, "calls_max", "limits", 1, 1000000, &settings->calls_max);
   sgr_yaml_number_read (yaml, node, "announce_ttl_ms", "limits", 100, 60000,
                         &settings->announce_ttl_ms);
-  sgr_yaml_number_read (yaml, node, "store_delay_ms", "limits", 0, 60000,
-                        &settings->store_delay_ms);
-  sgr_yaml_number_read (yaml, node, "store_readers", "limits", 1, 1000, &settings->store_readers);
-  sgr_yaml_number_read (yaml, node, "store_watch_ms", "limits", 100, 60000,
-                        &settings->store_watch_ms);
-  sgr_yaml_number_read (yaml, node, "store_watch_interval_ms", "limits", 0, 10000,
-                        &settings->store_watch_interval_ms);
-  sgr_yaml_number_read (yaml, node, "store_retry_max_ms", "limits", 250, 60000,
-                        &settings->store_retry_max_ms);
+  read_store_limits (settings, yaml, node);
   sgr_yaml_number_read (yaml, node, "leave_delay_ms", "limits", 0, 60000,
                         &settings->leave_delay_ms);
   sgr_yaml_number_read (yaml, node, "drain_timeout_ms", "limits", 0, 3600000,
--- a/tests/test_balancer_sample.c
+++ b/tests/test_balancer_sample.c
@@ -477,16 +477,16 @@
 {
   static const struct
   {
-    region_load_t loads;
     uint64_t on_time_left_us;
+    region_load_t loads;
     bool is_far;
     bool is_remote;
   } cases[] = {
-    { { 2 * SLOTS, 0, 0 }, 10 * REQUEST_US, false, false },
-    { { 2 * SLOTS, 0, 0 }, 3 * REQUEST_US, true, false },
-    { { 8 * SLOTS, 2 * SLOTS, 0 }, 10 * REQUEST_US, true, false },
-    { { 8 * SLOTS, 8 * SLOTS, 0 }, 10 * REQUEST_US, true, true },
-    { { 2 * SLOTS, 0, 0 }, 0, true, false },
+    { 10 * REQUEST_US, { 2 * SLOTS, 0, 0 }, false, false },
+    { 3 * REQUEST_US, { 2 * SLOTS, 0, 0 }, true, false },
+    { 10 * REQUEST_US, { 8 * SLOTS, 2 * SLOTS, 0 }, true, false },
+    { 10 * REQUEST_US, { 8 * SLOTS, 8 * SLOTS, 0 }, true, true },
+    { 0, { 2 * SLOTS, 0, 0 }, true, false },
   };
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
