--- a/libsiskingrade/data_account.h
+++ b/libsiskingrade/data_account.h
@@ -38,7 +38,7 @@
  * @service: service of the call
  * @request: the call, after sgr_data_account_apply()
  *
- * The credit of a refused call is returned to its account's quota. Calls with an idempotency key
+ * Its account's quota is not charged, since that happens at the gate. Calls with an idempotency key
  * are let through: only their gate knows whether they have run.
  *
  * Return: whether the call may be sent on; always true if the configuration has no accounts.
--- a/libsiskingrade/data_quota.c
+++ b/libsiskingrade/data_quota.c
@@ -38,7 +38,8 @@
  * @group_count: pairs of a service and a failure domain; calls of an account go to gates of each
  * @armed_us: time on the clock of the quotas for which @timer is armed, UINT64_MAX if it is not
  * @request, @reply: buffers for one message
- * @entries: room for the messages in a frame
+ * @uses, @use_list: entries of the request in a frame
+ * @grants, @grant_list: entries of the reply in a frame
  */
 struct sgr_data_quotas_t
 {
