--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -721,7 +721,6 @@
   text_replace (text, sizeof text, "{{service}}", node->service);
   text_replace (text, sizeof text, "{{region}}", "region");
   text_replace (text, sizeof text, "{{zone}}", node->zone);
-  text_replace (text, sizeof text, "{{limits.memoryMb}}", "260");
   text_replace (text, sizeof text, "{{ip}}", node->ip);
   snprintf (value, sizeof value, "%d", INTERNAL_PORT_FIRST);
   text_replace (text, sizeof text, "{{internalPorts.0}}", value);
