--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -63,6 +63,7 @@
 
 bool rig_trouble = true;
 volatile bool rig_store_busy;
+volatile bool rig_store_silent;
 volatile int rig_store_delay_ms;
 
 static node_t nodes[RIG_NODES_MAX];
@@ -624,6 +625,13 @@
 
       if (rig_store_delay_ms > 0)
         rig_sleep_ms (rig_store_delay_ms);
+      if (rig_store_silent)
+        {
+          while (rig_store_silent)
+            rig_sleep_ms (20);
+          free (request->body);
+          break;
+        }
       if (!rig_store_busy)
         status = store_request_run (request, &reply);
       text = reply != NULL ? json_dumps (reply, JSON_COMPACT) : strdup ("{}");
@@ -1057,8 +1065,8 @@
 
 static long sequence;
 
-int
-rig_backend_beat (rig_backend_t *backend)
+static int
+beat_send (rig_backend_t *backend, const char *state, long number)
 {
   char body[1024], request[2048];
 
@@ -1067,8 +1075,7 @@
             "\"zone\":\"%s\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%ld,"
             "\"cold\":\"0ms\"}}",
             nodes[backend->node].ip, PORT_APP, backend->born_ms, backend->service,
-            nodes[backend->node].zone, backend->slots, backend->is_draining ? "draining" : "ready",
-            __sync_add_and_fetch (&sequence, 1));
+            nodes[backend->node].zone, backend->slots, state, number);
   snprintf (request, sizeof request,
             "POST /siskingrade/instances/%s/heartbeat HTTP/1.1\r\nHost: node\r\nContent-Type: "
             "application/json\r\nConnection: close\r\nContent-Length: %zu\r\n\r\n%s",
@@ -1076,6 +1083,28 @@
   return control_call (backend->node, PORT_CONTROL, request);
 }
 
+long
+rig_backend_beat_number (void)
+{
+  return __sync_add_and_fetch (&sequence, 1);
+}
+
+int
+rig_backend_beat (rig_backend_t *backend)
+{
+  return beat_send (backend, backend->is_draining ? "draining" : "ready",
+                    rig_backend_beat_number ());
+}
+
+int
+rig_backend_beat_late (rig_backend_t *backend, long number)
+{
+  int status = beat_send (backend, "ready", number);
+
+  rig_record ("late heartbeat %ld of %s: status %d", number, backend->instance, status);
+  return status;
+}
+
 int
 rig_backend_deregister (rig_backend_t *backend)
 {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -96,6 +96,8 @@
 bool rig_store_has (const char *key);
 /* Fault of the store: requests of all nodes get 503 while set. */
 extern volatile bool rig_store_busy;
+/* Requests get no answer while set; their connections close when it ends. */
+extern volatile bool rig_store_silent;
 /* Delay of all answers of the store. */
 extern volatile int rig_store_delay_ms;
 
@@ -118,6 +120,10 @@
                                   int work_ms, rig_hook_t hook);
 /* Sends one heartbeat or deregistration; returns the status, 0 for none. */
 int rig_backend_beat (rig_backend_t *backend);
+/* Takes the number of the next heartbeat; sends one that says "ready" with a number taken before, as
+   one that was delayed on its way. */
+long rig_backend_beat_number (void);
+int rig_backend_beat_late (rig_backend_t *backend, long number);
 int rig_backend_deregister (rig_backend_t *backend);
 /* Writes all bytes; false if the connection has ended. */
 bool rig_write (int fd, const void *bytes, size_t length);
