Add review case 9: two late heartbeats stand for a backend that has left

Cause: while the store is silent, a node that has restarted takes two heartbeats that arrive more than a second apart as proof that the backend runs, and does not read the record of departures later.

Change: a script and its claim. No code of the product is changed.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-2/case-9 ] || { echo "not run: review/build-2.sh has not run"; exit 2; }
+exec target/review-2/case-9 review/9
