Bring review case 6 to its last form

Cause: with three nodes the hang did not come in each run, and answers of 504 at the timeout hid it in the share that the rule asks for.

Change: nine nodes of three services, ten clients a node, up to ten requests on a connection; the run goes on for 25 s after the hang.

--- a/review/6/case.c
+++ b/review/6/case.c
@@ -8,17 +8,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ROUTES                                                                                     \
-  "{\"resourceType\":\"routes\",\"metadata\":{\"name\":\"r-lookup\"},\"spec\":{\"host\":"           \
-  "\"" RIG_HOST "\",\"prefix\":\"/lookup/\",\"routeKind\":\"safe\",\"timeout\":\"400ms\","         \
-  "\"targetLatency\":\"300ms\",\"priority\":2,\"service\":\"tally\",\"maxAttempts\":2}},"           \
-  "{\"resourceType\":\"services\",\"metadata\":{\"name\":\"tally\"},\"spec\":{\"healthPath\":"      \
-  "\"/healthz\",\"maxConnections\":240,\"protocol\":\"h1\",\"tls\":false}}"
-#define NODES 3
-#define CLIENTS 60
+/* One backend of each service in each zone, as the small services of the sheet have it. */
+#define SERVICES 3
+#define ZONES 3
+#define NODES (SERVICES * ZONES)
+#define CLIENTS (10 * NODES)
 #define SLOTS 16
 #define WORK_MS 90
-#define PIPELINED 6
+#define PIPELINED 10
 #define TIMEOUT_MS 400
 #define ANSWER_SLACK_MS 500
 /* A client abandons a request that was not read after one second or a third of the time left. The
@@ -31,11 +28,12 @@
 #define LEAVE_WITHIN_MS 150
 #define SPELL_MS 5000
 #define PAUSE_MS 1000
-#define RUN_MS 80000
+#define RUN_MS 75000
 /* Once a node has given no answer for this long, the run goes on for a while and ends. */
 #define SILENT_MS 6000
-#define AFTER_SILENCE_MS 15000
+#define AFTER_SILENCE_MS 25000
 
+static const char *const services[SERVICES] = { "tally", "ledgers", "brands" };
 static volatile bool is_spell, is_ended;
 static volatile long sent, answered, left, unanswered, late;
 static volatile long answered_ms[NODES];
@@ -47,7 +45,9 @@
   int node = (int)(number % NODES);
   unsigned random = (unsigned)number * 7919 + 1;
   rig_client_t client = { .fd = -1 };
+  char path[32];
 
+  snprintf (path, sizeof path, "/%s/1", services[node / ZONES]);
   for (long i = 0; !is_ended; i++)
     {
       bool leaves = is_spell && number / NODES % 10 < LEAVE_PERCENT / 10;
@@ -67,7 +67,7 @@
           char id[48];
 
           snprintf (id, sizeof id, "c%ld-%ld-%d", number, i, open);
-          if (!rig_client_send (&client, "GET", "/lookup/1", id, DEADLINE_MS, NULL, NULL, 0))
+          if (!rig_client_send (&client, "GET", path, id, DEADLINE_MS, NULL, NULL, 0))
             break;
           __sync_add_and_fetch (&sent, 1);
         }
@@ -118,23 +118,42 @@
   return NULL;
 }
 
+static void
+config_send (void)
+{
+  char text[4000] = "";
+
+  for (int i = 0; i < SERVICES; i++)
+    sprintf (text + strlen (text),
+             "{\"resourceType\":\"routes\",\"metadata\":{\"name\":\"r-%s\"},\"spec\":{\"host\":"
+             "\"" RIG_HOST "\",\"prefix\":\"/%s/\",\"routeKind\":\"safe\",\"timeout\":\"%dms\","
+             "\"targetLatency\":\"300ms\",\"priority\":2,\"service\":\"%s\",\"maxAttempts\":2}},",
+             services[i], services[i], TIMEOUT_MS, services[i]);
+  for (int i = 0; i < SERVICES; i++)
+    sprintf (text + strlen (text),
+             "%s{\"resourceType\":\"services\",\"metadata\":{\"name\":\"%s\"},\"spec\":{"
+             "\"healthPath\":\"/healthz\",\"maxConnections\":240,\"protocol\":\"h1\",\"tls\":false}}",
+             i > 0 ? "," : "", services[i]);
+  rig_config_put (7, text);
+}
+
 int
 main (int argc, char **argv)
 {
-  static const char *const zones[] = { "zone-a", "zone-b", "zone-c" };
+  static const char *const zones[ZONES] = { "zone-a", "zone-b", "zone-c" };
   int silent_node = -1;
   char reason[240];
 
   rig_begin (argc > 1 ? argv[1] : "review/6");
   rig_store_start ();
-  rig_config_put (7, ROUTES);
+  config_send ();
   for (int i = 0; i < NODES; i++)
     {
       char instance[32];
 
       snprintf (instance, sizeof instance, "i-%d", i);
-      rig_node_start (rig_node_add (zones[i], "tally"));
-      rig_backend_start (i, "tally", instance, SLOTS, WORK_MS, NULL);
+      rig_node_start (rig_node_add (zones[i % ZONES], services[i / ZONES]));
+      rig_backend_start (i, services[i / ZONES], instance, SLOTS, WORK_MS, NULL);
     }
   if (!rig_nodes_wait_ready (10000))
     return rig_end (RIG_NOT_RUN, "the nodes did not become ready");
@@ -162,6 +181,7 @@
       if (silent_node >= 0)
         break;
     }
+  is_spell = false;
   if (silent_node >= 0)
     rig_sleep_ms (AFTER_SILENCE_MS);
   is_ended = true;
