--- a/review/6/case.c
+++ b/review/6/case.c
@@ -77,7 +77,7 @@
           rig_sleep_ms ((long)((random >> 16) % LEAVE_WITHIN_MS));
           rig_client_close (&client);
           __sync_add_and_fetch (&left, count);
-          continue;
+          open = 0;
         }
       for (; open > 0; open--)
         {
