Acknowledge a departure only once the store has it

Cause: an acknowledgement promises that the target gets no new work, also after a kill of its node. When the store refused the record, the promise was given after 0.6 s all the same and only the memory of the process held it; the next process took a late heartbeat for a running target.

A drain or leave is in force at its gate at once, as before. It is acknowledged when the store has the record; after 0.8 s without it the answer is 503, and the write goes on.

--- a/libsiskingrade/control_departures.c
+++ b/libsiskingrade/control_departures.c
@@ -9,9 +9,9 @@
 /* First and longest delay before a failed call to the store is retried; the delay doubles with each
    failure. */
 #define RETRY_MIN_US (100 * SGR_USEC_PER_MSEC)
-#define RETRY_MAX_US (2 * SGR_USEC_PER_SEC)
-/* Longest time for which an answer waits for the store. */
-#define REPLY_DELAY_MAX_US (600 * SGR_USEC_PER_MSEC)
+#define RETRY_MAX_US (1 * SGR_USEC_PER_SEC)
+/* Longest time for which an answer waits for the store. A target waits a second for its answer. */
+#define REPLY_DELAY_MAX_US (800 * SGR_USEC_PER_MSEC)
 /* Two announcements of an instance that arrive at least this far apart show that it still runs,
    while the store does not tell the departures. Late ones mostly arrive together. */
 #define CONFIRM_INTERVAL_MIN_US (1 * SGR_USEC_PER_SEC)
@@ -22,14 +22,14 @@
  * @ref: pointer to this structure, in the memory pool of the request
  * @req: the request, NULL after its connection was closed
  * @send: sends the answer
- * @due_us: when the answer is sent in any case
+ * @due_us: when the request is refused if the departures are not stored yet
  */
 typedef struct waiting_reply_t
 {
   struct waiting_reply_t *next;
   struct waiting_reply_t **ref;
   h2o_req_t *req;
-  sgr_control_acknowledge_cb_t send;
+  sgr_control_reply_cb_t send;
   uint64_t due_us;
 } waiting_reply_t;
 
@@ -89,8 +89,8 @@
     waiting->req = NULL;
 }
 
-/* Sends the answers that are due: all if the departures are stored, else those that have waited
-   long enough. */
+/* Sends the answers that are due: acknowledgements if the departures are stored, else refusals to
+   the requests that have waited long enough. */
 static void
 replies_send (sgr_control_departures_t *departures, uint64_t now_us)
 {
@@ -114,8 +114,10 @@
         sgr_log_warn ("departure-not-stored", "key=%s", departures->key);
       if (waiting->req != NULL)
         {
+          sgr_control_reply_t reply = { .result = is_all_due ? SGR_OK : SGR_ERR_UNAVAILABLE };
+
           *waiting->ref = NULL;
-          waiting->send (departures->control, waiting->req);
+          waiting->send (departures->control, waiting->req, &reply);
         }
       free (waiting);
     }
@@ -335,13 +337,15 @@
 
 void
 sgr_control_departures_reply (sgr_control_departures_t *departures, h2o_req_t *req,
-                              sgr_control_acknowledge_cb_t send)
+                              sgr_control_reply_cb_t send)
 {
   waiting_reply_t *waiting;
 
   if (is_stored (departures))
     {
-      send (departures->control, req);
+      sgr_control_reply_t reply = { .result = SGR_OK };
+
+      send (departures->control, req, &reply);
       return;
     }
   waiting = calloc (1, sizeof *waiting);
--- a/libsiskingrade/control_departures.h
+++ b/libsiskingrade/control_departures.h
@@ -39,17 +39,17 @@
                                        sgr_announcement_t *kept);
 
 /**
- * sgr_control_departures_reply() - answer a request once all departures are in the store
+ * sgr_control_departures_reply() - acknowledge a departure once all departures are in the store
  * @departures: the object
  * @req: the request
  * @send: sends the answer
  *
- * If the store does not take the record in time, the answer is sent without it and the write is
- * repeated: a target waits a second for its acknowledgement, and one that gets none stops without
- * it.
+ * If the store does not take the record in time, the answer is SGR_ERR_UNAVAILABLE and the write is
+ * repeated. The departure is in force at this node all the same; an acknowledgement would promise
+ * that it outlasts the process.
  */
 void sgr_control_departures_reply (sgr_control_departures_t *departures, h2o_req_t *req,
-                                   sgr_control_acknowledge_cb_t send);
+                                   sgr_control_reply_cb_t send);
 
 /** sgr_control_departures_renew() - write the record again, after the store was restored */
 void sgr_control_departures_renew (sgr_control_departures_t *departures);
--- a/libsiskingrade/control_http.c
+++ b/libsiskingrade/control_http.c
@@ -10,6 +10,7 @@
 /* Longest request body: about twice the largest value that the store accepts, see
    SGR_STORE_VALUE_MAX. */
 #define BODY_MAX_BYTES (2U * 1024 * 1024)
+#define DEPARTURE_NOT_STORED "the departure is in force, but not stored yet"
 
 /* Addresses that the control task listens on; each serves its own set of paths. */
 typedef enum
@@ -69,10 +70,15 @@
 }
 
 static void
-target_put_reply (sgr_control_t *control, h2o_req_t *req)
+target_put_reply (sgr_control_t *control, h2o_req_t *req, const sgr_control_reply_t *reply)
 {
   sgr_buffer_t body = { 0 };
 
+  if (reply->result != SGR_OK)
+    {
+      error_send (req, 503, DEPARTURE_NOT_STORED);
+      return;
+    }
   sgr_buffer_printf (&body, "{\"node\":\"%s\",\"ttl_ms\":%lu}\n", control->settings->name,
                      control->settings->announce_ttl_ms);
   response_send (req, 200, "application/json", body.bytes, body.length);
@@ -106,9 +112,12 @@
 }
 
 static void
-target_delete_reply (sgr_control_t *control, h2o_req_t *req)
+target_delete_reply (sgr_control_t *control, h2o_req_t *req, const sgr_control_reply_t *reply)
 {
-  response_send (req, 200, "application/json", "{}\n", 3);
+  if (reply->result == SGR_OK)
+    response_send (req, 200, "application/json", "{}\n", 3);
+  else
+    error_send (req, 503, DEPARTURE_NOT_STORED);
 }
 
 static int
--- a/libsiskingrade/control_target.c
+++ b/libsiskingrade/control_target.c
@@ -125,8 +125,7 @@
 }
 
 void
-sgr_control_leave_acknowledge (sgr_control_t *control, h2o_req_t *req,
-                               sgr_control_acknowledge_cb_t send)
+sgr_control_leave_acknowledge (sgr_control_t *control, h2o_req_t *req, sgr_control_reply_cb_t send)
 {
   sgr_control_departures_reply (control->departures, req, send);
 }
@@ -134,10 +133,12 @@
 void
 sgr_control_announcement_acknowledge (sgr_control_t *control,
                                       const sgr_announcement_t *announcement, h2o_req_t *req,
-                                      sgr_control_acknowledge_cb_t send)
+                                      sgr_control_reply_cb_t send)
 {
+  sgr_control_reply_t reply = { .result = SGR_OK };
+
   if (announcement->local.state == SGR_TARGET_DRAINING)
     sgr_control_departures_reply (control->departures, req, send);
   else
-    send (control, req);
+    send (control, req, &reply);
 }
--- a/libsiskingrade/control_task.h
+++ b/libsiskingrade/control_task.h
@@ -86,8 +86,19 @@
  */
 void sgr_control_target_leave (sgr_control_t *control, const char *instance, uint64_t started_ms);
 
-/** typedef sgr_control_acknowledge_cb_t - sends the answer to a request of the local target */
-typedef void (*sgr_control_acknowledge_cb_t) (sgr_control_t *control, h2o_req_t *req);
+/**
+ * struct sgr_control_reply_t - answer to a request of the local target
+ * @result: SGR_OK if the request is acknowledged; SGR_ERR_UNAVAILABLE if it asked for a departure
+ *          that is in force but not in the store yet, so that the target should ask again
+ */
+typedef struct
+{
+  sgr_result_t result;
+} sgr_control_reply_t;
+
+/** typedef sgr_control_reply_cb_t - sends the answer to a request of the local target */
+typedef void (*sgr_control_reply_cb_t) (sgr_control_t *control, h2o_req_t *req,
+                                        const sgr_control_reply_t *reply);
 
 /**
  * sgr_control_leave_acknowledge() - acknowledge that an instance has left
@@ -95,11 +106,11 @@
  * @req: the request of the target
  * @send: sends the answer
  *
- * The answer is sent once the store has what it promises: that the instance gets no new work, also
- * after the node was killed. See sgr_control_departures_reply().
+ * The acknowledgement is sent once the store has what it promises: that the instance gets no new
+ * work, also after the node was killed. See sgr_control_departures_reply().
  */
 void sgr_control_leave_acknowledge (sgr_control_t *control, h2o_req_t *req,
-                                    sgr_control_acknowledge_cb_t send);
+                                    sgr_control_reply_cb_t send);
 
 /**
  * sgr_control_announcement_acknowledge() - acknowledge an announcement that was accepted
@@ -112,6 +123,6 @@
  */
 void sgr_control_announcement_acknowledge (sgr_control_t *control,
                                            const sgr_announcement_t *announcement, h2o_req_t *req,
-                                           sgr_control_acknowledge_cb_t send);
+                                           sgr_control_reply_cb_t send);
 
 #endif
