Answer readiness with 503 while the thread for calls hangs

Readiness is answered by the other thread, which did not know.

The data task counts a tick each second. The control task checks it every 100 ms, and is not ready after 40 checks without one; it counts checks and not time, so that a process that was frozen as a whole is ready at once.

--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -59,11 +59,13 @@
  * @snapshot_sent_us: when the last snapshot was sent
  * @started_us: when the task started
  * @stop_timer: fires when the leave announcement has had time to spread; ends the task
- * @log_timer: fires when buffered log lines are to be written
+ * @log_timer: fires when buffered log lines are to be written and the data task is checked
  * @is_stopping: a graceful shutdown has begun
  * @is_drained: the data task has no open calls any more, or its drain has timed out
  * @is_stopped: ends the event loop of the control task
  * @leave_us: when the leave was announced
+ * @data_ticks: counter of the data task at the last check
+ * @data_checks: checks since that counter rose
  */
 struct sgr_control_t
 {
@@ -103,6 +105,8 @@
   bool is_drained;
   bool is_stopped;
   uint64_t leave_us;
+  uint64_t data_ticks;
+  unsigned data_checks;
 };
 
 /**
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -34,8 +34,11 @@
    reaches the other nodes despite packet loss. */
 #define LEAVE_SPREAD_US (2 * SGR_USEC_PER_SEC)
 
-/* Interval at which buffered log lines are written. */
+/* Interval at which buffered log lines are written and the data task is checked. */
 #define LOG_FLUSH_US (100 * SGR_USEC_PER_MSEC)
+/* Checks in a row without a tick of the data task, which has one each second, until it counts as
+   hung. Checks are counted instead of time, so that a process that was frozen does not count. */
+#define DATA_CHECKS_MAX 40
 /* A node that has found no other node within this time after its start becomes ready nevertheless,
    and serves the calls that its own target can run. */
 #define READY_WITHOUT_PEERS_US (2 * SGR_USEC_PER_SEC)
@@ -225,6 +228,13 @@
     sgr_control_snapshot_schedule (control);
 }
 
+/* Whether the data task hangs, so that callers get no answers. */
+static bool
+is_data_task_hung (const sgr_control_t *control)
+{
+  return control->data_checks >= DATA_CHECKS_MAX;
+}
+
 bool
 sgr_control_is_ready (const sgr_control_t *control)
 {
@@ -232,15 +242,30 @@
   bool has_members = control->member_count > 1
                      || sgr_clock_monotonic_us () >= control->started_us + READY_WITHOUT_PEERS_US;
 
-  return has_config && has_members && !control->is_stopping
+  return has_config && has_members && !control->is_stopping && !is_data_task_hung (control)
          && sgr_control_evacuation_may_serve (control->evacuation);
 }
 
+static void
+data_task_check (sgr_control_t *control)
+{
+  uint64_t ticks = sgr_counter_get (sgr_data_task_ticks_counter (control->data));
+  bool was_hung = is_data_task_hung (control);
+
+  control->data_checks = ticks != control->data_ticks ? 0 : control->data_checks + 1;
+  control->data_ticks = ticks;
+  if (!was_hung && is_data_task_hung (control))
+    sgr_log_error ("data-task-hung", "checks=%u", control->data_checks);
+  else if (was_hung && !is_data_task_hung (control))
+    sgr_log_info ("data-task-runs", "ticks=%lu", (unsigned long)ticks);
+}
+
 static void
 on_log_timer (void *ctx, uint64_t now_us)
 {
   sgr_control_t *control = ctx;
 
+  data_task_check (control);
   sgr_log_flush ();
   sgr_timer_arm (control->timers, &control->log_timer, now_us + LOG_FLUSH_US);
 }
--- a/libsiskingrade/control_task.h
+++ b/libsiskingrade/control_task.h
@@ -64,7 +64,8 @@
  *
  * A node is ready once it has a configuration and either knows another node or has found none for a
  * few seconds after its start. If the settings ask for evacuations, it also has to know them, or to
- * have waited for them. It is no longer ready when it is stopping.
+ * have waited for them. It is no longer ready when it is stopping, or while the task that serves
+ * calls hangs.
  */
 bool sgr_control_is_ready (const sgr_control_t *control);
 
--- a/libsiskingrade/data_internal.h
+++ b/libsiskingrade/data_internal.h
@@ -38,6 +38,7 @@
  * struct sgr_data_task_t - state of the data task
  * @boot: boot id of this node
  * @events: callbacks to the control task
+ * @ticks: rises each second while the task handles its timers
  * @completed: requests that the local target answered completely
  * @snapshot: latest snapshot of the control task, NULL before the first one
  * @routes: routes of the configuration in @snapshot
@@ -77,6 +78,7 @@
   h2o_loop_t *loop;
   sgr_timer_heap_t *timers;
   sgr_metrics_t *metrics;
+  sgr_counter_t *ticks;
   sgr_counter_t *completed;
   sgr_mailbox_t *mailbox;
   sgr_rng_t rng;
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -107,6 +107,7 @@
   sgr_data_services_metrics_set (task->services, task->metrics);
   sgr_data_memory_metrics_set (task);
   sgr_data_quotas_metrics_set (task->quotas);
+  sgr_counter_add (task->ticks, 1);
   sgr_timer_arm (task->timers, &task->metrics_timer, now_us + METRICS_INTERVAL_US);
 }
 
@@ -357,6 +358,7 @@
   task->attempts = sgr_id_map_create ();
   task->account_counters = sgr_id_map_create ();
   task->call_log = sgr_call_log_create ();
+  task->ticks = sgr_metrics_counter (task->metrics, "siskingrade_data_task_ticks_total", "");
   task->completed = sgr_metrics_counter (task->metrics, "siskingrade_gate_completed_total", "");
   if (thread_start (task, errors))
     return task;
@@ -401,6 +403,12 @@
   return task->metrics;
 }
 
+const sgr_counter_t *
+sgr_data_task_ticks_counter (const sgr_data_task_t *task)
+{
+  return task->ticks;
+}
+
 const sgr_counter_t *
 sgr_data_task_completed_counter (const sgr_data_task_t *task)
 {
--- a/libsiskingrade/data_task.h
+++ b/libsiskingrade/data_task.h
@@ -97,6 +97,10 @@
  * task */
 const sgr_counter_t *sgr_data_task_completed_counter (const sgr_data_task_t *task);
 
+/** sgr_data_task_ticks_counter() - counter that rises each second unless the task hangs; for any
+ * task */
+const sgr_counter_t *sgr_data_task_ticks_counter (const sgr_data_task_t *task);
+
 /** sgr_data_task_metrics() - metrics of the task, which any task may print */
 const sgr_metrics_t *sgr_data_task_metrics (const sgr_data_task_t *task);
 
