Close the connection of a request that is cancelled at its answer's head

Found while looking for the report of an earlier refusal that a target wrote once more. The gate compares the request id of an answer, and closes the connection on a mismatch, because the connection is one answer behind. For an answer that ends with its head (204, 304, or to HEAD) it did not: h2o keeps the connection when the callback has returned. The request after it then gets the answer to the one before, which is a mismatch again, and so on: by reading, callers get status 502 for requests that their target answered, for as long as the connection is busy.

The client takes the socket from h2o in this case and closes it. The answers to queries of the load take the same path.

--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -207,6 +207,13 @@
   return is_chunked != (*length >= 0);
 }
 
+/* Closes the connection of a request whose answer ends with its head. h2o would keep it. */
+static void
+connection_close (h2o_http1client_t *http)
+{
+  h2o_socket_close (h2o_http1client_steal_socket (http));
+}
+
 static h2o_http1client_body_cb
 on_head (h2o_http1client_t *http, const char *errstr, int minor_version, int status,
          h2o_iovec_t msg, h2o_header_t *headers, size_t header_count, int rlen)
@@ -240,6 +247,8 @@
   request->is_in_callback = false;
   if (is_end)
     {
+      if (request->is_cancelled)
+        connection_close (http);
       request_finish (request, NULL);
       return NULL;
     }
