Refuse an answer with two different lengths

A head with "Content-Length: 12" and "Content-Length: 0" was taken for a whole empty answer with status 200. The check of the lengths took the last one, and it was off where h2o reports the end of the answer with its head.

Such an answer is refused as unknown and its connection is closed, and so is one without any length whose end is reported with the head.

test_ambiguous_length fails on the parent commit (answer 0 is passed on with status 200) and passes with the change.

--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -181,12 +181,14 @@
 
 /* Determines the length of the body, -1 for the chunked transfer coding. Returns false if the
    answer has neither a length nor this coding: such a body ends when the connection closes, and a
-   truncated one would look complete. */
+   truncated one would look complete. An answer with both, or with two lengths, is rejected, too:
+   recipients may disagree on where its body ends. */
 static bool
 body_length_find (sgr_target_request_t *request, int status, const sgr_http_field_t *fields,
                   size_t count, int64_t *length)
 {
   bool is_chunked = false;
+  bool is_ambiguous = false;
 
   *length = -1;
   if (request->is_head || status == 204 || status == 304)
@@ -197,14 +199,18 @@
   for (size_t i = 0; i < count; i++)
     {
       if (h2o_lcstris (fields[i].name, fields[i].name_length, H2O_STRLIT ("content-length")))
-        *length = (int64_t)h2o_strtosize (fields[i].value, fields[i].value_length);
+        {
+          int64_t value = (int64_t)h2o_strtosize (fields[i].value, fields[i].value_length);
+
+          is_ambiguous = is_ambiguous || (*length >= 0 && *length != value);
+          *length = value;
+        }
       else if (h2o_lcstris (fields[i].name, fields[i].name_length,
                             H2O_STRLIT ("transfer-encoding")))
         is_chunked = true;
     }
   request->is_chunked = is_chunked;
-  /* An answer with both fields is rejected: recipients may disagree on where its body ends. */
-  return is_chunked != (*length >= 0);
+  return !is_ambiguous && is_chunked != (*length >= 0);
 }
 
 /* Closes the connection of a request whose answer ends with its head. h2o would keep it. */
@@ -237,9 +243,11 @@
       return NULL;
     }
   count = fields_convert (headers, header_count, fields);
-  if (!body_length_find (request, status, fields, count, &length) && !is_end)
+  if (!body_length_find (request, status, fields, count, &length))
     {
-      request_finish (request, "neither or both of Content-Length and Transfer-Encoding");
+      if (is_end)
+        connection_close (http);
+      request_finish (request, "not one of Content-Length and Transfer-Encoding");
       return NULL;
     }
   request->is_in_callback = true;
--- a/tests/test_target_answers.c
+++ b/tests/test_target_answers.c
@@ -257,6 +257,35 @@
     }
 }
 
+/* Guards against an answer whose length is ambiguous and that is passed on with the shorter one. */
+static void
+test_ambiguous_length (void **state)
+{
+  static const char *const heads[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Length: 12\r\n\r\nabcdefghijkl",
+    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Length: 3\r\n\r\nabc",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n",
+  };
+
+  target.closes = true;
+  target.resets = false;
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    {
+      sgr_target_client_t *client = sgr_target_client_create (loop, &target_address, 4);
+      result_t result = { 0 };
+
+      target.answer = heads[i];
+      target.length = strlen (heads[i]);
+      request_run (client, false, &result);
+      if (result.has_head)
+        fail_msg ("answer %zu is passed on with status %d", i, result.status);
+      client_destroy (client);
+    }
+}
+
 /* Guards against a connection that is used again although the answer on it belongs to another
    request, so that each further request on it gets the answer to the one before: the caller cancels
    the request, whose answer has no body. */
@@ -295,7 +324,8 @@
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_cut_answers), cmocka_unit_test (test_cancelled_at_head) };
+      = { cmocka_unit_test (test_cut_answers), cmocka_unit_test (test_ambiguous_length),
+          cmocka_unit_test (test_cancelled_at_head) };
 
   return cmocka_run_group_tests (tests, group_setup, NULL);
 }
