Do not use a connection again after a refusal without the request's id

Reported by operators of similar systems: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that the target was running. On the platform the request id of the answer shows it. In own deployments targets need not repeat ids, a request may have none, and the requests of one key all go to one gate with the same id; there the copy was taken for the answer to the next request.

The gate now closes the connection after a refusal that does not repeat the id of its request, and after each refusal of a request with a key. Targets that repeat ids keep their connections as before. Between nodes each attempt has an id of its own, and an interim answer is skipped by the client; the query of the load promises nothing to a caller.

--- a/libsiskingrade/gate_run.c
+++ b/libsiskingrade/gate_run.c
@@ -120,6 +120,22 @@
   return NULL;
 }
 
+/* Handles the head of an answer by which the target declares that it did not run the request. A
+   copy of it may follow on the connection, and would be taken for the answer to the next request,
+   which is running then. The id of the request tells them apart, unless the next one has the same:
+   it may with a key, whose requests all come to this gate. */
+static void
+refusal_receive (sgr_gate_run_t *run, const sgr_http_field_t *fields, size_t count)
+{
+  run->is_declared_not_run = true;
+  if (!run->keyed
+      && sgr_request_ids_are_repeated (&run->request_ids, run->gate->task->fields, fields, count))
+    return;
+  /* Closes the connection. */
+  sgr_target_request_cancel (run->request);
+  run_end_without_answer (run, SGR_OUTCOME_NOT_RUN, SGR_CALL_REASON_TARGET_NOT_RUN);
+}
+
 static void
 on_answer_head (void *ctx, int status, const sgr_http_field_t *fields, size_t count,
                 int64_t body_length)
@@ -138,7 +154,7 @@
   if (sgr_data_gate_is_not_run_status (run->gate, status)
       || field_find (fields, count, run->gate->task->fields->not_run) != NULL)
     {
-      run->is_declared_not_run = true;
+      refusal_receive (run, fields, count);
       return;
     }
   run->status = status;
--- a/libsiskingrade/request_ids.c
+++ b/libsiskingrade/request_ids.c
@@ -86,6 +86,22 @@
   return !is_id_expected;
 }
 
+bool
+sgr_request_ids_are_repeated (const sgr_request_ids_t *ids, const sgr_call_fields_t *names,
+                              const sgr_http_field_t *fields, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t length = fields[i].value_length;
+      const char *value = value_trim (fields[i].value, &length);
+
+      if (length > 0 && field_has_name (&fields[i], names->request_id)
+          && ids_contain (ids, value, length))
+        return true;
+    }
+  return false;
+}
+
 void
 sgr_request_ids_release (sgr_request_ids_t *ids)
 {
--- a/libsiskingrade/request_ids.h
+++ b/libsiskingrade/request_ids.h
@@ -46,6 +46,16 @@
 bool sgr_request_ids_match (const sgr_request_ids_t *ids, const sgr_call_fields_t *names,
                             const sgr_http_field_t *fields, size_t count);
 
+/**
+ * sgr_request_ids_are_repeated() - whether the head of an answer has an id of the request
+ * @ids: ids of the request
+ * @names: names of the header fields
+ * @fields: header fields of the answer
+ * @count: elements of @fields
+ */
+bool sgr_request_ids_are_repeated (const sgr_request_ids_t *ids, const sgr_call_fields_t *names,
+                                   const sgr_http_field_t *fields, size_t count);
+
 /** sgr_request_ids_release() - free the ids */
 void sgr_request_ids_release (sgr_request_ids_t *ids);
 
