Share the scripted target of three tests

test_path_leave, test_path_refusal and test_target_answers had their own listener, threads and announcement. tests/scripted_target.c has them now; the checks are the same, and the three pass.

--- a/tests/test_path_leave.c
+++ b/tests/test_path_leave.c
@@ -1,5 +1,3 @@
-#include <arpa/inet.h>
-#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdatomic.h>
@@ -13,6 +11,7 @@
 #include <cmocka.h>
 
 #include "node_fixture.h"
+#include "scripted_target.h"
 #include "types.h"
 
 /* A caller that leaves while some of its requests run and others wait for a slot. Freed memory of
@@ -28,16 +27,14 @@
 
 static sgr_fixture_t fixture;
 static sgr_fixture_node_t *node;
-static int listener;
 /* Requests that the target is working on. */
 static atomic_int running;
 
 /* Serves one connection: each request takes a while. */
-static void *
-connection_run (void *argument)
+static void
+connection_serve (int fd)
 {
   static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-  int fd = (int)(intptr_t)argument;
   char head[8192];
   size_t length = 0;
 
@@ -60,40 +57,12 @@
       if (send (fd, answer, sizeof answer - 1, MSG_NOSIGNAL) < 0)
         break;
     }
-  close (fd);
-  return NULL;
-}
-
-static void *
-target_run (void *argument)
-{
-  for (;;)
-    {
-      int fd = accept4 (listener, NULL, NULL, SOCK_CLOEXEC);
-      pthread_t thread;
-
-      if (fd < 0)
-        return NULL;
-      if (pthread_create (&thread, NULL, connection_run, (void *)(intptr_t)fd) != 0)
-        abort ();
-      pthread_detach (thread);
-    }
 }
 
 static void
 announce (int slots)
 {
-  char body[128];
-  sgr_probe_request_t request
-      = { .port = node->control, .method = "PUT", .path = "/v1/target", .body = body };
-  sgr_probe_answer_t answer;
-
-  request.body_length = (size_t)snprintf (
-      body, sizeof body, "{\"service\":\"one\",\"address\":\"127.0.0.1:%u\",\"slots\":%d}",
-      node->target, slots);
-  sgr_probe_call (&request, &answer);
-  assert_int_equal (answer.status, 200);
-  sgr_probe_release (&answer);
+  assert_true (sgr_scripted_target_announce (node, slots));
   while (sgr_fixture_metric (node, "siskingrade_gate_slots") != (uint64_t)slots)
     sgr_fixture_poll_sleep ();
 }
@@ -101,22 +70,13 @@
 static int
 group_setup (void **state)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  pthread_t thread;
-  int on = 1;
-
   /* For the allocator of the C library; the fixture has the options of AddressSanitizer. */
   setenv ("GLIBC_TUNABLES", "glibc.malloc.tcache_count=0:glibc.malloc.perturb=165", 1);
   sgr_fixture_init (&fixture);
   fixture.limits = "  announce_ttl_ms: 60000\n";
   fixture.has_external_targets = true;
   node = sgr_fixture_node_add (&fixture, "node", "one", false);
-  address.sin_port = htons (node->target);
-  listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind (listener, (struct sockaddr *)&address, sizeof address) != 0
-      || listen (listener, 64) != 0 || pthread_create (&thread, NULL, target_run, NULL) != 0
+  if (!sgr_scripted_target_start (&node->target, connection_serve)
       || !sgr_fixture_processes_start (&fixture))
     return -1;
   announce (SLOTS_MANY);
--- a/tests/test_path_refusal.c
+++ b/tests/test_path_refusal.c
@@ -1,5 +1,3 @@
-#include <arpa/inet.h>
-#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdatomic.h>
@@ -13,6 +11,7 @@
 #include <cmocka.h>
 
 #include "node_fixture.h"
+#include "scripted_target.h"
 #include "types.h"
 
 /* A target that refuses a request, and writes the refusal once more on the same connection when the
@@ -22,7 +21,6 @@
 
 static sgr_fixture_t fixture;
 static sgr_fixture_node_t *node;
-static int listener;
 /* Fields of the refusal. */
 static char refusal_fields[128];
 /* Requests that the target has refused, and those that it has run. */
@@ -44,10 +42,9 @@
   text_send (fd, text);
 }
 
-static void *
-connection_run (void *argument)
+static void
+connection_serve (int fd)
 {
-  int fd = (int)(intptr_t)argument;
   bool has_refused = false;
   char head[8192];
 
@@ -65,59 +62,23 @@
         refusal_send (fd);
       text_send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     }
-  close (fd);
-  return NULL;
-}
-
-static void *
-target_run (void *argument)
-{
-  for (;;)
-    {
-      int fd = accept4 (listener, NULL, NULL, SOCK_CLOEXEC);
-      pthread_t thread;
-
-      if (fd < 0)
-        return NULL;
-      if (pthread_create (&thread, NULL, connection_run, (void *)(intptr_t)fd) != 0)
-        abort ();
-      pthread_detach (thread);
-    }
 }
 
 static int
 group_setup (void **state)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  char body[128];
-  sgr_probe_request_t announce = { .method = "PUT", .path = "/v1/target", .body = body };
-  sgr_probe_answer_t answer;
-  pthread_t thread;
-  int on = 1;
-
   sgr_fixture_init (&fixture);
   fixture.limits = "  announce_ttl_ms: 60000\n";
   fixture.has_external_targets = true;
   /* The policy of this service takes status 503 for a refusal. */
   node = sgr_fixture_node_add (&fixture, "node", "pair", false);
-  address.sin_port = htons (node->target);
-  listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind (listener, (struct sockaddr *)&address, sizeof address) != 0
-      || listen (listener, 64) != 0 || pthread_create (&thread, NULL, target_run, NULL) != 0
-      || !sgr_fixture_processes_start (&fixture))
-    return -1;
   /* Not the first request of a test. */
   atomic_store (&refused, 1);
-  announce.port = node->control;
-  announce.body_length = (size_t)snprintf (
-      body, sizeof body, "{\"service\":\"pair\",\"address\":\"127.0.0.1:%u\",\"slots\":4}",
-      node->target);
-  sgr_probe_call (&announce, &answer);
-  assert_int_equal (answer.status, 200);
-  sgr_probe_release (&answer);
-  return sgr_fixture_services_await (&fixture) ? 0 : -1;
+  return sgr_scripted_target_start (&node->target, connection_serve)
+                 && sgr_fixture_processes_start (&fixture) && sgr_scripted_target_announce (node, 4)
+                 && sgr_fixture_services_await (&fixture)
+             ? 0
+             : -1;
 }
 
 static int
--- a/tests/test_target_answers.c
+++ b/tests/test_target_answers.c
@@ -1,7 +1,6 @@
-#include <arpa/inet.h>
-#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
@@ -10,6 +9,7 @@
 
 #include <cmocka.h>
 
+#include "scripted_target.h"
 #include "target_client.h"
 #include "timer_heap.h"
 
@@ -21,7 +21,6 @@
 
 /**
  * struct target_t - a target that serves one connection after the other
- * @listener: its socket
  * @answer: bytes that it answers a request with
  * @length: bytes of @answer
  * @closes: it closes the connection after the bytes; else it waits for the next request
@@ -30,17 +29,15 @@
  */
 typedef struct
 {
-  int listener;
   const char *answer;
   size_t length;
   bool closes;
   bool resets;
-  unsigned connections;
+  atomic_uint connections;
 } target_t;
 
 /**
  * struct result_t - what became of a request
- * @client: the client
  * @request: the request
  * @cancels: the request is cancelled when its head arrives
  * @has_head: a head arrived
@@ -69,6 +66,7 @@
 {
   char text[TEXT_BYTES_MAX];
 
+  target.connections++;
   /* A request fits into one segment. */
   while (recv (fd, text, sizeof text, 0) > 0)
     {
@@ -82,50 +80,13 @@
 
       setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
     }
-  close (fd);
-}
-
-static void *
-connection_run (void *argument)
-{
-  connection_serve ((int)(intptr_t)argument);
-  return NULL;
-}
-
-static void *
-target_run (void *argument)
-{
-  for (;;)
-    {
-      int fd = accept4 (target.listener, NULL, NULL, SOCK_CLOEXEC);
-      pthread_t thread;
-
-      if (fd < 0)
-        return NULL;
-      target.connections++;
-      if (pthread_create (&thread, NULL, connection_run, (void *)(intptr_t)fd) != 0)
-        return NULL;
-      pthread_detach (thread);
-    }
 }
 
 static int
 group_setup (void **state)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t size = sizeof address;
-  pthread_t thread;
-
   loop = h2o_evloop_create ();
-  target.listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (bind (target.listener, (struct sockaddr *)&address, sizeof address) != 0
-      || listen (target.listener, 64) != 0
-      || getsockname (target.listener, (struct sockaddr *)&address, &size) != 0
-      || pthread_create (&thread, NULL, target_run, NULL) != 0)
-    return -1;
-  target_address.port = ntohs (address.sin_port);
-  return 0;
+  return sgr_scripted_target_start (&target_address.port, connection_serve) ? 0 : -1;
 }
 
 static bool
