--- a/libsiskingrade/control_departures.c
+++ b/libsiskingrade/control_departures.c
@@ -337,8 +337,8 @@
 }
 
 bool
-sgr_control_departures_are_needed (const sgr_control_departures_t *departures,
-                                   const sgr_announcement_t *announcement)
+sgr_control_departures_is_record_needed (const sgr_control_departures_t *departures,
+                                         const sgr_announcement_t *announcement)
 {
   const sgr_announce_state_t *registered = &departures->control->announce;
 
@@ -357,7 +357,7 @@
 {
   const sgr_announcement_t *kept = &departures->kept;
 
-  if (!sgr_control_departures_are_needed (departures, announcement))
+  if (!sgr_control_departures_is_record_needed (departures, announcement))
     return true;
   if (sgr_control_confirm_is_given (departures->control->confirm, announcement))
     {
--- a/libsiskingrade/control_departures.h
+++ b/libsiskingrade/control_departures.h
@@ -15,15 +15,15 @@
                                                          sgr_store_t *store);
 
 /**
- * sgr_control_departures_are_needed() - whether an announcement has to wait for the record
+ * sgr_control_departures_is_record_needed() - whether an announcement has to wait for the record
  * @departures: the object
  * @announcement: the announcement
  *
  * An instance that started before the node may have departed, unless it has shown to this process
  * that it runs. A younger instance does not need the record.
  */
-bool sgr_control_departures_are_needed (const sgr_control_departures_t *departures,
-                                        const sgr_announcement_t *announcement);
+bool sgr_control_departures_is_record_needed (const sgr_control_departures_t *departures,
+                                              const sgr_announcement_t *announcement);
 
 /**
  * sgr_control_departures_may_register() - whether an announcement may register a target
--- a/libsiskingrade/control_target.c
+++ b/libsiskingrade/control_target.c
@@ -140,7 +140,7 @@
 
   if (announcement->local.state == SGR_TARGET_DRAINING)
     sgr_control_departures_reply (control->departures, req, send);
-  else if (sgr_control_departures_are_needed (control->departures, announcement))
+  else if (sgr_control_departures_is_record_needed (control->departures, announcement))
     sgr_control_departures_kept_reply (control->departures, announcement, req, send);
   else
     {
