Let the departure soak stop nodes, kill all of them and lose answers

The soak had kills of one node and refusals of the store. It now also stops the node by SIGTERM, kills all nodes, with the store up or down, and has a silent store and lost answers to writes.

Three failures were traced, all to the tests. Seeds 10 and 29: the signal arrived before the node had its handler (status 143); the soak waits until the node answers. Seed 45: a port was in use when the node started again, by another program: the four that ran searched their ports only 61 apart (by reading; the owner of the port was not seen), and each fixture of this soak takes 31. They now begin 1009 apart.

--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -54,9 +54,10 @@
 {
   static uint32_t next;
 
-  /* Test programs that run at the same time start their search at different ports. */
+  /* Test programs that run at the same time start their search far apart: a port of one is free for
+     a moment while its node restarts. */
   if (next == 0)
-    next = (uint32_t)getpid () * 61 + 1;
+    next = (uint32_t)getpid () * 1009 + 1;
   for (;;)
     {
       uint16_t port = (uint16_t)(PORT_FIRST + next++ % PORT_COUNT);
--- a/tests/test_soak_departure.c
+++ b/tests/test_soak_departure.c
@@ -1,4 +1,5 @@
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -13,8 +14,10 @@
 
 /*
  * Random series, generated from a seed, of announcements, drains, leaves and late announcements of
- * a target, kills of its node and outages of the store. A target that drains or has left must get
- * no work, also after a kill of its node if that was acknowledged, and one that runs must get some.
+ * a target, kills and stops of its node, kills of all nodes, and troubles of the store: it refuses
+ * all calls, is silent, or takes a write and loses the answer. A target that drains or has left
+ * must get no work, also after a kill of its node if that was acknowledged, and one that runs must
+ * get some.
  *
  * To run other seeds: SGR_SOAK_SEEDS=FIRST:COUNT build/tests/test_soak_departure
  */
@@ -34,6 +37,10 @@
 #define UNSENT_MAX 8
 /* Ports at which a target confirms that it runs. */
 #define CONFIRM_PORTS 12
+/* Delay of the answers of a silent store, longer than any call waits. */
+#define STORE_SILENT "slow_ms=6000"
+/* Longest time that a node takes to stop. */
+#define STOP_MAX_MS 15000
 
 typedef enum
 {
@@ -59,7 +66,8 @@
  * @port: port of the gate at which the next announcement arrives
  * @follows_address: the target announces itself at the address that the last answer named
  * @has_departed: the node knows of the drain or leave of that instance
- * @is_store_down: the store is in an outage
+ * @is_store_down: the store refuses all calls or is silent
+ * @loses_answer: the store loses the answer to the next write
  * @is_unacknowledged: the node refused to acknowledge the departure, so that nothing holds it if
  *                     the node is killed
  */
@@ -77,6 +85,7 @@
   bool follows_address;
   bool has_departed;
   bool is_store_down;
+  bool loses_answer;
   bool is_unacknowledged;
 } soak_t;
 
@@ -100,7 +109,7 @@
 }
 
 /* Sends a request of the target to a port until it is answered. Returns whether it was
-   acknowledged; it may only be refused if it asks for a departure during an outage of the store. */
+   acknowledged; it may only be refused if it asks for a departure during a trouble of the store. */
 static bool
 target_call (soak_t *soak, uint16_t port, const char *method, const char *body, bool is_departure)
 {
@@ -123,7 +132,8 @@
       if (status == 0 && sgr_clock_monotonic_us () > end_us)
         fail_msg ("seed %lu, step %d: no answer", soak->seed, soak->step);
     }
-  if (status != 200 && !(status == 503 && is_departure && soak->is_store_down))
+  if (status != 200
+      && !(status == 503 && is_departure && (soak->is_store_down || soak->loses_answer)))
     fail_msg ("seed %lu, step %d: %s, status %d", soak->seed, soak->step, method, status);
   return status == 200;
 }
@@ -193,11 +203,14 @@
 }
 
 static void
-depart (soak_t *soak, step_t step)
+depart (soak_t *soak, step_t step, sgr_rng_t *rng)
 {
   if (soak->has_departed)
     return;
   run_check (soak);
+  soak->loses_answer = sgr_rng_below (rng, 4) == 0;
+  if (soak->loses_answer)
+    sgr_fixture_store_faults_set (&soak->fixture, "lose_reply=1");
   /* Announcements that are on their way when the target departs. */
   soak->late_sequence = soak->sequence;
   soak->sequence += UNSENT_MAX;
@@ -206,6 +219,8 @@
   else
     soak->is_unacknowledged = !target_call (soak, soak->gate->control, "DELETE", "", true);
   soak->has_departed = true;
+  soak->loses_answer = false;
+  sgr_fixture_store_faults_set (&soak->fixture, "lose_reply=0");
 }
 
 /* Waits until the record of departures has the last instance. */
@@ -232,35 +247,17 @@
 }
 
 static void
-store_toggle (soak_t *soak)
+store_toggle (soak_t *soak, bool is_silent)
 {
   soak->is_store_down = !soak->is_store_down;
-  sgr_fixture_store_faults_set (&soak->fixture, soak->is_store_down ? "outage=1" : "outage=0");
+  if (!soak->is_store_down)
+    sgr_fixture_store_faults_set (&soak->fixture, "outage=0&slow_ms=0");
+  else
+    sgr_fixture_store_faults_set (&soak->fixture, is_silent ? STORE_SILENT : "outage=1");
   if (!soak->is_store_down)
     record_await (soak);
 }
 
-/* Restarts the node of the target, and waits until the entry knows of it. */
-static void
-gate_restart (soak_t *soak)
-{
-  uint64_t end_us;
-
-  /* A departure that was not acknowledged may be lost with the process, as documented. */
-  if (soak->is_unacknowledged)
-    instance_start (soak);
-  sgr_fixture_process_kill (&soak->gate->pid);
-  sgr_fixture_node_start (&soak->fixture, soak->gate);
-  end_us = sgr_clock_monotonic_us () + WAIT_MAX_US;
-  while (targets_serving (soak) != 0)
-    {
-      if (sgr_clock_monotonic_us () > end_us)
-        fail_msg ("seed %lu, step %d: the entry does not notice the restart", soak->seed,
-                  soak->step);
-      sgr_fixture_poll_sleep ();
-    }
-}
-
 /* Lets announcements arrive that the target sent before it departed: mostly in their order, each as
    late as it likes. */
 static void
@@ -284,6 +281,71 @@
     }
 }
 
+/* Waits until the node of the target answers, so that a signal to stop finds its handler. */
+static void
+gate_await (const soak_t *soak)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + WAIT_MAX_US;
+  sgr_probe_request_t request = { .port = soak->gate->control, .path = "/v1/ready" };
+  int status = 0;
+
+  while (status == 0)
+    {
+      sgr_probe_answer_t answer;
+
+      if (sgr_clock_monotonic_us () > end_us)
+        fail_msg ("seed %lu, step %d: the node does not start", soak->seed, soak->step);
+      sgr_probe_call (&request, &answer);
+      status = answer.status;
+      sgr_probe_release (&answer);
+    }
+}
+
+/* Ends the node of the target by a kill or a signal to stop, or all nodes at once, starts them
+   again, and waits until the entry knows of it. */
+static void
+gate_restart (soak_t *soak, sgr_rng_t *rng)
+{
+  bool is_stop = sgr_rng_below (rng, 4) == 0;
+  bool is_common = !is_stop && sgr_rng_below (rng, 3) == 0;
+  uint64_t end_us;
+
+  /* A departure that was not acknowledged may be lost with the process, as documented. */
+  if (soak->is_unacknowledged)
+    instance_start (soak);
+  if (is_stop)
+    {
+      int status;
+
+      kill (soak->gate->pid, SIGTERM);
+      status = sgr_fixture_process_wait (&soak->gate->pid, STOP_MAX_MS);
+      if (status != 0)
+        fail_msg ("seed %lu, step %d: the node stops with status %d", soak->seed, soak->step,
+                  status);
+    }
+  if (is_common)
+    sgr_fixture_process_kill (&soak->entry->pid);
+  sgr_fixture_process_kill (&soak->gate->pid);
+  if (is_common)
+    sgr_fixture_node_start (&soak->fixture, soak->entry);
+  sgr_fixture_node_start (&soak->fixture, soak->gate);
+  gate_await (soak);
+  end_us = sgr_clock_monotonic_us () + WAIT_MAX_US;
+  while (targets_serving (soak) != 0)
+    {
+      if (sgr_clock_monotonic_us () > end_us)
+        fail_msg ("seed %lu, step %d: the entry does not notice the restart", soak->seed,
+                  soak->step);
+      sgr_fixture_poll_sleep ();
+    }
+  /* Without any node that has the configuration, no target gets work before the store is back. */
+  if (is_common && soak->is_store_down)
+    {
+      late_arrive (soak, rng);
+      store_toggle (soak, false);
+    }
+}
+
 static void
 step_run (soak_t *soak, step_t step, sgr_rng_t *rng)
 {
@@ -294,18 +356,18 @@
       break;
     case STEP_DRAIN:
     case STEP_LEAVE:
-      depart (soak, step);
+      depart (soak, step, rng);
       break;
     case STEP_LATE:
       late_arrive (soak, rng);
       break;
     case STEP_KILL:
-      gate_restart (soak);
+      gate_restart (soak, rng);
       /* Without the record, only a target that follows the address of an answer can come back. */
       soak->follows_address = soak->is_store_down || sgr_rng_below (rng, 2) == 0;
       break;
     case STEP_STORE:
-      store_toggle (soak);
+      store_toggle (soak, sgr_rng_below (rng, 2) == 0);
       soak->follows_address = soak->follows_address || soak->is_store_down;
       break;
     case STEP_COUNT:
@@ -340,7 +402,7 @@
         run_check (&soak);
     }
   if (soak.is_store_down)
-    store_toggle (&soak);
+    store_toggle (&soak, false);
   instance_start (&soak);
   run_check (&soak);
   sgr_fixture_stop (&soak.fixture);
