Take a chunked reply that breaks off between two chunks for broken

Found while looking for other members of the class of the answers that reach callers short but framed as whole: h2o reports a connection that closes between two chunks as the end of the body. The client of the target knows this; http_fetch, which reads from the store and from other nodes, did not. Its users parse JSON, which is incomplete then; no effect was seen.

test_cut_replies cuts three replies at each byte.

--- a/libsiskingrade/http_fetch.c
+++ b/libsiskingrade/http_fetch.c
@@ -52,6 +52,7 @@
   sgr_buffer_t request;
   h2o_iovec_t request_vec;
   sgr_buffer_t body;
+  bool is_chunked;
   unsigned empty_reads; /* reads of the body in a row that brought no byte of it */
   const char *want[SGR_HTTP_FETCH_HEADERS_MAX];
   sgr_http_fetch_reply_t reply;
@@ -138,6 +139,13 @@
       fetch_end (fetch, "the reply broke off");
       return -1;
     }
+  /* As in the target client: h2o reports a connection that closes between two chunks as the end of
+     the body, and only then bytes_read is 0. */
+  if (error != NULL && fetch->is_chunked && client->sock->bytes_read == 0)
+    {
+      fetch_end (fetch, "the reply broke off between two chunks");
+      return -1;
+    }
   if (fetch->body.length + client->sock->input->size > fetch->fetcher->body_max_bytes)
     {
       fetch_end (fetch, "the reply is too large");
@@ -190,7 +198,10 @@
     }
   fetch->reply.status = status;
   for (size_t i = 0; i < header_count; i++)
-    wanted_header_copy (fetch, &headers[i]);
+    {
+      wanted_header_copy (fetch, &headers[i]);
+      fetch->is_chunked = fetch->is_chunked || headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf;
+    }
   if (error == h2o_http1client_error_is_eos)
     {
       fetch_end (fetch, NULL);
--- a/tests/test_http_fetch.c
+++ b/tests/test_http_fetch.c
@@ -13,6 +13,7 @@
 #include <cmocka.h>
 
 #include "http_fetch.h"
+#include "scripted_target.h"
 #include "types.h"
 
 /* The HTTP client for the store, for other nodes and for probes of the target, against a server
@@ -165,10 +166,60 @@
     case_run (&cases[i]);
 }
 
+/* Reply of the server of test_cut_replies(), and how much of it is sent. */
+static const char *cut_reply;
+static size_t cut_length;
+
+static void
+cut_reply_send (int fd)
+{
+  char request[4096];
+
+  if (recv (fd, request, sizeof request, 0) > 0)
+    send (fd, cut_reply, cut_length, MSG_NOSIGNAL);
+}
+
+/* Guards against a reply of the store or of another node that breaks off anywhere and is taken for
+   whole. */
+static void
+test_cut_replies (void **state)
+{
+  static const char *const replies[] = {
+    "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 3\r\n\r\nabc",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+    "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n",
+  };
+  sgr_http_fetch_request_t request = { .method = "GET", .path = "/" };
+  h2o_loop_t *loop = h2o_evloop_create ();
+  sgr_http_fetcher_t *fetcher = sgr_http_fetcher_create (loop, TIMEOUT_MS, BODY_MAX_BYTES);
+
+  request.address.ip = INADDR_LOOPBACK;
+  assert_true (sgr_scripted_target_start (&request.address.port, cut_reply_send));
+  for (size_t i = 0; i < sizeof replies / sizeof replies[0]; i++)
+    {
+      cut_reply = replies[i];
+      for (cut_length = 0; cut_length <= strlen (cut_reply); cut_length++)
+        {
+          reported_t reported = { 0 };
+
+          sgr_http_fetch_start (fetcher, &request, on_fetched, &reported);
+          while (!reported.is_done)
+            h2o_evloop_run (loop, 10);
+          if ((reported.error == NULL) != (cut_length == strlen (cut_reply)))
+            fail_msg ("reply %zu, %zu of %zu bytes: %s", i, cut_length, strlen (cut_reply),
+                      reported.error != NULL ? reported.error : "whole");
+        }
+    }
+  sgr_http_fetcher_destroy (fetcher);
+  h2o_evloop_run (loop, 0);
+  h2o_evloop_destroy (loop);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_bytes_that_are_no_answer) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_bytes_that_are_no_answer), cmocka_unit_test (test_cut_replies) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
