Test the retry for a departure without the soak

The random series of test_soak_departure changed when it learned stops, lost answers and kills of all nodes, so that its seeds 10 and 348 no longer stand for what they showed. The comment is gone; test_leave_soon_after_outage has the order of events of seed 348: it fails with retry_soon() left out and passes with it. Seed 10's is in test_two_late_announcements_without_store.

--- a/tests/test_path_departure.c
+++ b/tests/test_path_departure.c
@@ -292,6 +292,20 @@
   no_target_check (SPREAD_US);
 }
 
+/* Guards against a leave that is refused although the store is back, because the next retry is due
+   later than an answer waits. */
+static void
+test_leave_soon_after_outage (void **state)
+{
+  announce ("serving", 1000000, 1);
+  targets_await (1);
+  sgr_fixture_store_faults_set (&fixture, "outage=1");
+  assert_int_equal (target_call ("DELETE", ""), 503);
+  assert_true (sgr_fixture_event_await (&fixture, gate, "retry_ms=2000", 1));
+  sgr_fixture_store_faults_set (&fixture, "outage=0");
+  assert_int_equal (target_call ("DELETE", ""), 200);
+}
+
 /* Guards against an acknowledged drain that only the memory of the process holds. */
 static void
 test_drain_without_store (void **state)
@@ -369,6 +383,7 @@
                                      test_teardown),
     cmocka_unit_test_setup_teardown (test_young_target_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_without_store, test_setup, test_teardown),
+    cmocka_unit_test_setup_teardown (test_leave_soon_after_outage, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_drain_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_with_lost_write, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_leave_of_kept_announcement, test_setup, test_teardown),
--- a/tests/test_soak_departure.c
+++ b/tests/test_soak_departure.c
@@ -416,8 +416,6 @@
 static void
 test_departures (void **state)
 {
-  /* Seed 10 showed late announcements that counted for a running target because of the time between
-     them, seed 348 a leave that was refused although the store was back. */
   static const unsigned long usual[] = { 1, 10, 348 };
   const char *text = getenv ("SGR_SOAK_SEEDS");
   unsigned long first, count;
