Test that a later instance waits for the record of departures

With the condition on the start left out, test_later_instance_without_store fails; with it all 13 tests of test_path_departure pass.

--- a/tests/test_path_departure.c
+++ b/tests/test_path_departure.c
@@ -217,6 +217,22 @@
   no_target_change_check ();
 }
 
+/* Guards against an announcement of a later instance that takes the place of the registered one
+   while the departures are not known. */
+static void
+test_later_instance_without_store (void **state)
+{
+  sgr_fixture_store_faults_set (&fixture, "outage=1");
+  gate_restart ();
+  announce ("serving", 1000000, 1);
+  assert_int_equal (announce_port (named_port, "serving", 1000000, 2), 200);
+  targets_await (1);
+  announce ("serving", 1000001, 1);
+  /* It waits for the record, so that its answer asks for a confirmation. */
+  assert_int_not_equal (named_port, 0);
+  no_target_change_check ();
+}
+
 /* Guards against a target that has departed and keeps its work because the node could not read the
    record when the target came up. */
 static void
@@ -378,6 +394,7 @@
     cmocka_unit_test_setup_teardown (test_late_announcement_after_leave, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_late_announcement_after_drain, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_restart_without_store, test_setup, test_teardown),
+    cmocka_unit_test_setup_teardown (test_later_instance_without_store, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_record_read_late, test_setup, test_teardown),
     cmocka_unit_test_setup_teardown (test_two_late_announcements_without_store, test_setup,
                                      test_teardown),
