--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -535,10 +535,17 @@
 
 typedef struct
 {
-  char *key;
-  char *value; /* base64, NULL for a deleted item */
+  char *value; /* base64, NULL for a deletion */
   uint64_t rev;
   uint64_t created;
+  uint64_t at_ms;
+} version_t;
+
+typedef struct
+{
+  char *key;
+  version_t *versions; /* the last one is in force */
+  size_t version_count;
 } item_t;
 
 struct rig_store_t
@@ -548,8 +555,26 @@
   item_t *items; /* sorted by key */
   size_t count;
   uint64_t rev;
+  uint64_t stale_ms;
 };
 
+static const version_t *
+item_version (const item_t *item)
+{
+  return &item->versions[item->version_count - 1];
+}
+
+/* The version that was in force at a time; NULL if there was none, or a deletion. */
+static const version_t *
+item_version_at (const item_t *item, uint64_t at_ms)
+{
+  size_t i = item->version_count;
+
+  while (i > 0 && item->versions[i - 1].at_ms > at_ms)
+    i--;
+  return i > 0 && item->versions[i - 1].value != NULL ? &item->versions[i - 1] : NULL;
+}
+
 static char *
 base64_encode (const char *text)
 {
@@ -587,6 +612,7 @@
 item_write (rig_store_t *store, const char *key, const char *value)
 {
   item_t *item = item_find (store, key);
+  version_t *version;
   size_t i = store->count;
 
   if (item == NULL)
@@ -598,11 +624,14 @@
       item = &store->items[i];
       *item = (item_t){ .key = strdup (key) };
     }
-  if (item->value == NULL)
-    item->created = store->rev;
-  free (item->value);
-  item->value = value != NULL ? strdup (value) : NULL;
-  item->rev = store->rev;
+  item->versions = realloc (item->versions, (item->version_count + 1) * sizeof *item->versions);
+  version = &item->versions[item->version_count++];
+  *version = (version_t){ .value = value != NULL ? strdup (value) : NULL,
+                          .rev = store->rev,
+                          .created = store->rev,
+                          .at_ms = rig_now_ms () };
+  if (item->version_count > 1 && version[-1].value != NULL)
+    version->created = version[-1].created;
 }
 
 uint64_t
@@ -627,20 +656,20 @@
 
   pthread_mutex_lock (&store->mutex);
   for (size_t i = 0; i < store->count; i++)
-    count += store->items[i].value != NULL
+    count += item_version (&store->items[i])->value != NULL
              && strncmp (store->items[i].key, prefix, strlen (prefix)) == 0;
   pthread_mutex_unlock (&store->mutex);
   return count;
 }
 
 static json_t *
-item_json (const item_t *item)
+item_json (const item_t *item, const version_t *version)
 {
-  if (item->value == NULL)
-    return json_pack ("{s:s, s:I, s:b}", "key", item->key, "rev", (json_int_t)item->rev,
+  if (version->value == NULL)
+    return json_pack ("{s:s, s:I, s:b}", "key", item->key, "rev", (json_int_t)version->rev,
                       "tombstone", 1);
-  return json_pack ("{s:s, s:s, s:I, s:I, s:i}", "key", item->key, "value", item->value, "rev",
-                    (json_int_t)item->rev, "created", (json_int_t)item->created, "lease", 0);
+  return json_pack ("{s:s, s:s, s:I, s:I, s:i}", "key", item->key, "value", version->value, "rev",
+                    (json_int_t)version->rev, "created", (json_int_t)version->created, "lease", 0);
 }
 
 /* Copies a parameter of the query. */
@@ -671,26 +700,33 @@
 static json_t *
 range_get (rig_store_t *store, const char *path)
 {
-  char prefix[RIG_TEXT], after[RIG_TEXT];
+  char prefix[RIG_TEXT], after[RIG_TEXT], stale[8];
   json_t *items = json_array ();
+  uint64_t at_ms = rig_now_ms (), rev = 0;
   bool has_more = false;
 
   query_get (path, "prefix", prefix, sizeof prefix);
   query_get (path, "after", after, sizeof after);
+  query_get (path, "staleRead", stale, sizeof stale);
+  if (strcmp (stale, "1") == 0)
+    at_ms -= store->stale_ms;
   for (size_t i = 0; i < store->count && !has_more; i++)
     {
       const item_t *item = &store->items[i];
+      const version_t *version = item_version_at (item, at_ms);
 
-      if (item->value == NULL || strncmp (item->key, prefix, strlen (prefix)) != 0
+      if (version != NULL && version->rev > rev)
+        rev = version->rev;
+      if (version == NULL || strncmp (item->key, prefix, strlen (prefix)) != 0
           || (after[0] != '\0' && strcmp (item->key, after) <= 0))
         continue;
       if (json_array_size (items) == PAGE_ITEMS)
         has_more = true;
       else
-        json_array_append_new (items, item_json (item));
+        json_array_append_new (items, item_json (item, version));
     }
   return json_pack ("{s:o, s:b, s:I}", "items", items, "hasMore", (int)has_more, "currentRev",
-                    (json_int_t)store->rev);
+                    (json_int_t)(strcmp (stale, "1") == 0 && rev > 0 ? rev : store->rev));
 }
 
 /* Waits for a change of a key with the prefix after a revision. Only the last change of a key is
@@ -720,9 +756,10 @@
   for (;;)
     {
       for (size_t i = 0; i < store->count; i++)
-        if (store->items[i].rev > after
+        if (item_version (&store->items[i])->rev > after
             && strncmp (store->items[i].key, prefix, strlen (prefix)) == 0)
-          json_array_append_new (events, item_json (&store->items[i]));
+          json_array_append_new (events,
+                                 item_json (&store->items[i], item_version (&store->items[i])));
       if (json_array_size (events) > 0
           || pthread_cond_timedwait (&store->changed, &store->mutex, &due) == ETIMEDOUT)
         break;
@@ -748,11 +785,12 @@
   {
     const char *key = json_string_value (json_object_get (row, "key"));
     item_t *item = key != NULL ? item_find (store, key) : NULL;
-    uint64_t rev = item != NULL && item->value != NULL ? item->rev : 0;
+    uint64_t rev
+        = item != NULL && item_version (item)->value != NULL ? item_version (item)->rev : 0;
 
     holds = holds && rev == (uint64_t)json_integer_value (json_object_get (row, "rev"));
     if (rev != 0)
-      json_array_append_new (conflicts, item_json (item));
+      json_array_append_new (conflicts, item_json (item, item_version (item)));
   }
   if (holds)
     {
@@ -789,13 +827,15 @@
     *reply = json_pack ("{s:s}", "ttl_time", "3000ms");
   else if (strncmp (request->path, "/siskingrade/kv-key", 19) == 0)
     {
-      item_t *item;
+      const item_t *item;
+      bool is_there;
 
       query_get (request->path, "key", key, sizeof key);
       item = item_find (store, key);
-      *reply = item != NULL && item->value != NULL ? item_json (item) : json_object ();
+      is_there = item != NULL && item_version (item)->value != NULL;
+      *reply = is_there ? item_json (item, item_version (item)) : json_object ();
       json_object_set_new (*reply, "currentRev", json_integer ((json_int_t)store->rev));
-      return item != NULL && item->value != NULL ? 200 : 404;
+      return is_there ? 200 : 404;
     }
   else
     {
@@ -834,6 +874,12 @@
   free (request);
 }
 
+void
+rig_store_stale_set (rig_store_t *store, uint64_t stale_ms)
+{
+  store->stale_ms = stale_ms;
+}
+
 rig_store_t *
 rig_store_start (const char *ip, unsigned port)
 {
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -76,6 +76,8 @@
 rig_store_t *rig_store_start (const char *ip, unsigned port);
 /* Writes as the operator; returns the revision, at which the write is acknowledged. */
 uint64_t rig_store_put (rig_store_t *store, const char *key, const char *value);
+/* Sets by how much reads that may be stale (staleRead = 1) are behind; 0 at first. */
+void rig_store_stale_set (rig_store_t *store, uint64_t stale_ms);
 size_t rig_store_count (rig_store_t *store, const char *prefix);
 
 /* A backend. */
