--- a/review/12/case.c
+++ b/review/12/case.c
@@ -10,7 +10,7 @@
 
 #include "rig.h"
 
-#define CALLERS 32
+#define CALLERS 64
 #define LENGTH_MS 14000
 #define BEAT_AT_MS 4000
 #define WORK_MS 120
@@ -70,12 +70,14 @@
           rig_sleep_ms (100);
           continue;
         }
+      rig_record ("look-%u is sent to %s", number, entry->name);
       if (rig_send (stream.fd, text, (size_t)length))
         result = rig_read (&stream, true, rig_now_ms () + 2500, answer);
       if (result == 1)
         {
           statuses[answer->status % 600]++;
           answered++;
+          rig_record ("look-%u is answered %d", number, answer->status);
         }
       else
         {
@@ -145,7 +147,7 @@
       rig_machine_ip (i + 1, backend->control_ip);
       backend->port = RIG_PORT_APP;
       backend->control_port = RIG_PORT_CONTROL;
-      backend->slots = 16;
+      backend->slots = 32;
       backend->work_ms = WORK_MS;
       backend->on_run = on_run;
       rig_backend_start (backend);
--- a/review/15/case.c
+++ b/review/15/case.c
@@ -39,9 +39,12 @@
     return;
   if (!is_late (number))
     old_before++;
-  else if (old_after++ < 40)
-    rig_record ("%s, sent %llu ms after the acknowledgement, is run by the old service", id,
-                (unsigned long long)(sent_ms[number] - changed_ms));
+  else
+    {
+      old_after++;
+      rig_record ("%s, sent %llu ms after the acknowledgement, is run by the old service", id,
+                  (unsigned long long)(sent_ms[number] - changed_ms));
+    }
 }
 
 static void
@@ -75,15 +78,18 @@
       if (stream.fd < 0)
         stream.fd = rig_connect (entry->ip, RIG_PORT_OUTBOUND, 1000);
       sent_ms[number] = rig_now_ms ();
+      rig_record ("move-%u is sent through %s", number, entry->name);
       if (stream.fd < 0 || !rig_send (stream.fd, text, (size_t)length)
           || rig_read (&stream, true, rig_now_ms () + 2500, answer) != 1)
         {
           rig_stream_close (&stream);
           statuses[0]++;
+          rig_record ("move-%u gets no answer", number);
         }
       else
         {
           statuses[answer->status % 600]++;
+          rig_record ("move-%u is answered %d", number, answer->status);
           if (answer->closes)
             rig_stream_close (&stream);
         }
--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -924,6 +924,7 @@
       else
         {
           backend->runs++;
+          rig_record ("%s is run by %s", id, backend->id);
           if (backend->on_run != NULL)
             backend->on_run (id, request->path);
           rig_sleep_ms (backend->work_ms);
