--- a/review/12/case.c
+++ b/review/12/case.c
@@ -129,7 +129,7 @@
                  "\"tls\":false}},"
                  "{\"resourceType\":\"services\",\"metadata\":{\"name\":\"transfers1\"},\"spec\":{"
                  "\"healthPath\":\"/healthz\",\"maxConnections\":240,\"protocol\":\"h1\","
-                 "\"tls\":false}}]}");
+                 "\"tls\":false}}," RIG_LIMITS "]}");
   for (unsigned i = 0; i < 2; i++)
     {
       rig_node_t *node = &nodes[i];
--- a/review/13/case.c
+++ b/review/13/case.c
@@ -113,7 +113,7 @@
             "\"tls\":false}},"
             "{\"resourceType\":\"services\",\"metadata\":{\"name\":\"transfers1\"},\"spec\":{"
             "\"healthPath\":\"/healthz\",\"maxConnections\":240,\"protocol\":\"h1\","
-            "\"tls\":false}}]}",
+            "\"tls\":false}}," RIG_LIMITS "]}",
             version, moves, reports);
   rev = rig_store_put (store, "op/config", text);
   rig_record ("version %s is acknowledged, revision %llu: the route of the moves is %s, that of the "
--- a/review/15/case.c
+++ b/review/15/case.c
@@ -128,7 +128,7 @@
             "\"tls\":false}},"
             "{\"resourceType\":\"services\",\"metadata\":{\"name\":\"transfers1\"},\"spec\":{"
             "\"healthPath\":\"/healthz\",\"maxConnections\":240,\"protocol\":\"h1\","
-            "\"tls\":false}}]}",
+            "\"tls\":false}}," RIG_LIMITS "]}",
             version, service, route);
   rev = rig_store_put (store, "op/config", text);
   rig_record ("version %s is acknowledged, revision %llu: moves go to %s, added route: %s", version,
--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -907,8 +907,8 @@
 
       if (strcmp (request->path, "/healthz") == 0)
         {
-          snprintf (fields, sizeof fields, "X-Instance-Id: %s\r\nX-Server-Load: 0,0,%u,100\r\n",
-                    backend->id, backend->slots);
+          snprintf (fields, sizeof fields, "X-Instance-Id: %s\r\nX-Server-Load: %u,0,%u,100\r\n",
+                    backend->id, (unsigned)backend->running, backend->slots);
           ok = answer_send (stream, 200, fields, "", 0);
         }
       else if (!rig_field (request, "X-Request-Id", id, sizeof id))
@@ -921,6 +921,12 @@
                     backend->id);
           ok = answer_send (stream, 421, fields, "", 0);
         }
+      else if (++backend->running > backend->slots)
+        {
+          backend->running--;
+          snprintf (fields, sizeof fields, "X-Request-Id: %s\r\nX-Not-Executed: 1\r\n", id);
+          ok = answer_send (stream, 503, fields, "", 0);
+        }
       else
         {
           backend->runs++;
@@ -929,8 +935,8 @@
             backend->on_run (id, request->path);
           rig_sleep_ms (backend->work_ms);
           snprintf (fields, sizeof fields,
-                    "X-Request-Id: %s\r\nX-Server-Signature: %s.%s\r\nX-Server-Load: 1,0,%u,100\r\n",
-                    id, backend->id, id, backend->slots);
+                    "X-Request-Id: %s\r\nX-Server-Signature: %s.%s\r\nX-Server-Load: %u,0,%u,100\r\n",
+                    id, backend->id, id, (unsigned)--backend->running, backend->slots);
           ok = answer_send (stream, 200, fields, "done\n", 5);
         }
       rig_message_free (request);
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -11,6 +11,11 @@
 
 #define RIG_TEXT 256
 
+/* The limits of a configuration, an entry of its list. */
+#define RIG_LIMITS                                                                                 \
+  "{\"resourceType\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":16384,"                   \
+  "\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}"
+
 /* Result of a case, the exit status of its program. */
 enum
 {
@@ -94,6 +99,7 @@
   _Atomic unsigned work_ms;
   _Atomic bool is_silent;  /* sends no heartbeat */
   uint64_t born;
+  _Atomic unsigned running;
   _Atomic uint64_t runs;
   _Atomic uint64_t misdirected;
   _Atomic uint64_t beats_acked;
