Report a connect() to another node that fails at once later

Callers saw 503 "no-target" although another target ran their service: the call ended there if connect() to the node that was chosen first failed at once, as it does without a route or a descriptor.

Cause: sgr_peer_conn_connect() returned NULL then, which the link reported as "no target". A connect() that fails a moment later is reported by the callback closed, after which the attempt goes to another target and the balancer learns of the failure.

Change: sgr_peer_conn_connect() always returns a connection. A timer reports the failure by the callback closed, with the same reason as a later one and not before the function has returned.

--- a/libsiskingrade/data_link.c
+++ b/libsiskingrade/data_link.c
@@ -403,8 +403,6 @@
     return SGR_ERR_UNAVAILABLE;
   link->conn = sgr_peer_conn_connect (&link->links->task->conn_env, &member->data_address,
                                       &conn_handlers, link);
-  if (link->conn == NULL)
-    return SGR_ERR_UNAVAILABLE;
   sgr_peer_conn_far_set (link->conn, sgr_data_member_is_far (link->links->task, member));
   sgr_peer_conn_waiting_set (link->conn, link->attempt_count);
   sgr_timer_arm (link->links->task->timers, &link->idle_timer,
--- a/libsiskingrade/data_link.h
+++ b/libsiskingrade/data_link.h
@@ -50,7 +50,9 @@
 /**
  * sgr_data_link_open() - open a connection if there is none; frames may be sent at once
  *
- * Return: SGR_OK, or SGR_ERR_UNAVAILABLE if the node is not a member or no socket can be made.
+ * A connection that fails is reported to the attempts of the link later.
+ *
+ * Return: SGR_OK, or SGR_ERR_UNAVAILABLE if the node is not a member.
  */
 sgr_result_t sgr_data_link_open (sgr_data_link_t *link);
 
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -37,6 +37,7 @@
  * @waiting_attempts: attempts that wait for the other node
  * @heartbeat: timer of the pings and of the silence check, also while the connection finishes;
  * after the close, frees the connection
+ * @connect_failure: timer that reports a connection that could not be begun
  * @heartbeat_due_us: time for which @heartbeat is set
  * @silent_since_us: start of the silence that is measured: the last received byte, the first ping
  *                   on an idle connection, the first waiting attempt, or the end of a pause of this
@@ -65,6 +66,7 @@
   sgr_memory_holder_t memory;
   size_t waiting_attempts;
   sgr_timer_t heartbeat;
+  sgr_timer_t connect_failure;
   uint64_t heartbeat_due_us;
   uint64_t silent_since_us;
   bool is_ping_unanswered;
@@ -133,6 +135,7 @@
 conn_dispose (sgr_peer_conn_t *conn)
 {
   conn->is_closed = true;
+  sgr_timer_cancel (conn->env->timers, &conn->connect_failure);
   conn->heartbeat.fire = on_free_timer;
   sgr_timer_arm (conn->env->timers, &conn->heartbeat, 0);
   if (conn->sock != NULL)
@@ -501,6 +504,12 @@
   flush_queues (conn);
 }
 
+static void
+on_connect_failure (void *ctx, uint64_t now_us)
+{
+  conn_fail (ctx, SGR_PEER_CLOSE_CONNECT_FAILED);
+}
+
 static sgr_peer_conn_t *
 conn_create (const sgr_peer_conn_env_t *env, const sgr_peer_conn_handlers_t *handlers, void *ctx)
 {
@@ -511,6 +520,7 @@
   conn->handlers = handlers;
   conn->ctx = ctx;
   conn->heartbeat = (sgr_timer_t){ .fire = on_heartbeat, .ctx = conn };
+  conn->connect_failure = (sgr_timer_t){ .fire = on_connect_failure, .ctx = conn };
   conn->silent_since_us = sgr_clock_monotonic_us ();
   conn->memory.kind = SGR_MEMORY_PEER;
   sgr_memory_holder_begin (&conn->memory, env->memory, conn->silent_since_us);
@@ -554,16 +564,15 @@
   struct sockaddr_in peer_address = { .sin_family = AF_INET,
                                       .sin_port = htons (address->port),
                                       .sin_addr.s_addr = htonl (address->ip) };
-  h2o_socket_t *sock = h2o_socket_connect (env->loop, (struct sockaddr *)&peer_address,
-                                           sizeof peer_address, on_connect);
-  sgr_peer_conn_t *conn;
+  sgr_peer_conn_t *conn = conn_create (env, handlers, ctx);
 
-  if (sock == NULL)
-    return NULL;
-  conn = conn_create (env, handlers, ctx);
-  conn->sock = sock;
   conn->connect_us = sgr_clock_monotonic_us ();
-  sock->data = conn;
+  conn->sock = h2o_socket_connect (env->loop, (struct sockaddr *)&peer_address, sizeof peer_address,
+                                   on_connect);
+  if (conn->sock != NULL)
+    conn->sock->data = conn;
+  else
+    sgr_timer_arm (env->timers, &conn->connect_failure, conn->connect_us);
   return conn;
 }
 
--- a/libsiskingrade/peer_conn.h
+++ b/libsiskingrade/peer_conn.h
@@ -122,7 +122,7 @@
  * sgr_peer_conn_accept() - create a connection from an accepted socket
  * @env: shared environment
  * @sock: the socket, which the connection then owns
- * @handlers: callbacks
+ * @handlers: callbacks; none is called before this function has returned
  * @ctx: passed to the callbacks
  */
 sgr_peer_conn_t *sgr_peer_conn_accept (const sgr_peer_conn_env_t *env, h2o_socket_t *sock,
@@ -132,10 +132,11 @@
  * sgr_peer_conn_connect() - open a connection; frames may be queued before it is established
  * @env: shared environment
  * @address: data address of the other node
- * @handlers: callbacks
+ * @handlers: callbacks; none is called before this function has returned
  * @ctx: passed to the callbacks
  *
- * Return: the connection, NULL if the socket cannot be created.
+ * Return: the connection. If it cannot even be begun, because there is no route or no descriptor
+ * left, the callback closed follows with SGR_PEER_CLOSE_CONNECT_FAILED.
  */
 sgr_peer_conn_t *sgr_peer_conn_connect (const sgr_peer_conn_env_t *env,
                                         const sgr_address_t *address,
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -177,7 +177,8 @@
   if (node->confirm != 0)
     fprintf (file, "  confirm: 127.0.0.1:%u-%u\n", node->confirm,
              node->confirm + fixture->confirm_ports - 1);
-  fprintf (file, "advertise:\n  peers: 127.0.0.1:%u\ncontacts:\n", node->advertised);
+  fprintf (file, "advertise:\n  peers: %s:%u\ncontacts:\n",
+           node->advertised_ip != NULL ? node->advertised_ip : "127.0.0.1", node->advertised);
   for (size_t i = 0; i < fixture->count; i++)
     fprintf (file, "  - 127.0.0.1:%u\n", fixture->nodes[i].control);
   fprintf (file, "store: 127.0.0.1:%u\nlimits:\n%s%s", store_port,
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -26,6 +26,7 @@
  * @callers: port for callers
  * @peers: port on which the node accepts connections of other nodes
  * @advertised: port that other nodes connect to: that of @relay, or @peers without a relay
+ * @advertised_ip: address that other nodes connect to, NULL for 127.0.0.1
  * @control: port of the control interface
  * @confirm: first of the ports at which a target confirms that it runs, see @confirm_ports; 0 for
  *           none
@@ -45,6 +46,7 @@
   uint16_t callers;
   uint16_t peers;
   uint16_t advertised;
+  const char *advertised_ip;
   uint16_t control;
   uint16_t confirm;
   uint16_t target;
