Run no handler of a request to the target before its start has returned

Cause: h2o_http1client_connect_with_pool() reports a connect() that fails at once, and a connection of its pool, before it returns. The handler "failed" thus ran within sgr_target_request_start(), which then returned a freed request. load_query_send() stored it, and the timer cancelled it 200 ms later; sgr_gate_run_start() stored it in a run that was freed. http_fetch.c knew the hazard and deferred its start; the target client did not.

Change: the target client connects from the event loop, as http_fetch.c does. Both, and the guard of answer heads, use sgr_task_loop_defer(), which does not depend on the wall clock. target_client.h states the rule for all handlers.

Ruled out: deferring only the failure. "starting" would still run before the handle is stored when a connection of the pool is used.

--- a/libsiskingrade/http_fetch.c
+++ b/libsiskingrade/http_fetch.c
@@ -12,6 +12,7 @@
 #include "buffer.h"
 #include "http_head_guard.h"
 #include "result.h"
+#include "task_loop.h"
 
 /* TCP keepalive: idle time before the first probe, and time between probes, in seconds. */
 #define KEEPALIVE_S 1
@@ -308,6 +309,6 @@
   fetch->next = fetcher->pending;
   fetcher->pending = fetch;
   fetch->start_entry.cb = on_start;
-  h2o_timeout_link (fetcher->client_ctx.loop, &fetcher->immediate_timeout, &fetch->start_entry);
+  sgr_task_loop_defer (fetcher->client_ctx.loop, &fetcher->immediate_timeout, &fetch->start_entry);
   return fetch;
 }
--- a/libsiskingrade/http_head_guard.c
+++ b/libsiskingrade/http_head_guard.c
@@ -4,6 +4,7 @@
 #include <strings.h>
 
 #include "http_fields.h"
+#include "task_loop.h"
 
 /* Bytes that are read before the head of an answer, interim answers included, must be complete. */
 #define HEAD_MAX_BYTES (64U * 1024)
@@ -142,7 +143,7 @@
   guard->http = http;
   guard->reject = reject;
   guard->entry.cb = on_hook_install;
-  h2o_timeout_link (http->ctx->loop, immediate_timeout, &guard->entry);
+  sgr_task_loop_defer (http->ctx->loop, immediate_timeout, &guard->entry);
 }
 
 void
--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -8,6 +8,7 @@
 #include "http_fields.h"
 #include "http_head_guard.h"
 #include "result.h"
+#include "task_loop.h"
 
 /* h2o's I/O timeout. It is longer than any deadline, because the gate cancels each request at the
    request's deadline. */
@@ -34,7 +35,8 @@
  * struct sgr_target_request_t - a request to the target
  * @head_guard: checks the head of the answer; the first member
  * @client: client of the request
- * @http: h2o's client for this request
+ * @start_entry: linked until the connection is requested
+ * @http: h2o's client for this request, NULL while @start_entry is linked
  * @handlers: callbacks
  * @ctx: passed to the callbacks
  * @head: head of the request
@@ -51,6 +53,7 @@
 {
   sgr_http_head_guard_t head_guard;
   sgr_target_client_t *client;
+  h2o_timeout_entry_t start_entry;
   h2o_http1client_t *http;
   const sgr_target_handlers_t *handlers;
   void *ctx;
@@ -106,6 +109,7 @@
 request_free (sgr_target_request_t *request)
 {
   sgr_http_head_guard_stop (&request->head_guard);
+  h2o_timeout_unlink (&request->start_entry);
   request->client->open_requests--;
   sgr_buffer_release (&request->head);
   sgr_buffer_release (&request->body);
@@ -315,6 +319,17 @@
   return on_head;
 }
 
+/* Connects from the event loop: h2o reports a connection of the pool, and a connect() that fails at
+   once, before h2o_http1client_connect_with_pool() returns. */
+static void
+on_start (h2o_timeout_entry_t *entry)
+{
+  sgr_target_request_t *request = H2O_STRUCT_FROM_MEMBER (sgr_target_request_t, start_entry, entry);
+
+  h2o_http1client_connect_with_pool (&request->http, request, &request->client->ctx,
+                                     &request->client->pool, on_connect);
+}
+
 sgr_target_request_t *
 sgr_target_request_start (sgr_target_client_t *client, sgr_buffer_t *head, sgr_buffer_t *body,
                           bool is_head, const sgr_target_handlers_t *handlers, void *ctx)
@@ -336,8 +351,8 @@
   request->vectors[0] = h2o_iovec_init (request->head.bytes, request->head.length);
   request->vectors[1] = h2o_iovec_init (request->body.bytes, request->body.length);
   client->open_requests++;
-  h2o_http1client_connect_with_pool (&request->http, request, &client->ctx, &client->pool,
-                                     on_connect);
+  request->start_entry.cb = on_start;
+  sgr_task_loop_defer (client->ctx.loop, &client->immediate_timeout, &request->start_entry);
   return request;
 }
 
@@ -371,6 +386,7 @@
      callback has returned. */
   if (request->is_in_callback)
     return;
-  h2o_http1client_cancel (request->http);
+  if (request->http != NULL)
+    h2o_http1client_cancel (request->http);
   request_free (request);
 }
--- a/libsiskingrade/target_client.h
+++ b/libsiskingrade/target_client.h
@@ -60,7 +60,8 @@
 
 /**
  * sgr_target_client_destroy() - close the idle connections and free the client
- * @client: the client, which must have no request in progress; NULL is allowed
+ * @client: the client, which must have no request in progress, so that it cannot be destroyed from
+ *          within a callback of one; NULL is allowed
  */
 void sgr_target_client_destroy (sgr_target_client_t *client);
 
@@ -70,8 +71,11 @@
  * @head: head of the HTTP/1.1 request, with the empty line; the content is taken over
  * @body: body of the request, NULL for none; the content is taken over
  * @is_head: whether the method is HEAD, whose answer has no body
- * @handlers: callbacks; none is called before this function returns
+ * @handlers: callbacks; none is called before this function has returned, so that the caller can
+ *            store the request first
  * @ctx: passed to the callbacks
+ *
+ * Return: the request, valid until the callback done or failed has returned.
  */
 sgr_target_request_t *sgr_target_request_start (sgr_target_client_t *client, sgr_buffer_t *head,
                                                 sgr_buffer_t *body, bool is_head,
@@ -81,7 +85,10 @@
 void sgr_target_request_pause (sgr_target_request_t *request);
 void sgr_target_request_resume (sgr_target_request_t *request);
 
-/** sgr_target_request_cancel() - close the connection and free the request, without a callback */
+/**
+ * sgr_target_request_cancel() - close the connection and free the request, without a callback
+ * @request: the request; from within one of its callbacks, it is freed when that has returned
+ */
 void sgr_target_request_cancel (sgr_target_request_t *request);
 
 #endif
--- a/libsiskingrade/task_loop.c
+++ b/libsiskingrade/task_loop.c
@@ -24,17 +24,22 @@
   sgr_timer_heap_run (due->timers, sgr_clock_monotonic_us ());
 }
 
+void
+sgr_task_loop_defer (h2o_loop_t *loop, h2o_timeout_t *immediate, h2o_timeout_entry_t *entry)
+{
+  h2o_timeout_link (loop, immediate, entry);
+  /* h2o measures by the wall clock, which may be set back meanwhile. */
+  entry->registered_at = 0;
+}
+
 /* Lets the next h2o_evloop_run() fire the timers. Their callbacks use sockets, and must not run
    outside of it: it frees sockets that were closed before it begins, although they may still be in
    its list of sockets with a pending callback. */
 static void
 due_link (h2o_loop_t *loop, due_timers_t *due)
 {
-  if (h2o_timeout_is_linked (&due->entry))
-    return;
-  h2o_timeout_link (loop, &due->timeout, &due->entry);
-  /* h2o measures by the wall clock, which may be set back meanwhile. */
-  due->entry.registered_at = 0;
+  if (!h2o_timeout_is_linked (&due->entry))
+    sgr_task_loop_defer (loop, &due->timeout, &due->entry);
 }
 
 void
--- a/libsiskingrade/task_loop.h
+++ b/libsiskingrade/task_loop.h
@@ -5,6 +5,14 @@
 
 #include "timer_heap.h"
 
+/**
+ * sgr_task_loop_defer() - run a callback from the event loop, not before this function has returned
+ * @loop: the event loop
+ * @immediate: a timeout of 0 ms; all its entries are linked by this function
+ * @entry: the entry with its callback, not linked; h2o_timeout_unlink() cancels the call
+ */
+void sgr_task_loop_defer (h2o_loop_t *loop, h2o_timeout_t *immediate, h2o_timeout_entry_t *entry);
+
 /**
  * sgr_task_loop_run() - run a task, which is a thread with an event loop and timers
  * @loop: the event loop
--- a/tests/test_target_client.c
+++ b/tests/test_target_client.c
@@ -11,6 +11,7 @@
 
 #include <cmocka.h>
 
+#include "scripted_target.h"
 #include "target_client.h"
 #include "timer_heap.h"
 
@@ -208,6 +209,86 @@
     }
 }
 
+/* Answers each request on a connection. */
+static void
+answers_send (int fd)
+{
+  static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  char text[4096];
+
+  while (recv (fd, text, sizeof text, 0) > 0)
+    send (fd, answer, strlen (answer), MSG_NOSIGNAL);
+}
+
+/**
+ * struct start_order_t - what a request reported, and when
+ * @has_returned: the function that started it has returned
+ * @is_early: a handler ran before
+ * @is_ended: the request has ended
+ */
+typedef struct
+{
+  bool has_returned;
+  bool is_early;
+  bool is_ended;
+} start_order_t;
+
+static bool
+on_order_starting (void *ctx)
+{
+  start_order_t *order = ctx;
+
+  order->is_early = !order->has_returned;
+  return true;
+}
+
+static void
+on_order_done (void *ctx)
+{
+  ((start_order_t *)ctx)->is_ended = true;
+}
+
+static void
+on_order_failed (void *ctx, bool is_started, const char *reason)
+{
+  fail_msg ("%s", reason);
+}
+
+/* Guards against a handler that runs on a connection of the pool before the request that it belongs
+   to has been returned. */
+static void
+test_pooled_connection_is_reported_later (void **state)
+{
+  static const sgr_target_handlers_t order_handlers = { .starting = on_order_starting,
+                                                        .head = on_head,
+                                                        .body = on_body,
+                                                        .done = on_order_done,
+                                                        .failed = on_order_failed };
+  static const char message[] = "GET / HTTP/1.1\r\nhost: one\r\n\r\n";
+  sgr_address_t address = { .ip = INADDR_LOOPBACK };
+  h2o_loop_t *loop = h2o_evloop_create ();
+  sgr_target_client_t *client;
+
+  assert_true (sgr_scripted_target_start (&address.port, answers_send));
+  client = sgr_target_client_create (loop, &address, 4);
+  for (int i = 0; i < 3; i++)
+    {
+      start_order_t order = { 0 };
+      sgr_buffer_t head = { 0 };
+
+      sgr_buffer_append (&head, message, strlen (message));
+      sgr_target_request_start (client, &head, NULL, false, &order_handlers, &order);
+      order.has_returned = true;
+      while (!order.is_ended)
+        h2o_evloop_run (loop, 10);
+      if (order.is_early)
+        fail_msg ("request %d", i);
+    }
+  sgr_target_client_destroy (client);
+  h2o_evloop_run (loop, 0);
+  h2o_evloop_destroy (loop);
+}
+
 /* Guards against a node that crashes when its target has announced another address or connection
    limit, and the client of the former one is destroyed. */
 static void
@@ -232,7 +313,8 @@
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_destroy), cmocka_unit_test (test_bytes_without_end) };
+      = { cmocka_unit_test (test_destroy), cmocka_unit_test (test_bytes_without_end),
+          cmocka_unit_test (test_pooled_connection_is_reported_later) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
