Let the last handler of an operation cancel it

A handler that cancelled its own operation freed it twice: the last handler of a fetch or of a request to the target ran while the operation still counted as pending.

Change: a cancel from within the last handler has no effect, and a fetcher that is destroyed from within a callback ends the process with a message in place of a use of freed memory. The kernel-doc says both.

--- a/libsiskingrade/http_fetch.c
+++ b/libsiskingrade/http_fetch.c
@@ -37,6 +37,7 @@
   h2o_http1client_ctx_t client_ctx;
   size_t body_max_bytes;
   sgr_http_fetch_t *pending;
+  bool is_in_callback;
 };
 
 struct sgr_http_fetch_t
@@ -49,6 +50,7 @@
   sgr_http_fetch_cb_t cb;
   sgr_http_fetch_progress_cb_t progress;
   void *ctx;
+  bool is_ended; /* the callback runs, after which the request is freed */
   sgr_address_t address;
   sgr_buffer_t request;
   h2o_iovec_t request_vec;
@@ -93,6 +95,8 @@
 void
 sgr_http_fetch_cancel (sgr_http_fetch_t *fetch)
 {
+  if (fetch->is_ended)
+    return;
   if (fetch->client != NULL)
     h2o_http1client_cancel (fetch->client);
   fetch_release (fetch);
@@ -103,6 +107,7 @@
 {
   if (fetcher == NULL)
     return;
+  sgr_invariant (!fetcher->is_in_callback);
   while (fetcher->pending != NULL)
     sgr_http_fetch_cancel (fetcher->pending);
   h2o_timeout_dispose (fetcher->client_ctx.loop, &fetcher->timeout);
@@ -116,10 +121,13 @@
 fetch_end (sgr_http_fetch_t *fetch, const char *error)
 {
   fetch->client = NULL;
+  fetch->is_ended = true;
   fetch->reply.error = error;
   fetch->reply.body = fetch->body.bytes;
   fetch->reply.length = fetch->body.length;
+  fetch->fetcher->is_in_callback = true;
   fetch->cb (fetch->ctx, &fetch->reply);
+  fetch->fetcher->is_in_callback = false;
   fetch_release (fetch);
 }
 
--- a/libsiskingrade/http_fetch.h
+++ b/libsiskingrade/http_fetch.h
@@ -76,7 +76,10 @@
 sgr_http_fetcher_t *sgr_http_fetcher_create (h2o_loop_t *loop, uint32_t timeout_ms,
                                              size_t body_max_bytes);
 
-/** sgr_http_fetcher_destroy() - cancel pending requests without callbacks; free the client */
+/**
+ * sgr_http_fetcher_destroy() - cancel pending requests without callbacks; free the client
+ * @fetcher: the client; not to be called from within a callback of one of its requests
+ */
 void sgr_http_fetcher_destroy (sgr_http_fetcher_t *fetcher);
 
 /**
@@ -87,12 +90,16 @@
  *      cancelled
  * @ctx: passed to @cb and to the progress callback of @request
  *
- * Return: the pending request, valid until @cb is called.
+ * Return: the pending request, valid until @cb has returned.
  */
 sgr_http_fetch_t *sgr_http_fetch_start (sgr_http_fetcher_t *fetcher,
                                         const sgr_http_fetch_request_t *request,
                                         sgr_http_fetch_cb_t cb, void *ctx);
-/** sgr_http_fetch_cancel() - end a pending request without its callback and free it */
+
+/**
+ * sgr_http_fetch_cancel() - end a pending request without its callback and free it
+ * @fetch: the request; has no effect from within its callback
+ */
 void sgr_http_fetch_cancel (sgr_http_fetch_t *fetch);
 
 #endif
--- a/libsiskingrade/target_client.c
+++ b/libsiskingrade/target_client.c
@@ -121,6 +121,7 @@
 {
   if (!request->is_cancelled)
     {
+      request->is_in_callback = true;
       if (error == NULL)
         request->handlers->done (request->ctx);
       else
--- a/tests/test_failed_connect.c
+++ b/tests/test_failed_connect.c
@@ -406,12 +406,21 @@
     }
 }
 
+/* Guards against an operation that is freed twice, because its last handler cancels it. */
+static void
+test_cancel_in_handler (void **state)
+{
+  for (size_t i = 0; i < STARTER_COUNT; i++)
+    if (starters[i].may_cancel_in_handler)
+      starter_run (&starters[i], &no_route, true);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_no_route), cmocka_unit_test (test_no_descriptor),
-          cmocka_unit_test (test_cancel_after_start) };
+          cmocka_unit_test (test_cancel_after_start), cmocka_unit_test (test_cancel_in_handler) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
