--- a/libsiskingrade/account.c
+++ b/libsiskingrade/account.c
@@ -2,6 +2,7 @@
 
 #include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define HASH_HEX_DIGITS (SGR_ACCOUNT_KEY_HEX_BYTES - 1)
@@ -21,6 +22,49 @@
   return word;
 }
 
+void
+sgr_account_copy (sgr_account_t *copy, const sgr_account_t *account)
+{
+  size_t ids_bytes = account->regions.count * sizeof *account->regions.ids;
+  size_t name_bytes = account->full_name != NULL ? strlen (account->full_name) + 1 : 0;
+  char *memory = malloc (ids_bytes + name_bytes + 1);
+
+  sgr_invariant (memory != NULL);
+  *copy = *account;
+  copy->memory = memory;
+  copy->regions.ids = (sgr_region_id_t *)(void *)memory;
+  if (ids_bytes > 0)
+    memcpy (memory, account->regions.ids, ids_bytes);
+  if (name_bytes > 0)
+    copy->full_name = memcpy (memory + ids_bytes, account->full_name, name_bytes);
+}
+
+void
+sgr_account_release (sgr_account_t *account)
+{
+  free (account->memory);
+  account->memory = NULL;
+}
+
+sgr_account_t *
+sgr_accounts_copy (const sgr_account_t *accounts, size_t count)
+{
+  sgr_account_t *copies = calloc (count + 1, sizeof *copies);
+
+  sgr_invariant (copies != NULL);
+  for (size_t i = 0; i < count; i++)
+    sgr_account_copy (&copies[i], &accounts[i]);
+  return copies;
+}
+
+void
+sgr_accounts_free (sgr_account_t *accounts, size_t count)
+{
+  for (size_t i = 0; accounts != NULL && i < count; i++)
+    sgr_account_release (&accounts[i]);
+  free (accounts);
+}
+
 sgr_hash128_t
 sgr_account_key_hash (const char *key, size_t length)
 {
--- a/libsiskingrade/account_table.c
+++ b/libsiskingrade/account_table.c
@@ -42,11 +42,9 @@
   while (slots < 2 * key_count)
     slots *= 2;
   sgr_invariant (table != NULL);
-  table->accounts = calloc (count + 1, sizeof *accounts);
+  table->accounts = sgr_accounts_copy (accounts, count);
   table->slots = calloc (slots, sizeof *table->slots);
-  sgr_invariant (table->accounts != NULL && table->slots != NULL);
-  if (count > 0)
-    memcpy (table->accounts, accounts, count * sizeof *accounts);
+  sgr_invariant (table->slots != NULL);
   table->count = count;
   table->mask = slots - 1;
   for (size_t i = 0; i < slots; i++)
@@ -61,7 +59,7 @@
 {
   if (table == NULL)
     return;
-  free (table->accounts);
+  sgr_accounts_free (table->accounts, table->count);
   free (table->slots);
   free (table);
 }
@@ -91,7 +89,7 @@
   sgr_hash128_t hash;
   size_t slot;
 
-  if (sgr_account_table_count (table) == 0 || length == 0 || length > SGR_ACCOUNT_KEY_BYTES_MAX)
+  if (sgr_account_table_count (table) == 0 || length == 0)
     return SGR_ACCOUNT_NONE;
   hash = sgr_account_key_hash (key, length);
   slot = hash.low & table->mask;
--- a/libsiskingrade/config_account.c
+++ b/libsiskingrade/config_account.c
@@ -5,8 +5,15 @@
 
 #include "config_json.h"
 #include "config_resource.h"
+#include "http_fields.h"
 
 #define KEYS_KEY "key_hashes"
+/* Keys of accounts of a source: the name by which targets know the account, and why the source
+   could not translate the account. */
+#define FULL_NAME_KEY "full_name"
+#define UNUSABLE_KEY "unusable"
+/* Longest name in a header field. */
+#define FULL_NAME_MAX 4096
 
 /**
  * struct key_place_t - a key and its place in the document
@@ -66,28 +73,78 @@
   return SGR_OK;
 }
 
-sgr_result_t
-sgr_config_account_read (const json_t *json, const char *path, sgr_account_t *account,
-                         sgr_config_error_t *error)
+/* Reads the name by which targets know the account, if it is not the name itself. */
+static sgr_result_t
+read_full_name (const json_t *json, const char *path, const char **full_name,
+                sgr_config_error_t *error)
 {
-  static const char *const required[] = { "name", KEYS_KEY, NULL };
-  static const char *const optional[] = { "priority", "rate_per_s", "burst", "regions", NULL };
+  const json_t *value = json_object_get (json, FULL_NAME_KEY);
+  const char *text = json_string_value (value);
+  char key_path[SGR_CONFIG_PATH_BYTES];
 
-  memset (account, 0, sizeof *account);
-  if (sgr_config_json_object (json, path, required, optional, error) != SGR_OK
-      || sgr_config_json_name (json, path, "name", account->name, error) != SGR_OK
-      || check_hashes (json, path, error) != SGR_OK
-      || read_optional_u32 (json, path, "priority", SGR_ACCOUNT_PRIORITY_MAX, &account->priority,
-                            error)
-             != SGR_OK
+  *full_name = text;
+  if (value == NULL
+      || (text != NULL && strlen (text) == json_string_length (value)
+          && strlen (text) <= FULL_NAME_MAX && sgr_http_is_field_value (text, strlen (text))))
+    return SGR_OK;
+  sgr_config_json_path (key_path, path, FULL_NAME_KEY);
+  return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
+                               "expected a header field value of at most %d bytes", FULL_NAME_MAX);
+}
+
+/* Reads the fields that have no memory of their own. */
+static sgr_result_t
+read_scalars (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+              sgr_account_t *account, sgr_config_error_t *error)
+{
+  if (read_optional_u32 (json, path, "priority", rules->account_priority_max, &account->priority,
+                         error)
+          != SGR_OK
       || read_optional_u32 (json, path, "rate_per_s", SGR_ACCOUNT_RATE_MAX, &account->rate_per_s,
                             error)
              != SGR_OK)
     return SGR_ERR_INVALID;
-  if (read_optional_u32 (json, path, "burst", SGR_ACCOUNT_BURST_MAX, &account->burst, error)
-      != SGR_OK)
-    return SGR_ERR_INVALID;
-  return sgr_config_json_regions (json, path, &account->regions, error);
+  return read_optional_u32 (json, path, "burst", SGR_ACCOUNT_BURST_MAX, &account->burst, error);
+}
+
+sgr_result_t
+sgr_config_account_read (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+                         sgr_account_t *account, sgr_config_error_t *error)
+{
+  static const char *const required[] = { "name", KEYS_KEY, NULL };
+  static const char *const optional[] = { "priority", "rate_per_s", "burst", "regions", NULL };
+  static const char *const optional_of_source[]
+      = { "priority", "rate_per_s", "burst", "regions", FULL_NAME_KEY, NULL };
+  sgr_region_id_t *regions = NULL;
+  sgr_account_t read = { 0 };
+  sgr_result_t result = SGR_ERR_INVALID;
+
+  *account = read;
+  if (rules->is_partial && json_object_get (json, UNUSABLE_KEY) != NULL)
+    return sgr_config_error_set (error, SGR_ERR_INVALID, path, "%s",
+                                 json_string_value (json_object_get (json, UNUSABLE_KEY)));
+  if (sgr_config_json_object (json, path, required,
+                              rules->is_partial ? optional_of_source : optional, error)
+          == SGR_OK
+      && sgr_config_json_name (json, path, "name", read.name, error) == SGR_OK
+      && check_hashes (json, path, error) == SGR_OK
+      && read_scalars (json, path, rules, &read, error) == SGR_OK
+      && read_full_name (json, path, &read.full_name, error) == SGR_OK)
+    result = sgr_config_json_regions (json, path, rules, &read.regions, &regions, error);
+  if (result == SGR_OK)
+    sgr_account_copy (account, &read);
+  free (regions);
+  return result;
+}
+
+/* Reads an account that cannot be carried out: only its name counts, and its keys. */
+static void
+read_unusable (const json_t *json, sgr_account_t *account)
+{
+  sgr_account_t read = { .is_unusable = true };
+
+  sgr_config_json_name (json, "", "name", read.name, NULL);
+  sgr_account_copy (account, &read);
 }
 
 json_t *
@@ -97,7 +154,7 @@
   sgr_account_t account;
   json_t *normal;
 
-  sgr_config_account_read (json, "", &account, NULL);
+  sgr_config_account_read (json, "", &sgr_config_rules_owners, &account, NULL);
   normal = json_pack ("{s:s, s:O, s:I, s:I, s:I}", "name", account.name, KEYS_KEY,
                       json_object_get (json, KEYS_KEY), "priority", (json_int_t)account.priority,
                       "rate_per_s", (json_int_t)account.rate_per_s, "burst",
@@ -105,6 +162,7 @@
   /* Earlier versions of the program refuse this key, so that it is only written where needed. */
   if (regions != NULL)
     json_object_set (normal, "regions", regions);
+  sgr_account_release (&account);
   return normal;
 }
 
@@ -139,38 +197,63 @@
                                accounts->list[places[index - 1].key.account].name);
 }
 
-/* Collects the keys of all accounts and checks that none is used twice. */
-static sgr_result_t
-build_keys (sgr_config_accounts_t *accounts, const json_t *list, const char *path,
-            sgr_config_error_t *error)
+/* Collects the valid hashes of the keys of all accounts, in an array to be freed by the caller. */
+static key_place_t *
+places_collect (const json_t *list, size_t accounts, size_t *count)
 {
+  size_t capacity = 0;
   key_place_t *places;
-  size_t count = 0;
-  sgr_result_t result = SGR_OK;
 
-  for (size_t i = 0; i < accounts->count; i++)
-    count += json_array_size (json_object_get (json_array_get (list, i), KEYS_KEY));
-  places = calloc (count + 1, sizeof *places);
-  accounts->keys = calloc (count + 1, sizeof *accounts->keys);
-  sgr_invariant (places != NULL && accounts->keys != NULL);
-  accounts->key_count = count;
-  count = 0;
-  for (size_t i = 0; i < accounts->count; i++)
+  *count = 0;
+  for (size_t i = 0; i < accounts; i++)
+    capacity += json_array_size (json_object_get (json_array_get (list, i), KEYS_KEY));
+  places = calloc (capacity + 1, sizeof *places);
+  sgr_invariant (places != NULL);
+  for (size_t i = 0; i < accounts; i++)
     {
       const json_t *hashes = json_object_get (json_array_get (list, i), KEYS_KEY);
 
-      for (size_t j = 0; j < json_array_size (hashes); j++, count++)
+      for (size_t j = 0; j < json_array_size (hashes); j++)
         {
-          places[count] = (key_place_t){ .key.account = (uint32_t)i, .position = j };
-          sgr_invariant (hash_read (hashes, j, &places[count].key.hash) == SGR_OK);
+          key_place_t *place = &places[*count];
+
+          *place = (key_place_t){ .key.account = (uint32_t)i, .position = j };
+          *count += hash_read (hashes, j, &place->key.hash) == SGR_OK;
         }
     }
-  qsort (places, count, sizeof *places, place_compare);
+  if (*count > 1)
+    qsort (places, *count, sizeof *places, place_compare);
+  return places;
+}
+
+/* Collects the keys of all accounts. Of a key that is used twice, only the first place counts, and
+   with rules that are not partial it is an error. */
+static sgr_result_t
+build_keys (sgr_config_accounts_t *accounts, const json_t *list, const char *path,
+            const sgr_config_rules_t *rules, sgr_config_problems_t *problems,
+            sgr_config_error_t *error)
+{
+  size_t count;
+  key_place_t *places = places_collect (list, accounts->count, &count);
+  sgr_config_error_t repeated;
+  sgr_result_t result = SGR_OK;
+
+  accounts->keys = calloc (count + 1, sizeof *accounts->keys);
+  sgr_invariant (accounts->keys != NULL);
   for (size_t i = 0; i < count && result == SGR_OK; i++)
     {
-      accounts->keys[i] = places[i].key;
-      if (i > 0 && sgr_hash128_equal (places[i - 1].key.hash, places[i].key.hash))
+      if (i == 0 || !sgr_hash128_equal (places[i - 1].key.hash, places[i].key.hash))
+        {
+          accounts->keys[accounts->key_count++] = places[i].key;
+          continue;
+        }
+      if (!rules->is_partial)
         result = repeated_key_refuse (accounts, places, i, path, error);
+      else if (places[i - 1].key.account != places[i].key.account)
+        {
+          repeated_key_refuse (accounts, places, i, path, &repeated);
+          sgr_config_problem_add (problems, &repeated);
+        }
     }
   free (places);
   return result;
@@ -178,28 +261,39 @@
 
 sgr_result_t
 sgr_config_accounts_build (sgr_config_accounts_t *accounts, const json_t *json, const char *path,
+                           const sgr_config_rules_t *rules, sgr_config_problems_t *problems,
                            sgr_config_error_t *error)
 {
   const json_t *list = json_object_get (json, "accounts");
-  char item_path[SGR_CONFIG_PATH_BYTES];
 
   *accounts = (sgr_config_accounts_t){ .count = json_array_size (list) };
   accounts->list = calloc (accounts->count + 1, sizeof *accounts->list);
   sgr_invariant (accounts->list != NULL);
   for (size_t i = 0; i < accounts->count; i++)
     {
+      const json_t *item = json_array_get (list, i);
+      sgr_config_error_t problem = { SGR_OK };
+      char item_path[SGR_CONFIG_PATH_BYTES];
+
       sgr_config_json_path_at (item_path, path, "accounts", i);
-      if (sgr_config_account_read (json_array_get (list, i), item_path, &accounts->list[i], error)
-          != SGR_OK)
-        return SGR_ERR_INVALID;
+      if (sgr_config_account_read (item, item_path, rules, &accounts->list[i], &problem) == SGR_OK)
+        continue;
+      if (!rules->is_partial)
+        {
+          if (error != NULL)
+            *error = problem;
+          return SGR_ERR_INVALID;
+        }
+      read_unusable (item, &accounts->list[i]);
+      sgr_config_problem_add (problems, &problem);
     }
-  return build_keys (accounts, list, path, error);
+  return build_keys (accounts, list, path, rules, problems, error);
 }
 
 void
 sgr_config_accounts_release (sgr_config_accounts_t *accounts)
 {
-  free (accounts->list);
+  sgr_accounts_free (accounts->list, accounts->count);
   free (accounts->keys);
   *accounts = (sgr_config_accounts_t){ 0 };
 }
--- a/libsiskingrade/config_account.h
+++ b/libsiskingrade/config_account.h
@@ -4,7 +4,7 @@
 #include <jansson.h>
 
 #include "account.h"
-#include "config_error.h"
+#include "config_rules.h"
 
 /* Errors of this module never contain a value of "key_hashes", because somebody may have written a
    key in place of its hash. */
@@ -29,12 +29,16 @@
  * @json: object with "name" and "key_hashes", and optionally "priority", "rate_per_s", "burst" and
  * "regions"
  * @path: path of @json in its document
- * @account: receives the account; an absent optional field is 0, see sgr_account_t
+ * @rules: what the account may hold; with partial ones, it may have the key "full_name", and an
+ *         account with the key "unusable" is invalid for the reason under that key
+ * @account: receives the account, to be released with sgr_account_release(); an absent optional
+ *           field is 0, see sgr_account_t
  * @error: receives the error, may be NULL
  *
- * Return: SGR_OK or SGR_ERR_INVALID.
+ * Return: SGR_OK or SGR_ERR_INVALID; @account then needs no release.
  */
-sgr_result_t sgr_config_account_read (const json_t *json, const char *path, sgr_account_t *account,
+sgr_result_t sgr_config_account_read (const json_t *json, const char *path,
+                                      const sgr_config_rules_t *rules, sgr_account_t *account,
                                       sgr_config_error_t *error);
 
 /**
@@ -51,14 +55,20 @@
  *            error
  * @json: document that holds the list; without it, there are no accounts
  * @path: path of @json, "" for the document itself
+ * @rules: what the accounts may hold
+ * @problems: with partial rules, receives what is not carried out
  * @error: receives the error, may be NULL
  *
- * Names that are used twice are not checked.
+ * With partial rules, an invalid account becomes an unusable one that keeps its valid keys, and a
+ * key that is used twice belongs to the first of its accounts. Names that are used twice are not
+ * checked.
  *
- * Return: SGR_OK; SGR_ERR_INVALID if an account is invalid or a key is used twice.
+ * Return: SGR_OK; SGR_ERR_INVALID if an account is invalid or a key is used twice, unless the rules
+ * are partial.
  */
 sgr_result_t sgr_config_accounts_build (sgr_config_accounts_t *accounts, const json_t *json,
-                                        const char *path, sgr_config_error_t *error);
+                                        const char *path, const sgr_config_rules_t *rules,
+                                        sgr_config_problems_t *problems, sgr_config_error_t *error);
 
 void sgr_config_accounts_release (sgr_config_accounts_t *accounts);
 
--- a/libsiskingrade/config_api_changes.c
+++ b/libsiskingrade/config_api_changes.c
@@ -5,6 +5,7 @@
 #include "config_api_private.h"
 #include "config_json.h"
 #include "http_listener.h"
+#include "label.h"
 
 /**
  * struct pending_request_t - an HTTP request that waits for an operation on the store
@@ -214,7 +215,7 @@
   if (slash != NULL)
     *slash = '\0';
   if ((slash != NULL && strcmp (slash + 1, "approve") != 0)
-      || (id[0] != '\0' && !sgr_config_name_valid (id)))
+      || (id[0] != '\0' && !sgr_label_is_valid (id)))
     sgr_http_reply_error (req, 404, "no such resource", "");
   else if (slash != NULL)
     {
--- a/libsiskingrade/config_api_status.c
+++ b/libsiskingrade/config_api_status.c
@@ -150,6 +150,28 @@
   json_object_set_new (json, "evacuated", list);
 }
 
+/* Adds the entries of the record in force that are not carried out as written: their number, and
+   the path and the reason of the first of them. */
+static void
+problems_add (const sgr_config_record_t *record, json_t *json)
+{
+  const sgr_config_problems_t *problems = &record->content->problems;
+  json_t *list = json_array ();
+
+  for (size_t i = 0; i < problems->count && i < SGR_CONFIG_PROBLEMS_MAX; i++)
+    {
+      json_t *problem = json_object ();
+
+      json_object_set_new (problem, "path", json_string (problems->list[i].path));
+      /* A value that the reason quotes may be cut within a character. */
+      if (json_object_set_new (problem, "reason", json_string (problems->list[i].message)) != 0)
+        json_object_set_new (problem, "reason", json_string ("found a value that is not valid"));
+      json_array_append_new (list, problem);
+    }
+  json_object_set_new (json, "unusable_entries", json_integer ((json_int_t)problems->count));
+  json_object_set_new (json, "unusable", list);
+}
+
 int
 api_on_status (h2o_handler_t *handler, h2o_req_t *req)
 {
@@ -179,6 +201,8 @@
   json_object_set_new (json, "highest_revision", json_integer ((json_int_t)highest));
   json_object_set_new (json, "change",
                        record == NULL ? json_null () : json_string (record->statement.id));
+  if (record != NULL)
+    problems_add (record, json);
   json_object_set_new (json, "store_reader", json_boolean (sgr_config_io_is_reader (api->io)));
   json_object_set_new (json, "store_calls",
                        json_integer ((json_int_t)sgr_config_io_sync_stats (api->io)->store_calls));
--- a/libsiskingrade/config_change.c
+++ b/libsiskingrade/config_change.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "config_json.h"
+#include "label.h"
 
 /* Space in a record for everything but its content: statement, approvals and lineage. */
 #define RECORD_METADATA_MAX_BYTES 8000
@@ -76,9 +77,8 @@
   sgr_result_t result;
 
   *change = NULL;
-  if (!sgr_config_name_valid (id) || !sgr_config_name_valid (author))
-    return sgr_config_error_set (error, SGR_ERR_INVALID,
-                                 sgr_config_name_valid (id) ? "author" : "id",
+  if (!sgr_label_is_valid (id) || !sgr_label_is_valid (author))
+    return sgr_config_error_set (error, SGR_ERR_INVALID, sgr_label_is_valid (id) ? "author" : "id",
                                  "found no valid name, expected 1 to %d letters, digits, '-', '_' "
                                  "and '.'",
                                  SGR_NAME_MAX);
--- a/libsiskingrade/config_index.c
+++ b/libsiskingrade/config_index.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "config_commit_private.h"
+#include "label.h"
 
 /* The change index is only used to list changes. A proposal that is missing from it can still be
    read by its id, so a proposal succeeds even if its entry cannot be written. */
@@ -122,7 +123,7 @@
     {
       const char *id = json_string_value (json_object_get (json_array_get (index, 0), "id"));
 
-      if (id != NULL && sgr_config_name_valid (id))
+      if (id != NULL && sgr_label_is_valid (id))
         snprintf (op->evicted_key, sizeof op->evicted_key, "config/%s/changes/%s",
                   op->commit->owners.deployment, id);
       json_array_remove (index, 0);
--- a/libsiskingrade/config_io.c
+++ b/libsiskingrade/config_io.c
@@ -88,6 +88,21 @@
       route_count, length, sgr_ms_of (took_us));
 }
 
+/* Counts the entries of the record in force that are not carried out as written, and logs the
+   first. */
+static void
+problems_report (sgr_config_io_t *io)
+{
+  const sgr_config_record_t *record = sgr_config_state_record (io->state);
+  const sgr_config_problems_t *problems = &record->content->problems;
+
+  io->stats.entries_unusable += problems->count;
+  if (problems->count > 0)
+    sgr_log_warn ("config-partial", "revision=%lu entries=%zu path=\"%s\" reason=\"%s\"",
+                  record->statement.revision, problems->count, problems->list[0].path,
+                  problems->list[0].message);
+}
+
 /* Offers a record or a step to the state, and counts and logs the result. A conflict,
    SGR_ERR_CONFLICT, is neither counted nor logged: it means that the revision is not higher, that
    the record does not descend from the one in force, or that the step starts from another
@@ -110,6 +125,7 @@
       io->stats.records_applied++;
       io->stats.steps_applied += is_step;
       in_force_log (io, length, sgr_clock_monotonic_us () - start_us);
+      problems_report (io);
       sgr_config_sync_revision_set (io->sync, sgr_clock_monotonic_us (), revision);
       if (io->callbacks.config_changed != NULL)
         io->callbacks.config_changed (io->ctx, io->state);
--- a/libsiskingrade/config_io.h
+++ b/libsiskingrade/config_io.h
@@ -57,6 +57,7 @@
  * struct sgr_config_io_stats_t - counters since the start
  * @records_applied: records and steps that took effect at this node
  * @records_refused: invalid records and steps; a revision that is not newer is not counted
+ * @entries_unusable: entries of applied records that are not carried out as written
  * @fetch_bytes: bytes of the answers of peers to fetches
  * @steps_applied: the part of @records_applied that were steps
  * @store_writes_unknown: writes to the store whose reply was lost
@@ -65,6 +66,7 @@
 {
   uint64_t records_applied;
   uint64_t records_refused;
+  uint64_t entries_unusable;
   uint64_t fetch_bytes;
   uint64_t steps_applied;
   uint64_t store_writes_unknown;
--- a/libsiskingrade/config_json.c
+++ b/libsiskingrade/config_json.c
@@ -1,9 +1,11 @@
 #include "config_json.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "config_resource.h"
+#include "label.h"
 
 /* Length of the message of an error without the text that it quotes. */
 static int
@@ -140,7 +142,7 @@
 
   /* A JSON string may contain null characters, a name may not. */
   if (json_is_string (value) && strlen (json_string_value (value)) == json_string_length (value)
-      && sgr_config_name_valid (json_string_value (value)))
+      && sgr_label_is_valid (json_string_value (value)))
     {
       snprintf (name, SGR_NAME_MAX + 1, "%s", json_string_value (value));
       return SGR_OK;
@@ -173,7 +175,8 @@
 }
 
 sgr_result_t
-sgr_config_json_regions (const json_t *json, const char *path, sgr_region_list_t *regions,
+sgr_config_json_regions (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+                         sgr_region_list_t *regions, sgr_region_id_t **memory,
                          sgr_config_error_t *error)
 {
   static const char key[] = "regions";
@@ -182,24 +185,29 @@
   char found[80], key_path[SGR_CONFIG_PATH_BYTES];
 
   *regions = (sgr_region_list_t){ 0 };
+  *memory = NULL;
   if (list == NULL)
     return SGR_OK;
   sgr_config_json_path (key_path, path, key);
-  if (!json_is_array (list) || count == 0 || count > SGR_REGION_LIST_MAX)
-    return sgr_config_error_set (
-        error, SGR_ERR_INVALID, key_path, "found %s of %zu, expected a list of 1 to %d regions",
-        sgr_config_json_describe (list, found, sizeof found), count, SGR_REGION_LIST_MAX);
+  if (!json_is_array (list) || count < rules->regions_min || count > rules->regions_max)
+    return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
+                                 "found %s of %zu, expected a list of %zu to %zu regions",
+                                 sgr_config_json_describe (list, found, sizeof found), count,
+                                 rules->regions_min, rules->regions_max);
+  *memory = calloc (count + 1, sizeof **memory);
+  sgr_invariant (*memory != NULL);
+  *regions = (sgr_region_list_t){ .is_bound = true, .ids = *memory, .count = count };
   for (size_t i = 0; i < count; i++)
     {
       const json_t *name = json_array_get (list, i);
 
       sgr_config_json_path_at (key_path, path, key, i);
-      if (!json_is_string (name) || !sgr_config_name_valid (json_string_value (name))
+      if (!json_is_string (name) || !sgr_label_is_valid (json_string_value (name))
           || strlen (json_string_value (name)) != json_string_length (name))
         return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
                                      "found %s, expected the name of a region",
                                      sgr_config_json_describe (name, found, sizeof found));
-      regions->ids[regions->count++] = sgr_region_id_of (json_string_value (name));
+      (*memory)[i] = sgr_region_id_of (json_string_value (name));
     }
   return SGR_OK;
 }
--- a/libsiskingrade/config_json.h
+++ b/libsiskingrade/config_json.h
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include "config_error.h"
+#include "config_rules.h"
 #include "region.h"
 
 /**
@@ -49,7 +50,7 @@
 void sgr_config_json_path_at (char *out, const char *path, const char *key, size_t index);
 
 /**
- * sgr_config_json_name() - read a name, see sgr_config_name_valid()
+ * sgr_config_json_name() - read a name, see sgr_label_is_valid()
  * @json: object that holds the name
  * @path: path of @json
  * @key: key of the name
@@ -82,13 +83,16 @@
  * sgr_config_json_regions() - read the optional list "regions" of a route or an account
  * @json: object that may hold the list
  * @path: path of @json
- * @regions: receives the regions, none if the key is absent
+ * @rules: how many regions the list may have
+ * @regions: receives the regions, not bound if the key is absent
+ * @memory: receives the memory of the regions, to be freed by the caller also after an error
  * @error: receives the error, may be NULL
  *
- * Return: SGR_OK; SGR_ERR_INVALID if the value is not a list of 1 to SGR_REGION_LIST_MAX valid
- * names. A region without members is valid.
+ * Return: SGR_OK; SGR_ERR_INVALID if the value is not a list of valid names, or its length is not
+ * valid. A region without members is valid.
  */
 sgr_result_t sgr_config_json_regions (const json_t *json, const char *path,
-                                      sgr_region_list_t *regions, sgr_config_error_t *error);
+                                      const sgr_config_rules_t *rules, sgr_region_list_t *regions,
+                                      sgr_region_id_t **memory, sgr_config_error_t *error);
 
 #endif
--- a/libsiskingrade/config_policy.c
+++ b/libsiskingrade/config_policy.c
@@ -6,6 +6,7 @@
 #include "config_json.h"
 #include "config_resource.h"
 #include "http_fields.h"
+#include "label.h"
 
 /* Highest limit of the requests in flight of one tenant or class. */
 #define IN_FLIGHT_LIMIT_MAX 100000
@@ -148,7 +149,7 @@
   json_object_foreach ((json_t *)value, name, item)
   {
     sgr_config_json_path (item_path, path, name);
-    if (!sgr_config_name_valid (name))
+    if (!sgr_label_is_valid (name))
       return sgr_config_error_set (error, SGR_ERR_INVALID, item_path,
                                    "found \"%.80s\", expected a name of 1 to %d letters, digits, "
                                    "'-', '_' and '.'",
--- a/libsiskingrade/config_resource.c
+++ b/libsiskingrade/config_resource.c
@@ -1,6 +1,5 @@
 #include "config_resource.h"
 
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,7 +8,7 @@
 #include "config_json.h"
 #include "config_policy.h"
 #include "config_route.h"
-#include "id_map.h"
+#include "config_routes.h"
 
 /**
  * struct named_resource_t - a resource of a list, for sorting and look-ups by name
@@ -106,16 +105,21 @@
 check_route (const json_t *json, const char *path, sgr_config_error_t *error)
 {
   sgr_route_t route;
+  sgr_result_t result = sgr_config_route_read (json, path, &sgr_config_rules_owners, &route, error);
 
-  return sgr_config_route_read (json, path, &route, error);
+  sgr_route_release (&route);
+  return result;
 }
 
 static sgr_result_t
 check_account (const json_t *json, const char *path, sgr_config_error_t *error)
 {
   sgr_account_t account;
+  sgr_result_t result
+      = sgr_config_account_read (json, path, &sgr_config_rules_owners, &account, error);
 
-  return sgr_config_account_read (json, path, &account, error);
+  sgr_account_release (&account);
+  return result;
 }
 
 static sgr_result_t
@@ -146,24 +150,39 @@
                                json_array_size (list), SGR_CONFIG_RESOURCES_MAX);
 }
 
+/* Finds the next resource, from an index of the sorted array on, whose name occurs before. Returns
+   @count if there is none. */
+static size_t
+repeated_name_find (const named_resource_t *named, size_t count, size_t from)
+{
+  for (size_t i = from > 0 ? from : 1; i < count; i++)
+    if (strcmp (named[i - 1].name, named[i].name) == 0)
+      return i;
+  return count;
+}
+
+static sgr_result_t
+repeated_name_refuse (const named_resource_t *named, const char *path, const char *key,
+                      sgr_config_error_t *error)
+{
+  char item_path[SGR_CONFIG_PATH_BYTES], name_path[SGR_CONFIG_PATH_BYTES];
+
+  sgr_config_json_path_at (item_path, path, key, named->index);
+  sgr_config_json_path (name_path, item_path, "name");
+  return sgr_config_error_set (error, SGR_ERR_INVALID, name_path,
+                               "found \"%s\" a second time, expected each name once", named->name);
+}
+
 /* Checks that no name occurs twice in a list whose resources are valid. */
 static sgr_result_t
 check_names (const json_t *list, const char *path, const char *key, sgr_config_error_t *error)
 {
-  char item_path[SGR_CONFIG_PATH_BYTES], name_path[SGR_CONFIG_PATH_BYTES];
   size_t count = json_array_size (list);
   named_resource_t *named = sort_by_name (list);
-  sgr_result_t result = SGR_OK;
+  size_t repeated = repeated_name_find (named, count, 0);
+  sgr_result_t result
+      = repeated < count ? repeated_name_refuse (&named[repeated], path, key, error) : SGR_OK;
 
-  for (size_t i = 1; i < count && result == SGR_OK; i++)
-    if (strcmp (named[i - 1].name, named[i].name) == 0)
-      {
-        sgr_config_json_path_at (item_path, path, key, named[i].index);
-        sgr_config_json_path (name_path, item_path, "name");
-        result = sgr_config_error_set (error, SGR_ERR_INVALID, name_path,
-                                       "found \"%s\" a second time, expected each name once",
-                                       named[i].name);
-      }
   free (named);
   return result;
 }
@@ -239,141 +258,156 @@
   return result;
 }
 
-/* Checks that all services of a route are in the content. */
-static sgr_result_t
-check_route_services (const sgr_config_content_t *content, size_t index, const char *path,
-                      sgr_config_error_t *error)
+/* Removes the resources of a list that are invalid, and those whose name occurs before. */
+static void
+list_reduce (json_t *json, const char *key,
+             sgr_result_t (*check) (const json_t *item, const char *path,
+                                    sgr_config_error_t *error),
+             sgr_config_problems_t *problems)
 {
-  const sgr_route_t *route = &content->routes[index];
-  char item_path[SGR_CONFIG_PATH_BYTES];
+  json_t *list = json_object_get (json, key);
+  json_t *kept = json_array ();
+  named_resource_t *named;
+  size_t index;
+  json_t *item;
 
-  for (uint32_t i = 0; i < route->part_count; i++)
+  json_array_foreach (list, index, item)
+  {
+    sgr_config_error_t problem = { SGR_OK };
+    char path[SGR_CONFIG_PATH_BYTES];
+
+    sgr_config_json_path_at (path, "", key, index);
+    if (check (item, path, &problem) == SGR_OK)
+      json_array_append (kept, item);
+    else
+      sgr_config_problem_add (problems, &problem);
+  }
+  named = sort_by_name (kept);
+  list = json_array ();
+  json_array_extend (list, kept);
+  for (size_t i = repeated_name_find (named, json_array_size (kept), 0); i < json_array_size (kept);
+       i = repeated_name_find (named, json_array_size (kept), i + 1))
     {
-      if (sgr_config_content_policy (content, route->parts[i].service) != NULL)
-        continue;
-      sgr_config_json_path_at (item_path, path, "routes", index);
-      return sgr_config_error_set (error, SGR_ERR_INVALID, item_path,
-                                   "route \"%s\": found service \"%s\", expected the name of a "
-                                   "service in \"services\"",
-                                   route->name, route->parts[i].service);
+      sgr_config_error_t problem = { SGR_OK };
+
+      repeated_name_refuse (&named[i], "", key, &problem);
+      sgr_config_problem_add (problems, &problem);
+      json_array_set_new (list, named[i].index, json_null ());
     }
-  return SGR_OK;
+  free (named);
+  for (index = json_array_size (list); index-- > 0;)
+    if (json_is_null (json_array_get (list, index)))
+      json_array_remove (list, index);
+  json_decref (kept);
+  json_object_set_new (json, key, list);
 }
 
-static int
-compare_by_host_and_prefix (const void *a, const void *b)
+/* Records what the source could not translate at all, see sgr_config_source_t. */
+static void
+untranslated_record (sgr_config_content_t *content, const json_t *json)
 {
-  const sgr_route_t *left = *(const sgr_route_t *const *)a;
-  const sgr_route_t *right = *(const sgr_route_t *const *)b;
-  int order = strcmp (left->host, right->host);
+  const json_t *list = json_object_get (json, "untranslated");
+  size_t index;
+  json_t *item;
 
-  if (order == 0)
-    order = strcmp (left->prefix, right->prefix);
-  /* Routes with the same host and prefix stay in document order. */
-  return order != 0 ? order : (left > right) - (left < right);
+  json_array_foreach ((json_t *)list, index, item)
+  {
+    const char *reason = json_string_value (json_object_get (item, "reason"));
+    const char *path = json_string_value (json_object_get (item, "path"));
+    sgr_config_error_t problem = { SGR_OK };
+
+    sgr_config_error_set (&problem, SGR_ERR_INVALID, path != NULL ? path : "", "%s",
+                          reason != NULL ? reason : "not valid");
+    sgr_config_problem_add (&content->problems, &problem);
+    if (json_is_true (json_object_get (item, "hides_routes")))
+      content->has_hidden_routes = true;
+    if (json_is_true (json_object_get (item, "hides_keys")))
+      content->has_hidden_keys = true;
+  }
 }
 
-/* Checks that no two routes have the same host and prefix. */
-static sgr_result_t
-check_route_prefixes (const sgr_config_content_t *content, const char *path,
-                      sgr_config_error_t *error)
+/* Makes the accounts unusable whose name occurs before. */
+static void
+repeated_accounts_disable (sgr_config_content_t *content)
 {
-  const sgr_route_t **sorted = calloc (content->route_count + 1, sizeof (sgr_route_t *));
-  char item_path[SGR_CONFIG_PATH_BYTES];
-  sgr_result_t result = SGR_OK;
+  const json_t *list = json_object_get (content->json, "accounts");
+  size_t count = json_array_size (list);
+  named_resource_t *named = sort_by_name (list);
 
-  sgr_invariant (sorted != NULL);
-  for (size_t i = 0; i < content->route_count; i++)
-    sorted[i] = &content->routes[i];
-  if (content->route_count > 1)
-    qsort (sorted, content->route_count, sizeof *sorted, compare_by_host_and_prefix);
-  for (size_t i = 1; i < content->route_count && result == SGR_OK; i++)
-    if (strcmp (sorted[i - 1]->host, sorted[i]->host) == 0
-        && strcmp (sorted[i - 1]->prefix, sorted[i]->prefix) == 0)
-      {
-        sgr_config_json_path_at (item_path, path, "routes", (size_t)(sorted[i] - content->routes));
-        result = sgr_config_error_set (error, SGR_ERR_INVALID, item_path,
-                                       "route \"%s\": found the host and prefix of route \"%s\"",
-                                       sorted[i]->name, sorted[i - 1]->name);
-      }
-  free (sorted);
-  return result;
+  for (size_t i = repeated_name_find (named, count, 0); i < count;
+       i = repeated_name_find (named, count, i + 1))
+    {
+      sgr_config_error_t problem = { SGR_OK };
+
+      repeated_name_refuse (&named[i], "", "accounts", &problem);
+      sgr_config_problem_add (&content->problems, &problem);
+      content->accounts.list[named[i].index].is_unusable = true;
+    }
+  free (named);
 }
 
-/* Routes of a content by the address of their JSON value, so that an unchanged one is found. */
-static sgr_id_map_t *
-route_map_create (const sgr_config_content_t *content)
+static bool
+list_is_valid (const json_t *json, const char *path, const char *key, bool is_required,
+               sgr_config_error_t *error)
 {
-  const json_t *list = content != NULL ? json_object_get (content->json, "routes") : NULL;
-  sgr_id_map_t *map = sgr_id_map_create ();
-
-  for (size_t i = 0; i < json_array_size (list); i++)
-    sgr_id_map_put (map, (uintptr_t)json_array_get (list, i), &content->routes[i]);
-  return map;
+  return (!is_required && json_object_get (json, key) == NULL)
+         || check_list (json, path, key, error) == SGR_OK;
 }
 
+/* Checks what invalidates a configuration under any rules, and its policies and services. */
 static sgr_result_t
-build_routes (sgr_config_content_t *content, const sgr_config_content_t *previous, const char *path,
-              sgr_config_error_t *error)
+check_lists (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+             sgr_config_error_t *error)
 {
-  const json_t *list = json_object_get (content->json, "routes");
-  sgr_id_map_t *known = route_map_create (previous);
-  sgr_result_t result = SGR_OK;
-
-  content->route_count = json_array_size (list);
-  content->routes = calloc (content->route_count + 1, sizeof *content->routes);
-  sgr_invariant (content->routes != NULL);
-  for (size_t i = 0; i < content->route_count && result == SGR_OK; i++)
-    {
-      const json_t *item = json_array_get (list, i);
-      const sgr_route_t *route = sgr_id_map_get (known, (uintptr_t)item);
-      char item_path[SGR_CONFIG_PATH_BYTES];
+  static const char *const required[] = { "policies", "services", NULL };
+  static const char *const optional[] = { "routes", "accounts", NULL };
+  static const char *const optional_of_source[] = { "routes", "accounts", "untranslated", NULL };
 
-      if (route != NULL)
-        {
-          content->routes[i] = *route;
-          continue;
-        }
-      sgr_config_json_path_at (item_path, path, "routes", i);
-      result = sgr_config_route_read (item, item_path, &content->routes[i], error);
-    }
-  sgr_id_map_destroy (known);
-  if (result == SGR_OK)
-    result = check_names (list, path, "routes", error);
-  for (size_t i = 0; i < content->route_count && result == SGR_OK; i++)
-    result = check_route_services (content, i, path, error);
-  return result != SGR_OK ? result : check_route_prefixes (content, path, error);
+  if (sgr_config_json_object (json, path, required,
+                              rules->is_partial ? optional_of_source : optional, error)
+          != SGR_OK
+      || sgr_config_resource_check (json, path, "policies", error) != SGR_OK
+      || !list_is_valid (json, path, "services", true, error)
+      || !list_is_valid (json, path, "routes", false, error)
+      || !list_is_valid (json, path, "accounts", false, error))
+    return SGR_ERR_INVALID;
+  return rules->is_partial ? SGR_OK : sgr_config_resource_check (json, path, "services", error);
 }
 
 /* Builds a content that keeps a reference to @json. */
 static sgr_result_t
 content_build (const sgr_config_content_t *previous, json_t *json, const char *path,
-               sgr_config_content_t **content, sgr_config_error_t *error)
+               const sgr_config_rules_t *rules, sgr_config_content_t **content,
+               sgr_config_error_t *error)
 {
-  static const char *const required[] = { "policies", "services", NULL };
-  static const char *const optional[] = { "routes", "accounts", NULL };
   sgr_config_content_t *built;
   sgr_result_t result;
 
   *content = NULL;
-  if (sgr_config_json_object (json, path, required, optional, error) != SGR_OK
-      || sgr_config_resource_check (json, path, "policies", error) != SGR_OK
-      || sgr_config_resource_check (json, path, "services", error) != SGR_OK
-      || (json_object_get (json, "routes") != NULL
-          && check_list (json, path, "routes", error) != SGR_OK)
-      || (json_object_get (json, "accounts") != NULL
-          && check_list (json, path, "accounts", error) != SGR_OK))
+  if (check_lists (json, path, rules, error) != SGR_OK)
     return SGR_ERR_INVALID;
   built = calloc (1, sizeof *built);
   if (built == NULL)
     return SGR_ERR_NO_MEMORY;
   built->json = json_incref (json);
+  if (rules->is_partial)
+    {
+      untranslated_record (built, json);
+      list_reduce (json, "services", check_service, &built->problems);
+    }
   result = build_services (built, path, error);
   if (result == SGR_OK)
-    result = build_routes (built, previous, path, error);
+    result = sgr_config_routes_build (built, previous, path, rules, error);
+  if (result == SGR_OK && !rules->is_partial)
+    result = check_names (json_object_get (json, "routes"), path, "routes", error);
   if (result == SGR_OK)
-    result = sgr_config_accounts_build (&built->accounts, json, path, error);
+    result = sgr_config_routes_check_prefixes (built, path, rules, error);
   if (result == SGR_OK)
+    result
+        = sgr_config_accounts_build (&built->accounts, json, path, rules, &built->problems, error);
+  if (result == SGR_OK && rules->is_partial)
+    repeated_accounts_disable (built);
+  else if (result == SGR_OK)
     result = check_names (json_object_get (json, "accounts"), path, "accounts", error);
   if (result == SGR_OK)
     *content = built;
@@ -387,7 +421,7 @@
                           sgr_config_error_t *error)
 {
   json_t *copy = json_deep_copy (json);
-  sgr_result_t result = content_build (NULL, copy, path, content, error);
+  sgr_result_t result = content_build (NULL, copy, path, &sgr_config_rules_owners, content, error);
 
   json_decref (copy);
   if (result == SGR_OK)
@@ -399,7 +433,7 @@
 sgr_config_content_update (const sgr_config_content_t *previous, json_t *json,
                            sgr_config_content_t **content, sgr_config_error_t *error)
 {
-  return content_build (previous, json, "", content, error);
+  return content_build (previous, json, "", &sgr_config_rules_source, content, error);
 }
 
 static json_t *
@@ -408,8 +442,9 @@
   json_t *regions = json_object_get (json, "regions"), *normal;
   sgr_route_t route;
 
-  sgr_config_route_read (json, "", &route, NULL);
+  sgr_config_route_read (json, "", &sgr_config_rules_owners, &route, NULL);
   normal = sgr_config_route_write (&route);
+  sgr_route_release (&route);
   /* A route holds only the hashes of its regions. Earlier versions of the program refuse this key,
      so that it is only written where needed. */
   if (regions != NULL)
@@ -529,64 +564,8 @@
     return;
   json_decref (content->json);
   free (content->services);
-  free (content->routes);
+  sgr_routes_free (content->routes, content->route_count);
+  free (content->route_items);
   sgr_config_accounts_release (&content->accounts);
   free (content);
 }
-
-char *
-sgr_config_json_canonical (const json_t *json)
-{
-  return json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENSURE_ASCII | JSON_ENCODE_ANY);
-}
-
-static int
-digest_update (const char *bytes, size_t length, void *ctx)
-{
-  return crypto_generichash_update (ctx, (const unsigned char *)bytes, length);
-}
-
-void
-sgr_config_json_digest (const json_t *json, sgr_config_digest_t *digest)
-{
-  crypto_generichash_state state;
-
-  crypto_generichash_init (&state, NULL, 0, sizeof digest->bytes);
-  json_dump_callback (json, digest_update, &state,
-                      JSON_COMPACT | JSON_SORT_KEYS | JSON_ENSURE_ASCII | JSON_ENCODE_ANY);
-  crypto_generichash_final (&state, digest->bytes, sizeof digest->bytes);
-}
-
-void
-sgr_config_digest_format (const sgr_config_digest_t *digest, char *hex)
-{
-  sodium_bin2hex (hex, SGR_CONFIG_DIGEST_HEX_BYTES, digest->bytes, sizeof digest->bytes);
-}
-
-bool
-sgr_config_digest_parse (const char *hex, sgr_config_digest_t *digest)
-{
-  size_t length;
-
-  return strlen (hex) == 2 * sizeof digest->bytes
-         && sodium_hex2bin (digest->bytes, sizeof digest->bytes, hex, strlen (hex), NULL, &length,
-                            NULL)
-                == 0
-         && length == sizeof digest->bytes;
-}
-
-bool
-sgr_config_digest_equal (const sgr_config_digest_t *a, const sgr_config_digest_t *b)
-{
-  return memcmp (a->bytes, b->bytes, sizeof a->bytes) == 0;
-}
-
-bool
-sgr_config_name_valid (const char *name)
-{
-  size_t length = strlen (name);
-
-  return length >= 1 && length <= SGR_NAME_MAX
-         && strspn (name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.")
-                == length;
-}
--- a/libsiskingrade/config_resource.h
+++ b/libsiskingrade/config_resource.h
@@ -4,7 +4,7 @@
 #include <jansson.h>
 
 #include "config_account.h"
-#include "config_error.h"
+#include "config_rules.h"
 #include "route.h"
 
 /* Most resources in each of the lists "policies", "services", "routes" and "accounts". More do not
@@ -26,8 +26,12 @@
  * @services: effective policy of each service (policy with overrides), sorted by service name
  * @service_count: entries of @services
  * @routes: routes in document order; if there are none, each call has to name its service
+ * @route_items: JSON value of each route, borrowed from @json
  * @route_count: entries of @routes
  * @accounts: client accounts; without any, calls need no key
+ * @problems: what is not carried out of a content of sgr_config_content_update()
+ * @has_hidden_routes: there is a route of which it is not known which requests it matches
+ * @has_hidden_keys: there is an account of which a key is not known
  * @digest: digest of the canonical form of @json; zero in a content of sgr_config_content_update()
  */
 typedef struct
@@ -36,8 +40,12 @@
   sgr_policy_t *services;
   size_t service_count;
   sgr_route_t *routes;
+  json_t **route_items;
   size_t route_count;
   sgr_config_accounts_t accounts;
+  sgr_config_problems_t problems;
+  bool has_hidden_routes;
+  bool has_hidden_keys;
   sgr_config_digest_t digest;
 } sgr_config_content_t;
 
@@ -60,17 +68,24 @@
                                        sgr_config_content_t **content, sgr_config_error_t *error);
 
 /**
- * sgr_config_content_update() - validate the content of a document that replaces an earlier one
+ * sgr_config_content_update() - read the content of a document that replaces an earlier one
  * @previous: content in force, NULL for none
- * @json: as for sgr_config_content_parse(); the content keeps a reference, so that it must not be
- *        changed any more
+ * @json: as for sgr_config_content_parse(), with what sgr_config_source_t adds to it; may be
+ *        changed, and the content keeps a reference, so that nobody else must change it any more
  * @content: receives the content, NULL on an error
  * @error: receives the error, may be NULL
  *
+ * Such a document is in force before it is read. Therefore, what one entry says never keeps another
+ * from taking effect: an entry that cannot be carried out stands alone, and is counted in the
+ * problems of the content. The requests that an unusable route matches and those with a key of an
+ * unusable account are refused as not run, and so are those for a service that the content does not
+ * have.
+ *
  * A route that is the same JSON value as one of @previous is not read again. The digest is not
  * computed: such contents are not signed.
  *
- * Return: SGR_OK, SGR_ERR_INVALID or SGR_ERR_NO_MEMORY.
+ * Return: SGR_OK, SGR_ERR_NO_MEMORY, or SGR_ERR_INVALID if @json lacks a list, a list is too long
+ * or a policy is invalid.
  */
 sgr_result_t sgr_config_content_update (const sgr_config_content_t *previous, json_t *json,
                                         sgr_config_content_t **content, sgr_config_error_t *error);
@@ -169,11 +184,4 @@
 bool sgr_config_digest_parse (const char *hex, sgr_config_digest_t *digest);
 bool sgr_config_digest_equal (const sgr_config_digest_t *a, const sgr_config_digest_t *b);
 
-/**
- * sgr_config_name_valid() - whether a name may be used in a configuration
- *
- * Return: true for a name of 1 to SGR_NAME_MAX ASCII letters, digits, '-', '_' and '.'.
- */
-bool sgr_config_name_valid (const char *name);
-
 #endif
--- a/libsiskingrade/config_route.c
+++ b/libsiskingrade/config_route.c
@@ -1,101 +1,131 @@
 #include "config_route.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "config_json.h"
 #include "config_policy.h"
 
-/* Highest valid values of the fields of a route. */
-#define TIMEOUT_MAX_MS 600000
-#define PRIORITY_MAX 100
+/* Highest number of attempts of a route. */
 #define ATTEMPTS_MAX 10
-#define WEIGHT_MAX 10000
+/* Characters of hosts, unless the rules allow any. */
+#define HOST_CHARACTERS "abcdefghijklmnopqrstuvwxyz0123456789-_."
+#define UPPER_CASE "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+/* Key of a route that the source of the document could not translate, with the reason. */
+#define UNUSABLE_KEY "unusable"
 
-static sgr_result_t
-read_host (const json_t *json, const char *path, sgr_route_t *route, sgr_config_error_t *error)
+/* Returns the text under a key if it has no null characters and is not too long, else NULL. */
+static const char *
+text_get (const json_t *json, const char *key, const sgr_config_rules_t *rules)
 {
-  const json_t *value = json_object_get (json, "host");
+  const json_t *value = json_object_get (json, key);
   const char *text = json_string_value (value);
+
+  return text != NULL && text[0] != '\0' && strlen (text) == json_string_length (value)
+                 && strlen (text) <= rules->text_max
+             ? text
+             : NULL;
+}
+
+static bool
+host_is_valid (const char *text, const sgr_config_rules_t *rules)
+{
+  size_t length = text != NULL ? strlen (text) : 0;
+
+  if (length == 0)
+    return false;
+  if (rules->has_any_host)
+    return strcspn (text, UPPER_CASE) == length;
+  return strspn (text, HOST_CHARACTERS) == length;
+}
+
+static bool
+prefix_is_valid (const char *text, const sgr_config_rules_t *rules)
+{
   size_t length = text != NULL ? strlen (text) : 0;
+
+  return length > 0 && text[0] == '/' && text[length - 1] == '/'
+         && (rules->has_any_host || strpbrk (text, " ?#") == NULL);
+}
+
+static sgr_result_t
+read_host (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+           sgr_route_t *route, sgr_config_error_t *error)
+{
   char found[80], key_path[SGR_CONFIG_PATH_BYTES];
 
-  if (length > 0 && length <= SGR_ROUTE_HOST_MAX
-      && strspn (text, "abcdefghijklmnopqrstuvwxyz0123456789-_.") == length)
-    {
-      memcpy (route->host, text, length + 1);
-      return SGR_OK;
-    }
+  route->host = text_get (json, "host", rules);
+  if (host_is_valid (route->host, rules))
+    return SGR_OK;
   sgr_config_json_path (key_path, path, "host");
-  return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
-                               "found %s, expected a host name in lower case without a port",
-                               sgr_config_json_describe (value, found, sizeof found));
+  return sgr_config_error_set (
+      error, SGR_ERR_INVALID, key_path,
+      "found %s, expected a host name in lower case without a port",
+      sgr_config_json_describe (json_object_get (json, "host"), found, sizeof found));
 }
 
 static sgr_result_t
-read_prefix (const json_t *json, const char *path, sgr_route_t *route, sgr_config_error_t *error)
+read_prefix (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+             sgr_route_t *route, sgr_config_error_t *error)
 {
-  const json_t *value = json_object_get (json, "prefix");
-  const char *text = json_string_value (value);
-  size_t length = text != NULL ? strlen (text) : 0;
   char found[80], key_path[SGR_CONFIG_PATH_BYTES];
 
-  if (length > 0 && length <= SGR_ROUTE_PREFIX_MAX && text[0] == '/' && text[length - 1] == '/'
-      && strpbrk (text, " ?#") == NULL)
-    {
-      memcpy (route->prefix, text, length + 1);
-      return SGR_OK;
-    }
+  route->prefix = text_get (json, "prefix", rules);
+  if (prefix_is_valid (route->prefix, rules))
+    return SGR_OK;
   sgr_config_json_path (key_path, path, "prefix");
-  return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
-                               "found %s, expected a path with a slash at both ends",
-                               sgr_config_json_describe (value, found, sizeof found));
+  return sgr_config_error_set (
+      error, SGR_ERR_INVALID, key_path, "found %s, expected a path with a slash at both ends",
+      sgr_config_json_describe (json_object_get (json, "prefix"), found, sizeof found));
 }
 
 /* Reads an entry of the list "services" of a route: a service and its weight. */
 static sgr_result_t
-read_weighted_service (const json_t *json, const char *path, sgr_route_part_t *part,
-                       sgr_config_error_t *error)
+read_weighted_service (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+                       sgr_route_part_t *part, sgr_config_error_t *error)
 {
   static const char *const required[] = { "service", "weight", NULL };
   uint64_t weight;
 
   if (sgr_config_json_object (json, path, required, NULL, error) != SGR_OK
       || sgr_config_json_name (json, path, "service", part->service, error) != SGR_OK
-      || sgr_config_json_u64 (json, path, "weight", 0, WEIGHT_MAX, &weight, error) != SGR_OK)
+      || sgr_config_json_u64 (json, path, "weight", 0, rules->weight_max, &weight, error) != SGR_OK)
     return SGR_ERR_INVALID;
   part->weight = (uint32_t)weight;
   return SGR_OK;
 }
 
+/* Reads the services of a route into an array, to be freed by the caller also after an error. */
 static sgr_result_t
-read_weighted_services (const json_t *json, const char *path, sgr_route_t *route,
-                        sgr_config_error_t *error)
+read_weighted_services (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+                        sgr_route_part_t **parts, size_t *count, sgr_config_error_t *error)
 {
   const json_t *list = json_object_get (json, "services");
   char found[80], key_path[SGR_CONFIG_PATH_BYTES];
   uint64_t weight_sum = 0;
 
+  *count = json_array_size (list);
   sgr_config_json_path (key_path, path, "services");
-  if (!json_is_array (list) || json_array_size (list) < 1
-      || json_array_size (list) > SGR_ROUTE_PARTS_MAX)
-    return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
-                                 "found %s of %zu, expected a list of 1 to %d services",
-                                 sgr_config_json_describe (list, found, sizeof found),
-                                 json_array_size (list), SGR_ROUTE_PARTS_MAX);
-  for (size_t i = 0; i < json_array_size (list); i++)
+  if (!json_is_array (list) || *count < 1 || *count > rules->parts_max)
+    return sgr_config_error_set (
+        error, SGR_ERR_INVALID, key_path, "found %s of %zu, expected a list of 1 to %zu services",
+        sgr_config_json_describe (list, found, sizeof found), *count, rules->parts_max);
+  *parts = calloc (*count, sizeof **parts);
+  sgr_invariant (*parts != NULL);
+  for (size_t i = 0; i < *count; i++)
     {
       char item_path[SGR_CONFIG_PATH_BYTES];
 
       sgr_config_json_path_at (item_path, path, "services", i);
-      if (read_weighted_service (json_array_get (list, i), item_path, &route->parts[i], error)
+      if (read_weighted_service (json_array_get (list, i), item_path, rules, &(*parts)[i], error)
           != SGR_OK)
         return SGR_ERR_INVALID;
-      weight_sum += route->parts[i].weight;
+      weight_sum += (*parts)[i].weight;
     }
-  route->part_count = (uint32_t)json_array_size (list);
-  if (weight_sum == 0)
+  if (weight_sum == 0 || weight_sum > UINT32_MAX)
     return sgr_config_error_set (error, SGR_ERR_INVALID, key_path,
-                                 "found weights of 0 only, expected one above 0");
+                                 "found weights with a sum of %llu, expected one from 1 to %u",
+                                 (unsigned long long)weight_sum, UINT32_MAX);
   return SGR_OK;
 }
 
@@ -131,48 +161,88 @@
                                sgr_config_json_describe (value, found, sizeof found));
 }
 
-sgr_result_t
-sgr_config_route_read (const json_t *json, const char *path, sgr_route_t *route,
-                       sgr_config_error_t *error)
+/* Reads the fields that have no memory of their own. */
+static sgr_result_t
+read_scalars (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+              sgr_route_t *route, sgr_config_error_t *error)
 {
-  static const char *const required[] = { "name", "host", "prefix", "services", NULL };
-  static const char *const optional[]
-      = { "idempotency",  "timeout_ms", "target_latency_ms", "priority",
-          "attempts_max", "public",     "regions",           NULL };
   const json_t *idempotency = json_object_get (json, "idempotency");
   char key_path[SGR_CONFIG_PATH_BYTES];
 
-  memset (route, 0, sizeof *route);
-  if (sgr_config_json_object (json, path, required, optional, error) != SGR_OK
-      || sgr_config_json_name (json, path, "name", route->name, error) != SGR_OK
-      || read_host (json, path, route, error) != SGR_OK
-      || read_prefix (json, path, route, error) != SGR_OK
-      || read_weighted_services (json, path, route, error) != SGR_OK)
-    return SGR_ERR_INVALID;
   sgr_config_json_path (key_path, path, "idempotency");
   if (idempotency != NULL
       && sgr_config_idempotency_read (idempotency, key_path, &route->idempotency, error) != SGR_OK)
     return SGR_ERR_INVALID;
-  if (read_optional_u32 (json, path, "timeout_ms", 0, TIMEOUT_MAX_MS, &route->timeout_ms, error)
+  if (read_optional_u32 (json, path, "timeout_ms", 0, rules->timeout_max_ms, &route->timeout_ms,
+                         error)
           != SGR_OK
-      || read_optional_u32 (json, path, "target_latency_ms", 0, TIMEOUT_MAX_MS,
+      || read_optional_u32 (json, path, "target_latency_ms", 0, rules->timeout_max_ms,
                             &route->target_latency_ms, error)
              != SGR_OK
-      || read_optional_u32 (json, path, "priority", 0, PRIORITY_MAX, &route->priority, error)
+      || read_optional_u32 (json, path, "priority", 0, rules->route_priority_max, &route->priority,
+                            error)
              != SGR_OK
-      || read_public (json, path, &route->is_public, error) != SGR_OK
-      || sgr_config_json_regions (json, path, &route->regions, error) != SGR_OK)
+      || read_public (json, path, &route->is_public, error) != SGR_OK)
     return SGR_ERR_INVALID;
   return read_optional_u32 (json, path, "attempts_max", 0, ATTEMPTS_MAX, &route->attempts_max,
                             error);
 }
 
+sgr_result_t
+sgr_config_route_read (const json_t *json, const char *path, const sgr_config_rules_t *rules,
+                       sgr_route_t *route, sgr_config_error_t *error)
+{
+  static const char *const required[] = { "name", "host", "prefix", "services", NULL };
+  static const char *const optional[]
+      = { "idempotency",  "timeout_ms", "target_latency_ms", "priority",
+          "attempts_max", "public",     "regions",           NULL };
+  sgr_region_id_t *regions = NULL;
+  sgr_route_part_t *parts = NULL;
+  sgr_route_t read = { 0 };
+  sgr_result_t result = SGR_ERR_INVALID;
+
+  *route = read;
+  if (rules->is_partial && json_object_get (json, UNUSABLE_KEY) != NULL)
+    return sgr_config_error_set (error, SGR_ERR_INVALID, path, "%s",
+                                 json_string_value (json_object_get (json, UNUSABLE_KEY)));
+  if (sgr_config_json_object (json, path, required, optional, error) == SGR_OK
+      && sgr_config_json_name (json, path, "name", read.name, error) == SGR_OK
+      && read_host (json, path, rules, &read, error) == SGR_OK
+      && read_prefix (json, path, rules, &read, error) == SGR_OK
+      && read_weighted_services (json, path, rules, &parts, &read.part_count, error) == SGR_OK
+      && read_scalars (json, path, rules, &read, error) == SGR_OK)
+    result = sgr_config_json_regions (json, path, rules, &read.regions, &regions, error);
+  if (result == SGR_OK)
+    {
+      read.parts = parts;
+      sgr_route_copy (route, &read);
+    }
+  free (regions);
+  free (parts);
+  return result;
+}
+
+bool
+sgr_config_route_read_unusable (const json_t *json, const sgr_config_rules_t *rules,
+                                sgr_route_t *route)
+{
+  sgr_route_t read = { .is_unusable = true,
+                       .host = text_get (json, "host", rules),
+                       .prefix = text_get (json, "prefix", rules) };
+
+  if (!host_is_valid (read.host, rules) || !prefix_is_valid (read.prefix, rules)
+      || sgr_config_json_name (json, "", "name", read.name, NULL) != SGR_OK)
+    return false;
+  sgr_route_copy (route, &read);
+  return true;
+}
+
 json_t *
 sgr_config_route_write (const sgr_route_t *route)
 {
   json_t *parts = json_array (), *json;
 
-  for (uint32_t i = 0; i < route->part_count; i++)
+  for (size_t i = 0; i < route->part_count; i++)
     json_array_append_new (parts, json_pack ("{s:s, s:i}", "service", route->parts[i].service,
                                              "weight", (int)route->parts[i].weight));
   json = json_pack ("{s:s, s:s, s:s, s:o, s:s, s:i, s:i, s:i, s:i}", "name", route->name, "host",
--- a/libsiskingrade/config_statement.c
+++ b/libsiskingrade/config_statement.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "config_json.h"
+#include "label.h"
 
 void
 sgr_config_statement_digest (const char *deployment, const sgr_config_statement_t *statement,
@@ -53,11 +54,11 @@
 sgr_result_t
 sgr_config_owners_check (const sgr_config_owners_t *owners, sgr_config_error_t *error)
 {
-  if (!sgr_config_name_valid (owners->deployment))
+  if (!sgr_label_is_valid (owners->deployment))
     return sgr_config_error_set (error, SGR_ERR_INVALID, "deployment",
                                  "found \"%s\", expected a name", owners->deployment);
   for (int i = 0; i < SGR_CONFIG_OWNER_COUNT; i++)
-    if (!sgr_config_name_valid (owners->owner[i].name))
+    if (!sgr_label_is_valid (owners->owner[i].name))
       return sgr_config_error_set (error, SGR_ERR_INVALID, "owners",
                                    "found \"%s\", expected a name", owners->owner[i].name);
   if (strcmp (owners->owner[0].name, owners->owner[1].name) == 0)
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -141,6 +141,7 @@
     { "config_reader", "gauge", sgr_config_io_is_reader (config->io) ? 1 : 0 },
     { "config_records_taken_total", "counter", stats->records_applied },
     { "config_records_refused_total", "counter", stats->records_refused },
+    { "config_entries_unusable_total", "counter", stats->entries_unusable },
     { "config_parts_read_total", "counter",
       sgr_config_state_parts_read (sgr_config_io_state (config->io)) },
     { "config_fetch_bytes_total", "counter", stats->fetch_bytes },
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -145,6 +145,13 @@
   control->snapshot_revision = revision;
   snapshot = sgr_snapshot_create (control->member_count, policies, route_count);
   snapshot->config_revision = revision;
+  if (revision > 0)
+    {
+      const sgr_config_content_t *content = sgr_config_state_record (state)->content;
+
+      snapshot->has_hidden_routes = content->has_hidden_routes;
+      snapshot->has_hidden_keys = content->has_hidden_keys;
+    }
   snapshot->local = control->announce.local;
   snapshot->local.state = sgr_control_target_state (control);
   if (control->evacuation != NULL)
@@ -159,8 +166,8 @@
   snapshot->newest_seen_us = control->newest_seen_us;
   for (size_t i = 0; i < policies; i++)
     snapshot->policies[snapshot->policy_count++] = *sgr_config_state_service_at (state, i);
-  if (route_count > 0)
-    memcpy (snapshot->routes, routes, route_count * sizeof *routes);
+  for (size_t i = 0; i < route_count; i++)
+    sgr_route_copy (&snapshot->routes[i], &routes[i]);
   snapshot->route_count = route_count;
   if (accounts != NULL)
     sgr_snapshot_accounts_set (snapshot, accounts->list, accounts->count, accounts->keys,
--- a/libsiskingrade/ctl_change.c
+++ b/libsiskingrade/ctl_change.c
@@ -5,6 +5,7 @@
 #include "ctl_command.h"
 #include "ctl_keys.h"
 #include "ctl_yaml.h"
+#include "label.h"
 
 /* After a lost reply, the change is read back up to this many times at this interval. */
 #define READ_BACKS_MAX 5
@@ -266,7 +267,7 @@
   sgr_result_t result;
   char *text;
 
-  if (!sgr_config_name_valid (options->arguments[1]))
+  if (!sgr_label_is_valid (options->arguments[1]))
     return sgr_config_error_set (error, SGR_ERR_INVALID, "id", "expected the id of a change");
   snprintf (path, sizeof path, "/v1/changes/%s", options->arguments[1]);
   result = sgr_ctl_client_request (client, "GET", path, NULL, &reply, error);
--- a/libsiskingrade/ctl_command.c
+++ b/libsiskingrade/ctl_command.c
@@ -5,6 +5,7 @@
 #include "config_resource.h"
 #include "ctl_explain.h"
 #include "ctl_keys.h"
+#include "label.h"
 
 int
 sgr_ctl_error_print (FILE *err, const sgr_config_error_t *error)
@@ -118,7 +119,7 @@
 
   if (strcmp (kind, "config") == 0)
     snprintf (path, sizeof path, "/v1/config/raw");
-  else if (sgr_config_name_valid (name)
+  else if (sgr_label_is_valid (name)
            && (strcmp (kind, "service") == 0 || strcmp (kind, "change") == 0))
     snprintf (path, sizeof path, "/v1/%ss/%s", kind, name);
   else
--- a/libsiskingrade/data_account.c
+++ b/libsiskingrade/data_account.c
@@ -15,8 +15,10 @@
    spread, so that the callers do not return at the same time. */
 #define SHARE_RETRY_MIN_MS 200
 #define SHARE_RETRY_SPREAD_MS 300
-/* Ranks of routes that one rank of accounts spans: 0 to 100. */
-#define ROUTE_RANKS 101
+/* Ranks of routes that one rank of accounts spans. Both are below it. */
+#define ROUTE_RANKS 65536
+/* Retry-After of a request that the configuration in force does not let the node carry out. */
+#define UNUSABLE_RETRY_AFTER_MS 1000
 
 void
 sgr_data_accounts_rebuild (sgr_data_task_t *task)
@@ -71,8 +73,18 @@
   return fields == 1 ? account : SGR_ACCOUNT_NONE;
 }
 
-/* Refuses a request without a known key. A 401 is final for a caller, so it is only given if no
-   other node is known to have a newer configuration, which may have the key. */
+static void
+unusable_refuse (sgr_data_task_t *task, h2o_req_t *req, const char *reason)
+{
+  sgr_data_refusal_t refusal
+      = { .status = 503, .reason = reason, .retry_after_ms = UNUSABLE_RETRY_AFTER_MS };
+
+  sgr_data_request_refuse_as (task, req, &refusal);
+}
+
+/* Refuses a request without a known key. A 401 is final for a caller, so it is only given if the
+   configuration has no key that cannot be read, and no other node is known to have a newer one,
+   which may have the key. */
 static void
 unknown_key_refuse (sgr_data_task_t *task, h2o_req_t *req)
 {
@@ -81,6 +93,11 @@
       sgr_data_request_refuse (task, req, 503, "configuration-behind");
       return;
     }
+  if (task->snapshot->has_hidden_keys)
+    {
+      unusable_refuse (task, req, "hidden-key");
+      return;
+    }
   h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("www-authenticate"), 0, NULL,
                          H2O_STRLIT ("Token"));
   sgr_data_request_refuse (task, req, 401, "unknown-key");
@@ -90,21 +107,28 @@
 sgr_data_account_check (sgr_data_task_t *task, h2o_req_t *req, const sgr_route_t *route,
                         sgr_data_call_request_t *request)
 {
-  if (sgr_account_table_count (task->accounts) == 0)
+  /* An account that cannot be read must not open what it guards. */
+  if (sgr_account_table_count (task->accounts) == 0 && !task->snapshot->has_hidden_keys)
     return true;
   request->has_accounts = true;
   request->account = SGR_ACCOUNT_NONE;
   if (route != NULL && route->is_public)
     return true;
   request->account = account_find (task, req);
-  if (request->account != SGR_ACCOUNT_NONE)
+  if (request->account == SGR_ACCOUNT_NONE)
+    {
+      unknown_key_refuse (task, req);
+      return false;
+    }
+  if (!sgr_account_table_get (task->accounts, request->account)->is_unusable)
     return true;
-  unknown_key_refuse (task, req);
+  unusable_refuse (task, req, "unusable-account");
   return false;
 }
 
 void
-sgr_data_account_apply (const sgr_data_task_t *task, sgr_data_call_request_t *request)
+sgr_data_account_apply (const sgr_data_task_t *task, const h2o_req_t *req,
+                        sgr_data_call_request_t *request)
 {
   const sgr_account_t *account = sgr_account_table_get (task->accounts, request->account);
 
@@ -112,8 +136,12 @@
     return;
   snprintf (request->tenant, sizeof request->tenant, "%s",
             account != NULL ? account->name : SGR_ACCOUNT_PUBLIC_NAME);
-  if (account != NULL)
-    request->priority += account->priority * ROUTE_RANKS;
+  if (account == NULL)
+    return;
+  request->priority += account->priority * ROUTE_RANKS;
+  if (account->full_name != NULL)
+    request->tenant_name
+        = h2o_strdup ((h2o_mem_pool_t *)&req->pool, account->full_name, SIZE_MAX).base;
 }
 
 void
--- a/libsiskingrade/data_account.h
+++ b/libsiskingrade/data_account.h
@@ -15,7 +15,8 @@
  * @route: route of the request, NULL if it names its service itself
  * @request: receives the account; unchanged if the configuration has no accounts
  *
- * Refuses the request if it has no known key and its route is not public.
+ * Refuses the request if its route is not public and it has no known key, or that of an account
+ * that is unusable.
  *
  * Return: false if the request was answered.
  */
@@ -25,11 +26,13 @@
 /**
  * sgr_data_account_apply() - set what the account of a call determines: tenant and rank
  * @task: the data task
+ * @req: request of the call, whose memory holds the name of the account
  * @request: the call, after sgr_data_account_check(), with the rank of its route
  *
  * Does nothing if the configuration has no accounts.
  */
-void sgr_data_account_apply (const sgr_data_task_t *task, sgr_data_call_request_t *request);
+void sgr_data_account_apply (const sgr_data_task_t *task, const h2o_req_t *req,
+                             sgr_data_call_request_t *request);
 
 /**
  * sgr_data_account_throttle() - refuse a call whose account the gates refuse as beyond its share
--- a/libsiskingrade/data_call.h
+++ b/libsiskingrade/data_call.h
@@ -73,6 +73,7 @@
 
 /**
  * struct sgr_data_call_request_t - attributes of a call, as parsed from the HTTP request
+ * @tenant_name: name of the account by which targets know it, NULL if it is @tenant
  * @class_name: class for limits and histograms; the name of the route if the call was routed
  * @request_id: id that the caller gave the request, empty if none
  * @deadline_us: time by which the caller wants the answer, monotonic, microseconds
@@ -97,6 +98,7 @@
 {
   char service[SGR_NAME_MAX + 1];
   char tenant[SGR_NAME_MAX + 1];
+  const char *tenant_name;
   char class_name[SGR_NAME_MAX + 1];
   char request_id[SGR_NAME_MAX + 1];
   bool is_idempotent;
--- a/libsiskingrade/data_request.c
+++ b/libsiskingrade/data_request.c
@@ -70,7 +70,7 @@
 
 /* Reads the deadline that the caller sent. If there is none, the timeout of the route is used, or
    else the deadline of the policy. A deadline that is later than the timeout of the route is
-   replaced by that timeout. */
+   replaced by that timeout, and one that is later than any call may take by the longest one. */
 static bool
 deadline_read (const h2o_req_t *req, const char *field, const sgr_policy_t *policy,
                const sgr_route_t *route, uint64_t *deadline_us)
@@ -85,6 +85,8 @@
   if (route != NULL && route->timeout_ms > 0
       && (value.base == NULL || deadline_ms > route->timeout_ms))
     deadline_ms = route->timeout_ms;
+  if (deadline_ms > SGR_DEADLINE_MAX_MS)
+    deadline_ms = SGR_DEADLINE_MAX_MS;
   *deadline_us = sgr_clock_monotonic_us () + deadline_ms * SGR_USEC_PER_MSEC;
   return true;
 }
@@ -172,7 +174,7 @@
   if (!request->has_accounts && tenant.base != NULL
       && !sgr_data_request_name_copy (tenant, request->tenant))
     return "bad-tenant";
-  sgr_data_account_apply (task, request);
+  sgr_data_account_apply (task, req, request);
   if (route == NULL && class_name.base != NULL
       && !sgr_data_request_name_copy (class_name, request->class_name))
     return "bad-class";
--- a/libsiskingrade/data_send.c
+++ b/libsiskingrade/data_send.c
@@ -122,7 +122,9 @@
   if (service != NULL)
     header_set (&headers[used++], call->task->fields->caller_service, service);
   if (call->request.account != SGR_ACCOUNT_NONE && call->task->fields->tenant != NULL)
-    header_set (&headers[used++], call->task->fields->tenant, call->request.tenant);
+    header_set (&headers[used++], call->task->fields->tenant,
+                call->request.tenant_name != NULL ? call->request.tenant_name
+                                                  : call->request.tenant);
   for (size_t i = 0; i < used; i++)
     pointers[i] = &headers[i];
   return used;
--- a/libsiskingrade/policy.h
+++ b/libsiskingrade/policy.h
@@ -5,7 +5,7 @@
 
 #define SGR_POLICY_LIMITS_MAX 32
 #define SGR_POLICY_NOT_RUN_STATUSES_MAX 8
-#define SGR_POLICY_PATH_MAX 127
+#define SGR_POLICY_PATH_MAX 1023
 /* Highest limits for cold targets. A gate keeps 8 bytes for each start of the last second. */
 #define SGR_POLICY_COLD_START_MAX_MS 3600000
 #define SGR_POLICY_COLD_CALLS_MAX 10000
--- a/libsiskingrade/region.c
+++ b/libsiskingrade/region.c
@@ -36,9 +36,9 @@
 {
   sgr_region_mask_t mask = 0;
 
-  if (list->count == 0)
+  if (!list->is_bound)
     return;
-  for (uint32_t i = 0; i < list->count; i++)
+  for (size_t i = 0; i < list->count; i++)
     mask |= bit_find (table, list->ids[i]);
   limit->mask = limit->is_bound ? limit->mask & mask : mask;
   limit->is_bound = true;
--- a/libsiskingrade/region.h
+++ b/libsiskingrade/region.h
@@ -6,14 +6,10 @@
 /* Most regions that a node tells apart. A target of any further region runs no call that is limited
    to regions. */
 #define SGR_REGIONS_MAX 64
-/* Most regions that a route or an account may name. */
-#define SGR_REGION_LIST_MAX 8
-
 /**
  * sgr_region_id_t - 64-bit hash of a region's name, 0 for an empty name
  *
- * Configurations and the data task hold ids instead of names: a list of 8 names would take 512
- * bytes for each route and each account.
+ * Configurations and the data task hold ids instead of names.
  */
 typedef uint64_t sgr_region_id_t;
 
@@ -22,13 +18,15 @@
 
 /**
  * struct sgr_region_list_t - regions that a route or an account allows; part of the configuration
- * @ids: the regions
- * @count: entries of @ids, 0 if every region is allowed
+ * @is_bound: only the regions of @ids are allowed, none if there are none; otherwise all are
+ * @ids: the regions, owned by the route or account
+ * @count: entries of @ids
  */
 typedef struct
 {
-  sgr_region_id_t ids[SGR_REGION_LIST_MAX];
-  uint32_t count;
+  bool is_bound;
+  const sgr_region_id_t *ids;
+  size_t count;
 } sgr_region_list_t;
 
 /**
@@ -71,7 +69,7 @@
  * sgr_region_limit_narrow() - limit a call to the regions of one more list
  * @limit: the limit
  * @table: the table; regions that it does not have contain no target
- * @list: the regions; an empty list changes nothing
+ * @list: the regions; a list that is not bound changes nothing
  */
 void sgr_region_limit_narrow (sgr_region_limit_t *limit, const sgr_region_table_t *table,
                               const sgr_region_list_t *list);
--- a/libsiskingrade/route.h
+++ b/libsiskingrade/route.h
@@ -5,10 +5,6 @@
 #include "region.h"
 #include "rng.h"
 
-#define SGR_ROUTE_HOST_MAX 255
-#define SGR_ROUTE_PREFIX_MAX 255
-#define SGR_ROUTE_PARTS_MAX 8
-
 /**
  * struct sgr_route_part_t - a service that gets a part of a route's calls
  * @service: name of the service
@@ -24,6 +20,7 @@
  * struct sgr_route_t - how calls with one host name and path prefix are served; part of the
  * configuration that the co-owners agreed on
  * @name: name of the route
+ * @is_unusable: the route cannot be carried out; its calls are refused
  * @host: host name in the callers' requests, lower case, without a port
  * @prefix: start of the path, with a slash at both ends
  * @idempotency: which requests may run more than once
@@ -36,13 +33,15 @@
  * @is_public: calls need no key of an account
  * @regions: where the calls may be run
  * @parts: services that the calls are split among
- * @part_count: used entries of @parts, at least 1
+ * @part_count: entries of @parts, at least 1 unless @is_unusable
+ * @memory: holds @host, @prefix, the regions and @parts of a copy, see sgr_route_copy()
  */
 typedef struct
 {
   char name[SGR_NAME_MAX + 1];
-  char host[SGR_ROUTE_HOST_MAX + 1];
-  char prefix[SGR_ROUTE_PREFIX_MAX + 1];
+  bool is_unusable;
+  const char *host;
+  const char *prefix;
   sgr_policy_idempotency_t idempotency;
   uint32_t timeout_ms;
   uint32_t target_latency_ms;
@@ -50,10 +49,27 @@
   uint32_t attempts_max;
   bool is_public;
   sgr_region_list_t regions;
-  sgr_route_part_t parts[SGR_ROUTE_PARTS_MAX];
-  uint32_t part_count;
+  const sgr_route_part_t *parts;
+  size_t part_count;
+  void *memory;
 } sgr_route_t;
 
+/**
+ * sgr_route_copy() - copy a route with what it refers to
+ * @copy: receives the copy, to be released with sgr_route_release()
+ * @route: the route
+ */
+void sgr_route_copy (sgr_route_t *copy, const sgr_route_t *route);
+
+/** sgr_route_release() - free what a copy refers to */
+void sgr_route_release (sgr_route_t *route);
+
+/** sgr_routes_copy() - array of copies of routes, to be freed with sgr_routes_free() */
+sgr_route_t *sgr_routes_copy (const sgr_route_t *routes, size_t count);
+
+/** sgr_routes_free() - release the copies in an array and free it */
+void sgr_routes_free (sgr_route_t *routes, size_t count);
+
 /** The routes of one configuration and the state of their splits among services. */
 typedef struct sgr_route_table_t sgr_route_table_t;
 
@@ -85,7 +101,7 @@
  * @path_length: bytes of @path
  *
  * Return: among the routes of that host whose prefix the path starts with, the one with the longest
- * prefix, valid as long as the table; NULL if there is none.
+ * prefix, valid as long as the table; NULL if there is none. It may be one that is unusable.
  */
 sgr_route_entry_t *sgr_route_table_find (sgr_route_table_t *table, const char *host,
                                          size_t host_length, const char *path, size_t path_length);
@@ -105,7 +121,7 @@
 /**
  * sgr_route_entry_part_next() - choose the service for the next call, by smooth weighted round
  * robin
- * @entry: the route
+ * @entry: the route, which is usable
  *
  * Each call goes to the part that is furthest behind its share. Since the split began, no part is
  * ever a full call ahead of its share; it may be slightly more than a call behind.
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -5,6 +5,7 @@
 
 #include "config_resource.h"
 #include "ctl_keys.h"
+#include "label.h"
 #include "yaml_reader.h"
 
 #define KIB 1024ULL
@@ -54,7 +55,7 @@
       const char *name = sgr_yaml_scalar (yaml, sgr_yaml_item (yaml, list, i));
       bool is_repeated = false;
 
-      if (name == NULL || !sgr_config_name_valid (name))
+      if (name == NULL || !sgr_label_is_valid (name))
         {
           sgr_yaml_error (yaml, list, "node.regions", "expected a list of names");
           return;
@@ -68,6 +69,27 @@
     sgr_yaml_error (yaml, list, "node.regions", "expected a list of names with node.region");
 }
 
+/* Reads the name of the local service, which may be longer than a label. */
+static void
+read_service (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t node)
+{
+  sgr_yaml_node_t value = sgr_yaml_get (yaml, node, "service");
+  const char *text = sgr_yaml_scalar (yaml, value);
+  size_t length = text != NULL ? strlen (text) : 0;
+
+  if (value == 0)
+    return;
+  if (length == 0 || length > SGR_SETTINGS_SERVICE_MAX
+      || strspn (text, SGR_LABEL_CHARACTERS) != length)
+    {
+      sgr_yaml_error (yaml, value, "node.service",
+                      "expected a name of 1 to %d letters, digits, '-', '_', '.'",
+                      SGR_SETTINGS_SERVICE_MAX);
+      return;
+    }
+  memcpy (settings->service, text, length + 1);
+}
+
 static void
 read_node (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
@@ -79,7 +101,7 @@
     return;
   sgr_yaml_name_read (yaml, node, "deployment", "node", true, settings->deployment);
   sgr_yaml_name_read (yaml, node, "name", "node", true, settings->name);
-  sgr_yaml_name_read (yaml, node, "service", "node", false, settings->service);
+  read_service (settings, yaml, node);
   sgr_yaml_name_read (yaml, node, "region", "node", true, settings->region);
   sgr_yaml_name_read (yaml, node, "failure_domain", "node", true, settings->failure_domain);
   read_regions (settings, yaml, node);
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -9,6 +9,8 @@
 #define SGR_SETTINGS_CONTACTS_MAX 16
 /* Longest path of a PEM file, without the terminating zero. */
 #define SGR_SETTINGS_PATH_MAX 255
+/* Longest name of the local service, which is a header field of requests to targets. */
+#define SGR_SETTINGS_SERVICE_MAX 4096
 
 /**
  * struct sgr_settings_t - settings of a node, read at start; a reload changes only the log level
@@ -76,7 +78,7 @@
 {
   char deployment[SGR_NAME_MAX + 1];
   char name[SGR_NAME_MAX + 1];
-  char service[SGR_NAME_MAX + 1];
+  char service[SGR_SETTINGS_SERVICE_MAX + 1];
   char region[SGR_NAME_MAX + 1];
   size_t region_count;
   char failure_domain[SGR_NAME_MAX + 1];
--- a/libsiskingrade/snapshot.c
+++ b/libsiskingrade/snapshot.c
@@ -23,10 +23,9 @@
 {
   if (count == 0)
     return;
-  snapshot->accounts = calloc (count, sizeof *accounts);
+  snapshot->accounts = sgr_accounts_copy (accounts, count);
   snapshot->account_keys = calloc (key_count + 1, sizeof *keys);
-  sgr_invariant (snapshot->accounts != NULL && snapshot->account_keys != NULL);
-  memcpy (snapshot->accounts, accounts, count * sizeof *accounts);
+  sgr_invariant (snapshot->account_keys != NULL);
   memcpy (snapshot->account_keys, keys, key_count * sizeof *keys);
   snapshot->account_count = count;
   snapshot->account_key_count = key_count;
@@ -39,8 +38,8 @@
     return;
   free (snapshot->members);
   free (snapshot->policies);
-  free (snapshot->routes);
-  free (snapshot->accounts);
+  sgr_routes_free (snapshot->routes, snapshot->route_count);
+  sgr_accounts_free (snapshot->accounts, snapshot->account_count);
   free (snapshot->account_keys);
   free (snapshot);
 }
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -54,6 +54,8 @@
  * @evacuation: the evacuated failure domains
  * @policies: policies of the services in the configuration
  * @policy_count: entries of @policies
+ * @has_hidden_routes: see sgr_config_content_t
+ * @has_hidden_keys: see sgr_config_content_t
  * @routes: routes of the configuration; empty if the snapshot before had the same revision
  * @route_count: entries of @routes
  * @accounts: client accounts of the configuration; empty if the snapshot before had the same
@@ -74,6 +76,8 @@
   sgr_evacuation_t evacuation;
   sgr_policy_t *policies;
   size_t policy_count;
+  bool has_hidden_routes;
+  bool has_hidden_keys;
   sgr_route_t *routes;
   size_t route_count;
   sgr_account_t *accounts;
--- a/libsiskingrade/yaml_reader.c
+++ b/libsiskingrade/yaml_reader.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <yaml.h>
 
+#include "label.h"
+
 #define FILE_MAX_BYTES (4U * 1024 * 1024)
 #define READ_CHUNK_BYTES 4096
 /* Size of the buffer for the dotted path of a key; a longer path is truncated. */
@@ -310,17 +312,6 @@
   return text;
 }
 
-static bool
-is_name (const char *text)
-{
-  size_t length = strlen (text);
-
-  if (length == 0 || length > SGR_NAME_MAX)
-    return false;
-  return strspn (text, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.")
-         == length;
-}
-
 bool
 sgr_yaml_name_read (sgr_yaml_t *yaml, sgr_yaml_node_t node, const char *key, const char *path,
                     bool required, char *name)
@@ -330,7 +321,7 @@
 
   if (text == NULL)
     return false;
-  if (!is_name (text))
+  if (!sgr_label_is_valid (text))
     {
       sgr_yaml_error (yaml, sgr_yaml_get (yaml, node, key), key_path,
                       "found \"%.80s\", expected a name of 1 to %d letters, digits, '-', '_', '.'",
