Install all headers that the public ones include

A program that includes siskingrade.h from the installed headers did not compile: gate.h includes call_fields.h, and config_resource.h route.h, which were not installed. Each installed header, and examples/embed.c, compiles against them now (tried with gcc -fsyntax-only).

--- a/Makefile
+++ b/Makefile
@@ -120,10 +120,10 @@
 
 PREFIX ?= /usr/local
 VERSION = $(shell sed -n 's/.*SGR_VERSION "\(.*\)"/\1/p' libsiskingrade/version.h)
-PUBLIC_HEADERS := siskingrade.h account.h balancer.h buffer.h call_plan.h config_chain.h config_error.h \
-	config_resource.h config_state.h config_sync.h evacuation.h gate.h gate_cold.h gate_limits.h histogram.h \
-	idempotency_key.h member.h membership.h policy.h probe_budget.h region.h result.h retry_budget.h rng.h types.h \
-	version.h
+PUBLIC_HEADERS := siskingrade.h account.h balancer.h buffer.h call_fields.h call_plan.h config_account.h \
+	config_cache.h config_chain.h config_error.h config_resource.h config_rules.h config_source.h config_state.h \
+	config_sync.h counter.h evacuation.h gate.h gate_cold.h gate_limits.h histogram.h idempotency_key.h member.h membership.h \
+	policy.h probe_budget.h region.h result.h retry_budget.h rng.h route.h types.h version.h
 
 # Programs, man pages, and the library with its public headers.
 install: all
