State how calls find their service and whether they need keys

In deployments of the co-owners, withdrawing the last route opened each service to whoever knew its name.

Cause: service_choose() concluded from the number of routes which of two ways to address services holds. The class: a check that is taken for unused because nothing is left to check.

Invariant: whether a check is in force is stated, and never concluded from a count.

Change: the setting "routing" says whether callers name services (by-service) or need a route (by-route, the default); the platform's adapter refuses the former, and the status shows it.

Tests changed: test_no_404_while_behind counted on the former rule for configurations without routes; it has each of its cases for the way to which it belongs, and more. The fixture states "by-service"; test_path_regions, which uses routes, has them from the start.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -72,6 +72,7 @@
   control: 127.0.0.1:$(($4 + 300 + $3))
 contacts: ["127.0.0.1:$(($4 + 300))", "127.0.0.1:$(($4 + 301))", "127.0.0.1:$(($4 + 302))"]
 store: 127.0.0.1:$4
+routing: by-service
 owners:
   - {name: first, public_key: $(public_key "$1-first")}
   - {name: second, public_key: $(public_key "$1-second")}
--- a/libsiskingrade/config_account.c
+++ b/libsiskingrade/config_account.c
@@ -266,7 +266,7 @@
 {
   const json_t *list = json_object_get (json, "accounts");
 
-  *accounts = (sgr_config_accounts_t){ .count = json_array_size (list) };
+  *accounts = (sgr_config_accounts_t){ .is_in_use = list != NULL, .count = json_array_size (list) };
   accounts->list = calloc (accounts->count + 1, sizeof *accounts->list);
   sgr_invariant (accounts->list != NULL);
   for (size_t i = 0; i < accounts->count; i++)
--- a/libsiskingrade/config_account.h
+++ b/libsiskingrade/config_account.h
@@ -11,6 +11,7 @@
 
 /**
  * struct sgr_config_accounts_t - the client accounts of a configuration
+ * @is_in_use: the configuration has a list of accounts, which may be empty: calls need a key
  * @list: accounts in document order
  * @count: entries of @list
  * @keys: keys of all accounts, sorted by their hashes
@@ -18,6 +19,7 @@
  */
 typedef struct
 {
+  bool is_in_use;
   sgr_account_t *list;
   size_t count;
   sgr_account_key_t *keys;
@@ -53,7 +55,7 @@
  * sgr_config_accounts_build() - read the list "accounts" of a document
  * @accounts: receives the accounts; release them with sgr_config_accounts_release() also after an
  *            error
- * @json: document that holds the list; without it, there are no accounts
+ * @json: document that holds the list; without it, accounts are not in use
  * @path: path of @json, "" for the document itself
  * @rules: what the accounts may hold
  * @problems: with partial rules, receives what is not carried out
--- a/libsiskingrade/config_api.h
+++ b/libsiskingrade/config_api.h
@@ -40,6 +40,10 @@
 void sgr_config_api_evacuation_setup (sgr_config_api_t *api, sgr_config_api_evacuation_t evacuation,
                                       void *ctx);
 
+/** sgr_config_api_routing_setup() - let /v1/status show how calls find their service, a static text
+ */
+void sgr_config_api_routing_setup (sgr_config_api_t *api, const char *routing);
+
 /**
  * sgr_config_api_notify() - answer the pending watch requests that a new revision concerns
  * @api: the API, may be NULL; call from config_changed of sgr_config_io_callbacks_t
--- a/libsiskingrade/config_api_private.h
+++ b/libsiskingrade/config_api_private.h
@@ -36,6 +36,7 @@
  * @members_ctx: passed to @members
  * @evacuation: returns the evacuated failure domains, may be NULL
  * @evacuation_ctx: passed to @evacuation
+ * @routing: how calls find their service, NULL if it is not known
  * @loop: event loop of the HTTP server, NULL until its context is initialized
  * @tick: timeout with the period WATCH_TICK_MS
  * @tick_entry: entry of @tick
@@ -49,6 +50,7 @@
   void *members_ctx;
   sgr_config_api_evacuation_t evacuation;
   void *evacuation_ctx;
+  const char *routing;
   h2o_loop_t *loop;
   h2o_timeout_t tick;
   h2o_timeout_entry_t tick_entry;
--- a/libsiskingrade/config_api_status.c
+++ b/libsiskingrade/config_api_status.c
@@ -134,6 +134,12 @@
   api->evacuation_ctx = ctx;
 }
 
+void
+sgr_config_api_routing_setup (sgr_config_api_t *api, const char *routing)
+{
+  api->routing = routing;
+}
+
 /* Adds the evacuated failure domains, unless the node does not follow evacuations. */
 static void
 evacuation_add (const sgr_config_api_t *api, json_t *json)
@@ -201,8 +207,14 @@
   json_object_set_new (json, "highest_revision", json_integer ((json_int_t)highest));
   json_object_set_new (json, "change",
                        record == NULL ? json_null () : json_string (record->statement.id));
+  if (api->routing != NULL)
+    json_object_set_new (json, "routing", json_string (api->routing));
   if (record != NULL)
-    problems_add (record, json);
+    {
+      json_object_set_new (json, "accounts_in_use",
+                           json_boolean (record->content->accounts.is_in_use));
+      problems_add (record, json);
+    }
   json_object_set_new (json, "store_reader", json_boolean (sgr_config_io_is_reader (api->io)));
   json_object_set_new (json, "store_calls",
                        json_integer ((json_int_t)sgr_config_io_sync_stats (api->io)->store_calls));
--- a/libsiskingrade/config_resource.c
+++ b/libsiskingrade/config_resource.c
@@ -405,6 +405,8 @@
   if (result == SGR_OK)
     result
         = sgr_config_accounts_build (&built->accounts, json, path, rules, &built->problems, error);
+  /* A key that cannot be read belongs to an account. */
+  built->accounts.is_in_use = built->accounts.is_in_use || built->has_hidden_keys;
   if (result == SGR_OK && rules->is_partial)
     repeated_accounts_disable (built);
   else if (result == SGR_OK)
--- a/libsiskingrade/config_resource.h
+++ b/libsiskingrade/config_resource.h
@@ -25,10 +25,10 @@
  * @json: the document as it was parsed
  * @services: effective policy of each service (policy with overrides), sorted by service name
  * @service_count: entries of @services
- * @routes: routes in document order; if there are none, each call has to name its service
+ * @routes: routes in document order
  * @route_items: JSON value of each route, borrowed from @json
  * @route_count: entries of @routes
- * @accounts: client accounts; without any, calls need no key
+ * @accounts: client accounts
  * @problems: what is not carried out of a content of sgr_config_content_update()
  * @has_hidden_routes: there is a route of which it is not known which requests it matches
  * @has_hidden_keys: there is an account of which a key is not known
--- a/libsiskingrade/control_config.c
+++ b/libsiskingrade/control_config.c
@@ -20,7 +20,12 @@
 on_config_changed (void *ctx, const sgr_config_state_t *state)
 {
   sgr_control_config_t *config = ctx;
+  size_t routes;
 
+  sgr_config_state_routes (state, &routes);
+  if (config->control->settings->are_services_named && routes > 0)
+    sgr_log_warn ("routes-not-used", "revision=%lu routes=%zu routing=by-service",
+                  sgr_config_state_revision (state), routes);
   sgr_control_self_update (config->control);
   /* Sent without delay: changes of the configuration are rare, and each must be in force on all
      nodes within seconds. */
@@ -85,6 +90,7 @@
   sgr_invariant (config->io != NULL);
   config->api = sgr_config_api_create (host, config->io, members_list, control);
   sgr_config_api_evacuation_setup (config->api, evacuation_get, control);
+  sgr_config_api_routing_setup (config->api, sgr_settings_routing_name (settings));
   return config;
 }
 
--- a/libsiskingrade/control_task.c
+++ b/libsiskingrade/control_task.c
@@ -149,6 +149,7 @@
     {
       const sgr_config_content_t *content = sgr_config_state_record (state)->content;
 
+      snapshot->has_accounts = content->accounts.is_in_use;
       snapshot->has_hidden_routes = content->has_hidden_routes;
       snapshot->has_hidden_keys = content->has_hidden_keys;
     }
@@ -169,7 +170,7 @@
   for (size_t i = 0; i < route_count; i++)
     sgr_route_copy (&snapshot->routes[i], &routes[i]);
   snapshot->route_count = route_count;
-  if (accounts != NULL)
+  if (accounts != NULL && accounts->is_in_use)
     sgr_snapshot_accounts_set (snapshot, accounts->list, accounts->count, accounts->keys,
                                accounts->key_count);
   return snapshot;
@@ -185,7 +186,7 @@
   members_refresh (control);
   newest_revision_update (control, now_us);
   accounts = sgr_config_state_accounts (sgr_control_config_state (control->config));
-  if (accounts != NULL && accounts->count > 0)
+  if (accounts != NULL && accounts->is_in_use)
     fleet_refresh (control, now_us);
   sgr_control_config_members_update (control->config, control->members, control->member_count);
   sgr_control_probe_update (control->probe,
@@ -551,6 +552,11 @@
                adapter->config != NULL ? "outside" : "owners");
       return EX_CONFIG;
     }
+  if (settings->are_services_named && adapter->requires_routes)
+    {
+      fprintf (stderr, "siskingraded: routing: this program requires the value \"by-route\"\n");
+      return EX_CONFIG;
+    }
   /* A write to a connection that the other side has closed fails with EPIPE instead of ending the
      process. */
   signal (SIGPIPE, SIG_IGN);
@@ -571,8 +577,8 @@
       status = EX_OSERR;
       goto out;
     }
-  sgr_log_info ("started", "region=%s failure_domain=%s", settings->region,
-                settings->failure_domain);
+  sgr_log_info ("started", "region=%s failure_domain=%s routing=%s", settings->region,
+                settings->failure_domain, sgr_settings_routing_name (settings));
   sgr_log_buffer (true);
   sgr_timer_arm (control.timers, &control.log_timer, sgr_clock_monotonic_us ());
   sgr_control_snapshot_schedule (&control);
--- a/libsiskingrade/control_task.h
+++ b/libsiskingrade/control_task.h
@@ -20,6 +20,8 @@
  * @fields: names of the header fields of calls
  * @config: source of a configuration that is approved outside of siskingrade; NULL if the two
  *          co-owners approve the configuration
+ * @requires_routes: callers of the platform never name a service, so that settings which let them
+ * do so are refused
  * @store_create: creates a client of the platform's store at the address in the settings
  * @store_destroy: destroys the client; pending calls are cancelled without their callbacks
  * @evacuation_prefix: prefix of the store keys that evacuate failure domains; the name of the
@@ -33,6 +35,7 @@
 {
   const sgr_call_fields_t *fields;
   const sgr_config_source_t *config;
+  bool requires_routes;
   sgr_store_t *(*store_create) (h2o_loop_t *loop, const sgr_settings_t *settings);
   void (*store_destroy) (sgr_store_t *store);
   const char *evacuation_prefix;
@@ -54,7 +57,8 @@
  * graceful shutdown; further ones have no effect.
  *
  * Return: exit status: 0 after a graceful shutdown, EX_OSERR if an address cannot be used,
- * EX_CONFIG if the settings and the adapter do not agree on who approves the configuration.
+ * EX_CONFIG if the settings and the adapter do not agree on who approves the configuration, or on
+ * whether callers may name services.
  */
 int sgr_control_task_run (const char *settings_path, const sgr_settings_t *settings,
                           const sgr_adapter_t *adapter);
--- a/libsiskingrade/data_account.c
+++ b/libsiskingrade/data_account.c
@@ -107,8 +107,7 @@
 sgr_data_account_check (sgr_data_task_t *task, h2o_req_t *req, const sgr_route_t *route,
                         sgr_data_call_request_t *request)
 {
-  /* An account that cannot be read must not open what it guards. */
-  if (sgr_account_table_count (task->accounts) == 0 && !task->snapshot->has_hidden_keys)
+  if (!task->snapshot->has_accounts)
     return true;
   request->has_accounts = true;
   request->account = SGR_ACCOUNT_NONE;
--- a/libsiskingrade/data_gate.c
+++ b/libsiskingrade/data_gate.c
@@ -288,7 +288,7 @@
           sgr_gate_policy_update (gate->core, now_us, &gate->policy);
         }
     }
-  sgr_gate_fair_set (gate->core, gate->task->accounts != NULL, gate->task->settings->link_mbps);
+  sgr_gate_fair_set (gate->core, snapshot->has_accounts, gate->task->settings->link_mbps);
   sgr_data_cold_local_apply (gate, now_us);
   sgr_gate_target_update (gate->core, now_us, local->state, local->slots);
   sgr_data_load_budget_update (gate, now_us);
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -125,9 +125,10 @@
     sgr_data_request_refuse (http->task, req, 404, reason);
 }
 
-/* Checks the key of a call and finds its service. With routes, it is the service that is next in
-   the traffic split of the matching route; without routes, the caller names it. If the key is not
-   known or there is no such service, refuses the request and returns NULL. */
+/* Checks the key of a call and finds its service: the one that is next in the traffic split of the
+   matching route, or, if the settings say so, the one that the caller names. The configuration does
+   not decide which of both holds: without routes, each request is one without a route. If the key
+   is not known or there is no such service, refuses the request and returns NULL. */
 static sgr_data_service_t *
 service_choose (sgr_data_http_t *http, h2o_req_t *req, const sgr_route_t **route,
                 sgr_data_call_request_t *request)
@@ -141,7 +142,7 @@
       sgr_data_request_refuse (http->task, req, 503, "no-configuration");
       return NULL;
     }
-  if (sgr_route_table_count (routes) > 0)
+  if (!http->task->settings->are_services_named)
     {
       entry = sgr_route_table_find (routes, req->authority.base, req->authority.len, req->path.base,
                                     req->path.len);
--- a/libsiskingrade/data_refuse.c
+++ b/libsiskingrade/data_refuse.c
@@ -51,7 +51,7 @@
 refusal_log (sgr_data_task_t *task, const h2o_req_t *req, const sgr_data_refusal_t *refusal)
 {
   const sgr_snapshot_t *snapshot = task->snapshot;
-  bool has_accounts = sgr_account_table_count (task->accounts) > 0;
+  bool has_accounts = snapshot != NULL && snapshot->has_accounts;
   char id[SGR_NAME_MAX + 1];
 
   sgr_data_request_id_read (task, req, id);
--- a/libsiskingrade/data_task.c
+++ b/libsiskingrade/data_task.c
@@ -84,6 +84,13 @@
       routes_rebuild (task);
       sgr_data_accounts_rebuild (task);
     }
+  else
+    {
+      /* As the routes and accounts, what holds for them is that of the revision. */
+      snapshot->has_accounts = old->has_accounts;
+      snapshot->has_hidden_routes = old->has_hidden_routes;
+      snapshot->has_hidden_keys = old->has_hidden_keys;
+    }
   sgr_data_services_update (task->services, old, now_us);
   sgr_data_gate_update (task->gate, now_us);
   sgr_data_quotas_update (task->quotas, is_new_revision);
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -238,6 +238,25 @@
     sgr_yaml_error (yaml, node, "approval", "expected owners or outside");
 }
 
+const char *
+sgr_settings_routing_name (const sgr_settings_t *settings)
+{
+  return settings->are_services_named ? "by-service" : "by-route";
+}
+
+static void
+read_routing (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+{
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "routing");
+  const char *text = sgr_yaml_scalar (yaml, node);
+
+  if (node == 0)
+    return;
+  settings->are_services_named = text != NULL && strcmp (text, "by-service") == 0;
+  if (!settings->are_services_named && (text == NULL || strcmp (text, "by-route") != 0))
+    sgr_yaml_error (yaml, node, "routing", "expected by-route or by-service");
+}
+
 static void
 read_owners (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
@@ -442,8 +461,8 @@
 read_document (sgr_settings_t *settings, sgr_yaml_t *yaml)
 {
   static const char *const keys[]
-      = { "node",   "listen", "advertise", "contacts", "store", "approval",
-          "owners", "tls",    "log",       "limits",   NULL };
+      = { "node",     "listen", "advertise", "contacts", "store",  "routing",
+          "approval", "owners", "tls",       "log",      "limits", NULL };
   sgr_yaml_node_t root = sgr_yaml_root (yaml);
 
   if (!sgr_yaml_mapping_check (yaml, root, "", keys))
@@ -453,6 +472,7 @@
   read_advertise (settings, yaml, root);
   read_contacts (settings, yaml, root);
   sgr_yaml_address_read (yaml, root, "store", "", false, &settings->store);
+  read_routing (settings, yaml, root);
   read_approval (settings, yaml, root);
   read_owners (settings, yaml, root);
   read_tls (settings, yaml, root);
--- a/libsiskingrade/settings.h
+++ b/libsiskingrade/settings.h
@@ -16,6 +16,8 @@
  * struct sgr_settings_t - settings of a node, read at start; a reload changes only the log level
  * @deployment: deployment that the node belongs to; part of what the co-owners sign
  * @name: name of the node, unique in the deployment
+ * @are_services_named: callers name the service of each call, and routes are not used; otherwise
+ * each call needs a route, also if the configuration has none
  * @service: service of the target beside the node, empty if known only from its announcement
  * @region: region of the node
  * @region_count: number of regions of the deployment, 0 if not known
@@ -76,6 +78,7 @@
  */
 typedef struct
 {
+  bool are_services_named;
   char deployment[SGR_NAME_MAX + 1];
   char name[SGR_NAME_MAX + 1];
   char service[SGR_SETTINGS_SERVICE_MAX + 1];
@@ -129,6 +132,9 @@
   uint64_t stall_timeout_ms;
 } sgr_settings_t;
 
+/** sgr_settings_routing_name() - how calls find their service: "by-route" or "by-service" */
+const char *sgr_settings_routing_name (const sgr_settings_t *settings);
+
 /**
  * sgr_settings_load() - read a settings file and report all errors in it
  * @settings: receives the settings; not valid after an error
--- a/libsiskingrade/snapshot.c
+++ b/libsiskingrade/snapshot.c
@@ -21,12 +21,14 @@
 sgr_snapshot_accounts_set (sgr_snapshot_t *snapshot, const sgr_account_t *accounts, size_t count,
                            const sgr_account_key_t *keys, size_t key_count)
 {
+  snapshot->has_accounts = true;
   if (count == 0)
     return;
   snapshot->accounts = sgr_accounts_copy (accounts, count);
   snapshot->account_keys = calloc (key_count + 1, sizeof *keys);
   sgr_invariant (snapshot->account_keys != NULL);
-  memcpy (snapshot->account_keys, keys, key_count * sizeof *keys);
+  if (key_count > 0)
+    memcpy (snapshot->account_keys, keys, key_count * sizeof *keys);
   snapshot->account_count = count;
   snapshot->account_key_count = key_count;
 }
--- a/libsiskingrade/snapshot.h
+++ b/libsiskingrade/snapshot.h
@@ -54,6 +54,7 @@
  * @evacuation: the evacuated failure domains
  * @policies: policies of the services in the configuration
  * @policy_count: entries of @policies
+ * @has_accounts: calls need a key of an account, also if there is no account
  * @has_hidden_routes: see sgr_config_content_t
  * @has_hidden_keys: see sgr_config_content_t
  * @routes: routes of the configuration; empty if the snapshot before had the same revision
@@ -76,6 +77,7 @@
   sgr_evacuation_t evacuation;
   sgr_policy_t *policies;
   size_t policy_count;
+  bool has_accounts;
   bool has_hidden_routes;
   bool has_hidden_keys;
   sgr_route_t *routes;
@@ -95,7 +97,8 @@
 sgr_snapshot_t *sgr_snapshot_create (size_t members, size_t policies, size_t routes);
 
 /**
- * sgr_snapshot_accounts_set() - put client accounts and their keys into a snapshot without any
+ * sgr_snapshot_accounts_set() - put client accounts and their keys into a snapshot without any, and
+ * put accounts to use
  * @snapshot: the snapshot
  * @accounts: the accounts, copied
  * @count: entries of @accounts
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -181,7 +181,8 @@
            node->advertised_ip != NULL ? node->advertised_ip : "127.0.0.1", node->advertised);
   for (size_t i = 0; i < fixture->count; i++)
     fprintf (file, "  - 127.0.0.1:%u\n", fixture->nodes[i].control);
-  fprintf (file, "store: 127.0.0.1:%u\nlimits:\n%s%s", store_port,
+  fprintf (file, "store: 127.0.0.1:%u\nrouting: %s\nlimits:\n%s%s", store_port,
+           fixture->is_routed ? "by-route" : "by-service",
            node->limits != NULL ? node->limits : fixture->limits, fixture->extra_settings);
   sgr_fixture_owners_write (file);
   fclose (file);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -64,6 +64,8 @@
  * @target_options: additional command line arguments of the targets, separated by one space
  * @confirm_ports: number of ports at which the target of a node confirms that it runs; to be set
  *                 before nodes are added
+ * @is_routed: calls need routes; the configuration has one for the first service, with the host
+ *             "test" and the prefix "/". Otherwise callers name services.
  * @has_external_targets: the test runs the targets itself, and the fixture starts none
  * @store_port: port of the store
  * @store_pid: process id of the store, 0 while it is not running
@@ -77,6 +79,7 @@
   const char *extra_settings;
   const char *target_options;
   unsigned confirm_ports;
+  bool is_routed;
   bool has_external_targets;
   uint16_t store_port;
   pid_t store_pid;
--- a/tests/node_fixture_config.c
+++ b/tests/node_fixture_config.c
@@ -48,7 +48,7 @@
 static json_t *
 content_create (const sgr_fixture_t *fixture)
 {
-  json_t *services = json_array ();
+  json_t *services = json_array (), *content;
 
   for (size_t i = 0; i < fixture->count; i++)
     {
@@ -65,11 +65,18 @@
   /* With retry_percent 100, each successful call allows one retry. With the default of 10, a test
      that repeats shed calls would exhaust the retry budget whenever its first attempts go to the
      shedding target. */
-  return json_pack ("{s:{s:[{s:s}, {s:s, s:[i], s:i}, {s:s, s:i, s:i, s:s, s:i}], s:o}}", "full",
-                    "policies", "name", "plain", "name", "shedding", "not_run_status", 503,
-                    "retry_percent", 100, "name", "cold", "cold_calls_per_s",
-                    SGR_FIXTURE_COLD_CALLS_PER_S, "cold_start_ms", 2000, "load_path", "/ready",
-                    "load_calls_per_s", 640, "services", services);
+  content = json_pack ("{s:{s:[{s:s}, {s:s, s:[i], s:i}, {s:s, s:i, s:i, s:s, s:i}], s:o}}", "full",
+                       "policies", "name", "plain", "name", "shedding", "not_run_status", 503,
+                       "retry_percent", 100, "name", "cold", "cold_calls_per_s",
+                       SGR_FIXTURE_COLD_CALLS_PER_S, "cold_start_ms", 2000, "load_path", "/ready",
+                       "load_calls_per_s", 640, "services", services);
+  if (fixture->is_routed)
+    json_object_set_new (json_object_get (content, "full"), "routes",
+                         json_pack ("[{s:s, s:s, s:s, s:[{s:O, s:i}]}]", "name", SGR_FIXTURE_ROUTE,
+                                    "host", "test", "prefix", "/", "services", "service",
+                                    json_object_get (json_array_get (services, 0), "name"),
+                                    "weight", 1));
+  return content;
 }
 
 /* Sends a POST request with JSON. Sends it again after status 503 or without an answer, because the
--- a/tests/node_fixture_config.h
+++ b/tests/node_fixture_config.h
@@ -7,6 +7,8 @@
 #include "node_fixture.h"
 
 #define SGR_FIXTURE_DEPLOYMENT "test"
+/* Name of the route of a routed fixture. */
+#define SGR_FIXTURE_ROUTE "fixture"
 /* Limit of the policy "cold". */
 #define SGR_FIXTURE_COLD_CALLS_PER_S 10
 
--- a/tests/test_config_account.c
+++ b/tests/test_config_account.c
@@ -31,6 +31,30 @@
   return result;
 }
 
+/* Guards against accounts that are no longer in use because the last one was removed. Without the
+   list, they are not in use. */
+static void
+test_last_account_is_removed (void **state)
+{
+  sgr_config_error_t error = { SGR_OK };
+  sgr_config_content_t *content, *emptied;
+  json_t *edit = json_pack ("{s:{s:[s]}}", "remove", "accounts", "a");
+
+  assert_int_equal (
+      content_read (ACCOUNTS ("{\"name\":\"a\",\"key_hashes\":[\"" KEY_1 "\"]}"), &content, &error),
+      SGR_OK);
+  assert_true (content->accounts.is_in_use);
+  assert_int_equal (sgr_config_content_apply (content, edit, &emptied, &error), SGR_OK);
+  assert_true (emptied->accounts.is_in_use);
+  assert_int_equal (emptied->accounts.count, 0);
+  sgr_config_content_destroy (emptied);
+  sgr_config_content_destroy (content);
+  json_decref (edit);
+  assert_int_equal (content_read ("{" POLICY "}", &content, &error), SGR_OK);
+  assert_false (content->accounts.is_in_use);
+  sgr_config_content_destroy (content);
+}
+
 /* Guards against an account that is read only in part, and against keys of another account. */
 static void
 test_accounts_read (void **state)
@@ -186,6 +210,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_last_account_is_removed),
     cmocka_unit_test (test_accounts_read),
     cmocka_unit_test (test_bad_accounts),
     cmocka_unit_test (test_json_error_without_key),
--- a/tests/test_config_partial.c
+++ b/tests/test_config_partial.c
@@ -379,6 +379,45 @@
   sgr_config_state_destroy (state);
 }
 
+/* Guards against a check that is taken for unused because a version leaves nothing that it could
+   check: the last tenant, the last key, the last route, the last region. A document without tenants
+   asks for no keys. */
+static void
+test_emptied_collections (void **unused)
+{
+  static const struct
+  {
+    const char *entries;
+    bool are_accounts_in_use;
+  } cases[] = {
+    { TENANT ("a", "\"apiKeys\":[\"" SECRET "\"]"), true },
+    { TENANT ("a", "\"apiKeys\":[]"), true },
+    { TENANT ("a", ""), true },
+    { TENANT ("a", "\"apiKeys\":7"), true },
+    { "{\"resourceType\":\"tenants\"}", true },
+    { "{\"resourceType\":7}", true },
+    { "", false },
+  };
+  static const char no_routes[] = "{\"version\":\"00000063\",\"resources\":[" SERVICES "]}";
+  sgr_config_state_t *state = state_create ();
+  sgr_config_error_t error = { SGR_OK };
+  sgr_route_table_t *table;
+  size_t count;
+
+  for (unsigned i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      version_offer (state, i + 1, "new", cases[i].entries);
+      if (sgr_config_state_accounts (state)->is_in_use != cases[i].are_accounts_in_use)
+        fail_msg ("%s: accounts in use %d", cases[i].entries, !cases[i].are_accounts_in_use);
+    }
+  assert_int_equal (sgr_config_state_offer (state, no_routes, strlen (no_routes), &error), SGR_OK);
+  sgr_config_state_routes (state, &count);
+  assert_int_equal (count, 0);
+  assert_null (route_find (state, &table, "moved.example", "/moved/1"));
+  sgr_route_table_destroy (table);
+  sgr_config_state_destroy (state);
+}
+
 #define SEEDS 300
 #define ENTRIES_MAX 12
 
@@ -466,6 +505,7 @@
     cmocka_unit_test (test_legal_values_keep_their_meaning),
     cmocka_unit_test (test_invalid_entries_stand_alone),
     cmocka_unit_test (test_keys_of_invalid_accounts),
+    cmocka_unit_test (test_emptied_collections),
     cmocka_unit_test (test_entries_do_not_affect_each_other),
   };
 
--- a/tests/test_data_account.c
+++ b/tests/test_data_account.c
@@ -420,6 +420,7 @@
   pthread_mutex_unlock (&head_mutex);
   /* The only account cannot be read. */
   snapshot = snapshot_make ();
+  snapshot->has_accounts = true;
   snapshot->has_hidden_keys = true;
   snapshot_apply (snapshot);
   exchange (fd, GET ("/private/", ""), &refused, 1);
@@ -429,6 +430,32 @@
   assert_true (metric ("requests_refused_total{status=\"503\",reason=\"hidden-key\"} ") == 3);
 }
 
+/* Guards against calls without a key, or with a withdrawn one, that run once the last account or
+   the last key is gone although accounts are in use. */
+static void
+test_last_account_and_key (void **state)
+{
+  static const int served = 200, refused = 401;
+  sgr_account_t account = { .name = "acme" };
+
+  for (size_t accounts = 0; accounts < 2; accounts++)
+    {
+      sgr_snapshot_t *snapshot = snapshot_make ();
+      int fd = connection_open ();
+
+      accounts_set (snapshot, true);
+      snapshot_apply (snapshot);
+      exchange (fd, GET ("/private/", TOKEN (KEY_ACME)), &served, 1);
+      snapshot = snapshot_make ();
+      sgr_snapshot_accounts_set (snapshot, &account, accounts, NULL, 0);
+      snapshot_apply (snapshot);
+      exchange (fd, GET ("/private/", TOKEN (KEY_ACME)), &refused, 1);
+      exchange (fd, GET ("/private/", ""), &refused, 1);
+      exchange (fd, GET ("/public/", ""), &served, 1);
+      close (fd);
+    }
+}
+
 /* Guards against a 401 from a node that has known of a newer configuration for long: it may have
    the key. A 404 is given again after a time. */
 static void
@@ -654,6 +681,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_keys),
     cmocka_unit_test (test_unusable_accounts),
+    cmocka_unit_test (test_last_account_and_key),
     cmocka_unit_test (test_refusal),
     cmocka_unit_test (test_no_401_while_behind_for_long),
     cmocka_unit_test (test_each_request_is_checked),
--- a/tests/test_data_task.c
+++ b/tests/test_data_task.c
@@ -54,7 +54,7 @@
     = { .drained = on_drained, .key_bind = on_key_bind, .target_unreachable = on_event };
 
 static void
-settings_make (sgr_settings_t *settings)
+settings_make (sgr_settings_t *settings, const char *routing)
 {
   sgr_buffer_t errors = { 0 };
   char text[512];
@@ -62,8 +62,8 @@
   snprintf (text, sizeof text,
             "node:\n  deployment: test\n  name: one\n  region: test\n  failure_domain: test-1\n"
             "listen:\n  callers: 127.0.0.1:%u\n  peers: 127.0.0.1:%u\n  control: 127.0.0.1:%u\n"
-            "store: 127.0.0.1:1\napproval: outside\n",
-            sgr_fixture_port_find (), sgr_fixture_port_find (), sgr_fixture_port_find ());
+            "store: 127.0.0.1:1\napproval: outside\nrouting: %s\n",
+            sgr_fixture_port_find (), sgr_fixture_port_find (), sgr_fixture_port_find (), routing);
   if (sgr_settings_parse (settings, "test", text, strlen (text), &errors) != SGR_OK)
     fail_msg ("%.*s", (int)errors.length, (const char *)errors.bytes);
   sgr_buffer_release (&errors);
@@ -80,7 +80,7 @@
   sgr_settings_t settings;
   sgr_data_task_t *task;
 
-  settings_make (&settings);
+  settings_make (&settings, "by-route");
   task = sgr_data_task_start (&settings, &sgr_call_fields_default, 1, &events, NULL, &errors);
   assert_non_null (task);
   for (int i = 0; i < REQUEST_COUNT; i++)
@@ -108,7 +108,7 @@
   sgr_settings_t settings;
   sgr_data_task_t *first;
 
-  settings_make (&settings);
+  settings_make (&settings, "by-route");
   first = sgr_data_task_start (&settings, &sgr_call_fields_default, 1, &events, NULL, &errors);
   assert_non_null (first);
   assert_null (
@@ -281,7 +281,7 @@
   atomic_store (&drained_count, 0);
   target = target_listen (&listener);
   assert_int_equal (pthread_create (&target_thread, NULL, large_target_run, &listener), 0);
-  settings_make (&settings);
+  settings_make (&settings, "by-route");
   task = sgr_data_task_start (&settings, &sgr_call_fields_default, 1, &events, NULL, &errors);
   assert_non_null (task);
   sgr_data_task_snapshot_send (task, target_snapshot_create (&target));
@@ -342,32 +342,49 @@
   static const struct
   {
     const char *name;
+    const char *routing;
     uint64_t newer_by;       /* revisions by which a peer is ahead */
     uint64_t seen_before_us; /* time since the node heard of it */
     const char *reason;
     int status;
     bool has_routes;
   } cases[] = {
-    { "unknown route", 0, 0, "no-route", 404, true },
-    { "unknown route, a peer is ahead", 1, 0, "configuration-behind", 503, true },
-    { "unknown route, a peer has been ahead for long", 1, 60 * SGR_USEC_PER_SEC, "no-route", 404,
-      true },
-    { "unknown service", 0, 0, "unknown-service", 404, false },
-    { "unknown service, a peer is ahead", 1, 0, "configuration-behind", 503, false },
-    { "unknown service, a peer has been ahead for long", 1, 60 * SGR_USEC_PER_SEC,
+    { "unknown route", "by-route", 0, 0, "no-route", 404, true },
+    { "unknown route, a peer is ahead", "by-route", 1, 0, "configuration-behind", 503, true },
+    { "unknown route, a peer has been ahead for long", "by-route", 1, 60 * SGR_USEC_PER_SEC,
+      "no-route", 404, true },
+    { "no routes", "by-route", 0, 0, "no-route", 404, false },
+    { "no routes, a peer is ahead", "by-route", 1, 0, "configuration-behind", 503, false },
+    { "unknown service", "by-service", 0, 0, "unknown-service", 404, false },
+    { "unknown service, unused routes", "by-service", 0, 0, "unknown-service", 404, true },
+    { "unknown service, a peer is ahead", "by-service", 1, 0, "configuration-behind", 503, false },
+    { "unknown service, a peer has been ahead for long", "by-service", 1, 60 * SGR_USEC_PER_SEC,
       "unknown-service", 404, false },
   };
+  const char *routing = "";
   sgr_buffer_t errors = { 0 };
   sgr_settings_t settings;
-  sgr_data_task_t *task;
+  sgr_data_task_t *task = NULL;
 
-  settings_make (&settings);
-  task = sgr_data_task_start (&settings, &sgr_call_fields_default, 1, &events, NULL, &errors);
-  assert_non_null (task);
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       sgr_snapshot_t *snapshot = sgr_snapshot_create (0, 0, cases[i].has_routes);
 
+      if (strcmp (routing, cases[i].routing) != 0)
+        {
+          if (task != NULL)
+            {
+              sgr_data_task_stop (task);
+              sgr_data_task_join (task);
+            }
+          routing = cases[i].routing;
+          settings_make (&settings, routing);
+          task = sgr_data_task_start (&settings, &sgr_call_fields_default, 1, &events, NULL,
+                                      &errors);
+          assert_non_null (task);
+          if (!refusal_await (settings.callers.port, 503, "no-configuration"))
+            fail_msg ("%s: no answer 503 before a configuration is known", routing);
+        }
       /* The task reads routes only from a snapshot with another revision. */
       snapshot->config_revision = 10 * (i + 1);
       snapshot->newest_revision = snapshot->config_revision + cases[i].newer_by;
@@ -386,6 +403,42 @@
   sgr_buffer_release (&errors);
 }
 
+/* Guards against services that callers reach by their names once the configuration has no routes.
+ */
+static void
+test_no_routes_open_no_service (void **state)
+{
+  static const char *const fields[] = { "", "Siskingrade-Service: test\r\n" };
+  sgr_snapshot_t *snapshot = sgr_snapshot_create (0, 1, 0);
+  sgr_buffer_t errors = { 0 };
+  sgr_settings_t settings;
+  sgr_data_task_t *task;
+
+  settings_make (&settings, "by-route");
+  task = sgr_data_task_start (&settings, &sgr_call_fields_default, 1, &events, NULL, &errors);
+  assert_non_null (task);
+  /* The host of the requests names the service, too. */
+  sgr_policy_init (&snapshot->policies[0], "test");
+  snapshot->policy_count = 1;
+  snapshot->config_revision = 1;
+  snapshot->newest_revision = 1;
+  sgr_data_task_snapshot_send (task, snapshot);
+  assert_true (refusal_await (settings.callers.port, 404, "no-route"));
+  for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
+    {
+      sgr_probe_request_t request
+          = { .port = settings.callers.port, .path = "/", .fields = fields[i] };
+      sgr_probe_answer_t answer;
+
+      sgr_probe_call (&request, &answer);
+      assert_int_equal (answer.status, 404);
+      sgr_probe_release (&answer);
+    }
+  sgr_data_task_stop (task);
+  sgr_data_task_join (task);
+  sgr_buffer_release (&errors);
+}
+
 /* Guards against a request on a route that cannot be carried out, or whose service cannot, and that
    falls to a shorter prefix or gets a final 404. */
 static void
@@ -398,7 +451,7 @@
   sgr_settings_t settings;
   sgr_data_task_t *task;
 
-  settings_make (&settings);
+  settings_make (&settings, "by-route");
   task = sgr_data_task_start (&settings, &sgr_call_fields_default, 1, &events, NULL, &errors);
   assert_non_null (task);
   for (int i = 0; i < 3; i++)
@@ -434,6 +487,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_no_routes_open_no_service),
     cmocka_unit_test (test_unusable_entries_are_refused),
     cmocka_unit_test (test_buffers_stay_in_their_thread),
     cmocka_unit_test (test_port_is_taken),
--- a/tests/test_path_regions.c
+++ b/tests/test_path_regions.c
@@ -51,6 +51,7 @@
 group_setup (void **state)
 {
   sgr_fixture_init (&fixture);
+  fixture.is_routed = true;
   node_add ("entry", NULL, "us", "us-1");
   node_add ("gate-us", "one", "us", "us-1");
   node_add ("gate-eu", "one", "eu", "eu-1");
@@ -107,7 +108,7 @@
       &fixture, "routes",
       json_pack ("{s:{s:[o, o, o, o]}}", "put", "routes", route_make ("bound", "/bytes/", "eu"),
                  route_make ("none", "/none/", "mars"), route_make ("us", "/us/", "us"),
-                 route_make ("free", "/", NULL))));
+                 route_make (SGR_FIXTURE_ROUTE, "/", NULL))));
   while (call ("GET", "/none/", "none", NULL, reason) != 503)
     {
       assert_true (sgr_clock_monotonic_us () < end_us);
@@ -251,13 +252,63 @@
   assert_int_equal (call ("GET", "/", "free-again", NULL, reason), 200);
 }
 
+/* Guards against services that callers reach by their names, or a service that the host names, once
+   the last route is withdrawn; also after a restart. */
+static void
+test_last_route_is_withdrawn (void **state)
+{
+  uint64_t end_us = sgr_clock_monotonic_us () + AWAIT_TIMEOUT_US;
+  char by_name[256], reason[64] = "";
+  sgr_probe_request_t request = { .port = node (ENTRY)->callers, .path = "/", .fields = by_name };
+  int status = 0;
+
+  snprintf (by_name, sizeof by_name, "%sSiskingrade-Service: one\r\n", token);
+  assert_true (sgr_fixture_change_set (&fixture, "no-routes",
+                                       json_pack ("{s:{s:[s, s, s, s]}}", "remove", "routes",
+                                                  "bound", "none", "us", SGR_FIXTURE_ROUTE)));
+  while (status != 404)
+    {
+      assert_true (sgr_clock_monotonic_us () < end_us);
+      status = call ("GET", "/bytes/10", "last", NULL, reason);
+    }
+  assert_string_equal (reason, "no-route");
+  /* A node that restarts may take the configuration of any other. */
+  for (size_t i = 0; i < fixture.count; i++)
+    while (fixture.nodes[i].pid != 0
+           && sgr_fixture_metric (&fixture.nodes[i], "siskingrade_config_revision ")
+                  < sgr_fixture_metric (node (ENTRY), "siskingrade_config_revision "))
+      {
+        assert_true (sgr_clock_monotonic_us () < end_us);
+        sgr_fixture_poll_sleep ();
+      }
+  sgr_fixture_process_kill (&node (ENTRY)->pid);
+  sgr_fixture_node_start (&fixture, node (ENTRY));
+  end_us = sgr_clock_monotonic_us () + AWAIT_TIMEOUT_US;
+  for (status = 0; status != 404;)
+    {
+      sgr_probe_answer_t answer;
+
+      assert_true (sgr_clock_monotonic_us () < end_us);
+      sgr_probe_call (&request, &answer);
+      status = answer.status;
+      if (status != 404 && status != 503 && status != 0)
+        fail_msg ("status %d after the restart", status);
+      sgr_probe_release (&answer);
+      sgr_fixture_poll_sleep ();
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_no_allowed_target),  cmocka_unit_test (test_calls_run_in_allowed_region),
-    cmocka_unit_test (test_own_keys),           cmocka_unit_test (test_issued_key),
-    cmocka_unit_test (test_regions_of_account), cmocka_unit_test (test_region_is_lost),
+    cmocka_unit_test (test_no_allowed_target),
+    cmocka_unit_test (test_calls_run_in_allowed_region),
+    cmocka_unit_test (test_own_keys),
+    cmocka_unit_test (test_issued_key),
+    cmocka_unit_test (test_regions_of_account),
+    cmocka_unit_test (test_region_is_lost),
+    cmocka_unit_test (test_last_route_is_withdrawn),
   };
 
   return cmocka_run_group_tests (tests, group_setup, group_teardown);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -70,6 +70,12 @@
   { NODE LISTEN OWNERS "contacts:\n  - 127.0.0.1:4\n  - 127.0.0.1:4\n",
     "f:8: contacts: duplicate" },
   { NODE LISTEN OWNERS "store: 127.0.0.1\n", "f:6: store: " },
+  { NODE LISTEN OWNERS "routing: by-name\n", "f:6: routing: expected by-route or by-service" },
+  { NODE LISTEN OWNERS "routing: []\n", "f:6: routing: expected by-route or by-service" },
+  { "node: {deployment: d, name: n, region: r, regions: [], failure_domain: f}\n" LISTEN OWNERS,
+    "f:1: node.regions: expected a list of names" },
+  { "node: {deployment: d, name: n, service: a b, region: r, failure_domain: f}\n" LISTEN OWNERS,
+    "f:1: node.service: expected a name" },
   { NODE LISTEN, "f:1: owners: expected a list of 2" },
   { NODE LISTEN "owners:\n  - {name: a, public_key: " KEY_1 "}\n", "f:4: owners: expected a list" },
   { NODE LISTEN "owners:\n  - {name: a, public_key: " KEY_1 "}\n  - {name: a, public_key: " KEY_2
