Let the soak announce targets with dead addresses

Announcements of another writer, with an address to which there is no route, are drawn by a generator of their own, so that the other faults of a seed, and the seeds kept for regressions, stay as they were.

--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -29,6 +29,7 @@
 #define CALLERS 8
 #define CALLS_MAX 4000
 #define FAULTS_MAX 64
+#define DEAD_ADDRESSES_MAX 4
 #define EXECUTIONS_MAX (4 * CALLS_MAX)
 
 /**
@@ -47,6 +48,9 @@
  * @FAULT_STORE_DOWN: the store is unavailable until the end
  * @FAULT_STORE_SLOW: the store replies late until the end
  * @FAULT_STORE_REPLY_LOST: two replies of the store are lost
+ * @FAULT_COUNT: number of the faults above, which are drawn at random
+ * @FAULT_DEAD_ADDRESS: another writer announces a target at whose address connect() fails at once;
+ *                      the target is started anew at the end
  */
 typedef enum
 {
@@ -65,15 +69,17 @@
   FAULT_STORE_SLOW,
   FAULT_STORE_REPLY_LOST,
   FAULT_COUNT,
+  FAULT_DEAD_ADDRESS = FAULT_COUNT,
 } fault_kind_t;
 
-static const char *const fault_names[FAULT_COUNT] = { "kill",        "term",
-                                                      "pause",       "reload",
-                                                      "target-kill", "target-pause",
-                                                      "silence",     "silence-to-client",
-                                                      "close",       "delay",
-                                                      "refuse",      "store-down",
-                                                      "store-slow",  "store-reply-lost" };
+static const char *const fault_names[FAULT_COUNT + 1] = { "kill",        "term",
+                                                          "pause",       "reload",
+                                                          "target-kill", "target-pause",
+                                                          "silence",     "silence-to-client",
+                                                          "close",       "delay",
+                                                          "refuse",      "store-down",
+                                                          "store-slow",  "store-reply-lost",
+                                                          "dead-address" };
 
 /**
  * struct event_t - the start or the end of a fault
@@ -101,7 +107,7 @@
 {
   sgr_fixture_t fixture;
   uint64_t seed;
-  event_t events[2 * FAULTS_MAX]; /* start and end of each fault */
+  event_t events[2 * FAULTS_MAX]; /* start and end of each fault, by time */
   size_t event_count;
   record_t *records;
   _Atomic size_t record_count;
@@ -169,6 +175,25 @@
   sgr_fixture_node_start (&soak.fixture, node);
 }
 
+/* Announces a target that is newer than the one of the node. The node may be down, or refuse it. */
+static void
+dead_address_announce (const sgr_fixture_node_t *node)
+{
+  char body[256];
+  sgr_probe_request_t request = {
+    .port = node->control, .method = "PUT", .path = "/v1/target", .body = body, .timeout_ms = 200
+  };
+  sgr_probe_answer_t answer;
+
+  request.body_length = (size_t)snprintf (
+      body, sizeof body,
+      "{\"service\":\"%s\",\"instance\":\"other\",\"address\":\"127.255.255.255:9\","
+      "\"slots\":16,\"started_ms\":%lu}",
+      node->service, sgr_clock_wall_ms ());
+  sgr_probe_call (&request, &answer);
+  sgr_probe_release (&answer);
+}
+
 static void
 fault_begin (const event_t *event, sgr_fixture_node_t *node)
 {
@@ -216,6 +241,9 @@
     case FAULT_STORE_SLOW:
       sgr_fixture_store_faults_set (&soak.fixture, "slow_ms=400");
       break;
+    case FAULT_DEAD_ADDRESS:
+      dead_address_announce (node);
+      break;
     default:
       sgr_fixture_store_faults_set (&soak.fixture, "lose_reply=2");
       break;
@@ -234,6 +262,10 @@
     case FAULT_PAUSE:
       kill (node->pid, SIGCONT);
       break;
+    case FAULT_DEAD_ADDRESS:
+      sgr_fixture_process_kill (&node->target_pid);
+      sgr_fixture_target_start (&soak.fixture, node);
+      break;
     case FAULT_TARGET_KILL:
       sgr_fixture_target_start (&soak.fixture, node);
       break;
@@ -265,7 +297,7 @@
 static bool
 is_target_fault (fault_kind_t kind)
 {
-  return kind == FAULT_TARGET_KILL || kind == FAULT_TARGET_PAUSE;
+  return kind == FAULT_TARGET_KILL || kind == FAULT_TARGET_PAUSE || kind == FAULT_DEAD_ADDRESS;
 }
 
 static int
@@ -312,6 +344,58 @@
   qsort (soak.events, soak.event_count, sizeof soak.events[0], event_compare);
 }
 
+/* Whether a fault of the target of a node overlaps a time. */
+static bool
+target_is_busy (size_t node, uint64_t from_us, uint64_t to_us)
+{
+  for (size_t i = 0; i < soak.event_count; i++)
+    {
+      const event_t *begin = &soak.events[i];
+      uint64_t end_us = begin->at_us;
+
+      if (begin->is_end || begin->node != node || !is_target_fault (begin->kind))
+        continue;
+      for (size_t j = i + 1; j < soak.event_count; j++)
+        if (soak.events[j].is_end && soak.events[j].node == node
+            && soak.events[j].kind == begin->kind)
+          {
+            end_us = soak.events[j].at_us;
+            break;
+          }
+      if (from_us <= end_us + SGR_USEC_PER_MSEC && begin->at_us <= to_us + SGR_USEC_PER_MSEC)
+        return true;
+    }
+  return false;
+}
+
+/* Adds announcements of other writers, by a generator of their own, so that the other faults of a
+   seed stay the same. */
+static void
+dead_addresses_add (uint64_t length_us)
+{
+  size_t count;
+  sgr_rng_t rng;
+
+  sgr_rng_seed (&rng, ~soak.seed);
+  count = 1 + sgr_rng_below (&rng, DEAD_ADDRESSES_MAX);
+  for (size_t i = 0; i < count && soak.event_count < 2 * FAULTS_MAX; i++)
+    {
+      event_t event = { .kind = FAULT_DEAD_ADDRESS,
+                        .at_us = sgr_rng_below (&rng, length_us),
+                        .node = sgr_rng_below (&rng, soak.fixture.count) };
+      uint64_t end_us = event.at_us + (50 + sgr_rng_below (&rng, 1200)) * SGR_USEC_PER_MSEC;
+
+      if (soak.fixture.nodes[event.node].service == NULL
+          || target_is_busy (event.node, event.at_us, end_us))
+        continue;
+      soak.events[soak.event_count++] = event;
+      event.at_us = end_us;
+      event.is_end = true;
+      soak.events[soak.event_count++] = event;
+      qsort (soak.events, soak.event_count, sizeof soak.events[0], event_compare);
+    }
+}
+
 static void
 events_run (void)
 {
@@ -408,6 +492,7 @@
   sgr_fixture_node_add (&soak.fixture, "one-b", "one", true);
   assert_true (sgr_fixture_start (&soak.fixture));
   events_generate (length_us);
+  dead_addresses_add (length_us);
   for (size_t i = 0; i < CALLERS; i++)
     {
       callers[i].soak = &soak;
