Take as many entries as a document of the platform can hold

A document of 1 MiB, which the platform's store takes, may hold 28,000 entries; above 16,384 of a kind it was refused whole. The bound is 32,768 now, above what 1 MiB can hold.

test_config_partial:test_most_entries fails with the former bound.

--- a/libsiskingrade/config_resource.h
+++ b/libsiskingrade/config_resource.h
@@ -9,7 +9,7 @@
 
 /* Most resources in each of the lists "policies", "services", "routes" and "accounts". More do not
    fit into the largest value of a store. */
-#define SGR_CONFIG_RESOURCES_MAX 16384
+#define SGR_CONFIG_RESOURCES_MAX 32768
 #define SGR_CONFIG_DIGEST_BYTES 32
 /* Bytes of a digest in hexadecimal digits, with the terminating null. */
 #define SGR_CONFIG_DIGEST_HEX_BYTES (2 * SGR_CONFIG_DIGEST_BYTES + 1)
--- a/tests/test_config_partial.c
+++ b/tests/test_config_partial.c
@@ -418,6 +418,32 @@
   sgr_config_state_destroy (state);
 }
 
+/* Guards against a document that is refused for the number of its entries, although the platform's
+   store takes it: values of up to 1 MiB. */
+static void
+test_most_entries (void **unused)
+{
+  static const char *const smallest[] = {
+    "{\"resourceType\":\"routes\",\"spec\":{}}",
+    "{\"resourceType\":\"services\",\"spec\":{}}",
+    "{\"resourceType\":\"tenants\",\"spec\":{}}",
+  };
+
+  for (size_t i = 0; i < sizeof smallest / sizeof smallest[0]; i++)
+    {
+      sgr_config_state_t *state = state_create ();
+      sgr_buffer_t entries = { 0 };
+
+      while (entries.length < 1048000)
+        sgr_buffer_printf (&entries, "%s%s", entries.length > 0 ? "," : "", smallest[i]);
+      sgr_buffer_append (&entries, "", 1);
+      version_offer (state, 1, "new", (const char *)entries.bytes);
+      moved_check (state, "new", smallest[i]);
+      sgr_buffer_release (&entries);
+      sgr_config_state_destroy (state);
+    }
+}
+
 #define SEEDS 300
 #define ENTRIES_MAX 12
 
@@ -506,6 +532,7 @@
     cmocka_unit_test (test_invalid_entries_stand_alone),
     cmocka_unit_test (test_keys_of_invalid_accounts),
     cmocka_unit_test (test_emptied_collections),
+    cmocka_unit_test (test_most_entries),
     cmocka_unit_test (test_entries_do_not_affect_each_other),
   };
 
