--- a/libsiskingrade/control_internal.h
+++ b/libsiskingrade/control_internal.h
@@ -132,6 +132,15 @@
 /** sgr_control_announce_timer() - timer callback: removes a registration that was not renewed */
 void sgr_control_announce_timer (void *ctx, uint64_t now_us);
 
+/**
+ * sgr_control_snapshot_build() - snapshot of the present state; function of control_snapshot.c
+ * @control: the control task
+ *
+ * Return: a snapshot for sgr_data_task_snapshot_send(). It has the routes and accounts of the
+ * configuration only if the last one had another revision.
+ */
+sgr_snapshot_t *sgr_control_snapshot_build (sgr_control_t *control);
+
 /**
  * sgr_control_snapshot_now() - send a snapshot to the data task in the next iteration of the event
  * loop
--- a/libsiskingrade/data_account.c
+++ b/libsiskingrade/data_account.c
@@ -17,8 +17,6 @@
 #define SHARE_RETRY_SPREAD_MS 300
 /* Ranks of routes that one rank of accounts spans. Both are below it. */
 #define ROUTE_RANKS 65536
-/* Retry-After of a request that the configuration in force does not let the node carry out. */
-#define UNUSABLE_RETRY_AFTER_MS 1000
 
 void
 sgr_data_accounts_rebuild (sgr_data_task_t *task)
@@ -73,15 +71,6 @@
   return fields == 1 ? account : SGR_ACCOUNT_NONE;
 }
 
-static void
-unusable_refuse (sgr_data_task_t *task, h2o_req_t *req, const char *reason)
-{
-  sgr_data_refusal_t refusal
-      = { .status = 503, .reason = reason, .retry_after_ms = UNUSABLE_RETRY_AFTER_MS };
-
-  sgr_data_request_refuse_as (task, req, &refusal);
-}
-
 /* Refuses a request without a known key. A 401 is final for a caller, so it is only given if the
    configuration has no key that cannot be read, and no other node is known to have a newer one,
    which may have the key. */
@@ -95,7 +84,7 @@
     }
   if (task->snapshot->has_hidden_keys)
     {
-      unusable_refuse (task, req, "hidden-key");
+      sgr_data_unusable_refuse (task, req, "hidden-key");
       return;
     }
   h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("www-authenticate"), 0, NULL,
@@ -121,7 +110,7 @@
     }
   if (!sgr_account_table_get (task->accounts, request->account)->is_unusable)
     return true;
-  unusable_refuse (task, req, "unusable-account");
+  sgr_data_unusable_refuse (task, req, "unusable-account");
   return false;
 }
 
--- a/libsiskingrade/data_http.c
+++ b/libsiskingrade/data_http.c
@@ -22,8 +22,6 @@
 /* Retry-After of a call that is refused because its idempotency key, which the caller chose, cannot
    be bound to a gate. */
 #define KEY_BIND_RETRY_AFTER_MS 1000
-/* Retry-After of a request that the configuration in force does not let the node carry out. */
-#define UNUSABLE_RETRY_AFTER_MS 1000
 /* Time for which the knowledge of a newer configuration turns 404 into 503. */
 #define BEHIND_MAX_US (15 * SGR_USEC_PER_SEC)
 /* HTTP/1.1 in h2o's encoding of versions. */
@@ -97,16 +95,6 @@
                                                                : "key-store-unavailable");
 }
 
-/* Refuses a request whose route or service is in the configuration, but cannot be carried out. */
-static void
-unusable_refuse (sgr_data_http_t *http, h2o_req_t *req, const char *reason)
-{
-  sgr_data_refusal_t refusal
-      = { .status = 503, .reason = reason, .retry_after_ms = UNUSABLE_RETRY_AFTER_MS };
-
-  sgr_data_request_refuse_as (http->task, req, &refusal);
-}
-
 /* Refuses a request for a route or service that the configuration in force does not have. If a
    newer configuration is known, it may have it, so the caller is asked to come back: after a 404 it
    would not. A node that has not got the newer one for a long time may never get it, for instance
@@ -120,7 +108,7 @@
       && sgr_clock_monotonic_us () < snapshot->newest_seen_us + BEHIND_MAX_US)
     sgr_data_request_refuse (http->task, req, 503, "configuration-behind");
   else if (snapshot != NULL && snapshot->has_hidden_routes)
-    unusable_refuse (http, req, "hidden-route");
+    sgr_data_unusable_refuse (http->task, req, "hidden-route");
   else
     sgr_data_request_refuse (http->task, req, 404, reason);
 }
@@ -154,7 +142,7 @@
       *route = sgr_route_entry_route (entry);
       if ((*route)->is_unusable)
         {
-          unusable_refuse (http, req, "unusable-route");
+          sgr_data_unusable_refuse (http->task, req, "unusable-route");
           return NULL;
         }
     }
@@ -171,7 +159,7 @@
     }
   service = sgr_data_service_find (http->task->services, request->service);
   if (service == NULL && entry != NULL)
-    unusable_refuse (http, req, "unusable-service");
+    sgr_data_unusable_refuse (http->task, req, "unusable-service");
   else if (service == NULL)
     unknown_refuse (http, req, "unknown-service");
   return service;
--- a/libsiskingrade/data_refuse.c
+++ b/libsiskingrade/data_refuse.c
@@ -10,6 +10,8 @@
 /* Retry-After of a request that is refused because the node has no configuration yet or an old one,
    is stopping, or has too many open calls. */
 #define UNAVAILABLE_RETRY_AFTER_MS 200
+/* Retry-After of a request for an entry of the configuration that cannot be carried out. */
+#define UNUSABLE_RETRY_AFTER_MS 1000
 #define LABELS_BYTES 96
 
 void
@@ -83,6 +85,15 @@
   sgr_data_error_send (req, &error);
 }
 
+void
+sgr_data_unusable_refuse (sgr_data_task_t *task, h2o_req_t *req, const char *reason)
+{
+  sgr_data_refusal_t refusal
+      = { .status = 503, .reason = reason, .retry_after_ms = UNUSABLE_RETRY_AFTER_MS };
+
+  sgr_data_request_refuse_as (task, req, &refusal);
+}
+
 void
 sgr_data_malformed_count (sgr_data_task_t *task, int status)
 {
--- a/libsiskingrade/data_refuse.h
+++ b/libsiskingrade/data_refuse.h
@@ -50,6 +50,15 @@
 void sgr_data_request_refuse_as (sgr_data_task_t *task, h2o_req_t *req,
                                  const sgr_data_refusal_t *refusal);
 
+/**
+ * sgr_data_unusable_refuse() - refuse a request for an entry of the configuration that cannot be
+ * carried out
+ * @task: the data task
+ * @req: the request
+ * @reason: as of sgr_data_request_refuse()
+ */
+void sgr_data_unusable_refuse (sgr_data_task_t *task, h2o_req_t *req, const char *reason);
+
 /**
  * sgr_data_malformed_count() - count and log a request that was answered without being read
  * @task: the data task
--- a/libsiskingrade/peer_conn.c
+++ b/libsiskingrade/peer_conn.c
@@ -35,9 +35,8 @@
  * @writing: bytes of the write in progress, empty if there is none
  * @memory: counts the bytes of the three buffers
  * @waiting_attempts: attempts that wait for the other node
- * @heartbeat: timer of the pings and of the silence check, also while the connection finishes;
- * after the close, frees the connection
- * @connect_failure: timer that reports a connection that could not be begun
+ * @heartbeat: pings and silence check, also while the connection finishes; frees it after the close
+ * @connect_failure: reports a connection that could not be begun
  * @heartbeat_due_us: time for which @heartbeat is set
  * @silent_since_us: start of the silence that is measured: the last received byte, the first ping
  *                   on an idle connection, the first waiting attempt, or the end of a pause of this
--- a/libsiskingrade/route.c
+++ b/libsiskingrade/route.c
@@ -161,10 +161,10 @@
 split_start (sgr_route_entry_t *entry, sgr_rng_t *rng)
 {
   size_t count = entry->route.part_count;
-  sgr_route_part_t *scaled = calloc (count, sizeof *scaled);
+  sgr_route_part_t *scaled = calloc (count + 1, sizeof *scaled);
   uint64_t scaled_sum = 0, steps;
 
-  sgr_invariant (scaled != NULL);
+  sgr_invariant (scaled != NULL && count > 0);
   for (size_t i = 0; i < count; i++)
     {
       uint64_t weight = entry->route.parts[i].weight;
@@ -174,6 +174,7 @@
       scaled[i].weight = (uint32_t)weight;
       scaled_sum += weight;
     }
+  sgr_invariant (scaled_sum > 0);
   steps = sgr_rng_below (rng, scaled_sum);
   if (steps > START_WORK_MAX / count)
     steps %= START_WORK_MAX / count + 1;
--- a/libsiskingrade/settings.c
+++ b/libsiskingrade/settings.c
@@ -225,17 +225,21 @@
                     2 * sizeof owner->key);
 }
 
+/* Reads one of two words; @is_other keeps its value if the key is absent, and else tells whether it
+   is
+   @other. */
 static void
-read_approval (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
+read_choice (sgr_yaml_t *yaml, sgr_yaml_node_t root, const char *key, const char *usual,
+             const char *other, bool *is_other)
 {
-  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "approval");
+  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, key);
   const char *text = sgr_yaml_scalar (yaml, node);
 
   if (node == 0)
     return;
-  settings->is_approved_outside = text != NULL && strcmp (text, "outside") == 0;
-  if (!settings->is_approved_outside && (text == NULL || strcmp (text, "owners") != 0))
-    sgr_yaml_error (yaml, node, "approval", "expected owners or outside");
+  *is_other = text != NULL && strcmp (text, other) == 0;
+  if (!*is_other && (text == NULL || strcmp (text, usual) != 0))
+    sgr_yaml_error (yaml, node, key, "expected %s or %s", usual, other);
 }
 
 const char *
@@ -244,19 +248,6 @@
   return settings->are_services_named ? "by-service" : "by-route";
 }
 
-static void
-read_routing (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
-{
-  sgr_yaml_node_t node = sgr_yaml_get (yaml, root, "routing");
-  const char *text = sgr_yaml_scalar (yaml, node);
-
-  if (node == 0)
-    return;
-  settings->are_services_named = text != NULL && strcmp (text, "by-service") == 0;
-  if (!settings->are_services_named && (text == NULL || strcmp (text, "by-route") != 0))
-    sgr_yaml_error (yaml, node, "routing", "expected by-route or by-service");
-}
-
 static void
 read_owners (sgr_settings_t *settings, sgr_yaml_t *yaml, sgr_yaml_node_t root)
 {
@@ -472,8 +463,8 @@
   read_advertise (settings, yaml, root);
   read_contacts (settings, yaml, root);
   sgr_yaml_address_read (yaml, root, "store", "", false, &settings->store);
-  read_routing (settings, yaml, root);
-  read_approval (settings, yaml, root);
+  read_choice (yaml, root, "routing", "by-route", "by-service", &settings->are_services_named);
+  read_choice (yaml, root, "approval", "owners", "outside", &settings->is_approved_outside);
   read_owners (settings, yaml, root);
   read_tls (settings, yaml, root);
   read_log (settings, yaml, root);
