--- a/libsiskingrade/route.c
+++ b/libsiskingrade/route.c
@@ -240,12 +240,6 @@
   free (table);
 }
 
-size_t
-sgr_route_table_count (const sgr_route_table_t *table)
-{
-  return table->count;
-}
-
 /* Compares the host name of a route with that of a request, which may have upper-case letters. */
 static int
 host_compare (const char *route_host, const char *host, size_t length)
--- a/libsiskingrade/route.h
+++ b/libsiskingrade/route.h
@@ -90,7 +90,6 @@
 sgr_route_table_t *sgr_route_table_create (const sgr_route_t *routes, size_t count,
                                            const sgr_route_table_t *previous, sgr_rng_t *rng);
 void sgr_route_table_destroy (sgr_route_table_t *table);
-size_t sgr_route_table_count (const sgr_route_table_t *table);
 
 /**
  * sgr_route_table_find() - find the route of a request
